workspace: lay out the library, the two programs and the stand-ins

The library gets its checked values, the verdict and refusal types, one configuration, the member table and the numbered events. The programs are still empty.

--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators command line.
+
+fn main() {}
--- /dev/null
+++ b/lib/src/connection/mod.rs
@@ -0,0 +1,1 @@
+//! What lives for one connection.
--- /dev/null
+++ b/lib/src/process/events/mod.rs
@@ -0,0 +1,70 @@
+//! Numbered events: every line that the system logs has one.
+//!
+//! Each area has a block of numbers and a file of its own. `docs/events.md` lists all of them.
+
+pub mod membership;
+pub mod once;
+pub mod platform;
+pub mod process;
+pub mod rates;
+pub mod request;
+pub mod version;
+
+use std::fmt;
+
+use log::Level;
+
+/// A kind of log line with a number that never changes its meaning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// The number, unique over all events.
+    pub number: u16,
+    /// The level at which the event is logged.
+    pub level: Level,
+    /// The stable name.
+    pub name: &'static str,
+    /// What happened, and what an operator can do about it.
+    pub meaning: &'static str,
+}
+
+impl Event {
+    /// Logs the event with details.
+    pub fn log(self, details: impl fmt::Display) {
+        log::log!(target: "balsamfold", self.level, "[{}] {}: {details}", self.number, self.name);
+    }
+}
+
+/// Defines the events of one area and the table of them.
+macro_rules! events {
+    ($($name:ident = $number:literal, $level:ident, $text:literal, $meaning:literal;)*) => {
+        $(
+            #[doc = $meaning]
+            pub const $name: Event = Event {
+                number: $number,
+                level: Level::$level,
+                name: $text,
+                meaning: $meaning,
+            };
+        )*
+
+        /// All events of this area.
+        pub const ALL: &[Event] = &[$($name),*];
+    };
+}
+pub(crate) use events;
+
+/// Returns all events in the order of their numbers.
+pub fn catalogue() -> Vec<Event> {
+    let areas = [
+        process::ALL,
+        request::ALL,
+        version::ALL,
+        membership::ALL,
+        rates::ALL,
+        once::ALL,
+        platform::ALL,
+    ];
+    let mut all = areas.concat();
+    all.sort_by_key(|event| event.number);
+    all
+}
--- /dev/null
+++ b/lib/src/process/events/once.rs
@@ -0,0 +1,10 @@
+//! Events of at-most-once records and crash suspects: numbers 6000 to 6999.
+
+use log::Level;
+
+use super::Event;
+use super::events;
+
+events! {
+    SUSPECT_QUARANTINED = 6000, Warn, "once.suspect-quarantined", "A request fingerprint was present at two crashes and is refused for a bounded time.";
+}
--- /dev/null
+++ b/lib/src/process/mod.rs
@@ -0,0 +1,4 @@
+//! What lives for the whole process.
+
+pub mod events;
+pub mod membership;
--- /dev/null
+++ b/lib/src/request/refusal.rs
@@ -0,0 +1,186 @@
+//! Answers that the system gives in place of a backend server.
+
+use std::fmt;
+
+use http::StatusCode;
+
+use super::Verdict;
+use crate::process::events::Event;
+use crate::process::events::request as events;
+
+plain_value! {
+    /// Why the system answered a request itself.
+    #[serde(rename_all = "kebab-case")]
+    pub enum RefusalReason {
+        /// The request has no key and its route is not open to all.
+        KeyMissing,
+        /// The key is unknown or withdrawn.
+        KeyInvalid,
+        /// The organisation may not use the route.
+        Forbidden,
+        /// No route matches the path.
+        NoRoute,
+        /// The request is malformed, for example by a header that cannot be read.
+        BadRequest,
+        /// The body is larger than the system accepts.
+        BodyTooLarge,
+        /// A route that is not idempotent was called without an `Idempotency-Key`.
+        IdempotencyKeyMissing,
+        /// The `Idempotency-Key` was used before for another request.
+        IdempotencyKeyReused,
+        /// The organisation's rate and burst over the whole fleet are used up.
+        RateExceeded,
+        /// The request was shed because capacity is short.
+        Overloaded,
+        /// The node or its backend server is stopping.
+        Draining,
+        /// No backend server of the service is known or reachable.
+        NoServer,
+        /// The node that keeps the record of this `Idempotency-Key` is unreachable.
+        HomeUnreachable,
+        /// The node has no configuration yet.
+        NotReady,
+        /// The request ran out of time.
+        DeadlineExceeded,
+        /// The request used all the attempts that its call tree may make.
+        AttemptsExhausted,
+        /// The call chain is deeper than the system serves.
+        TooDeep,
+        /// The handle of an onward call is unknown or its parent has ended.
+        HandleUnknown,
+        /// The request was present when several backend servers crashed.
+        Quarantined,
+        /// The backend server closed its connection or gave a broken answer.
+        BadAnswer,
+        /// The outcome of an earlier attempt under the same key is unknown.
+        OutcomeUnknown,
+        /// The sender of a message between nodes does not know the fleet secret.
+        NotAPeer,
+    }
+}
+
+impl RefusalReason {
+    /// Returns the stable code used in problem bodies.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::KeyMissing => "key-missing",
+            Self::KeyInvalid => "key-invalid",
+            Self::Forbidden => "forbidden",
+            Self::NoRoute => "no-route",
+            Self::BadRequest => "bad-request",
+            Self::BodyTooLarge => "body-too-large",
+            Self::IdempotencyKeyMissing => "idempotency-key-missing",
+            Self::IdempotencyKeyReused => "idempotency-key-reused",
+            Self::RateExceeded => "rate-exceeded",
+            Self::Overloaded => "overloaded",
+            Self::Draining => "draining",
+            Self::NoServer => "no-server",
+            Self::HomeUnreachable => "home-unreachable",
+            Self::NotReady => "not-ready",
+            Self::DeadlineExceeded => "deadline-exceeded",
+            Self::AttemptsExhausted => "attempts-exhausted",
+            Self::TooDeep => "too-deep",
+            Self::HandleUnknown => "handle-unknown",
+            Self::Quarantined => "quarantined",
+            Self::BadAnswer => "bad-answer",
+            Self::OutcomeUnknown => "outcome-unknown",
+            Self::NotAPeer => "not-a-peer",
+        }
+    }
+
+    /// Returns the HTTP status of the refusal.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::KeyMissing | Self::KeyInvalid | Self::NotAPeer => StatusCode::UNAUTHORIZED,
+            Self::Forbidden | Self::HandleUnknown => StatusCode::FORBIDDEN,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BadRequest | Self::IdempotencyKeyMissing => StatusCode::BAD_REQUEST,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::IdempotencyKeyReused | Self::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::RateExceeded => StatusCode::TOO_MANY_REQUESTS,
+            Self::TooDeep => StatusCode::LOOP_DETECTED,
+            Self::BadAnswer => StatusCode::BAD_GATEWAY,
+            Self::DeadlineExceeded | Self::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
+            Self::Overloaded
+            | Self::Draining
+            | Self::NoServer
+            | Self::HomeUnreachable
+            | Self::NotReady
+            | Self::AttemptsExhausted => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Returns the event that records the refusal in the log.
+    pub fn event(self) -> Event {
+        match self {
+            Self::KeyMissing => events::KEY_MISSING,
+            Self::KeyInvalid => events::KEY_INVALID,
+            Self::Forbidden => events::FORBIDDEN,
+            Self::NoRoute => events::NO_ROUTE,
+            Self::BadRequest => events::BAD_REQUEST,
+            Self::BodyTooLarge => events::BODY_TOO_LARGE,
+            Self::IdempotencyKeyMissing => events::IDEMPOTENCY_KEY_MISSING,
+            Self::IdempotencyKeyReused => events::IDEMPOTENCY_KEY_REUSED,
+            Self::RateExceeded => events::RATE_EXCEEDED,
+            Self::Overloaded => events::OVERLOADED,
+            Self::Draining => events::DRAINING,
+            Self::NoServer => events::NO_SERVER,
+            Self::HomeUnreachable => events::HOME_UNREACHABLE,
+            Self::NotReady => events::NOT_READY,
+            Self::DeadlineExceeded => events::DEADLINE_EXCEEDED,
+            Self::AttemptsExhausted => events::ATTEMPTS_EXHAUSTED,
+            Self::TooDeep => events::TOO_DEEP,
+            Self::HandleUnknown => events::HANDLE_UNKNOWN,
+            Self::Quarantined => events::QUARANTINED,
+            Self::BadAnswer => events::BAD_ANSWER,
+            Self::OutcomeUnknown => events::OUTCOME_UNKNOWN,
+            Self::NotAPeer => events::NOT_A_PEER,
+        }
+    }
+}
+
+impl fmt::Display for RefusalReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.code())
+    }
+}
+
+plain_data! {
+    /// An answer that the system gives in place of a backend server.
+    pub struct Refusal {
+        /// Why the request was not answered by a backend server.
+        pub reason: RefusalReason,
+        /// Whether a handler may have seen the request.
+        pub verdict: Verdict,
+        /// When the caller may try again, if trying again can help.
+        pub retry_after_ms: Option<u64>,
+    }
+}
+
+impl Refusal {
+    /// Refuses a request that no handler has seen.
+    pub fn not_run(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            verdict: Verdict::NotRun,
+            retry_after_ms: None,
+        }
+    }
+
+    /// Refuses a request that a handler may have seen.
+    pub fn may_have_run(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            verdict: Verdict::MayHaveRun,
+            retry_after_ms: None,
+        }
+    }
+
+    /// Adds the time after which the caller may try again.
+    pub fn retry_after_ms(self, retry_after_ms: u64) -> Self {
+        Self {
+            retry_after_ms: Some(retry_after_ms),
+            ..self
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/version/configuration.rs
@@ -0,0 +1,73 @@
+//! One accepted configuration of the whole fleet.
+
+use std::collections::BTreeMap;
+
+use uuid::Uuid;
+
+use super::CallerKey;
+use super::KeyHash;
+use super::KeyRecord;
+use super::KeyState;
+use super::Organisation;
+use super::Route;
+use super::ZoneRecord;
+use crate::values::ConfigVersion;
+use crate::values::KeyId;
+use crate::values::OrganisationId;
+use crate::values::ZoneId;
+
+plain_value! {
+    /// Identifies one change by one operator, so that a lost answer can be settled by reading back.
+    #[serde(transparent)]
+    pub struct ChangeId(pub Uuid);
+}
+
+impl std::fmt::Display for ChangeId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+plain_data! {
+    /// One accepted configuration of the whole fleet.
+    ///
+    /// It is written to the platform as one value and never changes afterwards.
+    pub struct Configuration {
+        /// Rises by one with each accepted change.
+        pub version: ConfigVersion,
+        /// The change that made this version.
+        pub change_id: ChangeId,
+        /// Availability zones that take part in rates and in at-most-once records.
+        pub zones: BTreeMap<ZoneId, ZoneRecord>,
+        /// Organisations with their rates.
+        pub organisations: BTreeMap<OrganisationId, Organisation>,
+        /// Keys, with the withdrawn ones.
+        pub keys: BTreeMap<KeyId, KeyRecord>,
+        /// Routes in no particular order; the longest matching path wins.
+        pub routes: Vec<Route>,
+    }
+}
+
+impl Configuration {
+    /// Finds the organisation whose active key has the hash of `key`.
+    ///
+    /// Every stored hash is compared in constant time, and the search does not stop at a match.
+    pub fn organisation_of(&self, key: &CallerKey) -> Option<&Organisation> {
+        let hash = KeyHash::of(key);
+        let matching = self
+            .keys
+            .values()
+            .filter(|record| record.hash.matches(&hash))
+            .filter(|record| record.state == KeyState::Active)
+            .fold(None, |found, record| found.or(Some(record)));
+        matching.and_then(|record| self.organisations.get(&record.organisation))
+    }
+
+    /// Finds the route with the longest path that matches `path`.
+    pub fn route_of(&self, path: &str) -> Option<&Route> {
+        self.routes
+            .iter()
+            .filter(|route| route.matches(path))
+            .max_by_key(|route| route.path.len())
+    }
+}
--- /dev/null
+++ b/lib/src/version/organisation.rs
@@ -0,0 +1,17 @@
+//! Organisations and what they may use.
+
+use crate::values::OrganisationId;
+use crate::values::RatePerSecond;
+use crate::values::TokenCount;
+
+plain_data! {
+    /// An organisation with its rate and burst over the whole fleet.
+    pub struct Organisation {
+        /// The name of the organisation.
+        pub id: OrganisationId,
+        /// Requests that it may start on average in a second, over all zones together.
+        pub rate_per_s: RatePerSecond,
+        /// Requests that it may start at once after a pause, over all zones together.
+        pub burst_tokens: TokenCount,
+    }
+}
--- /dev/null
+++ b/lib/src/version/route.rs
@@ -0,0 +1,56 @@
+//! Routes from paths to services.
+
+use crate::values::Importance;
+use crate::values::ServiceId;
+
+plain_value! {
+    /// Who may use a route.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Access {
+        /// Requests need a key of an organisation.
+        Keyed,
+        /// Requests run without a key.
+        Open,
+    }
+}
+
+plain_value! {
+    /// Whether a request may run more than once.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Repeatability {
+        /// Running the request again changes nothing.
+        Idempotent,
+        /// The request must run at most once.
+        AtMostOnce,
+    }
+}
+
+plain_data! {
+    /// Says which service answers a path, and how requests on it are treated.
+    pub struct Route {
+        /// Matches this path and all paths below it.
+        pub path: String,
+        /// The service whose backend servers answer.
+        pub service: ServiceId,
+        /// Rank of a root request on this route when capacity is short.
+        pub importance: Importance,
+        /// Whether a request may run more than once.
+        pub repeatability: Repeatability,
+        /// Who may use the route.
+        pub access: Access,
+        /// Longest time that a root request may take.
+        pub deadline_ms: u64,
+        /// Attempts beyond the first that the whole call tree of a root request may make.
+        pub extra_attempts: u32,
+    }
+}
+
+impl Route {
+    /// Returns whether the route answers `path`.
+    pub fn matches(&self, path: &str) -> bool {
+        match path.strip_prefix(self.path.as_str()) {
+            Some(rest) => rest.is_empty() || rest.starts_with('/') || self.path.ends_with('/'),
+            None => false,
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/runner.rs
@@ -0,0 +1,4 @@
+//! The one test binary of the library.
+
+mod test_events;
+mod test_keys;
--- /dev/null
+++ b/node/src/main.rs
@@ -0,0 +1,3 @@
+//! The node daemon.
+
+fn main() {}
--- /dev/null
+++ b/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for tests.
