--- /dev/null
+++ b/lib/src/connection/exchange.rs
@@ -0,0 +1,67 @@
+//! One request and its whole answer on one connection.
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::StatusCode;
+use http::Uri;
+use snafu::Snafu;
+
+use crate::request::Verdict;
+
+/// A request with its whole body, so that it can be sent more than once.
+#[derive(Clone, Debug)]
+pub struct WholeRequest {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// An answer whose body arrived whole.
+#[derive(Clone, Debug)]
+pub struct WholeAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// The reason why an exchange gave no whole answer.
+#[derive(Debug, Snafu)]
+pub enum ExchangeError {
+    /// No connection could be opened.
+    #[snafu(display("no connection to the server"))]
+    NotConnected,
+    /// All connections that the server allows are in use.
+    #[snafu(display("all connections that the server allows are in use"))]
+    NoFreeConnection,
+    /// The connection closed before any byte of the request was written.
+    #[snafu(display("connection closed before the request was sent"))]
+    NotSent,
+    /// The connection failed after a part of the request was written.
+    #[snafu(display("connection failed after the request was sent"))]
+    Sent,
+    /// The answer's body was short, malformed or too large.
+    #[snafu(display("answer is incomplete or malformed"))]
+    BrokenAnswer,
+    /// The request ran out of time after a part of it may have been written.
+    #[snafu(display("no answer in time"))]
+    TimedOut,
+}
+
+impl ExchangeError {
+    /// Says whether the server's handler may have seen the request.
+    pub fn verdict(&self) -> Verdict {
+        match self {
+            Self::NotConnected | Self::NoFreeConnection | Self::NotSent => Verdict::NotRun,
+            Self::Sent | Self::BrokenAnswer | Self::TimedOut => Verdict::MayHaveRun,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/connection/headers.rs
@@ -0,0 +1,65 @@
+//! Header names of the system, and the headers that end at each hop.
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::header;
+
+/// Remaining time of a request in milliseconds, from the caller.
+pub const DEADLINE_HEADER: HeaderName = HeaderName::from_static("balsamfold-deadline-ms");
+/// The verdict on whether a request may have run.
+pub const VERDICT_HEADER: HeaderName = HeaderName::from_static("balsamfold-verdict");
+/// The handle by which a backend server refers to the request that it runs.
+pub const HANDLE_HEADER: HeaderName = HeaderName::from_static("balsamfold-handle");
+/// What a node tells the next node about a request.
+pub const CONTEXT_HEADER: HeaderName = HeaderName::from_static("balsamfold-context");
+/// Proves that a message was made by a node of the fleet.
+pub const MAC_HEADER: HeaderName = HeaderName::from_static("balsamfold-mac");
+/// The attempt that an answer between nodes belongs to.
+pub const ATTEMPT_HEADER: HeaderName = HeaderName::from_static("balsamfold-attempt");
+/// Extra attempts that an answer between nodes gives back.
+pub const UNSPENT_HEADER: HeaderName = HeaderName::from_static("balsamfold-unspent");
+/// The admission floor that an answer between nodes reports.
+pub const FLOOR_HEADER: HeaderName = HeaderName::from_static("balsamfold-floor");
+/// Names a request that must run at most once, over all its resends.
+pub const IDEMPOTENCY_KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
+
+const SYSTEM_PREFIX: &str = "balsamfold-";
+
+/// Headers that concern one connection only and are never passed on.
+const CONNECTION_HEADERS: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::CONTENT_LENGTH,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Removes the headers that concern one connection only, with those that `Connection` names.
+pub fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&CONNECTION_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+/// Removes all headers that only the system itself may set.
+pub fn strip_system_headers(headers: &mut HeaderMap) {
+    let names: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(SYSTEM_PREFIX))
+        .cloned()
+        .collect();
+    for name in &names {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/lib/src/connection/listener.rs
@@ -0,0 +1,177 @@
+//! Serves HTTP/1.1 on one address.
+//!
+//! Handlers use the types of `volo-http`. Accepting is done on `hyper`, since the server of
+//! `volo-http` stops on signals of its own, cuts connections a fixed time later and sets no limit
+//! on the time that a client may take for its headers (see `docs/design/http-server.md`).
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+/// Pause after a failed accept, for example when the process has no free file descriptor.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+plain_value! {
+    /// Bounds on the connections that a listener accepts.
+    pub struct ListenerLimits {
+        /// Most connections at the same time; further ones wait to be accepted.
+        pub connections_max: u32,
+        /// Longest time that a client may take for the headers of a request.
+        pub header_timeout_ms: u64,
+        /// Most bytes in the headers of a request.
+        pub header_bytes_max: usize,
+    }
+}
+
+/// An address cannot be listened on.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot listen on {address}"))]
+pub struct ListenError {
+    address: SocketAddr,
+    source: io::Error,
+}
+
+/// A bound address that does not accept connections yet.
+#[derive(Debug)]
+pub struct Listener {
+    address: SocketAddr,
+    socket: TcpListener,
+}
+
+impl Listener {
+    /// Binds `address`; port 0 takes any free port.
+    pub async fn bind(address: SocketAddr) -> Result<Self, ListenError> {
+        let socket = TcpListener::bind(address)
+            .await
+            .context(ListenSnafu { address })?;
+        let address = socket.local_addr().context(ListenSnafu { address })?;
+        Ok(Self { address, socket })
+    }
+
+    /// Returns the bound address with its real port.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Answers each request by `handler` until [`Serving::stop`] is called.
+    pub fn serve<H, F>(self, limits: ListenerLimits, handler: H) -> Serving
+    where
+        H: Fn(Request) -> F + Send + Sync + 'static,
+        F: Future<Output = Response> + Send + 'static,
+    {
+        let serving = Serving {
+            stopping: CancellationToken::new(),
+            connections: TaskTracker::new(),
+        };
+        let accepting = accept_all(self.socket, limits, Arc::new(handler), serving.clone());
+        serving.connections.spawn(accepting);
+        serving.connections.close();
+        serving
+    }
+}
+
+/// A listener that accepts connections.
+#[derive(Clone, Debug)]
+pub struct Serving {
+    stopping: CancellationToken,
+    connections: TaskTracker,
+}
+
+impl Serving {
+    /// Accepts no more connections and waits until each open one has finished its request.
+    ///
+    /// There is no time limit: a caller that needs one drops the future.
+    pub async fn stop(&self) {
+        self.stopping.cancel();
+        self.connections.wait().await;
+    }
+
+    /// Returns the number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.connections.len().saturating_sub(1)
+    }
+}
+
+async fn accept_all<H, F>(
+    socket: TcpListener,
+    limits: ListenerLimits,
+    handler: Arc<H>,
+    serving: Serving,
+) where
+    H: Fn(Request) -> F + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let permits = Arc::new(Semaphore::new(limits.connections_max as usize));
+    loop {
+        let accepted = tokio::select! {
+            accepted = accept_one(&socket, &permits) => accepted,
+            () = serving.stopping.cancelled() => return,
+        };
+        let Some((stream, permit)) = accepted else {
+            tokio::time::sleep(ACCEPT_RETRY).await;
+            continue;
+        };
+        let handler = Arc::clone(&handler);
+        let stopping = serving.stopping.clone();
+        serving.connections.spawn(async move {
+            serve_connection(stream, limits, handler, stopping).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn accept_one(
+    socket: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
+    let permit = Arc::clone(permits).acquire_owned().await.ok()?;
+    let (stream, _) = socket.accept().await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    Some((stream, permit))
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    limits: ListenerLimits,
+    handler: Arc<H>,
+    stopping: CancellationToken,
+) where
+    H: Fn(Request) -> F + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let service = service_fn(move |request: http::Request<Incoming>| {
+        let answer = handler(request.map(Body::from_incoming));
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
+        .max_buf_size(limits.header_bytes_max)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    // An error here means that the client went away or sent bad input; hyper has answered it.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = stopping.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -1,1 +1,30 @@
-//! What lives for one connection.
+//! What lives for one connection: serving, exchanging and reading bodies.
+
+mod body;
+mod exchange;
+mod headers;
+mod listener;
+mod pool;
+
+pub use self::body::BodyError;
+pub use self::body::read_body;
+pub use self::exchange::ExchangeError;
+pub use self::exchange::WholeAnswer;
+pub use self::exchange::WholeRequest;
+pub use self::headers::ATTEMPT_HEADER;
+pub use self::headers::CONTEXT_HEADER;
+pub use self::headers::DEADLINE_HEADER;
+pub use self::headers::FLOOR_HEADER;
+pub use self::headers::HANDLE_HEADER;
+pub use self::headers::IDEMPOTENCY_KEY_HEADER;
+pub use self::headers::MAC_HEADER;
+pub use self::headers::UNSPENT_HEADER;
+pub use self::headers::VERDICT_HEADER;
+pub use self::headers::strip_connection_headers;
+pub use self::headers::strip_system_headers;
+pub use self::listener::ListenError;
+pub use self::listener::Listener;
+pub use self::listener::ListenerLimits;
+pub use self::listener::Serving;
+pub use self::pool::ConnectionPool;
+pub use self::pool::PoolLimits;
--- /dev/null
+++ b/lib/src/connection/pool.rs
@@ -0,0 +1,186 @@
+//! Kept HTTP/1.1 connections to one address, never more than the address allows.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use super::ExchangeError;
+use super::WholeAnswer;
+use super::WholeRequest;
+use super::read_body;
+use super::strip_connection_headers;
+
+plain_value! {
+    /// Bounds on the connections to one address.
+    pub struct PoolLimits {
+        /// Most connections at the same time.
+        pub connections_max: u32,
+        /// Longest time to open a connection.
+        pub connect_timeout_ms: u64,
+        /// An idle connection is closed after this time.
+        pub idle_timeout_ms: u64,
+        /// Most bytes in the body of an answer.
+        pub answer_bytes_max: usize,
+    }
+}
+
+/// Kept connections to one address.
+///
+/// No request is ever sent twice by the pool: a connection that fails gives an error, and a
+/// connection whose exchange did not end is closed.
+#[derive(Debug)]
+pub struct ConnectionPool {
+    address: SocketAddr,
+    limits: PoolLimits,
+    permits: Arc<Semaphore>,
+    idle: Mutex<Vec<KeptConnection>>,
+}
+
+/// An open connection; dropping it closes the socket.
+#[derive(Debug)]
+struct KeptConnection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    idle_since: Instant,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Drop for KeptConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl ConnectionPool {
+    /// Makes an empty pool for `address`.
+    pub fn new(address: SocketAddr, limits: PoolLimits) -> Self {
+        Self {
+            address,
+            limits,
+            permits: Arc::new(Semaphore::new(limits.connections_max as usize)),
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Returns the address that the connections lead to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the number of open connections, idle ones included.
+    pub fn open_connections(&self) -> usize {
+        self.limits.connections_max as usize - self.permits.available_permits()
+    }
+
+    /// Sends `request` once and returns the whole answer.
+    pub async fn exchange(
+        &self,
+        request: WholeRequest,
+        limit: Duration,
+    ) -> Result<WholeAnswer, ExchangeError> {
+        let give_up_at = Instant::now() + limit;
+        let mut connection = self.connection(limit).await?;
+        let sent = connection.sender.try_send_request(http_request(request));
+        let response = match tokio::time::timeout_at(give_up_at, sent).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) if error.message().is_some() => return Err(ExchangeError::NotSent),
+            Ok(Err(_)) => return Err(ExchangeError::Sent),
+            Err(_) => return Err(ExchangeError::TimedOut),
+        };
+        let answer = self.whole_answer(response, give_up_at).await?;
+        self.keep(connection);
+        Ok(answer)
+    }
+
+    async fn whole_answer(
+        &self,
+        response: Response<Incoming>,
+        give_up_at: Instant,
+    ) -> Result<WholeAnswer, ExchangeError> {
+        let (mut parts, body) = response.into_parts();
+        let limit = give_up_at.saturating_duration_since(Instant::now());
+        let body = match read_body(body, self.limits.answer_bytes_max, limit).await {
+            Ok(body) => body,
+            Err(super::BodyError::TooSlow { .. }) => return Err(ExchangeError::TimedOut),
+            Err(_) => return Err(ExchangeError::BrokenAnswer),
+        };
+        strip_connection_headers(&mut parts.headers);
+        Ok(WholeAnswer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    }
+
+    async fn connection(&self, limit: Duration) -> Result<KeptConnection, ExchangeError> {
+        if let Some(connection) = self.take_idle() {
+            return Ok(connection);
+        }
+        let permit = Arc::clone(&self.permits)
+            .try_acquire_owned()
+            .map_err(|_| ExchangeError::NoFreeConnection)?;
+        let connect_timeout = Duration::from_millis(self.limits.connect_timeout_ms).min(limit);
+        match tokio::time::timeout(connect_timeout, open(self.address, permit)).await {
+            Ok(Ok(connection)) => Ok(connection),
+            Ok(Err(_)) | Err(_) => Err(ExchangeError::NotConnected),
+        }
+    }
+
+    fn take_idle(&self) -> Option<KeptConnection> {
+        let idle_timeout = Duration::from_millis(self.limits.idle_timeout_ms);
+        let mut idle = self.idle.lock();
+        idle.retain(|connection| {
+            connection.sender.is_ready() && connection.idle_since.elapsed() < idle_timeout
+        });
+        idle.pop()
+    }
+
+    fn keep(&self, mut connection: KeptConnection) {
+        connection.idle_since = Instant::now();
+        if !connection.sender.is_closed() {
+            self.idle.lock().push(connection);
+        }
+    }
+}
+
+async fn open(
+    address: SocketAddr,
+    permit: OwnedSemaphorePermit,
+) -> Result<KeptConnection, Box<dyn std::error::Error + Send + Sync>> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let driver = tokio::spawn(async move {
+        // An error here also fails the exchange, which reports it.
+        let _ = connection.await;
+    });
+    Ok(KeptConnection {
+        sender,
+        driver,
+        idle_since: Instant::now(),
+        _permit: permit,
+    })
+}
+
+fn http_request(request: WholeRequest) -> Request<Full<Bytes>> {
+    let mut http_request = Request::new(Full::new(request.body));
+    *http_request.method_mut() = request.method;
+    *http_request.uri_mut() = request.uri;
+    *http_request.headers_mut() = request.headers;
+    http_request
+}
--- /dev/null
+++ b/lib/src/process/control/api.rs
@@ -0,0 +1,45 @@
+//! The calls of the control channel.
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+
+use crate::process::membership::NodeRecord;
+use crate::process::node::NodeDump;
+use crate::values::ConfigVersion;
+use crate::version::Configuration;
+
+plain_data! {
+    /// The answer to a drain call.
+    pub struct DrainStarted {
+        /// Requests that are still in flight.
+        pub in_flight_requests: usize,
+    }
+}
+
+/// The calls of the control channel.
+#[rpc(server, client, namespace = "balsamfold")]
+pub trait Control {
+    /// Returns what the node knows and does.
+    #[method(name = "dump")]
+    async fn dump(&self) -> RpcResult<NodeDump>;
+
+    /// Returns all nodes that the node knows.
+    #[method(name = "nodes")]
+    async fn nodes(&self) -> RpcResult<Vec<NodeRecord>>;
+
+    /// Begins a planned stop; the process ends when its work is done.
+    #[method(name = "drain")]
+    async fn drain(&self) -> RpcResult<DrainStarted>;
+
+    /// Offers a configuration; returns the version in force afterwards.
+    #[method(name = "offerConfiguration")]
+    async fn offer_configuration(&self, configuration: Configuration) -> RpcResult<ConfigVersion>;
+
+    /// Returns the configuration in force if it is newer than `than`.
+    #[method(name = "newerConfiguration")]
+    async fn newer_configuration(&self, than: ConfigVersion) -> RpcResult<Option<Configuration>>;
+
+    /// Tells what the caller knows of the nodes and returns what this node knows.
+    #[method(name = "exchangeMembers")]
+    async fn exchange_members(&self, records: Vec<NodeRecord>) -> RpcResult<Vec<NodeRecord>>;
+}
--- /dev/null
+++ b/lib/src/process/control/client.rs
@@ -0,0 +1,34 @@
+//! Makes control calls to a node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jsonrpsee::core::ClientError;
+use jsonrpsee::http_client::HttpClient;
+use jsonrpsee::http_client::HttpClientBuilder;
+use jsonrpsee::http_client::RpcService;
+use jsonrpsee::http_client::transport::HttpBackend;
+
+use super::signature::CONTROL_BYTES_MAX;
+use super::signature::SignLayer;
+use super::signature::SignService;
+use crate::process::secret::FleetSecret;
+use crate::process::secret::KeyPurpose;
+
+/// A client of one node's control channel.
+pub type ControlCaller =
+    HttpClient<jsonrpsee::http_client::RpcLogger<RpcService<SignService<HttpBackend>>>>;
+
+/// Makes a client of the control channel at `address`; it connects with the first call.
+pub fn connect(
+    address: SocketAddr,
+    secret: &FleetSecret,
+    timeout: Duration,
+) -> Result<ControlCaller, ClientError> {
+    let key = secret.derive(KeyPurpose::Control);
+    HttpClientBuilder::default()
+        .max_response_size(CONTROL_BYTES_MAX as u32)
+        .request_timeout(timeout)
+        .set_http_middleware(tower::ServiceBuilder::new().layer(SignLayer { key }))
+        .build(format!("http://{address}"))
+}
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -1,4 +1,8 @@
 //! What lives for the whole process.
 
+pub mod control;
 pub mod events;
 pub mod membership;
+pub mod node;
+pub mod secret;
+pub mod settings;
--- /dev/null
+++ b/lib/src/process/node/answer.rs
@@ -0,0 +1,44 @@
+//! Answers between the steps of a request, and as HTTP responses.
+
+use http::HeaderValue;
+use http::header;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use super::Node;
+use crate::connection::ATTEMPT_HEADER;
+use crate::connection::FLOOR_HEADER;
+use crate::connection::UNSPENT_HEADER;
+use crate::connection::WholeAnswer;
+use crate::request::Refusal;
+use crate::request::refusal_response;
+
+/// An answer of a backend server, or the refusal of a node below, with what it gives back.
+#[derive(Debug)]
+pub(super) struct NodeAnswer {
+    /// The answer or refusal.
+    pub(super) outcome: Result<WholeAnswer, Refusal>,
+    /// Extra attempts that the request below did not use.
+    pub(super) unspent_attempts: u32,
+}
+
+/// Makes the response for a caller or for the backend server beside this node.
+pub(super) fn response(node: &Node, outcome: Result<WholeAnswer, Refusal>) -> Response {
+    let mut answer = outcome.unwrap_or_else(|refusal| refusal_response(&refusal));
+    for name in [ATTEMPT_HEADER, FLOOR_HEADER, UNSPENT_HEADER] {
+        answer.headers.remove(name);
+    }
+    plain_response(node, answer)
+}
+
+/// Makes the response with all headers of `answer`.
+pub(super) fn plain_response(node: &Node, mut answer: WholeAnswer) -> Response {
+    if node.is_draining() {
+        let close = HeaderValue::from_static("close");
+        answer.headers.insert(header::CONNECTION, close);
+    }
+    let mut response = Response::new(Body::from(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
--- /dev/null
+++ b/lib/src/process/node/daemon.rs
@@ -0,0 +1,323 @@
+//! Starts a node's listeners and tasks, and stops them in order.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::async_trait;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::sync::Notify;
+use tokio_util::task::AbortOnDropHandle;
+
+use super::Node;
+use super::NodeDump;
+use super::announcement;
+use super::entry::handle_caller;
+use super::exit::handle_local;
+use super::serve::handle_peer;
+use crate::connection::ListenError;
+use crate::connection::Listener;
+use crate::connection::ListenerLimits;
+use crate::connection::Serving;
+use crate::process::control;
+use crate::process::control::ControlClient;
+use crate::process::control::ControlListener;
+use crate::process::control::ControlServer;
+use crate::process::control::ControlServing;
+use crate::process::control::DrainStarted;
+use crate::process::events::process as events;
+use crate::process::membership::MemberTable;
+use crate::process::membership::NodeAddresses;
+use crate::process::membership::NodeCondition;
+use crate::process::membership::NodeRecord;
+use crate::process::settings::NodeSettings;
+use crate::values::ConfigVersion;
+use crate::values::Incarnation;
+use crate::version::Configuration;
+
+/// Longest time that a client may take for the headers of a request.
+const HEADER_TIMEOUT_MS: u64 = 10_000;
+/// Most bytes in the headers of a request.
+const HEADER_BYTES_MAX: usize = 64 * 1_024;
+/// Most connections from the backend server or from other nodes at the same time.
+const INNER_CONNECTIONS_MAX: u32 = 16_384;
+/// Time between two rounds of housekeeping.
+const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(200);
+/// Longest time for a control call to another node.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A node could not be started.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// A listener for requests could not be bound.
+    #[snafu(display("{source}"))]
+    Listen {
+        /// The cause.
+        source: ListenError,
+    },
+    /// The control channel could not be served.
+    #[snafu(display("cannot serve control calls: {source}"))]
+    Control {
+        /// The cause.
+        source: Box<dyn std::error::Error + Send + Sync>,
+    },
+}
+
+plain_data! {
+    /// The addresses of a node that is ready, as it prints them on standard output.
+    pub struct ReadyLine {
+        /// Where callers from outside connect.
+        pub caller: SocketAddr,
+        /// Where the backend server beside the node connects.
+        pub local: SocketAddr,
+        /// Where other nodes connect.
+        pub others: NodeAddresses,
+    }
+}
+
+/// A running node.
+pub struct NodeDaemon {
+    node: Arc<Node>,
+    caller_address: SocketAddr,
+    local_address: SocketAddr,
+    callers: Serving,
+    local: Serving,
+    peers: Serving,
+    control: ControlServing,
+    drain_asked: Arc<Notify>,
+    _housekeeping: AbortOnDropHandle<()>,
+}
+
+impl NodeDaemon {
+    /// Binds all addresses of `settings` and starts to serve.
+    pub async fn start(settings: NodeSettings) -> Result<Self, StartError> {
+        let callers = Listener::bind(settings.caller_listen)
+            .await
+            .context(ListenSnafu)?;
+        let local = Listener::bind(settings.local_listen)
+            .await
+            .context(ListenSnafu)?;
+        let peers = Listener::bind(settings.peer_listen)
+            .await
+            .context(ListenSnafu)?;
+        let control = ControlListener::bind(settings.control_listen)
+            .await
+            .map_err(|error| StartError::Control {
+                source: Box::new(error),
+            })?;
+        let addresses = NodeAddresses {
+            peer: peers.address(),
+            control: control.address(),
+            probe: control.address(),
+        };
+        let connections_max = settings.connections_max;
+        let node = Arc::new(Node::new(settings, addresses));
+        let drain_asked = Arc::new(Notify::new());
+        let caller_address = callers.address();
+        let local_address = local.address();
+        let control = control
+            .serve(
+                &node.settings.fleet_secret,
+                NodeControl {
+                    node: Arc::clone(&node),
+                    drain_asked: Arc::clone(&drain_asked),
+                },
+            )
+            .map_err(|error| StartError::Control {
+                source: Box::new(error),
+            })?;
+        let housekeeping = tokio::spawn(keep_house(Arc::clone(&node)));
+        events::STARTED.log(format_args!("callers on {caller_address}"));
+        Ok(Self {
+            callers: serve_callers(callers, &node, connections_max),
+            local: serve_local(local, &node),
+            peers: serve_peers(peers, &node),
+            node,
+            caller_address,
+            local_address,
+            control,
+            drain_asked,
+            _housekeeping: AbortOnDropHandle::new(housekeeping),
+        })
+    }
+
+    /// Returns the shared state.
+    pub fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+
+    /// Returns where callers from outside connect.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Returns where the backend server beside the node connects.
+    pub fn local_address(&self) -> SocketAddr {
+        self.local_address
+    }
+
+    /// Returns one line of JSON that names the addresses, for whoever started the process.
+    pub fn ready_line(&self) -> String {
+        let ready = ReadyLine {
+            caller: self.caller_address,
+            local: self.local_address,
+            others: self.node.addresses.clone(),
+        };
+        serde_json::to_string(&ready).unwrap_or_default()
+    }
+
+    /// Waits until a control call asks for a planned stop.
+    pub async fn drain_asked(&self) {
+        self.drain_asked.notified().await;
+    }
+
+    /// Stops as planned: tells the fleet, takes no new work, and waits for all requests.
+    ///
+    /// There is no time limit. The local listener stops last, since requests in flight still make
+    /// onward calls through it.
+    pub async fn stop(self) {
+        self.node.start_draining();
+        events::DRAIN_STARTED.log(self.node.in_flight.len());
+        let notice = Duration::from_millis(self.node.settings.leave_notice_ms);
+        tokio::time::sleep(notice).await;
+        tokio::join!(self.callers.stop(), self.peers.stop());
+        self.local.stop().await;
+        self.control.stop();
+        events::STOPPED.log(&self.node.settings.node);
+    }
+}
+
+fn inner_limits() -> ListenerLimits {
+    ListenerLimits {
+        connections_max: INNER_CONNECTIONS_MAX,
+        header_timeout_ms: HEADER_TIMEOUT_MS,
+        header_bytes_max: HEADER_BYTES_MAX,
+    }
+}
+
+fn serve_callers(listener: Listener, node: &Arc<Node>, connections_max: u32) -> Serving {
+    let limits = ListenerLimits {
+        connections_max,
+        ..inner_limits()
+    };
+    let node = Arc::clone(node);
+    listener.serve(limits, move |request| {
+        let node = Arc::clone(&node);
+        async move { handle_caller(&node, request).await }
+    })
+}
+
+fn serve_local(listener: Listener, node: &Arc<Node>) -> Serving {
+    let node = Arc::clone(node);
+    listener.serve(inner_limits(), move |request| {
+        let node = Arc::clone(&node);
+        async move { handle_local(&node, request).await }
+    })
+}
+
+fn serve_peers(listener: Listener, node: &Arc<Node>) -> Serving {
+    let node = Arc::clone(node);
+    listener.serve(inner_limits(), move |request| {
+        let node = Arc::clone(&node);
+        async move { handle_peer(&node, request).await }
+    })
+}
+
+async fn keep_house(node: Arc<Node>) {
+    let mut period = tokio::time::interval(HOUSEKEEPING_PERIOD);
+    loop {
+        period.tick().await;
+        announcement::expire(&node);
+        exchange_members(&node).await;
+    }
+}
+
+/// Tells the seeds what this node knows of the others, and learns what they know.
+async fn exchange_members(node: &Arc<Node>) {
+    node.set_members(merged(node, Vec::new()));
+    for seed in &node.settings.seeds {
+        let Ok(seed) = control::connect(*seed, &node.settings.fleet_secret, CONTROL_TIMEOUT) else {
+            continue;
+        };
+        let known = node.members().nodes().cloned().collect();
+        if let Ok(records) = seed.exchange_members(known).await {
+            node.set_members(merged(node, records));
+        }
+    }
+}
+
+fn merged(node: &Node, records: Vec<NodeRecord>) -> Arc<MemberTable> {
+    let members = node.members();
+    let mut known: BTreeMap<_, NodeRecord> = BTreeMap::new();
+    for record in members.nodes().cloned().chain(records) {
+        match known.get(&record.id) {
+            Some(present) if present.incarnation >= record.incarnation => {}
+            Some(_) | None => {
+                known.insert(record.id.clone(), record);
+            }
+        }
+    }
+    let own = own_record(node);
+    known.insert(own.id.clone(), own);
+    Arc::new(MemberTable::new(known.into_values()))
+}
+
+fn own_record(node: &Node) -> NodeRecord {
+    NodeRecord {
+        id: node.settings.node.clone(),
+        zone: node.settings.zone.clone(),
+        addresses: node.addresses.clone(),
+        incarnation: Incarnation(node.clock.wall().0),
+        condition: match node.is_draining() {
+            true => NodeCondition::Leaving,
+            false => NodeCondition::Alive,
+        },
+        server: announcement::server_record(node),
+    }
+}
+
+/// Answers control calls for a node.
+struct NodeControl {
+    node: Arc<Node>,
+    drain_asked: Arc<Notify>,
+}
+
+#[async_trait]
+impl ControlServer for NodeControl {
+    async fn dump(&self) -> RpcResult<NodeDump> {
+        Ok(self.node.dump())
+    }
+
+    async fn nodes(&self) -> RpcResult<Vec<NodeRecord>> {
+        Ok(self.node.members().nodes().cloned().collect())
+    }
+
+    async fn drain(&self) -> RpcResult<DrainStarted> {
+        self.drain_asked.notify_one();
+        Ok(DrainStarted {
+            in_flight_requests: self.node.in_flight.len(),
+        })
+    }
+
+    async fn offer_configuration(&self, configuration: Configuration) -> RpcResult<ConfigVersion> {
+        let offered = configuration.version;
+        self.node.offer_configuration(configuration);
+        let in_force = self.node.configuration().map(|current| current.version);
+        Ok(in_force.unwrap_or(offered))
+    }
+
+    async fn newer_configuration(&self, than: ConfigVersion) -> RpcResult<Option<Configuration>> {
+        let current = self.node.configuration().ok();
+        Ok(current
+            .filter(|current| current.version > than)
+            .map(|current| current.as_ref().clone()))
+    }
+
+    async fn exchange_members(&self, records: Vec<NodeRecord>) -> RpcResult<Vec<NodeRecord>> {
+        self.node.set_members(merged(&self.node, records));
+        Ok(self.node.members().nodes().cloned().collect())
+    }
+}
--- /dev/null
+++ b/lib/src/process/node/dump.rs
@@ -0,0 +1,64 @@
+//! The whole state of a node on request, for operators.
+
+use super::Announcement;
+use super::Node;
+use crate::process::membership::NodeAddresses;
+use crate::process::membership::NodeRecord;
+use crate::values::ConfigVersion;
+use crate::values::NodeId;
+use crate::values::ZoneId;
+
+plain_data! {
+    /// What a node knows and does. It holds no key, no secret and no body of a request.
+    pub struct NodeDump {
+        /// The node.
+        pub node: NodeId,
+        /// The zone in which the node runs.
+        pub zone: ZoneId,
+        /// Where other nodes reach it.
+        pub addresses: NodeAddresses,
+        /// Time since the process started.
+        pub uptime_ms: u64,
+        /// Whether a planned stop has begun.
+        pub draining: bool,
+        /// The configuration in force.
+        pub config_version: Option<ConfigVersion>,
+        /// The backend server beside the node.
+        pub server: Option<ServerDump>,
+        /// Requests that run on the backend server.
+        pub in_flight_requests: usize,
+        /// All known nodes.
+        pub members: Vec<NodeRecord>,
+    }
+}
+
+plain_data! {
+    /// The backend server beside a node.
+    pub struct ServerDump {
+        /// What the backend server announced.
+        pub announcement: Announcement,
+        /// Open connections to it.
+        pub open_connections: usize,
+    }
+}
+
+impl Node {
+    /// Returns what the node knows and does.
+    pub fn dump(&self) -> NodeDump {
+        let configuration = self.configuration().ok();
+        NodeDump {
+            node: self.settings.node.clone(),
+            zone: self.settings.zone.clone(),
+            addresses: self.addresses.clone(),
+            uptime_ms: self.clock.now().0 / 1_000,
+            draining: self.is_draining(),
+            config_version: configuration.map(|configuration| configuration.version),
+            server: self.server().map(|server| ServerDump {
+                announcement: server.announcement.clone(),
+                open_connections: server.pool.open_connections(),
+            }),
+            in_flight_requests: self.in_flight.len(),
+            members: self.members().nodes().cloned().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/process/node/entry.rs
@@ -0,0 +1,141 @@
+//! The entry: requests of callers from outside.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::header;
+use parking_lot::Mutex;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use super::Node;
+use super::answer::response;
+use super::forward::Outbound;
+use super::forward::forward;
+use crate::connection::BodyError;
+use crate::connection::DEADLINE_HEADER;
+use crate::connection::IDEMPOTENCY_KEY_HEADER;
+use crate::connection::WholeAnswer;
+use crate::connection::WholeRequest;
+use crate::connection::read_body;
+use crate::connection::strip_connection_headers;
+use crate::connection::strip_system_headers;
+use crate::request::Refusal;
+use crate::request::RefusalReason;
+use crate::values::OrganisationId;
+use crate::values::RequestId;
+use crate::version::Access;
+use crate::version::CallerKey;
+use crate::version::Configuration;
+use crate::version::Repeatability;
+use crate::version::Route;
+
+/// Longest time that the body of a request may take to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+const BEARER_PREFIX: &str = "Bearer ";
+
+/// Answers a request of a caller from outside.
+pub(super) async fn handle_caller(node: &Arc<Node>, request: Request) -> Response {
+    let outcome = enter(node, request).await;
+    response(node, outcome)
+}
+
+async fn enter(node: &Arc<Node>, request: Request) -> Result<WholeAnswer, Refusal> {
+    let configuration = node.configuration()?;
+    let route = configuration
+        .route_of(request.uri().path())
+        .ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute))?;
+    let organisation = organisation(&configuration, route, request.headers())?;
+    let deadline_ms = deadline_ms(route, request.headers())?;
+    if node.is_draining() {
+        return Err(Refusal::not_run(RefusalReason::Draining));
+    }
+    check_idempotency_key(route, request.headers())?;
+    let deadline_at = node.clock.now().after(Duration::from_millis(deadline_ms));
+    let mut request = whole_request(node, request).await?;
+    request.headers.remove(header::AUTHORIZATION);
+    strip_system_headers(&mut request.headers);
+    let extra_attempts = Mutex::new(route.extra_attempts);
+    let outbound = Outbound {
+        route,
+        request,
+        root: RequestId(rand::random()),
+        organisation,
+        importance: route.importance,
+        deadline_at,
+        depth: 0,
+        extra_attempts: &extra_attempts,
+    };
+    forward(node, outbound).await
+}
+
+/// Reads a request whole, without the headers that concern one connection only.
+pub(super) async fn whole_request(node: &Node, request: Request) -> Result<WholeRequest, Refusal> {
+    let (mut parts, body) = request.into_parts();
+    let body = read_body(body, node.settings.body_bytes_max, BODY_TIMEOUT)
+        .await
+        .map_err(|error| match error {
+            BodyError::TooLarge { .. } => Refusal::not_run(RefusalReason::BodyTooLarge),
+            BodyError::TooSlow { .. } | BodyError::Broken => {
+                Refusal::not_run(RefusalReason::BadRequest)
+            }
+        })?;
+    strip_connection_headers(&mut parts.headers);
+    let uri = match parts.uri.path_and_query() {
+        Some(path_and_query) => path_and_query.clone().into(),
+        None => return Err(Refusal::not_run(RefusalReason::BadRequest)),
+    };
+    Ok(WholeRequest {
+        method: parts.method,
+        uri,
+        headers: parts.headers,
+        body,
+    })
+}
+
+/// Finds the organisation for which a request runs.
+fn organisation(
+    configuration: &Configuration,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<OrganisationId>, Refusal> {
+    let key = match bearer_key(headers) {
+        Some(key) => key,
+        None if route.access == Access::Open => return Ok(None),
+        None => return Err(Refusal::not_run(RefusalReason::KeyMissing)),
+    };
+    match configuration.organisation_of(&key) {
+        Some(organisation) => Ok(Some(organisation.id.clone())),
+        None => Err(Refusal::not_run(RefusalReason::KeyInvalid)),
+    }
+}
+
+fn bearer_key(headers: &HeaderMap) -> Option<CallerKey> {
+    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    let key = value.strip_prefix(BEARER_PREFIX)?;
+    Some(CallerKey::new(key.trim()))
+}
+
+/// Returns the caller's deadline, at most the route's own.
+fn deadline_ms(route: &Route, headers: &HeaderMap) -> Result<u64, Refusal> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else {
+        return Ok(route.deadline_ms);
+    };
+    let wanted_ms: Option<u64> = value.to_str().ok().and_then(|text| text.parse().ok());
+    match wanted_ms {
+        Some(0) => Err(Refusal::not_run(RefusalReason::DeadlineExceeded)),
+        Some(wanted_ms) => Ok(wanted_ms.min(route.deadline_ms)),
+        None => Err(Refusal::not_run(RefusalReason::BadRequest)),
+    }
+}
+
+fn check_idempotency_key(route: &Route, headers: &HeaderMap) -> Result<(), Refusal> {
+    match route.repeatability {
+        Repeatability::AtMostOnce if !headers.contains_key(IDEMPOTENCY_KEY_HEADER) => {
+            Err(Refusal::not_run(RefusalReason::IdempotencyKeyMissing))
+        }
+        Repeatability::AtMostOnce | Repeatability::Idempotent => Ok(()),
+    }
+}
--- /dev/null
+++ b/lib/src/process/node/exit.rs
@@ -0,0 +1,65 @@
+//! The exit: announcements and onward calls of the backend server beside this node.
+
+use std::sync::Arc;
+
+use http::HeaderMap;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use super::Node;
+use super::announcement;
+use super::announcement::ANNOUNCE_PATH;
+use super::announcement::LEAVE_PATH;
+use super::answer::response;
+use super::entry::whole_request;
+use super::forward::Outbound;
+use super::forward::forward;
+use crate::connection::HANDLE_HEADER;
+use crate::connection::WholeAnswer;
+use crate::connection::strip_system_headers;
+use crate::request::Handle;
+use crate::request::InFlight;
+use crate::request::Refusal;
+use crate::request::RefusalReason;
+
+/// Answers a request of the backend server beside this node.
+pub(super) async fn handle_local(node: &Arc<Node>, request: Request) -> Response {
+    let outcome = match request.uri().path() {
+        ANNOUNCE_PATH => announce(node, request).await,
+        LEAVE_PATH => Ok(announcement::leave(node)),
+        _ => call_onward(node, request).await,
+    };
+    response(node, outcome)
+}
+
+async fn announce(node: &Node, request: Request) -> Result<WholeAnswer, Refusal> {
+    let request = whole_request(node, request).await?;
+    announcement::announce(node, &request.body)
+}
+
+async fn call_onward(node: &Arc<Node>, request: Request) -> Result<WholeAnswer, Refusal> {
+    let parent = parent(node, request.headers())
+        .ok_or_else(|| Refusal::not_run(RefusalReason::HandleUnknown))?;
+    let configuration = node.configuration()?;
+    let route = configuration
+        .route_of(request.uri().path())
+        .ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute))?;
+    let mut request = whole_request(node, request).await?;
+    strip_system_headers(&mut request.headers);
+    let outbound = Outbound {
+        route,
+        request,
+        root: parent.context.root,
+        organisation: parent.context.organisation.clone(),
+        importance: parent.context.importance,
+        deadline_at: parent.deadline_at,
+        depth: parent.context.depth + 1,
+        extra_attempts: &parent.extra_attempts,
+    };
+    forward(node, outbound).await
+}
+
+fn parent(node: &Node, headers: &HeaderMap) -> Option<Arc<InFlight>> {
+    let handle: Handle = headers.get(HANDLE_HEADER)?.to_str().ok()?.parse().ok()?;
+    node.in_flight.resolve(&handle)
+}
--- /dev/null
+++ b/lib/src/process/node/forward.rs
@@ -0,0 +1,213 @@
+//! Passes a request to a node of its service, and tries again where that is allowed.
+
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderName;
+use parking_lot::Mutex;
+
+use super::Node;
+use super::answer::NodeAnswer;
+use super::peer_message;
+use super::serve::serve;
+use crate::connection::ATTEMPT_HEADER;
+use crate::connection::UNSPENT_HEADER;
+use crate::connection::WholeAnswer;
+use crate::connection::WholeRequest;
+use crate::process::membership::NodeRecord;
+use crate::request::AttemptId;
+use crate::request::Refusal;
+use crate::request::RefusalReason;
+use crate::request::RequestContext;
+use crate::request::Verdict;
+use crate::request::refusal_of;
+use crate::values::Importance;
+use crate::values::MonotonicTime;
+use crate::values::NodeId;
+use crate::values::OrganisationId;
+use crate::values::RequestId;
+use crate::version::Repeatability;
+use crate::version::Route;
+
+/// A request on its way to a service.
+pub(super) struct Outbound<'a> {
+    /// The route that the request matched.
+    pub(super) route: &'a Route,
+    /// The request without headers of the system.
+    pub(super) request: WholeRequest,
+    /// The root request of the call tree.
+    pub(super) root: RequestId,
+    /// The organisation for which the request runs.
+    pub(super) organisation: Option<OrganisationId>,
+    /// Rank of the root request.
+    pub(super) importance: Importance,
+    /// When the request runs out of time.
+    pub(super) deadline_at: MonotonicTime,
+    /// Calls in the chain above this one.
+    pub(super) depth: u8,
+    /// Attempts beyond the first, shared with the other calls of the same parent.
+    pub(super) extra_attempts: &'a Mutex<u32>,
+}
+
+/// Passes a request to a node of its service until an attempt gives a final answer.
+pub(super) async fn forward(
+    node: &Arc<Node>,
+    outbound: Outbound<'_>,
+) -> Result<WholeAnswer, Refusal> {
+    let mut tried: Vec<NodeId> = Vec::new();
+    let mut verdict = Verdict::NotRun;
+    loop {
+        let refusal = match attempt(node, &outbound, &mut tried).await {
+            Ok(answer) => return Ok(answer),
+            Err(refusal) => refusal,
+        };
+        verdict = verdict.max(refusal.verdict);
+        if !may_try_again(&outbound, &refusal) || !spend_attempt(outbound.extra_attempts) {
+            return Err(Refusal { verdict, ..refusal });
+        }
+    }
+}
+
+async fn attempt(
+    node: &Arc<Node>,
+    outbound: &Outbound<'_>,
+    tried: &mut Vec<NodeId>,
+) -> Result<WholeAnswer, Refusal> {
+    let remaining = outbound.deadline_at.since(node.clock.now());
+    if remaining.is_zero() {
+        return Err(Refusal::not_run(RefusalReason::DeadlineExceeded));
+    }
+    let destination = choose(node, outbound, tried)?;
+    tried.push(destination.id.clone());
+    let lent_attempts = lend_attempts(outbound.extra_attempts);
+    let context = RequestContext {
+        root: outbound.root,
+        attempt: AttemptId::random(),
+        organisation: outbound.organisation.clone(),
+        importance: outbound.importance,
+        remaining_us: remaining.as_micros() as u64,
+        extra_attempts: lent_attempts,
+        depth: outbound.depth,
+    };
+    let request = outbound.request.clone();
+    let answer = if destination.id == node.settings.node {
+        Box::pin(serve(node, context, request)).await
+    } else {
+        send(node, &destination, context, request).await
+    };
+    *outbound.extra_attempts.lock() += answer.unspent_attempts.min(lent_attempts);
+    answer.outcome
+}
+
+/// Chooses a node of the service that was not tried yet, in the own zone where possible.
+fn choose(node: &Node, outbound: &Outbound<'_>, tried: &[NodeId]) -> Result<NodeRecord, Refusal> {
+    let members = node.members();
+    let untried: Vec<&NodeRecord> = members
+        .serving(&outbound.route.service)
+        .iter()
+        .filter(|record| !tried.contains(&record.id))
+        .collect();
+    let local: Vec<&NodeRecord> = untried
+        .iter()
+        .copied()
+        .filter(|record| record.zone == node.settings.zone)
+        .collect();
+    let candidates = if local.is_empty() { untried } else { local };
+    if candidates.is_empty() {
+        return Err(Refusal::not_run(RefusalReason::NoServer));
+    }
+    let index = rand::random_range(0..candidates.len());
+    Ok(candidates[index].clone())
+}
+
+async fn send(
+    node: &Node,
+    destination: &NodeRecord,
+    context: RequestContext,
+    request: WholeRequest,
+) -> NodeAnswer {
+    let attempt = context.attempt;
+    let lent_attempts = context.extra_attempts;
+    let limit = Duration::from_micros(context.remaining_us);
+    let signed = match peer_message::sign(&node.peer_key, &destination.id, &context, request) {
+        Ok(signed) => signed,
+        Err(refusal) => return lost(refusal, lent_attempts),
+    };
+    let pool = node.peer_pool(destination.addresses.peer);
+    match pool.exchange(signed, limit).await {
+        Ok(answer) if header(&answer, ATTEMPT_HEADER) == Some(attempt) => received(answer),
+        Ok(answer) => match refusal_of(&answer) {
+            Some(refusal) => lost(refusal, lent_attempts),
+            None => lost(Refusal::may_have_run(RefusalReason::BadAnswer), 0),
+        },
+        Err(error) => {
+            let refusal = Refusal {
+                reason: RefusalReason::NoServer,
+                verdict: error.verdict(),
+                retry_after_ms: None,
+            };
+            let unspent = match refusal.verdict {
+                Verdict::NotRun => lent_attempts,
+                Verdict::MayHaveRun | Verdict::Ran => 0,
+            };
+            lost(refusal, unspent)
+        }
+    }
+}
+
+fn received(answer: WholeAnswer) -> NodeAnswer {
+    let unspent_attempts = header(&answer, UNSPENT_HEADER).unwrap_or(0);
+    let outcome = match refusal_of(&answer) {
+        Some(refusal) => Err(refusal),
+        None => Ok(answer),
+    };
+    NodeAnswer {
+        outcome,
+        unspent_attempts,
+    }
+}
+
+fn lost(refusal: Refusal, unspent_attempts: u32) -> NodeAnswer {
+    NodeAnswer {
+        outcome: Err(refusal),
+        unspent_attempts,
+    }
+}
+
+fn header<T: FromStr>(answer: &WholeAnswer, name: HeaderName) -> Option<T> {
+    answer.headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// Takes half of the extra attempts for one call.
+fn lend_attempts(extra_attempts: &Mutex<u32>) -> u32 {
+    let mut extra_attempts = extra_attempts.lock();
+    let lent = *extra_attempts / 2;
+    *extra_attempts -= lent;
+    lent
+}
+
+fn spend_attempt(extra_attempts: &Mutex<u32>) -> bool {
+    let mut extra_attempts = extra_attempts.lock();
+    let left = extra_attempts.checked_sub(1);
+    *extra_attempts = left.unwrap_or(0);
+    left.is_some()
+}
+
+/// Returns whether another attempt is allowed after `refusal` and can help.
+fn may_try_again(outbound: &Outbound<'_>, refusal: &Refusal) -> bool {
+    let can_help = matches!(
+        refusal.reason,
+        RefusalReason::Overloaded
+            | RefusalReason::Draining
+            | RefusalReason::NoServer
+            | RefusalReason::BadAnswer
+    );
+    match refusal.verdict {
+        Verdict::NotRun => can_help,
+        Verdict::MayHaveRun => {
+            can_help && outbound.route.repeatability == Repeatability::Idempotent
+        }
+        Verdict::Ran => false,
+    }
+}
--- /dev/null
+++ b/lib/src/process/node/mod.rs
@@ -0,0 +1,23 @@
+//! One node: the entry for callers, the gate before its backend server and the exit for the
+//! calls that the backend server makes.
+
+mod announcement;
+mod answer;
+mod daemon;
+mod dump;
+mod entry;
+mod exit;
+mod forward;
+mod local_server;
+mod peer_message;
+mod serve;
+mod shared;
+
+pub use self::announcement::Announcement;
+pub use self::announcement::AnnouncementAccepted;
+pub use self::daemon::NodeDaemon;
+pub use self::daemon::ReadyLine;
+pub use self::daemon::StartError;
+pub use self::dump::NodeDump;
+pub use self::dump::ServerDump;
+pub use self::shared::Node;
--- /dev/null
+++ b/lib/src/process/settings/node_settings.rs
@@ -0,0 +1,167 @@
+//! Checked settings of a node.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use snafu::Snafu;
+
+use super::RawNodeSettings;
+use crate::process::secret::FleetSecret;
+use crate::values::NodeId;
+use crate::values::ServiceId;
+use crate::values::ZoneId;
+
+/// A setting has a value that is not allowed.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{flag}: {value:?} is not allowed: {reason}; allowed is {allowed}"))]
+pub struct InvalidSettingError {
+    /// The flag of the setting.
+    pub flag: &'static str,
+    /// The value found; hidden for a secret.
+    pub value: String,
+    /// What is wrong with the value.
+    pub reason: String,
+    /// Which values are allowed.
+    pub allowed: &'static str,
+}
+
+/// Checked settings of a node.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// The name of the node, which stays the same over restarts.
+    pub node: NodeId,
+    /// The availability zone in which the node runs.
+    pub zone: ZoneId,
+    /// The service of the backend server beside the node.
+    pub service: ServiceId,
+    /// Where callers from outside connect.
+    pub caller_listen: SocketAddr,
+    /// Where the backend server beside the node connects.
+    pub local_listen: SocketAddr,
+    /// Where requests of other nodes arrive.
+    pub peer_listen: SocketAddr,
+    /// Where control calls of other nodes and of operators arrive.
+    pub control_listen: SocketAddr,
+    /// Where membership probes arrive.
+    pub probe_listen: SocketAddr,
+    /// The platform's key-value service.
+    pub platform: SocketAddr,
+    /// Probe addresses of nodes that are asked first for the others.
+    pub seeds: Vec<SocketAddr>,
+    /// The secret that all nodes of the fleet share.
+    pub fleet_secret: FleetSecret,
+    /// Most bytes in the body of a request or an answer.
+    pub body_bytes_max: usize,
+    /// Most connections from callers at the same time.
+    pub connections_max: u32,
+    /// Time between the news that the node leaves and the first refusal of new work.
+    pub leave_notice_ms: u64,
+    /// Time after which an announcement that was not renewed ends.
+    pub announcement_ms: u64,
+}
+
+const NAME_ALLOWED: &str = "1 to 64 characters of a-z, 0-9, '-', '.' and '_'";
+const ADDRESS_ALLOWED: &str = "an IP address and a port, as in 127.0.0.1:8080";
+const SECRET_ALLOWED: &str = "a text of at least 16 bytes";
+const BODY_BYTES_ALLOWED: &str = "1024 to 67108864";
+const CONNECTIONS_ALLOWED: &str = "1 to 100000";
+const LEAVE_NOTICE_ALLOWED: &str = "0 to 60000";
+const ANNOUNCEMENT_ALLOWED: &str = "100 to 60000";
+/// Stands in error messages in place of a secret.
+const HIDDEN: &str = "(hidden)";
+
+impl TryFrom<RawNodeSettings> for NodeSettings {
+    type Error = InvalidSettingError;
+
+    fn try_from(raw: RawNodeSettings) -> Result<Self, Self::Error> {
+        let seeds: Result<_, _> = raw
+            .seeds
+            .iter()
+            .map(|seed| parse("--seed", seed, ADDRESS_ALLOWED))
+            .collect();
+        Ok(Self {
+            node: parse("--node", &raw.node, NAME_ALLOWED)?,
+            zone: parse("--zone", &raw.zone, NAME_ALLOWED)?,
+            service: parse("--service", &raw.service, NAME_ALLOWED)?,
+            caller_listen: parse("--caller-listen", &raw.caller_listen, ADDRESS_ALLOWED)?,
+            local_listen: parse("--local-listen", &raw.local_listen, ADDRESS_ALLOWED)?,
+            peer_listen: parse("--peer-listen", &raw.peer_listen, ADDRESS_ALLOWED)?,
+            control_listen: parse("--control-listen", &raw.control_listen, ADDRESS_ALLOWED)?,
+            probe_listen: parse("--probe-listen", &raw.probe_listen, ADDRESS_ALLOWED)?,
+            platform: parse("--platform", &raw.platform, ADDRESS_ALLOWED)?,
+            seeds: seeds?,
+            fleet_secret: parse_secret(&raw.fleet_secret)?,
+            body_bytes_max: parse_within(
+                "--body-bytes-max",
+                &raw.body_bytes_max,
+                1_024..=67_108_864,
+                BODY_BYTES_ALLOWED,
+            )?,
+            connections_max: parse_within(
+                "--connections-max",
+                &raw.connections_max,
+                1..=100_000,
+                CONNECTIONS_ALLOWED,
+            )?,
+            leave_notice_ms: parse_within(
+                "--leave-notice-ms",
+                &raw.leave_notice_ms,
+                0..=60_000,
+                LEAVE_NOTICE_ALLOWED,
+            )?,
+            announcement_ms: parse_within(
+                "--announcement-ms",
+                &raw.announcement_ms,
+                100..=60_000,
+                ANNOUNCEMENT_ALLOWED,
+            )?,
+        })
+    }
+}
+
+fn parse<T>(
+    flag: &'static str,
+    value: &str,
+    allowed: &'static str,
+) -> Result<T, InvalidSettingError>
+where
+    T: FromStr,
+    T::Err: fmt::Display,
+{
+    value.parse().map_err(|error: T::Err| InvalidSettingError {
+        flag,
+        value: value.to_owned(),
+        reason: error.to_string(),
+        allowed,
+    })
+}
+
+fn parse_within<T>(
+    flag: &'static str,
+    value: &str,
+    range: std::ops::RangeInclusive<T>,
+    allowed: &'static str,
+) -> Result<T, InvalidSettingError>
+where
+    T: FromStr + PartialOrd,
+    T::Err: fmt::Display,
+{
+    let number: T = parse(flag, value, allowed)?;
+    if range.contains(&number) {
+        return Ok(number);
+    }
+    Err(InvalidSettingError {
+        flag,
+        value: value.to_owned(),
+        reason: "number is out of range".to_owned(),
+        allowed,
+    })
+}
+
+fn parse_secret(text: &str) -> Result<FleetSecret, InvalidSettingError> {
+    parse("--fleet-secret", text.trim(), SECRET_ALLOWED).map_err(|error| InvalidSettingError {
+        value: HIDDEN.to_owned(),
+        ..error
+    })
+}
--- /dev/null
+++ b/lib/src/process/settings/raw.rs
@@ -0,0 +1,38 @@
+//! Settings as an operator wrote them.
+
+/// Settings of a node as an operator wrote them, one text for each flag.
+///
+/// [`NodeSettings`](super::NodeSettings) is made from it by `TryFrom`.
+#[derive(Clone, Default)]
+pub struct RawNodeSettings {
+    /// `--node`
+    pub node: String,
+    /// `--zone`
+    pub zone: String,
+    /// `--service`
+    pub service: String,
+    /// `--caller-listen`
+    pub caller_listen: String,
+    /// `--local-listen`
+    pub local_listen: String,
+    /// `--peer-listen`
+    pub peer_listen: String,
+    /// `--control-listen`
+    pub control_listen: String,
+    /// `--probe-listen`
+    pub probe_listen: String,
+    /// `--platform`
+    pub platform: String,
+    /// `--seed`, each given once or several times.
+    pub seeds: Vec<String>,
+    /// `--fleet-secret`, or the content of the file that `--fleet-secret-file` names.
+    pub fleet_secret: String,
+    /// `--body-bytes-max`
+    pub body_bytes_max: String,
+    /// `--connections-max`
+    pub connections_max: String,
+    /// `--leave-notice-ms`
+    pub leave_notice_ms: String,
+    /// `--announcement-ms`
+    pub announcement_ms: String,
+}
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -1,8 +1,23 @@
 //! What lives for one request.
 
+mod context;
+mod handle;
+mod in_flight;
+mod problem;
 mod refusal;
 mod verdict;
 
+pub use self::context::AttemptId;
+pub use self::context::DEPTH_MAX;
+pub use self::context::RequestContext;
+pub use self::handle::Handle;
+pub use self::handle::InvalidHandleError;
+pub use self::in_flight::InFlight;
+pub use self::in_flight::InFlightGuard;
+pub use self::in_flight::InFlightTable;
+pub use self::problem::Problem;
+pub use self::problem::refusal_of;
+pub use self::problem::refusal_response;
 pub use self::refusal::Refusal;
 pub use self::refusal::RefusalReason;
 pub use self::verdict::InvalidVerdictError;
--- /dev/null
+++ b/testutils/src/backend_server/mod.rs
@@ -0,0 +1,14 @@
+//! A backend server with slots, service time, onward calls and faults that tests switch on.
+
+mod behaviour;
+mod recorder;
+mod server;
+
+pub use self::behaviour::Behaviour;
+pub use self::behaviour::Fault;
+pub use self::recorder::Recorder;
+pub use self::recorder::Run;
+pub use self::server::BackendServer;
+pub use self::server::ServerPlan;
+pub use self::server::answer_body;
+pub use self::server::is_whole;
--- /dev/null
+++ b/testutils/src/backend_server/recorder.rs
@@ -0,0 +1,41 @@
+//! Records what really ran, for checks that do not trust the product's own word.
+
+use http::HeaderMap;
+use http::header;
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// One run of one request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// The path that was called.
+    pub path: String,
+    /// The body, which tests use as the request's identity.
+    pub body: String,
+    /// Whether the request carried a caller's key.
+    pub carried_key: bool,
+}
+
+/// Records what really ran.
+#[derive(Debug, Default)]
+pub struct Recorder {
+    runs: Mutex<Vec<Run>>,
+}
+
+impl Recorder {
+    /// Notes that a request starts to run.
+    pub fn note(&self, path: &str, headers: &HeaderMap, body: &[u8]) {
+        let run = Run {
+            path: path.to_owned(),
+            body: String::from_utf8_lossy(body).into_owned(),
+            carried_key: headers.contains_key(header::AUTHORIZATION),
+        };
+        self.runs.lock().push(run);
+    }
+
+    /// Returns all runs in the order of their start.
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.lock().clone()
+    }
+}
--- /dev/null
+++ b/testutils/src/backend_server/server.rs
@@ -0,0 +1,326 @@
+//! The stand-in itself: announces itself to its node and answers requests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use balsamfold::connection::ConnectionPool;
+use balsamfold::connection::HANDLE_HEADER;
+use balsamfold::connection::Listener;
+use balsamfold::connection::ListenerLimits;
+use balsamfold::connection::PoolLimits;
+use balsamfold::connection::Serving;
+use balsamfold::connection::WholeRequest;
+use balsamfold::connection::read_body;
+use balsamfold::process::node::Announcement;
+use balsamfold::values::ConnectionCount;
+use balsamfold::values::ServiceId;
+use balsamfold::values::SlotCount;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http_body::Frame;
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::Semaphore;
+use tokio_util::task::AbortOnDropHandle;
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use super::Behaviour;
+use super::Fault;
+use super::Recorder;
+
+const BODY_BYTES_MAX: usize = 16 * 1_024 * 1_024;
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+const ANNOUNCE_PERIOD: Duration = Duration::from_millis(500);
+/// Path by which a test replaces the behaviour of a stand-in in another process.
+const BEHAVIOUR_PATH: &str = "/.stand-in/behaviour";
+/// Path by which a test reads the records of a stand-in in another process.
+const RUNS_PATH: &str = "/.stand-in/runs";
+
+/// What a stand-in is and whom it calls.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ServerPlan {
+    /// The service that it belongs to.
+    pub service: ServiceId,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Connections that it accepts at the same time.
+    pub connections: u32,
+    /// Paths that each request calls onward, one after another.
+    pub calls: Vec<String>,
+    /// Seed of its random choices.
+    pub seed: u64,
+}
+
+/// A running stand-in.
+pub struct BackendServer {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    serving: Serving,
+    _announcing: Option<AbortOnDropHandle<()>>,
+}
+
+struct Shared {
+    plan: ServerPlan,
+    slots: Semaphore,
+    behaviour: Mutex<Behaviour>,
+    random: Mutex<StdRng>,
+    recorder: Recorder,
+    node: Option<ConnectionPool>,
+}
+
+impl BackendServer {
+    /// Starts a stand-in on a free port, beside the node whose local listener is `node`.
+    pub async fn start(
+        plan: ServerPlan,
+        behaviour: Behaviour,
+        node: Option<SocketAddr>,
+    ) -> std::io::Result<Self> {
+        let listener = Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))
+            .await
+            .map_err(std::io::Error::other)?;
+        let address = listener.address();
+        let limits = ListenerLimits {
+            connections_max: plan.connections,
+            header_timeout_ms: BODY_TIMEOUT.as_millis() as u64,
+            header_bytes_max: 64 * 1_024,
+        };
+        let shared = Arc::new(Shared {
+            slots: Semaphore::new(plan.slots as usize),
+            behaviour: Mutex::new(behaviour),
+            random: Mutex::new(StdRng::seed_from_u64(plan.seed)),
+            recorder: Recorder::default(),
+            node: node.map(|address| ConnectionPool::new(address, pool_limits())),
+            plan,
+        });
+        let handling = Arc::clone(&shared);
+        let serving = listener.serve(limits, move |request| {
+            let shared = Arc::clone(&handling);
+            async move { handle(&shared, request).await }
+        });
+        let announcing = node.map(|_| {
+            let announcing = announce_forever(Arc::clone(&shared), address);
+            AbortOnDropHandle::new(tokio::spawn(announcing))
+        });
+        Ok(Self {
+            shared,
+            address,
+            serving,
+            _announcing: announcing,
+        })
+    }
+
+    /// Returns where the stand-in takes requests.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the records of what ran.
+    pub fn recorder(&self) -> &Recorder {
+        &self.shared.recorder
+    }
+
+    /// Changes the behaviour.
+    pub fn change(&self, change: impl FnOnce(&mut Behaviour)) {
+        change(&mut self.shared.behaviour.lock());
+    }
+
+    /// Returns the number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.serving.open_connections()
+    }
+
+    /// Stops accepting and waits for the requests in flight.
+    pub async fn stop(self) {
+        self.serving.stop().await;
+    }
+}
+
+async fn announce_forever(shared: Arc<Shared>, address: SocketAddr) {
+    let announcement = Announcement {
+        service: shared.plan.service.clone(),
+        address,
+        slots: SlotCount(shared.plan.slots),
+        connections: ConnectionCount(shared.plan.connections),
+    };
+    let body = Bytes::from(serde_json::to_vec(&announcement).unwrap_or_default());
+    let mut period = tokio::time::interval(ANNOUNCE_PERIOD);
+    loop {
+        period.tick().await;
+        if let Some(node) = &shared.node {
+            let request = request_to("/.balsamfold/announce", HeaderMap::new(), body.clone());
+            // A lost announcement is repeated with the next period.
+            let _ = node.exchange(request, CALL_TIMEOUT).await;
+        }
+    }
+}
+
+async fn handle(shared: &Shared, request: Request) -> Response {
+    let (parts, body) = request.into_parts();
+    let Ok(body) = read_body(body, BODY_BYTES_MAX, BODY_TIMEOUT).await else {
+        return respond(StatusCode::BAD_REQUEST, Bytes::new());
+    };
+    match parts.uri.path() {
+        BEHAVIOUR_PATH => change_behaviour(shared, &body),
+        RUNS_PATH => {
+            let runs = serde_json::to_vec(&shared.recorder.runs()).unwrap_or_default();
+            respond(StatusCode::OK, Bytes::from(runs))
+        }
+        path => run(shared, path, &parts.headers, body).await,
+    }
+}
+
+fn change_behaviour(shared: &Shared, body: &[u8]) -> Response {
+    match serde_json::from_slice(body) {
+        Ok(behaviour) => {
+            *shared.behaviour.lock() = behaviour;
+            respond(StatusCode::OK, Bytes::new())
+        }
+        Err(error) => respond(StatusCode::BAD_REQUEST, Bytes::from(error.to_string())),
+    }
+}
+
+async fn run(shared: &Shared, path: &str, headers: &HeaderMap, body: Bytes) -> Response {
+    let behaviour = shared.behaviour.lock().clone();
+    if behaviour.fault == Fault::Shed {
+        return with_handle(
+            headers,
+            respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        );
+    }
+    shared.recorder.note(path, headers, &body);
+    if behaviour.crashes_on(&body) {
+        std::process::abort();
+    }
+    let service_time = behaviour.service_time(&mut shared.random.lock());
+    {
+        let _slot = shared.slots.acquire().await;
+        tokio::time::sleep(service_time).await;
+    }
+    for call in &shared.plan.calls {
+        if let Some(failed) = call_onward(shared, call, headers, body.clone()).await {
+            return with_handle(headers, failed);
+        }
+    }
+    let answer = answer_body(&body, behaviour.padding_bytes);
+    let response = match behaviour.fault {
+        Fault::None | Fault::Shed => respond(StatusCode::OK, answer),
+        Fault::LoseAnswer => broken_response(&answer, 0),
+        Fault::CutAnswer => broken_response(&answer, answer.len() / 2),
+        Fault::CrossAnswer => {
+            let mut response = respond(StatusCode::OK, answer);
+            let other = HeaderValue::from_static("00");
+            response.headers_mut().insert(HANDLE_HEADER, other);
+            return response;
+        }
+    };
+    with_handle(headers, response)
+}
+
+/// Calls onward through the node; returns the answer to pass on if the call failed.
+async fn call_onward(
+    shared: &Shared,
+    path: &str,
+    headers: &HeaderMap,
+    body: Bytes,
+) -> Option<Response> {
+    let mut onward = HeaderMap::new();
+    if let Some(handle) = headers.get(HANDLE_HEADER) {
+        onward.insert(HANDLE_HEADER, handle.clone());
+    }
+    let node = shared.node.as_ref()?;
+    let request = request_to(path, onward, body);
+    match node.exchange(request, CALL_TIMEOUT).await {
+        Ok(answer) if answer.status == StatusCode::OK && is_whole(&answer.body) => None,
+        Ok(answer) => Some(respond(answer.status, answer.body)),
+        Err(_) => Some(respond(StatusCode::BAD_GATEWAY, Bytes::new())),
+    }
+}
+
+/// Returns the body of a whole answer: the request's body, padding and a checksum.
+pub fn answer_body(request_body: &[u8], padding_bytes: usize) -> Bytes {
+    let mut body = request_body.to_vec();
+    body.push(b'|');
+    body.resize(body.len() + padding_bytes, b'.');
+    let checksum = checksum(&body);
+    body.extend_from_slice(&checksum);
+    Bytes::from(body)
+}
+
+/// Returns whether a body is a whole answer.
+pub fn is_whole(body: &[u8]) -> bool {
+    match body.len().checked_sub(CHECKSUM_BYTES) {
+        Some(end) => checksum(&body[..end]) == body[end..],
+        None => false,
+    }
+}
+
+const CHECKSUM_BYTES: usize = 8;
+
+fn checksum(body: &[u8]) -> [u8; CHECKSUM_BYTES] {
+    let hash = body.iter().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    hash.to_be_bytes()
+}
+
+fn broken_response(answer: &Bytes, sent_bytes: usize) -> Response {
+    let part = Ok(Frame::data(answer.slice(..sent_bytes)));
+    let failure = Err(std::io::Error::other("cut by the stand-in").into());
+    Response::new(Body::from_stream(futures::stream::iter([part, failure])))
+}
+
+fn with_handle(headers: &HeaderMap, mut response: Response) -> Response {
+    if let Some(handle) = headers.get(HANDLE_HEADER) {
+        response.headers_mut().insert(HANDLE_HEADER, handle.clone());
+    }
+    response
+}
+
+fn respond(status: StatusCode, body: Bytes) -> Response {
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = status;
+    response
+}
+
+fn request_to(path: &str, headers: HeaderMap, body: Bytes) -> WholeRequest {
+    WholeRequest {
+        method: Method::POST,
+        uri: path.parse().unwrap_or_default(),
+        headers,
+        body,
+    }
+}
+
+fn pool_limits() -> PoolLimits {
+    PoolLimits {
+        connections_max: 4_096,
+        connect_timeout_ms: 1_000,
+        idle_timeout_ms: 30_000,
+        answer_bytes_max: BODY_BYTES_MAX,
+    }
+}
+
+impl ServerPlan {
+    /// Returns the plan of a small stand-in for `service` that calls `calls` onward.
+    pub fn small(service: &str, calls: &[&str]) -> Self {
+        const SLOTS: u32 = 16;
+        const CONNECTIONS: u32 = 64;
+        Self {
+            service: service.parse().expect("names of tests are valid"),
+            slots: SLOTS,
+            connections: CONNECTIONS,
+            calls: calls.iter().map(|&call| call.to_owned()).collect(),
+            seed: 1,
+        }
+    }
+}
--- /dev/null
+++ b/testutils/src/fleet/caller.rs
@@ -0,0 +1,70 @@
+//! A caller from outside with kept connections to one node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use balsamfold::connection::ConnectionPool;
+use balsamfold::connection::ExchangeError;
+use balsamfold::connection::PoolLimits;
+use balsamfold::connection::WholeAnswer;
+use balsamfold::connection::WholeRequest;
+use balsamfold::version::CallerKey;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::header;
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A caller from outside with kept connections to one node.
+pub struct Caller {
+    pool: ConnectionPool,
+}
+
+impl Caller {
+    /// Makes a caller of the node whose caller listener is `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        let limits = PoolLimits {
+            connections_max: 4_096,
+            connect_timeout_ms: 2_000,
+            idle_timeout_ms: 30_000,
+            answer_bytes_max: 64 * 1_024 * 1_024,
+        };
+        Self {
+            pool: ConnectionPool::new(address, limits),
+        }
+    }
+
+    /// Sends one request.
+    pub async fn send(&self, request: WholeRequest) -> Result<WholeAnswer, ExchangeError> {
+        self.pool.exchange(request, TIMEOUT).await
+    }
+}
+
+/// Makes a POST request, with a key and further headers where they are given.
+pub fn post(
+    path: &str,
+    key: Option<&CallerKey>,
+    headers: &[(HeaderName, &str)],
+    body: &str,
+) -> WholeRequest {
+    let mut map = HeaderMap::new();
+    map.insert(header::HOST, HeaderValue::from_static("balsamfold.test"));
+    if let Some(key) = key {
+        let bearer = format!("Bearer {}", key.reveal());
+        let value = HeaderValue::try_from(bearer).expect("keys of tests are ASCII");
+        map.insert(header::AUTHORIZATION, value);
+    }
+    for (name, value) in headers {
+        let value = HeaderValue::try_from(*value).expect("headers of tests are ASCII");
+        map.insert(name, value);
+    }
+    WholeRequest {
+        method: Method::POST,
+        uri: path.parse().expect("paths of tests are valid"),
+        headers: map,
+        body: Bytes::from(body.to_owned()),
+    }
+}
--- /dev/null
+++ b/testutils/src/fleet/mod.rs
@@ -0,0 +1,15 @@
+//! Nodes with their backend servers inside the test's own process, over real sockets.
+
+mod caller;
+mod configuration;
+mod test_fleet;
+
+pub use self::caller::Caller;
+pub use self::caller::post;
+pub use self::configuration::sample_configuration;
+pub use self::configuration::sample_key;
+pub use self::configuration::sample_route;
+pub use self::test_fleet::FLEET_SECRET;
+pub use self::test_fleet::TestFleet;
+pub use self::test_fleet::TestNode;
+pub use self::test_fleet::raw_settings;
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,1 +1,6 @@
-//! Stand-ins for tests.
+//! Stand-ins for callers, backend servers and the platform, for tests and measurements.
+
+pub mod backend_server;
+pub mod fleet;
+pub mod load;
+pub mod mesh;
--- /dev/null
+++ b/testutils/src/load/mod.rs
@@ -0,0 +1,1 @@
+//! A load tool.
--- /dev/null
+++ b/testutils/src/mesh/mod.rs
@@ -0,0 +1,1 @@
+//! Many processes on one machine.
