--- a/testutils/src/backend_server/mod.rs
+++ b/testutils/src/backend_server/mod.rs
@@ -10,5 +10,6 @@
 pub use self::recorder::Run;
 pub use self::server::BackendServer;
 pub use self::server::ServerPlan;
+pub use self::server::Upstream;
 pub use self::server::answer_body;
 pub use self::server::is_whole;
--- a/testutils/src/backend_server/server.rs
+++ b/testutils/src/backend_server/server.rs
@@ -61,6 +61,26 @@
     pub seed: u64,
 }
 
+/// Where a stand-in sends its onward calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Upstream {
+    /// To the local listener of the node beside it, to which it also announces itself.
+    Node(SocketAddr),
+    /// Straight to another stand-in, as without the system.
+    Direct(SocketAddr),
+    /// Nowhere.
+    None,
+}
+
+impl Upstream {
+    fn address(self) -> Option<SocketAddr> {
+        match self {
+            Self::Node(address) | Self::Direct(address) => Some(address),
+            Self::None => None,
+        }
+    }
+}
+
 /// A running stand-in.
 pub struct BackendServer {
     shared: Arc<Shared>,
@@ -75,15 +95,15 @@
     behaviour: Mutex<Behaviour>,
     random: Mutex<StdRng>,
     recorder: Recorder,
-    node: Option<ConnectionPool>,
+    upstream: Option<ConnectionPool>,
 }
 
 impl BackendServer {
-    /// Starts a stand-in on a free port, beside the node whose local listener is `node`.
+    /// Starts a stand-in on a free port.
     pub async fn start(
         plan: ServerPlan,
         behaviour: Behaviour,
-        node: Option<SocketAddr>,
+        upstream: Upstream,
     ) -> std::io::Result<Self> {
         let listener = Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))
             .await
@@ -99,7 +119,9 @@
             behaviour: Mutex::new(behaviour),
             random: Mutex::new(StdRng::seed_from_u64(plan.seed)),
             recorder: Recorder::default(),
-            node: node.map(|address| ConnectionPool::new(address, pool_limits())),
+            upstream: upstream
+                .address()
+                .map(|address| ConnectionPool::new(address, pool_limits())),
             plan,
         });
         let handling = Arc::clone(&shared);
@@ -107,10 +129,13 @@
             let shared = Arc::clone(&handling);
             async move { handle(&shared, request).await }
         });
-        let announcing = node.map(|_| {
-            let announcing = announce_forever(Arc::clone(&shared), address);
-            AbortOnDropHandle::new(tokio::spawn(announcing))
-        });
+        let announcing = match upstream {
+            Upstream::Node(_) => {
+                let announcing = announce_forever(Arc::clone(&shared), address);
+                Some(AbortOnDropHandle::new(tokio::spawn(announcing)))
+            }
+            Upstream::Direct(_) | Upstream::None => None,
+        };
         Ok(Self {
             shared,
             address,
@@ -156,7 +181,7 @@
     let mut period = tokio::time::interval(ANNOUNCE_PERIOD);
     loop {
         period.tick().await;
-        if let Some(node) = &shared.node {
+        if let Some(node) = &shared.upstream {
             let request = request_to("/.balsamfold/announce", HeaderMap::new(), body.clone());
             // A lost announcement is repeated with the next period.
             let _ = node.exchange(request, CALL_TIMEOUT).await;
@@ -237,9 +262,9 @@
     if let Some(handle) = headers.get(HANDLE_HEADER) {
         onward.insert(HANDLE_HEADER, handle.clone());
     }
-    let node = shared.node.as_ref()?;
+    let upstream = shared.upstream.as_ref()?;
     let request = request_to(path, onward, body);
-    match node.exchange(request, CALL_TIMEOUT).await {
+    match upstream.exchange(request, CALL_TIMEOUT).await {
         Ok(answer) if answer.status == StatusCode::OK && is_whole(&answer.body) => None,
         Ok(answer) => Some(respond(answer.status, answer.body)),
         Err(_) => Some(respond(StatusCode::BAD_GATEWAY, Bytes::new())),
--- a/testutils/src/bin/backend-server-stand-in.rs
+++ b/testutils/src/bin/backend-server-stand-in.rs
@@ -1,12 +1,11 @@
 //! A stand-in for a backend server as a process of its own.
 
-use std::net::SocketAddr;
-
 use clap::Arg;
 use clap::Command;
 use testutils::backend_server::BackendServer;
 use testutils::backend_server::Behaviour;
 use testutils::backend_server::ServerPlan;
+use testutils::backend_server::Upstream;
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> Result<(), Box<dyn std::error::Error>> {
@@ -15,8 +14,12 @@
         .arg(
             Arg::new("node")
                 .long("node")
-                .required(true)
-                .help("Local listener of the node"),
+                .help("Local listener of the node beside it"),
+        )
+        .arg(
+            Arg::new("direct")
+                .long("direct")
+                .help("Next stand-in, to be called without nodes"),
         )
         .arg(
             Arg::new("plan")
@@ -34,8 +37,12 @@
     let text = |name| matches.get_one::<String>(name).map_or("", String::as_str);
     let plan: ServerPlan = serde_json::from_str(text("plan"))?;
     let behaviour: Behaviour = serde_json::from_str(text("behaviour"))?;
-    let node: SocketAddr = text("node").parse()?;
-    let server = BackendServer::start(plan, behaviour, Some(node)).await?;
+    let upstream = match (text("node"), text("direct")) {
+        ("", "") => Upstream::None,
+        ("", direct) => Upstream::Direct(direct.parse()?),
+        (node, _) => Upstream::Node(node.parse()?),
+    };
+    let server = BackendServer::start(plan, behaviour, upstream).await?;
     println!("{}", server.address());
     std::future::pending().await
 }
--- a/testutils/src/fleet/test_fleet.rs
+++ b/testutils/src/fleet/test_fleet.rs
@@ -14,6 +14,7 @@
 use crate::backend_server::BackendServer;
 use crate::backend_server::Behaviour;
 use crate::backend_server::ServerPlan;
+use crate::backend_server::Upstream;
 
 /// The fleet secret of all tests.
 pub const FLEET_SECRET: &str = "a-fleet-secret-for-tests-only";
@@ -58,10 +59,13 @@
                 service_time_ms: 1.0,
                 ..Behaviour::default()
             };
-            let server =
-                BackendServer::start(plan.clone(), behaviour, Some(daemon.local_address()))
-                    .await
-                    .expect("the backend server starts");
+            let server = BackendServer::start(
+                plan.clone(),
+                behaviour,
+                Upstream::Node(daemon.local_address()),
+            )
+            .await
+            .expect("the backend server starts");
             let caller = Caller::new(daemon.caller_address());
             nodes.push(TestNode {
                 daemon,
--- a/testutils/src/mesh/mod.rs
+++ b/testutils/src/mesh/mod.rs
@@ -1,1 +1,13 @@
-//! Many processes on one machine.
+//! A fleet of separate processes on the loopback interface.
+
+mod child;
+mod layout;
+mod process_fleet;
+mod programs;
+
+pub use self::child::ChildProcess;
+pub use self::layout::ServicePlan;
+pub use self::layout::chain;
+pub use self::process_fleet::ProcessFleet;
+pub use self::process_fleet::ProcessNode;
+pub use self::programs::Programs;
--- /dev/null
+++ b/testutils/src/mesh/process_fleet.rs
@@ -0,0 +1,164 @@
+//! Starts nodes and stand-ins as separate processes.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use balsamfold::process::control;
+use balsamfold::process::control::ControlCaller;
+use balsamfold::process::control::ControlClient;
+use balsamfold::process::node::ReadyLine;
+use balsamfold::process::secret::FleetSecret;
+use balsamfold::version::Configuration;
+
+use super::ChildProcess;
+use super::Programs;
+use super::ServicePlan;
+use crate::backend_server::Behaviour;
+use crate::backend_server::ServerPlan;
+use crate::fleet::FLEET_SECRET;
+
+const POLL_PERIOD: Duration = Duration::from_millis(100);
+const START_TIMEOUT: Duration = Duration::from_secs(60);
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Nodes that the others ask first.
+const SEEDS_MAX: usize = 3;
+
+/// One node with its backend server, as two processes.
+#[derive(Debug)]
+pub struct ProcessNode {
+    /// The name of the node.
+    pub name: String,
+    /// The zone of the node.
+    pub zone: String,
+    /// The node.
+    pub node: ChildProcess,
+    /// The backend server.
+    pub server: ChildProcess,
+    /// Where the node listens.
+    pub addresses: ReadyLine,
+    /// Where the backend server listens.
+    pub server_address: SocketAddr,
+}
+
+/// A fleet of separate processes; dropping it ends all of them.
+#[derive(Debug)]
+pub struct ProcessFleet {
+    /// The nodes.
+    pub nodes: Vec<ProcessNode>,
+}
+
+impl ProcessFleet {
+    /// Starts all processes of `services` in each of `zones`.
+    pub fn start(
+        programs: &Programs,
+        zones: &[&str],
+        services: &[ServicePlan],
+    ) -> Result<Self, Box<dyn Error>> {
+        let mut nodes: Vec<ProcessNode> = Vec::new();
+        for zone in zones {
+            for service in services {
+                for _ in 0..service.servers_per_zone {
+                    let seeds: Vec<SocketAddr> = nodes
+                        .iter()
+                        .take(SEEDS_MAX)
+                        .map(|node| node.addresses.others.probe)
+                        .collect();
+                    let name = format!("node-{}", nodes.len());
+                    nodes.push(start_node(programs, &name, zone, service, &seeds)?);
+                }
+            }
+        }
+        Ok(Self { nodes })
+    }
+
+    /// Puts `configuration` in force on all nodes and waits until they know all backend servers.
+    pub async fn configure(&self, configuration: &Configuration) -> Result<(), Box<dyn Error>> {
+        for node in &self.nodes {
+            let control = node.control()?;
+            control.offer_configuration(configuration.clone()).await?;
+        }
+        let known = async {
+            for node in &self.nodes {
+                let control = node.control()?;
+                while known_servers(&control).await? < self.nodes.len() {
+                    tokio::time::sleep(POLL_PERIOD).await;
+                }
+            }
+            Ok(())
+        };
+        tokio::time::timeout(START_TIMEOUT, known).await?
+    }
+
+    /// Returns the caller listeners of all nodes.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.nodes
+            .iter()
+            .map(|node| node.addresses.caller)
+            .collect()
+    }
+}
+
+impl ProcessNode {
+    /// Returns a client of the node's control channel.
+    pub fn control(&self) -> Result<ControlCaller, Box<dyn Error>> {
+        let secret: FleetSecret = FLEET_SECRET.parse()?;
+        let address = self.addresses.others.control;
+        Ok(control::connect(address, &secret, CONTROL_TIMEOUT)?)
+    }
+}
+
+async fn known_servers(control: &ControlCaller) -> Result<usize, Box<dyn Error>> {
+    let records = control.nodes().await?;
+    let serving = records.iter().filter(|record| record.server.is_some());
+    Ok(serving.count())
+}
+
+fn start_node(
+    programs: &Programs,
+    name: &str,
+    zone: &str,
+    service: &ServicePlan,
+    seeds: &[SocketAddr],
+) -> Result<ProcessNode, Box<dyn Error>> {
+    let mut command = programs.command("balsamfold-node");
+    command
+        .args(["--node", name, "--zone", zone])
+        .args(["--service", service.server.service.as_str()])
+        .args(["--platform", "127.0.0.1:1"])
+        .args(["--log-level", "warn"])
+        .env("BALSAMFOLD_FLEET_SECRET", FLEET_SECRET);
+    for seed in seeds {
+        command.args(["--seed", &seed.to_string()]);
+    }
+    let node = ChildProcess::start(&mut command)?;
+    let addresses: ReadyLine = serde_json::from_str(node.first_line())?;
+    let server = start_server(
+        programs,
+        &service.server,
+        &service.behaviour,
+        addresses.local,
+    )?;
+    Ok(ProcessNode {
+        name: name.to_owned(),
+        zone: zone.to_owned(),
+        server_address: server.first_line().parse()?,
+        node,
+        server,
+        addresses,
+    })
+}
+
+fn start_server(
+    programs: &Programs,
+    plan: &ServerPlan,
+    behaviour: &Behaviour,
+    node: SocketAddr,
+) -> Result<ChildProcess, Box<dyn Error>> {
+    let mut command = programs.command("backend-server-stand-in");
+    command
+        .args(["--node", &node.to_string()])
+        .args(["--plan", &serde_json::to_string(plan)?])
+        .args(["--behaviour", &serde_json::to_string(behaviour)?]);
+    Ok(ChildProcess::start(&mut command)?)
+}
