--- a/testutils/src/mesh/process_fleet.rs
+++ b/testutils/src/mesh/process_fleet.rs
@@ -16,6 +16,7 @@
 use super::ServicePlan;
 use crate::backend_server::Behaviour;
 use crate::backend_server::ServerPlan;
+use crate::backend_server::Upstream;
 use crate::fleet::FLEET_SECRET;
 
 const POLL_PERIOD: Duration = Duration::from_millis(100);
@@ -137,7 +138,7 @@
         programs,
         &service.server,
         &service.behaviour,
-        addresses.local,
+        Upstream::Node(addresses.local),
     )?;
     Ok(ProcessNode {
         name: name.to_owned(),
@@ -149,16 +150,21 @@
     })
 }
 
-fn start_server(
+/// Starts a backend server and waits until it listens; its first line is its address.
+pub fn start_server(
     programs: &Programs,
     plan: &ServerPlan,
     behaviour: &Behaviour,
-    node: SocketAddr,
+    upstream: Upstream,
 ) -> Result<ChildProcess, Box<dyn Error>> {
     let mut command = programs.command("backend-server-stand-in");
     command
-        .args(["--node", &node.to_string()])
         .args(["--plan", &serde_json::to_string(plan)?])
         .args(["--behaviour", &serde_json::to_string(behaviour)?]);
+    match upstream {
+        Upstream::Node(address) => command.args(["--node", &address.to_string()]),
+        Upstream::Direct(address) => command.args(["--direct", &address.to_string()]),
+        Upstream::None => &mut command,
+    };
     Ok(ChildProcess::start(&mut command)?)
 }
