--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,3 +2,4 @@
 
 mod test_events;
 mod test_keys;
+mod test_secret;
