--- a/lib/src/process/membership/mod.rs
+++ b/lib/src/process/membership/mod.rs
@@ -1,10 +1,58 @@
 //! Which nodes there are, what stands beside them, and whether they take new work.
+//!
+//! Nodes probe one another in the manner of SWIM and pass on what changed with each probe.
+//! [`MembershipState`] decides; [`Membership`] wraps it in a socket and a timer.
 
+mod announcer;
+mod codec;
+mod contacts;
+mod deltas;
+mod incarnation;
+mod members;
+mod message;
+mod probes;
 mod record;
+mod runner;
+mod schedule;
+mod seeds;
+mod state;
 mod table;
+pub mod timing;
+mod transfers;
 
+pub use self::codec::DATAGRAM_MAX_BYTES;
+pub use self::codec::DatagramBuilder;
+pub use self::codec::DatagramError;
+pub use self::codec::decode;
+pub use self::deltas::DeltaQueue;
+pub use self::deltas::send_limit;
+pub use self::members::Departure;
+pub use self::members::MEMBERS_MAX;
+pub use self::members::Member;
+pub use self::members::Members;
+pub use self::members::MergeOutcome;
+pub use self::message::Datagram;
+pub use self::message::Envelope;
+pub use self::message::Message;
+pub use self::message::ProbeSequence;
+pub use self::message::TableDigest;
 pub use self::record::NodeAddresses;
 pub use self::record::NodeCondition;
 pub use self::record::NodeRecord;
 pub use self::record::ServerRecord;
+pub use self::runner::LinkFilter;
+pub use self::runner::LinkState;
+pub use self::runner::Membership;
+pub use self::seeds::SEED_REFRESH_INTERVAL;
+pub use self::seeds::SEEDS_PER_ZONE;
+pub use self::seeds::SeedRecord;
+pub use self::seeds::SeedSlot;
+pub use self::seeds::SeedWrite;
+pub use self::seeds::seed_slot;
+pub use self::seeds::seed_write_due;
+pub use self::state::ConfigHint;
+pub use self::state::MembershipCounters;
+pub use self::state::MembershipOptions;
+pub use self::state::MembershipState;
+pub use self::state::Outgoing;
 pub use self::table::MemberTable;
--- a/lib/src/process/membership/record.rs
+++ b/lib/src/process/membership/record.rs
@@ -26,7 +26,7 @@
 
 plain_data! {
     /// Where a node listens for other nodes.
-    #[derive(Eq)]
+    #[derive(Eq, PartialOrd, Ord)]
     pub struct NodeAddresses {
         /// Requests from other nodes, by HTTP.
         pub peer: SocketAddr,
@@ -39,7 +39,7 @@
 
 plain_data! {
     /// What the backend server beside a node announced.
-    #[derive(Eq)]
+    #[derive(Eq, PartialOrd, Ord)]
     pub struct ServerRecord {
         /// The service that the backend server belongs to.
         pub service: ServiceId,
@@ -70,6 +70,25 @@
 }
 
 impl NodeRecord {
+    /// Returns whether this record takes the place of `known`.
+    ///
+    /// A higher incarnation goes first, then a worse condition. Only the node itself changes the
+    /// rest and raises its incarnation with it; comparing the rest makes the order total, so that
+    /// all nodes keep the same record whatever the order of arrival.
+    pub fn supersedes(&self, known: &Self) -> bool {
+        self.precedence() > known.precedence()
+    }
+
+    /// Returns whichever of two records of one node supersedes the other.
+    pub fn merge(self, other: Self) -> Self {
+        if other.supersedes(&self) { other } else { self }
+    }
+
+    fn precedence(&self) -> impl Ord + '_ {
+        let identity = (&self.id, &self.zone, &self.addresses, &self.server);
+        (self.incarnation, self.condition, identity)
+    }
+
     /// Returns whether the node takes new work for `service`.
     pub fn serves(&self, service: &ServiceId) -> bool {
         match &self.server {
--- /dev/null
+++ b/lib/src/process/membership/runner.rs
@@ -0,0 +1,228 @@
+//! Runs membership over a UDP socket.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::MissedTickBehavior;
+
+use super::ConfigHint;
+use super::DATAGRAM_MAX_BYTES;
+use super::MemberTable;
+use super::MembershipCounters;
+use super::MembershipOptions;
+use super::MembershipState;
+use super::NodeRecord;
+use super::Outgoing;
+use super::ServerRecord;
+use super::timing::TICK_INTERVAL;
+use crate::process::events::membership;
+use crate::values::Clock;
+use crate::values::ConfigVersion;
+
+/// Datagrams that are received before answers are sent.
+const RECEIVE_BATCH: usize = 32;
+
+/// Whether datagrams pass between this node and an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkState {
+    /// Datagrams pass.
+    Up,
+    /// Datagrams are dropped in both directions.
+    Cut,
+}
+
+/// Decides whether datagrams pass between this node and an address. Tests cut links with it.
+#[derive(Clone)]
+pub struct LinkFilter(Arc<dyn Fn(SocketAddr) -> LinkState + Send + Sync>);
+
+impl LinkFilter {
+    /// Uses `state_of` to decide.
+    pub fn new(state_of: impl Fn(SocketAddr) -> LinkState + Send + Sync + 'static) -> Self {
+        Self(Arc::new(state_of))
+    }
+
+    /// Lets all datagrams pass.
+    pub fn open() -> Self {
+        Self::new(|_| LinkState::Up)
+    }
+
+    fn is_up(&self, address: SocketAddr) -> bool {
+        (self.0)(address) == LinkState::Up
+    }
+}
+
+impl fmt::Debug for LinkFilter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("LinkFilter(..)")
+    }
+}
+
+/// Membership of this process. It stops when it is dropped.
+///
+/// The one lock guards the state machine; no other lock is taken while it is held.
+#[derive(Debug)]
+pub struct Membership {
+    shared: Arc<Shared>,
+    table: watch::Receiver<Arc<MemberTable>>,
+    task: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<MembershipState>,
+    clock: Clock,
+    socket: UdpSocket,
+    filter: LinkFilter,
+}
+
+impl Membership {
+    /// Starts membership on a bound socket, whose address is the probe address in `options`.
+    pub fn start(
+        options: MembershipOptions,
+        socket: UdpSocket,
+        filter: LinkFilter,
+        clock: Clock,
+    ) -> Self {
+        let state = MembershipState::new(options, clock.wall(), clock.now());
+        let (publisher, table) = watch::channel(Arc::new(state.table()));
+        let shared = Arc::new(Shared {
+            state: Mutex::new(state),
+            clock,
+            socket,
+            filter,
+        });
+        let task = tokio::spawn(run(shared.clone(), publisher));
+        Self {
+            shared,
+            table,
+            task,
+        }
+    }
+
+    /// Returns the present view of all nodes. It is published within a tick of each change.
+    pub fn table(&self) -> watch::Receiver<Arc<MemberTable>> {
+        self.table.clone()
+    }
+
+    /// Returns the own record.
+    pub fn own(&self) -> NodeRecord {
+        self.shared.state.lock().own().clone()
+    }
+
+    /// Tells the fleet about the backend server beside this node.
+    pub fn announce(&self, server: ServerRecord) {
+        let now = self.shared.clock.now();
+        self.shared.state.lock().announce(server, now);
+    }
+
+    /// Tells the fleet that the backend server takes no new work.
+    pub fn server_gone(&self) {
+        let now = self.shared.clock.now();
+        self.shared.state.lock().server_gone(now);
+    }
+
+    /// Tells the fleet that this node stops. It goes on answering until it is dropped.
+    pub fn leave(&self) {
+        let now = self.shared.clock.now();
+        self.shared.state.lock().leave(now);
+    }
+
+    /// Adds an address at which another node may listen.
+    pub fn add_seed(&self, seed: SocketAddr) {
+        self.shared.state.lock().add_seed(seed);
+    }
+
+    /// Sets the version of the configuration that this node runs.
+    pub fn set_config(&self, version: ConfigVersion) {
+        self.shared.state.lock().set_config(version);
+    }
+
+    /// Returns the newest configuration that another node runs, if newer than this node's.
+    pub fn config_hint(&self) -> Option<ConfigHint> {
+        self.shared.state.lock().config_hint().cloned()
+    }
+
+    /// Returns the numbers of datagrams since the start.
+    pub fn counters(&self) -> MembershipCounters {
+        self.shared.state.lock().counters()
+    }
+}
+
+impl Drop for Membership {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn run(shared: Arc<Shared>, publisher: watch::Sender<Arc<MemberTable>>) {
+    let mut ticks = tokio::time::interval(TICK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut published_revision = 0;
+    let mut buffer = [0; DATAGRAM_MAX_BYTES + 1];
+    loop {
+        let outgoing = tokio::select! {
+            _ = ticks.tick() => {
+                shared.tick(&publisher, &mut published_revision)
+            }
+            received = shared.socket.recv_from(&mut buffer) => {
+                shared.receive(received, &mut buffer)
+            }
+        };
+        shared.send(outgoing).await;
+    }
+}
+
+impl Shared {
+    fn tick(
+        &self,
+        publisher: &watch::Sender<Arc<MemberTable>>,
+        published_revision: &mut u64,
+    ) -> Vec<Outgoing> {
+        let mut state = self.state.lock();
+        state.tick(self.clock.now());
+        if state.revision() != *published_revision {
+            *published_revision = state.revision();
+            publisher.send_replace(Arc::new(state.table()));
+        }
+        state.take_outgoing()
+    }
+
+    /// Acts on a datagram and on those that wait behind it.
+    fn receive(&self, first: io::Result<(usize, SocketAddr)>, buffer: &mut [u8]) -> Vec<Outgoing> {
+        let mut state = self.state.lock();
+        let mut next = Some(first);
+        for _ in 0..RECEIVE_BATCH {
+            let received = next.take();
+            match received.unwrap_or_else(|| self.socket.try_recv_from(buffer)) {
+                Ok((length, from)) if self.filter.is_up(from) => {
+                    // The state counts datagrams that it drops.
+                    let _ = state.receive(&buffer[..length], from, self.clock.now());
+                }
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) => {
+                    membership::SOCKET_FAILED.log(error);
+                    break;
+                }
+            }
+        }
+        state.take_outgoing()
+    }
+
+    async fn send(&self, outgoing: Vec<Outgoing>) {
+        for Outgoing { to, bytes } in outgoing {
+            if self.filter.is_up(to) {
+                match self.socket.send_to(&bytes, to).await {
+                    Ok(_) => {}
+                    Err(error) => membership::SOCKET_FAILED.log(format_args!("{to}: {error}")),
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/process/membership/state/own.rs
@@ -0,0 +1,101 @@
+//! Changes of the own record, and the defence of it against rumours.
+
+use super::MembershipState;
+use crate::process::events::membership;
+use crate::process::membership::NodeCondition;
+use crate::process::membership::NodeRecord;
+use crate::process::membership::ServerRecord;
+use crate::process::membership::timing::REFUTATION_INTERVAL;
+use crate::values::MonotonicTime;
+
+impl MembershipState {
+    /// Tells the fleet about the backend server beside this node.
+    pub fn announce(&mut self, server: ServerRecord, now: MonotonicTime) {
+        self.set_server(Some(server), now);
+    }
+
+    /// Tells the fleet that the backend server takes no new work.
+    pub fn server_gone(&mut self, now: MonotonicTime) {
+        self.set_server(None, now);
+    }
+
+    /// Tells the fleet that this node stops and takes no new work.
+    pub fn leave(&mut self, now: MonotonicTime) {
+        if self.own.condition != NodeCondition::Leaving {
+            let mut own = self.own.clone();
+            own.condition = NodeCondition::Leaving;
+            own.incarnation = own.incarnation.next();
+            self.replace_own(own, now);
+            self.announce_own(now);
+        }
+    }
+
+    fn set_server(&mut self, server: Option<ServerRecord>, now: MonotonicTime) {
+        if self.own.server != server {
+            let mut own = self.own.clone();
+            own.server = server;
+            own.incarnation = own.incarnation.next();
+            self.replace_own(own, now);
+            self.announce_own(now);
+        }
+    }
+
+    /// Raises the own incarnation over a rumour that is wrong or comes from an earlier life.
+    pub(super) fn defend(&mut self, rumour: &NodeRecord, now: MonotonicTime) {
+        let is_leaving = self.own.condition == NodeCondition::Leaving;
+        let is_same_life = rumour.incarnation == self.own.incarnation;
+        let is_newer = rumour.incarnation > self.own.incarnation;
+        let accuses = is_same_life && rumour.condition > self.own.condition && !is_leaving;
+        if is_newer || accuses {
+            membership::RUMOUR_REFUTED.log(format_args!(
+                "{:?} at incarnation {}",
+                rumour.condition, rumour.incarnation
+            ));
+            let mut own = self.own.clone();
+            own.incarnation = own.incarnation.raised_over(rumour.incarnation);
+            self.replace_own(own, now);
+            self.announce_refutation(now);
+        }
+    }
+
+    /// Raises the own incarnation before anybody is accused, as after a pause.
+    pub(super) fn refute_in_advance(&mut self, now: MonotonicTime) {
+        let mut own = self.own.clone();
+        own.incarnation = own.incarnation.next();
+        self.replace_own(own, now);
+        self.announce_own(now);
+    }
+
+    /// Starts telling the own record to all nodes.
+    pub(super) fn announce_own(&mut self, now: MonotonicTime) {
+        let own_id = &self.own.id;
+        let nodes = self
+            .members
+            .iter()
+            .map(|member| &member.record)
+            .filter(|record| record.condition != NodeCondition::Dead)
+            .filter(|record| record.id != *own_id)
+            .map(|record| record.id.clone())
+            .collect();
+        self.announcer.start(nodes, &mut self.rng);
+        self.due.last_announcement = Some(now);
+    }
+
+    /// Tells all nodes about a refutation, but rarely: a faulty node might accuse without end.
+    fn announce_refutation(&mut self, now: MonotonicTime) {
+        let was_lately = self
+            .due
+            .last_announcement
+            .is_some_and(|last| now.since(last) < REFUTATION_INTERVAL);
+        if !was_lately {
+            self.announce_own(now);
+        }
+    }
+
+    fn replace_own(&mut self, own: NodeRecord, now: MonotonicTime) {
+        self.own = own.clone();
+        self.members.merge(own, now);
+        self.deltas.push(&self.own.id);
+        self.revision += 1;
+    }
+}
--- /dev/null
+++ b/lib/src/process/membership/state/tick.rs
@@ -0,0 +1,214 @@
+//! What happens as time passes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+
+use super::MembershipState;
+use super::receive::RecordSource;
+use crate::process::events::membership;
+use crate::process::membership::Message;
+use crate::process::membership::NodeCondition;
+use crate::process::membership::probes::Probe;
+use crate::process::membership::probes::ProbePurpose;
+use crate::process::membership::schedule::helpers;
+use crate::process::membership::timing;
+use crate::process::membership::transfers::DATAGRAMS_PER_TICK;
+use crate::values::MonotonicTime;
+use crate::values::NodeId;
+
+/// Seeds that are tried at once while no other node is known.
+const JOIN_SEED_COUNT: usize = 3;
+
+impl MembershipState {
+    /// Does what is due at `now`. Call it every [`timing::TICK_INTERVAL`].
+    pub fn tick(&mut self, now: MonotonicTime) {
+        self.notice_pause(now);
+        self.ask_helpers();
+        self.fail_probes(now);
+        self.expire_suspicions(now);
+        self.start_probes(now);
+        self.send_announcements(now);
+        self.send_transfers();
+        self.try_seeds(now);
+        self.clean_up(now);
+    }
+
+    /// After a pause, what this node knew is old: it accuses nobody before it was heard itself.
+    fn notice_pause(&mut self, now: MonotonicTime) {
+        let last = self.due.last_tick.replace(now);
+        let gap = last.map_or(Duration::ZERO, |last| now.since(last));
+        if gap >= timing::PAUSE_GAP {
+            membership::PROCESS_PAUSED.log(format_args!("{} ms", gap.as_millis()));
+            self.probes.clear();
+            self.contacts.clear();
+            self.suspicions.values_mut().for_each(|since| *since = now);
+            self.refute_in_advance(now);
+        }
+    }
+
+    fn ask_helpers(&mut self) {
+        let Some(now) = self.due.last_tick else {
+            return;
+        };
+        for (sequence, target) in self.probes.take_unanswered(now) {
+            let Some(member) = self.members.get(&target) else {
+                continue;
+            };
+            let record = member.record.clone();
+            for helper in helpers(&self.members, &self.own, &record, &mut self.rng) {
+                let target = target.clone();
+                let message = Message::PingRequest { sequence, target };
+                self.send(helper.addresses.probe, message, Some(&helper.id));
+            }
+        }
+    }
+
+    fn fail_probes(&mut self, now: MonotonicTime) {
+        for probe in self.probes.take_failed(now) {
+            if probe.purpose == ProbePurpose::LivenessByOthers {
+                self.suspect(&probe.target, now);
+            }
+        }
+    }
+
+    fn suspect(&mut self, id: &NodeId, now: MonotonicTime) {
+        let Some(mut record) = self.node(id).cloned() else {
+            return;
+        };
+        match record.condition {
+            NodeCondition::Alive => {
+                record.condition = NodeCondition::Suspect;
+                self.learn(record, RecordSource::Rumour, now);
+            }
+            NodeCondition::Leaving => {
+                self.suspicions.entry(record.id).or_insert(now);
+            }
+            NodeCondition::Suspect | NodeCondition::Dead => {}
+        }
+    }
+
+    /// Declares dead who did not refute in time, unless its whole zone is silent.
+    fn expire_suspicions(&mut self, now: MonotonicTime) {
+        let expired: Vec<_> = self
+            .suspicions
+            .iter()
+            .filter(|(id, since)| self.is_expired(id, now.since(**since), now))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in expired {
+            self.suspicions.remove(&id);
+            if let Some(mut record) = self.node(&id).cloned() {
+                record.condition = NodeCondition::Dead;
+                self.learn(record, RecordSource::Rumour, now);
+            }
+        }
+    }
+
+    fn is_expired(&self, id: &NodeId, age: Duration, now: MonotonicTime) -> bool {
+        match self.members.get(id) {
+            _ if age < timing::SUSPICION_TIMEOUT => false,
+            _ if age >= timing::UNREACHABLE_RETENTION => true,
+            Some(member) if member.record.zone == self.own.zone => self.contacts.is_connected(now),
+            Some(member) => self.contacts.is_reachable(&member.record.zone, now),
+            None => true,
+        }
+    }
+
+    fn start_probes(&mut self, now: MonotonicTime) {
+        if now >= self.due.probe {
+            self.due.probe = now.after(timing::PROBE_INTERVAL);
+            let target = self.schedule.next(&self.members, &self.own, &mut self.rng);
+            if let Some(target) = target {
+                self.probe(&target, ProbePurpose::Liveness, now);
+            }
+        }
+        if now >= self.due.lost_probe {
+            self.due.lost_probe = now.after(timing::LOST_PROBE_INTERVAL);
+            if let Some(target) = self.schedule.next_lost(&self.members, &mut self.rng) {
+                self.probe(&target, ProbePurpose::Recovery, now);
+            }
+        }
+    }
+
+    /// Sends a probe to `target`, if it is known.
+    pub(super) fn probe(&mut self, target: &NodeId, purpose: ProbePurpose, now: MonotonicTime) {
+        let Some(member) = self.members.get(target) else {
+            return;
+        };
+        let to = member.record.addresses.probe;
+        let probe = Probe {
+            target: target.clone(),
+            purpose,
+            started: now,
+        };
+        if let Some(sequence) = self.probes.start(probe) {
+            self.send(to, Message::Ping { sequence }, Some(target));
+        }
+    }
+
+    fn send_announcements(&mut self, now: MonotonicTime) {
+        if self.due.join_announcement.is_some_and(|due| now >= due) {
+            self.due.join_announcement = None;
+            self.announce_own(now);
+        }
+        if self.announcer.is_active() {
+            let batch = self.announcer.next_batch();
+            self.send_announcement(&batch);
+        }
+    }
+
+    fn send_transfers(&mut self) {
+        for _ in 0..DATAGRAMS_PER_TICK {
+            let Some(transfer) = self.transfers.pop() else {
+                return;
+            };
+            if let Some(rest) = self.send_part(transfer) {
+                self.transfers.push(rest);
+            }
+        }
+    }
+
+    fn try_seeds(&mut self, now: MonotonicTime) {
+        if now < self.due.seed {
+            return;
+        }
+        let is_alone = self.members.len() == 1;
+        let (count, interval) = match is_alone {
+            true => (JOIN_SEED_COUNT, timing::JOIN_INTERVAL),
+            false => (1, timing::SEED_INTERVAL),
+        };
+        self.due.seed = now.after(interval);
+        let unknown = self.unknown_seeds();
+        let chosen: Vec<_> = unknown
+            .choose_multiple(&mut self.rng, count)
+            .copied()
+            .collect();
+        for seed in chosen {
+            self.request_sync(seed, now);
+        }
+    }
+
+    /// Returns the seed addresses at which no node is known to listen.
+    fn unknown_seeds(&self) -> Vec<SocketAddr> {
+        let is_known = |seed: &SocketAddr| {
+            self.members.iter().any(|member| {
+                let is_dead = member.record.condition == NodeCondition::Dead;
+                member.record.addresses.probe == *seed && !is_dead
+            })
+        };
+        let unknown = self.seeds.iter().filter(|seed| !is_known(seed));
+        unknown.copied().collect()
+    }
+
+    fn clean_up(&mut self, now: MonotonicTime) {
+        if now < self.due.cleanup {
+            return;
+        }
+        self.due.cleanup = now.after(timing::CLEANUP_INTERVAL);
+        if self.members.forget_dead(now, timing::TOMBSTONE_RETENTION) {
+            self.revision += 1;
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/fleet.rs
@@ -0,0 +1,279 @@
+//! Memberships that exchange datagrams over a queue in memory, by a clock that the test sets.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use balsamfold::process::membership::MembershipOptions;
+use balsamfold::process::membership::MembershipState;
+use balsamfold::process::membership::NodeAddresses;
+use balsamfold::process::membership::NodeCondition;
+use balsamfold::process::membership::NodeRecord;
+use balsamfold::process::membership::ServerRecord;
+use balsamfold::process::secret::FleetSecret;
+use balsamfold::values::ConnectionCount;
+use balsamfold::values::Incarnation;
+use balsamfold::values::MonotonicTime;
+use balsamfold::values::NodeId;
+use balsamfold::values::SlotCount;
+use balsamfold::values::WallTime;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const STEP: Duration = Duration::from_millis(10);
+const STEPS_PER_TICK: u64 = 10;
+const LATENCY: Duration = Duration::from_millis(10);
+
+/// What the test did to a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Run {
+    Running,
+    Paused,
+    Stopped,
+}
+
+#[derive(Debug)]
+struct Node {
+    state: MembershipState,
+    run: Run,
+}
+
+#[derive(Debug)]
+struct InFlight {
+    from: SocketAddr,
+    to: SocketAddr,
+    bytes: Vec<u8>,
+}
+
+/// Zones between which no datagram passes.
+type Cut = fn(usize, usize) -> bool;
+
+/// A fleet whose zones are numbered from 0, with the same number of nodes in each.
+#[derive(Debug)]
+pub struct Fleet {
+    pub now: MonotonicTime,
+    pub loss_percent: u32,
+    pub cut: Cut,
+    nodes: BTreeMap<usize, Node>,
+    zone_size: usize,
+    steps: u64,
+    sent: u64,
+    in_flight: BTreeMap<(MonotonicTime, u64), InFlight>,
+    rng: StdRng,
+}
+
+impl Fleet {
+    /// Starts `zones` times `zone_size` nodes that know two seed addresses, and lets them meet.
+    pub fn start(zones: usize, zone_size: usize) -> Self {
+        let mut fleet = Self {
+            now: MonotonicTime(0),
+            loss_percent: 0,
+            cut: |_, _| false,
+            nodes: BTreeMap::new(),
+            zone_size,
+            steps: 0,
+            sent: 0,
+            in_flight: BTreeMap::new(),
+            rng: StdRng::seed_from_u64(1),
+        };
+        for index in 0..zones * zone_size {
+            fleet.start_node(index, WallTime(1_000));
+        }
+        fleet.run_for(Duration::from_secs(20));
+        fleet
+    }
+
+    /// Starts or restarts one node.
+    pub fn start_node(&mut self, index: usize, wall: WallTime) {
+        self.replace_node(index, options(index, self.zone_size), wall);
+    }
+
+    /// Starts another node at the address of node `index`.
+    pub fn replace_node(&mut self, index: usize, options: MembershipOptions, wall: WallTime) {
+        let state = MembershipState::new(options, wall, self.now);
+        let run = Run::Running;
+        self.nodes.insert(index, Node { state, run });
+    }
+
+    /// Pauses, resumes or stops one node.
+    pub fn set_run(&mut self, index: usize, run: Run) {
+        self.nodes.get_mut(&index).expect("known node").run = run;
+    }
+
+    /// Returns the state of one node.
+    pub fn node(&mut self, index: usize) -> &mut MembershipState {
+        &mut self.nodes.get_mut(&index).expect("known node").state
+    }
+
+    /// Passes time for all nodes.
+    pub fn run_for(&mut self, duration: Duration) {
+        for _ in 0..duration.as_micros() / STEP.as_micros() {
+            self.step();
+        }
+    }
+
+    /// Passes time until `reached` holds, and returns how much. Panics after `limit`.
+    pub fn run_until(&mut self, limit: Duration, reached: impl Fn(&Fleet) -> bool) -> Duration {
+        let start = self.now;
+        while !reached(self) {
+            assert!(self.now.since(start) < limit, "not reached in {limit:?}");
+            self.run_for(STEP);
+        }
+        self.now.since(start)
+    }
+
+    /// Returns what the running nodes, `about` left out, think of node `about`.
+    pub fn views(&self, about: usize) -> Vec<Option<NodeRecord>> {
+        self.running()
+            .filter(|index| *index != about)
+            .map(|index| self.nodes[&index].state.node(&node_id(about)).cloned())
+            .collect()
+    }
+
+    /// Returns whether all running nodes see node `about` in `condition`.
+    pub fn all_see(&self, about: usize, condition: NodeCondition) -> bool {
+        self.views(about)
+            .iter()
+            .all(|view| view.as_ref().map(|record| record.condition) == Some(condition))
+    }
+
+    /// Returns whether any running node sees any of `about` in `condition`.
+    pub fn any_sees(&self, mut about: std::ops::Range<usize>, condition: NodeCondition) -> bool {
+        about.any(|index| {
+            self.views(index)
+                .iter()
+                .flatten()
+                .any(|record| record.condition == condition)
+        })
+    }
+
+    /// Returns whether all running nodes see all running nodes alive.
+    pub fn agrees(&self) -> bool {
+        self.running()
+            .all(|about| self.all_see(about, NodeCondition::Alive))
+    }
+
+    /// Returns the running nodes.
+    pub fn running(&self) -> impl Iterator<Item = usize> + '_ {
+        self.nodes
+            .iter()
+            .filter(|(_, node)| node.run == Run::Running)
+            .map(|(index, _)| *index)
+    }
+
+    fn step(&mut self) {
+        self.now = self.now.after(STEP);
+        self.steps += 1;
+        self.deliver();
+        let (now, phase) = (self.now, self.steps % STEPS_PER_TICK);
+        for (index, node) in &mut self.nodes {
+            let is_turn = *index as u64 % STEPS_PER_TICK == phase;
+            if node.run == Run::Running && is_turn {
+                node.state.tick(now);
+            }
+        }
+        self.collect();
+    }
+
+    fn deliver(&mut self) {
+        let later = self.in_flight.split_off(&(self.now, u64::MAX));
+        let due = std::mem::replace(&mut self.in_flight, later);
+        for (key, datagram) in due {
+            match self.nodes.get_mut(&index_of(datagram.to)) {
+                Some(node) if node.run == Run::Running => {
+                    let received = node.state.receive(&datagram.bytes, datagram.from, self.now);
+                    received.expect("datagrams of the fleet are valid");
+                }
+                Some(node) if node.run == Run::Paused => {
+                    let (due_at, number) = key;
+                    self.in_flight
+                        .insert((due_at.after(STEP), number), datagram);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn collect(&mut self) {
+        for (index, node) in &mut self.nodes {
+            for outgoing in node.state.take_outgoing() {
+                let zones = (
+                    index / self.zone_size,
+                    index_of(outgoing.to) / self.zone_size,
+                );
+                let is_lost = self.rng.random_range(0..100) < self.loss_percent;
+                if is_lost || (self.cut)(zones.0, zones.1) {
+                    continue;
+                }
+                self.sent += 1;
+                let datagram = InFlight {
+                    from: address(*index),
+                    to: outgoing.to,
+                    bytes: outgoing.bytes.to_vec(),
+                };
+                let key = (self.now.after(LATENCY), self.sent);
+                self.in_flight.insert(key, datagram);
+            }
+        }
+    }
+}
+
+/// Returns the secret of all nodes.
+pub fn secret() -> FleetSecret {
+    "a secret for tests".parse().expect("long enough")
+}
+
+/// Returns the id of a node.
+pub fn node_id(index: usize) -> NodeId {
+    format!("node-{index}").parse().expect("valid name")
+}
+
+/// Returns where a node listens.
+pub fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 1_000 + index as u16))
+}
+
+/// Returns an announced backend server.
+pub fn server(service: &str) -> ServerRecord {
+    ServerRecord {
+        service: service.parse().expect("valid name"),
+        slots: SlotCount(10),
+        connections: ConnectionCount(150),
+    }
+}
+
+/// Returns the record of a node in zone 0.
+pub fn record(index: usize, incarnation: u64, condition: NodeCondition) -> NodeRecord {
+    let options = options(index, usize::MAX);
+    NodeRecord {
+        id: options.id,
+        zone: options.zone,
+        addresses: options.addresses,
+        incarnation: Incarnation(incarnation),
+        condition,
+        server: options.server,
+    }
+}
+
+/// Returns how a node joins.
+pub fn options(index: usize, zone_size: usize) -> MembershipOptions {
+    let zone = index / zone_size;
+    MembershipOptions {
+        id: node_id(index),
+        zone: format!("zone-{zone}").parse().expect("valid name"),
+        addresses: NodeAddresses {
+            peer: address(index),
+            control: address(index),
+            probe: address(index),
+        },
+        server: Some(server("stock")),
+        seeds: vec![address(0), address(1)],
+        secret: secret(),
+        random_seed: index as u64,
+    }
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    usize::from(address.port()) - 1_000
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,12 @@
 //! The one test binary of the library.
 
+mod fleet;
 mod test_events;
 mod test_keys;
+mod test_membership_cuts;
+mod test_membership_datagrams;
+mod test_membership_detection;
+mod test_membership_leaving;
+mod test_membership_lives;
+mod test_membership_merge;
 mod test_secret;
--- /dev/null
+++ b/lib/tests/test_membership_cuts.rs
@@ -0,0 +1,86 @@
+//! Zones that are cut off from each other.
+
+use std::time::Duration;
+
+use balsamfold::process::membership::NodeCondition;
+
+use crate::fleet::Fleet;
+use crate::fleet::Run;
+
+const HEAL_LIMIT: Duration = Duration::from_secs(10);
+const LONG_CUT: Duration = Duration::from_secs(300);
+
+fn assert_none_dead(fleet: &Fleet) {
+    assert!(!fleet.any_sees(0..20, NodeCondition::Dead));
+}
+
+#[test]
+fn silent_zone_is_not_dead_and_comes_back() {
+    let mut fleet = Fleet::start(4, 5);
+    fleet.cut = |from, to| (from == 3) != (to == 3);
+    for _ in 0..LONG_CUT.as_secs() {
+        fleet.run_for(Duration::from_secs(1));
+        assert_none_dead(&fleet);
+    }
+    assert!(fleet.any_sees(15..20, NodeCondition::Suspect));
+    fleet.cut = |_, _| false;
+    fleet.run_until(HEAL_LIMIT, Fleet::agrees);
+    fleet.run_for(Duration::from_secs(20));
+    assert!(fleet.agrees());
+}
+
+#[test]
+fn regions_cut_from_each_other_agree_after_the_heal() {
+    let mut fleet = Fleet::start(4, 5);
+    fleet.cut = |from, to| (from < 2) != (to < 2);
+    fleet.run_for(LONG_CUT);
+    assert_none_dead(&fleet);
+    fleet.cut = |_, _| false;
+    fleet.run_until(HEAL_LIMIT, Fleet::agrees);
+}
+
+#[test]
+fn third_zone_vouches_for_zones_cut_from_each_other() {
+    let mut fleet = Fleet::start(4, 5);
+    fleet.cut = |from, to| from.min(to) == 0 && from.max(to) == 1;
+    for _ in 0..60 {
+        fleet.run_for(Duration::from_secs(1));
+        assert!(!fleet.any_sees(0..20, NodeCondition::Suspect));
+    }
+}
+
+#[test]
+fn leaving_reaches_zones_around_a_cut() {
+    let mut fleet = Fleet::start(4, 5);
+    fleet.cut = |from, to| from.min(to) == 0 && from.max(to) == 1;
+    let now = fleet.now;
+    fleet.node(2).leave(now);
+    fleet.run_until(Duration::from_secs(10), |fleet| {
+        fleet.all_see(2, NodeCondition::Leaving)
+    });
+}
+
+#[test]
+fn node_that_died_behind_a_cut_is_found_dead_after_the_heal() {
+    let mut fleet = Fleet::start(4, 5);
+    fleet.cut = |from, to| (from == 3) != (to == 3);
+    fleet.run_for(Duration::from_secs(30));
+    fleet.set_run(17, Run::Stopped);
+    fleet.run_for(Duration::from_secs(30));
+    fleet.cut = |_, _| false;
+    fleet.run_until(HEAL_LIMIT, |fleet| {
+        fleet.agrees() && fleet.all_see(17, NodeCondition::Dead)
+    });
+}
+
+#[test]
+fn node_started_behind_a_cut_is_known_after_the_heal() {
+    let mut fleet = Fleet::start(4, 5);
+    fleet.cut = |from, to| (from == 0) != (to == 0);
+    fleet.run_for(Duration::from_secs(30));
+    fleet.start_node(2, balsamfold::values::WallTime(2_000));
+    fleet.run_for(Duration::from_secs(30));
+    fleet.cut = |_, _| false;
+    fleet.run_until(HEAL_LIMIT, Fleet::agrees);
+    assert_eq!(fleet.views(2)[10], Some(fleet.node(2).own().clone()));
+}
--- /dev/null
+++ b/lib/tests/test_membership_detection.rs
@@ -0,0 +1,126 @@
+//! Nodes that die, pause, or are suspected wrongly.
+
+use std::time::Duration;
+
+use balsamfold::process::membership::DatagramBuilder;
+use balsamfold::process::membership::Envelope;
+use balsamfold::process::membership::Message;
+use balsamfold::process::membership::NodeCondition;
+use balsamfold::process::membership::TableDigest;
+use balsamfold::process::secret::KeyPurpose;
+use balsamfold::values::ConfigVersion;
+
+use crate::fleet::Fleet;
+use crate::fleet::Run;
+use crate::fleet::address;
+use crate::fleet::node_id;
+use crate::fleet::secret;
+
+#[test]
+fn nodes_find_one_another_through_seeds_in_the_settings_alone() {
+    let fleet = Fleet::start(3, 4);
+    assert!(fleet.agrees());
+}
+
+#[test]
+fn dead_node_is_detected_everywhere() {
+    let mut fleet = Fleet::start(3, 4);
+    fleet.set_run(5, Run::Stopped);
+    fleet.run_until(Duration::from_secs(20), |fleet| {
+        fleet.all_see(5, NodeCondition::Dead)
+    });
+    assert!(fleet.agrees());
+}
+
+#[test]
+fn last_other_node_that_dies_stays_suspect() {
+    let mut fleet = Fleet::start(1, 2);
+    fleet.set_run(1, Run::Stopped);
+    fleet.run_for(Duration::from_secs(30));
+    assert!(fleet.all_see(1, NodeCondition::Suspect));
+}
+
+#[test]
+fn paused_node_is_suspected_and_refutes_when_it_resumes() {
+    let mut fleet = Fleet::start(3, 4);
+    let before = fleet.node(5).own().incarnation;
+    fleet.set_run(5, Run::Paused);
+    fleet.run_until(Duration::from_secs(10), |fleet| {
+        fleet.all_see(5, NodeCondition::Suspect)
+    });
+    fleet.set_run(5, Run::Running);
+    fleet.run_until(Duration::from_secs(5), Fleet::agrees);
+    let after = fleet.node(5).own().incarnation;
+    assert!(after > before);
+    assert_eq!(after.life(), before.life());
+}
+
+#[test]
+fn node_that_resumes_after_a_long_pause_accuses_nobody() {
+    let mut fleet = Fleet::start(3, 4);
+    fleet.set_run(5, Run::Paused);
+    fleet.run_for(Duration::from_secs(60));
+    fleet.set_run(5, Run::Running);
+    for _ in 0..100 {
+        fleet.run_for(Duration::from_millis(100));
+        let others = [0..5, 6..12];
+        for about in others {
+            assert!(!fleet.any_sees(about.clone(), NodeCondition::Suspect));
+            assert!(!fleet.any_sees(about, NodeCondition::Dead));
+        }
+    }
+    assert!(fleet.agrees());
+}
+
+#[test]
+fn false_suspicion_is_refuted() {
+    let mut fleet = Fleet::start(3, 4);
+    let mut rumour = fleet.node(5).own().clone();
+    let before = rumour.incarnation;
+    rumour.condition = NodeCondition::Suspect;
+    let envelope = Envelope {
+        sender: node_id(7),
+        config: ConfigVersion(0),
+        digest: TableDigest(0),
+        message: Message::Announce,
+    };
+    let mut datagram = DatagramBuilder::new(&envelope);
+    datagram.add(&rumour);
+    let bytes = datagram.seal(&secret().derive(KeyPurpose::Membership));
+    let now = fleet.now;
+    fleet
+        .node(9)
+        .receive(&bytes, address(7), now)
+        .expect("valid datagram");
+    assert!(fleet.any_sees(5..6, NodeCondition::Suspect));
+
+    for _ in 0..150 {
+        fleet.run_for(Duration::from_millis(100));
+        assert!(!fleet.any_sees(5..6, NodeCondition::Dead));
+    }
+    assert!(fleet.agrees());
+    assert!(fleet.node(5).own().incarnation > before);
+}
+
+#[test]
+fn lost_datagrams_do_not_kill_nodes() {
+    let mut fleet = Fleet::start(3, 4);
+    fleet.loss_percent = 10;
+    for _ in 0..120 {
+        fleet.run_for(Duration::from_secs(1));
+        assert!(!fleet.any_sees(0..12, NodeCondition::Dead));
+    }
+    fleet.loss_percent = 0;
+    fleet.run_until(Duration::from_secs(10), Fleet::agrees);
+}
+
+#[test]
+fn newer_configuration_of_another_node_becomes_known() {
+    let mut fleet = Fleet::start(2, 2);
+    fleet.node(3).set_config(ConfigVersion(7));
+    fleet.run_for(Duration::from_secs(10));
+    let hint = fleet.node(0).config_hint().expect("a hint").clone();
+    assert_eq!((hint.version, hint.node), (ConfigVersion(7), node_id(3)));
+    fleet.node(0).set_config(ConfigVersion(7));
+    assert_eq!(fleet.node(0).config_hint(), None);
+}
--- /dev/null
+++ b/lib/tests/test_membership_lives.rs
@@ -0,0 +1,148 @@
+//! Restarted and replaced instances, and rumours about earlier lives.
+
+use std::time::Duration;
+
+use balsamfold::process::membership::MemberTable;
+use balsamfold::process::membership::Members;
+use balsamfold::process::membership::MergeOutcome;
+use balsamfold::process::membership::NodeCondition;
+use balsamfold::process::membership::SEED_REFRESH_INTERVAL;
+use balsamfold::process::membership::SEEDS_PER_ZONE;
+use balsamfold::process::membership::SeedSlot;
+use balsamfold::process::membership::SeedWrite;
+use balsamfold::process::membership::seed_slot;
+use balsamfold::process::membership::seed_write_due;
+use balsamfold::values::Incarnation;
+use balsamfold::values::MonotonicTime;
+use balsamfold::values::WallTime;
+
+use crate::fleet::Fleet;
+use crate::fleet::Run;
+use crate::fleet::node_id;
+use crate::fleet::record;
+
+const DAY: MonotonicTime = MonotonicTime(24 * 60 * 60 * 1_000_000);
+
+#[test]
+fn restarted_instance_is_a_new_incarnation_at_the_same_address() {
+    let mut fleet = Fleet::start(3, 4);
+    let before = fleet.node(5).own().incarnation;
+    fleet.set_run(5, Run::Stopped);
+    fleet.run_for(Duration::from_secs(20));
+    fleet.start_node(5, WallTime(40_000));
+    fleet.run_until(Duration::from_secs(5), Fleet::agrees);
+    let after = fleet.node(5).own().incarnation;
+    assert!(after.life() > before.life());
+}
+
+#[test]
+fn restart_with_a_clock_that_stepped_back_is_still_a_new_incarnation() {
+    let mut fleet = Fleet::start(3, 4);
+    let before = fleet.node(5).own().incarnation;
+    fleet.start_node(5, WallTime(10));
+    fleet.run_until(Duration::from_secs(10), |fleet| {
+        let views = fleet.views(5);
+        let mut records = views.iter().flatten();
+        records.all(|record| record.incarnation.life() > before.life())
+    });
+    fleet.run_until(Duration::from_secs(10), Fleet::agrees);
+}
+
+#[test]
+fn replaced_instance_ends_the_node_that_had_its_address() {
+    let mut fleet = Fleet::start(3, 4);
+    let mut options = crate::fleet::options(5, 4);
+    options.id = node_id(99);
+    fleet.replace_node(5, options, WallTime(40_000));
+    fleet.run_until(Duration::from_secs(5), |fleet| {
+        fleet
+            .views(5)
+            .iter()
+            .flatten()
+            .all(|record| record.condition == NodeCondition::Dead)
+    });
+}
+
+#[test]
+fn old_rumour_does_not_revive_a_dead_node() {
+    let mut members = Members::default();
+    let now = MonotonicTime(0);
+    members.merge(record(1, 5, NodeCondition::Alive), now);
+    members.merge(record(1, 5, NodeCondition::Dead), now);
+    for condition in [
+        NodeCondition::Alive,
+        NodeCondition::Suspect,
+        NodeCondition::Leaving,
+    ] {
+        let outcome = members.merge(record(1, 5, condition), now);
+        assert_eq!(outcome, MergeOutcome::Kept);
+    }
+    let outcome = members.merge(record(1, 6, NodeCondition::Alive), now);
+    assert_eq!(outcome, MergeOutcome::Changed);
+}
+
+#[test]
+fn tombstone_stands_for_a_bounded_time_and_is_not_learned_anew() {
+    let retention = Duration::from_secs(7_200);
+    let mut members = Members::default();
+    members.merge(record(1, 5, NodeCondition::Alive), MonotonicTime(0));
+    members.merge(record(1, 5, NodeCondition::Dead), MonotonicTime(0));
+    assert!(!members.forget_dead(MonotonicTime(7_199_000_000), retention));
+    assert!(members.forget_dead(MonotonicTime(7_200_000_000), retention));
+    let outcome = members.merge(record(1, 5, NodeCondition::Dead), DAY);
+    assert_eq!(outcome, MergeOutcome::Kept);
+    assert!(members.is_empty());
+}
+
+#[test]
+fn digest_depends_on_live_records_alone() {
+    let now = MonotonicTime(0);
+    let mut first = Members::default();
+    first.merge(record(1, 5, NodeCondition::Alive), now);
+    first.merge(record(2, 5, NodeCondition::Alive), now);
+    let mut second = Members::default();
+    second.merge(record(2, 5, NodeCondition::Alive), now);
+    assert_ne!(first.digest(), second.digest());
+    assert_eq!(first.differing(second.buckets()), [node_id(1)]);
+    first.merge(record(1, 5, NodeCondition::Dead), now);
+    assert_eq!(first.digest(), second.digest());
+}
+
+#[test]
+fn incarnation_rises_over_whatever_is_heard() {
+    let start = Incarnation::at_start(WallTime(1_000));
+    assert_eq!(start.raised_over(start), start.next());
+    assert_eq!(start.raised_over(start).life(), start.life());
+    let later = Incarnation::at_start(WallTime(2_000));
+    assert!(start.raised_over(later) > later);
+    assert!(start.raised_over(later).life() > later.life());
+    assert!(!Incarnation(u64::MAX).is_plausible());
+}
+
+#[test]
+fn seeds_of_a_zone_are_bounded_and_agreed() {
+    let records: Vec<_> = (0..98)
+        .map(|index| record(index, 1, NodeCondition::Alive))
+        .collect();
+    let table = MemberTable::new(records.clone());
+    let mut slots: Vec<_> = records
+        .iter()
+        .filter_map(|own| seed_slot(own, &table))
+        .collect();
+    slots.sort();
+    assert_eq!(slots, [SeedSlot(0), SeedSlot(1)]);
+    assert_eq!(slots.len(), SEEDS_PER_ZONE);
+}
+
+#[test]
+fn seed_writes_its_record_again_only_after_the_interval() {
+    let own = record(1, 1, NodeCondition::Alive);
+    let table = MemberTable::new([own.clone()]);
+    let slot = SeedSlot(0);
+    let time = MonotonicTime(0);
+    assert_eq!(seed_write_due(&own, &table, None, time), Some(slot));
+    let last = Some(SeedWrite { slot, time });
+    assert_eq!(seed_write_due(&own, &table, last, time), None);
+    let later = time.after(SEED_REFRESH_INTERVAL);
+    assert_eq!(seed_write_due(&own, &table, last, later), Some(slot));
+}
