--- a/lib/src/process/membership/mod.rs
+++ b/lib/src/process/membership/mod.rs
@@ -16,6 +16,7 @@
 mod schedule;
 mod seeds;
 mod state;
+mod suspicions;
 mod table;
 pub mod timing;
 mod transfers;
--- a/lib/src/process/membership/state/mod.rs
+++ b/lib/src/process/membership/state/mod.rs
@@ -5,7 +5,6 @@
 mod send;
 mod tick;
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -25,6 +24,7 @@
 use super::deltas::DeltaQueue;
 use super::probes::PendingProbes;
 use super::schedule::ProbeSchedule;
+use super::suspicions::Suspicions;
 use super::transfers::Transfers;
 use crate::process::secret::DerivedKey;
 use crate::process::secret::FleetSecret;
@@ -108,7 +108,7 @@
     key: DerivedKey,
     seeds: Vec<SocketAddr>,
     members: Members,
-    suspicions: BTreeMap<NodeId, MonotonicTime>,
+    suspicions: Suspicions,
     contacts: Contacts,
     deltas: DeltaQueue,
     probes: PendingProbes,
@@ -145,7 +145,7 @@
             key: options.secret.derive(KeyPurpose::Membership),
             seeds: options.seeds.into_iter().filter(is_other).collect(),
             members,
-            suspicions: BTreeMap::new(),
+            suspicions: Suspicions::default(),
             contacts: Contacts::default(),
             deltas: DeltaQueue::default(),
             probes: PendingProbes::new(ProbeSequence(rng.random())),
--- a/lib/src/process/membership/state/receive.rs
+++ b/lib/src/process/membership/state/receive.rs
@@ -169,7 +169,7 @@
         match member.record.condition {
             NodeCondition::Suspect => {
                 membership::NODE_SUSPECTED.log(id);
-                self.suspicions.insert(id.clone(), now);
+                self.suspicions.restart(id, now);
             }
             NodeCondition::Alive => {
                 self.suspicions.remove(id);
@@ -188,6 +188,7 @@
     fn note_sender(&mut self, envelope: &Envelope, now: MonotonicTime) {
         if let Some(member) = self.members.get(&envelope.sender) {
             self.contacts.heard(&member.record.zone, now);
+            self.end_silence(&envelope.sender);
         }
         let known = self.config_hint.as_ref().map(|hint| hint.version);
         if envelope.config > known.unwrap_or(self.config).max(self.config) {
@@ -204,7 +205,7 @@
                 requester,
                 sequence,
             } => self.send(requester, Message::IndirectAck { sequence }, None),
-            _ => self.end_silence(&probe.target),
+            ProbePurpose::Liveness | ProbePurpose::LivenessByOthers | ProbePurpose::Recovery => {}
         }
     }
 
--- a/lib/src/process/membership/state/tick.rs
+++ b/lib/src/process/membership/state/tick.rs
@@ -43,7 +43,7 @@
             membership::PROCESS_PAUSED.log(format_args!("{} ms", gap.as_millis()));
             self.probes.clear();
             self.contacts.clear();
-            self.suspicions.values_mut().for_each(|since| *since = now);
+            self.suspicions.restart_all(now);
             self.refute_in_advance(now);
         }
     }
@@ -83,7 +83,7 @@
                 self.learn(record, RecordSource::Rumour, now);
             }
             NodeCondition::Leaving => {
-                self.suspicions.entry(record.id).or_insert(now);
+                self.suspicions.start(id, now);
             }
             NodeCondition::Suspect | NodeCondition::Dead => {}
         }
@@ -91,14 +91,13 @@
 
     /// Declares dead who did not refute in time, unless its whole zone is silent.
     fn expire_suspicions(&mut self, now: MonotonicTime) {
-        let expired: Vec<_> = self
-            .suspicions
-            .iter()
-            .filter(|(id, since)| self.is_expired(id, now.since(**since), now))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in expired {
-            self.suspicions.remove(&id);
+        let (members, contacts, own_zone) = (&self.members, &self.contacts, &self.own.zone);
+        let can_refute = |id: &NodeId| match members.get(id).map(|member| &member.record.zone) {
+            Some(zone) if zone == own_zone => contacts.is_connected(now),
+            Some(zone) => contacts.is_reachable(zone, now),
+            None => true,
+        };
+        for id in self.suspicions.take_ended(now, can_refute) {
             if let Some(mut record) = self.node(&id).cloned() {
                 record.condition = NodeCondition::Dead;
                 self.learn(record, RecordSource::Rumour, now);
@@ -106,16 +105,6 @@
         }
     }
 
-    fn is_expired(&self, id: &NodeId, age: Duration, now: MonotonicTime) -> bool {
-        match self.members.get(id) {
-            _ if age < timing::SUSPICION_TIMEOUT => false,
-            _ if age >= timing::UNREACHABLE_RETENTION => true,
-            Some(member) if member.record.zone == self.own.zone => self.contacts.is_connected(now),
-            Some(member) => self.contacts.is_reachable(&member.record.zone, now),
-            None => true,
-        }
-    }
-
     fn start_probes(&mut self, now: MonotonicTime) {
         if now >= self.due.probe {
             self.due.probe = now.after(timing::PROBE_INTERVAL);
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -96,9 +96,13 @@
         self.nodes.insert(index, Node { state, run });
     }
 
-    /// Pauses, resumes or stops one node.
+    /// Pauses, resumes or stops one node. The timer of a resumed node fires first.
     pub fn set_run(&mut self, index: usize, run: Run) {
-        self.nodes.get_mut(&index).expect("known node").run = run;
+        let node = self.nodes.get_mut(&index).expect("known node");
+        if node.run == Run::Paused && run == Run::Running {
+            node.state.tick(self.now);
+        }
+        node.run = run;
     }
 
     /// Returns the state of one node.
--- a/lib/tests/test_membership_cuts.rs
+++ b/lib/tests/test_membership_cuts.rs
@@ -14,6 +14,16 @@
     assert!(!fleet.any_sees(0..20, NodeCondition::Dead));
 }
 
+/// Checks that the fleet agrees in time after a heal, and that nobody is declared dead by it.
+fn assert_agrees_without_deaths(fleet: &mut Fleet) {
+    let healed = fleet.now;
+    while fleet.now.since(healed) < 3 * HEAL_LIMIT {
+        fleet.run_for(Duration::from_millis(100));
+        assert_none_dead(fleet);
+        assert!(fleet.agrees() || fleet.now.since(healed) < HEAL_LIMIT);
+    }
+}
+
 #[test]
 fn silent_zone_is_not_dead_and_comes_back() {
     let mut fleet = Fleet::start(4, 5);
@@ -24,9 +34,7 @@
     }
     assert!(fleet.any_sees(15..20, NodeCondition::Suspect));
     fleet.cut = |_, _| false;
-    fleet.run_until(HEAL_LIMIT, Fleet::agrees);
-    fleet.run_for(Duration::from_secs(20));
-    assert!(fleet.agrees());
+    assert_agrees_without_deaths(&mut fleet);
 }
 
 #[test]
@@ -36,7 +44,23 @@
     fleet.run_for(LONG_CUT);
     assert_none_dead(&fleet);
     fleet.cut = |_, _| false;
-    fleet.run_until(HEAL_LIMIT, Fleet::agrees);
+    assert_agrees_without_deaths(&mut fleet);
+}
+
+#[test]
+fn leaving_node_behind_a_cut_stays_leaving_after_the_heal() {
+    let mut fleet = Fleet::start(4, 5);
+    let now = fleet.now;
+    fleet.node(17).leave(now);
+    fleet.run_for(Duration::from_secs(2));
+    fleet.cut = |from, to| (from == 3) != (to == 3);
+    fleet.run_for(Duration::from_secs(60));
+    assert!(fleet.all_see(17, NodeCondition::Leaving));
+    fleet.cut = |_, _| false;
+    for _ in 0..30 {
+        fleet.run_for(Duration::from_secs(1));
+        assert!(fleet.all_see(17, NodeCondition::Leaving));
+    }
 }
 
 #[test]
