--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -4,13 +4,19 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use balsamfold::process::membership::DatagramBuilder;
+use balsamfold::process::membership::Envelope;
 use balsamfold::process::membership::MembershipOptions;
 use balsamfold::process::membership::MembershipState;
+use balsamfold::process::membership::Message;
 use balsamfold::process::membership::NodeAddresses;
 use balsamfold::process::membership::NodeCondition;
 use balsamfold::process::membership::NodeRecord;
 use balsamfold::process::membership::ServerRecord;
+use balsamfold::process::membership::TableDigest;
 use balsamfold::process::secret::FleetSecret;
+use balsamfold::process::secret::KeyPurpose;
+use balsamfold::values::ConfigVersion;
 use balsamfold::values::ConnectionCount;
 use balsamfold::values::Incarnation;
 use balsamfold::values::MonotonicTime;
@@ -278,6 +284,18 @@
     }
 }
 
+/// Returns a valid datagram from node 7 that carries `records`.
+pub fn announcement(records: &[NodeRecord]) -> Vec<u8> {
+    let mut datagram = DatagramBuilder::new(&Envelope {
+        sender: node_id(7),
+        config: ConfigVersion(0),
+        digest: TableDigest(0),
+        message: Message::Announce,
+    });
+    assert!(records.iter().all(|record| datagram.add(record)));
+    datagram.seal(&secret().derive(KeyPurpose::Membership))
+}
+
 fn index_of(address: SocketAddr) -> usize {
     usize::from(address.port()) - 1_000
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -9,4 +9,5 @@
 mod test_membership_leaving;
 mod test_membership_lives;
 mod test_membership_merge;
+mod test_membership_node;
 mod test_secret;
--- a/lib/tests/test_membership_detection.rs
+++ b/lib/tests/test_membership_detection.rs
@@ -2,89 +2,14 @@
 
 use std::time::Duration;
 
-use balsamfold::process::membership::Datagram;
-use balsamfold::process::membership::DatagramBuilder;
-use balsamfold::process::membership::Envelope;
-use balsamfold::process::membership::MembershipState;
-use balsamfold::process::membership::Message;
 use balsamfold::process::membership::NodeCondition;
-use balsamfold::process::membership::NodeRecord;
-use balsamfold::process::membership::TableDigest;
-use balsamfold::process::membership::decode;
-use balsamfold::process::secret::KeyPurpose;
 use balsamfold::values::ConfigVersion;
-use balsamfold::values::MonotonicTime;
-use balsamfold::values::WallTime;
 
 use crate::fleet::Fleet;
 use crate::fleet::Run;
 use crate::fleet::address;
+use crate::fleet::announcement;
 use crate::fleet::node_id;
-use crate::fleet::options;
-use crate::fleet::record;
-use crate::fleet::secret;
-
-fn announcement(records: &[NodeRecord]) -> Vec<u8> {
-    let mut datagram = DatagramBuilder::new(&Envelope {
-        sender: node_id(7),
-        config: ConfigVersion(0),
-        digest: TableDigest(0),
-        message: Message::Announce,
-    });
-    assert!(records.iter().all(|record| datagram.add(record)));
-    datagram.seal(&secret().derive(KeyPurpose::Membership))
-}
-
-/// Returns a node that knows nodes 7 and 8, none of which ever answers.
-fn lonely_node(now: MonotonicTime) -> MembershipState {
-    let mut state = MembershipState::new(options(5, 10), WallTime(1_000), now);
-    let others = [7, 8].map(|index| record(index, 1 << 16, NodeCondition::Alive));
-    let received = state.receive(&announcement(&others), address(7), now);
-    assert_eq!(received, Ok(()));
-    state
-}
-
-fn sent_datagrams(state: &mut MembershipState) -> Vec<Datagram> {
-    let key = secret().derive(KeyPurpose::Membership);
-    let outgoing = state.take_outgoing().into_iter();
-    outgoing
-        .map(|outgoing| decode(&outgoing.bytes, &key).expect("valid datagram"))
-        .collect()
-}
-
-#[test]
-fn probe_that_was_under_way_in_a_pause_accuses_nobody() {
-    let start = MonotonicTime(0);
-    let mut state = lonely_node(start);
-    let before = state.own().incarnation;
-    state.tick(start);
-    let resumed = start.after(Duration::from_secs(60));
-    state.tick(resumed);
-    assert!(state.own().incarnation > before);
-    let conditions: Vec<_> = state.table().nodes().map(|node| node.condition).collect();
-    assert_eq!(conditions, [NodeCondition::Alive; 3]);
-}
-
-#[test]
-fn probe_of_a_lost_node_carries_its_record_however_old_the_rumour() {
-    let start = MonotonicTime(0);
-    let mut state = lonely_node(start);
-    let lost = record(8, 1 << 16, NodeCondition::Suspect);
-    let received = state.receive(
-        &announcement(std::slice::from_ref(&lost)),
-        address(7),
-        start,
-    );
-    assert_eq!(received, Ok(()));
-    for tenths in 0..600 {
-        state.tick(start.after(Duration::from_millis(100 * tenths)));
-        sent_datagrams(&mut state);
-    }
-    state.tick(start.after(Duration::from_secs(60)));
-    let sent = sent_datagrams(&mut state);
-    let told = sent.iter().any(|datagram| datagram.records.contains(&lost));
-    assert!(told, "{sent:?}");
-}
 
 #[test]
 fn nodes_find_one_another_through_seeds_in_the_settings_alone() {
--- /dev/null
+++ b/lib/tests/test_membership_node.rs
@@ -0,0 +1,141 @@
+//! What one node sends and holds, whose peers are played by the test.
+
+use std::time::Duration;
+
+use balsamfold::process::membership::Datagram;
+use balsamfold::process::membership::MembershipState;
+use balsamfold::process::membership::NodeCondition;
+use balsamfold::process::membership::NodeRecord;
+use balsamfold::process::membership::decode;
+use balsamfold::process::membership::send_limit;
+use balsamfold::process::secret::KeyPurpose;
+use balsamfold::values::MonotonicTime;
+use balsamfold::values::WallTime;
+
+use crate::fleet::address;
+use crate::fleet::announcement;
+use crate::fleet::node_id;
+use crate::fleet::options;
+use crate::fleet::record;
+use crate::fleet::secret;
+
+/// Returns a node that knows nodes 7 and 8, none of which ever answers.
+fn lonely_node(now: MonotonicTime) -> MembershipState {
+    let mut state = MembershipState::new(options(5, 10), WallTime(1_000), now);
+    let others = [7, 8].map(|index| record(index, 1 << 16, NodeCondition::Alive));
+    hear(&mut state, &others, now);
+    state
+}
+
+fn hear(state: &mut MembershipState, records: &[NodeRecord], now: MonotonicTime) {
+    let received = state.receive(&announcement(records), address(7), now);
+    assert_eq!(received, Ok(()));
+}
+
+/// Ticks from `start` on, and returns what was sent.
+fn run_for(state: &mut MembershipState, start: MonotonicTime, time: Duration) -> Vec<Datagram> {
+    for tenth in 0..time.as_millis() as u64 / 100 {
+        state.tick(start.after(Duration::from_millis(100 * tenth)));
+    }
+    sent_datagrams(state)
+}
+
+fn condition(state: &MembershipState, index: usize) -> Option<NodeCondition> {
+    state.node(&node_id(index)).map(|record| record.condition)
+}
+
+fn sent_datagrams(state: &mut MembershipState) -> Vec<Datagram> {
+    let key = secret().derive(KeyPurpose::Membership);
+    let outgoing = state.take_outgoing().into_iter();
+    outgoing
+        .map(|outgoing| decode(&outgoing.bytes, &key).expect("valid datagram"))
+        .collect()
+}
+
+#[test]
+fn probe_that_was_under_way_in_a_pause_accuses_nobody() {
+    let start = MonotonicTime(0);
+    let mut state = lonely_node(start);
+    let before = state.own().incarnation;
+    state.tick(start);
+    let resumed = start.after(Duration::from_secs(60));
+    state.tick(resumed);
+    assert!(state.own().incarnation > before);
+    let conditions: Vec<_> = state.table().nodes().map(|node| node.condition).collect();
+    assert_eq!(conditions, [NodeCondition::Alive; 3]);
+}
+
+#[test]
+fn probe_of_a_lost_node_carries_its_record_however_old_the_rumour() {
+    let start = MonotonicTime(0);
+    let mut state = lonely_node(start);
+    let lost = record(8, 1 << 16, NodeCondition::Suspect);
+    hear(&mut state, std::slice::from_ref(&lost), start);
+    run_for(&mut state, start, Duration::from_secs(60));
+    let later = start.after(Duration::from_secs(60));
+    let sent = run_for(&mut state, later, Duration::from_secs(2));
+    let told = sent.iter().any(|datagram| datagram.records.contains(&lost));
+    assert!(told, "{sent:?}");
+}
+
+#[test]
+fn rumour_is_passed_on_a_bounded_number_of_times() {
+    let start = MonotonicTime(0);
+    let mut state = lonely_node(start);
+    let rumour = record(8, 1 << 16, NodeCondition::Leaving);
+    hear(&mut state, std::slice::from_ref(&rumour), start);
+    let sent = run_for(&mut state, start, Duration::from_secs(60));
+    let told = sent
+        .iter()
+        .filter(|datagram| datagram.records.contains(&rumour));
+    assert_eq!(told.count() as u32, send_limit(3));
+}
+
+#[test]
+fn leaving_node_that_is_heard_again_is_not_dead() {
+    let start = MonotonicTime(0);
+    let mut state = lonely_node(start);
+    let leaving = record(7, 2 << 16, NodeCondition::Leaving);
+    hear(&mut state, &[leaving], start);
+    for second in 0..30 {
+        let now = start.after(Duration::from_secs(second));
+        if second % 3 == 0 {
+            hear(&mut state, &[], now);
+        }
+        run_for(&mut state, now, Duration::from_secs(1));
+        assert_eq!(condition(&state, 7), Some(NodeCondition::Leaving));
+    }
+}
+
+#[test]
+fn node_that_left_is_not_probed_for_its_return() {
+    let start = MonotonicTime(0);
+    let mut state = lonely_node(start);
+    hear(
+        &mut state,
+        &[record(8, 1 << 16, NodeCondition::Leaving)],
+        start,
+    );
+    hear(
+        &mut state,
+        &[record(8, 1 << 16, NodeCondition::Dead)],
+        start,
+    );
+    for tenth in 0..300 {
+        state.tick(start.after(Duration::from_millis(100 * tenth)));
+    }
+    let sent = state.take_outgoing();
+    let probed = sent.iter().any(|outgoing| outgoing.to == address(8));
+    assert!(!probed);
+}
+
+#[test]
+fn incarnation_that_leaves_no_room_above_it_is_not_believed() {
+    let start = MonotonicTime(0);
+    let mut state = lonely_node(start);
+    let before = state.own().incarnation;
+    let rumours = [5, 8].map(|index| record(index, u64::MAX, NodeCondition::Dead));
+    hear(&mut state, &rumours, start);
+    assert_eq!(state.own().incarnation, before);
+    assert_eq!(condition(&state, 8), Some(NodeCondition::Alive));
+}
