--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -6,3 +6,4 @@
 pub mod node;
 pub mod secret;
 pub mod settings;
+pub mod secret;
