request: bound attempts, deadlines and depth over the call tree

Cause: retries multiply at each hop of a chain. A root request now has a fixed number of extra attempts that parents lend to child calls and get back by their answers; a lost answer counts as spent. Retries that a backend server makes on its own are recognised among its onward calls. A token bucket per destination bounds retries over all requests.

Excluded: lending everything (a lost answer would take all) and lending a fixed one (a deep chain would retry far from the failure).

--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -1,9 +1,24 @@
 //! What lives for one request.
 
+mod attempts;
+mod deadline;
 mod refusal;
+mod retry;
 mod verdict;
 
+pub use self::attempts::AttemptBudget;
+pub use self::attempts::AttemptCount;
+pub use self::attempts::CallEnd;
+pub use self::attempts::CallHash;
+pub use self::attempts::Loan;
+pub use self::attempts::OnwardCalls;
+pub use self::deadline::ChainDepth;
+pub use self::deadline::Deadline;
+pub use self::deadline::RemainingMs;
 pub use self::refusal::Refusal;
 pub use self::refusal::RefusalReason;
+pub use self::retry::Backoff;
+pub use self::retry::FailedAttempt;
+pub use self::retry::RetryRatio;
 pub use self::verdict::InvalidVerdictError;
 pub use self::verdict::Verdict;
