--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! The one test binary of the library.
 
 mod fleet;
+mod test_attempts;
 mod test_events;
 mod test_keys;
 mod test_whole_path;
