--- /dev/null
+++ b/lib/src/process/gate/gate_state.rs
@@ -0,0 +1,337 @@
+//! The decisions of a gate, without locks and timers.
+
+use std::time::Duration;
+
+use super::AdaptiveLimit;
+use super::AdmissionFloor;
+use super::Completion;
+use super::DemandMeter;
+use super::Outcome;
+use super::QueueEntry;
+use super::RetryAfter;
+use super::ServiceTime;
+use super::Ticket;
+use super::Usage;
+use super::WaitingQueue;
+use super::WindowLoad;
+use crate::request::Refusal;
+use crate::request::RefusalReason;
+use crate::values::Importance;
+use crate::values::MonotonicTime;
+use crate::values::OrganisationId;
+use crate::values::RatePerSecond;
+use crate::values::RequestId;
+use crate::values::SlotCount;
+
+/// A request that asks for a slot.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EnterRequest {
+    /// Rank of the root request.
+    pub importance: Importance,
+    /// The organisation for which the request runs; none on routes open to all.
+    pub organisation: Option<OrganisationId>,
+    /// The rate of the organisation, which is its share.
+    pub rate: RatePerSecond,
+    /// The root request.
+    pub root: RequestId,
+    /// Time left until the deadline.
+    pub remaining: Duration,
+}
+
+/// What becomes of a request that asks for a slot.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Entry {
+    /// The request holds a slot.
+    Started,
+    /// The request waits for a slot.
+    Waiting {
+        /// Identifies the waiting request.
+        ticket: Ticket,
+        /// When the request must be given up because it can no longer finish in time.
+        start_by: MonotonicTime,
+    },
+    /// The request is refused.
+    Refused(Refusal),
+}
+
+/// A waiting request that is answered with a refusal now.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GivenUp {
+    /// The waiting request.
+    pub ticket: Ticket,
+    /// Its answer.
+    pub refusal: Refusal,
+}
+
+/// Waiting requests whose fate was decided.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Wakeups {
+    /// Requests that hold a slot now.
+    pub started: Vec<Ticket>,
+    /// Requests that are answered with a refusal now.
+    pub given_up: Vec<GivenUp>,
+}
+
+/// The decisions of a gate, without locks and timers.
+#[derive(Clone, Debug)]
+pub struct GateState {
+    limit: AdaptiveLimit,
+    in_flight: u32,
+    queue: WaitingQueue,
+    usage: Usage,
+    service_time: ServiceTime,
+    demand: DemandMeter,
+    retry_after: RetryAfter,
+}
+
+impl GateState {
+    /// Waiting requests for each slot.
+    const QUEUE_PER_SLOT: usize = 2;
+
+    /// Fewest requests that may wait.
+    const QUEUE_MIN: usize = 4;
+
+    /// Drain rate that is assumed before the first request has finished.
+    const DRAIN_UNKNOWN_PER_S: f64 = 100.0;
+
+    /// Makes the gate of a server with a given limit.
+    pub fn new(limit: AdaptiveLimit, now: MonotonicTime) -> Self {
+        Self {
+            limit,
+            in_flight: 0,
+            queue: WaitingQueue::default(),
+            usage: Usage::default(),
+            service_time: ServiceTime::default(),
+            demand: DemandMeter::new(now),
+            retry_after: RetryAfter::default(),
+        }
+    }
+
+    /// Returns how many requests may run at the same time.
+    pub fn slots(&self) -> u32 {
+        self.limit.slots()
+    }
+
+    /// Returns how many requests hold a slot.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the present admission floor.
+    pub fn floor(&self) -> AdmissionFloor {
+        self.demand.floor()
+    }
+
+    /// Returns the mean time for which a request holds a slot.
+    pub fn service_time(&self) -> Duration {
+        self.service_time.mean()
+    }
+
+    /// Takes a new announcement of a server that went on running.
+    pub fn announce(&mut self, slots: SlotCount) {
+        self.limit.announce(slots);
+    }
+
+    /// Decides on a request that asks for a slot, and on the waiting request that it displaces.
+    pub fn enter(
+        &mut self,
+        request: &EnterRequest,
+        now: MonotonicTime,
+    ) -> (Entry, Option<GivenUp>) {
+        self.demand.arrived(request.importance, request.root);
+        self.close_window(now);
+        let service_time = self.service_time.mean();
+        if self.is_too_late(request) {
+            return (
+                self.refuse(request, RefusalReason::DeadlineExceeded, now),
+                None,
+            );
+        }
+        if self.in_flight < self.limit.slots() && self.queue.is_empty() {
+            self.start(&request.organisation, request.rate, now);
+            return (Entry::Started, None);
+        }
+        if !self.floor().admits(request.importance, request.root) {
+            return (self.refuse(request, RefusalReason::Overloaded, now), None);
+        }
+        if self.expected_wait(request.importance) + service_time > request.remaining {
+            self.demand.shed();
+            return (self.refuse(request, RefusalReason::Overloaded, now), None);
+        }
+        self.wait(request, now)
+    }
+
+    /// Adds a request to the queue; when it is full, the last of all is given up.
+    fn wait(&mut self, request: &EnterRequest, now: MonotonicTime) -> (Entry, Option<GivenUp>) {
+        let start_by = now.after(request.remaining.saturating_sub(self.service_time.mean()));
+        let ticket = self.queue.push(QueueEntry {
+            importance: request.importance,
+            organisation: request.organisation.clone(),
+            rate: request.rate,
+            root: request.root,
+            start_by,
+        });
+        let entry = Entry::Waiting { ticket, start_by };
+        if self.queue.len() <= self.queue_bound() {
+            return (entry, None);
+        }
+        self.demand.shed();
+        match self.queue.last(&self.usage, now) {
+            Some(last) if last == ticket => {
+                self.queue.remove(ticket);
+                (self.refuse(request, RefusalReason::Overloaded, now), None)
+            }
+            Some(last) => (entry, self.give_up(last, RefusalReason::Overloaded, now)),
+            None => (entry, None),
+        }
+    }
+
+    /// Takes the end of a request that held a slot.
+    pub fn leave(&mut self, completion: &Completion, now: MonotonicTime) -> Wakeups {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.limit.finished(completion, now);
+        self.observe_service_time(completion);
+        self.close_window(now);
+        self.fill_slots(now)
+    }
+
+    /// Takes a waiting request out because its caller left or its time ran out.
+    ///
+    /// Returns the refusal for the caller, or nothing if the request no longer waits.
+    pub fn abandon(
+        &mut self,
+        ticket: Ticket,
+        reason: RefusalReason,
+        now: MonotonicTime,
+    ) -> Option<GivenUp> {
+        let given_up = self.give_up(ticket, reason, now)?;
+        self.demand.shed();
+        Some(given_up)
+    }
+
+    /// Gives up all waiting requests, because the server stops or is lost.
+    pub fn give_up_all(&mut self, reason: RefusalReason, now: MonotonicTime) -> Vec<GivenUp> {
+        let tickets = self.queue.tickets();
+        tickets
+            .into_iter()
+            .filter_map(|ticket| self.give_up(ticket, reason, now))
+            .collect()
+    }
+
+    /// Returns when a caller refused now may try again, in milliseconds.
+    pub fn retry_after_ms(&mut self, root: RequestId, now: MonotonicTime) -> u64 {
+        let drain_per_s = self.drain_per_s();
+        self.retry_after
+            .refused(root, self.queue.len(), drain_per_s, now)
+    }
+
+    /// Takes a sample; a cancelled request tells only that it would have taken longer.
+    fn observe_service_time(&mut self, completion: &Completion) {
+        match completion.outcome {
+            Outcome::Answered => self.service_time.observe(completion.held),
+            Outcome::Cancelled if completion.held > self.service_time.mean() => {
+                self.service_time.observe(completion.held);
+            }
+            Outcome::Cancelled | Outcome::ServerRefused | Outcome::Failed => {}
+        }
+    }
+
+    /// Returns whether a request cannot finish in time.
+    ///
+    /// An idle server gets one such request, as its service time may have become shorter.
+    fn is_too_late(&self, request: &EnterRequest) -> bool {
+        match self.in_flight {
+            0 => request.remaining.is_zero(),
+            _ => request.remaining <= self.service_time.mean(),
+        }
+    }
+
+    fn fill_slots(&mut self, now: MonotonicTime) -> Wakeups {
+        let mut wakeups = Wakeups::default();
+        while self.in_flight < self.limit.slots() {
+            let Some(ticket) = self.queue.first(&self.usage, now) else {
+                break;
+            };
+            match self.queue.get(ticket) {
+                Some(entry) if entry.start_by < now => {
+                    self.demand.shed();
+                    let given_up = self.give_up(ticket, RefusalReason::DeadlineExceeded, now);
+                    wakeups.given_up.extend(given_up);
+                }
+                _ => wakeups.started.extend(self.start_waiting(ticket, now)),
+            }
+        }
+        wakeups
+    }
+
+    fn start_waiting(&mut self, ticket: Ticket, now: MonotonicTime) -> Option<Ticket> {
+        let entry = self.queue.remove(ticket)?;
+        self.start(&entry.organisation, entry.rate, now);
+        Some(ticket)
+    }
+
+    fn start(
+        &mut self,
+        organisation: &Option<OrganisationId>,
+        rate: RatePerSecond,
+        now: MonotonicTime,
+    ) {
+        self.in_flight += 1;
+        self.limit.started(self.in_flight);
+        self.usage.started(organisation, rate, now);
+    }
+
+    fn give_up(
+        &mut self,
+        ticket: Ticket,
+        reason: RefusalReason,
+        now: MonotonicTime,
+    ) -> Option<GivenUp> {
+        let entry = self.queue.remove(ticket)?;
+        let retry_after_ms = self.retry_after_ms(entry.root, now);
+        let refusal = Refusal::not_run(reason).retry_after_ms(retry_after_ms);
+        Some(GivenUp { ticket, refusal })
+    }
+
+    fn refuse(
+        &mut self,
+        request: &EnterRequest,
+        reason: RefusalReason,
+        now: MonotonicTime,
+    ) -> Entry {
+        let retry_after_ms = self.retry_after_ms(request.root, now);
+        Entry::Refused(Refusal::not_run(reason).retry_after_ms(retry_after_ms))
+    }
+
+    fn close_window(&mut self, now: MonotonicTime) {
+        if !self.demand.window_is_over(now) {
+            return;
+        }
+        let load = WindowLoad {
+            capacity_per_s: self.drain_per_s(),
+            waiting: !self.queue.is_empty(),
+        };
+        self.demand.close_window(load, now);
+    }
+
+    fn expected_wait(&self, importance: Importance) -> Duration {
+        let ahead = self.queue.ahead_of(importance) as f64;
+        Duration::from_secs_f64(ahead / self.drain_per_s())
+    }
+
+    fn drain_per_s(&self) -> f64 {
+        self.service_time
+            .drain_per_s(self.limit.slots())
+            .unwrap_or(Self::DRAIN_UNKNOWN_PER_S)
+    }
+
+    fn queue_bound(&self) -> usize {
+        let slots = self.limit.slots() as usize;
+        (slots * Self::QUEUE_PER_SLOT).max(Self::QUEUE_MIN)
+    }
+}
--- /dev/null
+++ b/lib/src/process/gate/limit.rs
@@ -0,0 +1,255 @@
+//! The concurrency limit of one backend server.
+
+use std::time::Duration;
+
+use super::Completion;
+use super::Outcome;
+use crate::values::MonotonicTime;
+use crate::values::SlotCount;
+
+/// What the requests of one window told.
+#[derive(Clone, Copy, Debug, Default)]
+struct Window {
+    started_at: MonotonicTime,
+    answered: u32,
+    refused: u32,
+    own_us: f64,
+    peak_in_flight: u32,
+}
+
+impl Window {
+    fn mean_us(&self) -> f64 {
+        self.own_us / f64::from(self.answered.max(1))
+    }
+
+    fn refused_fraction(&self) -> f64 {
+        f64::from(self.refused) / f64::from((self.answered + self.refused).max(1))
+    }
+}
+
+/// What the limit is doing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    /// The server is cold: the limit doubles with each window.
+    Ramping,
+    /// The limit grows while latency is normal.
+    Steady,
+    /// A lower limit was set, and requests begun before it are still finishing.
+    Settling { before: Trial },
+    /// The lower limit is being compared with the one before.
+    Comparing { before: Trial },
+}
+
+/// The limit and the latency before a trial of a lower limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Trial {
+    limit: f64,
+    mean_us: f64,
+}
+
+/// The concurrency limit of one backend server.
+///
+/// The limit lies between one and the announced slots. It is moved only by what the node saw
+/// itself: latency of whole answers and refusals by the server. High latency alone does not lower
+/// it, as a server whose own dependencies are slow does less work with fewer requests at a time.
+/// A lower limit is tried first, and kept only if latency falls with it.
+#[derive(Clone, Debug)]
+pub struct AdaptiveLimit {
+    announced: f64,
+    limit: f64,
+    phase: Phase,
+    window: Window,
+    normal_us: Option<f64>,
+    refused_limit: Option<(f64, MonotonicTime)>,
+    next_trial_at: MonotonicTime,
+    trial_pause: Duration,
+}
+
+impl AdaptiveLimit {
+    /// Shortest time over which latency is averaged.
+    const WINDOW: Duration = Duration::from_millis(100);
+
+    /// Part of the announced slots that a cold server starts with.
+    const COLD_FRACTION: f64 = 0.1;
+
+    /// Growth of the limit in one window while latency is normal.
+    const GROWTH: f64 = 1.25;
+
+    /// Factor by which a trial lowers the limit.
+    const TRIAL_FACTOR: f64 = 0.75;
+
+    /// A trial succeeds when latency falls to this part of the latency before, or lower.
+    const TRIAL_SUCCESS: f64 = 0.9;
+
+    /// Latency is high above this multiple of the normal latency.
+    const HIGH_LATENCY: f64 = 2.0;
+
+    /// Latency allows growth below this multiple of the normal latency.
+    const GROWTH_LATENCY: f64 = 1.5;
+
+    /// Factor by which the normal latency rises in a window of higher latency.
+    const NORMAL_RISE: f64 = 1.001;
+
+    /// Largest part by which refusals lower the limit in one window.
+    const REFUSAL_CUT_MAX: f64 = 0.5;
+
+    /// Smallest part by which refusals lower the limit in one window.
+    const REFUSAL_CUT_MIN: f64 = 0.05;
+
+    /// Part of the limit at which the server refused that the limit may grow back to at once.
+    const REFUSED_MARGIN: f64 = 0.95;
+
+    /// Time after which the limit may pass the point at which the server refused.
+    const REFUSED_MEMORY: Duration = Duration::from_secs(1);
+
+    /// Pause after a failed trial; it doubles with each further failure.
+    const TRIAL_PAUSE: Duration = Duration::from_secs(2);
+
+    /// Longest pause between trials.
+    const TRIAL_PAUSE_MAX: Duration = Duration::from_secs(32);
+
+    /// Makes the limit of a server that has just announced itself.
+    pub fn cold(announced: SlotCount, now: MonotonicTime) -> Self {
+        let announced = f64::from(announced.0.max(1));
+        Self {
+            announced,
+            limit: (announced * Self::COLD_FRACTION).max(1.0),
+            phase: Phase::Ramping,
+            window: Window {
+                started_at: now,
+                ..Window::default()
+            },
+            normal_us: None,
+            refused_limit: None,
+            next_trial_at: now,
+            trial_pause: Self::TRIAL_PAUSE,
+        }
+    }
+
+    /// Makes the limit of a server that is known to be warm.
+    pub fn warm(announced: SlotCount, now: MonotonicTime) -> Self {
+        let cold = Self::cold(announced, now);
+        Self {
+            limit: cold.announced,
+            phase: Phase::Steady,
+            ..cold
+        }
+    }
+
+    /// Returns how many requests may run at the same time.
+    pub fn slots(&self) -> u32 {
+        self.limit.floor().max(1.0) as u32
+    }
+
+    /// Returns how many requests the server announced that it can run.
+    pub fn announced(&self) -> SlotCount {
+        SlotCount(self.announced as u32)
+    }
+
+    /// Takes a new announcement of a server that went on running.
+    pub fn announce(&mut self, announced: SlotCount) {
+        self.announced = f64::from(announced.0.max(1));
+        self.limit = self.limit.min(self.announced);
+    }
+
+    /// Counts a request that starts while `in_flight` requests run, with itself.
+    pub fn started(&mut self, in_flight: u32) {
+        self.window.peak_in_flight = self.window.peak_in_flight.max(in_flight);
+    }
+
+    /// Takes the end of a request.
+    pub fn finished(&mut self, completion: &Completion, now: MonotonicTime) {
+        match completion.outcome {
+            Outcome::Answered => {
+                self.window.answered += 1;
+                self.window.own_us += completion.own().as_micros() as f64;
+            }
+            Outcome::ServerRefused => self.window.refused += 1,
+            Outcome::Failed | Outcome::Cancelled => {}
+        }
+        if self.window_is_over(now) {
+            self.close_window(now);
+        }
+    }
+
+    fn window_is_over(&self, now: MonotonicTime) -> bool {
+        let seen = f64::from(self.window.answered + self.window.refused);
+        now.since(self.window.started_at) >= Self::WINDOW && seen >= self.limit.min(20.0)
+    }
+
+    fn close_window(&mut self, now: MonotonicTime) {
+        let window = std::mem::take(&mut self.window);
+        self.window.started_at = now;
+        match window.refused {
+            0 => self.follow_latency(&window, now),
+            _ => self.follow_refusals(&window, now),
+        }
+        self.limit = self.limit.clamp(1.0, self.announced);
+    }
+
+    fn follow_refusals(&mut self, window: &Window, now: MonotonicTime) {
+        let cut = window
+            .refused_fraction()
+            .clamp(Self::REFUSAL_CUT_MIN, Self::REFUSAL_CUT_MAX);
+        let used = f64::from(window.peak_in_flight.max(1)).min(self.limit);
+        self.refused_limit = Some((used, now));
+        self.limit = used * (1.0 - cut);
+        self.phase = Phase::Steady;
+    }
+
+    fn follow_latency(&mut self, window: &Window, now: MonotonicTime) {
+        let mean_us = window.mean_us();
+        let ratio = mean_us / self.learn_normal(mean_us);
+        let saturated = f64::from(window.peak_in_flight) >= self.limit.floor();
+        match self.phase {
+            Phase::Settling { before } => self.phase = Phase::Comparing { before },
+            Phase::Comparing { before } => self.end_trial(before, mean_us, now),
+            Phase::Ramping if self.limit >= self.announced => self.phase = Phase::Steady,
+            Phase::Ramping => self.limit *= 2.0,
+            Phase::Steady if ratio < Self::GROWTH_LATENCY => self.grow(now),
+            Phase::Steady if ratio < Self::HIGH_LATENCY => {}
+            Phase::Steady if saturated && now >= self.next_trial_at => self.begin_trial(mean_us),
+            Phase::Steady => {}
+        }
+    }
+
+    /// Keeps the lowest latency seen, which rises slowly so that an old low is forgotten.
+    fn learn_normal(&mut self, mean_us: f64) -> f64 {
+        let normal_us = match self.normal_us {
+            Some(normal_us) if normal_us < mean_us => (normal_us * Self::NORMAL_RISE).min(mean_us),
+            _ => mean_us.max(1.0),
+        };
+        self.normal_us = Some(normal_us);
+        normal_us
+    }
+
+    fn grow(&mut self, now: MonotonicTime) {
+        let grown = (self.limit * Self::GROWTH).max(self.limit + 1.0);
+        self.limit = match self.refused_limit {
+            Some((refused, at)) if now.since(at) < Self::REFUSED_MEMORY => {
+                grown.min((refused * Self::REFUSED_MARGIN).max(self.limit))
+            }
+            _ => grown,
+        };
+        self.trial_pause = Self::TRIAL_PAUSE;
+    }
+
+    fn begin_trial(&mut self, mean_us: f64) {
+        let before = Trial {
+            limit: self.limit,
+            mean_us,
+        };
+        self.limit *= Self::TRIAL_FACTOR;
+        self.phase = Phase::Settling { before };
+    }
+
+    fn end_trial(&mut self, before: Trial, mean_us: f64, now: MonotonicTime) {
+        self.phase = Phase::Steady;
+        if mean_us <= before.mean_us * Self::TRIAL_SUCCESS {
+            return;
+        }
+        self.limit = before.limit;
+        self.next_trial_at = now.after(self.trial_pause);
+        self.trial_pause = (self.trial_pause * 2).min(Self::TRIAL_PAUSE_MAX);
+    }
+}
--- /dev/null
+++ b/lib/src/process/gate/mod.rs
@@ -0,0 +1,37 @@
+//! The gate in front of the backend server beside this node: how many requests run at a time,
+//! which of the others wait, and what the rest of the chain is told to refuse early.
+
+mod completion;
+mod demand;
+mod floor;
+mod gate_state;
+mod learnt;
+mod limit;
+mod permit;
+mod queue;
+mod retry_after;
+mod service_time;
+mod usage;
+
+pub use self::completion::Completion;
+pub use self::completion::Outcome;
+pub use self::demand::DemandMeter;
+pub use self::demand::WindowLoad;
+pub use self::floor::AdmissionFloor;
+pub use self::floor::InvalidFloorError;
+pub use self::gate_state::EnterRequest;
+pub use self::gate_state::Entry;
+pub use self::gate_state::GateState;
+pub use self::gate_state::GivenUp;
+pub use self::gate_state::Wakeups;
+pub use self::learnt::Admission;
+pub use self::learnt::LearntFloors;
+pub use self::limit::AdaptiveLimit;
+pub use self::permit::Gate;
+pub use self::permit::Permit;
+pub use self::queue::QueueEntry;
+pub use self::queue::Ticket;
+pub use self::queue::WaitingQueue;
+pub use self::retry_after::RetryAfter;
+pub use self::service_time::ServiceTime;
+pub use self::usage::Usage;
--- /dev/null
+++ b/lib/src/process/gate/queue.rs
@@ -0,0 +1,147 @@
+//! The short queue of requests that wait for a slot.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use slotmap::SlotMap;
+
+use super::Usage;
+use crate::values::Importance;
+use crate::values::MonotonicTime;
+use crate::values::OrganisationId;
+use crate::values::RatePerSecond;
+use crate::values::RequestId;
+
+slotmap::new_key_type! {
+    /// Identifies a waiting request.
+    pub struct Ticket;
+}
+
+/// A request that waits for a slot.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QueueEntry {
+    /// Rank of the root request.
+    pub importance: Importance,
+    /// The organisation for which the request runs; none on routes open to all.
+    pub organisation: Option<OrganisationId>,
+    /// The rate of the organisation, which is its share.
+    pub rate: RatePerSecond,
+    /// The root request.
+    pub root: RequestId,
+    /// The time by which the request must have started to finish within its deadline.
+    pub start_by: MonotonicTime,
+}
+
+type ByTime = BTreeSet<(MonotonicTime, Ticket)>;
+type ByOrganisation = BTreeMap<Option<OrganisationId>, ByTime>;
+
+/// The requests that wait for a slot: by importance, then the organisation that used least of its
+/// share, then the one that must start first.
+///
+/// The bound on the length is kept by the caller, which knows the limit.
+#[derive(Clone, Debug, Default)]
+pub struct WaitingQueue {
+    entries: SlotMap<Ticket, QueueEntry>,
+    order: BTreeMap<Importance, ByOrganisation>,
+}
+
+impl WaitingQueue {
+    /// Returns how many requests wait.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns a waiting request.
+    pub fn get(&self, ticket: Ticket) -> Option<&QueueEntry> {
+        self.entries.get(ticket)
+    }
+
+    /// Adds a request.
+    pub fn push(&mut self, entry: QueueEntry) -> Ticket {
+        let importance = entry.importance;
+        let organisation = entry.organisation.clone();
+        let start_by = entry.start_by;
+        let ticket = self.entries.insert(entry);
+        self.order
+            .entry(importance)
+            .or_default()
+            .entry(organisation)
+            .or_default()
+            .insert((start_by, ticket));
+        ticket
+    }
+
+    /// Takes a request out, if it still waits.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<QueueEntry> {
+        let entry = self.entries.remove(ticket)?;
+        let organisations = self.order.get_mut(&entry.importance)?;
+        let waiting = organisations.get_mut(&entry.organisation)?;
+        waiting.remove(&(entry.start_by, ticket));
+        if waiting.is_empty() {
+            organisations.remove(&entry.organisation);
+        }
+        if organisations.is_empty() {
+            self.order.remove(&entry.importance);
+        }
+        Some(entry)
+    }
+
+    /// Returns the request that gets the next slot.
+    pub fn first(&self, usage: &Usage, now: MonotonicTime) -> Option<Ticket> {
+        let (_, organisations) = self.order.last_key_value()?;
+        organisations
+            .iter()
+            .min_by(|a, b| usage.of(a.0, now).total_cmp(&usage.of(b.0, now)))
+            .and_then(|(_, waiting)| waiting.first())
+            .map(|(_, ticket)| *ticket)
+    }
+
+    /// Returns the request that is given up first.
+    ///
+    /// Within the lowest importance this is the latest request of the organisation that used most
+    /// of its share, counting what it has waiting.
+    pub fn last(&self, usage: &Usage, now: MonotonicTime) -> Option<Ticket> {
+        let (_, organisations) = self.order.first_key_value()?;
+        organisations
+            .iter()
+            .map(|(organisation, waiting)| (self.claim(organisation, waiting, usage, now), waiting))
+            .max_by(|a, b| a.0.total_cmp(&b.0))
+            .and_then(|(_, waiting)| waiting.last())
+            .map(|(_, ticket)| *ticket)
+    }
+
+    /// Returns what an organisation used of its share, and will have used once its waiting
+    /// requests have started.
+    fn claim(
+        &self,
+        organisation: &Option<OrganisationId>,
+        waiting: &ByTime,
+        usage: &Usage,
+        now: MonotonicTime,
+    ) -> f64 {
+        let rate = waiting
+            .first()
+            .and_then(|(_, ticket)| self.entries.get(*ticket))
+            .map_or(1, |entry| entry.rate.0.max(1));
+        usage.of(organisation, now) + waiting.len() as f64 / f64::from(rate)
+    }
+
+    /// Returns how many waiting requests are at least as important as `importance`.
+    pub fn ahead_of(&self, importance: Importance) -> usize {
+        self.order
+            .range(importance..)
+            .flat_map(|(_, organisations)| organisations.values())
+            .map(BTreeSet::len)
+            .sum()
+    }
+
+    /// Returns the tickets of all waiting requests in no particular order.
+    pub fn tickets(&self) -> Vec<Ticket> {
+        self.entries.keys().collect()
+    }
+}
--- /dev/null
+++ b/lib/src/process/routing/destination.rs
@@ -0,0 +1,200 @@
+//! What this node saw of one node that it calls.
+
+use std::time::Duration;
+
+use crate::values::Incarnation;
+use crate::values::MonotonicTime;
+use crate::values::ServiceId;
+
+plain_value! {
+    /// How a call to another node ended, as the caller saw it.
+    #[serde(rename_all = "kebab-case")]
+    pub enum CallOutcome {
+        /// A whole answer came.
+        Answered,
+        /// The gate of the node refused the call because capacity is short or it is stopping.
+        Refused,
+        /// The connection failed, or the answer was broken or late.
+        Failed,
+        /// The caller left before the answer.
+        Cancelled,
+    }
+}
+
+/// A value that falls by half in a given time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Decaying {
+    value: f64,
+    updated_at: MonotonicTime,
+}
+
+impl Decaying {
+    fn at(&self, now: MonotonicTime, half_life: Duration) -> f64 {
+        let age = now.since(self.updated_at).as_secs_f64();
+        self.value * (-age / half_life.as_secs_f64()).exp2()
+    }
+
+    fn add(&mut self, amount: f64, now: MonotonicTime, half_life: Duration) {
+        self.value = self.at(now, half_life) + amount;
+        self.updated_at = now;
+    }
+}
+
+/// What this node saw of one node that it calls.
+#[derive(Clone, Debug)]
+pub struct Destination {
+    service: ServiceId,
+    incarnation: Incarnation,
+    first_seen_at: MonotonicTime,
+    in_flight: u32,
+    latency_us: Option<f64>,
+    latency_at: MonotonicTime,
+    answered: Decaying,
+    refused: Decaying,
+    failed: Decaying,
+    ejected_until: MonotonicTime,
+    ejections: u32,
+}
+
+impl Destination {
+    /// Weight of one latency sample.
+    const SAMPLE_WEIGHT: f64 = 0.1;
+
+    /// Time after which what was seen counts half.
+    const HALF_LIFE: Duration = Duration::from_secs(1);
+
+    /// Time after which a latency that was not seen again counts half.
+    const LATENCY_HALF_LIFE: Duration = Duration::from_secs(2);
+
+    /// Recent calls, decayed by their age, below which a node is not ejected.
+    const EJECT_MIN_CALLS: f64 = 3.5;
+
+    /// Part of the recent calls that must have failed for a node to be ejected.
+    const EJECT_FAILED_FRACTION: f64 = 0.5;
+
+    /// Duration of the first ejection; it doubles with each further one.
+    const EJECTION: Duration = Duration::from_secs(1);
+
+    /// Most times that the duration of an ejection doubles.
+    const EJECTION_DOUBLINGS_MAX: u32 = 5;
+
+    /// Time over which a node that is new gets its full part of the calls.
+    const SLOW_START: Duration = Duration::from_secs(5);
+
+    /// Part of its calls that a node gets when it is new.
+    const SLOW_START_MIN: f64 = 0.1;
+
+    /// How many times as costly a node counts when it refuses every call.
+    const REFUSED_COST: f64 = 8.0;
+
+    /// Makes the entry of a node that has just become known.
+    pub fn new(service: ServiceId, incarnation: Incarnation, now: MonotonicTime) -> Self {
+        Self {
+            service,
+            incarnation,
+            first_seen_at: now,
+            in_flight: 0,
+            latency_us: None,
+            latency_at: now,
+            answered: Decaying::default(),
+            refused: Decaying::default(),
+            failed: Decaying::default(),
+            ejected_until: MonotonicTime::default(),
+            ejections: 0,
+        }
+    }
+
+    /// Returns whether the entry is about this service and this life of the node.
+    pub fn matches(&self, service: &ServiceId, incarnation: Incarnation) -> bool {
+        self.service == *service && self.incarnation == incarnation
+    }
+
+    /// Counts a call that starts.
+    pub fn started(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// Takes the end of a call.
+    pub fn finished(&mut self, outcome: CallOutcome, latency: Duration, now: MonotonicTime) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        match outcome {
+            CallOutcome::Answered => {
+                self.answered.add(1.0, now, Self::HALF_LIFE);
+                self.observe(latency, now);
+                self.forgive_ejections(now);
+            }
+            CallOutcome::Refused => self.refused.add(1.0, now, Self::HALF_LIFE),
+            CallOutcome::Failed => {
+                self.failed.add(1.0, now, Self::HALF_LIFE);
+                self.eject_if_failing(now);
+            }
+            CallOutcome::Cancelled => {}
+        }
+    }
+
+    fn forgive_ejections(&mut self, now: MonotonicTime) {
+        if now.since(self.ejected_until) >= Self::EJECTION {
+            self.ejections = 0;
+        }
+    }
+
+    fn observe(&mut self, latency: Duration, now: MonotonicTime) {
+        let sample_us = latency.as_micros() as f64;
+        let latency_us = self.latency_us.unwrap_or(sample_us);
+        self.latency_us = Some(latency_us + Self::SAMPLE_WEIGHT * (sample_us - latency_us));
+        self.latency_at = now;
+    }
+
+    fn eject_if_failing(&mut self, now: MonotonicTime) {
+        let failed = self.failed.at(now, Self::HALF_LIFE);
+        let calls = failed + self.answered.at(now, Self::HALF_LIFE);
+        let fails =
+            calls >= Self::EJECT_MIN_CALLS * 0.9 && failed >= calls * Self::EJECT_FAILED_FRACTION;
+        if fails && !self.is_ejected(now) {
+            let doublings = self.ejections.min(Self::EJECTION_DOUBLINGS_MAX);
+            self.ejected_until = now.after(Self::EJECTION * (1 << doublings));
+            self.ejections += 1;
+        }
+    }
+
+    /// Returns whether the node gets no calls, as its calls failed of late.
+    pub fn is_ejected(&self, now: MonotonicTime) -> bool {
+        now < self.ejected_until
+    }
+
+    /// Returns when the node gets calls again.
+    pub fn ejected_until(&self) -> MonotonicTime {
+        self.ejected_until
+    }
+
+    /// Returns the part of its calls that the node gets as it is new, from 0 to 1.
+    pub fn start_weight(&self, now: MonotonicTime) -> f64 {
+        let age = now.since(self.first_seen_at).as_secs_f64() / Self::SLOW_START.as_secs_f64();
+        (Self::SLOW_START_MIN + (1.0 - Self::SLOW_START_MIN) * age).min(1.0)
+    }
+
+    /// Ends the slow start, for a node that was already there when this one started.
+    pub fn skip_slow_start(&mut self) {
+        self.first_seen_at = MonotonicTime::default();
+    }
+
+    /// Returns the observed latency, which falls while nothing is heard.
+    pub fn latency_us(&self, now: MonotonicTime) -> Option<f64> {
+        let age = now.since(self.latency_at).as_secs_f64();
+        let fall = (-age / Self::LATENCY_HALF_LIFE.as_secs_f64()).exp2();
+        self.latency_us.map(|latency_us| latency_us * fall)
+    }
+
+    /// Returns the expected cost of one more call in microseconds.
+    ///
+    /// `usual_us` is the latency of a node that was not called yet.
+    pub fn cost_us(&self, slots: u32, usual_us: f64, now: MonotonicTime) -> f64 {
+        let latency_us = self.latency_us(now).unwrap_or(usual_us);
+        let load = f64::from(self.in_flight) / f64::from(slots.max(1));
+        let refused = self.refused.at(now, Self::HALF_LIFE);
+        let failed = self.failed.at(now, Self::HALF_LIFE);
+        let calls = refused + failed + self.answered.at(now, Self::HALF_LIFE);
+        let bad_fraction = (refused + failed) / (calls + 1.0);
+        latency_us.max(1.0) * (1.0 + load) * (1.0 + Self::REFUSED_COST * bad_fraction)
+    }
+}
