gate, routing: test each decision, and try nodes that were not called yet

A node that was never called took the mean latency of the others, so that calls never spilled to it: the spill test failed with all 1000 calls on the slow own zone. It now counts as fast until it was tried.

--- a/lib/src/process/gate/permit.rs
+++ b/lib/src/process/gate/permit.rs
@@ -1,5 +1,6 @@
 //! The gate as tasks use it: a lock around its state, and a channel for each waiting request.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -249,6 +250,14 @@
     }
 }
 
+impl fmt::Debug for Permit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Permit")
+            .field("started_at", &self.started_at)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
         if !self.finished {
--- a/lib/src/process/routing/destination.rs
+++ b/lib/src/process/routing/destination.rs
@@ -84,7 +84,7 @@
     /// Part of its calls that a node gets when it is new.
     const SLOW_START_MIN: f64 = 0.1;
 
-    /// How many times as costly a node counts when it refuses every call.
+    /// Cost of a node that refuses every call, in multiples of the usual latency.
     const REFUSED_COST: f64 = 8.0;
 
     /// Makes the entry of a node that has just become known.
@@ -187,14 +187,15 @@
 
     /// Returns the expected cost of one more call in microseconds.
     ///
-    /// `usual_us` is the latency of a node that was not called yet.
+    /// A node that was not called yet counts as fast, so that it is tried. `usual_us` is the usual
+    /// latency of the service, by which refusals and failures are weighed.
     pub fn cost_us(&self, slots: u32, usual_us: f64, now: MonotonicTime) -> f64 {
-        let latency_us = self.latency_us(now).unwrap_or(usual_us);
+        let latency_us = self.latency_us(now).unwrap_or_default();
         let load = f64::from(self.in_flight) / f64::from(slots.max(1));
         let refused = self.refused.at(now, Self::HALF_LIFE);
         let failed = self.failed.at(now, Self::HALF_LIFE);
         let calls = refused + failed + self.answered.at(now, Self::HALF_LIFE);
         let bad_fraction = (refused + failed) / (calls + 1.0);
-        latency_us.max(1.0) * (1.0 + load) * (1.0 + Self::REFUSED_COST * bad_fraction)
+        latency_us * (1.0 + load) + usual_us * Self::REFUSED_COST * bad_fraction
     }
 }
--- a/lib/src/process/routing/router.rs
+++ b/lib/src/process/routing/router.rs
@@ -71,7 +71,7 @@
     /// Cost of a trip between zones of one region, in microseconds.
     const ZONE_TRIP_US: f64 = 1500.0;
 
-    /// Latency that is assumed while no node of a service was called yet, in microseconds.
+    /// Usual latency of a service of which no node has answered yet, in microseconds.
     const LATENCY_UNKNOWN_US: f64 = 1000.0;
 
     /// Time after the start of this process in which nodes that become known count as warm.
--- /dev/null
+++ b/lib/tests/test_gate_floor.rs
@@ -0,0 +1,192 @@
+//! The admission floor: its text, the gate that sets it and the entry that follows it.
+
+use std::time::Duration;
+
+use balsamfold::process::gate::Admission;
+use balsamfold::process::gate::AdmissionFloor;
+use balsamfold::process::gate::DemandMeter;
+use balsamfold::process::gate::LearntFloors;
+use balsamfold::process::gate::WindowLoad;
+use balsamfold::values::Importance;
+use balsamfold::values::MonotonicTime;
+use balsamfold::values::RequestId;
+use proptest::prelude::*;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const HIGH: Importance = Importance(200);
+const LOW: Importance = Importance(50);
+const ROUTE: &str = "/catalogue";
+
+fn floor(importance: u8, cut: u16) -> AdmissionFloor {
+    let importance = Importance(importance);
+    AdmissionFloor { importance, cut }
+}
+
+proptest! {
+    #[test]
+    fn text_round_trips(importance: u8, cut: u16) {
+        let floor = floor(importance, cut);
+        prop_assert!(floor.to_string().len() <= 8);
+        prop_assert_eq!(floor.to_string().parse(), Ok(floor));
+    }
+
+    #[test]
+    fn any_text_is_read_or_rejected(text: String) {
+        let _ = text.parse::<AdmissionFloor>();
+    }
+
+    #[test]
+    fn higher_floor_admits_no_more(
+        a in (0_u8..3, any::<u16>()),
+        b in (0_u8..3, any::<u16>()),
+        importance in 0_u8..3,
+        root: u128,
+    ) {
+        let (low, high) = (floor(a.0, a.1).min(floor(b.0, b.1)), floor(a.0, a.1).max(floor(b.0, b.1)));
+        let passes = |floor: AdmissionFloor| floor.admits(Importance(importance), RequestId(root));
+        prop_assert!(!passes(high) || passes(low));
+        prop_assert!(passes(AdmissionFloor::OPEN));
+    }
+}
+
+#[test]
+fn fraction_kept_is_the_fraction_admitted() {
+    let floor = AdmissionFloor::keeping(LOW, 0.3);
+    let admitted = (0..10_000)
+        .filter(|root| floor.admits(LOW, RequestId(*root)))
+        .count();
+    assert!((2800..3200).contains(&admitted), "{admitted} of 10000");
+    assert_eq!(floor.kept_fraction(HIGH), 1.0);
+    assert_eq!(floor.kept_fraction(Importance(10)), 0.0);
+}
+
+/// Runs a gate for `windows` windows behind entries that follow its floor with a lag.
+///
+/// Returns the requests a second that pass the floor in the last window, of high and low importance.
+struct Fleet {
+    meter: DemandMeter,
+    now: MonotonicTime,
+    random: SmallRng,
+    heard: [AdmissionFloor; 2],
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let now = MonotonicTime::default();
+        Self {
+            meter: DemandMeter::new(now),
+            now,
+            random: SmallRng::seed_from_u64(1),
+            heard: [AdmissionFloor::OPEN; 2],
+        }
+    }
+
+    fn run(&mut self, windows: u32, high: u32, low: u32, capacity: u32) -> (u32, u32) {
+        let mut passed = (0, 0);
+        for _ in 0..windows {
+            passed = (self.send(HIGH, high), self.send(LOW, low));
+            let excess = (passed.0 + passed.1).saturating_sub(capacity);
+            (0..excess).for_each(|_| self.meter.shed());
+            self.heard = [self.heard[1], self.meter.floor()];
+            self.now = self.now.after(DemandMeter::WINDOW);
+            let load = WindowLoad {
+                capacity_per_s: f64::from(capacity) * 10.0,
+                waiting: excess > 0,
+            };
+            self.meter.close_window(load, self.now);
+        }
+        passed
+    }
+
+    fn send(&mut self, importance: Importance, count: u32) -> u32 {
+        let mut passed = 0;
+        for _ in 0..count {
+            let root = RequestId(self.random.random());
+            if self.heard[0].admits(importance, root) {
+                self.meter.arrived(importance, root);
+                passed += u32::from(self.meter.floor().admits(importance, root));
+            }
+        }
+        passed
+    }
+}
+
+#[test]
+fn floor_keeps_all_important_requests_and_as_many_others_as_fit() {
+    let mut fleet = Fleet::new();
+    fleet.run(30, 20, 100, 40);
+    let passed: Vec<_> = (0..50).map(|_| fleet.run(1, 20, 100, 40)).collect();
+    let high: u32 = passed.iter().map(|(high, _)| high).sum();
+    let low: u32 = passed.iter().map(|(_, low)| low).sum();
+    assert_eq!(high, 50 * 20);
+    assert!((800..1300).contains(&low), "{low} passed, 1000 fit");
+}
+
+#[test]
+fn floor_opens_within_a_second_after_capacity_is_back() {
+    let mut fleet = Fleet::new();
+    fleet.run(30, 20, 100, 40);
+    assert_ne!(fleet.meter.floor(), AdmissionFloor::OPEN);
+    fleet.run(10, 20, 100, 200);
+    assert_eq!(fleet.meter.floor(), AdmissionFloor::OPEN);
+}
+
+#[test]
+fn there_is_no_floor_without_shedding() {
+    let mut fleet = Fleet::new();
+    fleet.run(30, 20, 15, 40);
+    assert_eq!(fleet.meter.floor(), AdmissionFloor::OPEN);
+}
+
+fn learn(floors: &mut LearntFloors, node: &str, floor: AdmissionFloor, now: MonotonicTime) {
+    let service = "stock".parse().expect("valid name");
+    let node = node.parse().expect("valid name");
+    floors.learn(ROUTE, &service, &node, floor, now);
+}
+
+#[test]
+fn entry_refuses_what_most_nodes_below_would_refuse() {
+    let now = MonotonicTime::default();
+    let mut floors = LearntFloors::default();
+    let closed = floor(200, 0);
+    learn(&mut floors, "a", closed, now);
+    learn(&mut floors, "b", AdmissionFloor::OPEN, now);
+    learn(&mut floors, "c", AdmissionFloor::OPEN, now);
+    assert_eq!(
+        floors.check(ROUTE, LOW, RequestId(1), now),
+        Admission::Admit
+    );
+    learn(&mut floors, "b", closed, now);
+    assert_eq!(
+        floors.check(ROUTE, LOW, RequestId(1), now),
+        Admission::Refuse
+    );
+    assert_eq!(
+        floors.check(ROUTE, HIGH, RequestId(1), now),
+        Admission::Admit
+    );
+    assert_eq!(
+        floors.check("/other", LOW, RequestId(1), now),
+        Admission::Admit
+    );
+}
+
+#[test]
+fn silent_route_is_probed_by_a_trickle_and_forgotten_after_a_second() {
+    let mut now = MonotonicTime::default();
+    let mut floors = LearntFloors::default();
+    learn(&mut floors, "a", floor(200, 0), now);
+    let mut probes = 0;
+    for _ in 0..900 {
+        now = now.after(Duration::from_millis(1));
+        probes += u32::from(floors.check(ROUTE, LOW, RequestId(1), now) == Admission::Probe);
+    }
+    assert!((8..=9).contains(&probes), "{probes} probes in 0.9 s");
+    now = now.after(Duration::from_millis(200));
+    assert_eq!(
+        floors.check(ROUTE, LOW, RequestId(1), now),
+        Admission::Admit
+    );
+}
--- /dev/null
+++ b/lib/tests/test_gate_queue.rs
@@ -0,0 +1,281 @@
+//! The gate's slots and queue, on its plain state.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use balsamfold::process::gate::AdaptiveLimit;
+use balsamfold::process::gate::Completion;
+use balsamfold::process::gate::EnterRequest;
+use balsamfold::process::gate::Entry;
+use balsamfold::process::gate::GateState;
+use balsamfold::process::gate::Outcome;
+use balsamfold::process::gate::Ticket;
+use balsamfold::request::RefusalReason;
+use balsamfold::request::Verdict;
+use balsamfold::values::Importance;
+use balsamfold::values::MonotonicTime;
+use balsamfold::values::RatePerSecond;
+use balsamfold::values::RequestId;
+use balsamfold::values::SlotCount;
+use proptest::prelude::*;
+
+const SLOTS: u32 = 4;
+const WAITING_MAX: usize = 8;
+
+fn gate() -> GateState {
+    let now = MonotonicTime::default();
+    GateState::new(AdaptiveLimit::warm(SlotCount(SLOTS), now), now)
+}
+
+fn request(importance: u8, organisation: &str, root: u128) -> EnterRequest {
+    EnterRequest {
+        importance: Importance(importance),
+        organisation: Some(organisation.parse().expect("valid name")),
+        rate: RatePerSecond(100),
+        root: RequestId(root),
+        remaining: Duration::from_secs(1),
+    }
+}
+
+fn answered(held_ms: u64) -> Completion {
+    Completion {
+        outcome: Outcome::Answered,
+        held: Duration::from_millis(held_ms),
+        onward: Duration::ZERO,
+    }
+}
+
+fn ticket(entry: Entry) -> Option<Ticket> {
+    match entry {
+        Entry::Waiting { ticket, .. } => Some(ticket),
+        _ => None,
+    }
+}
+
+/// Fills the slots and the queue with requests of one importance and organisation.
+fn full_gate(importance: u8, organisation: &str, now: MonotonicTime) -> GateState {
+    let mut gate = gate();
+    for root in 0..u128::from(SLOTS) + WAITING_MAX as u128 {
+        let (entry, displaced) = gate.enter(&request(importance, organisation, root), now);
+        assert!(!matches!(entry, Entry::Refused(_)));
+        assert_eq!(displaced, None);
+    }
+    gate
+}
+
+#[test]
+fn important_arrival_displaces_the_least_important_which_is_answered_at_once() {
+    let now = MonotonicTime(1);
+    let mut gate = full_gate(50, "large", now);
+    let (entry, displaced) = gate.enter(&request(200, "large", 99), now);
+    let important = ticket(entry).expect("the arrival waits");
+    let refusal = displaced.expect("one is displaced").refusal;
+    assert_eq!(refusal.reason, RefusalReason::Overloaded);
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    assert!(refusal.retry_after_ms.is_some_and(|after_ms| after_ms > 0));
+    let wakeups = gate.leave(&answered(10), now);
+    assert_eq!(wakeups.started, vec![important]);
+}
+
+#[test]
+fn less_important_arrival_is_refused_when_the_queue_is_full() {
+    let now = MonotonicTime(1);
+    let mut gate = full_gate(200, "large", now);
+    let (entry, displaced) = gate.enter(&request(50, "small", 99), now);
+    assert!(matches!(entry, Entry::Refused(_)));
+    assert_eq!(displaced, None);
+}
+
+#[test]
+fn organisation_that_used_least_of_its_share_goes_first() {
+    let now = MonotonicTime(1);
+    let mut gate = full_gate(50, "large", now);
+    let (entry, displaced) = gate.enter(&request(50, "small", 99), now);
+    let small = ticket(entry).expect("the arrival waits");
+    assert!(displaced.is_some_and(|displaced| displaced.ticket != small));
+    let wakeups = gate.leave(&answered(10), now);
+    assert_eq!(wakeups.started, vec![small]);
+}
+
+#[test]
+fn usage_is_relative_to_the_rate() {
+    let now = MonotonicTime(1);
+    let mut gate = gate();
+    let with_rate = |rate, organisation, root| EnterRequest {
+        rate: RatePerSecond(rate),
+        ..request(50, organisation, root)
+    };
+    for root in 0..3 {
+        gate.enter(&with_rate(300, "the-large", root), now);
+    }
+    gate.enter(&with_rate(10, "small", 3), now);
+    let large = ticket(gate.enter(&with_rate(300, "the-large", 4), now).0).expect("waits");
+    gate.enter(&with_rate(10, "small", 5), now);
+    let wakeups = gate.leave(&answered(10), now);
+    assert_eq!(wakeups.started, vec![large]);
+}
+
+#[test]
+fn nothing_waits_that_cannot_finish_in_time() {
+    let now = MonotonicTime(1);
+    let mut gate = gate();
+    for root in 0..u128::from(SLOTS) {
+        gate.enter(&request(50, "large", root), now);
+    }
+    gate.leave(&answered(100), now);
+    gate.enter(&request(50, "large", 10), now);
+    let short = |remaining_ms, root| EnterRequest {
+        remaining: Duration::from_millis(remaining_ms),
+        ..request(50, "large", root)
+    };
+    assert!(matches!(
+        gate.enter(&short(90, 11), now).0,
+        Entry::Refused(_)
+    ));
+    assert!(matches!(
+        gate.enter(&short(110, 12), now).0,
+        Entry::Waiting { .. }
+    ));
+    // 25 ms for the one ahead and 100 ms for its own run exceed 120 ms.
+    assert!(matches!(
+        gate.enter(&short(120, 13), now).0,
+        Entry::Refused(_)
+    ));
+    assert!(matches!(
+        gate.enter(&short(130, 14), now).0,
+        Entry::Waiting { .. }
+    ));
+}
+
+#[test]
+fn waiting_request_whose_time_ran_out_gets_no_slot() {
+    let now = MonotonicTime(1);
+    let mut gate = full_gate(50, "large", now);
+    let late = now.after(Duration::from_secs(2));
+    let wakeups = gate.leave(&answered(10), late);
+    assert_eq!(wakeups.started, vec![]);
+    assert_eq!(wakeups.given_up.len(), WAITING_MAX);
+}
+
+#[test]
+fn idle_server_gets_a_request_although_it_was_slow() {
+    let now = MonotonicTime(1);
+    let mut gate = gate();
+    gate.enter(&request(50, "large", 0), now);
+    gate.leave(&answered(5000), now);
+    assert_eq!(gate.enter(&request(50, "large", 1), now).0, Entry::Started);
+    assert!(matches!(
+        gate.enter(&request(50, "large", 2), now).0,
+        Entry::Refused(_)
+    ));
+}
+
+#[test]
+fn refused_callers_are_spread_over_the_time_to_serve_them() {
+    let now = MonotonicTime(1);
+    let mut gate = gate();
+    gate.enter(&request(50, "large", 0), now);
+    gate.leave(&answered(40), now);
+    // 4 slots of 40 ms drain 100 requests a second.
+    let after_ms: Vec<u64> = (0..1000)
+        .map(|root| gate.retry_after_ms(RequestId(root), now))
+        .collect();
+    let in_first_second = after_ms.iter().filter(|ms| **ms < 1000).count();
+    assert!(
+        (100..400).contains(&in_first_second),
+        "{in_first_second} return within a second"
+    );
+    assert!(after_ms.iter().max() > Some(&8000));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Enter {
+        importance: u8,
+        organisation: u8,
+        remaining_ms: u64,
+    },
+    Leave {
+        held_ms: u64,
+    },
+    Pass {
+        micros: u64,
+    },
+    Abandon,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0_u8..4, 0_u8..3, 1_u64..400).prop_map(|(importance, organisation, remaining_ms)| {
+            Step::Enter { importance, organisation, remaining_ms }
+        }),
+        3 => (1_u64..50).prop_map(|held_ms| Step::Leave { held_ms }),
+        2 => (0_u64..50_000).prop_map(|micros| Step::Pass { micros }),
+        1 => Just(Step::Abandon),
+    ]
+}
+
+proptest! {
+    /// Important requests are shed last, slots and queue are bounded, each is answered once.
+    #[test]
+    fn important_requests_are_shed_last(steps in prop::collection::vec(step(), 0..400)) {
+        let mut now = MonotonicTime::default();
+        let mut gate = gate();
+        let mut running = 0_u32;
+        let mut waiting: HashMap<Ticket, u8> = HashMap::new();
+        for (root, step) in steps.into_iter().enumerate() {
+            match step {
+                Step::Pass { micros } => now = now.after(Duration::from_micros(micros)),
+                Step::Enter { importance, organisation, remaining_ms } => {
+                    let request = EnterRequest {
+                        remaining: Duration::from_millis(remaining_ms),
+                        ..request(importance, &format!("org-{organisation}"), root as u128)
+                    };
+                    let (entry, displaced) = gate.enter(&request, now);
+                    match entry {
+                        Entry::Started => running += 1,
+                        Entry::Waiting { ticket, .. } => {
+                            waiting.insert(ticket, importance);
+                        }
+                        Entry::Refused(refusal) => {
+                            prop_assert!(refusal.retry_after_ms.is_some());
+                        }
+                    }
+                    if let Some(displaced) = displaced {
+                        let lost = waiting.remove(&displaced.ticket);
+                        prop_assert!(lost.is_some(), "answered twice");
+                        prop_assert!(lost <= Some(importance));
+                        prop_assert!(waiting.values().all(|other| Some(*other) >= lost));
+                    }
+                }
+                Step::Leave { held_ms } if running > 0 => {
+                    running -= 1;
+                    let wakeups = gate.leave(&answered(held_ms), now);
+                    for given_up in wakeups.given_up {
+                        prop_assert!(waiting.remove(&given_up.ticket).is_some());
+                    }
+                    for ticket in wakeups.started {
+                        let importance = waiting.remove(&ticket);
+                        prop_assert!(importance.is_some(), "answered twice");
+                        prop_assert!(waiting.values().all(|other| Some(*other) <= importance));
+                        running += 1;
+                    }
+                }
+                Step::Leave { .. } => {}
+                Step::Abandon => {
+                    if let Some(ticket) = waiting.keys().next().copied() {
+                        waiting.remove(&ticket);
+                        let reason = RefusalReason::DeadlineExceeded;
+                        prop_assert!(gate.abandon(ticket, reason, now).is_some());
+                        prop_assert!(gate.abandon(ticket, reason, now).is_none());
+                    }
+                }
+            }
+            prop_assert_eq!(gate.in_flight(), running);
+            prop_assert_eq!(gate.waiting(), waiting.len());
+            prop_assert!(running <= SLOTS);
+            prop_assert!(waiting.len() <= WAITING_MAX);
+            prop_assert!(waiting.is_empty() || running >= gate.slots());
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/test_routing.rs
@@ -0,0 +1,230 @@
+//! Choice among the nodes of a service.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use balsamfold::process::membership::MemberTable;
+use balsamfold::process::membership::NodeAddresses;
+use balsamfold::process::membership::NodeCondition;
+use balsamfold::process::membership::NodeRecord;
+use balsamfold::process::membership::ServerRecord;
+use balsamfold::process::routing::CallOutcome;
+use balsamfold::process::routing::ChooseContext;
+use balsamfold::process::routing::Router;
+use balsamfold::values::ConnectionCount;
+use balsamfold::values::Incarnation;
+use balsamfold::values::MonotonicTime;
+use balsamfold::values::NodeId;
+use balsamfold::values::ServiceId;
+use balsamfold::values::SlotCount;
+use balsamfold::values::ZoneId;
+use balsamfold::version::ZoneRecord;
+use proptest::prelude::*;
+
+fn record(name: &str, zone: &str) -> NodeRecord {
+    let unused = "127.0.0.1:0".parse().expect("valid address");
+    NodeRecord {
+        id: name.parse().expect("valid name"),
+        zone: zone.parse().expect("valid name"),
+        addresses: NodeAddresses {
+            peer: unused,
+            control: unused,
+            probe: unused,
+        },
+        incarnation: Incarnation(1),
+        condition: NodeCondition::Alive,
+        server: Some(ServerRecord {
+            service: service(),
+            slots: SlotCount(10),
+            connections: ConnectionCount(100),
+        }),
+    }
+}
+
+fn service() -> ServiceId {
+    "stock".parse().expect("valid name")
+}
+
+fn node(name: &str) -> NodeId {
+    name.parse().expect("valid name")
+}
+
+/// Zones `a` and `b` lie in one region, `far` in another.
+fn zones() -> BTreeMap<ZoneId, ZoneRecord> {
+    [("a", "north"), ("b", "north"), ("far", "south")]
+        .into_iter()
+        .map(|(zone, region)| {
+            let id: ZoneId = zone.parse().expect("valid name");
+            let region = region.parse().expect("valid name");
+            (
+                id.clone(),
+                ZoneRecord {
+                    id,
+                    region,
+                    rate_weight: 1,
+                },
+            )
+        })
+        .collect()
+}
+
+struct Bench {
+    router: Router,
+    members: MemberTable,
+    now: MonotonicTime,
+}
+
+impl Bench {
+    fn new(nodes: &[(&str, &str)]) -> Self {
+        let now = MonotonicTime::default();
+        Self {
+            router: Router::new("a".parse().expect("valid name"), 7, now),
+            members: MemberTable::new(nodes.iter().map(|(name, zone)| record(name, zone))),
+            now,
+        }
+    }
+
+    fn choose(&mut self, excluded: &[NodeId]) -> Option<NodeId> {
+        let context = ChooseContext {
+            members: &self.members,
+            zones: &zones(),
+            excluded,
+            now: self.now,
+        };
+        self.router
+            .choose(&service(), &context)
+            .map(|record| record.id)
+    }
+
+    /// Makes `count` calls, 1 ms apart, and counts them by node.
+    fn run(
+        &mut self,
+        count: u32,
+        server: impl Fn(&str) -> (CallOutcome, u64),
+    ) -> HashMap<String, u32> {
+        let mut calls: HashMap<String, u32> = HashMap::new();
+        for _ in 0..count {
+            self.now = self.now.after(Duration::from_millis(1));
+            let Some(id) = self.choose(&[]) else { continue };
+            let (outcome, latency_ms) = server(id.as_str());
+            self.router.started(&id);
+            let latency = Duration::from_millis(latency_ms);
+            self.router.finished(&id, outcome, latency, self.now);
+            *calls.entry(id.to_string()).or_default() += 1;
+        }
+        calls
+    }
+}
+
+fn calls_of(calls: &HashMap<String, u32>, name: &str) -> u32 {
+    calls.get(name).copied().unwrap_or_default()
+}
+
+#[test]
+fn own_zone_comes_first_and_other_region_last() {
+    let mut bench = Bench::new(&[("a1", "a"), ("b1", "b"), ("far1", "far")]);
+    let calls = bench.run(1000, |_| (CallOutcome::Answered, 5));
+    assert!(calls_of(&calls, "a1") > 990, "{calls:?}");
+    assert_eq!(calls_of(&calls, "far1"), 0);
+    assert_eq!(bench.choose(&[node("a1")]), Some(node("b1")));
+    assert_eq!(bench.choose(&[node("a1"), node("b1")]), Some(node("far1")));
+    assert_eq!(bench.choose(&[node("a1"), node("b1"), node("far1")]), None);
+}
+
+#[test]
+fn calls_spill_once_the_own_zone_costs_more_than_the_trip() {
+    let mut bench = Bench::new(&[("a1", "a"), ("b1", "b")]);
+    let near = |name: &str| (CallOutcome::Answered, if name == "a1" { 6 } else { 5 });
+    let calls = bench.run(1000, near);
+    assert!(calls_of(&calls, "a1") > 900, "{calls:?}");
+    let queueing = |name: &str| (CallOutcome::Answered, if name == "a1" { 20 } else { 5 });
+    let calls = bench.run(1000, queueing);
+    assert!(calls_of(&calls, "b1") > 900, "{calls:?}");
+}
+
+#[test]
+fn calls_in_flight_count() {
+    let mut bench = Bench::new(&[("a1", "a"), ("a2", "a")]);
+    bench.run(100, |_| (CallOutcome::Answered, 5));
+    for _ in 0..10 {
+        let chosen = bench.choose(&[]).expect("there are nodes");
+        bench.router.started(&chosen);
+    }
+    let next = |bench: &mut Bench| (0..20).map(|_| bench.choose(&[])).collect::<Vec<_>>();
+    let chosen = next(&mut bench);
+    assert!(chosen.contains(&Some(node("a1"))) || chosen.contains(&Some(node("a2"))));
+    for _ in 0..10 {
+        bench.router.started(&node("a1"));
+    }
+    let chosen = next(&mut bench);
+    let on_a2 = chosen.iter().filter(|id| **id == Some(node("a2"))).count();
+    assert!(on_a2 >= 12, "{on_a2} of 20 on the idle node");
+}
+
+#[test]
+fn node_that_refuses_gets_less_although_it_answers_fast() {
+    let mut bench = Bench::new(&[("a1", "a"), ("a2", "a")]);
+    let calls = bench.run(1000, |name| match name {
+        "a1" => (CallOutcome::Refused, 0),
+        _ => (CallOutcome::Answered, 10),
+    });
+    assert!(calls_of(&calls, "a1") < 350, "{calls:?}");
+}
+
+#[test]
+fn failing_node_is_ejected_and_comes_back() {
+    let names = [("a1", "a"), ("a2", "a"), ("a3", "a"), ("a4", "a")];
+    let mut bench = Bench::new(&names);
+    let one_fails = |name: &str| match name {
+        "a1" => (CallOutcome::Failed, 1),
+        _ => (CallOutcome::Answered, 5),
+    };
+    let calls = bench.run(5000, one_fails);
+    assert!(calls_of(&calls, "a1") < 50, "{calls:?}");
+    bench.run(20_000, |_| (CallOutcome::Answered, 5));
+    let calls = bench.run(4000, |_| (CallOutcome::Answered, 5));
+    assert!(calls_of(&calls, "a1") > 500, "{calls:?}");
+}
+
+#[test]
+fn new_node_gets_less_at_first() {
+    let mut bench = Bench::new(&[("a1", "a"), ("a2", "a")]);
+    bench.run(10_000, |_| (CallOutcome::Answered, 5));
+    let names = ["a1", "a2", "a3"];
+    bench.members = MemberTable::new(names.map(|name| record(name, "a")));
+    let first = bench.run(500, |_| (CallOutcome::Answered, 5));
+    assert!((1..100).contains(&calls_of(&first, "a3")), "{first:?}");
+    bench.run(5000, |_| (CallOutcome::Answered, 5));
+    let later = bench.run(1000, |_| (CallOutcome::Answered, 5));
+    assert!(calls_of(&later, "a3") > 200, "{later:?}");
+}
+
+#[test]
+fn equal_seeds_give_equal_choices() {
+    let names = [("a1", "a"), ("a2", "a"), ("b1", "b")];
+    let choices = || {
+        let mut bench = Bench::new(&names);
+        (0..100).map(|_| bench.choose(&[])).collect::<Vec<_>>()
+    };
+    assert_eq!(choices(), choices());
+}
+
+proptest! {
+    /// However many nodes fail, at least two in three of those known still get calls.
+    #[test]
+    fn ejected_fraction_is_bounded(count in 1_usize..12, failing in 0_usize..12) {
+        let names: Vec<String> = (0..count).map(|index| format!("n{index}")).collect();
+        let nodes: Vec<_> = names.iter().map(|name| (name.as_str(), "a")).collect();
+        let mut bench = Bench::new(&nodes);
+        let failing: Vec<_> = names.iter().take(failing).cloned().collect();
+        let server = |name: &str| match failing.iter().any(|failing| failing == name) {
+            true => (CallOutcome::Failed, 1),
+            false => (CallOutcome::Answered, 5),
+        };
+        bench.run(400, server);
+        let calls = bench.run(400, server);
+        prop_assert_eq!(calls.values().sum::<u32>(), 400);
+        prop_assert!(calls.len() >= count - count / 3);
+    }
+}
