--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -2,8 +2,10 @@
 
 pub mod control;
 pub mod events;
+pub mod gate;
 pub mod membership;
 pub mod node;
 pub mod secret;
 pub mod settings;
 pub mod secret;
+pub mod routing;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,6 +3,10 @@
 mod fleet;
 mod test_attempts;
 mod test_events;
+mod test_gate;
+mod test_gate_floor;
+mod test_gate_limit;
+mod test_gate_queue;
 mod test_keys;
 mod test_whole_path;
 mod test_membership_cuts;
@@ -13,3 +17,4 @@
 mod test_membership_merge;
 mod test_membership_node;
 mod test_secret;
+mod test_routing;
