--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod events;
 pub mod membership;
+pub mod rates;
--- /dev/null
+++ b/lib/src/process/rates/bucket.rs
@@ -0,0 +1,173 @@
+//! One zone's token bucket of one organisation, with the tokens that others may still spend.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::BatchId;
+use super::Settlement;
+use super::ZoneShare;
+use crate::values::MonotonicTime;
+use crate::values::TokenCount;
+
+/// Billionths of a thousandth of a token: what a rate of one millionth of a token per second mints
+/// in a microsecond.
+const PICOS_PER_TOKEN: u128 = 1_000_000_000_000;
+
+/// Tokens of a batch that may still be spent somewhere.
+#[derive(Clone, Debug)]
+struct Outstanding {
+    unspent_tokens: u64,
+    returned_tokens: u64,
+    ends: MonotonicTime,
+}
+
+/// One zone's token bucket of one organisation.
+///
+/// Tokens leave the bucket when a batch is granted and stay outstanding until the batch is reported
+/// spent or has ended. The level and all outstanding tokens together never exceed the burst, so what
+/// can be spent in a window is at most the burst and what the rate mints in it.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    share: ZoneShare,
+    level_picos: u128,
+    updated: MonotonicTime,
+    unknown: Option<Outstanding>,
+    batches: BTreeMap<BatchId, Outstanding>,
+    outstanding_tokens: u64,
+}
+
+impl Bucket {
+    /// Makes an empty bucket for a holder that has just taken over.
+    ///
+    /// What the holder before granted is unknown and may be spent until `unknown_until`; until then
+    /// the whole burst counts as outstanding.
+    pub fn empty(share: ZoneShare, now: MonotonicTime, unknown_until: MonotonicTime) -> Self {
+        let unknown = Outstanding {
+            unspent_tokens: share.burst_tokens.0,
+            returned_tokens: 0,
+            ends: unknown_until,
+        };
+        Self {
+            share,
+            level_picos: 0,
+            updated: now,
+            outstanding_tokens: unknown.unspent_tokens,
+            unknown: Some(unknown),
+            batches: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the share that the bucket mints.
+    pub fn share(&self) -> ZoneShare {
+        self.share
+    }
+
+    /// Changes rate and burst from `now` on. This makes no tokens.
+    pub fn set_share(&mut self, share: ZoneShare, now: MonotonicTime) {
+        self.advance(now);
+        self.share = share;
+        self.level_picos = self.level_picos.min(self.room_picos());
+    }
+
+    /// Mints what is due until `now` and forgets batches that have ended.
+    pub fn advance(&mut self, now: MonotonicTime) {
+        while let Some(ends) = self.next_end().filter(|ends| *ends <= now) {
+            self.mint_until(ends);
+            self.forget_ended(ends);
+        }
+        self.mint_until(now);
+    }
+
+    /// Returns the whole tokens in the bucket.
+    pub fn level(&self) -> TokenCount {
+        TokenCount((self.level_picos / PICOS_PER_TOKEN) as u64)
+    }
+
+    /// Returns the tokens that may still be spent somewhere.
+    pub fn outstanding(&self) -> TokenCount {
+        TokenCount(self.outstanding_tokens)
+    }
+
+    /// Takes `tokens` out of the bucket as the batch `id`, which ends at `ends`.
+    ///
+    /// Returns whether there were enough.
+    pub fn take(&mut self, id: BatchId, tokens: TokenCount, ends: MonotonicTime) -> bool {
+        if tokens > self.level() {
+            return false;
+        }
+        self.level_picos -= u128::from(tokens.0) * PICOS_PER_TOKEN;
+        self.outstanding_tokens += tokens.0;
+        let batch = Outstanding {
+            unspent_tokens: tokens.0,
+            returned_tokens: 0,
+            ends,
+        };
+        self.batches.insert(id, batch);
+        true
+    }
+
+    /// Takes in what was spent and given back of a batch that has not ended.
+    ///
+    /// Doubled, late and overtaken reports change nothing.
+    pub fn settle(&mut self, settlement: &Settlement) {
+        let Some(batch) = self.batches.get_mut(&settlement.batch) else {
+            return;
+        };
+        let unspent_tokens = batch.unspent_tokens.min(settlement.unspent_tokens.0);
+        let used_tokens = batch.unspent_tokens - unspent_tokens;
+        let returned = settlement
+            .returned_tokens
+            .0
+            .saturating_sub(batch.returned_tokens);
+        let returned_tokens = returned.min(used_tokens);
+        batch.unspent_tokens = unspent_tokens;
+        batch.returned_tokens += returned_tokens;
+        if unspent_tokens == 0 {
+            self.batches.remove(&settlement.batch);
+        }
+        self.outstanding_tokens -= used_tokens;
+        self.level_picos += u128::from(returned_tokens) * PICOS_PER_TOKEN;
+        self.level_picos = self.level_picos.min(self.room_picos());
+    }
+
+    /// Returns how long it takes until the bucket has a whole token, or none if it never will.
+    pub fn until_next_token(&self) -> Option<Duration> {
+        let missing = PICOS_PER_TOKEN.saturating_sub(self.level_picos);
+        match u128::from(self.share.rate_micro_per_s.0) {
+            _ if missing == 0 => Some(Duration::ZERO),
+            0 => None,
+            rate => Some(Duration::from_micros(missing.div_ceil(rate) as u64)),
+        }
+    }
+
+    fn room_picos(&self) -> u128 {
+        let room_tokens = self
+            .share
+            .burst_tokens
+            .0
+            .saturating_sub(self.outstanding_tokens);
+        u128::from(room_tokens) * PICOS_PER_TOKEN
+    }
+
+    fn mint_until(&mut self, until: MonotonicTime) {
+        let elapsed_us = until.since(self.updated).as_micros();
+        let minted_picos = u128::from(self.share.rate_micro_per_s.0) * elapsed_us;
+        self.level_picos = (self.level_picos + minted_picos).min(self.room_picos());
+        self.updated = self.updated.max(until);
+    }
+
+    fn next_end(&self) -> Option<MonotonicTime> {
+        let batches = self.batches.values().chain(&self.unknown);
+        batches.map(|batch| batch.ends).min()
+    }
+
+    fn forget_ended(&mut self, now: MonotonicTime) {
+        let has_ended = |batch: &Outstanding| batch.ends <= now;
+        if let Some(unknown) = self.unknown.take_if(|unknown| has_ended(unknown)) {
+            self.outstanding_tokens -= unknown.unspent_tokens;
+        }
+        for (_, batch) in self.batches.extract_if(.., |_, batch| has_ended(batch)) {
+            self.outstanding_tokens -= batch.unspent_tokens;
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/process/rates/holder.rs
@@ -0,0 +1,467 @@
+//! The holder of one zone: keeps the zone's buckets and hands out batches.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::Answer;
+use super::Ask;
+use super::AskId;
+use super::AskPurpose;
+use super::BatchId;
+use super::Bucket;
+use super::Demand;
+use super::Dry;
+use super::Grant;
+use super::LoanAsk;
+use super::Loans;
+use super::MAX_BATCH_LIFETIME;
+use super::Report;
+use super::Settlement;
+use super::TakenPart;
+use super::ZoneShare;
+use super::lender::Lender;
+use crate::values::Epoch;
+use crate::values::MonotonicTime;
+use crate::values::NodeId;
+use crate::values::OrganisationId;
+use crate::values::TokenCount;
+use crate::values::ZoneId;
+
+/// Tokens for this much of the expected demand are borrowed ahead.
+const BORROW_AHEAD: Duration = Duration::from_millis(100);
+
+/// A lender keeps tokens for this much of its own zone's expected demand.
+const LENDER_RESERVE: Duration = Duration::from_millis(50);
+
+/// At most this part of what is left goes to demand that does not wait yet.
+const PREFETCH_DIVISOR: u64 = 4;
+
+/// The shortest time for which the word that there is no token holds.
+const MIN_DRY: Duration = Duration::from_millis(1);
+
+/// The longest time for which the word that there is no token holds.
+const MAX_DRY: Duration = Duration::from_millis(100);
+
+/// The shortest time for which the word to another zone that there is no token holds.
+const MIN_LENDER_DRY: Duration = Duration::from_millis(50);
+
+/// An asker that was silent for this time no longer counts.
+const ASKER_MEMORY: Duration = Duration::from_millis(500);
+
+/// Who holds the buckets of a zone.
+#[derive(Clone, Debug)]
+pub struct HolderSettings {
+    /// The zone.
+    pub zone: ZoneId,
+    /// The node that holds them.
+    pub node: NodeId,
+    /// The epoch of the role.
+    pub epoch: Epoch,
+}
+
+/// What the holder does about an ask.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HolderReply {
+    /// The answer, or none if the asker has to wait until loans are answered.
+    pub answer: Option<Answer>,
+    /// Asks to send to the holders of other zones now.
+    pub loan_asks: Vec<LoanAsk>,
+}
+
+/// Reports to send to the holder of another zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HolderReport {
+    /// The zone whose holder gets the report.
+    pub lender: ZoneId,
+    /// The report.
+    pub report: Report,
+}
+
+/// The account of one organisation in the zone.
+#[derive(Clone, Debug)]
+struct Account {
+    bucket: Bucket,
+    loans: Loans,
+    demand: Demand,
+    lenders: BTreeMap<ZoneId, Lender>,
+    askers: BTreeMap<NodeId, MonotonicTime>,
+}
+
+/// Keeps the buckets of all organisations in one zone.
+///
+/// Every call must be made with the time read after the holder's lease was found valid.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    settings: HolderSettings,
+    accounts: BTreeMap<OrganisationId, Account>,
+    next_batch: BatchId,
+    next_ask: AskId,
+    lender_epochs: BTreeMap<ZoneId, Epoch>,
+    unknown_until: MonotonicTime,
+}
+
+impl Holder {
+    /// Makes a holder that has just taken over. All its buckets are empty, and they stay empty until
+    /// every batch of the holder before has ended.
+    pub fn new(settings: HolderSettings, now: MonotonicTime) -> Self {
+        Self {
+            settings,
+            accounts: BTreeMap::new(),
+            next_batch: BatchId(0),
+            next_ask: AskId(0),
+            lender_epochs: BTreeMap::new(),
+            unknown_until: now.after(MAX_BATCH_LIFETIME),
+        }
+    }
+
+    /// Returns the epoch of the role.
+    pub fn epoch(&self) -> Epoch {
+        self.settings.epoch
+    }
+
+    /// Sets the zone's share of an organisation and the other zones that may lend.
+    ///
+    /// A new organisation starts with an empty bucket; a changed share makes no tokens.
+    pub fn set_share(
+        &mut self,
+        organisation: &OrganisationId,
+        share: ZoneShare,
+        lenders: impl IntoIterator<Item = ZoneId>,
+        now: MonotonicTime,
+    ) {
+        let unknown_until = self.unknown_until;
+        let account = self
+            .accounts
+            .entry(organisation.clone())
+            .or_insert_with(|| Account::new(share, now, unknown_until));
+        account.bucket.set_share(share, now);
+        let mut known = std::mem::take(&mut account.lenders);
+        let lenders = lenders.into_iter();
+        account.lenders = lenders
+            .map(|zone| {
+                let lender = known.remove(&zone).unwrap_or_default();
+                (zone, lender)
+            })
+            .collect();
+    }
+
+    /// Forgets organisations that `keep` does not name.
+    pub fn retain(&mut self, keep: impl Fn(&OrganisationId) -> bool) {
+        self.accounts.retain(|organisation, _| keep(organisation));
+    }
+
+    /// Returns the tokens in the bucket of `organisation`.
+    pub fn level(&self, organisation: &OrganisationId) -> Option<TokenCount> {
+        let account = self.accounts.get(organisation)?;
+        Some(account.bucket.level())
+    }
+
+    /// Decides what to answer to an ask by a node of the zone or by another zone's holder.
+    pub fn ask(&mut self, ask: &Ask, now: MonotonicTime) -> HolderReply {
+        self.report(&ask.organisation, &ask.settlements, now);
+        let reply = self.decide(ask, now);
+        self.count_demand(ask, &reply, now);
+        reply
+    }
+
+    /// Decides again about an ask that had to wait for loans.
+    pub fn retry(&mut self, ask: &Ask, now: MonotonicTime) -> HolderReply {
+        self.decide(ask, now)
+    }
+
+    /// Takes in reports on batches.
+    pub fn report(
+        &mut self,
+        organisation: &OrganisationId,
+        settlements: &[Settlement],
+        now: MonotonicTime,
+    ) {
+        let epoch = self.settings.epoch;
+        let Some(account) = self.accounts.get_mut(organisation) else {
+            return;
+        };
+        account.advance(now);
+        let of_this_epoch = |settlement: &&Settlement| settlement.epoch == epoch;
+        for settlement in settlements.iter().filter(of_this_epoch) {
+            account.bucket.settle(settlement);
+            account.loans.settle(settlement);
+        }
+    }
+
+    /// Takes in the answer of another zone's holder.
+    pub fn loan_answered(
+        &mut self,
+        organisation: &OrganisationId,
+        lender: &ZoneId,
+        id: AskId,
+        answer: &Answer,
+        now: MonotonicTime,
+    ) {
+        let Some(account) = self.accounts.get_mut(organisation) else {
+            return;
+        };
+        let Some(record) = account.lenders.get_mut(lender) else {
+            return;
+        };
+        let Some(sent) = record.answered(id) else {
+            return;
+        };
+        let seen = self.lender_epochs.entry(lender.clone()).or_default();
+        match answer {
+            Answer::Grant(grant) if grant.epoch >= *seen && grant.zone == *lender => {
+                *seen = grant.epoch;
+                account.loans.accept(grant, sent);
+            }
+            Answer::Dry(dry) if dry.epoch >= *seen => {
+                *seen = dry.epoch;
+                record.is_dry(dry, now);
+            }
+            _ => record.does_not_lend(now),
+        }
+    }
+
+    /// Returns reports that are due to other zones. To be called several times in a second.
+    pub fn tick(&mut self, now: MonotonicTime) -> Vec<HolderReport> {
+        let mut reports = Vec::new();
+        for (organisation, account) in &mut self.accounts {
+            account.advance(now);
+            account
+                .askers
+                .retain(|_, last| now.since(*last) < ASKER_MEMORY);
+            account.loans.give_up_unused(now);
+            reports.extend(account.reports(organisation));
+        }
+        reports
+    }
+
+    /// Gives all borrowed tokens back before a planned stop. Returns the reports to send.
+    pub fn give_up_loans(&mut self, now: MonotonicTime) -> Vec<HolderReport> {
+        let mut reports = Vec::new();
+        for (organisation, account) in &mut self.accounts {
+            account.advance(now);
+            account.loans.give_up_all();
+            reports.extend(account.reports(organisation));
+        }
+        reports
+    }
+
+    /// Counts what was granted or is waited for, whichever is more.
+    fn count_demand(&mut self, ask: &Ask, reply: &HolderReply, now: MonotonicTime) {
+        let granted = match &reply.answer {
+            Some(Answer::Grant(grant)) => grant.tokens,
+            _ => TokenCount(0),
+        };
+        match self.accounts.get_mut(&ask.organisation) {
+            Some(account) if ask.purpose == AskPurpose::Spend => {
+                let needed = granted.max(ask.waiting_tokens);
+                account.demand.record(needed, now);
+            }
+            _ => {}
+        }
+    }
+
+    fn decide(&mut self, ask: &Ask, now: MonotonicTime) -> HolderReply {
+        let is_superseded = ask.epoch > self.settings.epoch;
+        let account = self.accounts.get_mut(&ask.organisation);
+        let Some(account) = account.filter(|_| !is_superseded) else {
+            return HolderReply::only(Answer::NotHolder);
+        };
+        account.advance(now);
+        let id = self.next_batch;
+        self.next_batch = BatchId(id.0 + 1);
+        let taken = match ask.purpose {
+            AskPurpose::Spend => account.take_for_node(id, ask, now),
+            AskPurpose::Lend => account.take_for_zone(id, ask, now),
+        };
+        let loan_asks = match ask.purpose {
+            AskPurpose::Spend => self.borrow(ask, taken, now),
+            AskPurpose::Lend => Vec::new(),
+        };
+        HolderReply {
+            answer: self.answer(id, ask, taken, now),
+            loan_asks,
+        }
+    }
+
+    fn answer(
+        &self,
+        id: BatchId,
+        ask: &Ask,
+        taken: Option<TakenPart>,
+        now: MonotonicTime,
+    ) -> Option<Answer> {
+        let account = self.accounts.get(&ask.organisation)?;
+        match taken {
+            Some(part) => Some(Answer::Grant(Grant {
+                zone: self.settings.zone.clone(),
+                epoch: self.settings.epoch,
+                batch: id,
+                tokens: part.tokens,
+                lifetime_us: part.lifetime.as_micros() as u64,
+            })),
+            None if ask.purpose == AskPurpose::Spend && account.awaits_loan(now) => None,
+            None => Some(Answer::Dry(Dry {
+                zone: self.settings.zone.clone(),
+                epoch: self.settings.epoch,
+                holds_us: account.dry_holds(ask.purpose, now).as_micros() as u64,
+                next_token_us: account.until_next_token(now).as_micros() as u64,
+            })),
+        }
+    }
+
+    fn borrow(&mut self, ask: &Ask, taken: Option<TakenPart>, now: MonotonicTime) -> Vec<LoanAsk> {
+        let Some(account) = self.accounts.get_mut(&ask.organisation) else {
+            return Vec::new();
+        };
+        let granted = taken.map_or(0, |part| part.tokens.0);
+        let missing = ask.waiting_tokens.0.saturating_sub(granted);
+        let wanted = account.loan_wanted(missing, now);
+        let zones = account.lenders_to_ask(now);
+        let each = wanted.div_ceil((zones.len() as u64).max(1));
+        let mut asks = Vec::new();
+        for lender in zones.into_iter().filter(|_| wanted > 0) {
+            let id = self.next_ask;
+            self.next_ask = AskId(id.0 + 1);
+            account
+                .lenders
+                .entry(lender.clone())
+                .or_default()
+                .asked(id, now);
+            let epoch = self.lender_epochs.get(&lender).copied();
+            let ask = Ask {
+                id,
+                asker: self.settings.node.clone(),
+                organisation: ask.organisation.clone(),
+                purpose: AskPurpose::Lend,
+                epoch: epoch.unwrap_or_default(),
+                waiting_tokens: TokenCount(each),
+                prefetch_tokens: TokenCount(0),
+                settlements: account.loans.settlements(&lender),
+            };
+            asks.push(LoanAsk { lender, ask });
+        }
+        asks
+    }
+}
+
+impl HolderReply {
+    fn only(answer: Answer) -> Self {
+        Self {
+            answer: Some(answer),
+            loan_asks: Vec::new(),
+        }
+    }
+}
+
+impl Account {
+    fn new(share: ZoneShare, now: MonotonicTime, unknown_until: MonotonicTime) -> Self {
+        Self {
+            bucket: Bucket::empty(share, now, unknown_until),
+            loans: Loans::default(),
+            demand: Demand::new(now),
+            lenders: BTreeMap::new(),
+            askers: BTreeMap::new(),
+        }
+    }
+
+    fn advance(&mut self, now: MonotonicTime) {
+        self.bucket.advance(now);
+        self.loans.advance(now);
+    }
+
+    fn stock_tokens(&self, now: MonotonicTime) -> u64 {
+        self.bucket.level().0 + self.loans.available(now).0
+    }
+
+    /// Takes borrowed tokens first, because they end, then tokens of the zone's own bucket.
+    fn take_for_node(&mut self, id: BatchId, ask: &Ask, now: MonotonicTime) -> Option<TakenPart> {
+        self.askers.insert(ask.asker.clone(), now);
+        let stock = self.stock_tokens(now);
+        let waiting = ask.waiting_tokens.0.min(stock);
+        let spare = (stock - waiting) / PREFETCH_DIVISOR;
+        let wanted = TokenCount(waiting + ask.prefetch_tokens.0.min(spare));
+        match wanted {
+            TokenCount(0) => None,
+            _ if self.loans.available(now).0 > 0 => self.loans.take(id, wanted, now),
+            _ => self.take_own(id, wanted, now),
+        }
+    }
+
+    fn take_for_zone(&mut self, id: BatchId, ask: &Ask, now: MonotonicTime) -> Option<TakenPart> {
+        let reserve = self.demand.expected(LENDER_RESERVE, now).0;
+        let spare = self.bucket.level().0.saturating_sub(reserve);
+        match spare.min(ask.waiting_tokens.0) {
+            0 => None,
+            tokens => self.take_own(id, TokenCount(tokens), now),
+        }
+    }
+
+    fn take_own(
+        &mut self,
+        id: BatchId,
+        wanted: TokenCount,
+        now: MonotonicTime,
+    ) -> Option<TakenPart> {
+        let tokens = wanted.min(self.bucket.level());
+        let lifetime = self.bucket.share().batch_lifetime();
+        let taken = tokens.0 > 0 && self.bucket.take(id, tokens, now.after(lifetime));
+        taken.then_some(TakenPart { tokens, lifetime })
+    }
+
+    fn loan_wanted(&self, missing_tokens: u64, now: MonotonicTime) -> u64 {
+        let ahead = self.demand.expected(BORROW_AHEAD, now).0;
+        let stock = self.stock_tokens(now);
+        match stock {
+            _ if missing_tokens > 0 => missing_tokens + ahead,
+            _ => ahead.saturating_sub(stock),
+        }
+    }
+
+    fn lenders_to_ask(&self, now: MonotonicTime) -> Vec<ZoneId> {
+        let lenders = self.lenders.iter();
+        lenders
+            .filter(|(_, lender)| lender.can_be_asked(now))
+            .map(|(zone, _)| zone.clone())
+            .collect()
+    }
+
+    fn awaits_loan(&self, now: MonotonicTime) -> bool {
+        self.lenders.values().any(|lender| lender.is_awaited(now))
+    }
+
+    /// Returns the time in which the rate mints one token for each asker.
+    fn dry_holds(&self, purpose: AskPurpose, now: MonotonicTime) -> Duration {
+        let is_active = |last: &&MonotonicTime| now.since(**last) < ASKER_MEMORY;
+        let askers = self.askers.values().filter(is_active).count() as u64;
+        let rate = self.bucket.share().rate_micro_per_s.0.max(1);
+        let micros = askers.saturating_mul(1_000_000_000_000) / rate;
+        match purpose {
+            AskPurpose::Spend => Duration::from_micros(micros).clamp(MIN_DRY, MAX_DRY),
+            AskPurpose::Lend => Duration::from_micros(micros).clamp(MIN_LENDER_DRY, MAX_DRY),
+        }
+    }
+
+    fn until_next_token(&self, now: MonotonicTime) -> Duration {
+        let lenders = self.lenders.values();
+        let soonest = lenders.map(|lender| lender.until_next_token(now)).min();
+        let own = self.bucket.until_next_token();
+        own.into_iter()
+            .chain(soonest)
+            .min()
+            .unwrap_or(MAX_BATCH_LIFETIME)
+    }
+
+    fn reports(&mut self, organisation: &OrganisationId) -> Vec<HolderReport> {
+        let lenders = self.loans.lenders_to_tell();
+        lenders
+            .into_iter()
+            .map(|lender| HolderReport {
+                report: Report {
+                    organisation: organisation.clone(),
+                    settlements: self.loans.settlements(&lender),
+                },
+                lender,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/lib/src/process/rates/lease.rs
@@ -0,0 +1,349 @@
+//! The lease on the role of a zone's holder.
+//!
+//! One record per zone in the platform names the holder and its epoch. It is written by
+//! compare-and-swap only, and every renewal changes it. The holder counts its lease from when it
+//! *sent* the last renewal that took effect. Another node takes over only after it *saw* the record
+//! unchanged for [`LEASE_TAKEOVER`], which is longer than [`LEASE_HOLD`]. So two leases never
+//! overlap, whatever is delayed, and no clock but the two monotonic ones is compared.
+//!
+//! While the platform is down for all nodes of the zone, nobody can take over. The holder then asks
+//! all of them; each that cannot reach the platform either promises not to take over for
+//! [`LEASE_TAKEOVER`]. With all promises the holder goes on for another [`LEASE_HOLD`].
+
+use std::time::Duration;
+
+use crate::process::membership::MemberTable;
+use crate::values::Epoch;
+use crate::values::Incarnation;
+use crate::values::MonotonicTime;
+use crate::values::NodeId;
+use crate::values::ZoneId;
+
+/// How long the role is held after a renewal was sent.
+pub const LEASE_HOLD: Duration = Duration::from_millis(3_000);
+
+/// How long a record must stay unchanged before another node takes over.
+pub const LEASE_TAKEOVER: Duration = Duration::from_millis(4_000);
+
+/// Time between renewals, and between reads of a candidate.
+pub const LEASE_RENEWAL: Duration = Duration::from_millis(1_000);
+
+/// Nodes of a zone that watch the record, ready to take over.
+pub const CANDIDATES_PER_ZONE: usize = 3;
+
+plain_data! {
+    /// The platform's record of the holder of one zone.
+    #[derive(Eq)]
+    pub struct HolderRecord {
+        /// The node that holds the role.
+        pub holder: NodeId,
+        /// The life of that node.
+        pub incarnation: Incarnation,
+        /// Rises by one with each change of the holder.
+        pub epoch: Epoch,
+        /// Rises by one with each renewal.
+        pub renewals: u64,
+    }
+}
+
+plain_value! {
+    /// Whether a node can write to the platform.
+    #[serde(rename_all = "kebab-case")]
+    pub enum PlatformStanding {
+        /// It can, or a write of it may still take effect.
+        Reachable,
+        /// It cannot, and no write of it is in doubt.
+        Unreachable,
+    }
+}
+
+plain_data! {
+    /// What a node tells the holder of its zone.
+    #[derive(Eq)]
+    pub struct PeerStanding {
+        /// The highest epoch of the zone that the node has seen.
+        pub epoch: Epoch,
+        /// Whether the node can write to the platform. A node that cannot promises not to take over
+        /// for [`LEASE_TAKEOVER`].
+        pub platform: PlatformStanding,
+    }
+}
+
+/// A compare-and-swap to send to the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RecordWrite {
+    /// The record that must be in place, or none if there must be no record.
+    pub expected: Option<HolderRecord>,
+    /// The record to put in its place.
+    pub record: HolderRecord,
+}
+
+/// What a node does about the role now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseAction {
+    /// Nothing until later.
+    Wait,
+    /// Read the record.
+    Read,
+    /// Write the record.
+    Write(RecordWrite),
+}
+
+/// A record as last seen in the platform.
+#[derive(Clone, Debug)]
+struct SeenRecord {
+    record: Option<HolderRecord>,
+    since: MonotonicTime,
+}
+
+/// A write whose answer is not known.
+#[derive(Clone, Debug)]
+struct OpenWrite {
+    record: HolderRecord,
+    sent: MonotonicTime,
+}
+
+/// The role as one node sees it.
+#[derive(Clone, Debug)]
+pub struct HolderLease {
+    node: NodeId,
+    incarnation: Incarnation,
+    seen: Option<SeenRecord>,
+    open: Option<OpenWrite>,
+    held: Option<HeldLease>,
+    no_takeover_before: MonotonicTime,
+    next_call: MonotonicTime,
+    platform: PlatformStanding,
+    highest_epoch: Epoch,
+}
+
+/// The role while this node holds it.
+#[derive(Clone, Copy, Debug)]
+struct HeldLease {
+    epoch: Epoch,
+    valid_until: MonotonicTime,
+}
+
+impl HolderLease {
+    /// Starts without the role.
+    pub fn new(node: NodeId, incarnation: Incarnation) -> Self {
+        Self {
+            node,
+            incarnation,
+            seen: None,
+            open: None,
+            held: None,
+            no_takeover_before: MonotonicTime::default(),
+            next_call: MonotonicTime::default(),
+            platform: PlatformStanding::Unreachable,
+            highest_epoch: Epoch::default(),
+        }
+    }
+
+    /// Returns the epoch in which this node may grant tokens now.
+    pub fn held_epoch(&self, now: MonotonicTime) -> Option<Epoch> {
+        match self.held {
+            Some(held) if now < held.valid_until && held.epoch >= self.highest_epoch => {
+                Some(held.epoch)
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns until when this node may grant tokens, if it still holds the role.
+    pub fn held_until(&self) -> Option<MonotonicTime> {
+        self.held.map(|held| held.valid_until)
+    }
+
+    /// Returns the holder that the platform's record named when it was last read.
+    pub fn known_holder(&self) -> Option<&HolderRecord> {
+        self.seen.as_ref()?.record.as_ref()
+    }
+
+    /// Returns what to send to the platform now. `is_candidate` says whether this node may take over.
+    pub fn next_action(&mut self, is_candidate: bool, now: MonotonicTime) -> LeaseAction {
+        let is_holder = self.held.is_some();
+        if now < self.next_call || !(is_candidate || is_holder) {
+            return LeaseAction::Wait;
+        }
+        self.next_call = now.after(LEASE_RENEWAL);
+        match (&self.seen, is_holder) {
+            _ if self.open.is_some() => LeaseAction::Read,
+            (Some(seen), true) => self.write(self.renewal(seen), now),
+            (Some(seen), false) if self.may_take_over(seen, now) => {
+                self.write(self.takeover(seen), now)
+            }
+            _ => LeaseAction::Read,
+        }
+    }
+
+    /// Takes in the record that the platform held.
+    pub fn record_read(&mut self, record: Option<HolderRecord>, now: MonotonicTime) {
+        self.platform = PlatformStanding::Reachable;
+        let epoch = record.as_ref().map_or(Epoch(0), |record| record.epoch);
+        self.highest_epoch = self.highest_epoch.max(epoch);
+        match self.open.take() {
+            Some(open) if record.as_ref() == Some(&open.record) => self.took_effect(&open),
+            _ => {}
+        }
+        let is_ours = record.as_ref().is_some_and(|record| self.is_own(record));
+        if !is_ours {
+            self.held = None;
+        }
+        match &self.seen {
+            Some(seen) if seen.record == record => {}
+            _ => self.seen = Some(SeenRecord { record, since: now }),
+        }
+    }
+
+    /// Takes in that the open write took effect.
+    pub fn write_succeeded(&mut self, now: MonotonicTime) {
+        self.platform = PlatformStanding::Reachable;
+        if let Some(open) = self.open.take() {
+            self.took_effect(&open);
+            self.highest_epoch = self.highest_epoch.max(open.record.epoch);
+            self.seen = Some(SeenRecord {
+                record: Some(open.record),
+                since: now,
+            });
+        }
+    }
+
+    /// Takes in that the open write found another record, which is read next.
+    ///
+    /// A lease that is still held goes on to its end, because nobody takes over before.
+    pub fn write_conflicted(&mut self, now: MonotonicTime) {
+        self.platform = PlatformStanding::Reachable;
+        self.open = None;
+        self.seen = None;
+        self.next_call = now;
+    }
+
+    /// Takes in that the platform did not answer. An open write stays in doubt.
+    pub fn platform_unreachable(&mut self) {
+        self.platform = PlatformStanding::Unreachable;
+    }
+
+    /// Takes in an epoch of the zone that another node has seen.
+    pub fn epoch_seen(&mut self, epoch: Epoch) {
+        self.highest_epoch = self.highest_epoch.max(epoch);
+    }
+
+    /// Answers the holder of the zone, and promises what the answer says.
+    pub fn standing(&mut self, now: MonotonicTime) -> PeerStanding {
+        let platform = match self.open {
+            Some(_) => PlatformStanding::Reachable,
+            None => self.platform,
+        };
+        if platform == PlatformStanding::Unreachable {
+            self.no_takeover_before = self.no_takeover_before.max(now.after(LEASE_TAKEOVER));
+        }
+        PeerStanding {
+            epoch: self.highest_epoch,
+            platform,
+        }
+    }
+
+    /// Returns whether the holder needs the promises of all nodes of its zone to go on.
+    pub fn needs_promises(&self, now: MonotonicTime) -> bool {
+        match self.held {
+            Some(held) if self.platform == PlatformStanding::Unreachable => {
+                now.after(LEASE_HOLD / 2) > held.valid_until
+            }
+            _ => false,
+        }
+    }
+
+    /// Takes in the answers of all nodes of the zone that are not known to be dead, to a question
+    /// sent at `asked_at`. `None` stands for a node that did not answer.
+    pub fn promises_answered(&mut self, answers: &[Option<PeerStanding>], asked_at: MonotonicTime) {
+        let seen = answers.iter().flatten().map(|answer| answer.epoch).max();
+        self.highest_epoch = self.highest_epoch.max(seen.unwrap_or_default());
+        let all_promised = answers.iter().all(|answer| {
+            let platform = answer.as_ref().map(|answer| answer.platform);
+            platform == Some(PlatformStanding::Unreachable)
+        });
+        match &mut self.held {
+            Some(held) if all_promised && held.epoch >= self.highest_epoch => {
+                held.valid_until = held.valid_until.max(asked_at.after(LEASE_HOLD));
+            }
+            _ => {}
+        }
+    }
+
+    fn write(&mut self, write: RecordWrite, now: MonotonicTime) -> LeaseAction {
+        self.open = Some(OpenWrite {
+            record: write.record.clone(),
+            sent: now,
+        });
+        LeaseAction::Write(write)
+    }
+
+    fn renewal(&self, seen: &SeenRecord) -> RecordWrite {
+        let renewals = seen.record.as_ref().map_or(0, |record| record.renewals);
+        let epoch = self.held.map_or(Epoch(0), |held| held.epoch);
+        self.record_after(seen, epoch, renewals + 1)
+    }
+
+    fn takeover(&self, seen: &SeenRecord) -> RecordWrite {
+        let in_record = seen.record.as_ref().map_or(Epoch(0), |record| record.epoch);
+        let epoch = Epoch(in_record.max(self.highest_epoch).0 + 1);
+        self.record_after(seen, epoch, 0)
+    }
+
+    fn record_after(&self, seen: &SeenRecord, epoch: Epoch, renewals: u64) -> RecordWrite {
+        RecordWrite {
+            expected: seen.record.clone(),
+            record: HolderRecord {
+                holder: self.node.clone(),
+                incarnation: self.incarnation,
+                epoch,
+                renewals,
+            },
+        }
+    }
+
+    fn may_take_over(&self, seen: &SeenRecord, now: MonotonicTime) -> bool {
+        let is_vacant = seen.record.is_none();
+        let is_lapsed = now.since(seen.since) >= LEASE_TAKEOVER;
+        now >= self.no_takeover_before && (is_vacant || is_lapsed)
+    }
+
+    fn is_own(&self, record: &HolderRecord) -> bool {
+        record.holder == self.node && record.incarnation == self.incarnation
+    }
+
+    /// The lease is counted from when the write was sent.
+    fn took_effect(&mut self, open: &OpenWrite) {
+        let valid_until = open.sent.after(LEASE_HOLD);
+        let epoch = open.record.epoch;
+        self.held = match self.held {
+            Some(held) if held.epoch == epoch => Some(HeldLease {
+                epoch,
+                valid_until: held.valid_until.max(valid_until),
+            }),
+            _ => Some(HeldLease { epoch, valid_until }),
+        };
+    }
+}
+
+/// Returns the nodes of `zone` that may take over its rates, by rendezvous hashing.
+pub fn holder_candidates(zone: &ZoneId, members: &MemberTable) -> Vec<NodeId> {
+    let in_zone = members
+        .nodes()
+        .filter(|record| record.zone == *zone && record.takes_work());
+    let mut ranked: Vec<_> = in_zone
+        .map(|record| (rendezvous_rank(zone, &record.id), record.id.clone()))
+        .collect();
+    ranked.sort();
+    ranked.truncate(CANDIDATES_PER_ZONE);
+    ranked.into_iter().map(|(_, id)| id).collect()
+}
+
+fn rendezvous_rank(zone: &ZoneId, node: &NodeId) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(zone.as_str().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(node.as_str().as_bytes());
+    hasher.finalize().into()
+}
--- /dev/null
+++ b/lib/src/process/rates/local.rs
@@ -0,0 +1,353 @@
+//! The tokens that a node may spend, and when it asks for more.
+
+use std::collections::BTreeMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::time::Duration;
+
+use super::Answer;
+use super::Ask;
+use super::AskId;
+use super::AskPurpose;
+use super::Demand;
+use super::Dry;
+use super::MIN_BATCH_LIFETIME;
+use super::Report;
+use super::local_batch::LocalBatches;
+use crate::values::Epoch;
+use crate::values::MonotonicTime;
+use crate::values::NodeId;
+use crate::values::OrganisationId;
+use crate::values::TokenCount;
+use crate::values::ZoneId;
+
+/// A zone whose holder did not answer is not asked again for this time.
+const PAUSE_AFTER_SILENCE: Duration = Duration::from_millis(200);
+
+/// More tokens are asked for when those left are expected to last only this long.
+const REFILL_BEFORE: Duration = Duration::from_millis(20);
+
+/// More tokens are asked for when this part of the wanted stock is left.
+const REFILL_DIVISOR: u64 = 4;
+
+/// An ask without an answer is given up after this time.
+pub const ASK_TIMEOUT: Duration = Duration::from_millis(25);
+
+/// The shortest span over which the times to try again are spread.
+const MIN_RETRY_SPREAD: Duration = Duration::from_millis(100);
+
+/// What a node does with a request that needs a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spend {
+    /// A token was spent.
+    Admitted,
+    /// The holder's word that there is no token still holds.
+    Refused {
+        /// When the caller may try again.
+        retry_after: Duration,
+    },
+    /// The node has no token and has to ask.
+    NeedsTokens,
+    /// No holder can be reached.
+    Unreachable,
+}
+
+/// An ask and the zone whose holder gets it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AskTarget {
+    /// The zone.
+    pub zone: ZoneId,
+    /// The ask.
+    pub ask: Ask,
+}
+
+/// A report and the zone whose holder gets it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReportTarget {
+    /// The zone.
+    pub zone: ZoneId,
+    /// The report.
+    pub report: Report,
+}
+
+/// An ask that was not answered yet.
+#[derive(Clone, Debug)]
+struct OpenAsk {
+    id: AskId,
+    zone: ZoneId,
+    sent: MonotonicTime,
+}
+
+/// The holder's word that there is no token.
+#[derive(Clone, Copy, Debug)]
+struct DryWord {
+    holds_until: MonotonicTime,
+    next_token: MonotonicTime,
+}
+
+/// One organisation on this node.
+#[derive(Clone, Debug)]
+struct LocalAccount {
+    batches: LocalBatches,
+    demand: Demand,
+    open: Option<OpenAsk>,
+    dry: Option<DryWord>,
+    lifetime: Duration,
+}
+
+/// The tokens of all organisations that a node may spend.
+///
+/// Lifetimes are counted from when an ask was sent, by the node's own monotonic clock, so that they
+/// end before the holder stops counting the batch.
+#[derive(Clone, Debug)]
+pub struct LocalTokens {
+    node: NodeId,
+    /// The node's own zone first, then the others.
+    zones: Vec<ZoneId>,
+    epochs: BTreeMap<ZoneId, Epoch>,
+    silent_until: BTreeMap<ZoneId, MonotonicTime>,
+    accounts: BTreeMap<OrganisationId, LocalAccount>,
+    next_ask: AskId,
+    refusals: u64,
+}
+
+impl LocalTokens {
+    /// Starts without tokens. `zones` has the node's own zone first.
+    pub fn new(node: NodeId, zones: Vec<ZoneId>) -> Self {
+        Self {
+            node,
+            zones,
+            epochs: BTreeMap::new(),
+            silent_until: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+            next_ask: AskId(0),
+            refusals: 0,
+        }
+    }
+
+    /// Replaces the zones; the node's own comes first.
+    pub fn set_zones(&mut self, zones: Vec<ZoneId>) {
+        self.zones = zones;
+    }
+
+    /// Forgets organisations that `keep` does not name.
+    pub fn retain(&mut self, keep: impl Fn(&OrganisationId) -> bool) {
+        self.accounts.retain(|organisation, _| keep(organisation));
+    }
+
+    /// Counts a new request of `organisation`, and spends a token on it if there is one.
+    pub fn arrive(&mut self, organisation: &OrganisationId, now: MonotonicTime) -> Spend {
+        let account = self.account(organisation, now);
+        account.demand.record(TokenCount(1), now);
+        self.spend(organisation, now)
+    }
+
+    /// Spends a token on a request that was counted before.
+    pub fn spend(&mut self, organisation: &OrganisationId, now: MonotonicTime) -> Spend {
+        let unreachable = self.reachable_zone(now).is_none();
+        let account = self.account(organisation, now);
+        match account.dry {
+            _ if account.batches.spend(now) => Spend::Admitted,
+            Some(dry) if now < dry.holds_until => {
+                let retry_after = self.retry_after(organisation, dry, now);
+                Spend::Refused { retry_after }
+            }
+            _ if unreachable => Spend::Unreachable,
+            _ => Spend::NeedsTokens,
+        }
+    }
+
+    /// Returns the ask to send now for `waiting` requests and for demand that is expected, or none
+    /// if nothing is needed or an ask is open.
+    pub fn begin_ask(
+        &mut self,
+        organisation: &OrganisationId,
+        waiting: TokenCount,
+        now: MonotonicTime,
+    ) -> Option<AskTarget> {
+        let zone = self.reachable_zone(now)?.clone();
+        let id = AskId(self.next_ask.0 + 1);
+        let account = self.account(organisation, now);
+        let prefetch_tokens = account.prefetch_wanted(waiting, now);
+        if account.is_asking(now) || waiting.0 + prefetch_tokens.0 == 0 {
+            return None;
+        }
+        account.open = Some(OpenAsk {
+            id,
+            zone: zone.clone(),
+            sent: now,
+        });
+        let settlements = account.batches.settlements(&zone);
+        self.next_ask = id;
+        let ask = Ask {
+            id,
+            asker: self.node.clone(),
+            organisation: organisation.clone(),
+            purpose: AskPurpose::Spend,
+            epoch: self.epochs.get(&zone).copied().unwrap_or_default(),
+            waiting_tokens: waiting,
+            prefetch_tokens,
+            settlements,
+        };
+        Some(AskTarget { zone, ask })
+    }
+
+    /// Takes in the answer to the ask `id`. Answers to other asks change nothing.
+    pub fn answered(
+        &mut self,
+        organisation: &OrganisationId,
+        id: AskId,
+        answer: &Answer,
+        now: MonotonicTime,
+    ) {
+        let account = self.account(organisation, now);
+        let Some(open) = account.open.take_if(|open| open.id == id) else {
+            return;
+        };
+        let seen = self.epochs.entry(open.zone.clone()).or_default();
+        match answer {
+            Answer::Grant(grant) if grant.epoch >= *seen => {
+                *seen = grant.epoch;
+                self.accept_grant(organisation, grant, &open);
+            }
+            Answer::Dry(dry) if dry.epoch >= *seen => {
+                *seen = dry.epoch;
+                self.accept_dry(organisation, dry, now);
+            }
+            _ => self.is_silent(open.zone, now),
+        }
+    }
+
+    /// Gives up the ask `id`, which was not answered in time or could not be sent.
+    pub fn unanswered(&mut self, organisation: &OrganisationId, id: AskId, now: MonotonicTime) {
+        let account = self.account(organisation, now);
+        if let Some(open) = account.open.take_if(|open| open.id == id) {
+            self.is_silent(open.zone, now);
+        }
+    }
+
+    /// Returns reports that are due to holders. To be called several times in a second.
+    pub fn tick(&mut self, now: MonotonicTime) -> Vec<ReportTarget> {
+        let mut reports = Vec::new();
+        for (organisation, account) in &mut self.accounts {
+            account.batches.give_up_unused(now);
+            reports.extend(account.reports(organisation));
+        }
+        reports
+    }
+
+    /// Gives all tokens back before a planned stop. Returns the reports to send.
+    pub fn give_up_all(&mut self) -> Vec<ReportTarget> {
+        let mut reports = Vec::new();
+        for (organisation, account) in &mut self.accounts {
+            account.batches.give_up_all();
+            reports.extend(account.reports(organisation));
+        }
+        reports
+    }
+
+    fn account(&mut self, organisation: &OrganisationId, now: MonotonicTime) -> &mut LocalAccount {
+        if !self.accounts.contains_key(organisation) {
+            let account = LocalAccount::new(now);
+            self.accounts.insert(organisation.clone(), account);
+        }
+        self.accounts
+            .get_mut(organisation)
+            .expect("the account was just inserted")
+    }
+
+    fn reachable_zone(&self, now: MonotonicTime) -> Option<&ZoneId> {
+        let is_silent = |zone: &ZoneId| {
+            let until = self.silent_until.get(zone);
+            until.is_some_and(|until| now < *until)
+        };
+        self.zones.iter().find(|zone| !is_silent(zone))
+    }
+
+    fn is_silent(&mut self, zone: ZoneId, now: MonotonicTime) {
+        self.silent_until
+            .insert(zone, now.after(PAUSE_AFTER_SILENCE));
+    }
+
+    fn accept_grant(
+        &mut self,
+        organisation: &OrganisationId,
+        grant: &super::Grant,
+        open: &OpenAsk,
+    ) {
+        let account = self.account(organisation, open.sent);
+        account.lifetime = grant.lifetime();
+        account.dry = None;
+        account.batches.accept(grant, &open.zone, open.sent);
+    }
+
+    fn accept_dry(&mut self, organisation: &OrganisationId, dry: &Dry, now: MonotonicTime) {
+        let account = self.account(organisation, now);
+        account.dry = Some(DryWord {
+            holds_until: now.after(Duration::from_micros(dry.holds_us)),
+            next_token: now.after(Duration::from_micros(dry.next_token_us)),
+        });
+    }
+
+    /// Spreads the times to try again, so that refused callers do not come back together.
+    fn retry_after(
+        &mut self,
+        organisation: &OrganisationId,
+        dry: DryWord,
+        now: MonotonicTime,
+    ) -> Duration {
+        let due = dry.next_token.max(dry.holds_until).since(now);
+        let spread = due.max(MIN_RETRY_SPREAD);
+        self.refusals += 1;
+        let mut hasher = DefaultHasher::new();
+        (&self.node, organisation, self.refusals).hash(&mut hasher);
+        let offset_us = hasher.finish() % spread.as_micros() as u64;
+        due + Duration::from_micros(offset_us)
+    }
+}
+
+impl LocalAccount {
+    fn new(now: MonotonicTime) -> Self {
+        Self {
+            batches: LocalBatches::default(),
+            demand: Demand::new(now),
+            open: None,
+            dry: None,
+            lifetime: MIN_BATCH_LIFETIME,
+        }
+    }
+
+    fn is_asking(&self, now: MonotonicTime) -> bool {
+        match &self.open {
+            Some(open) => now < open.sent.after(ASK_TIMEOUT),
+            None => false,
+        }
+    }
+
+    fn prefetch_wanted(&self, waiting: TokenCount, now: MonotonicTime) -> TokenCount {
+        let left = self.batches.available(now).0;
+        let target = self.demand.expected(self.lifetime / 2, now).0;
+        let soon = self.demand.expected(REFILL_BEFORE, now).0;
+        let is_dry = self.dry.is_some_and(|dry| now < dry.holds_until);
+        match left {
+            _ if is_dry => TokenCount(0),
+            _ if waiting.0 == 0 && left > soon.max(target / REFILL_DIVISOR) => TokenCount(0),
+            _ => TokenCount(target.saturating_sub(left)),
+        }
+    }
+
+    fn reports(&mut self, organisation: &OrganisationId) -> Vec<ReportTarget> {
+        let zones = self.batches.zones_to_tell();
+        zones
+            .into_iter()
+            .map(|zone| ReportTarget {
+                report: Report {
+                    organisation: organisation.clone(),
+                    settlements: self.batches.settlements(&zone),
+                },
+                zone,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/lib/src/process/rates/messages.rs
@@ -0,0 +1,166 @@
+//! Messages about tokens between nodes and the holders of zones.
+
+use std::time::Duration;
+
+use crate::values::Epoch;
+use crate::values::NodeId;
+use crate::values::OrganisationId;
+use crate::values::TokenCount;
+use crate::values::ZoneId;
+
+number_type! {
+    /// Numbers the batches of one holder within one epoch.
+    BatchId(u64)
+}
+
+number_type! {
+    /// Numbers the asks of one node. An answer counts only for the ask that is open.
+    AskId(u64)
+}
+
+plain_value! {
+    /// What the asker does with the tokens.
+    #[serde(rename_all = "kebab-case")]
+    pub enum AskPurpose {
+        /// A node spends the tokens on requests.
+        Spend,
+        /// The holder of another zone hands the tokens out in its own zone.
+        Lend,
+    }
+}
+
+plain_data! {
+    /// Reports what happened to a batch since it was granted.
+    #[derive(Eq)]
+    pub struct Settlement {
+        /// The epoch of the holder that granted the batch.
+        #[serde(rename = "e")]
+        pub epoch: Epoch,
+        /// The batch.
+        #[serde(rename = "b")]
+        pub batch: BatchId,
+        /// Tokens that may still be spent.
+        #[serde(rename = "u")]
+        pub unspent_tokens: TokenCount,
+        /// Tokens that were given up since the batch was granted. They go back to the bucket.
+        #[serde(rename = "r")]
+        pub returned_tokens: TokenCount,
+    }
+}
+
+plain_data! {
+    /// Asks the holder of a zone for tokens of one organisation.
+    #[derive(Eq)]
+    pub struct Ask {
+        /// Matches the answer.
+        #[serde(rename = "i")]
+        pub id: AskId,
+        /// The node that asks.
+        #[serde(rename = "n")]
+        pub asker: NodeId,
+        /// The organisation.
+        #[serde(rename = "o")]
+        pub organisation: OrganisationId,
+        /// What the tokens are for.
+        #[serde(rename = "p")]
+        pub purpose: AskPurpose,
+        /// The highest epoch of the asked zone that the asker has seen.
+        #[serde(rename = "e")]
+        pub epoch: Epoch,
+        /// Tokens for requests that wait.
+        #[serde(rename = "w")]
+        pub waiting_tokens: TokenCount,
+        /// Tokens that the asker expects to need soon, beyond those for requests that wait.
+        #[serde(rename = "f")]
+        pub prefetch_tokens: TokenCount,
+        /// Reports on earlier batches of the asked zone.
+        #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+        pub settlements: Vec<Settlement>,
+    }
+}
+
+plain_data! {
+    /// Reports on batches without asking for tokens. It needs no answer.
+    #[derive(Eq)]
+    pub struct Report {
+        /// The organisation.
+        #[serde(rename = "o")]
+        pub organisation: OrganisationId,
+        /// Reports on batches of the zone.
+        #[serde(rename = "s")]
+        pub settlements: Vec<Settlement>,
+    }
+}
+
+plain_data! {
+    /// Tokens that the asker may spend for a short time.
+    #[derive(Eq)]
+    pub struct Grant {
+        /// The zone whose holder granted the batch.
+        #[serde(rename = "z")]
+        pub zone: ZoneId,
+        /// The epoch of the holder.
+        #[serde(rename = "e")]
+        pub epoch: Epoch,
+        /// The batch.
+        #[serde(rename = "b")]
+        pub batch: BatchId,
+        /// Tokens in the batch.
+        #[serde(rename = "t")]
+        pub tokens: TokenCount,
+        /// How long the batch may be spent, counted from when the asker sent its ask.
+        #[serde(rename = "l")]
+        pub lifetime_us: u64,
+    }
+}
+
+impl Grant {
+    /// Returns how long the batch may be spent, counted from when the asker sent its ask.
+    pub fn lifetime(&self) -> Duration {
+        Duration::from_micros(self.lifetime_us)
+    }
+}
+
+plain_data! {
+    /// The holder's word that there is no token for the asker.
+    #[derive(Eq)]
+    pub struct Dry {
+        /// The zone whose holder speaks.
+        #[serde(rename = "z")]
+        pub zone: ZoneId,
+        /// The epoch of the holder.
+        #[serde(rename = "e")]
+        pub epoch: Epoch,
+        /// How long the asker may refuse by this word, counted from when it arrives.
+        #[serde(rename = "d")]
+        pub holds_us: u64,
+        /// When the next token is due, counted from when the word arrives.
+        #[serde(rename = "r")]
+        pub next_token_us: u64,
+    }
+}
+
+plain_data! {
+    /// What a holder answers to an ask.
+    #[derive(Eq)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum Answer {
+        /// Tokens, perhaps fewer than asked for.
+        Grant(Grant),
+        /// No token.
+        Dry(Dry),
+        /// The asked node does not hold the zone's rates.
+        NotHolder,
+    }
+}
+
+plain_data! {
+    /// An ask by the holder of one zone to the holder of another.
+    #[derive(Eq)]
+    pub struct LoanAsk {
+        /// The zone that is asked.
+        pub lender: ZoneId,
+        /// The ask.
+        pub ask: Ask,
+    }
+}
--- /dev/null
+++ b/lib/src/process/rates/mod.rs
@@ -0,0 +1,66 @@
+//! Rates of organisations over the whole fleet.
+//!
+//! Each zone owns a fixed part of every organisation's rate and burst ([`split_over_zones`]). One
+//! node of the zone holds the buckets ([`Holder`]) and grants small batches of tokens that end after
+//! a short time. The other nodes spend them ([`LocalTokens`]). A zone without tokens borrows them
+//! from the holders of other zones. `docs/design/fleet-rates.md` has the proof of the bound.
+
+mod bucket;
+mod demand;
+mod holder;
+mod lease;
+mod lender;
+mod loans;
+mod local;
+mod local_batch;
+mod messages;
+mod share;
+
+use std::time::Duration;
+
+pub use self::bucket::Bucket;
+pub use self::demand::Demand;
+pub use self::holder::Holder;
+pub use self::holder::HolderReply;
+pub use self::holder::HolderReport;
+pub use self::holder::HolderSettings;
+pub use self::lease::CANDIDATES_PER_ZONE;
+pub use self::lease::HolderLease;
+pub use self::lease::HolderRecord;
+pub use self::lease::LEASE_HOLD;
+pub use self::lease::LEASE_TAKEOVER;
+pub use self::lease::LeaseAction;
+pub use self::lease::PeerStanding;
+pub use self::lease::PlatformStanding;
+pub use self::lease::RecordWrite;
+pub use self::lease::holder_candidates;
+pub use self::loans::Loans;
+pub use self::loans::TakenPart;
+pub use self::local::ASK_TIMEOUT;
+pub use self::local::AskTarget;
+pub use self::local::LocalTokens;
+pub use self::local::ReportTarget;
+pub use self::local::Spend;
+pub use self::messages::Answer;
+pub use self::messages::Ask;
+pub use self::messages::AskId;
+pub use self::messages::AskPurpose;
+pub use self::messages::BatchId;
+pub use self::messages::Dry;
+pub use self::messages::Grant;
+pub use self::messages::LoanAsk;
+pub use self::messages::Report;
+pub use self::messages::Settlement;
+pub use self::share::MAX_BATCH_LIFETIME;
+pub use self::share::MIN_BATCH_LIFETIME;
+pub use self::share::MicroRate;
+pub use self::share::ZoneShare;
+pub use self::share::batch_lifetime;
+pub use self::share::split_over_zones;
+
+/// Returns how much of a batch's lifetime its asker uses.
+///
+/// The rest allows for monotonic clocks that run at different speeds.
+pub fn usable_lifetime(lifetime: Duration) -> Duration {
+    lifetime * 15 / 16
+}
--- /dev/null
+++ b/lib/src/process/rates/share.rs
@@ -0,0 +1,121 @@
+//! The fixed part of an organisation's rate and burst that one zone owns.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::values::TokenCount;
+use crate::values::ZoneId;
+use crate::version::Organisation;
+use crate::version::ZoneRecord;
+
+/// Millionths of a token in one token.
+const MICROS_PER_TOKEN: u64 = 1_000_000;
+
+/// The shortest lifetime of a batch.
+pub const MIN_BATCH_LIFETIME: Duration = Duration::from_millis(50);
+
+/// The longest lifetime of a batch.
+pub const MAX_BATCH_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Batches live for this part of the time in which the rate fills the burst.
+const LIFETIMES_PER_BURST: u64 = 4;
+
+number_type! {
+    /// Millionths of a token that a zone mints in a second.
+    MicroRate(u64)
+}
+
+plain_value! {
+    /// The part of one organisation's rate and burst that one zone owns.
+    pub struct ZoneShare {
+        /// The zone's part of the rate.
+        pub rate_micro_per_s: MicroRate,
+        /// The zone's part of the burst.
+        pub burst_tokens: TokenCount,
+        /// How long a batch of the organisation's tokens may be spent after it was asked for.
+        pub batch_lifetime_us: u64,
+    }
+}
+
+impl ZoneShare {
+    /// Returns how long a batch may be spent after it was asked for.
+    pub fn batch_lifetime(&self) -> Duration {
+        Duration::from_micros(self.batch_lifetime_us)
+    }
+
+    /// Returns the share that is no larger than either of two.
+    pub fn smaller_of(&self, other: &Self) -> Self {
+        Self {
+            rate_micro_per_s: self.rate_micro_per_s.min(other.rate_micro_per_s),
+            burst_tokens: self.burst_tokens.min(other.burst_tokens),
+            batch_lifetime_us: self.batch_lifetime_us.min(other.batch_lifetime_us),
+        }
+    }
+}
+
+/// Splits an organisation's rate and burst over the zones, so that the parts add up to the whole.
+///
+/// A zone whose part of a small burst is zero also gets no part of the rate, because it could keep
+/// no token.
+pub fn split_over_zones(
+    organisation: &Organisation,
+    zones: &BTreeMap<ZoneId, ZoneRecord>,
+) -> BTreeMap<ZoneId, ZoneShare> {
+    let weights: Vec<u64> = zones
+        .values()
+        .map(|zone| u64::from(zone.rate_weight))
+        .collect();
+    let bursts = largest_remainder(organisation.burst_tokens.0, &weights);
+    let minting: Vec<u64> = weights
+        .iter()
+        .zip(&bursts)
+        .map(|(weight, burst)| if *burst == 0 { 0 } else { *weight })
+        .collect();
+    let rate_micro_per_s = u64::from(organisation.rate_per_s.0) * MICROS_PER_TOKEN;
+    let rates = largest_remainder(rate_micro_per_s, &minting);
+    let batch_lifetime_us = batch_lifetime(organisation).as_micros() as u64;
+    let shares = bursts
+        .into_iter()
+        .zip(rates)
+        .map(|(burst, rate)| ZoneShare {
+            rate_micro_per_s: MicroRate(rate),
+            burst_tokens: TokenCount(burst),
+            batch_lifetime_us,
+        });
+    zones.keys().cloned().zip(shares).collect()
+}
+
+/// Returns how long a batch of the organisation's tokens may be spent after it was asked for.
+///
+/// Tokens in batches count against the burst, so a batch lives for a part of the time in which the
+/// rate fills the burst.
+pub fn batch_lifetime(organisation: &Organisation) -> Duration {
+    let rate_per_s = u64::from(organisation.rate_per_s.0).max(1);
+    let fill_us = organisation.burst_tokens.0.saturating_mul(1_000_000) / rate_per_s;
+    Duration::from_micros(fill_us / LIFETIMES_PER_BURST)
+        .clamp(MIN_BATCH_LIFETIME, MAX_BATCH_LIFETIME)
+}
+
+/// Splits `total` in proportion to `weights`; the largest remainders get what is left over.
+///
+/// Weights that are all zero count as equal.
+fn largest_remainder(total: u64, weights: &[u64]) -> Vec<u64> {
+    let sum: u128 = weights.iter().map(|weight| u128::from(*weight)).sum();
+    match sum {
+        _ if weights.is_empty() => return Vec::new(),
+        0 => return largest_remainder(total, &vec![1; weights.len()]),
+        _ => {}
+    }
+    let exact = |weight: &u64| u128::from(total) * u128::from(*weight);
+    let mut parts: Vec<u64> = weights
+        .iter()
+        .map(|weight| (exact(weight) / sum) as u64)
+        .collect();
+    let mut order: Vec<usize> = (0..weights.len()).collect();
+    order.sort_by_key(|index| std::cmp::Reverse(exact(&weights[*index]) % sum));
+    let left_over = total - parts.iter().sum::<u64>();
+    for index in order.into_iter().take(left_over as usize) {
+        parts[index] += 1;
+    }
+    parts
+}
