rates: check the bound under random schedules of faults

An answer to an earlier life of a node was taken for an answer to the new one (test an_answer_to_an_earlier_life_is_ignored failed: Admitted instead of NeedsTokens); asks of each life now have their own numbers.

--- a/lib/src/process/rates/holder.rs
+++ b/lib/src/process/rates/holder.rs
@@ -95,7 +95,7 @@
     settings: HolderSettings,
     accounts: BTreeMap<OrganisationId, Account>,
     next_batch: BatchId,
-    next_ask: AskId,
+    last_ask: AskId,
     lender_epochs: BTreeMap<ZoneId, Epoch>,
     unknown_until: MonotonicTime,
 }
@@ -105,10 +105,10 @@
     /// every batch of the holder before has ended.
     pub fn new(settings: HolderSettings, now: MonotonicTime) -> Self {
         Self {
-            settings,
             accounts: BTreeMap::new(),
             next_batch: BatchId(0),
-            next_ask: AskId(0),
+            last_ask: AskId::start_of_life(settings.epoch.0),
+            settings,
             lender_epochs: BTreeMap::new(),
             unknown_until: now.after(MAX_BATCH_LIFETIME),
         }
@@ -320,8 +320,8 @@
         let each = wanted.div_ceil((zones.len() as u64).max(1));
         let mut asks = Vec::new();
         for lender in zones.into_iter().filter(|_| wanted > 0) {
-            let id = self.next_ask;
-            self.next_ask = AskId(id.0 + 1);
+            let id = self.last_ask.next();
+            self.last_ask = id;
             account
                 .lenders
                 .entry(lender.clone())
--- a/lib/src/process/rates/local.rs
+++ b/lib/src/process/rates/local.rs
@@ -16,6 +16,7 @@
 use super::Report;
 use super::local_batch::LocalBatches;
 use crate::values::Epoch;
+use crate::values::Incarnation;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
 use crate::values::OrganisationId;
@@ -108,20 +109,23 @@
     epochs: BTreeMap<ZoneId, Epoch>,
     silent_until: BTreeMap<ZoneId, MonotonicTime>,
     accounts: BTreeMap<OrganisationId, LocalAccount>,
-    next_ask: AskId,
+    last_ask: AskId,
     refusals: u64,
 }
 
 impl LocalTokens {
     /// Starts without tokens. `zones` has the node's own zone first.
-    pub fn new(node: NodeId, zones: Vec<ZoneId>) -> Self {
+    ///
+    /// The lives of a node number their asks from different starts, so that a late answer to an
+    /// earlier life is not taken for an answer to this one.
+    pub fn new(node: NodeId, incarnation: Incarnation, zones: Vec<ZoneId>) -> Self {
         Self {
             node,
             zones,
             epochs: BTreeMap::new(),
             silent_until: BTreeMap::new(),
             accounts: BTreeMap::new(),
-            next_ask: AskId(0),
+            last_ask: AskId::start_of_life(incarnation.0),
             refusals: 0,
         }
     }
@@ -167,7 +171,7 @@
         now: MonotonicTime,
     ) -> Option<AskTarget> {
         let zone = self.reachable_zone(now)?.clone();
-        let id = AskId(self.next_ask.0 + 1);
+        let id = self.last_ask.next();
         let account = self.account(organisation, now);
         let prefetch_tokens = account.prefetch_wanted(waiting, now);
         if account.is_asking(now) || waiting.0 + prefetch_tokens.0 == 0 {
@@ -179,7 +183,7 @@
             sent: now,
         });
         let settlements = account.batches.settlements(&zone);
-        self.next_ask = id;
+        self.last_ask = id;
         let ask = Ask {
             id,
             asker: self.node.clone(),
--- a/lib/src/process/rates/messages.rs
+++ b/lib/src/process/rates/messages.rs
@@ -18,6 +18,21 @@
     AskId(u64)
 }
 
+/// Asks that one life of an asker may make before its numbers meet those of the next life.
+const ASKS_PER_LIFE_BITS: u32 = 20;
+
+impl AskId {
+    /// Returns the number before the first ask of a life.
+    pub fn start_of_life(life: u64) -> Self {
+        Self(life.wrapping_shl(ASKS_PER_LIFE_BITS))
+    }
+
+    /// Returns the next number.
+    pub fn next(self) -> Self {
+        Self(self.0.wrapping_add(1))
+    }
+}
+
 plain_value! {
     /// What the asker does with the tokens.
     #[serde(rename_all = "kebab-case")]
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,3 +2,6 @@
 
 mod test_events;
 mod test_keys;
+mod test_rates;
+mod test_rates_bound;
+mod test_rates_lease;
--- /dev/null
+++ b/lib/tests/test_rates.rs
@@ -0,0 +1,300 @@
+//! Parts of rates over the fleet: shares, buckets, holders and the tokens of a node.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use balsamfold::process::rates::Answer;
+use balsamfold::process::rates::Ask;
+use balsamfold::process::rates::AskId;
+use balsamfold::process::rates::AskPurpose;
+use balsamfold::process::rates::BatchId;
+use balsamfold::process::rates::Bucket;
+use balsamfold::process::rates::Grant;
+use balsamfold::process::rates::Holder;
+use balsamfold::process::rates::HolderSettings;
+use balsamfold::process::rates::LocalTokens;
+use balsamfold::process::rates::Settlement;
+use balsamfold::process::rates::Spend;
+use balsamfold::process::rates::ZoneShare;
+use balsamfold::process::rates::split_over_zones;
+use balsamfold::values::Epoch;
+use balsamfold::values::Incarnation;
+use balsamfold::values::MonotonicTime;
+use balsamfold::values::OrganisationId;
+use balsamfold::values::RatePerSecond;
+use balsamfold::values::TokenCount;
+use balsamfold::values::ZoneId;
+use balsamfold::version::Organisation;
+use balsamfold::version::ZoneRecord;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn zone(name: &str) -> ZoneId {
+    name.parse().expect("the name is valid")
+}
+
+fn organisation(rate_per_s: u32, burst_tokens: u64) -> Organisation {
+    Organisation {
+        id: workshop(),
+        rate_per_s: RatePerSecond(rate_per_s),
+        burst_tokens: TokenCount(burst_tokens),
+    }
+}
+
+fn workshop() -> OrganisationId {
+    "workshop".parse().expect("the name is valid")
+}
+
+fn zones(weights: &[u32]) -> BTreeMap<ZoneId, ZoneRecord> {
+    let record = |(index, rate_weight): (usize, &u32)| {
+        let id = zone(&format!("z{index}"));
+        let region = "r".parse().expect("the name is valid");
+        let record = ZoneRecord {
+            id: id.clone(),
+            region,
+            rate_weight: *rate_weight,
+        };
+        (id, record)
+    };
+    weights.iter().enumerate().map(record).collect()
+}
+
+fn shares(organisation: &Organisation, weights: &[u32]) -> Vec<ZoneShare> {
+    let shares = split_over_zones(organisation, &zones(weights));
+    shares.into_values().collect()
+}
+
+fn at(ms: u64) -> MonotonicTime {
+    MonotonicTime(10_000_000 + ms * 1_000)
+}
+
+/// A bucket that holds its whole burst.
+fn full_bucket(share: ZoneShare) -> Bucket {
+    let mut bucket = Bucket::empty(share, MonotonicTime(0), MonotonicTime(0));
+    bucket.advance(at(0));
+    bucket
+}
+
+fn settlement(batch: u64, unspent_tokens: u64, returned_tokens: u64) -> Settlement {
+    Settlement {
+        epoch: Epoch(1),
+        batch: BatchId(batch),
+        unspent_tokens: TokenCount(unspent_tokens),
+        returned_tokens: TokenCount(returned_tokens),
+    }
+}
+
+fn ask(id: u64, purpose: AskPurpose, waiting_tokens: u64) -> Ask {
+    Ask {
+        id: AskId(id),
+        asker: "n1".parse().expect("the name is valid"),
+        organisation: workshop(),
+        purpose,
+        epoch: Epoch(0),
+        waiting_tokens: TokenCount(waiting_tokens),
+        prefetch_tokens: TokenCount(0),
+        settlements: Vec::new(),
+    }
+}
+
+fn grant(tokens: u64, lifetime: Duration) -> Answer {
+    Answer::Grant(Grant {
+        zone: zone("z0"),
+        epoch: Epoch(1),
+        batch: BatchId(0),
+        tokens: TokenCount(tokens),
+        lifetime_us: lifetime.as_micros() as u64,
+    })
+}
+
+fn node_tokens(life: u64) -> LocalTokens {
+    let node = "n1".parse().expect("the name is valid");
+    LocalTokens::new(node, Incarnation(life), vec![zone("z0"), zone("z1")])
+}
+
+/// A holder of `z0` with one lender, `z1`, whose bucket is full.
+fn holder(share: ZoneShare) -> Holder {
+    let settings = HolderSettings {
+        zone: zone("z0"),
+        node: "n0".parse().expect("the name is valid"),
+        epoch: Epoch(1),
+    };
+    let mut holder = Holder::new(settings, MonotonicTime(0));
+    holder.set_share(&workshop(), share, [zone("z1")], MonotonicTime(0));
+    holder.tick(at(0));
+    holder
+}
+
+#[test]
+fn parts_of_rate_and_burst_add_up_to_the_whole() {
+    for (rate_per_s, burst_tokens) in [(0, 0), (1, 1), (7, 3), (100, 10), (1_000, 999)] {
+        let organisation = organisation(rate_per_s, burst_tokens);
+        for weights in [vec![1], vec![1, 1, 1], vec![0, 0], vec![5, 3, 1, 0]] {
+            let shares = shares(&organisation, &weights);
+            let burst: u64 = shares.iter().map(|share| share.burst_tokens.0).sum();
+            let rate: u64 = shares.iter().map(|share| share.rate_micro_per_s.0).sum();
+            assert_eq!(burst, burst_tokens);
+            assert_eq!(rate, u64::from(rate_per_s) * 1_000_000);
+        }
+    }
+}
+
+#[test]
+fn a_zone_that_can_keep_no_token_mints_none() {
+    let shares = shares(&organisation(8, 1), &[1, 1]);
+    assert_eq!(shares[0].rate_micro_per_s.0, 8_000_000);
+    assert_eq!(shares[1].rate_micro_per_s.0, 0);
+}
+
+#[test]
+fn outstanding_tokens_count_against_the_burst() {
+    let share = shares(&organisation(10, 10), &[1])[0];
+    let mut bucket = full_bucket(share);
+    assert!(bucket.take(BatchId(1), TokenCount(6), at(500)));
+    bucket.advance(at(400));
+    assert_eq!(bucket.level(), TokenCount(4));
+    bucket.advance(at(1_000));
+    assert_eq!(bucket.level(), TokenCount(9));
+}
+
+#[test]
+fn doubled_and_overtaken_reports_make_no_tokens() {
+    let share = shares(&organisation(10, 10), &[1])[0];
+    let mut bucket = full_bucket(share);
+    bucket.take(BatchId(1), TokenCount(6), at(500));
+    for report in [
+        settlement(1, 0, 4),
+        settlement(1, 0, 4),
+        settlement(1, 5, 0),
+    ] {
+        bucket.settle(&report);
+    }
+    assert_eq!(bucket.level(), TokenCount(8));
+    assert_eq!(bucket.outstanding(), TokenCount(0));
+}
+
+#[test]
+fn a_report_after_the_end_of_a_batch_makes_no_tokens() {
+    let share = shares(&organisation(10, 10), &[1])[0];
+    let mut bucket = full_bucket(share);
+    bucket.take(BatchId(1), TokenCount(10), at(500));
+    bucket.advance(at(600));
+    bucket.settle(&settlement(1, 0, 10));
+    assert_eq!(bucket.level(), TokenCount(1));
+}
+
+#[test]
+fn a_changed_rate_makes_no_tokens() {
+    let share = shares(&organisation(10, 10), &[1])[0];
+    let mut bucket = full_bucket(share);
+    bucket.take(BatchId(1), TokenCount(10), at(1));
+    bucket.advance(at(1));
+    let faster = shares(&organisation(1_000, 1_000), &[1])[0];
+    bucket.set_share(faster, at(501));
+    assert_eq!(bucket.level(), TokenCount(5));
+    bucket.set_share(share, at(601));
+    assert_eq!(bucket.level(), TokenCount(10));
+}
+
+#[test]
+fn a_new_holder_has_no_tokens_until_old_batches_have_ended() {
+    let share = shares(&organisation(1_000, 1_000), &[1])[0];
+    let mut bucket = Bucket::empty(share, at(0), at(1_000));
+    bucket.advance(at(999));
+    assert_eq!(bucket.level(), TokenCount(0));
+    bucket.advance(at(1_100));
+    assert_eq!(bucket.level(), TokenCount(100));
+}
+
+#[test]
+fn a_batch_ends_by_the_time_of_the_ask() {
+    let mut tokens = node_tokens(1);
+    assert_eq!(tokens.arrive(&workshop(), at(0)), Spend::NeedsTokens);
+    let target = tokens.begin_ask(&workshop(), TokenCount(2), at(0));
+    let id = target.expect("an ask is due").ask.id;
+    tokens.answered(&workshop(), id, &grant(2, SECOND), at(600));
+    assert_eq!(tokens.spend(&workshop(), at(900)), Spend::Admitted);
+    assert_eq!(tokens.spend(&workshop(), at(950)), Spend::NeedsTokens);
+}
+
+#[test]
+fn an_answer_to_an_earlier_life_is_ignored() {
+    let mut before = node_tokens(1);
+    before.arrive(&workshop(), at(0));
+    let target = before.begin_ask(&workshop(), TokenCount(1), at(0));
+    let old = target.expect("an ask is due").ask.id;
+    let mut after = node_tokens(2);
+    after.arrive(&workshop(), at(900));
+    after.begin_ask(&workshop(), TokenCount(1), at(900));
+    after.answered(&workshop(), old, &grant(1, SECOND), at(901));
+    assert_eq!(after.spend(&workshop(), at(902)), Spend::NeedsTokens);
+}
+
+#[test]
+fn a_doubled_answer_counts_once() {
+    let mut tokens = node_tokens(1);
+    tokens.arrive(&workshop(), at(0));
+    let target = tokens.begin_ask(&workshop(), TokenCount(1), at(0));
+    let id = target.expect("an ask is due").ask.id;
+    tokens.answered(&workshop(), id, &grant(1, SECOND), at(1));
+    tokens.answered(&workshop(), id, &grant(1, SECOND), at(2));
+    assert_eq!(tokens.spend(&workshop(), at(3)), Spend::Admitted);
+    assert_eq!(tokens.spend(&workshop(), at(4)), Spend::NeedsTokens);
+}
+
+#[test]
+fn a_node_asks_another_zone_when_its_holder_is_silent() {
+    let mut tokens = node_tokens(1);
+    tokens.arrive(&workshop(), at(0));
+    let first = tokens.begin_ask(&workshop(), TokenCount(1), at(0));
+    let first = first.expect("an ask is due");
+    tokens.unanswered(&workshop(), first.ask.id, at(25));
+    let second = tokens.begin_ask(&workshop(), TokenCount(1), at(25));
+    assert_eq!(first.zone, zone("z0"));
+    assert_eq!(second.expect("an ask is due").zone, zone("z1"));
+}
+
+#[test]
+fn a_holder_asks_lenders_before_it_refuses() {
+    let share = shares(&organisation(10, 20), &[1, 1])[0];
+    let mut holder = holder(share);
+    let all = holder.ask(&ask(1, AskPurpose::Spend, 10), at(0));
+    assert!(matches!(all.answer, Some(Answer::Grant(_))));
+    let reply = holder.ask(&ask(2, AskPurpose::Spend, 1), at(1));
+    assert_eq!(reply.answer, None);
+    let lent = Answer::Grant(Grant {
+        zone: zone("z1"),
+        epoch: Epoch(1),
+        batch: BatchId(7),
+        tokens: TokenCount(1),
+        lifetime_us: 500_000,
+    });
+    let loan = all.loan_asks.first().or(reply.loan_asks.first());
+    let loan = loan.expect("the lender is asked");
+    holder.loan_answered(&workshop(), &zone("z1"), loan.ask.id, &lent, at(4));
+    let retried = holder.retry(&ask(2, AskPurpose::Spend, 1), at(4));
+    match retried.answer {
+        Some(Answer::Grant(grant)) => assert_eq!(grant.tokens, TokenCount(1)),
+        other => panic!("expected a grant, got {other:?}"),
+    }
+}
+
+#[test]
+fn a_holder_that_hears_of_a_higher_epoch_grants_nothing() {
+    let share = shares(&organisation(10, 20), &[1])[0];
+    let mut holder = holder(share);
+    let newer = Ask {
+        epoch: Epoch(2),
+        ..ask(1, AskPurpose::Spend, 1)
+    };
+    let reply = holder.ask(&newer, at(0));
+    assert_eq!(reply.answer, Some(Answer::NotHolder));
+}
+
+#[test]
+fn a_lender_deducts_before_it_lends() {
+    let share = shares(&organisation(10, 20), &[1, 1])[0];
+    let mut holder = holder(share);
+    holder.ask(&ask(1, AskPurpose::Lend, 8), at(0));
+    assert_eq!(holder.level(&workshop()), Some(TokenCount(2)));
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,1 +1,3 @@
-//! Stand-ins for tests.
+//! Stand-ins for callers, backend servers and the platform, for tests and measurements.
+
+pub mod rate_fleet;
--- /dev/null
+++ b/testutils/src/rate_fleet/bound.rs
@@ -0,0 +1,90 @@
+//! The exact bound on admitted requests, over every window.
+
+use std::collections::VecDeque;
+
+/// Billionths of a token per token and second.
+const NANOS_PER_TOKEN: u128 = 1_000_000_000;
+
+/// A burst counts for this long after it was lowered, because batches granted before may be spent.
+const BURST_MEMORY_US: u64 = 1_000_000;
+
+/// The largest rate and burst in force from a time on.
+#[derive(Clone, Copy, Debug)]
+struct InForce {
+    from_us: u64,
+    rate_per_s: u64,
+    burst_tokens: u64,
+}
+
+/// Checks that at most burst + rate × window is admitted in every window.
+///
+/// A bucket that starts full and is never short of a token for an admitted request is the same
+/// statement over all windows. Rates are scaled by the speed of the fastest clock.
+#[derive(Clone, Debug)]
+pub struct Bound {
+    in_force: VecDeque<InForce>,
+    speed_ppm: u64,
+    level: u128,
+    updated_us: u64,
+    /// The most by which an admitted request went over the bound.
+    pub overshoot_tokens: f64,
+}
+
+impl Bound {
+    /// Starts with a full burst. Clocks run at most `drift_ppm` millionths too fast.
+    pub fn new(rate_per_s: u64, burst_tokens: u64, drift_ppm: u64) -> Self {
+        let first = InForce {
+            from_us: 0,
+            rate_per_s,
+            burst_tokens,
+        };
+        Self {
+            in_force: [first].into(),
+            speed_ppm: 1_000_000 + drift_ppm,
+            level: u128::from(burst_tokens) * NANOS_PER_TOKEN * 1_000,
+            updated_us: 0,
+            overshoot_tokens: 0.0,
+        }
+    }
+
+    /// Changes the largest rate and burst that any node has in force.
+    pub fn change(&mut self, rate_per_s: u64, burst_tokens: u64, at_us: u64) {
+        self.advance(at_us);
+        self.in_force.push_back(InForce {
+            from_us: at_us,
+            rate_per_s,
+            burst_tokens,
+        });
+    }
+
+    /// Counts one admitted request.
+    pub fn admit(&mut self, at_us: u64) {
+        self.advance(at_us);
+        let token = NANOS_PER_TOKEN * 1_000;
+        match self.level.checked_sub(token) {
+            Some(level) => self.level = level,
+            None => {
+                let missing = (token - self.level) as f64 / token as f64;
+                self.overshoot_tokens += missing;
+                self.level = 0;
+            }
+        }
+    }
+
+    fn advance(&mut self, at_us: u64) {
+        let rate = self.in_force.back().map_or(0, |entry| entry.rate_per_s);
+        let elapsed_us = u128::from(at_us - self.updated_us);
+        let minted = u128::from(rate) * u128::from(self.speed_ppm) * elapsed_us;
+        while self
+            .in_force
+            .get(1)
+            .is_some_and(|next| next.from_us + BURST_MEMORY_US <= at_us)
+        {
+            self.in_force.pop_front();
+        }
+        let burst = self.in_force.iter().map(|entry| entry.burst_tokens).max();
+        let capacity = u128::from(burst.unwrap_or(0)) * NANOS_PER_TOKEN * 1_000;
+        self.level = (self.level + minted).min(capacity);
+        self.updated_us = at_us;
+    }
+}
--- /dev/null
+++ b/testutils/src/rate_fleet/fleet.rs
@@ -0,0 +1,673 @@
+//! The schedule: runs nodes, links, the platform and faults in the order of a seeded queue.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use balsamfold::process::rates::ASK_TIMEOUT;
+use balsamfold::process::rates::Answer;
+use balsamfold::process::rates::Ask;
+use balsamfold::process::rates::AskId;
+use balsamfold::process::rates::HolderRecord;
+use balsamfold::process::rates::HolderReply;
+use balsamfold::process::rates::LeaseAction;
+use balsamfold::process::rates::LoanAsk;
+use balsamfold::process::rates::RecordWrite;
+use balsamfold::process::rates::Spend;
+use balsamfold::values::MonotonicTime;
+use balsamfold::values::OrganisationId;
+use balsamfold::values::RegionId;
+use balsamfold::values::TokenCount;
+use balsamfold::values::ZoneId;
+use balsamfold::version::Organisation;
+use balsamfold::version::ZoneRecord;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::message::Message;
+use super::message::NodeIndex;
+use super::message::PlatformCall;
+use super::node::Lending;
+use super::node::NewHolder;
+use super::node::NodeClock;
+use super::node::Poll;
+use super::node::SimNode;
+use super::node::WaitingAsk;
+use super::node::WaitingRequest;
+
+/// Asks that wait for loans are decided again after this time.
+const LOAN_PATIENCE_US: u64 = 10_100;
+
+/// How messages fare, in parts of 1,000.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Link {
+    /// Messages that are lost.
+    pub lost_permille: u32,
+    /// Messages that arrive twice.
+    pub doubled_permille: u32,
+    /// Messages that arrive up to two seconds late.
+    pub late_permille: u32,
+}
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// Seeds everything.
+    pub seed: u64,
+    /// Zones, with equal parts of the rates.
+    pub zone_count: usize,
+    /// Nodes in each zone.
+    pub nodes_per_zone: usize,
+    /// How messages fare.
+    pub link: Link,
+    /// How fast and slow clocks run at most, in millionths.
+    pub drift_ppm: i64,
+    /// How a new holder starts.
+    pub new_holder: NewHolder,
+    /// Whether holders lend to one another.
+    pub lending: Lending,
+    /// Organisations of the first configuration.
+    pub organisations: Vec<Organisation>,
+}
+
+/// A fault, or its end.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// A node stops for a while and goes on with all its state.
+    Pause(NodeIndex, u64),
+    /// A node ends.
+    Crash(NodeIndex),
+    /// A node starts again without state.
+    Restart(NodeIndex),
+    /// Two zones no longer reach each other.
+    Cut(usize, usize),
+    /// Two zones reach each other again.
+    Heal(usize, usize),
+    /// A zone no longer reaches the platform.
+    CutPlatform(usize),
+    /// A zone reaches the platform again.
+    HealPlatform(usize),
+    /// The platform stops answering.
+    PlatformDown,
+    /// The platform answers again.
+    PlatformUp,
+    /// A configuration arrives at a node.
+    Configure(NodeIndex, Vec<Organisation>),
+}
+
+/// What happens at one time of the schedule.
+#[derive(Clone, Debug)]
+enum Event {
+    Arrive(NodeIndex, OrganisationId),
+    GiveUp(NodeIndex, u64),
+    AskTimeout(NodeIndex, OrganisationId, AskId),
+    RetryAsks(NodeIndex),
+    Deliver(NodeIndex, NodeIndex, Message),
+    Platform(NodeIndex, PlatformCall),
+    Tick(NodeIndex),
+    Fault(Fault),
+}
+
+/// What became of requests and messages.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// Times at which requests were admitted.
+    pub admitted_us: BTreeMap<OrganisationId, Vec<u64>>,
+    /// Times at which requests were refused.
+    pub refused_us: BTreeMap<OrganisationId, Vec<u64>>,
+    /// Times that admitted requests waited, for those that did.
+    pub waited: u64,
+    /// Messages about tokens that were sent.
+    pub messages: u64,
+    /// Their bytes as JSON.
+    pub json_bytes: u64,
+    /// The messages about tokens that each node sent or was sent.
+    pub messages_by_node: Vec<u64>,
+    /// The bytes about tokens that each node sent or was sent.
+    pub json_bytes_by_node: Vec<u64>,
+    /// Times that a node took the role of a holder.
+    pub takeovers: u64,
+}
+
+/// A fleet with its schedule.
+pub struct RateFleet {
+    settings: FleetSettings,
+    zones: BTreeMap<ZoneId, ZoneRecord>,
+    zone_ids: Vec<ZoneId>,
+    nodes: Vec<SimNode>,
+    platform: BTreeMap<ZoneId, HolderRecord>,
+    platform_is_up: bool,
+    cuts: BTreeSet<(usize, usize)>,
+    platform_cuts: BTreeSet<usize>,
+    queue: BTreeMap<(u64, u64), Event>,
+    next_event: u64,
+    next_request: u64,
+    now_us: u64,
+    rng: StdRng,
+    /// What became of requests and messages.
+    pub tally: Tally,
+}
+
+impl RateFleet {
+    /// Starts all nodes.
+    pub fn new(settings: FleetSettings) -> Self {
+        let mut rng = StdRng::seed_from_u64(settings.seed);
+        let zone_ids: Vec<ZoneId> = (0..settings.zone_count)
+            .map(|zone| format!("z{zone}").parse().expect("the name is valid"))
+            .collect();
+        let region: RegionId = "r".parse().expect("the name is valid");
+        let record = |id: &ZoneId| ZoneRecord {
+            id: id.clone(),
+            region: region.clone(),
+            rate_weight: 1,
+        };
+        let zones = zone_ids.iter().map(|id| (id.clone(), record(id)));
+        let mut fleet = Self {
+            zones: zones.collect(),
+            nodes: Vec::new(),
+            platform: BTreeMap::new(),
+            platform_is_up: true,
+            cuts: BTreeSet::new(),
+            platform_cuts: BTreeSet::new(),
+            queue: BTreeMap::new(),
+            next_event: 0,
+            next_request: 0,
+            now_us: 0,
+            tally: Tally::default(),
+            zone_ids,
+            settings,
+            rng: StdRng::seed_from_u64(0),
+        };
+        for index in 0..fleet.settings.zone_count * fleet.settings.nodes_per_zone {
+            let drift = fleet.settings.drift_ppm;
+            let clock = NodeClock {
+                offset_us: rng.random_range(4_000_000_000..1_000_000_000_000),
+                drift_ppm: rng.random_range(-drift..=drift),
+            };
+            let id = format!("n{index}").parse().expect("the name is valid");
+            let mut node = SimNode::new(id, fleet.zones_from(index), clock);
+            node.organisations = fleet.settings.organisations.clone();
+            fleet.nodes.push(node);
+            let first_tick_us = rng.random_range(0..50_000);
+            fleet.schedule(first_tick_us, Event::Tick(index));
+        }
+        fleet.tally.messages_by_node = vec![0; fleet.nodes.len()];
+        fleet.tally.json_bytes_by_node = vec![0; fleet.nodes.len()];
+        fleet.rng = rng;
+        fleet
+    }
+
+    /// Returns the number of nodes.
+    pub fn node_count(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Returns the index of the node that last took the role of `zone`, by the platform's record.
+    pub fn holder_of(&self, zone: usize) -> Option<NodeIndex> {
+        let record = self.platform.get(&self.zone_ids[zone])?;
+        self.nodes.iter().position(|node| node.id == record.holder)
+    }
+
+    /// Plans a request.
+    pub fn plan_arrival(&mut self, at_us: u64, node: NodeIndex, organisation: &OrganisationId) {
+        self.schedule(at_us, Event::Arrive(node, organisation.clone()));
+    }
+
+    /// Plans a fault.
+    pub fn plan_fault(&mut self, at_us: u64, fault: Fault) {
+        self.schedule(at_us, Event::Fault(fault));
+    }
+
+    /// Runs everything that is due until `until_us`.
+    pub fn run_until(&mut self, until_us: u64) {
+        while let Some(entry) = self
+            .queue
+            .first_entry()
+            .filter(|entry| entry.key().0 <= until_us)
+        {
+            let ((at_us, _), event) = entry.remove_entry();
+            self.now_us = at_us;
+            self.run(event);
+        }
+        self.now_us = until_us;
+    }
+
+    fn schedule(&mut self, at_us: u64, event: Event) {
+        self.next_event += 1;
+        self.queue.insert((at_us, self.next_event), event);
+    }
+
+    fn run(&mut self, event: Event) {
+        let node = match &event {
+            Event::Fault(fault) => return self.bring_about(fault.clone()),
+            Event::Platform(node, call) => return self.call_platform(*node, call.clone()),
+            Event::Arrive(node, _)
+            | Event::GiveUp(node, _)
+            | Event::AskTimeout(node, _, _)
+            | Event::RetryAsks(node)
+            | Event::Deliver(node, _, _)
+            | Event::Tick(node) => *node,
+        };
+        match &self.nodes[node] {
+            paused if paused.paused_until_us > self.now_us => {
+                let resumes_us = paused.paused_until_us;
+                self.schedule(resumes_us, event);
+            }
+            running if running.is_up => self.run_on(node, event),
+            _ => self.drop_on_stopped(node, event),
+        }
+    }
+
+    fn drop_on_stopped(&mut self, node: NodeIndex, event: Event) {
+        match event {
+            Event::Tick(_) => self.schedule(self.now_us + 50_000, Event::Tick(node)),
+            Event::Arrive(_, organisation) => self.count_refused(&organisation),
+            _ => {}
+        }
+    }
+
+    fn run_on(&mut self, node: NodeIndex, event: Event) {
+        match event {
+            Event::Arrive(_, organisation) => self.arrive(node, organisation),
+            Event::GiveUp(_, id) => self.give_up(node, id),
+            Event::AskTimeout(_, organisation, id) => {
+                let now = self.clock(node);
+                self.nodes[node].local.unanswered(&organisation, id, now);
+                self.serve_waiting(node, &organisation);
+            }
+            Event::RetryAsks(_) => self.retry_asks(node),
+            Event::Deliver(_, from, message) => self.deliver(node, from, message),
+            Event::Tick(_) => self.tick(node),
+            Event::Platform(..) | Event::Fault(_) => {}
+        }
+    }
+
+    fn clock(&self, node: NodeIndex) -> MonotonicTime {
+        self.nodes[node].clock.read(self.now_us)
+    }
+
+    fn zone_index(&self, node: NodeIndex) -> usize {
+        node / self.settings.nodes_per_zone
+    }
+
+    fn zones_from(&self, node: NodeIndex) -> Vec<ZoneId> {
+        let own = node / self.settings.nodes_per_zone;
+        let count = self.zone_ids.len();
+        (0..count)
+            .map(|step| self.zone_ids[(own + step) % count].clone())
+            .collect()
+    }
+
+    // Requests.
+
+    fn arrive(&mut self, node: NodeIndex, organisation: OrganisationId) {
+        let now = self.clock(node);
+        match self.nodes[node].local.arrive(&organisation, now) {
+            Spend::Admitted => self.count_admitted(&organisation),
+            Spend::Refused { .. } | Spend::Unreachable => self.count_refused(&organisation),
+            Spend::NeedsTokens => {
+                self.next_request += 1;
+                let id = self.next_request;
+                self.tally.waited += 1;
+                let request = WaitingRequest {
+                    id,
+                    organisation: organisation.clone(),
+                };
+                self.nodes[node].waiting.push_back(request);
+                self.schedule(self.now_us + 50_000, Event::GiveUp(node, id));
+            }
+        }
+        self.ask_if_needed(node, &organisation);
+    }
+
+    fn ask_if_needed(&mut self, node: NodeIndex, organisation: &OrganisationId) {
+        let now = self.clock(node);
+        let waiting = TokenCount(self.nodes[node].waiting_count(organisation));
+        let local = &mut self.nodes[node].local;
+        let Some(target) = local.begin_ask(organisation, waiting, now) else {
+            return;
+        };
+        let timeout_us = self.now_us + ASK_TIMEOUT.as_micros() as u64;
+        let id = target.ask.id;
+        self.schedule(
+            timeout_us,
+            Event::AskTimeout(node, organisation.clone(), id),
+        );
+        if let Some(holder) = self.some_holder(&target.zone) {
+            self.send(node, holder, Message::Ask(target.ask));
+        }
+    }
+
+    /// Spends tokens on waiting requests, refuses them by the holder's word, or asks again.
+    fn serve_waiting(&mut self, node: NodeIndex, organisation: &OrganisationId) {
+        let now = self.clock(node);
+        let waiting = std::mem::take(&mut self.nodes[node].waiting);
+        for request in waiting {
+            if request.organisation != *organisation {
+                self.nodes[node].waiting.push_back(request);
+                continue;
+            }
+            match self.nodes[node].local.spend(organisation, now) {
+                Spend::Admitted => self.count_admitted(organisation),
+                Spend::NeedsTokens => self.nodes[node].waiting.push_back(request),
+                Spend::Refused { .. } | Spend::Unreachable => self.count_refused(organisation),
+            }
+        }
+        self.ask_if_needed(node, organisation);
+    }
+
+    fn give_up(&mut self, node: NodeIndex, id: u64) {
+        let waiting = &mut self.nodes[node].waiting;
+        let position = waiting.iter().position(|request| request.id == id);
+        if let Some(request) = position.and_then(|position| waiting.remove(position)) {
+            self.count_refused(&request.organisation);
+        }
+    }
+
+    fn count_admitted(&mut self, organisation: &OrganisationId) {
+        let times = self.tally.admitted_us.entry(organisation.clone());
+        times.or_default().push(self.now_us);
+    }
+
+    fn count_refused(&mut self, organisation: &OrganisationId) {
+        let times = self.tally.refused_us.entry(organisation.clone());
+        times.or_default().push(self.now_us);
+    }
+
+    // Messages.
+
+    /// Returns a node of the zone that has held the role, whether or not it still does.
+    fn some_holder(&mut self, zone: &ZoneId) -> Option<NodeIndex> {
+        let is_candidate = |node: &SimNode| node.zone == *zone && node.holder.is_some();
+        let holders: Vec<_> = (0..self.nodes.len())
+            .filter(|index| is_candidate(&self.nodes[*index]))
+            .collect();
+        let record = self.platform.get(zone);
+        let named = holders
+            .iter()
+            .position(|index| record.is_some_and(|record| self.nodes[*index].id == record.holder));
+        match (named, holders.len()) {
+            (_, 0) => None,
+            (Some(named), _) if self.rng.random_ratio(7, 8) => Some(holders[named]),
+            (_, count) => Some(holders[self.rng.random_range(0..count)]),
+        }
+    }
+
+    fn send(&mut self, from: NodeIndex, to: NodeIndex, message: Message) {
+        if message.is_about_tokens() {
+            let bytes = message.json_bytes();
+            self.tally.messages += 1;
+            self.tally.json_bytes += bytes;
+            for end in [from, to] {
+                self.tally.messages_by_node[end] += 1;
+                self.tally.json_bytes_by_node[end] += bytes;
+            }
+        }
+        let (from_zone, to_zone) = (self.zone_index(from), self.zone_index(to));
+        let pair = (from_zone.min(to_zone), from_zone.max(to_zone));
+        let link = self.settings.link;
+        if self.cuts.contains(&pair) || self.rng.random_range(0..1_000) < link.lost_permille {
+            return;
+        }
+        let copies = 1 + u32::from(self.rng.random_range(0..1_000) < link.doubled_permille);
+        for _ in 0..copies {
+            let mut delay_us = match from_zone == to_zone {
+                true => self.rng.random_range(150..400),
+                false => self.rng.random_range(1_400..1_800),
+            };
+            if self.rng.random_range(0..1_000) < link.late_permille {
+                delay_us += self.rng.random_range(0..2_000_000);
+            }
+            let event = Event::Deliver(to, from, message.clone());
+            self.schedule(self.now_us + delay_us, event);
+        }
+    }
+
+    fn deliver(&mut self, node: NodeIndex, from: NodeIndex, message: Message) {
+        let now = self.clock(node);
+        match message {
+            Message::Ask(ask) | Message::LoanAsk(ask) => self.decide(node, from, ask, now),
+            Message::Answer(organisation, id, answer) => {
+                let local = &mut self.nodes[node].local;
+                local.answered(&organisation, id, &answer, now);
+                self.serve_waiting(node, &organisation);
+            }
+            Message::LoanAnswer(organisation, lender, id, answer) => {
+                if let Some(holder) = &mut self.nodes[node].holder {
+                    holder.loan_answered(&organisation, &lender, id, &answer, now);
+                }
+                self.retry_asks(node);
+            }
+            Message::Report(report) => {
+                if let Some(holder) = &mut self.nodes[node].holder {
+                    holder.report(&report.organisation, &report.settlements, now);
+                }
+            }
+            Message::Question(asked_at) => {
+                let standing = self.nodes[node].lease.standing(now);
+                self.send(node, from, Message::Standing(asked_at, standing));
+            }
+            Message::Standing(asked_at, standing) => self.promised(node, from, asked_at, standing),
+            Message::Record(record) => self.nodes[node].lease.record_read(record, now),
+            Message::Written(true) => {
+                let before = self.nodes[node].lease.held_epoch(now);
+                self.nodes[node].lease.write_succeeded(now);
+                let after = self.nodes[node].lease.held_epoch(now);
+                self.tally.takeovers += u64::from(after > before);
+                self.become_holder(node);
+            }
+            Message::Written(false) => self.nodes[node].lease.write_conflicted(now),
+            Message::NoPlatform => self.nodes[node].lease.platform_unreachable(),
+        }
+    }
+
+    // The role of the holder.
+
+    fn become_holder(&mut self, node: NodeIndex) -> bool {
+        let now = self.clock(node);
+        let (new_holder, lending) = (self.settings.new_holder, self.settings.lending);
+        let node = &mut self.nodes[node];
+        node.acting_holder(new_holder, &self.zones, lending, now)
+            .is_some()
+    }
+
+    fn decide(&mut self, node: NodeIndex, from: NodeIndex, ask: Ask, now: MonotonicTime) {
+        if ask.epoch > Default::default() && self.nodes[node].holder.is_some() {
+            self.nodes[node].lease.epoch_seen(ask.epoch);
+        }
+        if !self.become_holder(node) {
+            return self.answer(node, from, &ask, Answer::NotHolder);
+        }
+        let holder = self.nodes[node].holder.as_mut();
+        let reply = holder.expect("the node holds the role").ask(&ask, now);
+        self.carry_out(node, from, ask, reply);
+    }
+
+    fn carry_out(&mut self, node: NodeIndex, from: NodeIndex, ask: Ask, reply: HolderReply) {
+        for loan in reply.loan_asks {
+            self.send_loan_ask(node, loan);
+        }
+        match reply.answer {
+            Some(answer) => self.answer(node, from, &ask, answer),
+            None => {
+                self.nodes[node].waiting_asks.push(WaitingAsk { from, ask });
+                let retry_us = self.now_us + LOAN_PATIENCE_US;
+                self.schedule(retry_us, Event::RetryAsks(node));
+            }
+        }
+    }
+
+    fn send_loan_ask(&mut self, node: NodeIndex, loan: LoanAsk) {
+        if let Some(lender) = self.some_holder(&loan.lender) {
+            self.send(node, lender, Message::LoanAsk(loan.ask));
+        }
+    }
+
+    fn answer(&mut self, node: NodeIndex, to: NodeIndex, ask: &Ask, answer: Answer) {
+        let organisation = ask.organisation.clone();
+        let is_loan = ask.purpose == balsamfold::process::rates::AskPurpose::Lend;
+        let message = match is_loan {
+            true => {
+                Message::LoanAnswer(organisation, self.nodes[node].zone.clone(), ask.id, answer)
+            }
+            false => Message::Answer(organisation, ask.id, answer),
+        };
+        self.send(node, to, message);
+    }
+
+    fn retry_asks(&mut self, node: NodeIndex) {
+        let now = self.clock(node);
+        let waiting = std::mem::take(&mut self.nodes[node].waiting_asks);
+        for WaitingAsk { from, ask } in waiting {
+            if !self.become_holder(node) {
+                self.answer(node, from, &ask, Answer::NotHolder);
+                continue;
+            }
+            let holder = self.nodes[node].holder.as_mut();
+            let reply = holder.expect("the node holds the role").retry(&ask, now);
+            self.carry_out(node, from, ask, reply);
+        }
+    }
+
+    // Time, the platform and faults.
+
+    fn tick(&mut self, node: NodeIndex) {
+        let now = self.clock(node);
+        self.schedule(self.now_us + 50_000, Event::Tick(node));
+        for target in self.nodes[node].local.tick(now) {
+            if let Some(holder) = self.some_holder(&target.zone) {
+                self.send(node, holder, Message::Report(target.report));
+            }
+        }
+        let reports = match &mut self.nodes[node].holder {
+            Some(holder) => holder.tick(now),
+            None => Vec::new(),
+        };
+        for target in reports {
+            if let Some(holder) = self.some_holder(&target.lender) {
+                self.send(node, holder, Message::Report(target.report));
+            }
+        }
+        self.ask_for_promises(node, now);
+        let is_candidate = self.is_candidate(node);
+        match self.nodes[node].lease.next_action(is_candidate, now) {
+            LeaseAction::Wait => {}
+            LeaseAction::Read => self.send_to_platform(node, PlatformCall::Read),
+            LeaseAction::Write(write) => self.send_to_platform(node, PlatformCall::Write(write)),
+        }
+    }
+
+    /// The first nodes of a zone are candidates here; the rank by hash has its own test.
+    fn is_candidate(&self, node: NodeIndex) -> bool {
+        node % self.settings.nodes_per_zone < balsamfold::process::rates::CANDIDATES_PER_ZONE
+    }
+
+    fn ask_for_promises(&mut self, node: NodeIndex, now: MonotonicTime) {
+        if !self.nodes[node].lease.needs_promises(now) {
+            return;
+        }
+        let zone = self.zone_index(node);
+        let peers: Vec<_> = (0..self.nodes.len())
+            .filter(|peer| self.zone_index(*peer) == zone && *peer != node)
+            .filter(|peer| self.nodes[*peer].is_up)
+            .collect();
+        self.nodes[node].poll = Some(Poll {
+            asked_at: now,
+            expected: peers.len(),
+            answers: BTreeMap::new(),
+        });
+        for peer in peers {
+            self.send(node, peer, Message::Question(now));
+        }
+    }
+
+    fn promised(
+        &mut self,
+        node: NodeIndex,
+        from: NodeIndex,
+        asked_at: MonotonicTime,
+        standing: balsamfold::process::rates::PeerStanding,
+    ) {
+        let state = &mut self.nodes[node];
+        let Some(poll) = state.poll.as_mut().filter(|poll| poll.asked_at == asked_at) else {
+            return;
+        };
+        poll.answers.insert(from, standing);
+        if poll.answers.len() == poll.expected {
+            let answers: Vec<_> = poll.answers.values().cloned().map(Some).collect();
+            state.lease.promises_answered(&answers, asked_at);
+            state.poll = None;
+        }
+    }
+
+    fn send_to_platform(&mut self, node: NodeIndex, call: PlatformCall) {
+        let late = self.rng.random_range(0..1_000) < self.settings.link.late_permille;
+        let most_us = if late { 2_000_000 } else { 3_000 };
+        let delay_us = self.rng.random_range(500..most_us);
+        self.schedule(self.now_us + delay_us, Event::Platform(node, call));
+    }
+
+    fn call_platform(&mut self, node: NodeIndex, call: PlatformCall) {
+        let is_cut = self.platform_cuts.contains(&self.zone_index(node));
+        let zone = self.nodes[node].zone.clone();
+        let message = match call {
+            _ if is_cut || !self.platform_is_up => Message::NoPlatform,
+            PlatformCall::Read => Message::Record(self.platform.get(&zone).cloned()),
+            PlatformCall::Write(write) => Message::Written(self.swap(&zone, write)),
+        };
+        let is_answer_lost = self.rng.random_range(0..1_000) < self.settings.link.lost_permille;
+        let message = if is_answer_lost {
+            Message::NoPlatform
+        } else {
+            message
+        };
+        let delay_us = self.rng.random_range(500..3_000);
+        self.schedule(self.now_us + delay_us, Event::Deliver(node, node, message));
+    }
+
+    fn swap(&mut self, zone: &ZoneId, write: RecordWrite) -> bool {
+        let matches = self.platform.get(zone) == write.expected.as_ref();
+        if matches {
+            self.platform.insert(zone.clone(), write.record);
+        }
+        matches
+    }
+
+    fn bring_about(&mut self, fault: Fault) {
+        match fault {
+            Fault::Pause(node, until_us) => self.nodes[node].paused_until_us = until_us,
+            Fault::Crash(node) => {
+                self.nodes[node].is_up = false;
+                for request in std::mem::take(&mut self.nodes[node].waiting) {
+                    self.count_refused(&request.organisation);
+                }
+            }
+            Fault::Restart(node) => {
+                let zones = self.zones_from(node);
+                self.nodes[node].restart(zones);
+            }
+            Fault::Cut(one, other) => {
+                self.cuts.insert((one.min(other), one.max(other)));
+            }
+            Fault::Heal(one, other) => {
+                self.cuts.remove(&(one.min(other), one.max(other)));
+            }
+            Fault::CutPlatform(zone) => {
+                self.platform_cuts.insert(zone);
+            }
+            Fault::HealPlatform(zone) => {
+                self.platform_cuts.remove(&zone);
+            }
+            Fault::PlatformDown => self.platform_is_up = false,
+            Fault::PlatformUp => self.platform_is_up = true,
+            Fault::Configure(node, organisations) => self.configure(node, organisations),
+        }
+    }
+
+    fn configure(&mut self, node: NodeIndex, organisations: Vec<Organisation>) {
+        let now = self.clock(node);
+        let lending = self.settings.lending;
+        self.nodes[node].organisations = organisations;
+        self.nodes[node].apply_shares(&self.zones, lending, now);
+    }
+}
--- /dev/null
+++ b/testutils/src/rate_fleet/message.rs
@@ -0,0 +1,76 @@
+//! Messages of the schedule.
+
+use balsamfold::process::rates::Answer;
+use balsamfold::process::rates::Ask;
+use balsamfold::process::rates::AskId;
+use balsamfold::process::rates::HolderRecord;
+use balsamfold::process::rates::PeerStanding;
+use balsamfold::process::rates::RecordWrite;
+use balsamfold::process::rates::Report;
+use balsamfold::values::MonotonicTime;
+use balsamfold::values::OrganisationId;
+use balsamfold::values::ZoneId;
+
+/// The index of a node in the fleet.
+pub type NodeIndex = usize;
+
+/// A message to a node.
+#[derive(Clone, Debug)]
+pub enum Message {
+    /// An ask by a node.
+    Ask(Ask),
+    /// The answer to an ask by a node.
+    Answer(OrganisationId, AskId, Answer),
+    /// An ask by another zone's holder.
+    LoanAsk(Ask),
+    /// The answer to an ask by another zone's holder.
+    LoanAnswer(OrganisationId, ZoneId, AskId, Answer),
+    /// A report that needs no answer.
+    Report(Report),
+    /// The holder asks for a promise; the time is the holder's own.
+    Question(MonotonicTime),
+    /// The promise.
+    Standing(MonotonicTime, PeerStanding),
+    /// The platform's record.
+    Record(Option<HolderRecord>),
+    /// Whether a write to the platform took effect.
+    Written(bool),
+    /// The platform did not answer.
+    NoPlatform,
+}
+
+impl Message {
+    /// Returns the bytes of the message as JSON, without the framing of the transport.
+    pub fn json_bytes(&self) -> u64 {
+        let text = match self {
+            Self::Ask(ask) | Self::LoanAsk(ask) => serde_json::to_string(ask),
+            Self::Answer(_, _, answer) | Self::LoanAnswer(_, _, _, answer) => {
+                serde_json::to_string(answer)
+            }
+            Self::Report(report) => serde_json::to_string(report),
+            _ => Ok(String::new()),
+        };
+        text.expect("messages have a JSON form").len() as u64
+    }
+
+    /// Returns whether the message carries tokens, asks for them or reports on them.
+    pub fn is_about_tokens(&self) -> bool {
+        matches!(
+            self,
+            Self::Ask(_)
+                | Self::Answer(..)
+                | Self::LoanAsk(_)
+                | Self::LoanAnswer(..)
+                | Self::Report(_)
+        )
+    }
+}
+
+/// A call to the platform.
+#[derive(Clone, Debug)]
+pub enum PlatformCall {
+    /// Reads the record of the node's zone.
+    Read,
+    /// Writes the record of the node's zone.
+    Write(RecordWrite),
+}
--- /dev/null
+++ b/testutils/src/rate_fleet/mod.rs
@@ -0,0 +1,15 @@
+//! A seeded schedule of messages and faults between the state machines of fleet rates.
+
+mod bound;
+mod fleet;
+mod message;
+mod node;
+
+pub use self::bound::Bound;
+pub use self::fleet::Fault;
+pub use self::fleet::FleetSettings;
+pub use self::fleet::Link;
+pub use self::fleet::RateFleet;
+pub use self::fleet::Tally;
+pub use self::node::Lending;
+pub use self::node::NewHolder;
