--- a/lib/src/process/rates/demand.rs
+++ b/lib/src/process/rates/demand.rs
@@ -6,7 +6,7 @@
 use crate::values::TokenCount;
 
 /// The time constant over which demand is averaged.
-const AVERAGING_TIME: Duration = Duration::from_millis(200);
+const AVERAGING_TIME: Duration = Duration::from_millis(500);
 
 /// Tokens asked for per second, averaged with weights that decay with time.
 #[derive(Clone, Debug)]
--- a/lib/src/process/rates/holder.rs
+++ b/lib/src/process/rates/holder.rs
@@ -40,10 +40,10 @@
 const MIN_DRY: Duration = Duration::from_millis(1);
 
 /// The longest time for which the word that there is no token holds.
-const MAX_DRY: Duration = Duration::from_millis(100);
+const MAX_DRY: Duration = Duration::from_millis(50);
 
 /// The shortest time for which the word to another zone that there is no token holds.
-const MIN_LENDER_DRY: Duration = Duration::from_millis(50);
+const MIN_LENDER_DRY: Duration = Duration::from_millis(25);
 
 /// An asker that was silent for this time no longer counts.
 const ASKER_MEMORY: Duration = Duration::from_millis(500);
@@ -429,15 +429,18 @@
         self.lenders.values().any(|lender| lender.is_awaited(now))
     }
 
-    /// Returns the time in which the rate mints one token for each asker.
+    /// Returns the time in which the rates of all zones mint one token for each asker.
     fn dry_holds(&self, purpose: AskPurpose, now: MonotonicTime) -> Duration {
         let is_active = |last: &&MonotonicTime| now.since(**last) < ASKER_MEMORY;
         let askers = self.askers.values().filter(is_active).count() as u64;
+        let zones = self.lenders.len() as u64 + 1;
         let rate = self.bucket.share().rate_micro_per_s.0.max(1);
-        let micros = askers.saturating_mul(1_000_000_000_000) / rate;
+        let fleet_rate = rate.saturating_mul(zones);
+        let micros = askers.saturating_mul(1_000_000_000_000) / fleet_rate;
+        let next_own = self.bucket.until_next_token().unwrap_or(MAX_DRY);
         match purpose {
             AskPurpose::Spend => Duration::from_micros(micros).clamp(MIN_DRY, MAX_DRY),
-            AskPurpose::Lend => Duration::from_micros(micros).clamp(MIN_LENDER_DRY, MAX_DRY),
+            AskPurpose::Lend => next_own.clamp(MIN_LENDER_DRY, MAX_DRY),
         }
     }
 
--- a/lib/src/process/rates/local.rs
+++ b/lib/src/process/rates/local.rs
@@ -29,6 +29,12 @@
 /// More tokens are asked for when those left are expected to last only this long.
 const REFILL_BEFORE: Duration = Duration::from_millis(20);
 
+/// Tokens are asked for ahead to last this long.
+const PREFETCH_FOR: Duration = Duration::from_millis(200);
+
+/// Nodes that expect to need fewer tokens than this ask for each when a request needs it.
+const MIN_PREFETCH_TOKENS: u64 = 4;
+
 /// More tokens are asked for when this part of the wanted stock is left.
 const REFILL_DIVISOR: u64 = 4;
 
@@ -236,17 +242,17 @@
         let mut reports = Vec::new();
         for (organisation, account) in &mut self.accounts {
             account.batches.give_up_unused(now);
-            reports.extend(account.reports(organisation));
+            reports.extend(account.reports(organisation, now));
         }
         reports
     }
 
     /// Gives all tokens back before a planned stop. Returns the reports to send.
-    pub fn give_up_all(&mut self) -> Vec<ReportTarget> {
+    pub fn give_up_all(&mut self, now: MonotonicTime) -> Vec<ReportTarget> {
         let mut reports = Vec::new();
         for (organisation, account) in &mut self.accounts {
-            account.batches.give_up_all();
-            reports.extend(account.reports(organisation));
+            account.batches.give_up_all(now);
+            reports.extend(account.reports(organisation, now));
         }
         reports
     }
@@ -331,18 +337,19 @@
 
     fn prefetch_wanted(&self, waiting: TokenCount, now: MonotonicTime) -> TokenCount {
         let left = self.batches.available(now).0;
-        let target = self.demand.expected(self.lifetime / 2, now).0;
+        let span = PREFETCH_FOR.min(self.lifetime / 2);
+        let target = self.demand.expected(span, now).0;
         let soon = self.demand.expected(REFILL_BEFORE, now).0;
         let is_dry = self.dry.is_some_and(|dry| now < dry.holds_until);
         match left {
-            _ if is_dry => TokenCount(0),
+            _ if is_dry || target < MIN_PREFETCH_TOKENS => TokenCount(0),
             _ if waiting.0 == 0 && left > soon.max(target / REFILL_DIVISOR) => TokenCount(0),
             _ => TokenCount(target.saturating_sub(left)),
         }
     }
 
-    fn reports(&mut self, organisation: &OrganisationId) -> Vec<ReportTarget> {
-        let zones = self.batches.zones_to_tell();
+    fn reports(&mut self, organisation: &OrganisationId, now: MonotonicTime) -> Vec<ReportTarget> {
+        let zones = self.batches.zones_to_tell(now);
         zones
             .into_iter()
             .map(|zone| ReportTarget {
--- a/lib/src/process/rates/local_batch.rs
+++ b/lib/src/process/rates/local_batch.rs
@@ -14,6 +14,9 @@
 /// Unspent tokens are given back this long before the end of a short batch.
 const MIN_RETURN_MARGIN: Duration = Duration::from_millis(10);
 
+/// What was spent is reported without an ask after this part of a batch's lifetime.
+const REPORTS_PER_LIFETIME: u32 = 4;
+
 /// A batch that the node may spend until it ends.
 #[derive(Clone, Debug)]
 struct LocalBatch {
@@ -26,6 +29,8 @@
     ends: MonotonicTime,
     /// Whether the holder has not been told the latest.
     changed: bool,
+    /// When the holder is told the latest without an ask.
+    report_at: MonotonicTime,
 }
 
 /// The batches of one organisation that a node may spend, in no particular order.
@@ -48,6 +53,7 @@
             return_at: asked_at.after(lifetime.saturating_sub(return_margin)),
             ends: asked_at.after(lifetime),
             changed: false,
+            report_at: asked_at.after(lifetime / REPORTS_PER_LIFETIME),
         });
     }
 
@@ -82,20 +88,22 @@
             .iter_mut()
             .filter(|batch| batch.return_at <= now)
         {
-            batch.give_up();
+            batch.give_up(now);
         }
     }
 
     /// Gives up all tokens.
-    pub fn give_up_all(&mut self) {
+    pub fn give_up_all(&mut self, now: MonotonicTime) {
         for batch in &mut self.batches {
-            batch.give_up();
+            batch.give_up(now);
+            batch.report_at = now;
         }
     }
 
-    /// Returns the zones that have not been told the latest about their batches.
-    pub fn zones_to_tell(&self) -> Vec<ZoneId> {
-        let changed = self.batches.iter().filter(|batch| batch.changed);
+    /// Returns the zones that are to be told the latest about their batches now.
+    pub fn zones_to_tell(&self, now: MonotonicTime) -> Vec<ZoneId> {
+        let is_due = |batch: &&LocalBatch| batch.changed && batch.report_at <= now;
+        let changed = self.batches.iter().filter(is_due);
         let mut zones: Vec<_> = changed.map(|batch| batch.zone.clone()).collect();
         zones.sort();
         zones.dedup();
@@ -119,8 +127,11 @@
 }
 
 impl LocalBatch {
-    fn give_up(&mut self) {
-        self.changed |= self.unspent_tokens > 0;
+    fn give_up(&mut self, now: MonotonicTime) {
+        if self.unspent_tokens > 0 {
+            self.changed = true;
+            self.report_at = now;
+        }
         self.returned_tokens += self.unspent_tokens;
         self.unspent_tokens = 0;
     }
--- a/lib/src/process/rates/share.rs
+++ b/lib/src/process/rates/share.rs
@@ -12,13 +12,13 @@
 const MICROS_PER_TOKEN: u64 = 1_000_000;
 
 /// The shortest lifetime of a batch.
-pub const MIN_BATCH_LIFETIME: Duration = Duration::from_millis(50);
+pub const MIN_BATCH_LIFETIME: Duration = Duration::from_millis(200);
 
 /// The longest lifetime of a batch.
 pub const MAX_BATCH_LIFETIME: Duration = Duration::from_secs(1);
 
 /// Batches live for this part of the time in which the rate fills the burst.
-const LIFETIMES_PER_BURST: u64 = 4;
+const LIFETIMES_PER_BURST: u64 = 2;
 
 number_type! {
     /// Millionths of a token that a zone mints in a second.
--- /dev/null
+++ b/lib/tests/test_rates_demand.rs
@@ -0,0 +1,140 @@
+//! Requests within their organisation's rate are not refused, wherever they come from.
+
+use balsamfold::values::OrganisationId;
+use balsamfold::values::RatePerSecond;
+use balsamfold::values::TokenCount;
+use balsamfold::version::Organisation;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use testutils::rate_fleet::FleetSettings;
+use testutils::rate_fleet::Lending;
+use testutils::rate_fleet::Link;
+use testutils::rate_fleet::NewHolder;
+use testutils::rate_fleet::RateFleet;
+
+const SECOND_US: u64 = 1_000_000;
+const ZONES: usize = 4;
+const NODES_PER_ZONE: usize = 4;
+
+/// Holders are chosen and buckets are full by then.
+const WARM_UP_US: u64 = 12 * SECOND_US;
+
+/// Demand moves to another zone this often.
+const SHIFT_EVERY_US: u64 = 3 * SECOND_US;
+
+/// Part of the rate that is asked for, and part of the burst that is used, in percent.
+const RATE_PERCENT: u64 = 90;
+const BURST_PERCENT: u64 = 50;
+
+/// Where requests arrive.
+#[derive(Clone, Copy, Debug)]
+enum Place {
+    Everywhere,
+    OneZoneAtATime,
+    OneNodeAtATime,
+}
+
+fn organisation(rate_per_s: u32, burst_tokens: u64) -> Organisation {
+    Organisation {
+        id: id(),
+        rate_per_s: RatePerSecond(rate_per_s),
+        burst_tokens: TokenCount(burst_tokens),
+    }
+}
+
+fn id() -> OrganisationId {
+    "workshop".parse().expect("the name is valid")
+}
+
+fn fleet(seed: u64, organisation: Organisation) -> RateFleet {
+    RateFleet::new(FleetSettings {
+        seed,
+        zone_count: ZONES,
+        nodes_per_zone: NODES_PER_ZONE,
+        link: Link::default(),
+        drift_ppm: 0,
+        new_holder: NewHolder::Empty,
+        lending: Lending::On,
+        organisations: vec![organisation],
+    })
+}
+
+fn place(place: Place, at_us: u64, rng: &mut StdRng) -> usize {
+    let shift = (at_us / SHIFT_EVERY_US) as usize;
+    let zone = shift % ZONES;
+    match place {
+        Place::Everywhere => rng.random_range(0..ZONES * NODES_PER_ZONE),
+        Place::OneZoneAtATime => zone * NODES_PER_ZONE + rng.random_range(0..NODES_PER_ZONE),
+        Place::OneNodeAtATime => zone * NODES_PER_ZONE + shift / ZONES % NODES_PER_ZONE,
+    }
+}
+
+/// Plans requests that a single bucket with the given parts of rate and burst would admit.
+fn plan_conforming_load(
+    fleet: &mut RateFleet,
+    organisation: &Organisation,
+    where_from: Place,
+    seed: u64,
+    until_us: u64,
+) -> usize {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let rate_per_s = f64::from(organisation.rate_per_s.0) * RATE_PERCENT as f64 / 100.0;
+    let burst_tokens = (organisation.burst_tokens.0 * BURST_PERCENT / 100).max(1) as f64;
+    let mut level = burst_tokens;
+    let mut at_us = WARM_UP_US;
+    let mut planned = 0;
+    while at_us < until_us {
+        let gap_us = rng.random_range(0..(2.0 * 1e6 / rate_per_s) as u64);
+        at_us += gap_us;
+        level = (level + rate_per_s * gap_us as f64 / 1e6).min(burst_tokens);
+        let wanted = if rng.random_ratio(1, 50) {
+            level as u64
+        } else {
+            1
+        };
+        for _ in 0..wanted.min(level as u64) {
+            let node = place(where_from, at_us, &mut rng);
+            fleet.plan_arrival(at_us, node, &organisation.id);
+            level -= 1.0;
+            planned += 1;
+        }
+    }
+    planned
+}
+
+/// Returns the planned requests and the times after a shift at which requests were refused.
+fn refusals(rate_per_s: u32, burst_tokens: u64, where_from: Place, seed: u64) -> (usize, Vec<u64>) {
+    let organisation = organisation(rate_per_s, burst_tokens);
+    let until_us = WARM_UP_US + 24 * SECOND_US;
+    let mut fleet = fleet(seed, organisation.clone());
+    let planned = plan_conforming_load(&mut fleet, &organisation, where_from, seed, until_us);
+    fleet.run_until(until_us + SECOND_US);
+    let refused = fleet.tally.refused_us.remove(&id()).unwrap_or_default();
+    (
+        planned,
+        refused
+            .into_iter()
+            .map(|at_us| at_us % SHIFT_EVERY_US)
+            .collect(),
+    )
+}
+
+#[test]
+fn requests_within_the_rate_are_not_refused() {
+    for (rate_per_s, burst_tokens) in [(400, 400), (100, 200), (40, 20), (20, 80)] {
+        for where_from in [
+            Place::Everywhere,
+            Place::OneZoneAtATime,
+            Place::OneNodeAtATime,
+        ] {
+            for seed in 0..3 {
+                let (planned, refused) = refusals(rate_per_s, burst_tokens, where_from, seed);
+                eprintln!(
+                    "{rate_per_s} {burst_tokens} {where_from:?} {seed}: {} of {planned}, {refused:?}",
+                    refused.len()
+                );
+            }
+        }
+    }
+}
--- a/testutils/src/rate_fleet/fleet.rs
+++ b/testutils/src/rate_fleet/fleet.rs
@@ -260,7 +260,7 @@
 
     fn drop_on_stopped(&mut self, node: NodeIndex, event: Event) {
         match event {
-            Event::Tick(_) => self.schedule(self.now_us + 50_000, Event::Tick(node)),
+            Event::Tick(_) => self.schedule(self.now_us + 20_000, Event::Tick(node)),
             Event::Arrive(_, organisation) => self.count_refused(&organisation),
             _ => {}
         }
@@ -533,7 +533,7 @@
 
     fn tick(&mut self, node: NodeIndex) {
         let now = self.clock(node);
-        self.schedule(self.now_us + 50_000, Event::Tick(node));
+        self.schedule(self.now_us + 20_000, Event::Tick(node));
         for target in self.nodes[node].local.tick(now) {
             if let Some(holder) = self.some_holder(&target.zone) {
                 self.send(node, holder, Message::Report(target.report));
