--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -7,5 +7,5 @@
 pub mod node;
 pub mod secret;
 pub mod settings;
-pub mod secret;
 pub mod routing;
+pub mod rates;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -18,3 +18,7 @@
 mod test_membership_node;
 mod test_secret;
 mod test_routing;
+mod test_rates;
+mod test_rates_bound;
+mod test_rates_demand;
+mod test_rates_lease;
