version: configuration folders, changes with tombstones, holder of the newest version

Operators need a folder of TOML files whose errors come all at once, and a configuration that never goes back. The folder is parsed by the toml crate with spans; each entry is checked by TryFrom, the merged whole afterwards.

Keys never leave by absence: only an explicit withdrawal ends one, for good. A folder that withdrew by absence was excluded, since an older copy would then withdraw newer keys without a way back.

--- a/lib/src/values/mod.rs
+++ b/lib/src/values/mod.rs
@@ -7,6 +7,7 @@
 pub use self::clock::Clock;
 pub use self::clock::MonotonicTime;
 pub use self::clock::WallTime;
+pub use self::names::ClassId;
 pub use self::names::InvalidNameError;
 pub use self::names::KeyId;
 pub use self::names::NAME_MAX_CHARS;
--- a/lib/src/values/names.rs
+++ b/lib/src/values/names.rs
@@ -66,3 +66,8 @@
     /// Names a key in configuration files, logs and dumps. It is not secret.
     KeyId
 }
+
+name_type! {
+    /// Names an importance class, which gives routes their rank.
+    ClassId
+}
--- a/lib/src/version/configuration.rs
+++ b/lib/src/version/configuration.rs
@@ -5,23 +5,35 @@
 use uuid::Uuid;
 
 use super::CallerKey;
+use super::ImportanceClass;
 use super::KeyHash;
 use super::KeyRecord;
 use super::KeyState;
 use super::Organisation;
 use super::Route;
 use super::ZoneRecord;
+use crate::values::ClassId;
 use crate::values::ConfigVersion;
 use crate::values::KeyId;
 use crate::values::OrganisationId;
 use crate::values::ZoneId;
 
+/// Most earlier changes that a configuration names.
+pub const RECENT_CHANGES_MAX: usize = 32;
+
 plain_value! {
     /// Identifies one change by one operator, so that a lost answer can be settled by reading back.
     #[serde(transparent)]
     pub struct ChangeId(pub Uuid);
 }
 
+impl ChangeId {
+    /// Makes the id of a new change.
+    pub fn generate() -> Self {
+        Self(Uuid::now_v7())
+    }
+}
+
 impl std::fmt::Display for ChangeId {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         self.0.fmt(f)
@@ -37,18 +49,31 @@
         pub version: ConfigVersion,
         /// The change that made this version.
         pub change_id: ChangeId,
+        /// The changes before this one, the latest first, at most [`RECENT_CHANGES_MAX`].
+        ///
+        /// They show the writer of an older version that its change took effect.
+        #[serde(default)]
+        pub recent_changes: Vec<ChangeId>,
         /// Availability zones that take part in rates and in at-most-once records.
         pub zones: BTreeMap<ZoneId, ZoneRecord>,
         /// Organisations with their rates.
         pub organisations: BTreeMap<OrganisationId, Organisation>,
         /// Keys, with the withdrawn ones.
         pub keys: BTreeMap<KeyId, KeyRecord>,
+        /// Importance classes, from which routes get their rank.
+        #[serde(default)]
+        pub classes: BTreeMap<ClassId, ImportanceClass>,
         /// Routes in no particular order; the longest matching path wins.
         pub routes: Vec<Route>,
     }
 }
 
 impl Configuration {
+    /// Returns whether `change` made this version or one of the recent versions before it.
+    pub fn contains_change(&self, change: ChangeId) -> bool {
+        self.change_id == change || self.recent_changes.contains(&change)
+    }
+
     /// Finds the organisation whose active key has the hash of `key`.
     ///
     /// Every stored hash is compared in constant time, and the search does not stop at a match.
--- /dev/null
+++ b/lib/src/version/folder/raw_entry.rs
@@ -0,0 +1,174 @@
+//! An unchecked entry of a file, from which checked types take their fields.
+
+use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+
+use serde::de::DeserializeOwned;
+use serde_spanned::Spanned;
+use toml::de::DeTable;
+use toml::de::DeValue;
+use toml::de::ValueDeserializer;
+
+use super::FieldProblem;
+use super::FolderError;
+use super::SourceFile;
+
+/// Where an entry and its fields stand.
+#[derive(Clone, Debug)]
+pub(super) struct Origin {
+    file: String,
+    path: String,
+    line: u32,
+    field_lines: BTreeMap<String, u32>,
+}
+
+impl Origin {
+    /// Describes a problem with one field of the entry.
+    pub(super) fn problem(&self, field: &str, message: String) -> FieldProblem {
+        FieldProblem {
+            file: self.file.clone(),
+            line: *self.field_lines.get(field).unwrap_or(&self.line),
+            field: format!("{}.{field}", self.path),
+            message,
+        }
+    }
+
+    /// Returns the file and line of the entry, for messages about other entries.
+    pub(super) fn place(&self) -> String {
+        format!("{}:{}", self.file, self.line)
+    }
+}
+
+/// A checked entry with the place where it stands.
+#[derive(Clone, Debug)]
+pub(super) struct Located<T> {
+    pub(super) value: T,
+    pub(super) origin: Origin,
+}
+
+/// An unchecked entry. Each field is taken once; what is left over is unknown.
+pub(super) struct RawEntry<'i> {
+    name: String,
+    origin: Origin,
+    fields: BTreeMap<String, Spanned<DeValue<'i>>>,
+    problems: Vec<FieldProblem>,
+}
+
+impl<'i> RawEntry<'i> {
+    /// Takes the fields of the entry `name` at byte `offset` of `file`.
+    pub(super) fn new(
+        file: &SourceFile,
+        section: &str,
+        name: &str,
+        offset: usize,
+        table: DeTable<'i>,
+    ) -> Self {
+        let mut fields = BTreeMap::new();
+        let mut field_lines = BTreeMap::new();
+        for (key, value) in table {
+            let line = file.line_at(key.span().start);
+            let key = key.into_inner().into_owned();
+            field_lines.insert(key.clone(), line);
+            fields.insert(key, value);
+        }
+        let origin = Origin {
+            file: file.name.clone(),
+            path: format!("{section}.{name}"),
+            line: file.line_at(offset),
+            field_lines,
+        };
+        Self {
+            name: name.to_owned(),
+            origin,
+            fields,
+            problems: Vec::new(),
+        }
+    }
+
+    /// Returns the name of the entry as a checked type.
+    pub(super) fn name<T: FromStr<Err: Display>>(&mut self) -> Option<T> {
+        match self.name.parse() {
+            Ok(name) => Some(name),
+            Err(error) => {
+                let message = format!("bad name of entry: {error}");
+                self.problem("", message);
+                None
+            }
+        }
+    }
+
+    /// Takes a field that must be there.
+    pub(super) fn required<T: DeserializeOwned>(&mut self, field: &str) -> Option<T> {
+        match self.fields.remove(field) {
+            Some(value) => self.convert(field, value),
+            None => {
+                self.problem(field, "field is missing".to_owned());
+                None
+            }
+        }
+    }
+
+    /// Takes a field that has a default.
+    pub(super) fn optional<T: DeserializeOwned>(&mut self, field: &str, default: T) -> Option<T> {
+        match self.fields.remove(field) {
+            Some(value) => self.convert(field, value),
+            None => Some(default),
+        }
+    }
+
+    /// Checks that a number that was taken lies in a range.
+    pub(super) fn in_range<T>(&mut self, field: &str, number: Option<T>, range: RangeInclusive<T>)
+    where
+        T: PartialOrd + Display,
+    {
+        match number {
+            Some(number) if !range.contains(&number) => {
+                let (least, most) = range.into_inner();
+                self.problem(field, format!("{number} is not in {least} to {most}"));
+            }
+            _ => {}
+        }
+    }
+
+    /// Records a problem with a field.
+    pub(super) fn problem(&mut self, field: &str, message: String) {
+        let problem = self.origin.problem(field, message);
+        let field = problem.field.trim_end_matches('.').to_owned();
+        self.problems.push(FieldProblem { field, ..problem });
+    }
+
+    /// Ends the entry: fields not taken are unknown, and `build` makes the checked value.
+    pub(super) fn finish<T>(
+        mut self,
+        build: impl FnOnce() -> Option<T>,
+    ) -> Result<Located<T>, FolderError> {
+        let unknown: Vec<_> = self.fields.keys().cloned().collect();
+        for field in unknown {
+            self.problem(&field, "unknown field".to_owned());
+        }
+        match build() {
+            Some(value) if self.problems.is_empty() => Ok(Located {
+                value,
+                origin: self.origin,
+            }),
+            _ => Err(FolderError::new(self.problems)),
+        }
+    }
+
+    fn convert<T: DeserializeOwned>(
+        &mut self,
+        field: &str,
+        value: Spanned<DeValue<'i>>,
+    ) -> Option<T> {
+        match T::deserialize(ValueDeserializer::from(value)) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                let message = error.message().to_owned();
+                self.problem(field, message);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/version/index.rs
@@ -0,0 +1,91 @@
+//! A configuration with its keys indexed for the check of each request.
+
+use std::collections::HashMap;
+
+use super::CallerKey;
+use super::Configuration;
+use super::KeyHash;
+use super::KeyRecord;
+use super::KeyState;
+use super::Organisation;
+use super::Route;
+use crate::values::ConfigVersion;
+use crate::values::KeyId;
+use crate::values::OrganisationId;
+
+/// First bytes of a key hash. The time of a search shows no more of a stored hash than these.
+type HashPrefix = [u8; HASH_PREFIX_BYTES];
+
+/// Bytes of a key hash by which keys are found before the whole hashes are compared.
+const HASH_PREFIX_BYTES: usize = 4;
+
+/// An immutable configuration with an index over its active keys.
+#[derive(Debug)]
+pub struct IndexedConfiguration {
+    configuration: Configuration,
+    active_keys: HashMap<HashPrefix, Vec<ActiveKey>>,
+}
+
+#[derive(Debug)]
+struct ActiveKey {
+    id: KeyId,
+    hash: KeyHash,
+    organisation: OrganisationId,
+}
+
+impl IndexedConfiguration {
+    /// Indexes the active keys of `configuration`.
+    pub fn new(configuration: Configuration) -> Self {
+        let mut active_keys: HashMap<HashPrefix, Vec<ActiveKey>> = HashMap::new();
+        for record in configuration.keys.values().filter(|key| is_active(key)) {
+            let keys = active_keys.entry(record.hash.prefix()).or_default();
+            keys.push(ActiveKey {
+                id: record.id.clone(),
+                hash: record.hash,
+                organisation: record.organisation.clone(),
+            });
+        }
+        Self {
+            configuration,
+            active_keys,
+        }
+    }
+
+    /// Returns the whole configuration.
+    pub fn configuration(&self) -> &Configuration {
+        &self.configuration
+    }
+
+    /// Returns the version of the configuration.
+    pub fn version(&self) -> ConfigVersion {
+        self.configuration.version
+    }
+
+    /// Finds the organisation whose active key is `key`.
+    ///
+    /// Whole hashes are compared in constant time.
+    pub fn organisation_of(&self, key: &CallerKey) -> Option<&Organisation> {
+        let active = self.active_key(key)?;
+        self.configuration.organisations.get(&active.organisation)
+    }
+
+    /// Finds the id of the active key `key`.
+    pub fn key_id_of(&self, key: &CallerKey) -> Option<&KeyId> {
+        self.active_key(key).map(|active| &active.id)
+    }
+
+    /// Finds the route with the longest path that matches `path`.
+    pub fn route_of(&self, path: &str) -> Option<&Route> {
+        self.configuration.route_of(path)
+    }
+
+    fn active_key(&self, key: &CallerKey) -> Option<&ActiveKey> {
+        let hash = KeyHash::of(key);
+        let candidates = self.active_keys.get(&hash.prefix::<HASH_PREFIX_BYTES>())?;
+        candidates.iter().find(|active| active.hash.matches(&hash))
+    }
+}
+
+fn is_active(key: &KeyRecord) -> bool {
+    key.state == KeyState::Active
+}
--- a/lib/src/version/key.rs
+++ b/lib/src/version/key.rs
@@ -52,6 +52,11 @@
         Self(*blake3::hash(key.reveal().as_bytes()).as_bytes())
     }
 
+    /// Returns the first bytes of the hash, by which a table of keys can be indexed.
+    pub(super) fn prefix<const BYTES: usize>(&self) -> [u8; BYTES] {
+        std::array::from_fn(|i| self.0[i])
+    }
+
     /// Compares two hashes in a time that does not depend on where they differ.
     pub fn matches(&self, other: &Self) -> bool {
         self.0.ct_eq(&other.0).into()
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -1,13 +1,23 @@
 //! What lives for one accepted configuration.
 
+pub mod change;
+mod class;
 mod configuration;
+pub mod folder;
+mod holder;
+mod index;
 mod key;
 mod organisation;
 mod route;
 mod zone;
 
+pub use self::class::ImportanceClass;
 pub use self::configuration::ChangeId;
 pub use self::configuration::Configuration;
+pub use self::configuration::RECENT_CHANGES_MAX;
+pub use self::holder::ConfigurationHolder;
+pub use self::holder::Offer;
+pub use self::index::IndexedConfiguration;
 pub use self::key::CallerKey;
 pub use self::key::InvalidKeyHashError;
 pub use self::key::KeyHash;
