platform: client of the key-value service and its stand-in

The client is get, compare-and-swap, lease and watch on typed keys, bounded in time, number and size of values. A lost reply of a compare-and-swap is settled by reading back; an unchanged key is written again, since the lost call may still arrive and at most one of both can take effect.

The first run of unreachable_service_changes_nothing failed: volo-http reports a refused connect as a request error, so it was taken for a lost reply. Its direct source is the I/O error of the connect, which now tells the two apart.

--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -1,8 +1,10 @@
 //! What lives for the whole process.
 
+pub mod configuration;
 pub mod control;
 pub mod events;
 pub mod membership;
 pub mod node;
+pub mod platform;
 pub mod secret;
 pub mod settings;
--- /dev/null
+++ b/lib/src/process/platform/client.rs
@@ -0,0 +1,179 @@
+//! Typed calls to the platform's service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::time::sleep;
+
+use super::CallBudget;
+use super::CallCounts;
+use super::LeaseId;
+use super::PlatformCall;
+use super::PlatformError;
+use super::PlatformKey;
+use super::PlatformReply;
+use super::PlatformValue;
+use super::Revision;
+use super::Stored;
+use super::Swap;
+use super::Watched;
+use super::counts::CallCounter;
+use super::error::BadReplySnafu;
+use super::error::BusySnafu;
+use super::error::LeaseEndedSnafu;
+use super::wire::WireClient;
+use crate::values::Clock;
+use crate::values::ZoneId;
+
+/// How a process calls the platform's service.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// Where the service listens.
+    pub address: SocketAddr,
+    /// The zone of the process; none for an operator's desk.
+    pub zone: Option<ZoneId>,
+    /// Longest time that a call may take, besides the wait of a watch.
+    pub call_timeout_ms: u64,
+    /// Most calls that the process makes in a second.
+    pub calls_per_s: u32,
+}
+
+impl PlatformSettings {
+    /// Time limit of a call where the settings do not say.
+    pub const CALL_TIMEOUT_MS_DEFAULT: u64 = 1_000;
+
+    /// Bound on calls per second where the settings do not say.
+    pub const CALLS_PER_S_DEFAULT: u32 = 10;
+
+    /// Settings for the service at `address` with the default limits.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            zone: None,
+            call_timeout_ms: Self::CALL_TIMEOUT_MS_DEFAULT,
+            calls_per_s: Self::CALLS_PER_S_DEFAULT,
+        }
+    }
+}
+
+/// Makes calls to the platform's service, bounded in time and number.
+///
+/// Calls fail at once; trying again is up to the caller. The one lock, on the budget, is held only
+/// to reserve a call.
+pub struct PlatformClient {
+    wire: WireClient,
+    call_timeout: Duration,
+    budget: Mutex<CallBudget>,
+    counter: CallCounter,
+    clock: Clock,
+}
+
+impl PlatformClient {
+    /// Makes a client. No connection is opened before the first call.
+    pub fn new(settings: &PlatformSettings) -> Result<Self, PlatformError> {
+        Ok(Self {
+            wire: WireClient::new(settings.address, settings.zone.as_ref())?,
+            call_timeout: Duration::from_millis(settings.call_timeout_ms),
+            budget: Mutex::new(CallBudget::new(settings.calls_per_s)),
+            counter: CallCounter::default(),
+            clock: Clock::start(),
+        })
+    }
+
+    /// Returns the calls made so far.
+    pub fn counts(&self) -> CallCounts {
+        self.counter.counts()
+    }
+
+    /// Reads the value of a key, or none if it is absent.
+    pub async fn get(&self, key: &PlatformKey) -> Result<Option<Stored>, PlatformError> {
+        let key = key.clone();
+        match self.call(PlatformCall::Get { key }).await? {
+            PlatformReply::Value(stored) => Ok(stored),
+            other => unexpected(&other),
+        }
+    }
+
+    /// Writes `value` if the key has the revision `expected`, none meaning that it is absent.
+    ///
+    /// With a lease, the value goes when the lease ends.
+    pub async fn compare_and_swap(
+        &self,
+        key: &PlatformKey,
+        expected: Option<Revision>,
+        value: &PlatformValue,
+        lease: Option<LeaseId>,
+    ) -> Result<Swap, PlatformError> {
+        let call = PlatformCall::CompareAndSwap {
+            key: key.clone(),
+            expected,
+            value: value.clone(),
+            lease,
+        };
+        match self.call(call).await? {
+            PlatformReply::Swap(swap) => Ok(swap),
+            other => unexpected(&other),
+        }
+    }
+
+    /// Waits up to `wait` until the key has a revision other than `known`.
+    pub async fn watch(
+        &self,
+        key: &PlatformKey,
+        known: Option<Revision>,
+        wait: Duration,
+    ) -> Result<Watched, PlatformError> {
+        let call = PlatformCall::Watch {
+            key: key.clone(),
+            known,
+            wait_ms: wait.as_millis() as u64,
+        };
+        match self.call(call).await? {
+            PlatformReply::Watch(watched) => Ok(watched),
+            other => unexpected(&other),
+        }
+    }
+
+    /// Makes a lease that ends after `ttl` unless it is renewed.
+    pub async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, PlatformError> {
+        let ttl_ms = ttl.as_millis() as u64;
+        self.lease_call(PlatformCall::GrantLease { ttl_ms }).await
+    }
+
+    /// Prolongs a lease by its time to live.
+    pub async fn renew_lease(&self, lease: LeaseId) -> Result<(), PlatformError> {
+        let renewed = self.lease_call(PlatformCall::RenewLease { lease }).await;
+        renewed.map(|_| ())
+    }
+
+    /// Ends a lease. The values that hang on it go at once.
+    pub async fn release_lease(&self, lease: LeaseId) -> Result<(), PlatformError> {
+        let released = self.lease_call(PlatformCall::ReleaseLease { lease }).await;
+        released.map(|_| ())
+    }
+
+    async fn lease_call(&self, call: PlatformCall) -> Result<LeaseId, PlatformError> {
+        match self.call(call).await? {
+            PlatformReply::Lease(lease) => Ok(lease),
+            PlatformReply::LeaseEnded => LeaseEndedSnafu.fail(),
+            other => unexpected(&other),
+        }
+    }
+
+    async fn call(&self, call: PlatformCall) -> Result<PlatformReply, PlatformError> {
+        let pause = self.budget.lock().reserve(self.clock.now());
+        sleep(pause).await;
+        self.counter.add(call.kind());
+        let time_limit = self.call_timeout + Duration::from_millis(call.wait_ms());
+        match self.wire.send(&call, time_limit).await? {
+            PlatformReply::Busy => BusySnafu.fail(),
+            reply => Ok(reply),
+        }
+    }
+}
+
+fn unexpected<T>(reply: &PlatformReply) -> Result<T, PlatformError> {
+    let detail = format!("unexpected reply {reply:?}");
+    BadReplySnafu { detail }.fail()
+}
--- /dev/null
+++ b/lib/src/process/platform/key.rs
@@ -0,0 +1,84 @@
+//! The keys that the system uses in the platform's service.
+
+use std::fmt;
+use std::str::FromStr;
+
+use snafu::OptionExt;
+use snafu::Snafu;
+
+use crate::values::InvalidNameError;
+use crate::values::OrganisationId;
+use crate::values::ZoneId;
+
+/// A key in the platform's service.
+#[derive(
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub enum PlatformKey {
+    /// The configuration of the fleet.
+    Configuration,
+    /// Addresses of a few nodes of a zone, for nodes that start.
+    Seeds(ZoneId),
+    /// Epoch and holder of the token bucket of an organisation in a zone.
+    BucketHolder(ZoneId, OrganisationId),
+    /// Epoch of the at-most-once records of a zone.
+    RecordHome(ZoneId),
+}
+
+/// The text is no key that the system uses.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{text:?} is no key of the platform's service"))]
+pub struct InvalidPlatformKeyError {
+    text: String,
+}
+
+impl fmt::Display for PlatformKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Configuration => f.write_str("configuration"),
+            Self::Seeds(zone) => write!(f, "seeds/{zone}"),
+            Self::BucketHolder(zone, organisation) => {
+                write!(f, "bucket-holder/{zone}/{organisation}")
+            }
+            Self::RecordHome(zone) => write!(f, "record-home/{zone}"),
+        }
+    }
+}
+
+impl FromStr for PlatformKey {
+    type Err = InvalidPlatformKeyError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parts: Vec<_> = text.split('/').collect();
+        let key = match parts.as_slice() {
+            ["configuration"] => Ok(Self::Configuration),
+            ["seeds", zone] => zone.parse().map(Self::Seeds),
+            ["bucket-holder", zone, organisation] => bucket_holder(zone, organisation),
+            ["record-home", zone] => zone.parse().map(Self::RecordHome),
+            _ => return InvalidPlatformKeySnafu { text }.fail(),
+        };
+        key.ok().context(InvalidPlatformKeySnafu { text })
+    }
+}
+
+fn bucket_holder(zone: &str, organisation: &str) -> Result<PlatformKey, InvalidNameError> {
+    Ok(PlatformKey::BucketHolder(
+        zone.parse()?,
+        organisation.parse()?,
+    ))
+}
+
+impl TryFrom<String> for PlatformKey {
+    type Error = InvalidPlatformKeyError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<PlatformKey> for String {
+    fn from(key: PlatformKey) -> Self {
+        key.to_string()
+    }
+}
--- /dev/null
+++ b/lib/src/process/platform/mod.rs
@@ -0,0 +1,40 @@
+//! The client of the platform's key-value service.
+//!
+//! It is narrow: get, compare-and-swap, leases and watches on a few typed keys. The service counts
+//! each call, so the client bounds its calls per second and counts them by kind. The wire form is
+//! in `wire.rs` alone.
+
+mod backoff;
+mod call;
+mod client;
+mod counts;
+mod error;
+mod key;
+mod settle;
+mod swap;
+mod value;
+pub mod wire;
+
+pub use self::backoff::Backoff;
+pub use self::call::PlatformCall;
+pub use self::call::PlatformReply;
+pub use self::call::Swap;
+pub use self::call::Watched;
+pub use self::client::PlatformClient;
+pub use self::client::PlatformSettings;
+pub use self::counts::CallBudget;
+pub use self::counts::CallCounts;
+pub use self::counts::CallKind;
+pub use self::error::PlatformError;
+pub use self::key::PlatformKey;
+pub use self::settle::ChangeSeen;
+pub use self::settle::Settlement;
+pub use self::settle::Step;
+pub use self::swap::SwapOutcome;
+pub use self::swap::swap_settled;
+pub use self::value::InvalidPlatformValueError;
+pub use self::value::LeaseId;
+pub use self::value::PlatformValue;
+pub use self::value::Revision;
+pub use self::value::Stored;
+pub use self::value::VALUE_MAX_BYTES;
--- /dev/null
+++ b/lib/src/process/platform/swap.rs
@@ -0,0 +1,73 @@
+//! A compare-and-swap that is certain about its outcome wherever that is possible.
+
+use tokio::time::sleep;
+
+use super::Backoff;
+use super::ChangeSeen;
+use super::PlatformClient;
+use super::PlatformError;
+use super::PlatformKey;
+use super::PlatformValue;
+use super::Revision;
+use super::Settlement;
+use super::Step;
+use super::Stored;
+
+/// Calls after which a compare-and-swap gives up.
+const SWAP_TRIES: u32 = 6;
+
+/// What became of a compare-and-swap after all tries.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SwapOutcome {
+    /// The change took effect.
+    Done,
+    /// Another change came first; the key has this value now.
+    Conflict(Option<Stored>),
+    /// The change may or may not have taken effect, now or later.
+    Unknown,
+    /// The change took no effect and will not.
+    NothingChanged(PlatformError),
+}
+
+/// Writes `value` if the key has the revision `expected`, and settles lost replies by reading back.
+///
+/// `seen` tells whether a value that was read shows the change.
+pub async fn swap_settled(
+    client: &PlatformClient,
+    key: &PlatformKey,
+    expected: Option<Revision>,
+    value: &PlatformValue,
+    mut backoff: Backoff,
+    seen: impl Fn(Option<&Stored>) -> ChangeSeen,
+) -> SwapOutcome {
+    let mut settlement = Settlement::new(expected, SWAP_TRIES);
+    let mut step = Step::Swap;
+    loop {
+        step = match step {
+            Step::Swap => {
+                let reply = client.compare_and_swap(key, expected, value, None).await;
+                let failed = reply.is_err();
+                let next = settlement.after_swap(reply, &seen);
+                pause_if(failed, &mut backoff).await;
+                next
+            }
+            Step::Read => {
+                let reply = client.get(key).await;
+                let failed = reply.is_err();
+                let next = settlement.after_read(reply, &seen);
+                pause_if(failed, &mut backoff).await;
+                next
+            }
+            Step::Done => return SwapOutcome::Done,
+            Step::Conflict(current) => return SwapOutcome::Conflict(current),
+            Step::Unknown => return SwapOutcome::Unknown,
+            Step::NothingChanged(error) => return SwapOutcome::NothingChanged(error),
+        };
+    }
+}
+
+async fn pause_if(failed: bool, backoff: &mut Backoff) {
+    if failed {
+        sleep(backoff.next_pause()).await;
+    }
+}
--- /dev/null
+++ b/lib/tests/test_platform.rs
@@ -0,0 +1,367 @@
+//! The client of the platform's service, against the stand-in.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::time::Duration;
+
+use balsamfold::process::platform::Backoff;
+use balsamfold::process::platform::CallBudget;
+use balsamfold::process::platform::CallCounts;
+use balsamfold::process::platform::ChangeSeen;
+use balsamfold::process::platform::PlatformCall;
+use balsamfold::process::platform::PlatformClient;
+use balsamfold::process::platform::PlatformError;
+use balsamfold::process::platform::PlatformKey;
+use balsamfold::process::platform::PlatformReply;
+use balsamfold::process::platform::PlatformSettings;
+use balsamfold::process::platform::PlatformValue;
+use balsamfold::process::platform::Revision;
+use balsamfold::process::platform::Settlement;
+use balsamfold::process::platform::Step;
+use balsamfold::process::platform::Stored;
+use balsamfold::process::platform::Swap;
+use balsamfold::process::platform::SwapOutcome;
+use balsamfold::process::platform::VALUE_MAX_BYTES;
+use balsamfold::process::platform::Watched;
+use balsamfold::process::platform::swap_settled;
+use balsamfold::values::MonotonicTime;
+use balsamfold::values::ZoneId;
+use testutils::platform::Faults;
+use testutils::platform::PlatformStandIn;
+use testutils::platform::PlatformStore;
+
+const KEY: PlatformKey = PlatformKey::Configuration;
+
+fn client(address: SocketAddr) -> PlatformClient {
+    PlatformClient::new(&PlatformSettings {
+        calls_per_s: 1_000,
+        ..PlatformSettings::new(address)
+    })
+    .unwrap()
+}
+
+fn value(text: &str) -> PlatformValue {
+    PlatformValue::try_from(text.to_owned()).unwrap()
+}
+
+fn backoff() -> Backoff {
+    Backoff::new(Duration::from_millis(1), Duration::from_millis(4), 7)
+}
+
+/// Takes a value as showing the change if it starts with `mine`.
+fn holds_mine(current: Option<&Stored>) -> ChangeSeen {
+    match current {
+        Some(stored) if stored.value.as_str().starts_with("mine") => ChangeSeen::Yes,
+        _ => ChangeSeen::No,
+    }
+}
+
+fn no_reply() -> PlatformError {
+    let detail = "test".to_owned();
+    PlatformError::NoReply { detail }
+}
+
+fn not_sent() -> PlatformError {
+    let detail = "test".to_owned();
+    PlatformError::NotSent { detail }
+}
+
+fn stored(revision: u64, text: &str) -> Stored {
+    Stored {
+        revision: Revision(revision),
+        value: value(text),
+    }
+}
+
+#[test]
+fn lost_reply_is_settled_by_reading_back() {
+    let mut settlement = Settlement::new(Some(Revision(1)), 5);
+    let step = settlement.after_swap(Err(no_reply()), holds_mine);
+    assert_eq!(step, Step::Read);
+    let step = settlement.after_read(Ok(Some(stored(2, "mine"))), holds_mine);
+    assert_eq!(step, Step::Done);
+}
+
+#[test]
+fn unchanged_key_after_a_lost_reply_is_written_again() {
+    let mut settlement = Settlement::new(Some(Revision(1)), 5);
+    settlement.after_swap(Err(no_reply()), holds_mine);
+    let step = settlement.after_read(Ok(Some(stored(1, "old"))), holds_mine);
+    assert_eq!(step, Step::Swap);
+    let late = Swap::Conflict(Some(stored(2, "mine")));
+    assert_eq!(settlement.after_swap(Ok(late), holds_mine), Step::Done);
+}
+
+#[test]
+fn other_change_is_a_conflict() {
+    let mut settlement = Settlement::new(Some(Revision(1)), 5);
+    settlement.after_swap(Err(no_reply()), holds_mine);
+    let other = Some(stored(2, "other"));
+    let step = settlement.after_read(Ok(other.clone()), holds_mine);
+    assert_eq!(step, Step::Conflict(other));
+}
+
+#[test]
+fn outcome_is_unknown_only_if_a_reply_was_lost() {
+    let mut unsent = Settlement::new(None, 2);
+    assert_eq!(unsent.after_swap(Err(not_sent()), holds_mine), Step::Swap);
+    let step = unsent.after_swap(Err(not_sent()), holds_mine);
+    assert_eq!(step, Step::NothingChanged(not_sent()));
+    let mut lost = Settlement::new(None, 2);
+    assert_eq!(lost.after_swap(Err(no_reply()), holds_mine), Step::Read);
+    assert_eq!(lost.after_read(Err(not_sent()), holds_mine), Step::Unknown);
+}
+
+#[test]
+fn value_too_distant_to_tell_after_a_lost_reply_is_unknown() {
+    let cannot_tell = |_: Option<&Stored>| ChangeSeen::CannotTell;
+    let mut settlement = Settlement::new(Some(Revision(1)), 5);
+    settlement.after_swap(Err(no_reply()), cannot_tell);
+    let step = settlement.after_read(Ok(Some(stored(99, "later"))), cannot_tell);
+    assert_eq!(step, Step::Unknown);
+}
+
+#[test]
+fn budget_spaces_calls() {
+    let mut budget = CallBudget::new(10);
+    let mut now = MonotonicTime(5_000_000);
+    let mut made_at = Vec::new();
+    for _ in 0..50 {
+        now = now.after(budget.reserve(now));
+        made_at.push(now);
+    }
+    let most_in_a_second = made_at.iter().map(|start| {
+        let in_window = made_at
+            .iter()
+            .filter(|at| **at >= *start && at.since(*start) < Duration::from_secs(1));
+        in_window.count()
+    });
+    assert_eq!(most_in_a_second.max(), Some(10));
+}
+
+#[test]
+fn pauses_grow_to_their_bound_and_depend_on_the_seed() {
+    let pauses = |seed| {
+        let first = Duration::from_millis(10);
+        let mut backoff = Backoff::new(first, Duration::from_millis(100), seed);
+        [(); 40].map(|()| backoff.next_pause())
+    };
+    assert_eq!(pauses(1), pauses(1));
+    assert_ne!(pauses(1), pauses(2));
+    assert!(pauses(1)[0] <= Duration::from_millis(10));
+    let longest = pauses(1)[39];
+    assert!((50..=100).contains(&longest.as_millis()));
+}
+
+#[test]
+fn values_are_bounded() {
+    assert!(PlatformValue::try_from("x".repeat(VALUE_MAX_BYTES)).is_ok());
+    assert!(PlatformValue::try_from("x".repeat(VALUE_MAX_BYTES + 1)).is_err());
+}
+
+#[test]
+fn keys_round_trip_as_text() {
+    let zone: ZoneId = "bello".parse().unwrap();
+    let keys = [
+        PlatformKey::Configuration,
+        PlatformKey::Seeds(zone.clone()),
+        PlatformKey::BucketHolder(zone.clone(), "acme".parse().unwrap()),
+        PlatformKey::RecordHome(zone),
+    ];
+    for key in keys {
+        assert_eq!(key.to_string().parse(), Ok(key));
+    }
+}
+
+#[test]
+fn values_go_with_their_lease() {
+    let mut store = PlatformStore::default();
+    let grant = PlatformCall::GrantLease { ttl_ms: 1_000 };
+    let PlatformReply::Lease(lease) = store.apply(grant, MonotonicTime(0)) else {
+        panic!("no lease");
+    };
+    let write = PlatformCall::CompareAndSwap {
+        key: KEY,
+        expected: None,
+        value: value("held"),
+        lease: Some(lease),
+    };
+    store.apply(write.clone(), MonotonicTime(1));
+    let renew = PlatformCall::RenewLease { lease };
+    store.apply(renew.clone(), MonotonicTime(900_000));
+    let get = PlatformCall::Get { key: KEY };
+    let held = store.apply(get.clone(), MonotonicTime(1_899_999));
+    assert!(matches!(held, PlatformReply::Value(Some(_))));
+    let ended = store.apply(get, MonotonicTime(1_900_000));
+    assert_eq!(ended, PlatformReply::Value(None));
+    let late = store.apply(renew, MonotonicTime(1_900_001));
+    assert_eq!(late, PlatformReply::LeaseEnded);
+    let write = store.apply(write, MonotonicTime(1_900_002));
+    assert_eq!(write, PlatformReply::LeaseEnded);
+}
+
+#[tokio::test]
+async fn calls_and_their_counts() {
+    let platform = PlatformStandIn::start_local().await.unwrap();
+    let client = client(platform.address());
+    assert_eq!(client.get(&KEY).await, Ok(None));
+    let first = client.compare_and_swap(&KEY, None, &value("a"), None).await;
+    let Ok(Swap::Done(revision)) = first else {
+        panic!("not written: {first:?}");
+    };
+    let stale = client.compare_and_swap(&KEY, None, &value("b"), None).await;
+    let current = Stored {
+        revision,
+        value: value("a"),
+    };
+    assert_eq!(stale, Ok(Swap::Conflict(Some(current.clone()))));
+    assert_eq!(client.get(&KEY).await, Ok(Some(current)));
+    let lease = client.grant_lease(Duration::from_secs(60)).await.unwrap();
+    assert_eq!(client.renew_lease(lease).await, Ok(()));
+    assert_eq!(client.release_lease(lease).await, Ok(()));
+    assert_eq!(
+        client.renew_lease(lease).await,
+        Err(PlatformError::LeaseEnded)
+    );
+    let expected = CallCounts {
+        gets: 2,
+        swaps: 2,
+        watches: 0,
+        leases: 4,
+    };
+    assert_eq!(client.counts(), expected);
+    assert_eq!(platform.status().calls, expected);
+}
+
+#[tokio::test]
+async fn watch_replies_when_the_key_changes() {
+    let platform = PlatformStandIn::start_local().await.unwrap();
+    let watcher = client(platform.address());
+    let unchanged = watcher.watch(&KEY, None, Duration::from_millis(1)).await;
+    assert_eq!(unchanged, Ok(Watched::Unchanged));
+    let watching = watcher.watch(&KEY, None, Duration::from_secs(60));
+    let writing = async {
+        let writer = client(platform.address());
+        let swap = writer
+            .compare_and_swap(&KEY, None, &value("new"), None)
+            .await;
+        assert!(matches!(swap, Ok(Swap::Done(_))));
+    };
+    let (seen, ()) = tokio::join!(watching, writing);
+    assert!(matches!(seen, Ok(Watched::Changed(Some(stored))) if stored.value == value("new")));
+}
+
+#[tokio::test]
+async fn lost_reply_over_the_wire_is_recognised_as_done() {
+    let platform = PlatformStandIn::start_local().await.unwrap();
+    platform.set_faults(Faults {
+        lost_swap_replies: 1,
+        ..Faults::default()
+    });
+    let client = client(platform.address());
+    let mine = value("mine");
+    let outcome = swap_settled(&client, &KEY, None, &mine, backoff(), holds_mine).await;
+    assert_eq!(outcome, SwapOutcome::Done);
+    assert_eq!(platform.status().cut, 1);
+    assert_eq!(client.counts().swaps, 1);
+}
+
+#[tokio::test]
+async fn one_of_two_racing_writers_wins() {
+    let platform = PlatformStandIn::start_local().await.unwrap();
+    let client = client(platform.address());
+    let mine = value("mine");
+    let other = value("other");
+    let holds_other = |current: Option<&Stored>| match current {
+        Some(stored) if stored.value.as_str() == "other" => ChangeSeen::Yes,
+        _ => ChangeSeen::No,
+    };
+    let first = swap_settled(&client, &KEY, None, &mine, backoff(), holds_mine);
+    let second = swap_settled(&client, &KEY, None, &other, backoff(), holds_other);
+    let outcomes: [SwapOutcome; 2] = tokio::join!(first, second).into();
+    let done = outcomes.iter().filter(|o| **o == SwapOutcome::Done);
+    assert_eq!(done.count(), 1);
+    let conflicts = outcomes
+        .iter()
+        .filter(|o| matches!(o, SwapOutcome::Conflict(Some(_))));
+    assert_eq!(conflicts.count(), 1);
+}
+
+#[tokio::test]
+async fn unreachable_service_changes_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let client = client(address);
+    let mine = value("mine");
+    let outcome = swap_settled(&client, &KEY, None, &mine, backoff(), holds_mine).await;
+    assert!(matches!(
+        outcome,
+        SwapOutcome::NothingChanged(PlatformError::NotSent { .. })
+    ));
+}
+
+#[tokio::test]
+async fn outage_leaves_the_outcome_unknown() {
+    let platform = PlatformStandIn::start_local().await.unwrap();
+    platform.set_faults(Faults {
+        is_down: true,
+        ..Faults::default()
+    });
+    let client = client(platform.address());
+    let mine = value("mine");
+    let outcome = swap_settled(&client, &KEY, None, &mine, backoff(), holds_mine).await;
+    assert_eq!(outcome, SwapOutcome::Unknown);
+}
+
+#[tokio::test]
+async fn slow_service_meets_the_time_limit() {
+    let platform = PlatformStandIn::start_local().await.unwrap();
+    platform.set_faults(Faults {
+        delay_ms: 600_000,
+        ..Faults::default()
+    });
+    let settings = PlatformSettings {
+        call_timeout_ms: 20,
+        ..PlatformSettings::new(platform.address())
+    };
+    let client = PlatformClient::new(&settings).unwrap();
+    let reply = client.get(&KEY).await;
+    assert!(matches!(reply, Err(PlatformError::NoReply { .. })));
+}
+
+#[tokio::test]
+async fn cut_concerns_one_zone_only() {
+    let platform = PlatformStandIn::start_local().await.unwrap();
+    let zones = ["bello", "itagui"].map(|zone| zone.parse::<ZoneId>().unwrap());
+    platform.set_faults(Faults {
+        cut_zones: [zones[0].clone()].into(),
+        ..Faults::default()
+    });
+    let [cut, open] = zones.map(|zone| {
+        let settings = PlatformSettings {
+            zone: Some(zone),
+            ..PlatformSettings::new(platform.address())
+        };
+        PlatformClient::new(&settings).unwrap()
+    });
+    assert!(matches!(
+        cut.get(&KEY).await,
+        Err(PlatformError::NoReply { .. })
+    ));
+    assert_eq!(open.get(&KEY).await, Ok(None));
+}
+
+#[tokio::test]
+async fn busy_service_refuses_and_does_nothing() {
+    let platform = PlatformStandIn::start_local().await.unwrap();
+    platform.set_faults(Faults {
+        calls_per_s: Some(0),
+        ..Faults::default()
+    });
+    let client = client(platform.address());
+    let swap = client.compare_and_swap(&KEY, None, &value("a"), None).await;
+    assert_eq!(swap, Err(PlatformError::Busy));
+    platform.set_faults(Faults::default());
+    assert_eq!(client.get(&KEY).await, Ok(None));
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod fleet;
 pub mod load;
 pub mod mesh;
+pub mod platform;
--- /dev/null
+++ b/testutils/src/platform/mod.rs
@@ -0,0 +1,10 @@
+//! A stand-in of the platform's key-value service, in memory.
+
+mod faults;
+mod server;
+mod store;
+
+pub use self::faults::Faults;
+pub use self::server::PlatformStandIn;
+pub use self::server::StandInStatus;
+pub use self::store::PlatformStore;
--- /dev/null
+++ b/testutils/src/platform/server.rs
@@ -0,0 +1,311 @@
+//! The stand-in as an HTTP server.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use balsamfold::process::platform::CallCounts;
+use balsamfold::process::platform::CallKind;
+use balsamfold::process::platform::PlatformCall;
+use balsamfold::process::platform::PlatformKey;
+use balsamfold::process::platform::PlatformReply;
+use balsamfold::process::platform::PlatformValue;
+use balsamfold::process::platform::Swap;
+use balsamfold::process::platform::Watched;
+use balsamfold::process::platform::wire;
+use balsamfold::values::Clock;
+use balsamfold::values::MonotonicTime;
+use balsamfold::values::ZoneId;
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+
+use super::Faults;
+use super::PlatformStore;
+
+/// The path at which faults are read and switched.
+const FAULTS_PATH: &str = "/v1/faults";
+
+/// The path at which the counts of calls are read.
+const STATUS_PATH: &str = "/v1/status";
+
+/// Largest body of a call: a value in JSON, with room for escapes.
+const BODY_MAX_BYTES: usize = 4_000_000;
+
+/// Longest time between two looks at the leases while a call waits.
+const LEASE_CHECK: Duration = Duration::from_millis(50);
+
+/// What the stand-in has seen.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StandInStatus {
+    /// Calls that reached the service, by kind, also those refused as busy.
+    pub calls: CallCounts,
+    /// Calls refused as busy.
+    pub busy: u64,
+    /// Calls cut by a fault.
+    pub cut: u64,
+}
+
+/// A running stand-in. It stops when the handle is dropped.
+pub struct PlatformStandIn {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    accepting: JoinHandle<()>,
+}
+
+/// State of the service. `state` is the one lock and is never held across an await.
+struct Shared {
+    state: Mutex<State>,
+    changes: watch::Sender<u64>,
+    clock: Clock,
+}
+
+#[derive(Default)]
+struct State {
+    store: PlatformStore,
+    faults: Faults,
+    status: StandInStatus,
+    second: u64,
+    calls_in_second: u32,
+}
+
+/// The connection is to be closed without a reply.
+#[derive(Debug, Snafu)]
+#[snafu(display("connection cut by a fault"))]
+struct CutError;
+
+impl PlatformStandIn {
+    /// Starts a stand-in on `address`; port 0 takes a free one.
+    pub async fn start(address: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            state: Mutex::default(),
+            changes: watch::Sender::new(0),
+            clock: Clock::start(),
+        });
+        let accepting = tokio::spawn(accept(listener, shared.clone()));
+        Ok(Self {
+            address,
+            shared,
+            accepting,
+        })
+    }
+
+    /// Starts a stand-in on a free port of the loopback interface.
+    pub async fn start_local() -> io::Result<Self> {
+        Self::start(SocketAddr::from(([127, 0, 0, 1], 0))).await
+    }
+
+    /// Returns the address on which the stand-in listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets the faults. Waiting calls notice at once.
+    pub fn set_faults(&self, faults: Faults) {
+        self.shared.set_faults(faults);
+    }
+
+    /// Returns what the stand-in has seen.
+    pub fn status(&self) -> StandInStatus {
+        self.shared.state.lock().status.clone()
+    }
+
+    /// Writes a value without any check.
+    pub fn force(&self, key: PlatformKey, value: PlatformValue) {
+        self.shared.state.lock().store.force(key, value);
+        self.shared.announce();
+    }
+
+    /// Serves until the process ends.
+    pub async fn run(mut self) {
+        let _ = (&mut self.accepting).await;
+    }
+}
+
+impl Drop for PlatformStandIn {
+    fn drop(&mut self) {
+        self.accepting.abort();
+        self.shared.set_faults(Faults {
+            is_down: true,
+            ..Faults::default()
+        });
+    }
+}
+
+impl Shared {
+    fn set_faults(&self, faults: Faults) {
+        self.state.lock().faults = faults;
+        self.announce();
+    }
+
+    fn announce(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    fn is_cut(&self, zone: Option<&ZoneId>) -> bool {
+        self.state.lock().faults.cuts(zone)
+    }
+
+    async fn call(
+        &self,
+        call: PlatformCall,
+        zone: Option<&ZoneId>,
+    ) -> Result<PlatformReply, CutError> {
+        let delay = self.admit(call.kind(), zone)?;
+        if let Some(busy) = self.busy() {
+            return Ok(busy);
+        }
+        sleep(delay).await;
+        let deadline = Instant::now() + Duration::from_millis(call.wait_ms());
+        loop {
+            let mut changes = self.changes.subscribe();
+            if self.is_cut(zone) {
+                return Err(self.count_cut());
+            }
+            let reply = self.apply(call.clone())?;
+            match reply {
+                PlatformReply::Watch(Watched::Unchanged) if Instant::now() < deadline => {
+                    tokio::select! {
+                        _ = changes.changed() => {}
+                        () = sleep_until(deadline.min(Instant::now() + LEASE_CHECK)) => {}
+                    }
+                }
+                reply => return Ok(reply),
+            }
+        }
+    }
+
+    fn admit(&self, kind: CallKind, zone: Option<&ZoneId>) -> Result<Duration, CutError> {
+        let mut state = self.state.lock();
+        if state.faults.cuts(zone) {
+            state.status.cut += 1;
+            return Err(CutError);
+        }
+        let calls = &mut state.status.calls;
+        match kind {
+            CallKind::Get => calls.gets += 1,
+            CallKind::CompareAndSwap => calls.swaps += 1,
+            CallKind::Watch => calls.watches += 1,
+            CallKind::Lease => calls.leases += 1,
+        }
+        Ok(Duration::from_millis(state.faults.delay_ms))
+    }
+
+    fn busy(&self) -> Option<PlatformReply> {
+        let mut state = self.state.lock();
+        let second = self.clock.now().since(MonotonicTime::default()).as_secs();
+        if second != state.second {
+            state.second = second;
+            state.calls_in_second = 0;
+        }
+        state.calls_in_second += 1;
+        match state.faults.calls_per_s {
+            Some(limit) if state.calls_in_second > limit => {
+                state.status.busy += 1;
+                Some(PlatformReply::Busy)
+            }
+            _ => None,
+        }
+    }
+
+    fn apply(&self, call: PlatformCall) -> Result<PlatformReply, CutError> {
+        let mut state = self.state.lock();
+        let reply = state.store.apply(call, self.clock.now());
+        let changed = !matches!(reply, PlatformReply::Watch(_) | PlatformReply::Value(_));
+        let is_written = matches!(reply, PlatformReply::Swap(Swap::Done(_)));
+        let is_lost = is_written && state.faults.lost_swap_replies > 0;
+        if is_lost {
+            state.faults.lost_swap_replies -= 1;
+            state.status.cut += 1;
+        }
+        drop(state);
+        if changed {
+            self.announce();
+        }
+        match is_lost {
+            true => Err(CutError),
+            false => Ok(reply),
+        }
+    }
+
+    fn count_cut(&self) -> CutError {
+        self.state.lock().status.cut += 1;
+        CutError
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(serve(stream, shared.clone()));
+    }
+}
+
+async fn serve(stream: TcpStream, shared: Arc<Shared>) {
+    let service = service_fn(|request| answer(request, shared.clone()));
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let _ = connection.await;
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    shared: Arc<Shared>,
+) -> Result<Response<Full<Bytes>>, CutError> {
+    let zone = request.headers().get(wire::ZONE_HEADER);
+    let zone: Option<ZoneId> = zone.and_then(|zone| zone.to_str().ok()?.parse().ok());
+    let (head, body) = request.into_parts();
+    let body = Limited::new(body, BODY_MAX_BYTES).collect().await;
+    let body = body.map_err(|_| CutError)?.to_bytes();
+    match (&head.method, head.uri.path()) {
+        (&Method::POST, wire::CALL_PATH) => match wire::decode(&body) {
+            Ok(call) => Ok(json(&shared.call(call, zone.as_ref()).await?)),
+            Err(error) => Ok(bad_request(error.to_string())),
+        },
+        (&Method::PUT, FAULTS_PATH) => match wire::decode(&body) {
+            Ok(faults) => {
+                shared.set_faults(faults);
+                Ok(json(&()))
+            }
+            Err(error) => Ok(bad_request(error.to_string())),
+        },
+        (&Method::GET, FAULTS_PATH) => Ok(json(&shared.state.lock().faults)),
+        (&Method::GET, STATUS_PATH) => Ok(json(&shared.state.lock().status)),
+        _ => Ok(with_status(StatusCode::NOT_FOUND, Bytes::new())),
+    }
+}
+
+fn json(message: &impl Serialize) -> Response<Full<Bytes>> {
+    with_status(StatusCode::OK, wire::encode(message).into())
+}
+
+fn bad_request(message: String) -> Response<Full<Bytes>> {
+    with_status(StatusCode::BAD_REQUEST, message.into())
+}
+
+fn with_status(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
