--- a/testutils/src/fleet/configuration.rs
+++ b/testutils/src/fleet/configuration.rs
@@ -1,5 +1,7 @@
 //! Small configurations for tests.
 
+use std::collections::BTreeMap;
+
 use balsamfold::values::ConfigVersion;
 use balsamfold::values::Importance;
 use balsamfold::values::RatePerSecond;
@@ -67,11 +69,13 @@
     Configuration {
         version: ConfigVersion(1),
         change_id: ChangeId(Uuid::nil()),
+        recent_changes: Vec::new(),
         zones: zones.map(|zone| (zone.id.clone(), zone)).collect(),
         organisations: organisations
             .map(|organisation| (organisation.id.clone(), organisation))
             .collect(),
         keys: keys.map(|key| (key.id.clone(), key)).collect(),
+        classes: BTreeMap::new(),
         routes: services
             .iter()
             .map(|service| sample_route(service))
