--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod fleet;
 pub mod load;
 pub mod mesh;
+pub mod platform;
 pub mod rate_fleet;
