--- a/lib/src/connection/headers.rs
+++ b/lib/src/connection/headers.rs
@@ -26,8 +26,9 @@
 const SYSTEM_PREFIX: &str = "balsamfold-";
 
 /// Headers that concern one connection only and are never passed on.
-const CONNECTION_HEADERS: [HeaderName; 9] = [
+const CONNECTION_HEADERS: [HeaderName; 10] = [
     header::CONNECTION,
+    header::EXPECT,
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
     header::TE,
--- a/lib/src/connection/pool.rs
+++ b/lib/src/connection/pool.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Method;
 use http::Request;
 use http::Response;
+use http::header;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -95,6 +97,7 @@
     ) -> Result<WholeAnswer, ExchangeError> {
         let give_up_at = Instant::now() + limit;
         let mut connection = self.connection(limit).await?;
+        let method = request.method.clone();
         let sent = connection.sender.try_send_request(http_request(request));
         let response = match tokio::time::timeout_at(give_up_at, sent).await {
             Ok(Ok(response)) => response,
@@ -102,13 +105,14 @@
             Ok(Err(_)) => return Err(ExchangeError::Sent),
             Err(_) => return Err(ExchangeError::TimedOut),
         };
-        let answer = self.whole_answer(response, give_up_at).await?;
+        let answer = self.whole_answer(&method, response, give_up_at).await?;
         self.keep(connection);
         Ok(answer)
     }
 
     async fn whole_answer(
         &self,
+        method: &Method,
         response: Response<Incoming>,
         give_up_at: Instant,
     ) -> Result<WholeAnswer, ExchangeError> {
@@ -119,7 +123,11 @@
             Err(super::BodyError::TooSlow { .. }) => return Err(ExchangeError::TimedOut),
             Err(_) => return Err(ExchangeError::BrokenAnswer),
         };
+        let length = parts.headers.remove(header::CONTENT_LENGTH);
         strip_connection_headers(&mut parts.headers);
+        if let (&Method::HEAD, Some(length)) = (method, length) {
+            parts.headers.insert(header::CONTENT_LENGTH, length);
+        }
         Ok(WholeAnswer {
             status: parts.status,
             headers: parts.headers,
--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -38,8 +38,6 @@
 use crate::values::Incarnation;
 use crate::version::Configuration;
 
-/// Longest time that a client may take for the headers of a request.
-const HEADER_TIMEOUT_MS: u64 = 10_000;
 /// Most bytes in the headers of a request.
 const HEADER_BYTES_MAX: usize = 64 * 1_024;
 /// Most connections from the backend server or from other nodes at the same time.
@@ -190,10 +188,10 @@
     }
 }
 
-fn inner_limits() -> ListenerLimits {
+fn inner_limits(node: &Node) -> ListenerLimits {
     ListenerLimits {
         connections_max: INNER_CONNECTIONS_MAX,
-        header_timeout_ms: HEADER_TIMEOUT_MS,
+        header_timeout_ms: node.settings.client_timeout_ms,
         header_bytes_max: HEADER_BYTES_MAX,
     }
 }
@@ -201,7 +199,7 @@
 fn serve_callers(listener: Listener, node: &Arc<Node>, connections_max: u32) -> Serving {
     let limits = ListenerLimits {
         connections_max,
-        ..inner_limits()
+        ..inner_limits(node)
     };
     let node = Arc::clone(node);
     listener.serve(limits, move |request| {
@@ -211,16 +209,18 @@
 }
 
 fn serve_local(listener: Listener, node: &Arc<Node>) -> Serving {
+    let limits = inner_limits(node);
     let node = Arc::clone(node);
-    listener.serve(inner_limits(), move |request| {
+    listener.serve(limits, move |request| {
         let node = Arc::clone(&node);
         async move { handle_local(&node, request).await }
     })
 }
 
 fn serve_peers(listener: Listener, node: &Arc<Node>) -> Serving {
+    let limits = inner_limits(node);
     let node = Arc::clone(node);
-    listener.serve(inner_limits(), move |request| {
+    listener.serve(limits, move |request| {
         let node = Arc::clone(&node);
         async move { handle_peer(&node, request).await }
     })
--- a/lib/src/process/node/entry.rs
+++ b/lib/src/process/node/entry.rs
@@ -31,9 +31,6 @@
 use crate::version::Repeatability;
 use crate::version::Route;
 
-/// Longest time that the body of a request may take to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 const BEARER_PREFIX: &str = "Bearer ";
 
 /// Answers a request of a caller from outside.
@@ -74,7 +71,8 @@
 /// Reads a request whole, without the headers that concern one connection only.
 pub(super) async fn whole_request(node: &Node, request: Request) -> Result<WholeRequest, Refusal> {
     let (mut parts, body) = request.into_parts();
-    let body = read_body(body, node.settings.body_bytes_max, BODY_TIMEOUT)
+    let limit = Duration::from_millis(node.settings.client_timeout_ms);
+    let body = read_body(body, node.settings.body_bytes_max, limit)
         .await
         .map_err(|error| match error {
             BodyError::TooLarge { .. } => Refusal::not_run(RefusalReason::BodyTooLarge),
--- a/lib/src/process/settings/node_settings.rs
+++ b/lib/src/process/settings/node_settings.rs
@@ -55,6 +55,8 @@
     pub body_bytes_max: usize,
     /// Most connections from callers at the same time.
     pub connections_max: u32,
+    /// Longest time that a client may take for its headers, and again for its body.
+    pub client_timeout_ms: u64,
     /// Time between the news that the node leaves and the first refusal of new work.
     pub leave_notice_ms: u64,
     /// Time after which an announcement that was not renewed ends.
@@ -66,6 +68,7 @@
 const SECRET_ALLOWED: &str = "a text of at least 16 bytes";
 const BODY_BYTES_ALLOWED: &str = "1024 to 67108864";
 const CONNECTIONS_ALLOWED: &str = "1 to 100000";
+const CLIENT_TIMEOUT_ALLOWED: &str = "10 to 600000";
 const LEAVE_NOTICE_ALLOWED: &str = "0 to 60000";
 const ANNOUNCEMENT_ALLOWED: &str = "100 to 60000";
 /// Stands in error messages in place of a secret.
@@ -104,6 +107,12 @@
                 1..=100_000,
                 CONNECTIONS_ALLOWED,
             )?,
+            client_timeout_ms: parse_within(
+                "--client-timeout-ms",
+                &raw.client_timeout_ms,
+                10..=600_000,
+                CLIENT_TIMEOUT_ALLOWED,
+            )?,
             leave_notice_ms: parse_within(
                 "--leave-notice-ms",
                 &raw.leave_notice_ms,
--- a/lib/src/process/settings/raw.rs
+++ b/lib/src/process/settings/raw.rs
@@ -31,6 +31,8 @@
     pub body_bytes_max: String,
     /// `--connections-max`
     pub connections_max: String,
+    /// `--client-timeout-ms`
+    pub client_timeout_ms: String,
     /// `--leave-notice-ms`
     pub leave_notice_ms: String,
     /// `--announcement-ms`
--- /dev/null
+++ b/lib/tests/test_planned_stop.rs
@@ -0,0 +1,76 @@
+//! A planned stop cuts no request.
+
+use std::time::Duration;
+
+use balsamfold::process::membership::NodeCondition;
+use http::StatusCode;
+use testutils::backend_server::ServerPlan;
+use testutils::backend_server::is_whole;
+use testutils::fleet::TestFleet;
+use testutils::fleet::post;
+use testutils::fleet::sample_configuration;
+use testutils::fleet::sample_key;
+
+const POLL_PERIOD: Duration = Duration::from_millis(5);
+/// Only a test that hangs reaches it.
+const HANG_TIMEOUT: Duration = Duration::from_secs(30);
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_in_flight_finish_before_the_stop() {
+    let plans = [
+        ("zone-a", ServerPlan::small("order", &["/stock"])),
+        ("zone-a", ServerPlan::small("stock", &[])),
+    ];
+    let configuration = sample_configuration(&["zone-a"], &["small"], &["order", "stock"]);
+    let mut fleet = TestFleet::start(configuration, &plans).await;
+    let stock = fleet.nodes.pop().unwrap();
+    let order = fleet.nodes.pop().unwrap();
+    stock
+        .server
+        .change(|behaviour| behaviour.service_time_ms = 600.0);
+    let request = post("/order", Some(&sample_key("small")), &[], "long");
+    let answer = tokio::spawn(async move { order.caller.send(request).await });
+    while stock.daemon.node().in_flight.is_empty() || order.daemon.node().in_flight.is_empty() {
+        tokio::time::sleep(POLL_PERIOD).await;
+    }
+    let node = std::sync::Arc::clone(order.daemon.node());
+    tokio::join!(order.daemon.stop(), stock.daemon.stop());
+    assert!(node.in_flight.is_empty());
+    let answer = answer.await.unwrap().unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(is_whole(&answer.body));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_node_gets_no_new_work_from_others() {
+    let plans = [
+        ("zone-a", ServerPlan::small("stock", &[])),
+        ("zone-a", ServerPlan::small("stock", &[])),
+    ];
+    let configuration = sample_configuration(&["zone-a"], &["small"], &["stock"]);
+    let mut fleet = TestFleet::start(configuration, &plans).await;
+    let leaving = fleet.nodes.pop().unwrap();
+    let id = leaving.daemon.node().settings.node.clone();
+    leaving.daemon.stop().await;
+    let entry = &fleet.nodes[0];
+    let learnt = async {
+        loop {
+            let members = entry.daemon.node().members();
+            match members.node(&id).map(|record| record.condition) {
+                Some(NodeCondition::Leaving | NodeCondition::Dead) | None => break,
+                Some(_) => tokio::time::sleep(POLL_PERIOD).await,
+            }
+        }
+    };
+    let learnt = tokio::time::timeout(HANG_TIMEOUT, learnt).await;
+    assert!(learnt.is_ok(), "the news that a node leaves did not arrive");
+    for number in 0..20 {
+        let body = format!("after-{number}");
+        let request = post("/stock", Some(&sample_key("small")), &[], &body);
+        assert_eq!(
+            entry.caller.send(request).await.unwrap().status,
+            StatusCode::OK
+        );
+    }
+    assert_eq!(leaving.server.recorder().runs(), Vec::new());
+}
--- a/node/src/flags.rs
+++ b/node/src/flags.rs
@@ -98,6 +98,12 @@
     default: Some("4096"),
     help: "Most connections from callers at the same time",
 };
+const CLIENT_TIMEOUT_MS: Flag = Flag {
+    name: "client-timeout-ms",
+    variable: "BALSAMFOLD_CLIENT_TIMEOUT_MS",
+    default: Some("10000"),
+    help: "Longest time that a client may take for its headers, and again for its body",
+};
 const LEAVE_NOTICE_MS: Flag = Flag {
     name: "leave-notice-ms",
     variable: "BALSAMFOLD_LEAVE_NOTICE_MS",
@@ -112,7 +118,7 @@
 };
 
 /// Flags with one text each, in the order of the help page.
-const TEXT_FLAGS: [&Flag; 15] = [
+const TEXT_FLAGS: [&Flag; 16] = [
     &NODE,
     &ZONE,
     &SERVICE,
@@ -126,6 +132,7 @@
     &FLEET_SECRET_FILE,
     &BODY_BYTES_MAX,
     &CONNECTIONS_MAX,
+    &CLIENT_TIMEOUT_MS,
     &LEAVE_NOTICE_MS,
     &ANNOUNCEMENT_MS,
 ];
@@ -190,6 +197,7 @@
         fleet_secret: fleet_secret(&text(&FLEET_SECRET), &text(&FLEET_SECRET_FILE))?,
         body_bytes_max: text(&BODY_BYTES_MAX),
         connections_max: text(&CONNECTIONS_MAX),
+        client_timeout_ms: text(&CLIENT_TIMEOUT_MS),
         leave_notice_ms: text(&LEAVE_NOTICE_MS),
         announcement_ms: text(&ANNOUNCEMENT_MS),
     };
--- a/testutils/src/backend_server/recorder.rs
+++ b/testutils/src/backend_server/recorder.rs
@@ -15,6 +15,8 @@
     pub body: String,
     /// Whether the request carried a caller's key.
     pub carried_key: bool,
+    /// The names of its headers, each as often as it occurred.
+    pub header_names: Vec<String>,
 }
 
 /// Records what really ran.
@@ -30,6 +32,7 @@
             path: path.to_owned(),
             body: String::from_utf8_lossy(body).into_owned(),
             carried_key: headers.contains_key(header::AUTHORIZATION),
+            header_names: headers.iter().map(|(name, _)| name.to_string()).collect(),
         };
         self.runs.lock().push(run);
     }
--- a/testutils/src/fleet/test_fleet.rs
+++ b/testutils/src/fleet/test_fleet.rs
@@ -115,6 +115,7 @@
         fleet_secret: FLEET_SECRET.to_owned(),
         body_bytes_max: "1048576".to_owned(),
         connections_max: "4096".to_owned(),
+        client_timeout_ms: "300".to_owned(),
         leave_notice_ms: "100".to_owned(),
         announcement_ms: "3000".to_owned(),
     }
