node: learn the other nodes through membership

The exchange of whole tables with the seeds every 200 ms by control calls was a placeholder: its calls and bytes grow with the fleet, and it never noticed a dead node. The node now binds a UDP socket for membership, tells a change of its backend server at once, and says that it leaves when a planned stop begins.

--- a/lib/src/process/control/api.rs
+++ b/lib/src/process/control/api.rs
@@ -38,8 +38,4 @@
     /// Returns the configuration in force if it is newer than `than`.
     #[method(name = "newerConfiguration")]
     async fn newer_configuration(&self, than: ConfigVersion) -> RpcResult<Option<Configuration>>;
-
-    /// Tells what the caller knows of the nodes and returns what this node knows.
-    #[method(name = "exchangeMembers")]
-    async fn exchange_members(&self, records: Vec<NodeRecord>) -> RpcResult<Vec<NodeRecord>>;
 }
--- a/lib/src/process/membership/runner.rs
+++ b/lib/src/process/membership/runner.rs
@@ -110,6 +110,11 @@
         self.table.clone()
     }
 
+    /// Returns the latest view of all nodes.
+    pub fn latest(&self) -> Arc<MemberTable> {
+        Arc::clone(&self.table.borrow())
+    }
+
     /// Returns the own record.
     pub fn own(&self) -> NodeRecord {
         self.shared.state.lock().own().clone()
--- a/lib/src/process/membership/state/mod.rs
+++ b/lib/src/process/membership/state/mod.rs
@@ -73,19 +73,21 @@
     pub node: NodeId,
 }
 
-/// Numbers of datagrams and their bytes since the start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
-pub struct MembershipCounters {
-    /// Datagrams sent.
-    pub sent: u64,
-    /// Bytes of the datagrams sent, without the headers of UDP and IP.
-    pub sent_bytes: u64,
-    /// Valid datagrams received.
-    pub received: u64,
-    /// Bytes of the valid datagrams received.
-    pub received_bytes: u64,
-    /// Datagrams dropped: from strangers, damaged, or of another version.
-    pub dropped: u64,
+plain_data! {
+    /// Numbers of datagrams and their bytes since the start.
+    #[derive(Copy, Default, Eq)]
+    pub struct MembershipCounters {
+        /// Datagrams sent.
+        pub sent: u64,
+        /// Bytes of the datagrams sent, without the headers of UDP and IP.
+        pub sent_bytes: u64,
+        /// Valid datagrams received.
+        pub received: u64,
+        /// Bytes of the valid datagrams received.
+        pub received_bytes: u64,
+        /// Datagrams dropped: from strangers, damaged, or of another version.
+        pub dropped: u64,
+    }
 }
 
 /// When the recurring actions are next due.
--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -1,6 +1,5 @@
 //! Starts a node's listeners and tasks, and stops them in order.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +13,7 @@
 
 use super::Node;
 use super::NodeDump;
+use super::ProbeSocket;
 use super::announcement;
 use super::entry::handle_caller;
 use super::exit::handle_local;
@@ -22,20 +22,15 @@
 use crate::connection::Listener;
 use crate::connection::ListenerLimits;
 use crate::connection::Serving;
-use crate::process::control;
-use crate::process::control::ControlClient;
 use crate::process::control::ControlListener;
 use crate::process::control::ControlServer;
 use crate::process::control::ControlServing;
 use crate::process::control::DrainStarted;
 use crate::process::events::process as events;
-use crate::process::membership::MemberTable;
 use crate::process::membership::NodeAddresses;
-use crate::process::membership::NodeCondition;
 use crate::process::membership::NodeRecord;
 use crate::process::settings::NodeSettings;
 use crate::values::ConfigVersion;
-use crate::values::Incarnation;
 use crate::version::Configuration;
 
 /// Longest time that a client may take for the headers of a request.
@@ -46,8 +41,6 @@
 const INNER_CONNECTIONS_MAX: u32 = 16_384;
 /// Time between two rounds of housekeeping.
 const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(200);
-/// Longest time for a control call to another node.
-const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A node could not be started.
 #[derive(Debug, Snafu)]
@@ -58,6 +51,12 @@
         /// The cause.
         source: ListenError,
     },
+    /// The address for membership datagrams could not be bound.
+    #[snafu(display("cannot listen for membership datagrams: {source}"))]
+    Probes {
+        /// The cause.
+        source: std::io::Error,
+    },
     /// The control channel could not be served.
     #[snafu(display("cannot serve control calls: {source}"))]
     Control {
@@ -108,13 +107,16 @@
             .map_err(|error| StartError::Control {
                 source: Box::new(error),
             })?;
+        let probes = ProbeSocket::bind(settings.probe_listen)
+            .await
+            .context(ProbesSnafu)?;
         let addresses = NodeAddresses {
             peer: peers.address(),
             control: control.address(),
-            probe: control.address(),
+            probe: probes.address(),
         };
         let connections_max = settings.connections_max;
-        let node = Arc::new(Node::new(settings, addresses));
+        let node = Arc::new(Node::new(settings, addresses, probes));
         let drain_asked = Arc::new(Notify::new());
         let caller_address = callers.address();
         let local_address = local.address();
@@ -231,51 +233,6 @@
     loop {
         period.tick().await;
         announcement::expire(&node);
-        exchange_members(&node).await;
-    }
-}
-
-/// Tells the seeds what this node knows of the others, and learns what they know.
-async fn exchange_members(node: &Arc<Node>) {
-    node.set_members(merged(node, Vec::new()));
-    for seed in &node.settings.seeds {
-        let Ok(seed) = control::connect(*seed, &node.settings.fleet_secret, CONTROL_TIMEOUT) else {
-            continue;
-        };
-        let known = node.members().nodes().cloned().collect();
-        if let Ok(records) = seed.exchange_members(known).await {
-            node.set_members(merged(node, records));
-        }
-    }
-}
-
-fn merged(node: &Node, records: Vec<NodeRecord>) -> Arc<MemberTable> {
-    let members = node.members();
-    let mut known: BTreeMap<_, NodeRecord> = BTreeMap::new();
-    for record in members.nodes().cloned().chain(records) {
-        match known.get(&record.id) {
-            Some(present) if present.incarnation >= record.incarnation => {}
-            Some(_) | None => {
-                known.insert(record.id.clone(), record);
-            }
-        }
-    }
-    let own = own_record(node);
-    known.insert(own.id.clone(), own);
-    Arc::new(MemberTable::new(known.into_values()))
-}
-
-fn own_record(node: &Node) -> NodeRecord {
-    NodeRecord {
-        id: node.settings.node.clone(),
-        zone: node.settings.zone.clone(),
-        addresses: node.addresses.clone(),
-        incarnation: Incarnation(node.clock.wall().0),
-        condition: match node.is_draining() {
-            true => NodeCondition::Leaving,
-            false => NodeCondition::Alive,
-        },
-        server: announcement::server_record(node),
     }
 }
 
@@ -315,9 +272,4 @@
             .filter(|current| current.version > than)
             .map(|current| current.as_ref().clone()))
     }
-
-    async fn exchange_members(&self, records: Vec<NodeRecord>) -> RpcResult<Vec<NodeRecord>> {
-        self.node.set_members(merged(&self.node, records));
-        Ok(self.node.members().nodes().cloned().collect())
-    }
 }
--- a/lib/src/process/node/dump.rs
+++ b/lib/src/process/node/dump.rs
@@ -2,6 +2,7 @@
 
 use super::Announcement;
 use super::Node;
+use crate::process::membership::MembershipCounters;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeRecord;
 use crate::values::ConfigVersion;
@@ -29,6 +30,8 @@
         pub in_flight_requests: usize,
         /// All known nodes.
         pub members: Vec<NodeRecord>,
+        /// Membership datagrams since the start.
+        pub membership: MembershipCounters,
     }
 }
 
@@ -59,6 +62,7 @@
             }),
             in_flight_requests: self.in_flight.len(),
             members: self.members().nodes().cloned().collect(),
+            membership: self.membership.counters(),
         }
     }
 }
--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -9,10 +9,11 @@
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 
+use super::ProbeSocket;
 use super::local_server::LocalServer;
 use crate::connection::ConnectionPool;
 use crate::connection::PoolLimits;
-use crate::process::membership::MemberTable;
+use crate::process::membership::Membership;
 use crate::process::membership::NodeAddresses;
 use crate::process::secret::DerivedKey;
 use crate::process::secret::KeyPurpose;
@@ -43,25 +44,27 @@
     pub clock: Clock,
     /// Requests on the backend server beside this node.
     pub in_flight: Arc<InFlightTable>,
+    /// The other nodes.
+    pub membership: Membership,
     pub(super) peer_key: DerivedKey,
     version: RwLock<Option<Arc<Configuration>>>,
-    members: RwLock<Arc<MemberTable>>,
     server: RwLock<Option<Arc<LocalServer>>>,
     peer_pools: Mutex<HashMap<SocketAddr, Arc<ConnectionPool>>>,
     draining: AtomicBool,
 }
 
 impl Node {
-    /// Makes a node that has no configuration, no members and no backend server yet.
-    pub fn new(settings: NodeSettings, addresses: NodeAddresses) -> Self {
+    /// Makes a node that has no configuration and no backend server yet.
+    pub fn new(settings: NodeSettings, addresses: NodeAddresses, probes: ProbeSocket) -> Self {
+        let clock = Clock::start();
         Self {
             peer_key: settings.fleet_secret.derive(KeyPurpose::PeerRequest),
+            membership: probes.start(&settings, &addresses, &clock),
             settings,
             addresses,
-            clock: Clock::start(),
+            clock,
             in_flight: Arc::default(),
             version: RwLock::default(),
-            members: RwLock::default(),
             server: RwLock::default(),
             peer_pools: Mutex::default(),
             draining: AtomicBool::new(false),
@@ -86,24 +89,15 @@
         }
     }
 
-    /// Returns the known nodes.
-    pub fn members(&self) -> Arc<MemberTable> {
-        Arc::clone(&self.members.read())
-    }
-
-    /// Replaces the known nodes.
-    pub fn set_members(&self, members: Arc<MemberTable>) {
-        *self.members.write() = members;
-    }
-
     /// Returns the backend server beside this node while it is announced.
     pub(super) fn server(&self) -> Option<Arc<LocalServer>> {
         self.server.read().clone()
     }
 
-    /// Replaces the backend server beside this node.
+    /// Replaces the backend server beside this node, and tells the fleet.
     pub(super) fn set_server(&self, server: Option<Arc<LocalServer>>) {
         *self.server.write() = server;
+        self.publish_server();
     }
 
     /// Returns the kept connections to another node.
@@ -131,8 +125,9 @@
         self.draining.load(Ordering::Relaxed)
     }
 
-    /// Begins a planned stop; returns whether it had not begun before.
+    /// Begins a planned stop and tells the fleet; returns whether it had not begun before.
     pub fn start_draining(&self) -> bool {
+        self.membership.leave();
         !self.draining.swap(true, Ordering::Relaxed)
     }
 }
