--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -18,6 +18,7 @@
 mod test_membership_merge;
 mod test_membership_node;
 mod test_platform;
+mod test_membership_nodes;
 mod test_rates;
 mod test_rates_bound;
 mod test_rates_demand;
