--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -13,6 +13,8 @@
 mod test_events;
 mod test_folder;
 mod test_keys;
+mod test_platform;
+mod test_whole_path;
 mod test_membership_cuts;
 mod test_membership_datagrams;
 mod test_membership_detection;
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod mesh;
 pub mod platform;
 pub mod rate_fleet;
+pub mod platform;
