cli: check, plan, apply, show, keys, nodes, dump and drain

Tests run the real program against the stand-in of the platform. Two operators are made to race by a barrier in the stand-in, so that both have read before either writes: one gets exit code 0, the other 3 and what changed.

--- /dev/null
+++ b/cli/src/commands/apply.rs
@@ -0,0 +1,32 @@
+//! `balsamfold apply`: brings a folder into force.
+
+use balsamfold::version::folder::Folder;
+use clap::ArgMatches;
+use clap::Command;
+
+use super::plan;
+use super::plan::PlanReport;
+use crate::failure::Failure;
+use crate::flags;
+use crate::output::Output;
+use crate::platform;
+
+/// Returns the command's part of the command line.
+pub(crate) fn command() -> Command {
+    Command::new("apply")
+        .about("Brings a folder into force")
+        .arg(flags::folder_arg())
+}
+
+/// Runs the command. Without differences nothing is written.
+pub(crate) async fn run(matches: &ArgMatches, output: Output) -> Result<(), Failure> {
+    let folder = Folder::read(flags::folder(matches))?;
+    let client = platform::client(matches)?;
+    let base = platform::read(&client).await?;
+    let plan = plan::make(base.as_ref(), &folder)?;
+    if !plan.diff.is_empty() {
+        platform::write(&client, base.as_ref(), &plan.next).await?;
+    }
+    output.print(&PlanReport::new(base.as_ref(), &plan));
+    Ok(())
+}
--- /dev/null
+++ b/cli/src/commands/key.rs
@@ -0,0 +1,205 @@
+//! `balsamfold key`: makes and withdraws callers' keys.
+
+use std::fmt;
+
+use balsamfold::process::configuration::StoredConfiguration;
+use balsamfold::process::platform::PlatformClient;
+use balsamfold::values::ConfigVersion;
+use balsamfold::values::KeyId;
+use balsamfold::values::OrganisationId;
+use balsamfold::version::CallerKey;
+use balsamfold::version::ChangeId;
+use balsamfold::version::Configuration;
+use balsamfold::version::KeyHash;
+use balsamfold::version::KeyRecord;
+use balsamfold::version::KeyState;
+use balsamfold::version::change::KeyChangeError;
+use balsamfold::version::change::add_key;
+use balsamfold::version::change::withdraw_key;
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use serde::Serialize;
+
+use crate::failure::Exit;
+use crate::failure::Failure;
+use crate::output::Output;
+use crate::platform;
+
+const KEY: &str = "KEY";
+const ORGANISATION: &str = "organisation";
+
+/// Changes by other operators after which a key command gives up.
+const CONFLICTS_MAX: u32 = 5;
+
+/// A key that was made. This is the only time that the key itself is printed.
+#[derive(Serialize)]
+struct NewKeyReport {
+    id: KeyId,
+    organisation: OrganisationId,
+    version: ConfigVersion,
+    key: String,
+}
+
+impl fmt::Display for NewKeyReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            id,
+            organisation,
+            version,
+            key,
+        } = self;
+        writeln!(
+            f,
+            "key {id} of organisation {organisation} is in force with version {version}"
+        )?;
+        writeln!(f, "it is printed only now, since only its hash is kept:")?;
+        f.write_str(key)
+    }
+}
+
+/// A key that is withdrawn.
+#[derive(Serialize)]
+struct WithdrawReport {
+    id: KeyId,
+    version: ConfigVersion,
+}
+
+impl fmt::Display for WithdrawReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { id, version } = self;
+        write!(f, "key {id} is withdrawn for good as of version {version}")
+    }
+}
+
+/// Returns the command's part of the command line.
+pub(crate) fn command() -> Command {
+    let id = Arg::new(KEY)
+        .help("Name of the key")
+        .env("BALSAMFOLD_KEY_ID")
+        .required(true)
+        .value_parser(value_parser!(KeyId));
+    let organisation = Arg::new(ORGANISATION)
+        .long(ORGANISATION)
+        .env("BALSAMFOLD_ORGANISATION")
+        .help("Organisation for which requests with the key run")
+        .required(true)
+        .value_parser(value_parser!(OrganisationId));
+    let new = Command::new("new")
+        .about("Makes a key and prints it once")
+        .args([id.clone(), organisation]);
+    let withdraw = Command::new("withdraw")
+        .about("Withdraws a key for good")
+        .arg(id);
+    Command::new("key")
+        .about("Makes and withdraws callers' keys")
+        .subcommand_required(true)
+        .subcommands([new, withdraw])
+}
+
+/// Runs the command.
+pub(crate) async fn run(matches: &ArgMatches, output: Output) -> Result<(), Failure> {
+    match matches.subcommand() {
+        Some(("new", matches)) => run_new(matches, output).await,
+        Some(("withdraw", matches)) => run_withdraw(matches, output).await,
+        _ => Err(Failure::new(Exit::Usage, "unknown command")),
+    }
+}
+
+async fn run_new(matches: &ArgMatches, output: Output) -> Result<(), Failure> {
+    let id = key_id(matches)?;
+    let organisation = matches.get_one::<OrganisationId>(ORGANISATION).cloned();
+    let organisation = organisation.ok_or_else(|| missing(ORGANISATION))?;
+    let key = CallerKey::generate();
+    let record = KeyRecord {
+        id: id.clone(),
+        hash: KeyHash::of(&key),
+        organisation: organisation.clone(),
+        state: KeyState::Active,
+    };
+    let client = platform::client(matches)?;
+    let change =
+        |current: &Configuration, change_id| add_key(current, record.clone(), change_id).map(Some);
+    let version = change_key(&client, change)
+        .await
+        .map_err(|failure| match failure.exit {
+            Exit::Unknown => {
+                let hint =
+                    format!("the key was not printed; withdraw {id} and make one of another name");
+                failure.hint(hint)
+            }
+            _ => failure,
+        })?;
+    output.print(&NewKeyReport {
+        id,
+        organisation,
+        version,
+        key: key.reveal().to_owned(),
+    });
+    Ok(())
+}
+
+async fn run_withdraw(matches: &ArgMatches, output: Output) -> Result<(), Failure> {
+    let id = key_id(matches)?;
+    let client = platform::client(matches)?;
+    let change = |current: &Configuration, change_id| withdraw_key(current, &id, change_id);
+    let version = change_key(&client, change).await?;
+    output.print(&WithdrawReport { id, version });
+    Ok(())
+}
+
+/// Changes one key in the configuration in force, and returns the version that has the change.
+///
+/// A change to one key goes with any other change, so after a conflict it is made again on top of
+/// the newer configuration. It is a conflict only if the key can no longer be changed there.
+async fn change_key(
+    client: &PlatformClient,
+    change: impl Fn(&Configuration, ChangeId) -> Result<Option<Configuration>, KeyChangeError>,
+) -> Result<ConfigVersion, Failure> {
+    let mut conflict = None;
+    for _ in 0..CONFLICTS_MAX {
+        let base = read_base(client).await?;
+        let next = match change(&base.configuration, ChangeId::generate()) {
+            Ok(Some(next)) => next,
+            Ok(None) => return Ok(base.configuration.version),
+            Err(error) => return Err(conflict.unwrap_or_else(|| refused(&error))),
+        };
+        match platform::write(client, Some(&base), &next).await {
+            Ok(()) => return Ok(next.version),
+            Err(failure) if failure.exit == Exit::Conflict => conflict = Some(failure),
+            Err(failure) => return Err(failure),
+        }
+    }
+    Err(conflict.unwrap_or_else(|| Failure::new(Exit::Failed, "the key was not changed")))
+}
+
+async fn read_base(client: &PlatformClient) -> Result<StoredConfiguration, Failure> {
+    let base = platform::read(client).await?;
+    base.ok_or_else(|| {
+        Failure::new(Exit::Failed, "there is no configuration yet")
+            .hint("bring a folder into force with `balsamfold apply DIR`")
+    })
+}
+
+fn refused(error: &KeyChangeError) -> Failure {
+    let hint = match error {
+        KeyChangeError::IdInUse { .. } | KeyChangeError::HashInUse { .. } => {
+            "names and keys are never used again; take another name"
+        }
+        KeyChangeError::UnknownOrganisation { .. } => {
+            "add the organisation to the folder and apply it first"
+        }
+        KeyChangeError::UnknownKey { .. } => "`balsamfold show` lists the keys",
+    };
+    Failure::new(Exit::Failed, error).hint(hint)
+}
+
+fn key_id(matches: &ArgMatches) -> Result<KeyId, Failure> {
+    let id = matches.get_one::<KeyId>(KEY).cloned();
+    id.ok_or_else(|| missing(KEY))
+}
+
+fn missing(name: &str) -> Failure {
+    Failure::new(Exit::Usage, format!("{name} is missing"))
+}
--- /dev/null
+++ b/cli/src/control.rs
@@ -0,0 +1,55 @@
+//! Control calls to one node.
+
+use std::fs;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use balsamfold::process::control;
+use balsamfold::process::control::ControlCaller;
+use balsamfold::process::secret::FleetSecret;
+use clap::ArgMatches;
+use jsonrpsee::core::ClientError;
+
+use crate::failure::Exit;
+use crate::failure::Failure;
+use crate::flags;
+
+/// Makes a client of the node that the command line names.
+pub(crate) fn connect(matches: &ArgMatches) -> Result<ControlCaller, Failure> {
+    let secret = fleet_secret(matches)?;
+    let timeout = Duration::from_millis(flags::timeout_ms(matches));
+    let caller = control::connect(flags::node(matches)?, &secret, timeout);
+    caller.map_err(|error| Failure::new(Exit::Failed, error))
+}
+
+/// Describes a failed call that changes nothing.
+pub(crate) fn read_failure(error: &ClientError) -> Failure {
+    Failure::new(Exit::Failed, format!("the node gave no answer: {error}"))
+        .hint("check the control address and the fleet secret")
+}
+
+/// Describes a failed call that may have taken effect if no reply came in time.
+pub(crate) fn write_failure(error: &ClientError) -> Failure {
+    match error {
+        ClientError::RequestTimeout => Failure::new(
+            Exit::Unknown,
+            "the node gave no answer; the call may have taken effect",
+        )
+        .hint("run `balsamfold dump ADDR` to see"),
+        _ => read_failure(error),
+    }
+}
+
+fn fleet_secret(matches: &ArgMatches) -> Result<FleetSecret, Failure> {
+    let text = match matches.get_one::<PathBuf>(flags::FLEET_SECRET_FILE) {
+        Some(path) => fs::read_to_string(path).map_err(|error| {
+            let message = format!("--fleet-secret-file: {}: {error}", path.display());
+            Failure::new(Exit::Usage, message).hint("name a file that can be read")
+        })?,
+        None => flags::text(matches, flags::FLEET_SECRET).to_owned(),
+    };
+    text.trim().parse().map_err(|error| {
+        Failure::new(Exit::Usage, format!("--fleet-secret: {error}"))
+            .hint("give --fleet-secret-file, or set BALSAMFOLD_FLEET_SECRET")
+    })
+}
--- /dev/null
+++ b/cli/tests/desk.rs
@@ -0,0 +1,88 @@
+//! An operator's desk: a folder, a platform stand-in and the real program.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Stdio;
+
+use testutils::platform::PlatformStandIn;
+
+/// What the program printed, with everything replaced that differs between runs.
+pub struct Ended {
+    pub exit: Option<i32>,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+impl Ended {
+    /// Returns exit code and output as one text for snapshots.
+    pub fn text(&self) -> String {
+        let exit = self.exit.unwrap_or(-1);
+        format!("exit {exit}\n{}{}", self.stdout, self.stderr)
+    }
+}
+
+/// An operator's desk.
+pub struct Desk {
+    pub platform: PlatformStandIn,
+    folder: PathBuf,
+}
+
+impl Desk {
+    /// Starts a platform stand-in and makes an empty folder for the test `name`.
+    pub async fn new(name: &str) -> Self {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let _ = fs::remove_dir_all(&folder);
+        fs::create_dir_all(&folder).unwrap();
+        let platform = PlatformStandIn::start_local().await.unwrap();
+        Self { platform, folder }
+    }
+
+    /// Writes a file in a sub-folder and returns the sub-folder.
+    pub fn write(&self, folder: &str, file: &str, text: &str) -> String {
+        let folder = self.folder.join(folder);
+        fs::create_dir_all(&folder).unwrap();
+        fs::write(folder.join(file), text).unwrap();
+        folder.to_str().unwrap().to_owned()
+    }
+
+    /// Runs the program with the platform's address.
+    pub async fn run(&self, args: &[&str]) -> Ended {
+        let platform = self.platform.address().to_string();
+        let mut all = vec!["--platform", &platform, "--timeout-ms", "60000"];
+        all.extend(args);
+        run(&all).await
+    }
+}
+
+/// Runs the program without any of the test's own variables.
+pub async fn run(args: &[&str]) -> Ended {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_balsamfold"));
+    command.args(args).env_clear().stdin(Stdio::null());
+    let output = tokio::task::spawn_blocking(move || command.output());
+    let output = output.await.unwrap().unwrap();
+    Ended {
+        exit: output.status.code(),
+        stdout: without_ids(&String::from_utf8(output.stdout).unwrap()),
+        stderr: without_ids(&String::from_utf8(output.stderr).unwrap()),
+    }
+}
+
+/// Replaces change ids by `ID`.
+fn without_ids(text: &str) -> String {
+    let is_id = |word: &str| word.len() == 36 && word.matches('-').count() == 4;
+    let mut result = text.to_owned();
+    let words = text.split(|c: char| !c.is_ascii_hexdigit() && c != '-');
+    for id in words.filter(|word| is_id(word)) {
+        result = result.replace(id, "ID");
+    }
+    result
+}
+
+/// Returns a folder text with one zone and one organisation.
+pub fn acme(rate_per_s: u32) -> String {
+    format!(
+        "[zone.bello]\nregion = 'antioquia'\n\
+         [organisation.acme]\nrate_per_s = {rate_per_s}\nburst_tokens = 5\n"
+    )
+}
--- /dev/null
+++ b/cli/tests/test_nodes.rs
@@ -0,0 +1,69 @@
+//! The commands dump, nodes and drain.
+
+use testutils::backend_server::ServerPlan;
+use testutils::fleet::FLEET_SECRET;
+use testutils::fleet::TestFleet;
+use testutils::fleet::sample_configuration;
+use testutils::fleet::sample_key;
+
+use crate::desk::Ended;
+use crate::desk::run;
+
+async fn fleet() -> TestFleet {
+    let plan = ServerPlan::small("stock", &[]);
+    let configuration = sample_configuration(&["zone-a"], &["small"], &["stock"]);
+    TestFleet::start(configuration, &[("zone-a", plan)]).await
+}
+
+async fn call(fleet: &TestFleet, command: &str, secret: &str) -> Ended {
+    let address = fleet.nodes[0].daemon.node().addresses.control.to_string();
+    run(&[
+        command,
+        &address,
+        "--fleet-secret",
+        secret,
+        "--timeout-ms",
+        "60000",
+    ])
+    .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_and_their_state_are_printed() {
+    let fleet = fleet().await;
+    let nodes = call(&fleet, "nodes", FLEET_SECRET).await;
+    assert_eq!(nodes.exit, Some(0));
+    assert!(
+        nodes
+            .stdout
+            .starts_with("1 nodes\nnode-0: zone zone-a, alive, service stock")
+    );
+    let dump = call(&fleet, "dump", FLEET_SECRET).await;
+    assert_eq!(dump.exit, Some(0));
+    let document: serde_json::Value = serde_json::from_str(&dump.stdout).unwrap();
+    assert_eq!(document["config_version"], 1);
+    assert!(!dump.stdout.contains(sample_key("small").reveal()));
+    assert!(!dump.stdout.contains(FLEET_SECRET));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_asks_the_node_for_a_planned_stop() {
+    let fleet = fleet().await;
+    let ended = call(&fleet, "drain", FLEET_SECRET).await;
+    insta::assert_snapshot!(ended.text(), @r"
+    exit 0
+    the node takes no new work and ends after its 0 requests in flight
+    ");
+    fleet.nodes[0].daemon.drain_asked().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stranger_gets_nothing() {
+    let fleet = fleet().await;
+    for command in ["dump", "nodes", "drain"] {
+        let ended = call(&fleet, command, "another-secret-of-a-stranger").await;
+        assert_eq!((ended.exit, ended.stdout.as_str()), (Some(1), ""));
+        let ended = call(&fleet, command, "short").await;
+        assert_eq!(ended.exit, Some(2));
+    }
+}
--- a/testutils/src/platform/server.rs
+++ b/testutils/src/platform/server.rs
@@ -86,6 +86,7 @@
     store: PlatformStore,
     faults: Faults,
     status: StandInStatus,
+    swaps_waiting: u32,
     second: u64,
     calls_in_second: u32,
 }
@@ -179,6 +180,9 @@
             return Ok(busy);
         }
         sleep(delay).await;
+        if call.kind() == CallKind::CompareAndSwap {
+            self.pass_barrier().await;
+        }
         let deadline = Instant::now() + Duration::from_millis(call.wait_ms());
         loop {
             let mut changes = self.changes.subscribe();
@@ -198,6 +202,25 @@
         }
     }
 
+    /// Waits until as many compare-and-swaps wait as the faults ask for.
+    async fn pass_barrier(&self) {
+        let mut changes = self.changes.subscribe();
+        {
+            let mut state = self.state.lock();
+            state.swaps_waiting += 1;
+            if state.swaps_waiting >= state.faults.swap_barrier {
+                state.swaps_waiting = 0;
+                state.faults.swap_barrier = 0;
+            }
+        }
+        self.announce();
+        while self.state.lock().faults.swap_barrier > 0 {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     fn admit(&self, kind: CallKind, zone: Option<&ZoneId>) -> Result<Duration, CutError> {
         let mut state = self.state.lock();
         if state.faults.cuts(zone) {
@@ -239,6 +262,7 @@
         let is_lost = is_written && state.faults.lost_swap_replies > 0;
         if is_lost {
             state.faults.lost_swap_replies -= 1;
+            state.faults.is_down |= state.faults.goes_down_with_lost_reply;
             state.status.cut += 1;
         }
         drop(state);
