node: watch the platform's service and learn configurations from other nodes

Two nodes of each zone watch; a node that puts a newer version in force tells four others at random, which fetch it from there, and every node asks another one each two seconds.

A key withdrawn on the platform is refused on connections opened before; new and restarted nodes come up during an outage with no call to the platform; an older value forced into the platform reverts no node.

--- a/cli/src/platform.rs
+++ b/cli/src/platform.rs
@@ -22,7 +22,7 @@
         call_timeout_ms: flags::timeout_ms(matches),
         ..PlatformSettings::new(flags::platform(matches)?)
     };
-    PlatformClient::new(&settings).map_err(|error| Failure::new(Exit::Failed, error))
+    Ok(PlatformClient::new(&settings))
 }
 
 /// Reads the configuration, or none if there is none yet.
--- a/cli/tests/test_keys.rs
+++ b/cli/tests/test_keys.rs
@@ -22,7 +22,7 @@
 }
 
 async fn stored(desk: &Desk) -> Configuration {
-    let client = PlatformClient::new(&PlatformSettings::new(desk.platform.address())).unwrap();
+    let client = PlatformClient::new(&PlatformSettings::new(desk.platform.address()));
     let store = ConfigurationStore::new(&client, 1);
     store.read().await.unwrap().unwrap().configuration
 }
--- a/lib/src/process/control/api.rs
+++ b/lib/src/process/control/api.rs
@@ -3,6 +3,7 @@
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 
+use crate::process::configuration::ConfigurationNews;
 use crate::process::membership::NodeRecord;
 use crate::process::node::NodeDump;
 use crate::values::ConfigVersion;
@@ -35,6 +36,10 @@
     #[method(name = "offerConfiguration")]
     async fn offer_configuration(&self, configuration: Configuration) -> RpcResult<ConfigVersion>;
 
+    /// Tells that the calling node has a configuration in force.
+    #[method(name = "configurationNews")]
+    async fn configuration_news(&self, news: ConfigurationNews) -> RpcResult<()>;
+
     /// Returns the configuration in force if it is newer than `than`.
     #[method(name = "newerConfiguration")]
     async fn newer_configuration(&self, than: ConfigVersion) -> RpcResult<Option<Configuration>>;
--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -15,6 +15,7 @@
 use super::Node;
 use super::NodeDump;
 use super::announcement;
+use super::configuration::ConfigurationTasks;
 use super::entry::handle_caller;
 use super::exit::handle_local;
 use super::serve::handle_peer;
@@ -22,6 +23,7 @@
 use crate::connection::Listener;
 use crate::connection::ListenerLimits;
 use crate::connection::Serving;
+use crate::process::configuration::ConfigurationNews;
 use crate::process::control;
 use crate::process::control::ControlClient;
 use crate::process::control::ControlListener;
@@ -89,6 +91,7 @@
     control: ControlServing,
     drain_asked: Arc<Notify>,
     _housekeeping: AbortOnDropHandle<()>,
+    _configuration: ConfigurationTasks,
 }
 
 impl NodeDaemon {
@@ -130,6 +133,7 @@
                 source: Box::new(error),
             })?;
         let housekeeping = tokio::spawn(keep_house(Arc::clone(&node)));
+        let configuration = ConfigurationTasks::start(&node);
         events::STARTED.log(format_args!("callers on {caller_address}"));
         Ok(Self {
             callers: serve_callers(callers, &node, connections_max),
@@ -141,6 +145,7 @@
             control,
             drain_asked,
             _housekeeping: AbortOnDropHandle::new(housekeeping),
+            _configuration: configuration,
         })
     }
 
@@ -309,6 +314,11 @@
         Ok(in_force.unwrap_or(offered))
     }
 
+    async fn configuration_news(&self, news: ConfigurationNews) -> RpcResult<()> {
+        self.node.note_configuration_news(news);
+        Ok(())
+    }
+
     async fn newer_configuration(&self, than: ConfigVersion) -> RpcResult<Option<Configuration>> {
         let current = self.node.configuration().ok();
         Ok(current
--- a/lib/src/process/node/entry.rs
+++ b/lib/src/process/node/entry.rs
@@ -27,7 +27,7 @@
 use crate::values::RequestId;
 use crate::version::Access;
 use crate::version::CallerKey;
-use crate::version::Configuration;
+use crate::version::IndexedConfiguration;
 use crate::version::Repeatability;
 use crate::version::Route;
 
@@ -43,7 +43,7 @@
 }
 
 async fn enter(node: &Arc<Node>, request: Request) -> Result<WholeAnswer, Refusal> {
-    let configuration = node.configuration()?;
+    let configuration = node.indexed_configuration()?;
     let route = configuration
         .route_of(request.uri().path())
         .ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute))?;
@@ -97,7 +97,7 @@
 
 /// Finds the organisation for which a request runs.
 fn organisation(
-    configuration: &Configuration,
+    configuration: &IndexedConfiguration,
     route: &Route,
     headers: &HeaderMap,
 ) -> Result<Option<OrganisationId>, Refusal> {
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod announcement;
 mod answer;
+mod configuration;
 mod daemon;
 mod dump;
 mod entry;
--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -8,20 +8,22 @@
 
 use parking_lot::Mutex;
 use parking_lot::RwLock;
+use tokio::sync::watch;
 
 use super::local_server::LocalServer;
 use crate::connection::ConnectionPool;
 use crate::connection::PoolLimits;
+use crate::process::configuration::ConfigurationNews;
 use crate::process::membership::MemberTable;
 use crate::process::membership::NodeAddresses;
+use crate::process::platform::PlatformClient;
+use crate::process::platform::PlatformSettings;
 use crate::process::secret::DerivedKey;
 use crate::process::secret::KeyPurpose;
 use crate::process::settings::NodeSettings;
 use crate::request::InFlightTable;
-use crate::request::Refusal;
-use crate::request::RefusalReason;
 use crate::values::Clock;
-use crate::version::Configuration;
+use crate::version::ConfigurationHolder;
 
 /// Most connections from one node to another.
 const PEER_CONNECTIONS_MAX: u32 = 1_024;
@@ -44,7 +46,11 @@
     /// Requests on the backend server beside this node.
     pub in_flight: Arc<InFlightTable>,
     pub(super) peer_key: DerivedKey,
-    version: RwLock<Option<Arc<Configuration>>>,
+    /// The configuration in force.
+    pub configuration: ConfigurationHolder,
+    /// The platform's service.
+    pub platform: PlatformClient,
+    pub(super) configuration_news: watch::Sender<Option<ConfigurationNews>>,
     members: RwLock<Arc<MemberTable>>,
     server: RwLock<Option<Arc<LocalServer>>>,
     peer_pools: Mutex<HashMap<SocketAddr, Arc<ConnectionPool>>>,
@@ -54,13 +60,19 @@
 impl Node {
     /// Makes a node that has no configuration, no members and no backend server yet.
     pub fn new(settings: NodeSettings, addresses: NodeAddresses) -> Self {
+        let platform = PlatformClient::new(&PlatformSettings {
+            zone: Some(settings.zone.clone()),
+            ..PlatformSettings::new(settings.platform)
+        });
         Self {
             peer_key: settings.fleet_secret.derive(KeyPurpose::PeerRequest),
             settings,
             addresses,
             clock: Clock::start(),
             in_flight: Arc::default(),
-            version: RwLock::default(),
+            configuration: ConfigurationHolder::new(),
+            platform,
+            configuration_news: watch::Sender::new(None),
             members: RwLock::default(),
             server: RwLock::default(),
             peer_pools: Mutex::default(),
@@ -68,24 +80,6 @@
         }
     }
 
-    /// Returns the configuration in force.
-    pub fn configuration(&self) -> Result<Arc<Configuration>, Refusal> {
-        let version = self.version.read().clone();
-        version.ok_or_else(|| Refusal::not_run(RefusalReason::NotReady))
-    }
-
-    /// Puts `configuration` in force unless the one in force is as new.
-    pub fn offer_configuration(&self, configuration: Configuration) {
-        let mut version = self.version.write();
-        let newer = match version.as_ref() {
-            Some(current) => configuration.version > current.version,
-            None => true,
-        };
-        if newer {
-            *version = Some(Arc::new(configuration));
-        }
-    }
-
     /// Returns the known nodes.
     pub fn members(&self) -> Arc<MemberTable> {
         Arc::clone(&self.members.read())
--- a/lib/src/process/platform/client.rs
+++ b/lib/src/process/platform/client.rs
@@ -1,5 +1,6 @@
 //! Typed calls to the platform's service.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -71,14 +72,14 @@
 
 impl PlatformClient {
     /// Makes a client. No connection is opened before the first call.
-    pub fn new(settings: &PlatformSettings) -> Result<Self, PlatformError> {
-        Ok(Self {
-            wire: WireClient::new(settings.address, settings.zone.as_ref())?,
+    pub fn new(settings: &PlatformSettings) -> Self {
+        Self {
+            wire: WireClient::new(settings.address, settings.zone.as_ref()),
             call_timeout: Duration::from_millis(settings.call_timeout_ms),
             budget: Mutex::new(CallBudget::new(settings.calls_per_s)),
             counter: CallCounter::default(),
             clock: Clock::start(),
-        })
+        }
     }
 
     /// Returns the calls made so far.
@@ -173,6 +174,15 @@
     }
 }
 
+impl fmt::Debug for PlatformClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let counts = self.counts();
+        f.debug_struct("PlatformClient")
+            .field("counts", &counts)
+            .finish_non_exhaustive()
+    }
+}
+
 fn unexpected<T>(reply: &PlatformReply) -> Result<T, PlatformError> {
     let detail = format!("unexpected reply {reply:?}");
     BadReplySnafu { detail }.fail()
--- a/lib/src/process/platform/wire.rs
+++ b/lib/src/process/platform/wire.rs
@@ -62,24 +62,23 @@
 
 /// Sends calls to one address of the service.
 pub(super) struct WireClient {
-    http: Client,
+    http: Result<Client, PlatformError>,
     url: String,
     zone: Option<HeaderValue>,
 }
 
 impl WireClient {
     /// Makes a client of the service at `address`, for a process in `zone`.
-    pub(super) fn new(address: SocketAddr, zone: Option<&ZoneId>) -> Result<Self, PlatformError> {
+    pub(super) fn new(address: SocketAddr, zone: Option<&ZoneId>) -> Self {
         let mut builder = Client::builder();
         builder
             .set_connect_timeout(CONNECT_TIMEOUT)
             .set_max_idle_per_host(IDLE_CONNECTIONS_MAX);
-        let http = builder.build().map_err(not_sent)?;
-        Ok(Self {
-            http,
+        Self {
+            http: builder.build().map_err(not_sent),
             url: format!("http://{address}{CALL_PATH}"),
             zone: zone.and_then(|zone| HeaderValue::from_str(zone.as_str()).ok()),
-        })
+        }
     }
 
     /// Sends one call and waits at most `time_limit` for the reply.
@@ -98,8 +97,8 @@
     }
 
     async fn exchange(&self, call: &PlatformCall) -> Result<PlatformReply, PlatformError> {
-        let mut request = self
-            .http
+        let http = self.http.as_ref().map_err(PlatformError::clone)?;
+        let mut request = http
             .request(Method::POST, self.url.as_str())
             .header(CONTENT_TYPE, "application/json")
             .data(encode(call));
--- a/lib/src/version/index.rs
+++ b/lib/src/version/index.rs
@@ -1,6 +1,7 @@
 //! A configuration with its keys indexed for the check of each request.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use super::CallerKey;
 use super::Configuration;
@@ -22,7 +23,7 @@
 /// An immutable configuration with an index over its active keys.
 #[derive(Debug)]
 pub struct IndexedConfiguration {
-    configuration: Configuration,
+    configuration: Arc<Configuration>,
     active_keys: HashMap<HashPrefix, Vec<ActiveKey>>,
 }
 
@@ -46,13 +47,13 @@
             });
         }
         Self {
-            configuration,
+            configuration: Arc::new(configuration),
             active_keys,
         }
     }
 
     /// Returns the whole configuration.
-    pub fn configuration(&self) -> &Configuration {
+    pub fn configuration(&self) -> &Arc<Configuration> {
         &self.configuration
     }
 
--- /dev/null
+++ b/lib/tests/test_configuration_spread.rs
@@ -0,0 +1,270 @@
+//! A configuration on its way from the platform's service to all nodes.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use balsamfold::process::configuration::NEWS_FANOUT;
+use balsamfold::process::configuration::WATCHERS_PER_ZONE;
+use balsamfold::process::configuration::choose_nodes;
+use balsamfold::process::configuration::watches_platform;
+use balsamfold::process::membership::MemberTable;
+use balsamfold::process::membership::NodeAddresses;
+use balsamfold::process::membership::NodeCondition;
+use balsamfold::process::membership::NodeRecord;
+use balsamfold::process::platform::PlatformKey;
+use balsamfold::process::platform::PlatformValue;
+use balsamfold::request::RefusalReason;
+use balsamfold::request::refusal_of;
+use balsamfold::values::ConfigVersion;
+use balsamfold::values::Incarnation;
+use balsamfold::values::KeyId;
+use balsamfold::version::ChangeId;
+use balsamfold::version::Configuration;
+use balsamfold::version::change::withdraw_key;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use testutils::fleet::Caller;
+use testutils::fleet::ConfiguredFleet;
+use testutils::fleet::post;
+use testutils::fleet::sample_configuration;
+use testutils::fleet::sample_key;
+use testutils::fleet::wait_until;
+use testutils::platform::Faults;
+
+const ZONES: [&str; 2] = ["zone-a", "zone-b"];
+
+fn configuration() -> Configuration {
+    sample_configuration(&ZONES, &["small", "large"], &["stock"])
+}
+
+/// Returns the next version without any other difference.
+fn next_version(current: &Configuration, change_id: ChangeId) -> Configuration {
+    Configuration {
+        version: ConfigVersion(current.version.0 + 1),
+        change_id,
+        ..current.clone()
+    }
+}
+
+fn withdraw_small(current: &Configuration, change_id: ChangeId) -> Configuration {
+    let id: KeyId = "small".parse().unwrap();
+    withdraw_key(current, &id, change_id).unwrap().unwrap()
+}
+
+/// Sends a request with the key of `small` and returns why it was refused.
+async fn refusal(caller: &Caller) -> RefusalReason {
+    let request = post("/stock", Some(&sample_key("small")), &[], "request");
+    let answer = caller.send(request).await.unwrap();
+    refusal_of(&answer).unwrap().reason
+}
+
+fn fleet_table(nodes: usize, zones: usize) -> MemberTable {
+    let records = (0..nodes).map(|index| {
+        let port = |kind: usize| {
+            let host = [10, kind as u8, (index / 250) as u8, (index % 250) as u8];
+            SocketAddr::from((host, 7_000))
+        };
+        NodeRecord {
+            id: format!("node-{index}").parse().unwrap(),
+            zone: format!("zone-{}", index % zones).parse().unwrap(),
+            addresses: NodeAddresses {
+                peer: port(1),
+                control: port(2),
+                probe: port(3),
+            },
+            incarnation: Incarnation(1),
+            condition: NodeCondition::Alive,
+            server: None,
+        }
+    });
+    MemberTable::new(records)
+}
+
+#[test]
+fn watchers_do_not_grow_with_the_fleet() {
+    for nodes in [16, 80, 780] {
+        let table = fleet_table(nodes, 8);
+        let watchers = table
+            .nodes()
+            .filter(|record| watches_platform(&record.id, &record.zone, &table));
+        assert_eq!(watchers.count(), 8 * WATCHERS_PER_ZONE, "{nodes} nodes");
+    }
+}
+
+#[test]
+fn watcher_that_is_not_alive_is_replaced() {
+    let table = fleet_table(12, 2);
+    let is_watcher = |record: &&NodeRecord| watches_platform(&record.id, &record.zone, &table);
+    let first = table.nodes().find(is_watcher).unwrap().clone();
+    let records = table
+        .nodes()
+        .cloned()
+        .map(|record| match record.id == first.id {
+            true => NodeRecord {
+                condition: NodeCondition::Dead,
+                ..record
+            },
+            false => record,
+        });
+    let after = MemberTable::new(records.collect::<Vec<_>>());
+    let alive = after.nodes().filter(|record| record.takes_work());
+    let watchers = alive.filter(|record| watches_platform(&record.id, &record.zone, &after));
+    assert_eq!(watchers.count(), 2 * WATCHERS_PER_ZONE);
+}
+
+/// Each node that hears the news tells [`NEWS_FANOUT`] others. What is left learns by asking.
+#[test]
+fn news_reach_nearly_all_of_780_nodes_in_few_steps() {
+    let table = fleet_table(780, 8);
+    let mut random = StdRng::seed_from_u64(1);
+    let watchers = table
+        .nodes()
+        .filter(|record| watches_platform(&record.id, &record.zone, &table));
+    let mut telling: Vec<&NodeRecord> = watchers.collect();
+    let mut informed: BTreeSet<SocketAddr> =
+        telling.iter().map(|node| node.addresses.control).collect();
+    let mut steps = 0;
+    while !telling.is_empty() {
+        let told: BTreeSet<SocketAddr> = telling
+            .iter()
+            .flat_map(|node| choose_nodes(&node.id, &table, NEWS_FANOUT, &mut random))
+            .collect();
+        let newly: BTreeSet<_> = told.difference(&informed).copied().collect();
+        let is_new = |record: &&NodeRecord| newly.contains(&record.addresses.control);
+        telling = table.nodes().filter(is_new).collect();
+        steps += usize::from(!newly.is_empty());
+        informed.extend(newly);
+    }
+    println!(
+        "{} of 780 nodes heard the news after {steps} steps",
+        informed.len()
+    );
+    assert!(steps <= 8);
+    assert!(informed.len() >= 740);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn platform_calls_do_not_grow_with_the_fleet() {
+    const CHANGES: u64 = 5;
+    for nodes_per_zone in [2, 8] {
+        let zones = ZONES.repeat(nodes_per_zone);
+        let fleet = ConfiguredFleet::start(&configuration(), &zones).await;
+        let settled = fleet.change(next_version).await;
+        fleet.wait_for_version(settled).await;
+        let before = fleet.platform.status().calls;
+        for _ in 0..CHANGES {
+            let version = fleet.change(next_version).await;
+            fleet.wait_for_version(version).await;
+        }
+        let after = fleet.platform.status().calls;
+        let watches = after.watches - before.watches;
+        println!(
+            "{} nodes, {CHANGES} changes: {watches} watches; gets {}, swaps {} by the operator",
+            zones.len(),
+            after.gets - before.gets,
+            after.swaps - before.swaps,
+        );
+        let watchers = (ZONES.len() * WATCHERS_PER_ZONE) as u64;
+        assert!(watches <= watchers * (CHANGES + 2));
+        let node_calls = fleet
+            .nodes
+            .iter()
+            .map(|daemon| daemon.node().platform.counts());
+        assert!(
+            node_calls
+                .clone()
+                .all(|counts| counts.swaps + counts.gets == 0)
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn withdrawn_key_stops_on_open_connections() {
+    let fleet = ConfiguredFleet::start(&configuration(), &ZONES.repeat(2)).await;
+    let addresses = fleet.nodes.iter().map(|daemon| daemon.caller_address());
+    let callers: Vec<_> = addresses.map(Caller::new).collect();
+    for caller in &callers {
+        assert_eq!(refusal(caller).await, RefusalReason::NoServer);
+    }
+    let version = fleet.change(withdraw_small).await;
+    fleet.wait_for_version(version).await;
+    for caller in &callers {
+        assert_eq!(refusal(caller).await, RefusalReason::KeyInvalid);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn change_offered_to_one_node_spreads_with_the_platform_down() {
+    let fleet = ConfiguredFleet::start(&configuration(), &ZONES.repeat(3)).await;
+    fleet.platform.set_faults(Faults {
+        is_down: true,
+        ..Faults::default()
+    });
+    let withdrawn = withdraw_small(&configuration(), ChangeId::generate());
+    let version = withdrawn.version;
+    fleet.nodes[5].node().offer_configuration(withdrawn);
+    fleet.wait_for_version(version).await;
+    let caller = Caller::new(fleet.nodes[0].caller_address());
+    assert_eq!(refusal(&caller).await, RefusalReason::KeyInvalid);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn zone_cut_from_the_platform_learns_from_the_other_zone() {
+    let fleet = ConfiguredFleet::start(&configuration(), &ZONES.repeat(2)).await;
+    fleet.platform.set_faults(Faults {
+        cut_zones: ["zone-b".parse().unwrap()].into(),
+        ..Faults::default()
+    });
+    let version = fleet.change(withdraw_small).await;
+    fleet.wait_for_version(version).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn new_and_restarted_nodes_come_up_during_an_outage() {
+    let mut fleet = ConfiguredFleet::start(&configuration(), &ZONES.repeat(2)).await;
+    let version = fleet.change(withdraw_small).await;
+    fleet.wait_for_version(version).await;
+    fleet.platform.set_faults(Faults {
+        is_down: true,
+        ..Faults::default()
+    });
+    let calls_before = fleet.platform.status().calls;
+    drop(fleet.nodes.pop());
+    fleet.add_node("zone-b").await;
+    fleet.add_node("zone-a").await;
+    fleet.wait_for_version(version).await;
+    assert_eq!(fleet.platform.status().calls, calls_before);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn older_value_in_the_platform_reverts_no_node() {
+    let mut fleet = ConfiguredFleet::start(&configuration(), &ZONES.repeat(2)).await;
+    let version = fleet.change(withdraw_small).await;
+    fleet.wait_for_version(version).await;
+    let older = serde_json::to_string(&configuration()).unwrap();
+    let watches_before = fleet.platform.status().calls.watches;
+    let older = PlatformValue::try_from(older).unwrap();
+    fleet.platform.force(PlatformKey::Configuration, older);
+    let watchers = (ZONES.len() * WATCHERS_PER_ZONE) as u64;
+    wait_until(|| fleet.platform.status().calls.watches >= watches_before + watchers).await;
+    fleet.add_node("zone-a").await;
+    fleet.wait_for_version(version).await;
+    for daemon in &fleet.nodes {
+        assert_eq!(daemon.node().configuration.version(), version);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn node_without_a_configuration_is_not_ready() {
+    let mut fleet = ConfiguredFleet::start(&configuration(), &[]).await;
+    fleet.platform.set_faults(Faults {
+        is_down: true,
+        ..Faults::default()
+    });
+    fleet.add_node("zone-a").await;
+    let caller = Caller::new(fleet.nodes[0].caller_address());
+    assert_eq!(refusal(&caller).await, RefusalReason::NotReady);
+    fleet.platform.set_faults(Faults::default());
+    fleet.wait_for_version(ConfigVersion(1)).await;
+    assert_eq!(refusal(&caller).await, RefusalReason::NoServer);
+}
--- a/lib/tests/test_platform.rs
+++ b/lib/tests/test_platform.rs
@@ -37,7 +37,6 @@
         calls_per_s: 1_000,
         ..PlatformSettings::new(address)
     })
-    .unwrap()
 }
 
 fn value(text: &str) -> PlatformValue {
@@ -325,7 +324,7 @@
         call_timeout_ms: 20,
         ..PlatformSettings::new(platform.address())
     };
-    let client = PlatformClient::new(&settings).unwrap();
+    let client = PlatformClient::new(&settings);
     let reply = client.get(&KEY).await;
     assert!(matches!(reply, Err(PlatformError::NoReply { .. })));
 }
@@ -343,7 +342,7 @@
             zone: Some(zone),
             ..PlatformSettings::new(platform.address())
         };
-        PlatformClient::new(&settings).unwrap()
+        PlatformClient::new(&settings)
     });
     assert!(matches!(
         cut.get(&KEY).await,
--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod configuration;
+mod configured_fleet;
 mod test_fleet;
 
 pub use self::caller::Caller;
@@ -9,6 +10,8 @@
 pub use self::configuration::sample_configuration;
 pub use self::configuration::sample_key;
 pub use self::configuration::sample_route;
+pub use self::configured_fleet::ConfiguredFleet;
+pub use self::configured_fleet::wait_until;
 pub use self::test_fleet::FLEET_SECRET;
 pub use self::test_fleet::TestFleet;
 pub use self::test_fleet::TestNode;
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod platform;
 pub mod rate_fleet;
 pub mod platform;
+pub mod rate_fleet;
