cli: tell nodes of an accepted change directly

A platform that goes down between a write and the first watcher's reply leaves all nodes at the older version; a key withdrawn then went on working. The test goes down with the write, so that only the told node can know of it. In the stand-in, the fault goes_down_with_swap takes the place of goes_down_with_lost_reply; its test sets both faults.

--- a/cli/src/commands/apply.rs
+++ b/cli/src/commands/apply.rs
@@ -6,6 +6,7 @@
 
 use super::plan;
 use super::plan::PlanReport;
+use crate::control;
 use crate::failure::Failure;
 use crate::flags;
 use crate::output::Output;
@@ -15,18 +16,22 @@
 pub(crate) fn command() -> Command {
     Command::new("apply")
         .about("Brings a folder into force")
-        .arg(flags::folder_arg())
+        .args([flags::folder_arg(), flags::tell_arg()])
 }
 
 /// Runs the command. Without differences nothing is written.
 pub(crate) async fn run(matches: &ArgMatches, output: Output) -> Result<(), Failure> {
     let folder = Folder::read(flags::folder(matches))?;
     let client = platform::client(matches)?;
+    let told = control::connect_to_told(matches)?;
     let base = platform::read(&client).await?;
     let plan = plan::make(base.as_ref(), &folder)?;
     if !plan.diff.is_empty() {
         platform::write(&client, base.as_ref(), &plan.next).await?;
     }
     output.print(&PlanReport::new(base.as_ref(), &plan));
+    if !plan.diff.is_empty() {
+        output.tell(&told, &plan.next).await;
+    }
     Ok(())
 }
--- a/cli/src/commands/key.rs
+++ b/cli/src/commands/key.rs
@@ -22,8 +22,10 @@
 use clap::value_parser;
 use serde::Serialize;
 
+use crate::control;
 use crate::failure::Exit;
 use crate::failure::Failure;
+use crate::flags;
 use crate::output::Output;
 use crate::platform;
 
@@ -88,10 +90,10 @@
         .value_parser(value_parser!(OrganisationId));
     let new = Command::new("new")
         .about("Makes a key and prints it once")
-        .args([id.clone(), organisation]);
+        .args([id.clone(), organisation, flags::tell_arg()]);
     let withdraw = Command::new("withdraw")
         .about("Withdraws a key for good")
-        .arg(id);
+        .args([id, flags::tell_arg()]);
     Command::new("key")
         .about("Makes and withdraws callers' keys")
         .subcommand_required(true)
@@ -119,9 +121,10 @@
         state: KeyState::Active,
     };
     let client = platform::client(matches)?;
+    let told = control::connect_to_told(matches)?;
     let change =
         |current: &Configuration, change_id| add_key(current, record.clone(), change_id).map(Some);
-    let version = change_key(&client, change)
+    let accepted = change_key(&client, change)
         .await
         .map_err(|failure| match failure.exit {
             Exit::Unknown => {
@@ -134,39 +137,43 @@
     output.print(&NewKeyReport {
         id,
         organisation,
-        version,
+        version: accepted.version,
         key: key.reveal().to_owned(),
     });
+    output.tell(&told, &accepted).await;
     Ok(())
 }
 
 async fn run_withdraw(matches: &ArgMatches, output: Output) -> Result<(), Failure> {
     let id = key_id(matches)?;
     let client = platform::client(matches)?;
+    let told = control::connect_to_told(matches)?;
     let change = |current: &Configuration, change_id| withdraw_key(current, &id, change_id);
-    let version = change_key(&client, change).await?;
+    let accepted = change_key(&client, change).await?;
+    let version = accepted.version;
     output.print(&WithdrawReport { id, version });
+    output.tell(&told, &accepted).await;
     Ok(())
 }
 
-/// Changes one key in the configuration in force, and returns the version that has the change.
+/// Changes one key in the configuration in force, and returns the one that has the change.
 ///
 /// A change to one key goes with any other change, so after a conflict it is made again on top of
 /// the newer configuration. It is a conflict only if the key can no longer be changed there.
 async fn change_key(
     client: &PlatformClient,
     change: impl Fn(&Configuration, ChangeId) -> Result<Option<Configuration>, KeyChangeError>,
-) -> Result<ConfigVersion, Failure> {
+) -> Result<Configuration, Failure> {
     let mut conflict = None;
     for _ in 0..CONFLICTS_MAX {
         let base = read_base(client).await?;
         let next = match change(&base.configuration, ChangeId::generate()) {
             Ok(Some(next)) => next,
-            Ok(None) => return Ok(base.configuration.version),
+            Ok(None) => return Ok(base.configuration),
             Err(error) => return Err(conflict.unwrap_or_else(|| refused(&error))),
         };
         match platform::write(client, Some(&base), &next).await {
-            Ok(()) => return Ok(next.version),
+            Ok(()) => return Ok(next),
             Err(failure) if failure.exit == Exit::Conflict => conflict = Some(failure),
             Err(failure) => return Err(failure),
         }
--- a/cli/src/control.rs
+++ b/cli/src/control.rs
@@ -1,12 +1,15 @@
 //! Control calls to one node.
 
 use std::fs;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
 use balsamfold::process::control;
 use balsamfold::process::control::ControlCaller;
+use balsamfold::process::control::ControlClient;
 use balsamfold::process::secret::FleetSecret;
+use balsamfold::version::Configuration;
 use clap::ArgMatches;
 use jsonrpsee::core::ClientError;
 
@@ -16,9 +19,40 @@
 
 /// Makes a client of the node that the command line names.
 pub(crate) fn connect(matches: &ArgMatches) -> Result<ControlCaller, Failure> {
+    connect_to(flags::node(matches)?, matches)
+}
+
+/// Makes clients of the nodes that are told of a change directly.
+pub(crate) fn connect_to_told(matches: &ArgMatches) -> Result<Vec<ToldNode>, Failure> {
+    let addresses = flags::told_nodes(matches).into_iter();
+    let nodes = addresses.map(|address| {
+        let caller = connect_to(address, matches)?;
+        Ok(ToldNode { address, caller })
+    });
+    nodes.collect()
+}
+
+/// A node that is told of a change directly.
+pub(crate) struct ToldNode {
+    address: SocketAddr,
+    caller: ControlCaller,
+}
+
+impl ToldNode {
+    /// Offers an accepted configuration to the node, and says what became of it.
+    pub(crate) async fn tell(&self, accepted: &Configuration) -> String {
+        let address = self.address;
+        match self.caller.offer_configuration(accepted.clone()).await {
+            Ok(version) => format!("node {address} has version {version} in force"),
+            Err(error) => format!("node {address} was not told: {error}"),
+        }
+    }
+}
+
+fn connect_to(address: SocketAddr, matches: &ArgMatches) -> Result<ControlCaller, Failure> {
     let secret = fleet_secret(matches)?;
     let timeout = Duration::from_millis(flags::timeout_ms(matches));
-    let caller = control::connect(flags::node(matches)?, &secret, timeout);
+    let caller = control::connect(address, &secret, timeout);
     caller.map_err(|error| Failure::new(Exit::Failed, error))
 }
 
--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 
 use clap::Arg;
+use clap::ArgAction;
 use clap::ArgMatches;
 use clap::value_parser;
 
@@ -14,6 +15,7 @@
 pub(crate) const OUTPUT: &str = "output";
 pub(crate) const FLEET_SECRET: &str = "fleet-secret";
 pub(crate) const FLEET_SECRET_FILE: &str = "fleet-secret-file";
+pub(crate) const TELL: &str = "tell";
 pub(crate) const TIMEOUT_MS: &str = "timeout-ms";
 const PLATFORM: &str = "platform";
 const FOLDER: &str = "DIR";
@@ -64,6 +66,18 @@
         .value_parser(value_parser!(PathBuf))
 }
 
+/// Returns the flag for nodes that are told of a change directly.
+pub(crate) fn tell_arg() -> Arg {
+    Arg::new(TELL)
+        .long(TELL)
+        .env("BALSAMFOLD_TELL")
+        .help("Control addresses of nodes that are told of the change at once; needs the secret")
+        .value_name("IP:PORT")
+        .value_delimiter(',')
+        .action(ArgAction::Append)
+        .value_parser(value_parser!(SocketAddr))
+}
+
 /// Returns the argument for the control address of a node.
 pub(crate) fn node_arg() -> Arg {
     Arg::new(NODE)
@@ -103,6 +117,12 @@
     address.ok_or_else(|| Failure::new(Exit::Usage, "the address of a node is missing"))
 }
 
+/// Returns the control addresses of nodes that are told of a change directly.
+pub(crate) fn told_nodes(matches: &ArgMatches) -> Vec<SocketAddr> {
+    let nodes = matches.get_many(TELL).unwrap_or_default();
+    nodes.copied().collect()
+}
+
 /// Returns the time limit of one call.
 pub(crate) fn timeout_ms(matches: &ArgMatches) -> u64 {
     matches.get_one(TIMEOUT_MS).copied().unwrap_or_default()
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -2,9 +2,11 @@
 
 use std::fmt::Display;
 
+use balsamfold::version::Configuration;
 use clap::ArgMatches;
 use serde::Serialize;
 
+use crate::control::ToldNode;
 use crate::failure::Failure;
 use crate::flags;
 
@@ -40,6 +42,15 @@
         println!("{}", pretty(document));
     }
 
+    /// Tells nodes of an accepted configuration, and prints on standard error what became of it.
+    ///
+    /// A node that is not told learns from the platform's service or from other nodes.
+    pub(crate) async fn tell(self, nodes: &[ToldNode], accepted: &Configuration) {
+        for node in nodes {
+            eprintln!("note: {}", node.tell(accepted).await);
+        }
+    }
+
     /// Prints why a command failed: text on standard error, JSON on standard output.
     pub(crate) fn print_failure(self, failure: &Failure) {
         match self {
--- a/cli/tests/test_configuration.rs
+++ b/cli/tests/test_configuration.rs
@@ -199,7 +199,7 @@
     let folder = desk.write("one", "10.toml", &acme(1));
     desk.platform.set_faults(Faults {
         lost_swap_replies: 1,
-        goes_down_with_lost_reply: true,
+        goes_down_with_swap: true,
         ..Faults::default()
     });
     assert_snapshot!(desk.run(&["apply", &folder]).await.text(), @r"
--- a/cli/tests/test_nodes.rs
+++ b/cli/tests/test_nodes.rs
@@ -1,10 +1,13 @@
 //! The commands dump, nodes and drain.
 
+use balsamfold::values::ConfigVersion;
 use testutils::backend_server::ServerPlan;
+use testutils::fleet::ConfiguredFleet;
 use testutils::fleet::FLEET_SECRET;
 use testutils::fleet::TestFleet;
 use testutils::fleet::sample_configuration;
 use testutils::fleet::sample_key;
+use testutils::platform::Faults;
 
 use crate::desk::Ended;
 use crate::desk::run;
@@ -57,6 +60,39 @@
     fleet.nodes[0].daemon.drain_asked().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn withdrawal_reaches_told_nodes_with_the_platform_down_after_the_write() {
+    let configuration = sample_configuration(&["zone-a"], &["small"], &["stock"]);
+    let fleet = ConfiguredFleet::start(&configuration, &["zone-a"; 3]).await;
+    fleet.platform.set_faults(Faults {
+        goes_down_with_swap: true,
+        ..Faults::default()
+    });
+    let platform = fleet.platform.address().to_string();
+    let told = fleet.nodes[1].node().addresses.control.to_string();
+    let secret = ["--fleet-secret", FLEET_SECRET, "--timeout-ms", "60000"];
+    let withdraw = [
+        "--platform",
+        &platform,
+        "key",
+        "withdraw",
+        "small",
+        "--tell",
+        &told,
+    ];
+    let ended = run(&[secret.as_slice(), withdraw.as_slice()].concat()).await;
+    insta::assert_snapshot!(ended.text().replace(&told, "ADDR"), @r"
+    exit 0
+    key small is withdrawn for good as of version 2
+    note: node ADDR has version 2 in force
+    ");
+    fleet.wait_for_version(ConfigVersion(2)).await;
+    for daemon in &fleet.nodes {
+        let in_force = daemon.node().indexed_configuration().unwrap();
+        assert!(in_force.organisation_of(&sample_key("small")).is_none());
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn stranger_gets_nothing() {
     let fleet = fleet().await;
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -6,5 +6,3 @@
 pub mod mesh;
 pub mod platform;
 pub mod rate_fleet;
-pub mod platform;
-pub mod rate_fleet;
--- a/testutils/src/platform/faults.rs
+++ b/testutils/src/platform/faults.rs
@@ -16,8 +16,10 @@
     pub delay_ms: u64,
     /// So many of the next compare-and-swaps take effect but get no reply.
     pub lost_swap_replies: u32,
-    /// The service goes down with the next compare-and-swap that gets no reply.
-    pub goes_down_with_lost_reply: bool,
+    /// The service goes down with the next compare-and-swap, which takes effect.
+    ///
+    /// Its writer gets a reply unless that is lost too; no watcher gets one.
+    pub goes_down_with_swap: bool,
     /// Compare-and-swaps wait until so many of them are waiting, and then all go on.
     pub swap_barrier: u32,
     /// Calls from these zones are treated as if the service were down.
--- a/testutils/src/platform/server.rs
+++ b/testutils/src/platform/server.rs
@@ -260,9 +260,9 @@
         let changed = !matches!(reply, PlatformReply::Watch(_) | PlatformReply::Value(_));
         let is_written = matches!(reply, PlatformReply::Swap(Swap::Done(_)));
         let is_lost = is_written && state.faults.lost_swap_replies > 0;
+        state.faults.is_down |= is_written && state.faults.goes_down_with_swap;
         if is_lost {
             state.faults.lost_swap_replies -= 1;
-            state.faults.is_down |= state.faults.goes_down_with_lost_reply;
             state.status.cut += 1;
         }
         drop(state);
