node: learn from any node that has news of a configuration

A node kept the highest news only and asked its sender again and again. News now wait in a short queue, each is tried once, and the node goes on asking others at random.

--- a/lib/src/process/configuration/spread.rs
+++ b/lib/src/process/configuration/spread.rs
@@ -11,7 +11,7 @@
 use crate::values::NodeId;
 
 /// Nodes that are told of a newer configuration by each node that puts it in force.
-pub const NEWS_FANOUT: usize = 4;
+pub const NEWS_FANOUT: usize = 8;
 
 plain_data! {
     /// The news that a node has a configuration in force.
--- a/lib/src/process/node/configuration.rs
+++ b/lib/src/process/node/configuration.rs
@@ -91,13 +91,10 @@
 
     /// Notes that another node has a configuration in force, which is fetched if it is newer.
     pub fn note_configuration_news(&self, news: ConfigurationNews) {
-        self.configuration_news.send_if_modified(|known| {
-            let is_newer = known.is_none_or(|known| news.version > known.version);
-            if is_newer {
-                *known = Some(news);
-            }
-            is_newer
-        });
+        if news.version > self.configuration.version() {
+            // An error here means that the node is stopping and learns nothing more.
+            let _ = self.configuration_news.send(news);
+        }
     }
 
     fn watches_platform(&self) -> bool {
@@ -176,11 +173,10 @@
 async fn ask_nodes(node: Arc<Node>) {
     let mut news = node.configuration_news.subscribe();
     loop {
-        let _ = timeout(ask_pause(&node), news.changed()).await;
-        let told = *news.borrow_and_update();
-        let asked = match told {
-            Some(told) if told.version > node.configuration.version() => Some(told.control),
-            _ => node.some_nodes(1).pop(),
+        let asked = match timeout(ask_pause(&node), news.recv()).await {
+            Ok(Ok(told)) if told.version > node.configuration.version() => Some(told.control),
+            Ok(Ok(_)) => None,
+            Ok(Err(_)) | Err(_) => node.some_nodes(1).pop(),
         };
         if let Some(asked) = asked {
             fetch(&node, asked).await;
--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -8,7 +8,7 @@
 
 use parking_lot::Mutex;
 use parking_lot::RwLock;
-use tokio::sync::watch;
+use tokio::sync::broadcast;
 
 use super::local_server::LocalServer;
 use crate::connection::ConnectionPool;
@@ -29,6 +29,8 @@
 const PEER_CONNECTIONS_MAX: u32 = 1_024;
 /// Longest time to open a connection to another node or to the backend server.
 const CONNECT_TIMEOUT_MS: u64 = 500;
+/// Most news of configurations that wait to be looked at.
+const NEWS_QUEUE_MAX: usize = 64;
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT_MS: u64 = 30_000;
 
@@ -50,7 +52,7 @@
     pub configuration: ConfigurationHolder,
     /// The platform's service.
     pub platform: PlatformClient,
-    pub(super) configuration_news: watch::Sender<Option<ConfigurationNews>>,
+    pub(super) configuration_news: broadcast::Sender<ConfigurationNews>,
     members: RwLock<Arc<MemberTable>>,
     server: RwLock<Option<Arc<LocalServer>>>,
     peer_pools: Mutex<HashMap<SocketAddr, Arc<ConnectionPool>>>,
@@ -72,7 +74,7 @@
             in_flight: Arc::default(),
             configuration: ConfigurationHolder::new(),
             platform,
-            configuration_news: watch::Sender::new(None),
+            configuration_news: broadcast::Sender::new(NEWS_QUEUE_MAX),
             members: RwLock::default(),
             server: RwLock::default(),
             peer_pools: Mutex::default(),
--- a/lib/tests/test_configuration_spread.rs
+++ b/lib/tests/test_configuration_spread.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use balsamfold::process::configuration::ConfigurationNews;
 use balsamfold::process::configuration::NEWS_FANOUT;
 use balsamfold::process::configuration::WATCHERS_PER_ZONE;
 use balsamfold::process::configuration::choose_nodes;
@@ -140,7 +141,7 @@
         informed.len()
     );
     assert!(steps <= 8);
-    assert!(informed.len() >= 740);
+    assert!(informed.len() >= 770);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -208,6 +209,28 @@
     assert_eq!(refusal(&caller).await, RefusalReason::KeyInvalid);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn news_from_a_node_that_died_keep_nobody_from_learning() {
+    let mut fleet = ConfiguredFleet::start(&configuration(), &ZONES.repeat(3)).await;
+    let died = fleet.nodes.pop().unwrap();
+    let news = ConfigurationNews {
+        version: ConfigVersion(1_000),
+        control: died.node().addresses.control,
+    };
+    drop(died);
+    for daemon in &fleet.nodes {
+        daemon.node().note_configuration_news(news);
+    }
+    fleet.platform.set_faults(Faults {
+        is_down: true,
+        ..Faults::default()
+    });
+    let withdrawn = withdraw_small(&configuration(), ChangeId::generate());
+    let version = withdrawn.version;
+    fleet.nodes[0].node().offer_configuration(withdrawn);
+    fleet.wait_for_version(version).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn zone_cut_from_the_platform_learns_from_the_other_zone() {
     let fleet = ConfiguredFleet::start(&configuration(), &ZONES.repeat(2)).await;
