--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod test_attempts;
 mod test_change;
+mod test_configuration_spread;
 mod test_events;
 mod test_folder;
 mod test_gate;
@@ -18,8 +19,8 @@
 mod test_membership_lives;
 mod test_membership_merge;
 mod test_membership_node;
-mod test_planned_stop;
 mod test_membership_nodes;
+mod test_planned_stop;
 mod test_platform;
 mod test_rates;
 mod test_rates_bound;
