--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -10,6 +10,8 @@
 mod forward;
 mod local_server;
 mod peer_message;
+mod rate_role;
+mod rates;
 mod serve;
 mod shared;
 
