--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -18,6 +18,7 @@
 use super::configuration::ConfigurationTasks;
 use super::entry::handle_caller;
 use super::exit::handle_local;
+use super::rates::RateTasks;
 use super::serve::handle_peer;
 use crate::connection::ListenError;
 use crate::connection::Listener;
@@ -31,6 +32,10 @@
 use crate::process::events::process as events;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeRecord;
+use crate::process::rates::Answer;
+use crate::process::rates::Ask;
+use crate::process::rates::PeerStanding;
+use crate::process::rates::Report;
 use crate::process::settings::NodeSettings;
 use crate::values::ConfigVersion;
 use crate::version::Configuration;
@@ -89,6 +94,7 @@
     drain_asked: Arc<Notify>,
     _housekeeping: AbortOnDropHandle<()>,
     _configuration: ConfigurationTasks,
+    rate_tasks: RateTasks,
 }
 
 impl NodeDaemon {
@@ -134,6 +140,7 @@
             })?;
         let housekeeping = tokio::spawn(keep_house(Arc::clone(&node)));
         let configuration = ConfigurationTasks::start(&node);
+        let rate_tasks = RateTasks::start(&node);
         events::STARTED.log(format_args!("callers on {caller_address}"));
         Ok(Self {
             callers: serve_callers(callers, &node, connections_max),
@@ -146,6 +153,7 @@
             drain_asked,
             _housekeeping: AbortOnDropHandle::new(housekeeping),
             _configuration: configuration,
+            rate_tasks,
         })
     }
 
@@ -190,6 +198,7 @@
         tokio::time::sleep(notice).await;
         tokio::join!(self.callers.stop(), self.peers.stop());
         self.local.stop().await;
+        self.rate_tasks.stop(&self.node).await;
         self.control.stop();
         events::STOPPED.log(&self.node.settings.node);
     }
@@ -282,4 +291,17 @@
             .filter(|current| current.version > than)
             .map(|current| current.as_ref().clone()))
     }
+
+    async fn ask_tokens(&self, ask: Ask) -> RpcResult<Answer> {
+        Ok(self.node.rates().service.answer(ask).await)
+    }
+
+    async fn report_tokens(&self, report: Report) -> RpcResult<()> {
+        self.node.rates().service.report(&report);
+        Ok(())
+    }
+
+    async fn rate_holder_standing(&self) -> RpcResult<PeerStanding> {
+        Ok(self.node.rates().service.standing())
+    }
 }
--- a/lib/src/process/rates/lease.rs
+++ b/lib/src/process/rates/lease.rs
@@ -31,6 +31,9 @@
 /// Nodes of a zone that watch the record, ready to take over.
 pub const CANDIDATES_PER_ZONE: usize = 3;
 
+/// The epoch of the first holder that a zone ever has.
+pub(super) const FIRST_EPOCH: Epoch = Epoch(1);
+
 plain_data! {
     /// The platform's record of the holder of one zone.
     #[derive(Eq)]
@@ -190,6 +193,9 @@
         if !is_ours {
             self.held = None;
         }
+        if record.is_none() {
+            self.next_call = now;
+        }
         match &self.seen {
             Some(seen) if seen.record == record => {}
             _ => self.seen = Some(SeenRecord { record, since: now }),
@@ -219,6 +225,12 @@
         self.next_call = now;
     }
 
+    /// Takes in that the open write did not reach the platform and has no effect.
+    pub fn write_not_sent(&mut self) {
+        self.platform = PlatformStanding::Unreachable;
+        self.open = None;
+    }
+
     /// Takes in that the platform did not answer. An open write stays in doubt.
     pub fn platform_unreachable(&mut self) {
         self.platform = PlatformStanding::Unreachable;
