gate: carry the age of a floor, and run the overload experiment

Excluded: the gate's own floor, which opens within a second in its unit test.

A floor now carries the time since its gate computed it and is forgotten after a second however it travels, and entries and servers keep separate tables.

--- /dev/null
+++ b/lib/examples/overload.rs
@@ -0,0 +1,76 @@
+//! Runs the overload experiment for each deployment and prints its results side by side.
+//!
+//! The first argument is the seed.
+
+use testutils::overload::Control;
+use testutils::overload::Deployment;
+use testutils::overload::Report;
+use testutils::overload::run;
+
+const DEFAULT_SEED: u64 = 1;
+
+fn main() {
+    let seed = std::env::args().nth(1).and_then(|text| text.parse().ok());
+    let seed = seed.unwrap_or(DEFAULT_SEED);
+    for deployment in [Deployment::botonera(), Deployment::cap_bon()] {
+        let reports = [Control::None, Control::Limits, Control::All]
+            .map(|control| run(&deployment, control, seed));
+        print(&deployment, seed, &reports);
+    }
+}
+
+fn print(deployment: &Deployment, seed: u64, reports: &[Report]) {
+    println!("## {}, seed {seed}\n", deployment.name);
+    println!("| measure | no control | limits only | all of it |");
+    println!("|---|---|---|---|");
+    for route in &deployment.routes {
+        let name = format!("{} (importance {}) served", route.path, route.importance);
+        row(&name, reports, |report| {
+            percent(report.served_by_importance[&route.importance])
+        });
+    }
+    row("goodput of capacity", reports, |report| {
+        percent(report.goodput_of_capacity)
+    });
+    row("recovery", reports, |report| match report.recovery {
+        Some(recovery) => format!("{:.1} s", recovery.as_secs_f64()),
+        None => "never".to_owned(),
+    });
+    row("worst-served organisation", reports, |report| {
+        percent(report.worst_organisation())
+    });
+    row("largest within rate / smallest", reports, |report| {
+        let served = &report.served_by_organisation;
+        let smallest = served.last().copied().unwrap_or_default();
+        format!("{} / {}", percent(served[1]), percent(smallest))
+    });
+    row("refused within rate while calm", reports, |report| {
+        percent(report.refused_while_calm)
+    });
+    row("refused for rate within rate", reports, |report| {
+        percent(report.rate_refused_within_rate)
+    });
+    row("slots wasted", reports, |report| {
+        percent(report.slots_wasted)
+    });
+    row("sends / requests", reports, |report| {
+        format!("{} / {}", report.sends, report.requests)
+    });
+    println!("\nWhole requests served in each second:\n");
+    for (name, report) in ["no control", "limits only", "all of it"]
+        .iter()
+        .zip(reports)
+    {
+        println!("- {name}: {:?}", report.served_per_s);
+    }
+    println!();
+}
+
+fn row(name: &str, reports: &[Report], value: impl Fn(&Report) -> String) {
+    let values: Vec<_> = reports.iter().map(value).collect();
+    println!("| {name} | {} |", values.join(" | "));
+}
+
+fn percent(fraction: f64) -> String {
+    format!("{:.2} %", fraction * 100.0)
+}
--- a/lib/src/process/gate/demand.rs
+++ b/lib/src/process/gate/demand.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::AdmissionFloor;
+use super::FloorNotice;
 use crate::values::Importance;
 use crate::values::MonotonicTime;
 use crate::values::RequestId;
@@ -77,6 +78,14 @@
         self.floor
     }
 
+    /// Returns the present floor with its age.
+    pub fn notice(&self, now: MonotonicTime) -> FloorNotice {
+        FloorNotice {
+            floor: self.floor,
+            age_ms: now.since(self.window_started_at).as_millis() as u32,
+        }
+    }
+
     /// Counts a request that reached the gate.
     pub fn arrived(&mut self, importance: Importance, root: RequestId) {
         if self.highest_recent().admits(importance, root) {
--- a/lib/src/process/gate/floor.rs
+++ b/lib/src/process/gate/floor.rs
@@ -15,8 +15,8 @@
     /// that importance, chosen by a hash of the root request's id.
     ///
     /// All gates use the same hash and so keep or drop the same whole requests. Floors are ordered:
-    /// a higher floor refuses all that a lower one refuses. The text form, used in the
-    /// `balsamfold-floor` header, is the importance, a colon and the cut in hexadecimal digits.
+    /// a higher floor refuses all that a lower one refuses. The text form is the importance, a colon
+    /// and the cut in hexadecimal digits.
     #[derive(Default)]
     pub struct AdmissionFloor {
         /// Requests of lower importance are refused.
@@ -60,6 +60,49 @@
     }
 }
 
+plain_value! {
+    /// An admission floor with the time since the gate that set it last computed it.
+    ///
+    /// The age grows on the way, so that a floor that nodes pass on in a circle dies out. The text
+    /// form, used in the `balsamfold-floor` header, is the floor, a colon and the age.
+    #[derive(Default)]
+    pub struct FloorNotice {
+        /// The floor.
+        pub floor: AdmissionFloor,
+        /// Time since the floor was computed.
+        pub age_ms: u32,
+    }
+}
+
+impl FloorNotice {
+    /// Returns the higher of two floors, and of equal floors the younger.
+    pub fn highest(self, other: Self) -> Self {
+        match self.floor.cmp(&other.floor) {
+            std::cmp::Ordering::Less => other,
+            std::cmp::Ordering::Equal if other.age_ms < self.age_ms => other,
+            std::cmp::Ordering::Equal | std::cmp::Ordering::Greater => self,
+        }
+    }
+}
+
+impl fmt::Display for FloorNotice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.floor, self.age_ms)
+    }
+}
+
+impl FromStr for FloorNotice {
+    type Err = InvalidFloorError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (floor, age_ms) = text.rsplit_once(':').context(ColonSnafu)?;
+        Ok(Self {
+            floor: floor.parse()?,
+            age_ms: age_ms.parse().context(AgeSnafu)?,
+        })
+    }
+}
+
 /// Returns the part of the hash space in which a root request lies.
 fn hash_part(root: RequestId) -> u16 {
     (mix(root) >> 48) as u16
@@ -83,8 +126,8 @@
 /// The reason why a text is no admission floor.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum InvalidFloorError {
-    /// There is no colon.
-    #[snafu(display("admission floor has no colon"))]
+    /// A colon is missing.
+    #[snafu(display("admission floor lacks a colon"))]
     Colon,
     /// The importance is no number from 0 to 255.
     #[snafu(display("importance of the admission floor is no number from 0 to 255"))]
@@ -92,6 +135,12 @@
         /// Why the number was rejected.
         source: std::num::ParseIntError,
     },
+    /// The age is no number of milliseconds.
+    #[snafu(display("age of the admission floor is no number of milliseconds"))]
+    Age {
+        /// Why the number was rejected.
+        source: std::num::ParseIntError,
+    },
     /// The cut is no hexadecimal number of up to four digits.
     #[snafu(display("cut of the admission floor is no hexadecimal number up to ffff"))]
     Cut {
--- a/lib/src/process/gate/gate_state.rs
+++ b/lib/src/process/gate/gate_state.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use super::AdaptiveLimit;
-use super::AdmissionFloor;
 use super::Completion;
 use super::DemandMeter;
+use super::FloorNotice;
 use super::Outcome;
 use super::QueueEntry;
 use super::RetryAfter;
@@ -123,8 +123,9 @@
     }
 
     /// Returns the present admission floor.
-    pub fn floor(&self) -> AdmissionFloor {
-        self.demand.floor()
+    pub fn floor(&mut self, now: MonotonicTime) -> FloorNotice {
+        self.close_window(now);
+        self.demand.notice(now)
     }
 
     /// Returns the mean time for which a request holds a slot.
@@ -156,7 +157,7 @@
             self.start(&request.organisation, request.rate, now);
             return (Entry::Started, None);
         }
-        if !self.floor().admits(request.importance, request.root) {
+        if !self.demand.floor().admits(request.importance, request.root) {
             return (self.refuse(request, RefusalReason::Overloaded, now), None);
         }
         if self.expected_wait(request.importance) + service_time > request.remaining {
--- a/lib/src/process/gate/learnt.rs
+++ b/lib/src/process/gate/learnt.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::AdmissionFloor;
+use super::FloorNotice;
 use crate::values::Importance;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
@@ -22,10 +23,10 @@
     Refuse,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Heard {
     floor: AdmissionFloor,
-    at: MonotonicTime,
+    computed_at: MonotonicTime,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -39,14 +40,16 @@
 ///
 /// Each answer carries the highest floor of its node and of all nodes below it. A route's floor is
 /// the highest over the services that it calls of the lower median over the nodes of a service: a
-/// single overloaded node is left to routing. What was not heard again is forgotten after a second.
+/// single overloaded node is left to routing. A floor is forgotten a second after the gate that set
+/// it computed it. A node keeps one table for the requests that enter at it and one for the onward
+/// calls of its own backend server.
 #[derive(Clone, Debug, Default)]
 pub struct LearntFloors {
     routes: HashMap<String, RouteFloors>,
 }
 
 impl LearntFloors {
-    /// Time after which a floor that was not heard again is forgotten.
+    /// Time after which a floor that was not computed again is forgotten.
     const FRESH: Duration = Duration::from_secs(1);
 
     /// Longest silence on a route before a request goes through as a probe.
@@ -58,7 +61,7 @@
         route: &str,
         service: &ServiceId,
         node: &NodeId,
-        floor: AdmissionFloor,
+        notice: FloorNotice,
         now: MonotonicTime,
     ) {
         if !self.routes.contains_key(route) {
@@ -70,15 +73,27 @@
         floors.heard_at = now;
         let nodes = floors.services.entry(service.clone()).or_default();
         nodes.retain(|_, heard| is_fresh(heard, now));
-        nodes.insert(node.clone(), Heard { floor, at: now });
+        let age_us = u64::from(notice.age_ms) * 1000;
+        let heard = Heard {
+            floor: notice.floor,
+            computed_at: MonotonicTime(now.0.saturating_sub(age_us)),
+        };
+        nodes.insert(node.clone(), heard);
     }
 
     /// Returns the highest floor below this node on `route`.
-    pub fn floor(&self, route: &str, now: MonotonicTime) -> AdmissionFloor {
-        self.routes
+    pub fn floor(&self, route: &str, now: MonotonicTime) -> FloorNotice {
+        let highest = self
+            .routes
             .get(route)
-            .and_then(|floors| floors.highest(now))
-            .unwrap_or_default()
+            .and_then(|floors| floors.highest(now));
+        match highest {
+            Some(heard) => FloorNotice {
+                floor: heard.floor,
+                age_ms: now.since(heard.computed_at).as_millis() as u32,
+            },
+            None => FloorNotice::default(),
+        }
     }
 
     /// Decides whether a request goes on to the services below.
@@ -89,7 +104,7 @@
         root: RequestId,
         now: MonotonicTime,
     ) -> Admission {
-        let floor = self.floor(route, now);
+        let floor = self.floor(route, now).floor;
         match self.routes.get_mut(route) {
             _ if floor.admits(importance, root) => Admission::Admit,
             Some(floors) if floors.may_probe(now) => {
@@ -102,7 +117,7 @@
 }
 
 impl RouteFloors {
-    fn highest(&self, now: MonotonicTime) -> Option<AdmissionFloor> {
+    fn highest(&self, now: MonotonicTime) -> Option<Heard> {
         self.services
             .values()
             .filter_map(|nodes| lower_median(nodes, now))
@@ -115,17 +130,17 @@
     }
 }
 
-fn lower_median(nodes: &HashMap<NodeId, Heard>, now: MonotonicTime) -> Option<AdmissionFloor> {
-    let mut floors: Vec<_> = nodes
+fn lower_median(nodes: &HashMap<NodeId, Heard>, now: MonotonicTime) -> Option<Heard> {
+    let mut fresh: Vec<_> = nodes
         .values()
         .filter(|heard| is_fresh(heard, now))
-        .map(|heard| heard.floor)
+        .copied()
         .collect();
-    floors.sort_unstable();
-    let middle = floors.len().saturating_sub(1) / 2;
-    floors.get(middle).copied()
+    fresh.sort_unstable();
+    let middle = fresh.len().saturating_sub(1) / 2;
+    fresh.get(middle).copied()
 }
 
 fn is_fresh(heard: &Heard, now: MonotonicTime) -> bool {
-    now.since(heard.at) < LearntFloors::FRESH
+    now.since(heard.computed_at) < LearntFloors::FRESH
 }
--- a/lib/src/process/gate/mod.rs
+++ b/lib/src/process/gate/mod.rs
@@ -18,6 +18,7 @@
 pub use self::demand::DemandMeter;
 pub use self::demand::WindowLoad;
 pub use self::floor::AdmissionFloor;
+pub use self::floor::FloorNotice;
 pub use self::floor::InvalidFloorError;
 pub use self::gate_state::EnterRequest;
 pub use self::gate_state::Entry;
--- a/lib/src/process/gate/permit.rs
+++ b/lib/src/process/gate/permit.rs
@@ -10,10 +10,10 @@
 use tokio::time::timeout;
 
 use super::AdaptiveLimit;
-use super::AdmissionFloor;
 use super::Completion;
 use super::EnterRequest;
 use super::Entry;
+use super::FloorNotice;
 use super::GateState;
 use super::GivenUp;
 use super::Outcome;
@@ -102,8 +102,9 @@
     }
 
     /// Returns the present admission floor.
-    pub fn floor(&self) -> AdmissionFloor {
-        self.shared.lock().state.floor()
+    pub fn floor(&self) -> FloorNotice {
+        let now = self.clock.now();
+        self.shared.lock().state.floor(now)
     }
 
     /// Returns when a caller refused now may try again, in milliseconds.
--- a/lib/tests/test_gate_floor.rs
+++ b/lib/tests/test_gate_floor.rs
@@ -5,6 +5,7 @@
 use balsamfold::process::gate::Admission;
 use balsamfold::process::gate::AdmissionFloor;
 use balsamfold::process::gate::DemandMeter;
+use balsamfold::process::gate::FloorNotice;
 use balsamfold::process::gate::LearntFloors;
 use balsamfold::process::gate::WindowLoad;
 use balsamfold::values::Importance;
@@ -26,15 +27,18 @@
 
 proptest! {
     #[test]
-    fn text_round_trips(importance: u8, cut: u16) {
+    fn text_round_trips(importance: u8, cut: u16, age_ms: u32) {
         let floor = floor(importance, cut);
-        prop_assert!(floor.to_string().len() <= 8);
+        let notice = FloorNotice { floor, age_ms };
+        prop_assert!(notice.to_string().len() <= 19);
         prop_assert_eq!(floor.to_string().parse(), Ok(floor));
+        prop_assert_eq!(notice.to_string().parse(), Ok(notice));
     }
 
     #[test]
     fn any_text_is_read_or_rejected(text: String) {
         let _ = text.parse::<AdmissionFloor>();
+        let _ = text.parse::<FloorNotice>();
     }
 
     #[test]
@@ -143,7 +147,8 @@
 fn learn(floors: &mut LearntFloors, node: &str, floor: AdmissionFloor, now: MonotonicTime) {
     let service = "stock".parse().expect("valid name");
     let node = node.parse().expect("valid name");
-    floors.learn(ROUTE, &service, &node, floor, now);
+    let notice = FloorNotice { floor, age_ms: 0 };
+    floors.learn(ROUTE, &service, &node, notice, now);
 }
 
 #[test]
@@ -190,3 +195,19 @@
         Admission::Admit
     );
 }
+
+#[test]
+fn floor_that_two_nodes_tell_one_another_dies_out() {
+    let mut now = MonotonicTime::default();
+    let mut tables = [LearntFloors::default(), LearntFloors::default()];
+    learn(&mut tables[0], "source", floor(200, 0), now);
+    let service = "price".parse().expect("valid name");
+    let node = "other".parse().expect("valid name");
+    for turn in 0..2000 {
+        now = now.after(Duration::from_millis(1));
+        let notice = tables[turn % 2].floor(ROUTE, now);
+        tables[(turn + 1) % 2].learn(ROUTE, &service, &node, notice, now);
+    }
+    assert_eq!(tables[0].floor(ROUTE, now).floor, AdmissionFloor::OPEN);
+    assert_eq!(tables[1].floor(ROUTE, now).floor, AdmissionFloor::OPEN);
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-ins for tests.
+
+pub mod overload;
--- /dev/null
+++ b/testutils/src/overload/deployment.rs
@@ -0,0 +1,188 @@
+//! The two deployments at their sizes, each with its trigger.
+
+use std::time::Duration;
+
+/// A service and its servers.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// The name of the service.
+    pub name: &'static str,
+    /// Number of servers, spread over the zones in turn.
+    pub servers: usize,
+    /// Requests that a server runs at the same time.
+    pub slots: u32,
+    /// Connections that a server accepts at the same time.
+    pub connections: usize,
+    /// Mean time that a server works on a request, besides its onward call.
+    pub service_time: Duration,
+}
+
+/// A kind of root request.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// The path of the route.
+    pub path: &'static str,
+    /// Rank when capacity is short.
+    pub importance: u8,
+    /// Services that call one another, by index, the entry first.
+    pub chain: Vec<usize>,
+    /// Part of all root requests.
+    pub share: f64,
+}
+
+/// An organisation that sends root requests.
+#[derive(Clone, Debug)]
+pub struct Organisation {
+    /// The name of the organisation.
+    pub name: String,
+    /// Requests a second that it may send.
+    pub rate_per_s: u32,
+}
+
+/// A deployment and its trigger: one service is slowed and one organisation exceeds its rate.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// The name of the deployment.
+    pub name: &'static str,
+    /// Number of availability zones.
+    pub zones: usize,
+    /// One-way time between clients and nodes.
+    pub client_trip: Duration,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Kinds of root requests.
+    pub routes: Vec<Route>,
+    /// Organisations; the first exceeds its rate.
+    pub organisations: Vec<Organisation>,
+    /// Part of its rate that each organisation uses.
+    pub load: f64,
+    /// The service that is slowed.
+    pub slowed: usize,
+    /// Factor of the service time of the slowed service.
+    pub slow_factor: u32,
+    /// Factor of the rate that the first organisation sends during the trigger.
+    pub excess_factor: f64,
+    /// When the trigger begins.
+    pub trigger_start: Duration,
+    /// When the trigger ends.
+    pub trigger_end: Duration,
+    /// When the experiment ends.
+    pub end: Duration,
+}
+
+impl Deployment {
+    /// Botonera Andina: stock is slowed.
+    pub fn botonera() -> Self {
+        Self {
+            name: "Botonera Andina",
+            zones: 4,
+            client_trip: Duration::from_millis(10),
+            services: vec![
+                service("catalogue", 4, 90, 650, 30),
+                service("price", 4, 90, 650, 20),
+                service("order", 4, 90, 650, 20),
+                service("stock", 4, 10, 150, 20),
+            ],
+            routes: vec![
+                route("/stock", 200, &[2, 3], 0.25),
+                route("/orders", 150, &[2, 1, 3], 0.10),
+                route("/catalogue", 50, &[0, 1, 3], 0.65),
+            ],
+            organisations: organisations(&[450, 375, 300, 150, 75, 75, 45, 30]),
+            load: 0.8,
+            slowed: 3,
+            ..Self::trigger()
+        }
+    }
+
+    /// Cap Bon: delivery slots are slowed.
+    pub fn cap_bon() -> Self {
+        Self {
+            name: "Cap Bon",
+            zones: 3,
+            client_trip: Duration::from_millis(3),
+            services: vec![
+                service("catalogue", 5, 200, 1300, 30),
+                service("dispatch", 3, 330, 2000, 30),
+                service("billing", 3, 330, 2000, 30),
+                service("delivery", 3, 50, 400, 50),
+            ],
+            routes: vec![
+                route("/dispatches", 200, &[1, 3], 0.25),
+                route("/bookings", 150, &[0, 3, 1], 0.15),
+                route("/invoices", 100, &[2], 0.10),
+                route("/catalogue", 50, &[0, 3], 0.50),
+            ],
+            organisations: organisations(&[750, 625, 500, 250, 125, 125, 75, 50]),
+            load: 0.8,
+            slowed: 3,
+            ..Self::trigger()
+        }
+    }
+
+    fn trigger() -> Self {
+        Self {
+            name: "",
+            zones: 1,
+            client_trip: Duration::ZERO,
+            services: Vec::new(),
+            routes: Vec::new(),
+            organisations: Vec::new(),
+            load: 0.0,
+            slowed: 0,
+            slow_factor: 5,
+            excess_factor: 4.0,
+            trigger_start: Duration::from_secs(5),
+            trigger_end: Duration::from_secs(15),
+            end: Duration::from_secs(30),
+        }
+    }
+
+    /// Returns how many requests the slowed service finishes in a second during the trigger.
+    pub fn slowed_capacity_per_s(&self) -> f64 {
+        let service = &self.services[self.slowed];
+        let slots = f64::from(service.slots) * service.servers as f64;
+        slots / (service.service_time * self.slow_factor).as_secs_f64()
+    }
+
+    /// Returns whether requests on a route need the slowed service.
+    pub fn needs_slowed(&self, route: usize) -> bool {
+        self.routes[route].chain.contains(&self.slowed)
+    }
+}
+
+fn service(
+    name: &'static str,
+    servers: usize,
+    slots: u32,
+    connections: usize,
+    service_ms: u64,
+) -> Service {
+    Service {
+        name,
+        servers,
+        slots,
+        connections,
+        service_time: Duration::from_millis(service_ms),
+    }
+}
+
+fn route(path: &'static str, importance: u8, chain: &[usize], share: f64) -> Route {
+    Route {
+        path,
+        importance,
+        chain: chain.to_vec(),
+        share,
+    }
+}
+
+fn organisations(rates_per_s: &[u32]) -> Vec<Organisation> {
+    rates_per_s
+        .iter()
+        .enumerate()
+        .map(|(index, rate_per_s)| Organisation {
+            name: format!("organisation-{index}"),
+            rate_per_s: *rate_per_s,
+        })
+        .collect()
+}
--- /dev/null
+++ b/testutils/src/overload/report.rs
@@ -0,0 +1,174 @@
+//! What came out of an experiment.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use balsamfold::request::RefusalReason;
+use balsamfold::values::MonotonicTime;
+
+use super::Deployment;
+use super::model::Attempt;
+use super::model::RootRequest;
+
+/// Length of the span over which goodput is compared with that before the trigger.
+const RECOVERY_SPAN: Duration = Duration::from_secs(1);
+
+/// Step of the search for the recovery.
+const RECOVERY_STEP: Duration = Duration::from_millis(100);
+
+/// Part of the goodput before the trigger at which the deployment has recovered.
+const RECOVERED: f64 = 0.95;
+
+/// Time at the start of the experiment that is not counted.
+const WARM_UP: Duration = Duration::from_secs(1);
+
+/// What came out of an experiment. Fractions are from 0 to 1.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// Fraction of the requests within rate of each importance that were served in the trigger.
+    pub served_by_importance: BTreeMap<u8, f64>,
+    /// Whole requests served in a second of the trigger that needed the slowed service, as a
+    /// fraction of what that service can finish.
+    pub goodput_of_capacity: f64,
+    /// Time from the end of the trigger to 95 % of the goodput before it; none if never.
+    pub recovery: Option<Duration>,
+    /// Fraction of its requests within rate that were served in the trigger, by organisation.
+    pub served_by_organisation: Vec<f64>,
+    /// Fraction of the requests within rate that were refused at their first or a later send
+    /// outside the trigger and the five seconds after it.
+    pub refused_while_calm: f64,
+    /// Fraction of the requests within rate whose last refusal named the rate.
+    pub rate_refused_within_rate: f64,
+    /// Fraction of the time for which slots were held that went to sends that failed.
+    pub slots_wasted: f64,
+    /// Whole requests served in each second.
+    pub served_per_s: Vec<usize>,
+    /// Number of requests, over all organisations.
+    pub requests: usize,
+    /// Number of sends, with resends.
+    pub sends: usize,
+}
+
+impl Report {
+    pub(super) fn of(
+        deployment: &Deployment,
+        requests: &[RootRequest],
+        attempts: &[Attempt],
+    ) -> Self {
+        let in_trigger: Vec<_> = requests
+            .iter()
+            .filter(|request| request.within_rate)
+            .filter(|request| {
+                let at = time_of(request.first_sent_at);
+                (deployment.trigger_start..deployment.trigger_end).contains(&at)
+            })
+            .collect();
+        let importances = deployment.routes.iter().map(|route| route.importance);
+        Self {
+            served_by_importance: importances
+                .map(|importance| {
+                    let served = served_fraction(&in_trigger, |request| {
+                        deployment.routes[request.route].importance == importance
+                    });
+                    (importance, served)
+                })
+                .collect(),
+            goodput_of_capacity: goodput_of_capacity(deployment, requests),
+            recovery: recovery(deployment, requests),
+            served_by_organisation: (0..deployment.organisations.len())
+                .map(|organisation| {
+                    served_fraction(&in_trigger, |request| request.organisation == organisation)
+                })
+                .collect(),
+            refused_while_calm: refused_while_calm(deployment, requests),
+            rate_refused_within_rate: fraction(
+                requests,
+                |request| request.within_rate,
+                |request| request.refused == Some(RefusalReason::RateExceeded),
+            ),
+            slots_wasted: slots_wasted(attempts),
+            served_per_s: (0..deployment.end.as_secs())
+                .map(Duration::from_secs)
+                .map(|from| served_in(requests, from, from + Duration::from_secs(1)))
+                .collect(),
+            requests: requests.len(),
+            sends: attempts.len(),
+        }
+    }
+
+    /// Returns the fraction that the worst-served organisation got.
+    pub fn worst_organisation(&self) -> f64 {
+        let served = self.served_by_organisation.iter().copied();
+        served.fold(1.0, f64::min)
+    }
+}
+
+fn time_of(at: MonotonicTime) -> Duration {
+    at.since(MonotonicTime::default())
+}
+
+fn served_fraction(requests: &[&RootRequest], of: impl Fn(&RootRequest) -> bool) -> f64 {
+    fraction(requests.iter().copied(), of, |request| {
+        request.served_at.is_some()
+    })
+}
+
+fn fraction<'a>(
+    requests: impl IntoIterator<Item = &'a RootRequest>,
+    of: impl Fn(&RootRequest) -> bool,
+    hit: impl Fn(&RootRequest) -> bool,
+) -> f64 {
+    let chosen: Vec<_> = requests.into_iter().filter(|request| of(request)).collect();
+    let hits = chosen.iter().filter(|request| hit(request)).count();
+    hits as f64 / chosen.len().max(1) as f64
+}
+
+fn served_in(requests: &[RootRequest], from: Duration, to: Duration) -> usize {
+    requests
+        .iter()
+        .filter_map(|request| request.served_at)
+        .filter(|at| (from..to).contains(&time_of(*at)))
+        .count()
+}
+
+fn goodput_of_capacity(deployment: &Deployment, requests: &[RootRequest]) -> f64 {
+    let through: Vec<_> = requests
+        .iter()
+        .filter(|request| deployment.needs_slowed(request.route))
+        .cloned()
+        .collect();
+    let (from, to) = (deployment.trigger_start, deployment.trigger_end);
+    let served = served_in(&through, from, to) as f64;
+    served / (to - from).as_secs_f64() / deployment.slowed_capacity_per_s()
+}
+
+fn recovery(deployment: &Deployment, requests: &[RootRequest]) -> Option<Duration> {
+    let before = served_in(requests, WARM_UP, deployment.trigger_start) as f64;
+    let before_per_s = before / (deployment.trigger_start - WARM_UP).as_secs_f64();
+    let mut from = deployment.trigger_end;
+    while from + RECOVERY_SPAN <= deployment.end {
+        let served = served_in(requests, from, from + RECOVERY_SPAN) as f64;
+        if served / RECOVERY_SPAN.as_secs_f64() >= before_per_s * RECOVERED {
+            return Some(from - deployment.trigger_end);
+        }
+        from += RECOVERY_STEP;
+    }
+    None
+}
+
+fn refused_while_calm(deployment: &Deployment, requests: &[RootRequest]) -> f64 {
+    let settled = deployment.trigger_end + Duration::from_secs(5);
+    let calm = |request: &RootRequest| {
+        let at = time_of(request.first_sent_at);
+        request.within_rate && (at < deployment.trigger_start || at >= settled)
+    };
+    fraction(requests, calm, |request| request.refused.is_some())
+}
+
+fn slots_wasted(attempts: &[Attempt]) -> f64 {
+    let held = |of: fn(&Attempt) -> bool| -> f64 {
+        let chosen = attempts.iter().filter(|attempt| of(attempt));
+        chosen.map(|attempt| attempt.held.as_secs_f64()).sum()
+    };
+    held(|attempt| !attempt.served) / held(|_| true).max(f64::MIN_POSITIVE)
+}
