limit: compare a trial over 64 answers, and try higher again after lowering

The latency before and in a trial is now averaged over 64 answers, trials start after three seconds of high latency and pause for six, and a lowered limit is tried at a higher value.

--- a/lib/src/process/gate/limit.rs
+++ b/lib/src/process/gate/limit.rs
@@ -34,13 +34,15 @@
     Ramping,
     /// The limit grows while latency is normal.
     Steady,
-    /// A lower limit was set, and requests begun before it are still finishing.
+    /// The latency before a trial is measured.
+    Measuring,
+    /// Another limit was set, and requests begun before it are still finishing.
     Settling { before: Trial },
-    /// The lower limit is being compared with the one before.
+    /// The other limit is being compared with the one before.
     Comparing { before: Trial },
 }
 
-/// The limit and the latency before a trial of a lower limit.
+/// The limit and the latency before a trial of another limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Trial {
     limit: f64,
@@ -52,7 +54,8 @@
 /// The limit lies between one and the announced slots. It is moved only by what the node saw
 /// itself: latency of whole answers and refusals by the server. High latency alone does not lower
 /// it, as a server whose own dependencies are slow does less work with fewer requests at a time.
-/// A lower limit is tried first, and kept only if latency falls with it.
+/// While latency is high, a lower limit is tried, and kept only if latency falls with it; a limit
+/// that was lowered is tried at a higher value, and kept there unless latency rises with it.
 #[derive(Clone, Debug)]
 pub struct AdaptiveLimit {
     announced: f64,
@@ -63,6 +66,7 @@
     refused_limit: Option<(f64, MonotonicTime)>,
     next_trial_at: MonotonicTime,
     trial_pause: Duration,
+    raise_next: bool,
 }
 
 impl AdaptiveLimit {
@@ -75,11 +79,20 @@
     /// Growth of the limit in one window while latency is normal.
     const GROWTH: f64 = 1.25;
 
-    /// Factor by which a trial lowers the limit.
+    /// Factor by which a trial lowers the limit, or by whose inverse it raises it.
     const TRIAL_FACTOR: f64 = 0.75;
 
-    /// A trial succeeds when latency falls to this part of the latency before, or lower.
-    const TRIAL_SUCCESS: f64 = 0.9;
+    /// Latency followed the limit when it fell to this part of the latency before, or lower.
+    const TRIAL_FOLLOWED: f64 = 0.88;
+
+    /// Whole answers over which the latency before and in a trial are averaged.
+    const TRIAL_SAMPLES: f64 = 64.0;
+
+    /// Most answers that a window outside trials waits for.
+    const WINDOW_SAMPLES_MAX: f64 = 20.0;
+
+    /// Time for which latency must be high before the first trial.
+    const TRIAL_DELAY: Duration = Duration::from_secs(3);
 
     /// Latency is high above this multiple of the normal latency.
     const HIGH_LATENCY: f64 = 2.0;
@@ -103,10 +116,10 @@
     const REFUSED_MEMORY: Duration = Duration::from_secs(1);
 
     /// Pause after a failed trial; it doubles with each further failure.
-    const TRIAL_PAUSE: Duration = Duration::from_secs(2);
+    const TRIAL_PAUSE: Duration = Duration::from_secs(6);
 
     /// Longest pause between trials.
-    const TRIAL_PAUSE_MAX: Duration = Duration::from_secs(32);
+    const TRIAL_PAUSE_MAX: Duration = Duration::from_secs(48);
 
     /// Makes the limit of a server that has just announced itself.
     pub fn cold(announced: SlotCount, now: MonotonicTime) -> Self {
@@ -123,6 +136,7 @@
             refused_limit: None,
             next_trial_at: now,
             trial_pause: Self::TRIAL_PAUSE,
+            raise_next: false,
         }
     }
 
@@ -174,7 +188,11 @@
 
     fn window_is_over(&self, now: MonotonicTime) -> bool {
         let seen = f64::from(self.window.answered + self.window.refused);
-        now.since(self.window.started_at) >= Self::WINDOW && seen >= self.limit.min(20.0)
+        let needed = match self.phase {
+            Phase::Measuring | Phase::Comparing { .. } => Self::TRIAL_SAMPLES,
+            _ => self.limit.min(Self::WINDOW_SAMPLES_MAX),
+        };
+        now.since(self.window.started_at) >= Self::WINDOW && seen >= needed
     }
 
     fn close_window(&mut self, now: MonotonicTime) {
@@ -202,13 +220,16 @@
         let ratio = mean_us / self.learn_normal(mean_us);
         let saturated = f64::from(window.peak_in_flight) >= self.limit.floor();
         match self.phase {
+            Phase::Measuring => self.begin_trial(mean_us),
             Phase::Settling { before } => self.phase = Phase::Comparing { before },
             Phase::Comparing { before } => self.end_trial(before, mean_us, now),
             Phase::Ramping if self.limit >= self.announced => self.phase = Phase::Steady,
             Phase::Ramping => self.limit *= 2.0,
             Phase::Steady if ratio < Self::GROWTH_LATENCY => self.grow(now),
-            Phase::Steady if ratio < Self::HIGH_LATENCY => {}
-            Phase::Steady if saturated && now >= self.next_trial_at => self.begin_trial(mean_us),
+            Phase::Steady if ratio < Self::HIGH_LATENCY => self.postpone_trial(now),
+            Phase::Steady if saturated && now >= self.next_trial_at => {
+                self.phase = Phase::Measuring;
+            }
             Phase::Steady => {}
         }
     }
@@ -232,23 +253,41 @@
             _ => grown,
         };
         self.trial_pause = Self::TRIAL_PAUSE;
+        self.raise_next = false;
+        self.postpone_trial(now);
     }
 
+    fn postpone_trial(&mut self, now: MonotonicTime) {
+        self.next_trial_at = self.next_trial_at.max(now.after(Self::TRIAL_DELAY));
+    }
+
+    /// Tries a higher limit if the limit was lowered before, and a lower one otherwise.
     fn begin_trial(&mut self, mean_us: f64) {
         let before = Trial {
             limit: self.limit,
             mean_us,
         };
-        self.limit *= Self::TRIAL_FACTOR;
+        self.limit = match self.raise_next {
+            true => (self.limit / Self::TRIAL_FACTOR).max(self.limit + 1.0),
+            false => self.limit * Self::TRIAL_FACTOR,
+        };
         self.phase = Phase::Settling { before };
     }
 
     fn end_trial(&mut self, before: Trial, mean_us: f64, now: MonotonicTime) {
         self.phase = Phase::Steady;
-        if mean_us <= before.mean_us * Self::TRIAL_SUCCESS {
+        let raised = self.limit > before.limit;
+        let followed = match raised {
+            true => before.mean_us <= mean_us * Self::TRIAL_FOLLOWED,
+            false => mean_us <= before.mean_us * Self::TRIAL_FOLLOWED,
+        };
+        let keeps = raised != followed;
+        if keeps {
+            self.raise_next = raised && self.limit < self.announced;
             return;
         }
         self.limit = before.limit;
+        self.raise_next = !raised && self.limit < self.announced;
         self.next_trial_at = now.after(self.trial_pause);
         self.trial_pause = (self.trial_pause * 2).min(Self::TRIAL_PAUSE_MAX);
     }
