gate: divide the cut importance between organisations, and hold the experiment to targets

Excluded: the order of the queue, which the requests refused at the entry never reach.

The gate now measures demand by organisation, divides what is left at the cut importance by max-min fairness weighted by rates, and names up to four organisations with a floor of their own in its notice. The floor lets 1.1 of the capacity through.

--- a/lib/examples/overload.rs
+++ b/lib/examples/overload.rs
@@ -24,11 +24,21 @@
     println!("| measure | no control | limits only | all of it |");
     println!("|---|---|---|---|");
     for route in &deployment.routes {
-        let name = format!("{} (importance {}) served", route.path, route.importance);
+        let name = format!(
+            "{} (importance {}) served, organisations that keep their rate",
+            route.path, route.importance
+        );
         row(&name, reports, |report| {
-            percent(report.served_by_importance[&route.importance])
+            percent(report.served_keeping_rate[&route.importance])
         });
     }
+    let important = deployment.routes.iter().map(|route| route.importance).max();
+    let important = important.unwrap_or_default();
+    row(
+        "most important served, with the organisation over its rate",
+        reports,
+        |report| percent(report.served_within_rate[&important]),
+    );
     row("goodput of capacity", reports, |report| {
         percent(report.goodput_of_capacity)
     });
@@ -39,16 +49,20 @@
     row("worst-served organisation", reports, |report| {
         percent(report.worst_organisation())
     });
-    row("largest within rate / smallest", reports, |report| {
-        let served = &report.served_by_organisation;
-        let smallest = served.last().copied().unwrap_or_default();
-        format!("{} / {}", percent(served[1]), percent(smallest))
-    });
-    row("refused within rate while calm", reports, |report| {
+    row(
+        "largest organisation that keeps its rate / smallest",
+        reports,
+        |report| {
+            let served = &report.served_by_organisation;
+            let smallest = served.last().copied().unwrap_or_default();
+            format!("{} / {}", percent(served[1]), percent(smallest))
+        },
+    );
+    row("refused while calm", reports, |report| {
         percent(report.refused_while_calm)
     });
-    row("refused for rate within rate", reports, |report| {
-        percent(report.rate_refused_within_rate)
+    row("refused for the rate", reports, |report| {
+        percent(report.refused_for_rate)
     });
     row("slots wasted", reports, |report| {
         percent(report.slots_wasted)
--- a/lib/src/process/gate/demand.rs
+++ b/lib/src/process/gate/demand.rs
@@ -1,14 +1,18 @@
-//! The demand at a gate by importance, from which it derives its admission floor.
+//! The demand at a gate, from which it derives its admission floor.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::AdmissionFloor;
+use super::EnterRequest;
 use super::FloorNotice;
+use super::OrganisationDemand;
+use super::OrganisationFloor;
+use super::fair_level;
 use crate::values::Importance;
 use crate::values::MonotonicTime;
-use crate::values::RequestId;
+use crate::values::OrganisationId;
 
 /// What the gate saw in one window.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -19,18 +23,32 @@
     pub waiting: bool,
 }
 
-/// Measures the demand by importance and derives the admission floor.
+/// The demand of one organisation at one importance.
+#[derive(Clone, Copy, Debug)]
+struct Demand {
+    counted: u32,
+    per_s: f64,
+    rate_per_s: f64,
+}
+
+/// The demand at one importance.
+#[derive(Clone, Debug, Default)]
+struct Level {
+    per_s: f64,
+    organisations: BTreeMap<Option<OrganisationId>, Demand>,
+}
+
+/// Measures the demand by importance and organisation and derives the admission floor.
 ///
 /// Only requests above the highest recent floor are counted. Nothing on the way has refused those,
 /// whether or not it follows the floor, and the hash spreads requests evenly, so that their number
 /// over the fraction kept gives the whole demand.
 #[derive(Clone, Debug)]
 pub struct DemandMeter {
-    floor: AdmissionFloor,
-    recent: VecDeque<AdmissionFloor>,
+    notice: FloorNotice,
+    recent: VecDeque<FloorNotice>,
     window_started_at: MonotonicTime,
-    counted: BTreeMap<Importance, u32>,
-    demand_per_s: BTreeMap<Importance, f64>,
+    levels: BTreeMap<Importance, Level>,
     shed: u32,
     pressed_until: MonotonicTime,
 }
@@ -42,8 +60,11 @@
     /// Number of windows after which all callers have heard of a floor.
     const RECENT_WINDOWS: usize = 5;
 
-    /// Weight of one window in the demand.
-    const WINDOW_WEIGHT: f64 = 0.3;
+    /// Weight of one window in the demand at an importance.
+    const LEVEL_WEIGHT: f64 = 0.3;
+
+    /// Weight of one window in the demand of an organisation, which fluctuates more.
+    const ORGANISATION_WEIGHT: f64 = 0.1;
 
     /// Fraction kept below which the count says too little about the demand.
     const KEPT_MIN: f64 = 0.05;
@@ -55,42 +76,58 @@
     const PRESSURE_MEMORY: Duration = Duration::from_millis(500);
 
     /// Part of the capacity that the floor lets through.
-    const TARGET_LOAD: f64 = 1.0;
+    const TARGET_LOAD: f64 = 1.1;
+
+    /// Part of its demand below which an organisation that gets less than that is named.
+    const NAMED_BELOW: f64 = 0.9;
 
-    /// Demand below which an importance is forgotten, in requests a second.
+    /// Demand below which an organisation is forgotten, in requests a second.
     const FORGOTTEN_PER_S: f64 = 0.01;
 
     /// Makes a meter that has seen no demand.
     pub fn new(now: MonotonicTime) -> Self {
         Self {
-            floor: AdmissionFloor::OPEN,
+            notice: FloorNotice::default(),
             recent: VecDeque::new(),
             window_started_at: now,
-            counted: BTreeMap::new(),
-            demand_per_s: BTreeMap::new(),
+            levels: BTreeMap::new(),
             shed: 0,
             pressed_until: MonotonicTime::default(),
         }
     }
 
-    /// Returns the present floor.
-    pub fn floor(&self) -> AdmissionFloor {
-        self.floor
-    }
-
-    /// Returns the present floor with its age.
+    /// Returns the present floor, with its age.
     pub fn notice(&self, now: MonotonicTime) -> FloorNotice {
         FloorNotice {
-            floor: self.floor,
             age_ms: now.since(self.window_started_at).as_millis() as u32,
+            ..self.notice.clone()
         }
     }
 
+    /// Returns whether a request passes the present floor.
+    pub fn admits(&self, request: &EnterRequest) -> bool {
+        let organisation = request.organisation.as_ref();
+        self.notice
+            .admits(request.importance, organisation, request.root)
+    }
+
     /// Counts a request that reached the gate.
-    pub fn arrived(&mut self, importance: Importance, root: RequestId) {
-        if self.highest_recent().admits(importance, root) {
-            *self.counted.entry(importance).or_default() += 1;
+    pub fn arrived(&mut self, request: &EnterRequest) {
+        let reference = highest(&self.recent, request.organisation.as_ref());
+        if !reference.admits(request.importance, request.root) {
+            return;
         }
+        let level = self.levels.entry(request.importance).or_default();
+        let demand = level
+            .organisations
+            .entry(request.organisation.clone())
+            .or_insert(Demand {
+                counted: 0,
+                per_s: 0.0,
+                rate_per_s: 1.0,
+            });
+        demand.counted += 1;
+        demand.rate_per_s = f64::from(request.rate.0.max(1));
     }
 
     /// Counts a request above the floor that the gate could not serve.
@@ -107,54 +144,116 @@
     pub fn close_window(&mut self, load: WindowLoad, now: MonotonicTime) {
         let elapsed_s = now.since(self.window_started_at).as_secs_f64();
         self.window_started_at = now;
-        self.learn_demand(elapsed_s);
+        for (importance, level) in &mut self.levels {
+            level.learn(*importance, &self.recent, elapsed_s);
+        }
+        self.levels
+            .retain(|_, level| !level.organisations.is_empty());
         if std::mem::take(&mut self.shed) > 0 {
             self.pressed_until = now.after(Self::PRESSURE_MEMORY);
         }
         let pressed = load.waiting || now < self.pressed_until;
-        self.floor = match pressed {
-            true => self.floor_for(load.capacity_per_s * Self::TARGET_LOAD),
-            false => AdmissionFloor::OPEN,
+        self.notice = match pressed {
+            true => self.notice_for(load.capacity_per_s * Self::TARGET_LOAD),
+            false => FloorNotice::default(),
         };
-        self.recent.push_back(self.floor);
+        self.recent.push_back(self.notice.clone());
         if self.recent.len() > Self::RECENT_WINDOWS {
             self.recent.pop_front();
         }
     }
 
-    fn highest_recent(&self) -> AdmissionFloor {
-        self.recent.iter().copied().max().unwrap_or_default()
+    /// Returns the lowest floor above which the demand fits into `room_per_s`.
+    fn notice_for(&self, room_per_s: f64) -> FloorNotice {
+        let mut left_per_s = room_per_s;
+        for (importance, level) in self.levels.iter().rev() {
+            if level.per_s > left_per_s {
+                return level.cut(*importance, left_per_s);
+            }
+            left_per_s -= level.per_s;
+        }
+        FloorNotice::default()
     }
+}
 
-    fn learn_demand(&mut self, elapsed_s: f64) {
-        let reference = self.highest_recent();
-        let counted = std::mem::take(&mut self.counted);
-        for importance in counted.keys() {
-            self.demand_per_s.entry(*importance).or_default();
-        }
-        for (importance, demand_per_s) in &mut self.demand_per_s {
-            let kept = reference.kept_fraction(*importance);
-            if kept < Self::KEPT_MIN {
-                *demand_per_s *= Self::UNSEEN_DECAY;
-                continue;
+impl Level {
+    fn learn(&mut self, importance: Importance, recent: &VecDeque<FloorNotice>, elapsed_s: f64) {
+        let mut seen_per_s = 0.0;
+        for (organisation, demand) in &mut self.organisations {
+            let reference = highest(recent, organisation.as_ref());
+            let kept = reference.kept_fraction(importance);
+            let count = f64::from(std::mem::take(&mut demand.counted));
+            match kept < DemandMeter::KEPT_MIN {
+                true => {
+                    demand.per_s *= DemandMeter::UNSEEN_DECAY;
+                    seen_per_s += demand.per_s;
+                }
+                false => {
+                    let now_per_s = count / kept / elapsed_s;
+                    demand.per_s += DemandMeter::ORGANISATION_WEIGHT * (now_per_s - demand.per_s);
+                    seen_per_s += now_per_s;
+                }
             }
-            let count = counted.get(importance).copied().unwrap_or_default();
-            let seen_per_s = f64::from(count) / kept / elapsed_s;
-            *demand_per_s += Self::WINDOW_WEIGHT * (seen_per_s - *demand_per_s);
         }
-        self.demand_per_s
-            .retain(|_, demand_per_s| *demand_per_s > Self::FORGOTTEN_PER_S);
+        self.per_s += DemandMeter::LEVEL_WEIGHT * (seen_per_s - self.per_s);
+        self.organisations
+            .retain(|_, demand| demand.per_s > DemandMeter::FORGOTTEN_PER_S);
     }
 
-    /// Returns the lowest floor above which the demand fits into `room_per_s`.
-    fn floor_for(&self, room_per_s: f64) -> AdmissionFloor {
-        let mut left_per_s = room_per_s;
-        for (importance, demand_per_s) in self.demand_per_s.iter().rev() {
-            if *demand_per_s > left_per_s {
-                return AdmissionFloor::keeping(*importance, left_per_s / demand_per_s);
+    /// Returns the floor that keeps `room_per_s` of the demand, divided fairly.
+    fn cut(&self, importance: Importance, room_per_s: f64) -> FloorNotice {
+        let mut demands = self.demands();
+        let level = fair_level(&mut demands, room_per_s);
+        let kept = |demand: &OrganisationDemand| demand.granted_per_s(level) / demand.demand_per_s;
+        demands.sort_by(|a, b| kept(a).total_cmp(&kept(b)));
+        let mut notice = FloorNotice::default();
+        let mut asked_per_s = 0.0;
+        let mut granted_per_s = 0.0;
+        for demand in &demands {
+            let is_over = kept(demand) < DemandMeter::NAMED_BELOW;
+            match &demand.organisation {
+                Some(organisation) if is_over && notice.named.len() < FloorNotice::NAMED_MAX => {
+                    notice.named.push(OrganisationFloor {
+                        organisation: organisation.clone(),
+                        floor: AdmissionFloor::keeping(importance, kept(demand)),
+                    });
+                }
+                _ => {
+                    asked_per_s += demand.demand_per_s;
+                    granted_per_s += demand.granted_per_s(level);
+                }
             }
-            left_per_s -= demand_per_s;
         }
-        AdmissionFloor::OPEN
+        let kept_of_others = match asked_per_s > 0.0 {
+            true => granted_per_s / asked_per_s,
+            false => 1.0,
+        };
+        notice.floor = AdmissionFloor::keeping(importance, kept_of_others);
+        notice.keep_highest_names()
+    }
+
+    /// Returns the demands of the organisations, scaled to the present demand of all.
+    fn demands(&self) -> Vec<OrganisationDemand> {
+        let sum_per_s: f64 = self.organisations.values().map(|demand| demand.per_s).sum();
+        let scale = self.per_s / sum_per_s.max(f64::EPSILON);
+        self.organisations
+            .iter()
+            .map(|(organisation, demand)| OrganisationDemand {
+                organisation: organisation.clone(),
+                demand_per_s: demand.per_s * scale,
+                rate_per_s: demand.rate_per_s,
+            })
+            .collect()
     }
 }
+
+fn highest(
+    recent: &VecDeque<FloorNotice>,
+    organisation: Option<&OrganisationId>,
+) -> AdmissionFloor {
+    recent
+        .iter()
+        .map(|notice| notice.floor_for(organisation))
+        .max()
+        .unwrap_or_default()
+}
--- a/lib/src/process/gate/floor.rs
+++ b/lib/src/process/gate/floor.rs
@@ -60,49 +60,6 @@
     }
 }
 
-plain_value! {
-    /// An admission floor with the time since the gate that set it last computed it.
-    ///
-    /// The age grows on the way, so that a floor that nodes pass on in a circle dies out. The text
-    /// form, used in the `balsamfold-floor` header, is the floor, a colon and the age.
-    #[derive(Default)]
-    pub struct FloorNotice {
-        /// The floor.
-        pub floor: AdmissionFloor,
-        /// Time since the floor was computed.
-        pub age_ms: u32,
-    }
-}
-
-impl FloorNotice {
-    /// Returns the higher of two floors, and of equal floors the younger.
-    pub fn highest(self, other: Self) -> Self {
-        match self.floor.cmp(&other.floor) {
-            std::cmp::Ordering::Less => other,
-            std::cmp::Ordering::Equal if other.age_ms < self.age_ms => other,
-            std::cmp::Ordering::Equal | std::cmp::Ordering::Greater => self,
-        }
-    }
-}
-
-impl fmt::Display for FloorNotice {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}", self.floor, self.age_ms)
-    }
-}
-
-impl FromStr for FloorNotice {
-    type Err = InvalidFloorError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let (floor, age_ms) = text.rsplit_once(':').context(ColonSnafu)?;
-        Ok(Self {
-            floor: floor.parse()?,
-            age_ms: age_ms.parse().context(AgeSnafu)?,
-        })
-    }
-}
-
 /// Returns the part of the hash space in which a root request lies.
 fn hash_part(root: RequestId) -> u16 {
     (mix(root) >> 48) as u16
@@ -135,12 +92,6 @@
         /// Why the number was rejected.
         source: std::num::ParseIntError,
     },
-    /// The age is no number of milliseconds.
-    #[snafu(display("age of the admission floor is no number of milliseconds"))]
-    Age {
-        /// Why the number was rejected.
-        source: std::num::ParseIntError,
-    },
     /// The cut is no hexadecimal number of up to four digits.
     #[snafu(display("cut of the admission floor is no hexadecimal number up to ffff"))]
     Cut {
--- a/lib/src/process/gate/gate_state.rs
+++ b/lib/src/process/gate/gate_state.rs
@@ -144,7 +144,7 @@
         request: &EnterRequest,
         now: MonotonicTime,
     ) -> (Entry, Option<GivenUp>) {
-        self.demand.arrived(request.importance, request.root);
+        self.demand.arrived(request);
         self.close_window(now);
         let service_time = self.service_time.mean();
         if self.is_too_late(request) {
@@ -157,7 +157,7 @@
             self.start(&request.organisation, request.rate, now);
             return (Entry::Started, None);
         }
-        if !self.demand.floor().admits(request.importance, request.root) {
+        if !self.demand.admits(request) {
             return (self.refuse(request, RefusalReason::Overloaded, now), None);
         }
         if self.expected_wait(request.importance) + service_time > request.remaining {
--- a/lib/src/process/gate/learnt.rs
+++ b/lib/src/process/gate/learnt.rs
@@ -1,14 +1,16 @@
 //! The admission floors of the services below, learnt from their answers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::AdmissionFloor;
 use super::FloorNotice;
+use super::OrganisationFloor;
 use crate::values::Importance;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
+use crate::values::OrganisationId;
 use crate::values::RequestId;
 use crate::values::ServiceId;
 
@@ -23,9 +25,9 @@
     Refuse,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug)]
 struct Heard {
-    floor: AdmissionFloor,
+    notice: FloorNotice,
     computed_at: MonotonicTime,
 }
 
@@ -74,26 +76,31 @@
         let nodes = floors.services.entry(service.clone()).or_default();
         nodes.retain(|_, heard| is_fresh(heard, now));
         let age_us = u64::from(notice.age_ms) * 1000;
+        let computed_at = MonotonicTime(now.0.saturating_sub(age_us));
         let heard = Heard {
-            floor: notice.floor,
-            computed_at: MonotonicTime(now.0.saturating_sub(age_us)),
+            notice,
+            computed_at,
         };
         nodes.insert(node.clone(), heard);
     }
 
-    /// Returns the highest floor below this node on `route`.
-    pub fn floor(&self, route: &str, now: MonotonicTime) -> FloorNotice {
-        let highest = self
-            .routes
-            .get(route)
-            .and_then(|floors| floors.highest(now));
-        match highest {
-            Some(heard) => FloorNotice {
-                floor: heard.floor,
-                age_ms: now.since(heard.computed_at).as_millis() as u32,
-            },
-            None => FloorNotice::default(),
-        }
+    /// Returns the highest floors below this node on `route`, to be passed on.
+    pub fn notice(&self, route: &str, now: MonotonicTime) -> FloorNotice {
+        let Some(floors) = self.routes.get(route) else {
+            return FloorNotice::default();
+        };
+        let named = floors.named(now).into_iter().map(|organisation| {
+            let floor = floors.highest(Some(&organisation), now).floor;
+            OrganisationFloor {
+                organisation,
+                floor,
+            }
+        });
+        let notice = FloorNotice {
+            named: named.collect(),
+            ..floors.highest(None, now)
+        };
+        notice.keep_highest_names()
     }
 
     /// Decides whether a request goes on to the services below.
@@ -101,27 +108,47 @@
         &mut self,
         route: &str,
         importance: Importance,
+        organisation: Option<&OrganisationId>,
         root: RequestId,
         now: MonotonicTime,
     ) -> Admission {
-        let floor = self.floor(route, now).floor;
         match self.routes.get_mut(route) {
-            _ if floor.admits(importance, root) => Admission::Admit,
+            None => Admission::Admit,
+            Some(floors)
+                if floors
+                    .highest(organisation, now)
+                    .floor
+                    .admits(importance, root) =>
+            {
+                Admission::Admit
+            }
             Some(floors) if floors.may_probe(now) => {
                 floors.probed_at = now;
                 Admission::Probe
             }
-            _ => Admission::Refuse,
+            Some(_) => Admission::Refuse,
         }
     }
 }
 
 impl RouteFloors {
-    fn highest(&self, now: MonotonicTime) -> Option<Heard> {
+    /// Returns the highest floor for an organisation, over the services called, without names.
+    fn highest(&self, organisation: Option<&OrganisationId>, now: MonotonicTime) -> FloorNotice {
+        self.services
+            .values()
+            .filter_map(|nodes| lower_median(nodes, organisation, now))
+            .fold(FloorNotice::default(), FloorNotice::highest)
+    }
+
+    /// Returns the organisations that any node names.
+    fn named(&self, now: MonotonicTime) -> BTreeSet<OrganisationId> {
         self.services
             .values()
-            .filter_map(|nodes| lower_median(nodes, now))
-            .max()
+            .flat_map(HashMap::values)
+            .filter(|heard| is_fresh(heard, now))
+            .flat_map(|heard| &heard.notice.named)
+            .map(|named| named.organisation.clone())
+            .collect()
     }
 
     fn may_probe(&self, now: MonotonicTime) -> bool {
@@ -130,15 +157,21 @@
     }
 }
 
-fn lower_median(nodes: &HashMap<NodeId, Heard>, now: MonotonicTime) -> Option<Heard> {
+fn lower_median(
+    nodes: &HashMap<NodeId, Heard>,
+    organisation: Option<&OrganisationId>,
+    now: MonotonicTime,
+) -> Option<FloorNotice> {
     let mut fresh: Vec<_> = nodes
         .values()
         .filter(|heard| is_fresh(heard, now))
-        .copied()
+        .map(|heard| (heard.notice.floor_for(organisation), heard.computed_at))
         .collect();
     fresh.sort_unstable();
     let middle = fresh.len().saturating_sub(1) / 2;
-    fresh.get(middle).copied()
+    let (floor, computed_at) = fresh.get(middle).copied()?;
+    let age_ms = now.since(computed_at).as_millis() as u32;
+    Some(FloorNotice::of(floor, age_ms))
 }
 
 fn is_fresh(heard: &Heard, now: MonotonicTime) -> bool {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -6,4 +6,5 @@
 mod test_gate_limit;
 mod test_gate_queue;
 mod test_keys;
+mod test_overload;
 mod test_routing;
--- a/lib/tests/test_gate_floor.rs
+++ b/lib/tests/test_gate_floor.rs
@@ -5,11 +5,16 @@
 use balsamfold::process::gate::Admission;
 use balsamfold::process::gate::AdmissionFloor;
 use balsamfold::process::gate::DemandMeter;
+use balsamfold::process::gate::EnterRequest;
 use balsamfold::process::gate::FloorNotice;
 use balsamfold::process::gate::LearntFloors;
+use balsamfold::process::gate::OrganisationDemand;
+use balsamfold::process::gate::OrganisationFloor;
 use balsamfold::process::gate::WindowLoad;
+use balsamfold::process::gate::fair_level;
 use balsamfold::values::Importance;
 use balsamfold::values::MonotonicTime;
+use balsamfold::values::RatePerSecond;
 use balsamfold::values::RequestId;
 use proptest::prelude::*;
 use rand::Rng;
@@ -25,12 +30,31 @@
     AdmissionFloor { importance, cut }
 }
 
+fn named(organisation: &str, floor: AdmissionFloor) -> OrganisationFloor {
+    OrganisationFloor {
+        organisation: organisation.parse().expect("valid name"),
+        floor,
+    }
+}
+
+fn request(importance: Importance, organisation: &str, root: RequestId) -> EnterRequest {
+    EnterRequest {
+        importance,
+        organisation: Some(organisation.parse().expect("valid name")),
+        rate: RatePerSecond(100),
+        root,
+        remaining: Duration::from_secs(1),
+    }
+}
+
 proptest! {
     #[test]
     fn text_round_trips(importance: u8, cut: u16, age_ms: u32) {
         let floor = floor(importance, cut);
-        let notice = FloorNotice { floor, age_ms };
-        prop_assert!(notice.to_string().len() <= 19);
+        let notice = FloorNotice {
+            named: vec![named("large", floor)],
+            ..FloorNotice::of(floor, age_ms)
+        };
         prop_assert_eq!(floor.to_string().parse(), Ok(floor));
         prop_assert_eq!(notice.to_string().parse(), Ok(notice));
     }
@@ -73,7 +97,7 @@
     meter: DemandMeter,
     now: MonotonicTime,
     random: SmallRng,
-    heard: [AdmissionFloor; 2],
+    heard: [FloorNotice; 2],
 }
 
 impl Fleet {
@@ -83,7 +107,7 @@
             meter: DemandMeter::new(now),
             now,
             random: SmallRng::seed_from_u64(1),
-            heard: [AdmissionFloor::OPEN; 2],
+            heard: Default::default(),
         }
     }
 
@@ -93,7 +117,8 @@
             passed = (self.send(HIGH, high), self.send(LOW, low));
             let excess = (passed.0 + passed.1).saturating_sub(capacity);
             (0..excess).for_each(|_| self.meter.shed());
-            self.heard = [self.heard[1], self.meter.floor()];
+            self.heard.swap(0, 1);
+            self.heard[1] = self.meter.notice(self.now);
             self.now = self.now.after(DemandMeter::WINDOW);
             let load = WindowLoad {
                 capacity_per_s: f64::from(capacity) * 10.0,
@@ -108,9 +133,11 @@
         let mut passed = 0;
         for _ in 0..count {
             let root = RequestId(self.random.random());
-            if self.heard[0].admits(importance, root) {
-                self.meter.arrived(importance, root);
-                passed += u32::from(self.meter.floor().admits(importance, root));
+            let request = request(importance, "large", root);
+            let organisation = request.organisation.as_ref();
+            if self.heard[0].admits(importance, organisation, root) {
+                self.meter.arrived(&request);
+                passed += u32::from(self.meter.admits(&request));
             }
         }
         passed
@@ -132,22 +159,22 @@
 fn floor_opens_within_a_second_after_capacity_is_back() {
     let mut fleet = Fleet::new();
     fleet.run(30, 20, 100, 40);
-    assert_ne!(fleet.meter.floor(), AdmissionFloor::OPEN);
+    assert!(!fleet.meter.notice(fleet.now).is_open());
     fleet.run(10, 20, 100, 200);
-    assert_eq!(fleet.meter.floor(), AdmissionFloor::OPEN);
+    assert!(fleet.meter.notice(fleet.now).is_open());
 }
 
 #[test]
 fn there_is_no_floor_without_shedding() {
     let mut fleet = Fleet::new();
     fleet.run(30, 20, 15, 40);
-    assert_eq!(fleet.meter.floor(), AdmissionFloor::OPEN);
+    assert!(fleet.meter.notice(fleet.now).is_open());
 }
 
 fn learn(floors: &mut LearntFloors, node: &str, floor: AdmissionFloor, now: MonotonicTime) {
     let service = "stock".parse().expect("valid name");
     let node = node.parse().expect("valid name");
-    let notice = FloorNotice { floor, age_ms: 0 };
+    let notice = FloorNotice::of(floor, 0);
     floors.learn(ROUTE, &service, &node, notice, now);
 }
 
@@ -160,20 +187,20 @@
     learn(&mut floors, "b", AdmissionFloor::OPEN, now);
     learn(&mut floors, "c", AdmissionFloor::OPEN, now);
     assert_eq!(
-        floors.check(ROUTE, LOW, RequestId(1), now),
+        floors.check(ROUTE, LOW, None, RequestId(1), now),
         Admission::Admit
     );
     learn(&mut floors, "b", closed, now);
     assert_eq!(
-        floors.check(ROUTE, LOW, RequestId(1), now),
+        floors.check(ROUTE, LOW, None, RequestId(1), now),
         Admission::Refuse
     );
     assert_eq!(
-        floors.check(ROUTE, HIGH, RequestId(1), now),
+        floors.check(ROUTE, HIGH, None, RequestId(1), now),
         Admission::Admit
     );
     assert_eq!(
-        floors.check("/other", LOW, RequestId(1), now),
+        floors.check("/other", LOW, None, RequestId(1), now),
         Admission::Admit
     );
 }
@@ -186,12 +213,12 @@
     let mut probes = 0;
     for _ in 0..900 {
         now = now.after(Duration::from_millis(1));
-        probes += u32::from(floors.check(ROUTE, LOW, RequestId(1), now) == Admission::Probe);
+        probes += u32::from(floors.check(ROUTE, LOW, None, RequestId(1), now) == Admission::Probe);
     }
     assert!((8..=9).contains(&probes), "{probes} probes in 0.9 s");
     now = now.after(Duration::from_millis(200));
     assert_eq!(
-        floors.check(ROUTE, LOW, RequestId(1), now),
+        floors.check(ROUTE, LOW, None, RequestId(1), now),
         Admission::Admit
     );
 }
@@ -205,9 +232,77 @@
     let node = "other".parse().expect("valid name");
     for turn in 0..2000 {
         now = now.after(Duration::from_millis(1));
-        let notice = tables[turn % 2].floor(ROUTE, now);
+        let notice = tables[turn % 2].notice(ROUTE, now);
         tables[(turn + 1) % 2].learn(ROUTE, &service, &node, notice, now);
     }
-    assert_eq!(tables[0].floor(ROUTE, now).floor, AdmissionFloor::OPEN);
-    assert_eq!(tables[1].floor(ROUTE, now).floor, AdmissionFloor::OPEN);
+    assert!(tables[0].notice(ROUTE, now).is_open());
+    assert!(tables[1].notice(ROUTE, now).is_open());
+}
+
+#[test]
+fn capacity_is_divided_by_rate_and_small_demands_are_met() {
+    let demand = |organisation: &str, demand_per_s, rate_per_s| OrganisationDemand {
+        organisation: Some(organisation.parse().expect("valid name")),
+        demand_per_s,
+        rate_per_s,
+    };
+    let mut demands = vec![
+        demand("over", 450.0, 450.0),
+        demand("large", 75.0, 375.0),
+        demand("small", 6.0, 30.0),
+    ];
+    let level = fair_level(&mut demands, 256.0);
+    assert!((level - 175.0 / 450.0).abs() < 1e-9);
+    assert!(fair_level(&mut demands, 600.0).is_infinite());
+}
+
+/// An organisation that asks for much more than its share does not crowd out the others at the
+/// same importance.
+#[test]
+fn organisation_over_its_share_is_named_and_the_others_pass() {
+    let mut now = MonotonicTime::default();
+    let mut meter = DemandMeter::new(now);
+    let mut random = SmallRng::seed_from_u64(1);
+    let mut passed = [0, 0];
+    for window in 0..80 {
+        for (index, (organisation, count)) in [("over", 60), ("within", 20)].into_iter().enumerate()
+        {
+            for _ in 0..count {
+                let request = request(HIGH, organisation, RequestId(random.random()));
+                if meter.admits(&request) {
+                    meter.arrived(&request);
+                    passed[index] += u32::from(window >= 30);
+                }
+            }
+        }
+        meter.shed();
+        now = now.after(DemandMeter::WINDOW);
+        let load = WindowLoad {
+            capacity_per_s: 500.0,
+            waiting: true,
+        };
+        meter.close_window(load, now);
+    }
+    assert_eq!(meter.notice(now).named.len(), 1);
+    assert!(passed[1] > 990, "{} of 1000 passed", passed[1]);
+    assert!(
+        (1200..1800).contains(&passed[0]),
+        "{} passed, 1500 fit",
+        passed[0]
+    );
+}
+
+#[test]
+fn notice_names_only_the_highest_floors() {
+    let names = ["a", "b", "c", "d", "e", "f"];
+    let one = |index: usize| FloorNotice {
+        named: vec![named(names[index], floor(200, 1000 * index as u16))],
+        ..FloorNotice::of(floor(200, 500), 0)
+    };
+    let joined = (0..names.len())
+        .map(one)
+        .fold(FloorNotice::default(), FloorNotice::highest);
+    assert_eq!(joined.named.len(), FloorNotice::NAMED_MAX);
+    assert_eq!(joined.named[0], named("f", floor(200, 5000)));
+    assert_eq!(joined.floor, floor(200, 500));
 }
--- /dev/null
+++ b/lib/tests/test_overload.rs
@@ -0,0 +1,46 @@
+//! The overload experiment, held to its targets at a fixed seed.
+
+use std::time::Duration;
+
+use testutils::overload::Control;
+use testutils::overload::Deployment;
+use testutils::overload::Report;
+use testutils::overload::run;
+
+const SEED: u64 = 1;
+
+const TRIGGER: Duration = Duration::from_secs(4);
+
+fn controlled(deployment: &Deployment) -> Report {
+    let report = run(deployment, Control::All, SEED);
+    let important = deployment.routes[0].importance;
+    let served = report.served_keeping_rate[&important];
+    assert!(served >= 0.99, "important requests served: {served}");
+    let goodput = report.goodput_of_capacity;
+    assert!(goodput >= 0.9, "goodput of capacity: {goodput}");
+    let recovery = report.recovery;
+    assert!(recovery.is_some_and(|recovery| recovery < Duration::from_secs(5)));
+    let refused = report.refused_while_calm;
+    assert!(refused < 0.001, "refused while calm: {refused}");
+    let largest = report.served_by_organisation[1];
+    let smallest = report.served_by_organisation.last().copied();
+    assert!(smallest.is_some_and(|smallest| smallest >= largest * 0.9));
+    report
+}
+
+#[test]
+fn slowed_stock_meets_the_targets() {
+    controlled(&Deployment::botonera().shortened(TRIGGER));
+}
+
+#[test]
+fn slowed_delivery_slots_meet_the_targets() {
+    controlled(&Deployment::cap_bon().shortened(TRIGGER));
+}
+
+#[test]
+fn equal_seeds_give_equal_reports() {
+    let deployment = Deployment::botonera().shortened(Duration::from_millis(500));
+    let report = || run(&deployment, Control::All, SEED);
+    assert_eq!(report(), report());
+}
--- a/testutils/src/overload/deployment.rs
+++ b/testutils/src/overload/deployment.rs
@@ -120,6 +120,17 @@
         }
     }
 
+    /// Makes the experiment short, with the trigger after two seconds.
+    pub fn shortened(self, trigger: Duration) -> Self {
+        let trigger_start = Duration::from_secs(2);
+        Self {
+            trigger_start,
+            trigger_end: trigger_start + trigger,
+            end: trigger_start + trigger + Duration::from_secs(3),
+            ..self
+        }
+    }
+
     fn trigger() -> Self {
         Self {
             name: "",
--- a/testutils/src/overload/driver.rs
+++ b/testutils/src/overload/driver.rs
@@ -234,7 +234,8 @@
             within_rate: self.within_rate[organisation].take(self.now),
             sends: 0,
             served_at: None,
-            refused: None,
+            refused_for_rate: false,
+            refused_otherwise: false,
         });
         self.send(self.requests.len() - 1);
         self.schedule_first_send(organisation);
@@ -280,9 +281,11 @@
     fn below_admits(&mut self, attempt: usize, node: usize, role: Role) -> bool {
         let root = self.attempts[attempt].root;
         let route = self.route_of(attempt);
+        let organisation = self.requests[self.attempts[attempt].request].organisation;
+        let organisation = Some(&self.organisations[organisation]);
         let importance = Importance(route.importance);
         let floors = self.nodes[node].floors(role);
-        floors.check(route.path, importance, root, self.now) != Admission::Refuse
+        floors.check(route.path, importance, organisation, root, self.now) != Admission::Refuse
     }
 
     fn route_of(&self, attempt: usize) -> &'a super::Route {
@@ -462,7 +465,7 @@
         self.release(&call, outcome);
         let route = self.route_of(call.attempt);
         let node = &mut self.nodes[call.node];
-        let below = node.onward_floors.floor(route.path, self.now);
+        let below = node.onward_floors.notice(route.path, self.now);
         let floor = match self.control {
             Control::All => node.gate.floor(self.now).highest(below),
             Control::None | Control::Limits => FloorNotice::default(),
@@ -664,8 +667,10 @@
 
     fn end_send(&mut self, attempt: usize, reason: Option<RefusalReason>) {
         let request = self.attempts[attempt].request;
-        if reason.is_some() {
-            self.requests[request].refused = reason;
+        match reason {
+            Some(RefusalReason::RateExceeded) => self.requests[request].refused_for_rate = true,
+            Some(_) => self.requests[request].refused_otherwise = true,
+            None => {}
         }
         let served = reason.is_none();
         let trip = self.deployment.client_trip;
--- a/testutils/src/overload/model.rs
+++ b/testutils/src/overload/model.rs
@@ -49,7 +49,8 @@
     pub within_rate: bool,
     pub sends: u32,
     pub served_at: Option<MonotonicTime>,
-    pub refused: Option<RefusalReason>,
+    pub refused_for_rate: bool,
+    pub refused_otherwise: bool,
 }
 
 /// One send of a root request.
--- a/testutils/src/overload/report.rs
+++ b/testutils/src/overload/report.rs
@@ -3,13 +3,15 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use balsamfold::request::RefusalReason;
 use balsamfold::values::MonotonicTime;
 
 use super::Deployment;
 use super::model::Attempt;
 use super::model::RootRequest;
 
+/// Time after which a send has ended, so that one before the trigger does not run into it.
+const LONGEST_SEND: Duration = Duration::from_secs(1);
+
 /// Length of the span over which goodput is compared with that before the trigger.
 const RECOVERY_SPAN: Duration = Duration::from_secs(1);
 
@@ -25,8 +27,12 @@
 /// What came out of an experiment. Fractions are from 0 to 1.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Report {
-    /// Fraction of the requests within rate of each importance that were served in the trigger.
-    pub served_by_importance: BTreeMap<u8, f64>,
+    /// Fraction of the requests of each importance that were served in the trigger, of those
+    /// organisations that keep their rate.
+    pub served_keeping_rate: BTreeMap<u8, f64>,
+    /// The same over all organisations, counting of the one that exceeds its rate those requests
+    /// that a bucket over first sends has a token for.
+    pub served_within_rate: BTreeMap<u8, f64>,
     /// Whole requests served in a second of the trigger that needed the slowed service, as a
     /// fraction of what that service can finish.
     pub goodput_of_capacity: f64,
@@ -34,11 +40,12 @@
     pub recovery: Option<Duration>,
     /// Fraction of its requests within rate that were served in the trigger, by organisation.
     pub served_by_organisation: Vec<f64>,
-    /// Fraction of the requests within rate that were refused at their first or a later send
+    /// Fraction of the requests within rate that were refused, for another reason than the rate,
     /// outside the trigger and the five seconds after it.
     pub refused_while_calm: f64,
-    /// Fraction of the requests within rate whose last refusal named the rate.
-    pub rate_refused_within_rate: f64,
+    /// Fraction of the requests within rate of which a send was refused for the rate, which counts
+    /// resends as well.
+    pub refused_for_rate: f64,
     /// Fraction of the time for which slots were held that went to sends that failed.
     pub slots_wasted: f64,
     /// Whole requests served in each second.
@@ -63,16 +70,20 @@
                 (deployment.trigger_start..deployment.trigger_end).contains(&at)
             })
             .collect();
-        let importances = deployment.routes.iter().map(|route| route.importance);
-        Self {
-            served_by_importance: importances
+        let by_importance = |of: fn(&RootRequest) -> bool| {
+            let importances = deployment.routes.iter().map(|route| route.importance);
+            importances
                 .map(|importance| {
                     let served = served_fraction(&in_trigger, |request| {
-                        deployment.routes[request.route].importance == importance
+                        of(request) && deployment.routes[request.route].importance == importance
                     });
                     (importance, served)
                 })
-                .collect(),
+                .collect()
+        };
+        Self {
+            served_keeping_rate: by_importance(|request| request.organisation != 0),
+            served_within_rate: by_importance(|_| true),
             goodput_of_capacity: goodput_of_capacity(deployment, requests),
             recovery: recovery(deployment, requests),
             served_by_organisation: (0..deployment.organisations.len())
@@ -81,10 +92,10 @@
                 })
                 .collect(),
             refused_while_calm: refused_while_calm(deployment, requests),
-            rate_refused_within_rate: fraction(
+            refused_for_rate: fraction(
                 requests,
                 |request| request.within_rate,
-                |request| request.refused == Some(RefusalReason::RateExceeded),
+                |request| request.refused_for_rate,
             ),
             slots_wasted: slots_wasted(attempts),
             served_per_s: (0..deployment.end.as_secs())
@@ -160,9 +171,9 @@
     let settled = deployment.trigger_end + Duration::from_secs(5);
     let calm = |request: &RootRequest| {
         let at = time_of(request.first_sent_at);
-        request.within_rate && (at < deployment.trigger_start || at >= settled)
+        request.within_rate && (at + LONGEST_SEND < deployment.trigger_start || at >= settled)
     };
-    fraction(requests, calm, |request| request.refused.is_some())
+    fraction(requests, calm, |request| request.refused_otherwise)
 }
 
 fn slots_wasted(attempts: &[Attempt]) -> f64 {
