--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -1,6 +1,13 @@
 //! What lives for the whole process.
 
+pub mod configuration;
+pub mod control;
 pub mod events;
 pub mod gate;
 pub mod membership;
+pub mod node;
+pub mod platform;
+pub mod rates;
 pub mod routing;
+pub mod secret;
+pub mod settings;
