--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,11 +1,9 @@
-//! Stand-ins for tests.
-
-pub mod overload;
 //! Stand-ins for callers, backend servers and the platform, for tests and measurements.
 
 pub mod backend_server;
 pub mod fleet;
 pub mod load;
 pub mod mesh;
+pub mod overload;
 pub mod platform;
 pub mod rate_fleet;
