node: admit by the gate, route by observed load, and carry floors with answers

The semaphore in front of the backend server, the random choice of a node and the missing floor header were placeholders. The gate now admits by limit, queue and floor; each call is observed by the router until its answer or until it is dropped; each answer between nodes carries the floor unless it is open. A backend server that passes on the refusal of its onward call does not count as refusing itself, and time spent in onward calls does not count as its latency. Requests that wait when the backend server leaves or is lost are refused at once. A cold server queues by its announced slots.

--- a/lib/src/process/gate/gate_state.rs
+++ b/lib/src/process/gate/gate_state.rs
@@ -85,7 +85,7 @@
 }
 
 impl GateState {
-    /// Waiting requests for each slot.
+    /// Waiting requests for each slot; all announced slots count while the server is cold.
     const QUEUE_PER_SLOT: usize = 2;
 
     /// Fewest requests that may wait.
@@ -332,7 +332,10 @@
     }
 
     fn queue_bound(&self) -> usize {
-        let slots = self.limit.slots() as usize;
+        let slots = match self.limit.is_ramping() {
+            true => self.limit.announced().0 as usize,
+            false => self.limit.slots() as usize,
+        };
         (slots * Self::QUEUE_PER_SLOT).max(Self::QUEUE_MIN)
     }
 }
--- a/lib/src/process/gate/learnt.rs
+++ b/lib/src/process/gate/learnt.rs
@@ -7,6 +7,8 @@
 
 use super::FloorNotice;
 use super::OrganisationFloor;
+use super::RetryAfter;
+use super::rate_meter::RateMeter;
 use crate::values::Importance;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
@@ -22,7 +24,10 @@
     /// The services below would refuse the request, but nothing was heard from them of late.
     Probe,
     /// A service below would refuse the request.
-    Refuse,
+    Refuse {
+        /// When the caller may try again.
+        retry_after_ms: u64,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -36,6 +41,8 @@
     services: BTreeMap<ServiceId, HashMap<NodeId, Heard>>,
     heard_at: MonotonicTime,
     probed_at: MonotonicTime,
+    passed: RateMeter,
+    retry_after: RetryAfter,
 }
 
 /// The admission floors of the services below, by route.
@@ -57,6 +64,9 @@
     /// Longest silence on a route before a request goes through as a probe.
     const PROBE_AFTER: Duration = Duration::from_millis(100);
 
+    /// Lowest rate of passed requests by which refused callers are spread.
+    const PASSED_MIN_PER_S: f64 = 1.0;
+
     /// Takes the floor that came with an answer of `node` to a call made for `route`.
     pub fn learn(
         &mut self,
@@ -113,25 +123,35 @@
         now: MonotonicTime,
     ) -> Admission {
         match self.routes.get_mut(route) {
+            Some(floors) => floors.check(importance, organisation, root, now),
             None => Admission::Admit,
-            Some(floors)
-                if floors
-                    .highest(organisation, now)
-                    .floor
-                    .admits(importance, root) =>
-            {
-                Admission::Admit
-            }
-            Some(floors) if floors.may_probe(now) => {
-                floors.probed_at = now;
-                Admission::Probe
-            }
-            Some(_) => Admission::Refuse,
         }
     }
 }
 
 impl RouteFloors {
+    fn check(
+        &mut self,
+        importance: Importance,
+        organisation: Option<&OrganisationId>,
+        root: RequestId,
+        now: MonotonicTime,
+    ) -> Admission {
+        let floor = self.highest(organisation, now).floor;
+        if floor.admits(importance, root) {
+            self.passed.count(now);
+            return Admission::Admit;
+        }
+        if self.may_probe(now) {
+            self.probed_at = now;
+            return Admission::Probe;
+        }
+        let passed_per_s = self.passed.per_s(now).max(LearntFloors::PASSED_MIN_PER_S);
+        Admission::Refuse {
+            retry_after_ms: self.retry_after.refused(root, 0, passed_per_s, now),
+        }
+    }
+
     /// Returns the highest floor for an organisation, over the services called, without names.
     fn highest(&self, organisation: Option<&OrganisationId>, now: MonotonicTime) -> FloorNotice {
         self.services
--- a/lib/src/process/gate/limit.rs
+++ b/lib/src/process/gate/limit.rs
@@ -160,6 +160,11 @@
         SlotCount(self.announced as u32)
     }
 
+    /// Returns whether the server is cold and its limit still rises.
+    pub fn is_ramping(&self) -> bool {
+        self.phase == Phase::Ramping
+    }
+
     /// Takes a new announcement of a server that went on running.
     pub fn announce(&mut self, announced: SlotCount) {
         self.announced = f64::from(announced.0.max(1));
--- a/lib/src/process/gate/mod.rs
+++ b/lib/src/process/gate/mod.rs
@@ -11,6 +11,7 @@
 mod notice;
 mod permit;
 mod queue;
+mod rate_meter;
 mod retry_after;
 mod service_time;
 mod usage;
--- a/lib/src/process/gate/permit.rs
+++ b/lib/src/process/gate/permit.rs
@@ -28,6 +28,7 @@
 
 type Answer = Result<(), Refusal>;
 
+#[derive(Debug)]
 struct Shared {
     state: GateState,
     waiting: SecondaryMap<Ticket, oneshot::Sender<Answer>>,
@@ -58,7 +59,7 @@
 /// The gate in front of a backend server. Clones share one gate.
 ///
 /// It has one lock, which is never held over an await and under which no other lock is taken.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Gate {
     shared: Arc<Mutex<Shared>>,
     clock: Clock,
--- /dev/null
+++ b/lib/src/process/gate/rate_meter.rs
@@ -0,0 +1,28 @@
+//! The rate of a kind of event of late.
+
+use std::time::Duration;
+
+use crate::values::MonotonicTime;
+
+/// The rate of a kind of event, with the weight of each falling over a second.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RateMeter {
+    per_s: f64,
+    updated_at: MonotonicTime,
+}
+
+impl RateMeter {
+    const MEMORY: Duration = Duration::from_secs(1);
+
+    /// Counts one event.
+    pub(super) fn count(&mut self, now: MonotonicTime) {
+        self.per_s = self.per_s(now) + 1.0 / Self::MEMORY.as_secs_f64();
+        self.updated_at = now;
+    }
+
+    /// Returns the rate in events a second.
+    pub(super) fn per_s(&self, now: MonotonicTime) -> f64 {
+        let age = now.since(self.updated_at).as_secs_f64();
+        self.per_s * (-age / Self::MEMORY.as_secs_f64()).exp()
+    }
+}
--- a/lib/src/process/gate/retry_after.rs
+++ b/lib/src/process/gate/retry_after.rs
@@ -1,8 +1,7 @@
 //! When a refused caller may try again.
 
-use std::time::Duration;
-
 use super::floor::mix;
+use super::rate_meter::RateMeter;
 use crate::values::MonotonicTime;
 use crate::values::RequestId;
 
@@ -12,14 +11,10 @@
 /// that it refused in the last second, so that callers do not return together.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RetryAfter {
-    refused_per_s: f64,
-    updated_at: MonotonicTime,
+    refused: RateMeter,
 }
 
 impl RetryAfter {
-    /// Time over which refusals are averaged.
-    const MEMORY: Duration = Duration::from_secs(1);
-
     /// Shortest time over which returning callers are spread.
     const SPREAD_MIN_MS: f64 = 200.0;
 
@@ -34,18 +29,11 @@
         drain_per_s: f64,
         now: MonotonicTime,
     ) -> u64 {
-        self.count(now);
+        self.refused.count(now);
         let drain_per_ms = (drain_per_s / 1e3).max(1e-6);
         let queue_ms = waiting as f64 / drain_per_ms;
-        let spread_ms = (self.refused_per_s / drain_per_ms).max(Self::SPREAD_MIN_MS);
-        let position = (mix(root) as u32) as f64 / f64::from(u32::MAX);
+        let spread_ms = (self.refused.per_s(now) / drain_per_ms).max(Self::SPREAD_MIN_MS);
+        let position = f64::from(mix(root) as u32) / f64::from(u32::MAX);
         (queue_ms + position * spread_ms).clamp(1.0, Self::MAX_MS) as u64
     }
-
-    fn count(&mut self, now: MonotonicTime) {
-        let age_s = now.since(self.updated_at).as_secs_f64();
-        let kept = (-age_s / Self::MEMORY.as_secs_f64()).exp();
-        self.refused_per_s = self.refused_per_s * kept + 1.0 / Self::MEMORY.as_secs_f64();
-        self.updated_at = now;
-    }
 }
--- a/lib/src/process/node/announcement.rs
+++ b/lib/src/process/node/announcement.rs
@@ -58,8 +58,8 @@
         Some(_) | None => {
             let limits = node.pool_limits(announcement.connections.0);
             events::SERVER_ANNOUNCED.log(announcement.address);
-            let server = LocalServer::new(announcement, limits, now);
-            node.set_server(Some(Arc::new(server)));
+            let server = LocalServer::new(announcement, limits, &node.clock);
+            replace(node, Some(Arc::new(server)), RefusalReason::NoServer);
         }
     }
     let accepted = AnnouncementAccepted {
@@ -73,7 +73,7 @@
     if let Some(server) = node.server() {
         events::SERVER_LEAVING.log(server.announcement.address);
     }
-    node.set_server(None);
+    replace(node, None, RefusalReason::Draining);
     json_answer(&serde_json::Value::Null)
 }
 
@@ -85,7 +85,16 @@
     let age = node.clock.now().since(server.renewed_at());
     if age > Duration::from_millis(node.settings.announcement_ms) {
         events::SERVER_LOST.log(server.announcement.address);
-        node.set_server(None);
+        replace(node, None, RefusalReason::NoServer);
+    }
+}
+
+/// Replaces the backend server; requests that wait for the old one are refused at once.
+fn replace(node: &Node, server: Option<Arc<LocalServer>>, reason: RefusalReason) {
+    let old = node.server();
+    node.set_server(server);
+    if let Some(old) = old {
+        old.gate.give_up_all(reason);
     }
 }
 
--- a/lib/src/process/node/answer.rs
+++ b/lib/src/process/node/answer.rs
@@ -10,6 +10,7 @@
 use crate::connection::FLOOR_HEADER;
 use crate::connection::UNSPENT_HEADER;
 use crate::connection::WholeAnswer;
+use crate::process::gate::FloorNotice;
 use crate::request::Refusal;
 use crate::request::refusal_response;
 
@@ -20,6 +21,8 @@
     pub(super) outcome: Result<WholeAnswer, Refusal>,
     /// Extra attempts that the request below did not use.
     pub(super) unspent_attempts: u32,
+    /// The admission floor of the node and those below it; none if no node of the service answered.
+    pub(super) floor: Option<FloorNotice>,
 }
 
 /// Makes the response for a caller or for the backend server beside this node.
--- a/lib/src/process/node/dump.rs
+++ b/lib/src/process/node/dump.rs
@@ -2,6 +2,7 @@
 
 use super::Announcement;
 use super::Node;
+use crate::process::gate::FloorNotice;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeRecord;
 use crate::values::ConfigVersion;
@@ -39,6 +40,14 @@
         pub announcement: Announcement,
         /// Open connections to it.
         pub open_connections: usize,
+        /// Requests that may run on it at the same time, as decided by the node.
+        pub limit_slots: u32,
+        /// Requests that hold a slot.
+        pub held_slots: u32,
+        /// Requests that wait for a slot.
+        pub waiting_requests: usize,
+        /// The admission floor that the node reports.
+        pub floor: FloorNotice,
     }
 }
 
@@ -56,6 +65,10 @@
             server: self.server().map(|server| ServerDump {
                 announcement: server.announcement.clone(),
                 open_connections: server.pool.open_connections(),
+                limit_slots: server.gate.slots(),
+                held_slots: server.gate.in_flight(),
+                waiting_requests: server.gate.waiting(),
+                floor: server.gate.floor(),
             }),
             in_flight_requests: self.in_flight.len(),
             members: self.members().nodes().cloned().collect(),
--- a/lib/src/process/node/entry.rs
+++ b/lib/src/process/node/entry.rs
@@ -13,6 +13,7 @@
 use super::answer::response;
 use super::forward::Outbound;
 use super::forward::forward;
+use super::load_control::Origin;
 use crate::connection::BodyError;
 use crate::connection::DEADLINE_HEADER;
 use crate::connection::IDEMPOTENCY_KEY_HEADER;
@@ -67,7 +68,9 @@
         deadline_at,
         depth: 0,
         extra_attempts: &extra_attempts,
+        origin: Origin::Caller,
     };
+    node.load.check_entry(&outbound, node.clock.now())?;
     forward(node, outbound).await
 }
 
--- a/lib/src/process/node/exit.rs
+++ b/lib/src/process/node/exit.rs
@@ -14,6 +14,7 @@
 use super::entry::whole_request;
 use super::forward::Outbound;
 use super::forward::forward;
+use super::load_control::Origin;
 use crate::connection::HANDLE_HEADER;
 use crate::connection::WholeAnswer;
 use crate::connection::strip_system_headers;
@@ -55,8 +56,33 @@
         deadline_at: parent.deadline_at,
         depth: parent.context.depth + 1,
         extra_attempts: &parent.extra_attempts,
+        origin: Origin::Parent(&parent),
     };
-    forward(node, outbound).await
+    let _waiting = OnwardWait::start(node, &parent);
+    let outcome = forward(node, outbound).await;
+    if outcome.is_err() {
+        parent.onward.lock().failed();
+    }
+    outcome
+}
+
+/// Measures the time in which a request waits for an onward call, until it is dropped.
+struct OnwardWait<'a> {
+    node: &'a Node,
+    parent: &'a InFlight,
+}
+
+impl<'a> OnwardWait<'a> {
+    fn start(node: &'a Node, parent: &'a InFlight) -> Self {
+        parent.onward.lock().started(node.clock.now());
+        Self { node, parent }
+    }
+}
+
+impl Drop for OnwardWait<'_> {
+    fn drop(&mut self) {
+        self.parent.onward.lock().ended(self.node.clock.now());
+    }
 }
 
 fn parent(node: &Node, headers: &HeaderMap) -> Option<Arc<InFlight>> {
--- a/lib/src/process/node/forward.rs
+++ b/lib/src/process/node/forward.rs
@@ -9,9 +9,13 @@
 
 use super::Node;
 use super::answer::NodeAnswer;
+use super::load_control::ObservedCall;
+use super::load_control::Origin;
+use super::load_control::choose;
 use super::peer_message;
 use super::serve::serve;
 use crate::connection::ATTEMPT_HEADER;
+use crate::connection::FLOOR_HEADER;
 use crate::connection::UNSPENT_HEADER;
 use crate::connection::WholeAnswer;
 use crate::connection::WholeRequest;
@@ -48,6 +52,8 @@
     pub(super) depth: u8,
     /// Attempts beyond the first, shared with the other calls of the same parent.
     pub(super) extra_attempts: &'a Mutex<u32>,
+    /// For whom the request is made.
+    pub(super) origin: Origin<'a>,
 }
 
 /// Passes a request to a node of its service until an attempt gives a final answer.
@@ -91,36 +97,17 @@
         depth: outbound.depth,
     };
     let request = outbound.request.clone();
+    let call = ObservedCall::start(node, &destination.id);
     let answer = if destination.id == node.settings.node {
         Box::pin(serve(node, context, request)).await
     } else {
         send(node, &destination, context, request).await
     };
+    call.finish(outbound, &answer);
     *outbound.extra_attempts.lock() += answer.unspent_attempts.min(lent_attempts);
     answer.outcome
 }
 
-/// Chooses a node of the service that was not tried yet, in the own zone where possible.
-fn choose(node: &Node, outbound: &Outbound<'_>, tried: &[NodeId]) -> Result<NodeRecord, Refusal> {
-    let members = node.members();
-    let untried: Vec<&NodeRecord> = members
-        .serving(&outbound.route.service)
-        .iter()
-        .filter(|record| !tried.contains(&record.id))
-        .collect();
-    let local: Vec<&NodeRecord> = untried
-        .iter()
-        .copied()
-        .filter(|record| record.zone == node.settings.zone)
-        .collect();
-    let candidates = if local.is_empty() { untried } else { local };
-    if candidates.is_empty() {
-        return Err(Refusal::not_run(RefusalReason::NoServer));
-    }
-    let index = rand::random_range(0..candidates.len());
-    Ok(candidates[index].clone())
-}
-
 async fn send(
     node: &Node,
     destination: &NodeRecord,
@@ -158,6 +145,7 @@
 
 fn received(answer: WholeAnswer) -> NodeAnswer {
     let unspent_attempts = header(&answer, UNSPENT_HEADER).unwrap_or(0);
+    let floor = header(&answer, FLOOR_HEADER).unwrap_or_default();
     let outcome = match refusal_of(&answer) {
         Some(refusal) => Err(refusal),
         None => Ok(answer),
@@ -165,6 +153,7 @@
     NodeAnswer {
         outcome,
         unspent_attempts,
+        floor: Some(floor),
     }
 }
 
@@ -172,6 +161,7 @@
     NodeAnswer {
         outcome: Err(refusal),
         unspent_attempts,
+        floor: None,
     }
 }
 
--- /dev/null
+++ b/lib/src/process/node/load_control.rs
@@ -0,0 +1,188 @@
+//! What a node learnt of the load of others: the router and the admission floors.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+
+use super::Node;
+use super::answer::NodeAnswer;
+use super::forward::Outbound;
+use crate::process::gate::Admission;
+use crate::process::gate::FloorNotice;
+use crate::process::gate::LearntFloors;
+use crate::process::membership::NodeRecord;
+use crate::process::routing::CallOutcome;
+use crate::process::routing::ChooseContext;
+use crate::process::routing::Router;
+use crate::request::InFlight;
+use crate::request::Refusal;
+use crate::request::RefusalReason;
+use crate::values::MonotonicTime;
+use crate::values::NodeId;
+use crate::values::ZoneId;
+
+/// What a node learnt of the load of others.
+///
+/// The three locks are leaves: none is held while another lock is taken.
+#[derive(Debug)]
+pub(super) struct LoadControl {
+    router: Mutex<Router>,
+    entry_floors: Mutex<LearntFloors>,
+    onward_floors: Mutex<LearntFloors>,
+}
+
+/// For whom a node calls.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Origin<'a> {
+    /// For a caller whose request enters at this node.
+    Caller,
+    /// For a request that runs on the backend server beside this node.
+    Parent(&'a InFlight),
+}
+
+impl LoadControl {
+    /// Makes the state of a node that has not called anyone yet.
+    pub(super) fn new(zone: ZoneId, now: MonotonicTime) -> Self {
+        Self {
+            router: Mutex::new(Router::new(zone, rand::random(), now)),
+            entry_floors: Mutex::default(),
+            onward_floors: Mutex::default(),
+        }
+    }
+
+    /// Returns the highest floors below the backend server for requests on `route`.
+    pub(super) fn floors_below(&self, route: &str, now: MonotonicTime) -> FloorNotice {
+        self.onward_floors.lock().notice(route, now)
+    }
+
+    /// Refuses a request of a caller that the services below would refuse.
+    pub(super) fn check_entry(
+        &self,
+        outbound: &Outbound<'_>,
+        now: MonotonicTime,
+    ) -> Result<(), Refusal> {
+        let admission = self.entry_floors.lock().check(
+            &outbound.route.path,
+            outbound.importance,
+            outbound.organisation.as_ref(),
+            outbound.root,
+            now,
+        );
+        admitted(admission)
+    }
+
+    /// Refuses a request to the backend server whose onward calls would be refused.
+    pub(super) fn check_onward(
+        &self,
+        request: &InFlight,
+        now: MonotonicTime,
+    ) -> Result<(), Refusal> {
+        let admission = self.onward_floors.lock().check(
+            &request.route,
+            request.context.importance,
+            request.context.organisation.as_ref(),
+            request.context.root,
+            now,
+        );
+        admitted(admission)
+    }
+}
+
+fn admitted(admission: Admission) -> Result<(), Refusal> {
+    match admission {
+        Admission::Admit | Admission::Probe => Ok(()),
+        Admission::Refuse { retry_after_ms } => {
+            let refusal = Refusal::not_run(RefusalReason::Overloaded);
+            Err(refusal.retry_after_ms(retry_after_ms))
+        }
+    }
+}
+
+/// Chooses a node of the service that was not tried yet.
+pub(super) fn choose(
+    node: &Node,
+    outbound: &Outbound<'_>,
+    tried: &[NodeId],
+) -> Result<NodeRecord, Refusal> {
+    let configuration = node.configuration()?;
+    let members = node.members();
+    let context = ChooseContext {
+        members: &members,
+        zones: &configuration.zones,
+        excluded: tried,
+        now: node.clock.now(),
+    };
+    let chosen = node
+        .load
+        .router
+        .lock()
+        .choose(&outbound.route.service, &context);
+    chosen.ok_or_else(|| Refusal::not_run(RefusalReason::NoServer))
+}
+
+/// A call to another node; when it is dropped before its answer, the call counts as cancelled.
+pub(super) struct ObservedCall {
+    node: Arc<Node>,
+    destination: NodeId,
+    started_at: MonotonicTime,
+    finished: bool,
+}
+
+impl ObservedCall {
+    /// Notes the start of a call.
+    pub(super) fn start(node: &Arc<Node>, destination: &NodeId) -> Self {
+        node.load.router.lock().started(destination);
+        Self {
+            node: Arc::clone(node),
+            destination: destination.clone(),
+            started_at: node.clock.now(),
+            finished: false,
+        }
+    }
+
+    /// Learns from the answer of the call.
+    pub(super) fn finish(mut self, outbound: &Outbound<'_>, answer: &NodeAnswer) {
+        self.end(outcome(answer));
+        let now = self.node.clock.now();
+        let Some(notice) = answer.floor.clone() else {
+            return;
+        };
+        let load = &self.node.load;
+        let (floors, route) = match outbound.origin {
+            Origin::Caller => (&load.entry_floors, &outbound.route.path),
+            Origin::Parent(parent) => (&load.onward_floors, &parent.route),
+        };
+        let service = &outbound.route.service;
+        floors
+            .lock()
+            .learn(route, service, &self.destination, notice, now);
+    }
+
+    fn end(&mut self, outcome: CallOutcome) {
+        self.finished = true;
+        let now = self.node.clock.now();
+        let latency: Duration = now.since(self.started_at);
+        let mut router = self.node.load.router.lock();
+        router.finished(&self.destination, outcome, latency, now);
+    }
+}
+
+impl Drop for ObservedCall {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.end(CallOutcome::Cancelled);
+        }
+    }
+}
+
+fn outcome(answer: &NodeAnswer) -> CallOutcome {
+    match answer.outcome.as_ref().map_err(|refusal| refusal.reason) {
+        Ok(_) => CallOutcome::Answered,
+        Err(RefusalReason::NoServer | RefusalReason::BadAnswer) => CallOutcome::Failed,
+        Err(
+            RefusalReason::Overloaded | RefusalReason::Draining | RefusalReason::DeadlineExceeded,
+        ) => CallOutcome::Refused,
+        Err(_) => CallOutcome::Cancelled,
+    }
+}
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -8,6 +8,7 @@
 mod entry;
 mod exit;
 mod forward;
+mod load_control;
 mod local_server;
 mod peer_message;
 mod serve;
--- a/lib/src/process/node/serve.rs
+++ b/lib/src/process/node/serve.rs
@@ -1,8 +1,10 @@
 //! The gate: runs a request on the backend server beside this node.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::HeaderValue;
+use http::StatusCode;
 use parking_lot::Mutex;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -13,16 +15,22 @@
 use super::entry::whole_request;
 use super::peer_message;
 use crate::connection::ATTEMPT_HEADER;
+use crate::connection::ExchangeError;
+use crate::connection::FLOOR_HEADER;
 use crate::connection::HANDLE_HEADER;
 use crate::connection::UNSPENT_HEADER;
 use crate::connection::VERDICT_HEADER;
 use crate::connection::WholeAnswer;
 use crate::connection::WholeRequest;
 use crate::connection::strip_system_headers;
+use crate::process::gate::EnterRequest;
+use crate::process::gate::FloorNotice;
+use crate::process::gate::Outcome;
 use crate::request::AttemptId;
 use crate::request::DEPTH_MAX;
 use crate::request::Handle;
 use crate::request::InFlight;
+use crate::request::OnwardTime;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::request::RequestContext;
@@ -51,43 +59,95 @@
     context: RequestContext,
     request: WholeRequest,
 ) -> NodeAnswer {
-    let lent_attempts = context.extra_attempts;
-    let refused = |refusal| NodeAnswer {
-        outcome: Err(refusal),
-        unspent_attempts: lent_attempts,
-    };
-    if context.depth >= DEPTH_MAX {
-        return refused(Refusal::not_run(RefusalReason::TooDeep));
+    let arrived = arrived(node, context, &request);
+    let outcome = admit_and_run(node, &arrived, request).await;
+    let unspent_attempts = *arrived.extra_attempts.lock();
+    NodeAnswer {
+        outcome,
+        unspent_attempts,
+        floor: floor(node, &arrived.route),
     }
-    let Some(server) = node.server() else {
-        return refused(Refusal::not_run(RefusalReason::NoServer));
-    };
-    let permit = match server.enter() {
-        Ok(permit) => permit,
-        Err(refusal) => return refused(refusal),
-    };
+}
+
+fn arrived(node: &Node, context: RequestContext, request: &WholeRequest) -> Arc<InFlight> {
+    let configuration = node.configuration().ok();
+    let route = configuration
+        .as_ref()
+        .and_then(|configuration| configuration.route_of(request.uri.path()));
     let remaining = Duration::from_micros(context.remaining_us);
-    let guard = node.in_flight.add(InFlight {
+    Arc::new(InFlight {
+        route: route.map(|route| route.path.clone()).unwrap_or_default(),
         deadline_at: node.clock.now().after(remaining),
-        extra_attempts: Mutex::new(lent_attempts),
+        extra_attempts: Mutex::new(context.extra_attempts),
+        onward: Mutex::default(),
         context,
-    });
+    })
+}
+
+/// Returns the highest floor of this node's gate and the nodes below it.
+fn floor(node: &Node, route: &str) -> Option<FloorNotice> {
+    let server = node.server()?;
+    let below = node.load.floors_below(route, node.clock.now());
+    Some(server.gate.floor().highest(below))
+}
+
+async fn admit_and_run(
+    node: &Node,
+    arrived: &Arc<InFlight>,
+    request: WholeRequest,
+) -> Result<WholeAnswer, Refusal> {
+    if arrived.context.depth >= DEPTH_MAX {
+        return Err(Refusal::not_run(RefusalReason::TooDeep));
+    }
+    let server = node
+        .server()
+        .ok_or_else(|| Refusal::not_run(RefusalReason::NoServer))?;
+    node.load.check_onward(arrived, node.clock.now())?;
+    let permit = server.gate.enter(enter_request(node, arrived)).await?;
+    let guard = node.in_flight.add(Arc::clone(arrived));
     let handle = guard.handle();
+    let remaining = arrived.deadline_at.since(node.clock.now());
     let request = with_handle(request, &handle);
     let result = server.pool.exchange(request, remaining).await;
-    drop(permit);
-    let outcome = match result {
+    let onward = *arrived.onward.lock();
+    permit.finish(gate_outcome(&result, &onward), onward.waited());
+    match result {
         Ok(answer) => checked_answer(answer, &handle),
         Err(error) => Err(Refusal {
             reason: RefusalReason::BadAnswer,
             verdict: error.verdict(),
             retry_after_ms: None,
         }),
+    }
+}
+
+fn enter_request(node: &Node, arrived: &InFlight) -> EnterRequest {
+    let organisation = arrived.context.organisation.clone();
+    let configuration = node.configuration().ok();
+    let rate = match (&configuration, &organisation) {
+        (Some(configuration), Some(id)) => configuration.organisations.get(id),
+        _ => None,
     };
-    let unspent_attempts = *guard.request().extra_attempts.lock();
-    NodeAnswer {
-        outcome,
-        unspent_attempts,
+    EnterRequest {
+        importance: arrived.context.importance,
+        rate: rate.map(|known| known.rate_per_s).unwrap_or_default(),
+        organisation,
+        root: arrived.context.root,
+        remaining: arrived.deadline_at.since(node.clock.now()),
+    }
+}
+
+/// Tells the gate how a run ended. A server that passes on the refusal of an onward call did not
+/// refuse the request itself.
+fn gate_outcome(result: &Result<WholeAnswer, ExchangeError>, onward: &OnwardTime) -> Outcome {
+    match result.as_ref().map(|answer| answer.status) {
+        Ok(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+            if !onward.has_failed() =>
+        {
+            Outcome::ServerRefused
+        }
+        Ok(status) if !status.is_server_error() => Outcome::Answered,
+        Ok(_) | Err(_) => Outcome::Failed,
     }
 }
 
@@ -122,6 +182,11 @@
     };
     let unspent = HeaderValue::from(answer.unspent_attempts);
     whole.headers.insert(UNSPENT_HEADER, unspent);
+    if let Some(floor) = answer.floor.filter(|floor| !floor.is_open())
+        && let Ok(value) = HeaderValue::try_from(floor.to_string())
+    {
+        whole.headers.insert(FLOOR_HEADER, value);
+    }
     if let Ok(value) = HeaderValue::try_from(attempt.to_string()) {
         whole.headers.insert(ATTEMPT_HEADER, value);
     }
--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 
+use super::load_control::LoadControl;
 use super::local_server::LocalServer;
 use crate::connection::ConnectionPool;
 use crate::connection::PoolLimits;
@@ -44,6 +45,7 @@
     /// Requests on the backend server beside this node.
     pub in_flight: Arc<InFlightTable>,
     pub(super) peer_key: DerivedKey,
+    pub(super) load: LoadControl,
     version: RwLock<Option<Arc<Configuration>>>,
     members: RwLock<Arc<MemberTable>>,
     server: RwLock<Option<Arc<LocalServer>>>,
@@ -54,11 +56,13 @@
 impl Node {
     /// Makes a node that has no configuration, no members and no backend server yet.
     pub fn new(settings: NodeSettings, addresses: NodeAddresses) -> Self {
+        let clock = Clock::start();
         Self {
+            load: LoadControl::new(settings.zone.clone(), clock.now()),
             peer_key: settings.fleet_secret.derive(KeyPurpose::PeerRequest),
             settings,
             addresses,
-            clock: Clock::start(),
+            clock,
             in_flight: Arc::default(),
             version: RwLock::default(),
             members: RwLock::default(),
--- a/lib/src/request/in_flight.rs
+++ b/lib/src/request/in_flight.rs
@@ -6,6 +6,7 @@
 use slotmap::SlotMap;
 
 use super::Handle;
+use super::OnwardTime;
 use super::RequestContext;
 use super::handle::InFlightKey;
 use crate::values::MonotonicTime;
@@ -15,10 +16,14 @@
 pub struct InFlight {
     /// What the previous node told about the request.
     pub context: RequestContext,
+    /// Path of the route by which the request came to this node.
+    pub route: String,
     /// When the request runs out of time.
     pub deadline_at: MonotonicTime,
     /// Attempts beyond the first that onward calls may still make.
     pub extra_attempts: Mutex<u32>,
+    /// The time in which the request waited for its onward calls.
+    pub onward: Mutex<OnwardTime>,
 }
 
 #[derive(Debug)]
@@ -37,8 +42,7 @@
 
 impl InFlightTable {
     /// Adds a request; it stays until the guard is dropped.
-    pub fn add(self: &Arc<Self>, request: InFlight) -> InFlightGuard {
-        let request = Arc::new(request);
+    pub fn add(self: &Arc<Self>, request: Arc<InFlight>) -> InFlightGuard {
         let mut entries = self.entries.lock();
         let key = entries.insert_with_key(|key| Entry {
             handle: Handle::random(key),
--- /dev/null
+++ b/lib/src/request/onward.rs
@@ -0,0 +1,47 @@
+//! The time in which a request waited for its onward calls.
+
+use std::time::Duration;
+
+use crate::values::MonotonicTime;
+
+/// The time in which a request waited for one or more onward calls.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OnwardTime {
+    open_calls: u32,
+    waiting_since: MonotonicTime,
+    waited: Duration,
+    failed: bool,
+}
+
+impl OnwardTime {
+    /// Notes the start of an onward call.
+    pub fn started(&mut self, now: MonotonicTime) {
+        if self.open_calls == 0 {
+            self.waiting_since = now;
+        }
+        self.open_calls += 1;
+    }
+
+    /// Notes the end of an onward call.
+    pub fn ended(&mut self, now: MonotonicTime) {
+        self.open_calls = self.open_calls.saturating_sub(1);
+        if self.open_calls == 0 {
+            self.waited += now.since(self.waiting_since);
+        }
+    }
+
+    /// Notes that an onward call was refused or failed.
+    pub fn failed(&mut self) {
+        self.failed = true;
+    }
+
+    /// Returns the time in which at least one onward call was open.
+    pub fn waited(&self) -> Duration {
+        self.waited
+    }
+
+    /// Returns whether an onward call was refused or failed.
+    pub fn has_failed(&self) -> bool {
+        self.failed
+    }
+}
--- a/lib/tests/test_gate_floor.rs
+++ b/lib/tests/test_gate_floor.rs
@@ -191,10 +191,13 @@
         Admission::Admit
     );
     learn(&mut floors, "b", closed, now);
-    assert_eq!(
-        floors.check(ROUTE, LOW, None, RequestId(1), now),
-        Admission::Refuse
-    );
+    let refused = floors.check(ROUTE, LOW, None, RequestId(1), now);
+    assert!(matches!(
+        refused,
+        Admission::Refuse {
+            retry_after_ms: 1..
+        }
+    ));
     assert_eq!(
         floors.check(ROUTE, HIGH, None, RequestId(1), now),
         Admission::Admit
--- a/testutils/src/overload/driver.rs
+++ b/testutils/src/overload/driver.rs
@@ -285,7 +285,10 @@
         let organisation = Some(&self.organisations[organisation]);
         let importance = Importance(route.importance);
         let floors = self.nodes[node].floors(role);
-        floors.check(route.path, importance, organisation, root, self.now) != Admission::Refuse
+        !matches!(
+            floors.check(route.path, importance, organisation, root, self.now),
+            Admission::Refuse { .. }
+        )
     }
 
     fn route_of(&self, attempt: usize) -> &'a super::Route {
