node: test gates, floors and routing end to end, and keep the last refusal

When no node was left for another attempt, the caller was told that no server is known, without a time to return, in place of the refusal before; the test of refused requests failed on this. The refusal before is now passed on. The dump counts requests refused at the entry.

--- a/lib/src/process/node/dump.rs
+++ b/lib/src/process/node/dump.rs
@@ -28,6 +28,8 @@
         pub server: Option<ServerDump>,
         /// Requests that run on the backend server.
         pub in_flight_requests: usize,
+        /// Requests of callers that were refused because a service below would have refused them.
+        pub refused_at_entry: u64,
         /// All known nodes.
         pub members: Vec<NodeRecord>,
     }
@@ -71,6 +73,7 @@
                 floor: server.gate.floor(),
             }),
             in_flight_requests: self.in_flight.len(),
+            refused_at_entry: self.load.refused_at_entry(),
             members: self.members().nodes().cloned().collect(),
         }
     }
--- a/lib/src/process/node/forward.rs
+++ b/lib/src/process/node/forward.rs
@@ -63,15 +63,21 @@
 ) -> Result<WholeAnswer, Refusal> {
     let mut tried: Vec<NodeId> = Vec::new();
     let mut verdict = Verdict::NotRun;
+    let mut last: Option<Refusal> = None;
     loop {
-        let refusal = match attempt(node, &outbound, &mut tried).await {
-            Ok(answer) => return Ok(answer),
-            Err(refusal) => refusal,
+        let refusal = match (attempt(node, &outbound, &mut tried).await, last.take()) {
+            (Ok(answer), _) => return Ok(answer),
+            // That no other node is left tells the caller less than the refusal before.
+            (Err(refusal), Some(last)) if refusal.reason == RefusalReason::NoServer => {
+                return Err(Refusal { verdict, ..last });
+            }
+            (Err(refusal), _) => refusal,
         };
         verdict = verdict.max(refusal.verdict);
         if !may_try_again(&outbound, &refusal) || !spend_attempt(outbound.extra_attempts) {
             return Err(Refusal { verdict, ..refusal });
         }
+        last = Some(refusal);
     }
 }
 
--- a/lib/src/process/node/load_control.rs
+++ b/lib/src/process/node/load_control.rs
@@ -1,6 +1,8 @@
 //! What a node learnt of the load of others: the router and the admission floors.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -30,6 +32,7 @@
     router: Mutex<Router>,
     entry_floors: Mutex<LearntFloors>,
     onward_floors: Mutex<LearntFloors>,
+    refused_at_entry: AtomicU64,
 }
 
 /// For whom a node calls.
@@ -48,9 +51,16 @@
             router: Mutex::new(Router::new(zone, rand::random(), now)),
             entry_floors: Mutex::default(),
             onward_floors: Mutex::default(),
+            refused_at_entry: AtomicU64::new(0),
         }
     }
 
+    /// Returns how many requests of callers were refused because a service below would have
+    /// refused them.
+    pub(super) fn refused_at_entry(&self) -> u64 {
+        self.refused_at_entry.load(Ordering::Relaxed)
+    }
+
     /// Returns the highest floors below the backend server for requests on `route`.
     pub(super) fn floors_below(&self, route: &str, now: MonotonicTime) -> FloorNotice {
         self.onward_floors.lock().notice(route, now)
@@ -69,6 +79,9 @@
             outbound.root,
             now,
         );
+        if let Admission::Refuse { .. } = admission {
+            self.refused_at_entry.fetch_add(1, Ordering::Relaxed);
+        }
         admitted(admission)
     }
 
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_gate_limit;
 mod test_gate_queue;
 mod test_keys;
+mod test_load_control;
 mod test_membership_cuts;
 mod test_membership_datagrams;
 mod test_membership_detection;
--- /dev/null
+++ b/lib/tests/test_load_control.rs
@@ -0,0 +1,179 @@
+//! Gates, floors and routing in running nodes, by counts of what really ran.
+
+use std::time::Duration;
+
+use balsamfold::connection::WholeAnswer;
+use balsamfold::process::node::ServerDump;
+use balsamfold::request::RefusalReason;
+use balsamfold::request::Verdict;
+use balsamfold::request::refusal_of;
+use balsamfold::values::Importance;
+use balsamfold::version::Configuration;
+use futures::future::join_all;
+use http::StatusCode;
+use http::header;
+use testutils::backend_server::Fault;
+use testutils::backend_server::ServerPlan;
+use testutils::fleet::TestFleet;
+use testutils::fleet::TestNode;
+use testutils::fleet::post;
+use testutils::fleet::sample_configuration;
+use testutils::fleet::sample_key;
+use testutils::fleet::sample_route;
+
+const IMPORTANT: Importance = Importance(200);
+const POLL_PERIOD: Duration = Duration::from_millis(10);
+
+/// A configuration in which `/stock` is important and `/browse` leads to the same service.
+fn configuration() -> Configuration {
+    let mut configuration = sample_configuration(&["zone-a"], &["small"], &["stock"]);
+    configuration.routes[0].importance = IMPORTANT;
+    let mut browse = sample_route("browse");
+    browse.service = configuration.routes[0].service.clone();
+    configuration.routes.push(browse);
+    configuration
+}
+
+fn stock(slots: u32) -> ServerPlan {
+    ServerPlan {
+        slots,
+        connections: 256,
+        ..ServerPlan::small("stock", &[])
+    }
+}
+
+async fn send(node: &TestNode, path: &str, body: &str) -> WholeAnswer {
+    let request = post(path, Some(&sample_key("small")), &[], body);
+    node.caller.send(request).await.expect("an answer")
+}
+
+fn server(node: &TestNode) -> ServerDump {
+    node.daemon.node().dump().server.expect("a server")
+}
+
+/// Waits until a condition holds; only a hanging test never returns.
+async fn until(condition: impl AsyncFn() -> bool) {
+    while !condition().await {
+        tokio::time::sleep(POLL_PERIOD).await;
+    }
+}
+
+fn served(answers: &[WholeAnswer]) -> usize {
+    answers
+        .iter()
+        .filter(|answer| answer.status == StatusCode::OK)
+        .count()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refused_requests_did_not_run_and_say_when_to_return() {
+    let fleet = TestFleet::start(configuration(), &[("zone-a", stock(2))]).await;
+    let node = &fleet.nodes[0];
+    node.server
+        .change(|behaviour| behaviour.service_time_ms = 100.0);
+    let answers = join_all((0..40).map(|_| send(node, "/browse", "body"))).await;
+    let refused: Vec<_> = answers.iter().filter_map(refusal_of).collect();
+    assert_eq!(served(&answers) + refused.len(), 40);
+    assert!(refused.len() > 20, "{} refused", refused.len());
+    assert_eq!(node.server.recorder().runs().len(), served(&answers));
+    for answer in answers
+        .iter()
+        .filter(|answer| answer.status != StatusCode::OK)
+    {
+        assert!(answer.headers.contains_key(header::RETRY_AFTER));
+    }
+    for refusal in refused {
+        assert_eq!(refusal.reason, RefusalReason::Overloaded);
+        assert_eq!(refusal.verdict, Verdict::NotRun);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn important_requests_displace_others() {
+    let fleet = TestFleet::start(configuration(), &[("zone-a", stock(2))]).await;
+    let node = &fleet.nodes[0];
+    node.server
+        .change(|behaviour| behaviour.service_time_ms = 50.0);
+    let low = join_all((0..40).map(|_| send(node, "/browse", "low")));
+    let high = async {
+        until(async || server(node).waiting_requests >= 4).await;
+        join_all((0..4).map(|_| send(node, "/stock", "high"))).await
+    };
+    let (low, high) = tokio::join!(low, high);
+    assert_eq!(served(&high), 4);
+    assert!(served(&low) < 40);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusals_by_the_server_lower_the_limit_until_it_recovers() {
+    let fleet = TestFleet::start(configuration(), &[("zone-a", stock(8))]).await;
+    let node = &fleet.nodes[0];
+    let send_some = async || {
+        join_all((0..8).map(|_| send(node, "/stock", "body"))).await;
+    };
+    until(async || {
+        send_some().await;
+        server(node).limit_slots == 8
+    })
+    .await;
+    node.server
+        .change(|behaviour| behaviour.fault = Fault::Shed);
+    until(async || {
+        send_some().await;
+        server(node).limit_slots <= 2
+    })
+    .await;
+    node.server
+        .change(|behaviour| behaviour.fault = Fault::None);
+    until(async || {
+        send_some().await;
+        server(node).limit_slots == 8
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_that_leave_neither_wait_nor_hold_slots() {
+    let fleet = TestFleet::start(configuration(), &[("zone-a", stock(1))]).await;
+    let node = &fleet.nodes[0];
+    node.server
+        .change(|behaviour| behaviour.service_time_ms = 60_000.0);
+    let patience = Duration::from_millis(50);
+    let leave = |_| tokio::time::timeout(patience, send(node, "/stock", "body"));
+    join_all((0..4).map(leave)).await;
+    until(async || {
+        let server = server(node);
+        server.waiting_requests == 0 && server.held_slots == 0
+    })
+    .await;
+}
+
+/// The entry learns from answers that the service behind the first one is overloaded, and refuses
+/// at once what would be refused there.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_refuses_what_a_service_below_would_refuse() {
+    let mut configuration = sample_configuration(&["zone-a"], &["small"], &["price", "stock"]);
+    let mut important = sample_route("quote");
+    important.service = configuration.routes[0].service.clone();
+    important.importance = IMPORTANT;
+    configuration.routes.push(important);
+    let price = ServerPlan {
+        slots: 64,
+        connections: 256,
+        ..ServerPlan::small("price", &["/stock"])
+    };
+    let plans = [("zone-a", price), ("zone-a", stock(1))];
+    let fleet = TestFleet::start(configuration, &plans).await;
+    let stock = &fleet.nodes[1];
+    stock
+        .server
+        .change(|behaviour| behaviour.service_time_ms = 20.0);
+    let refused_at_entry = || stock.daemon.node().dump().refused_at_entry;
+    until(async || {
+        join_all((0..32).map(|_| send(stock, "/price", "low"))).await;
+        refused_at_entry() >= 32
+    })
+    .await;
+    let answer = send(stock, "/quote", "high").await;
+    assert_eq!(answer.status, StatusCode::OK);
+}
