--- a/lib/src/process/gate/floor.rs
+++ b/lib/src/process/gate/floor.rs
@@ -15,8 +15,8 @@
     /// that importance, chosen by a hash of the root request's id.
     ///
     /// All gates use the same hash and so keep or drop the same whole requests. Floors are ordered:
-    /// a higher floor refuses all that a lower one refuses. The text form, used in the
-    /// `balsamfold-floor` header, is the importance, a colon and the cut in hexadecimal digits.
+    /// a higher floor refuses all that a lower one refuses. The text form is the importance, a colon
+    /// and the cut in hexadecimal digits.
     #[derive(Default)]
     pub struct AdmissionFloor {
         /// Requests of lower importance are refused.
@@ -83,8 +83,8 @@
 /// The reason why a text is no admission floor.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum InvalidFloorError {
-    /// There is no colon.
-    #[snafu(display("admission floor has no colon"))]
+    /// A colon is missing.
+    #[snafu(display("admission floor lacks a colon"))]
     Colon,
     /// The importance is no number from 0 to 255.
     #[snafu(display("importance of the admission floor is no number from 0 to 255"))]
--- a/lib/src/process/gate/gate_state.rs
+++ b/lib/src/process/gate/gate_state.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use super::AdaptiveLimit;
-use super::AdmissionFloor;
 use super::Completion;
 use super::DemandMeter;
+use super::FloorNotice;
 use super::Outcome;
 use super::QueueEntry;
 use super::RetryAfter;
@@ -85,7 +85,7 @@
 }
 
 impl GateState {
-    /// Waiting requests for each slot.
+    /// Waiting requests for each slot; all announced slots count while the server is cold.
     const QUEUE_PER_SLOT: usize = 2;
 
     /// Fewest requests that may wait.
@@ -123,8 +123,9 @@
     }
 
     /// Returns the present admission floor.
-    pub fn floor(&self) -> AdmissionFloor {
-        self.demand.floor()
+    pub fn floor(&mut self, now: MonotonicTime) -> FloorNotice {
+        self.close_window(now);
+        self.demand.notice(now)
     }
 
     /// Returns the mean time for which a request holds a slot.
@@ -143,7 +144,7 @@
         request: &EnterRequest,
         now: MonotonicTime,
     ) -> (Entry, Option<GivenUp>) {
-        self.demand.arrived(request.importance, request.root);
+        self.demand.arrived(request);
         self.close_window(now);
         let service_time = self.service_time.mean();
         if self.is_too_late(request) {
@@ -156,7 +157,7 @@
             self.start(&request.organisation, request.rate, now);
             return (Entry::Started, None);
         }
-        if !self.floor().admits(request.importance, request.root) {
+        if !self.demand.admits(request) {
             return (self.refuse(request, RefusalReason::Overloaded, now), None);
         }
         if self.expected_wait(request.importance) + service_time > request.remaining {
@@ -331,7 +332,10 @@
     }
 
     fn queue_bound(&self) -> usize {
-        let slots = self.limit.slots() as usize;
+        let slots = match self.limit.is_ramping() {
+            true => self.limit.announced().0 as usize,
+            false => self.limit.slots() as usize,
+        };
         (slots * Self::QUEUE_PER_SLOT).max(Self::QUEUE_MIN)
     }
 }
--- a/lib/src/process/gate/learnt.rs
+++ b/lib/src/process/gate/learnt.rs
@@ -1,13 +1,18 @@
 //! The admission floors of the services below, learnt from their answers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::AdmissionFloor;
+use super::FloorNotice;
+use super::OrganisationFloor;
+use super::RetryAfter;
+use super::rate_meter::RateMeter;
 use crate::values::Importance;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
+use crate::values::OrganisationId;
 use crate::values::RequestId;
 use crate::values::ServiceId;
 
@@ -19,13 +24,16 @@
     /// The services below would refuse the request, but nothing was heard from them of late.
     Probe,
     /// A service below would refuse the request.
-    Refuse,
+    Refuse {
+        /// When the caller may try again.
+        retry_after_ms: u64,
+    },
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Heard {
-    floor: AdmissionFloor,
-    at: MonotonicTime,
+    notice: FloorNotice,
+    computed_at: MonotonicTime,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -33,32 +41,39 @@
     services: BTreeMap<ServiceId, HashMap<NodeId, Heard>>,
     heard_at: MonotonicTime,
     probed_at: MonotonicTime,
+    passed: RateMeter,
+    retry_after: RetryAfter,
 }
 
 /// The admission floors of the services below, by route.
 ///
 /// Each answer carries the highest floor of its node and of all nodes below it. A route's floor is
 /// the highest over the services that it calls of the lower median over the nodes of a service: a
-/// single overloaded node is left to routing. What was not heard again is forgotten after a second.
+/// single overloaded node is left to routing. A floor is forgotten a second after the gate that set
+/// it computed it. A node keeps one table for the requests that enter at it and one for the onward
+/// calls of its own backend server.
 #[derive(Clone, Debug, Default)]
 pub struct LearntFloors {
     routes: HashMap<String, RouteFloors>,
 }
 
 impl LearntFloors {
-    /// Time after which a floor that was not heard again is forgotten.
+    /// Time after which a floor that was not computed again is forgotten.
     const FRESH: Duration = Duration::from_secs(1);
 
     /// Longest silence on a route before a request goes through as a probe.
     const PROBE_AFTER: Duration = Duration::from_millis(100);
 
+    /// Lowest rate of passed requests by which refused callers are spread.
+    const PASSED_MIN_PER_S: f64 = 1.0;
+
     /// Takes the floor that came with an answer of `node` to a call made for `route`.
     pub fn learn(
         &mut self,
         route: &str,
         service: &ServiceId,
         node: &NodeId,
-        floor: AdmissionFloor,
+        notice: FloorNotice,
         now: MonotonicTime,
     ) {
         if !self.routes.contains_key(route) {
@@ -70,15 +85,32 @@
         floors.heard_at = now;
         let nodes = floors.services.entry(service.clone()).or_default();
         nodes.retain(|_, heard| is_fresh(heard, now));
-        nodes.insert(node.clone(), Heard { floor, at: now });
+        let age_us = u64::from(notice.age_ms) * 1000;
+        let computed_at = MonotonicTime(now.0.saturating_sub(age_us));
+        let heard = Heard {
+            notice,
+            computed_at,
+        };
+        nodes.insert(node.clone(), heard);
     }
 
-    /// Returns the highest floor below this node on `route`.
-    pub fn floor(&self, route: &str, now: MonotonicTime) -> AdmissionFloor {
-        self.routes
-            .get(route)
-            .and_then(|floors| floors.highest(now))
-            .unwrap_or_default()
+    /// Returns the highest floors below this node on `route`, to be passed on.
+    pub fn notice(&self, route: &str, now: MonotonicTime) -> FloorNotice {
+        let Some(floors) = self.routes.get(route) else {
+            return FloorNotice::default();
+        };
+        let named = floors.named(now).into_iter().map(|organisation| {
+            let floor = floors.highest(Some(&organisation), now).floor;
+            OrganisationFloor {
+                organisation,
+                floor,
+            }
+        });
+        let notice = FloorNotice {
+            named: named.collect(),
+            ..floors.highest(None, now)
+        };
+        notice.keep_highest_names()
     }
 
     /// Decides whether a request goes on to the services below.
@@ -86,27 +118,57 @@
         &mut self,
         route: &str,
         importance: Importance,
+        organisation: Option<&OrganisationId>,
         root: RequestId,
         now: MonotonicTime,
     ) -> Admission {
-        let floor = self.floor(route, now);
         match self.routes.get_mut(route) {
-            _ if floor.admits(importance, root) => Admission::Admit,
-            Some(floors) if floors.may_probe(now) => {
-                floors.probed_at = now;
-                Admission::Probe
-            }
-            _ => Admission::Refuse,
+            Some(floors) => floors.check(importance, organisation, root, now),
+            None => Admission::Admit,
         }
     }
 }
 
 impl RouteFloors {
-    fn highest(&self, now: MonotonicTime) -> Option<AdmissionFloor> {
+    fn check(
+        &mut self,
+        importance: Importance,
+        organisation: Option<&OrganisationId>,
+        root: RequestId,
+        now: MonotonicTime,
+    ) -> Admission {
+        let floor = self.highest(organisation, now).floor;
+        if floor.admits(importance, root) {
+            self.passed.count(now);
+            return Admission::Admit;
+        }
+        if self.may_probe(now) {
+            self.probed_at = now;
+            return Admission::Probe;
+        }
+        let passed_per_s = self.passed.per_s(now).max(LearntFloors::PASSED_MIN_PER_S);
+        Admission::Refuse {
+            retry_after_ms: self.retry_after.refused(root, 0, passed_per_s, now),
+        }
+    }
+
+    /// Returns the highest floor for an organisation, over the services called, without names.
+    fn highest(&self, organisation: Option<&OrganisationId>, now: MonotonicTime) -> FloorNotice {
+        self.services
+            .values()
+            .filter_map(|nodes| lower_median(nodes, organisation, now))
+            .fold(FloorNotice::default(), FloorNotice::highest)
+    }
+
+    /// Returns the organisations that any node names.
+    fn named(&self, now: MonotonicTime) -> BTreeSet<OrganisationId> {
         self.services
             .values()
-            .filter_map(|nodes| lower_median(nodes, now))
-            .max()
+            .flat_map(HashMap::values)
+            .filter(|heard| is_fresh(heard, now))
+            .flat_map(|heard| &heard.notice.named)
+            .map(|named| named.organisation.clone())
+            .collect()
     }
 
     fn may_probe(&self, now: MonotonicTime) -> bool {
@@ -115,17 +177,23 @@
     }
 }
 
-fn lower_median(nodes: &HashMap<NodeId, Heard>, now: MonotonicTime) -> Option<AdmissionFloor> {
-    let mut floors: Vec<_> = nodes
+fn lower_median(
+    nodes: &HashMap<NodeId, Heard>,
+    organisation: Option<&OrganisationId>,
+    now: MonotonicTime,
+) -> Option<FloorNotice> {
+    let mut fresh: Vec<_> = nodes
         .values()
         .filter(|heard| is_fresh(heard, now))
-        .map(|heard| heard.floor)
+        .map(|heard| (heard.notice.floor_for(organisation), heard.computed_at))
         .collect();
-    floors.sort_unstable();
-    let middle = floors.len().saturating_sub(1) / 2;
-    floors.get(middle).copied()
+    fresh.sort_unstable();
+    let middle = fresh.len().saturating_sub(1) / 2;
+    let (floor, computed_at) = fresh.get(middle).copied()?;
+    let age_ms = now.since(computed_at).as_millis() as u32;
+    Some(FloorNotice::of(floor, age_ms))
 }
 
 fn is_fresh(heard: &Heard, now: MonotonicTime) -> bool {
-    now.since(heard.at) < LearntFloors::FRESH
+    now.since(heard.computed_at) < LearntFloors::FRESH
 }
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod exit;
 mod forward;
+mod load_control;
 mod local_server;
 mod members;
 mod peer_message;
--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -12,6 +12,7 @@
 use tokio::sync::broadcast;
 
 use super::ProbeSocket;
+use super::load_control::LoadControl;
 use super::local_server::LocalServer;
 use super::rates::NodeRates;
 use crate::connection::ConnectionPool;
@@ -60,6 +61,7 @@
     /// The platform's service.
     pub platform: PlatformClient,
     pub(super) configuration_news: broadcast::Sender<ConfigurationNews>,
+    pub(super) load: LoadControl,
     server: RwLock<Option<Arc<LocalServer>>>,
     peer_pools: Mutex<HashMap<SocketAddr, Arc<ConnectionPool>>>,
     draining: AtomicBool,
@@ -75,6 +77,7 @@
             ..PlatformSettings::new(settings.platform)
         });
         Self {
+            load: LoadControl::new(settings.zone.clone(), clock.now()),
             peer_key: settings.fleet_secret.derive(KeyPurpose::PeerRequest),
             membership: probes.start(&settings, &addresses, &clock),
             settings,
