once: run keyed requests at most once by disjoint windows of mint times

Cause: two homes at once for one key (nodes with different member tables, a home suspected but alive, a pause between check and call, a cut inside the zone) would run an order twice. Each slot's terms own disjoint windows of mint times, given out by one registrar per zone that is fenced by an epoch in the platform. A key lies in one window for good, so safety needs no clock. Records are bounded, expire, and move with the term at a planned stop.

Excluded: time-based leases (a pause after the check runs late), a platform record per request (8,600 writes/s at one keyed call in ten), leases per home (78 renewals/s, stop with the platform).

--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -11,3 +11,6 @@
 pub mod routing;
 pub mod secret;
 pub mod settings;
+pub mod routing;
+pub mod rates;
+pub mod once;
--- /dev/null
+++ b/lib/src/process/once/mod.rs
@@ -0,0 +1,51 @@
+//! Requests that are not idempotent run at most once.
+//!
+//! Each key belongs to a slot of its service in its home zone. The node that holds the slot's
+//! term keeps the records of its keys. [`HeldTerms`] says which keys the node may run,
+//! [`OnceRecords`] remembers what became of those that it ran, and the zone's [`Registrar`]
+//! decides who holds the terms. See `docs/design/at-most-once.md` for the proof.
+
+mod answer;
+mod begin;
+mod handover;
+mod key;
+mod record;
+mod records;
+mod registrar;
+mod slot;
+mod term;
+mod transfer;
+
+pub use self::answer::HeaderLine;
+pub use self::answer::StoredAnswer;
+pub use self::begin::Begin;
+pub use self::begin::KeyedRequest;
+pub use self::begin::Outcome;
+pub use self::handover::HandedRecord;
+pub use self::handover::HandedState;
+pub use self::handover::RunNumber;
+pub use self::handover::SlotHandover;
+pub use self::key::ContentDigest;
+pub use self::key::IdempotencyKey;
+pub use self::key::InvalidIdempotencyKeyError;
+pub use self::key::KeyDigest;
+pub use self::key::MintTime;
+pub use self::records::OnceLimits;
+pub use self::records::OnceRecords;
+pub use self::records::RecordId;
+pub use self::registrar::Registrar;
+pub use self::registrar::RegistrarRecord;
+pub use self::slot::InvalidSlotError;
+pub use self::slot::SlotId;
+pub use self::slot::home_zone;
+pub use self::term::Assignment;
+pub use self::term::HeldTerm;
+pub use self::term::HeldTerms;
+pub use self::term::HomeSession;
+pub use self::term::MintWindow;
+pub use self::term::MoveCount;
+pub use self::term::Renewal;
+pub use self::term::RenewalAnswer;
+pub use self::term::Term;
+pub use self::term::TermClaim;
+pub use self::term::TermMove;
--- /dev/null
+++ b/lib/src/process/once/records.rs
@@ -0,0 +1,324 @@
+//! Records of the keys that this node ran or runs.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use super::Begin;
+use super::HandedRecord;
+use super::KeyDigest;
+use super::KeyedRequest;
+use super::MintTime;
+use super::MintWindow;
+use super::Outcome;
+use super::RunNumber;
+use super::record::Record;
+use super::record::RecordState;
+use crate::request::AttemptCount;
+use crate::values::MonotonicTime;
+use crate::values::OrganisationId;
+
+new_key_type! {
+    /// A record of one idempotency key on this node.
+    pub struct RecordId;
+}
+
+/// Bounds on the memory that records take.
+#[derive(Clone, Debug)]
+pub struct OnceLimits {
+    /// Records of all organisations.
+    pub records_max: usize,
+    /// Records of one organisation.
+    pub organisation_records_max: usize,
+    /// Largest answer that is stored.
+    pub answer_max_bytes: usize,
+    /// All stored answers together. The oldest are dropped first.
+    pub answers_max_bytes: usize,
+    /// Time for which a finished record is kept.
+    pub retention: Duration,
+}
+
+impl Default for OnceLimits {
+    fn default() -> Self {
+        Self {
+            records_max: 32_768,
+            organisation_records_max: 8_192,
+            answer_max_bytes: 16 * 1024,
+            answers_max_bytes: 8 * 1024 * 1024,
+            retention: Duration::from_secs(600),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Expiry {
+    record: RecordId,
+    at: MonotonicTime,
+}
+
+/// The records of one node, with bounds on their memory.
+#[derive(Debug)]
+pub struct OnceRecords {
+    limits: OnceLimits,
+    pub(super) records: SlotMap<RecordId, Record>,
+    pub(super) by_key: HashMap<KeyDigest, RecordId>,
+    organisations: HashMap<OrganisationId, usize>,
+    expiry: VecDeque<Expiry>,
+    answered: VecDeque<RecordId>,
+    answers_bytes: usize,
+    pub(super) expired_before: MintTime,
+}
+
+impl OnceRecords {
+    /// Makes an empty table.
+    pub fn new(limits: OnceLimits) -> Self {
+        Self {
+            limits,
+            records: SlotMap::with_key(),
+            by_key: HashMap::new(),
+            organisations: HashMap::new(),
+            expiry: VecDeque::new(),
+            answered: VecDeque::new(),
+            answers_bytes: 0,
+            expired_before: MintTime::default(),
+        }
+    }
+
+    /// Returns the number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Returns the memory of all stored answers.
+    pub fn answers_bytes(&self) -> usize {
+        self.answers_bytes
+    }
+
+    /// Decides on a request. `window` is that of the term which the node holds of the slot.
+    pub fn begin(
+        &mut self,
+        request: &KeyedRequest,
+        window: Option<MintWindow>,
+        wall: MintTime,
+        now: MonotonicTime,
+    ) -> Begin {
+        self.expire(now);
+        match self.by_key.get(&request.key) {
+            Some(id) => self.begin_known(*id, request),
+            None => self.begin_new(request, window, wall, now),
+        }
+    }
+
+    fn begin_known(&mut self, id: RecordId, request: &KeyedRequest) -> Begin {
+        let record = &mut self.records[id];
+        if record.content != request.content {
+            return Begin::Conflict;
+        }
+        match &record.state {
+            RecordState::Running | RecordState::HandedOverRunning => Begin::Join(id),
+            RecordState::RunningElsewhere | RecordState::MayHaveRun => Begin::MayHaveRun,
+            RecordState::Answered(answer) => Begin::Answered(answer.clone()),
+            RecordState::AnswerNotKept => Begin::AnswerNotKept,
+            RecordState::NotRun => Self::begin_again(id, record),
+        }
+    }
+
+    fn begin_again(id: RecordId, record: &mut Record) -> Begin {
+        let Some(attempts) = record.attempts.0.checked_sub(1) else {
+            return Begin::AttemptsExhausted;
+        };
+        record.attempts = AttemptCount(attempts);
+        record.run = RunNumber(record.run.0 + 1);
+        record.state = RecordState::Running;
+        Begin::Run {
+            record: id,
+            attempts: record.attempts,
+        }
+    }
+
+    fn begin_new(
+        &mut self,
+        request: &KeyedRequest,
+        window: Option<MintWindow>,
+        wall: MintTime,
+        now: MonotonicTime,
+    ) -> Begin {
+        let Some(window) = window else {
+            return Begin::NotHome;
+        };
+        let latest = request.mint.unwrap_or(wall);
+        match self.first_attempt_possible(request, window, wall) {
+            _ if latest >= window.until => Begin::NotYet {
+                retry_after_ms: latest.0 - window.until.0 + 1,
+            },
+            false => Begin::MayHaveRun,
+            true if self.is_full(&request.organisation) => Begin::Full,
+            true => self.insert_running(request, now),
+        }
+    }
+
+    /// Returns whether the request cannot have been run under another term or an expired record.
+    fn first_attempt_possible(
+        &self,
+        request: &KeyedRequest,
+        window: MintWindow,
+        wall: MintTime,
+    ) -> bool {
+        match request.mint {
+            Some(mint) => mint >= window.from && mint >= self.expired_before,
+            None => {
+                let lifetime = self.limits.retention + KeyedRequest::UNDATED_MARGIN;
+                wall.before_ms(lifetime.as_millis() as u64) >= window.from
+                    || window.from == MintTime::default()
+            }
+        }
+    }
+
+    fn is_full(&self, organisation: &OrganisationId) -> bool {
+        let held = self.organisations.get(organisation).copied().unwrap_or(0);
+        self.records.len() >= self.limits.records_max
+            || held >= self.limits.organisation_records_max
+    }
+
+    fn insert_running(&mut self, request: &KeyedRequest, now: MonotonicTime) -> Begin {
+        let id = self.insert(Record {
+            key: request.key,
+            organisation: request.organisation.clone(),
+            slot: request.slot.clone(),
+            mint: request.mint,
+            content: request.content,
+            attempts: request.extra_attempts,
+            run: RunNumber::default(),
+            state: RecordState::Running,
+            expires_at: now,
+        });
+        Begin::Run {
+            record: id,
+            attempts: request.extra_attempts,
+        }
+    }
+
+    pub(super) fn insert(&mut self, record: Record) -> RecordId {
+        let held = self
+            .organisations
+            .entry(record.organisation.clone())
+            .or_default();
+        *held += 1;
+        let key = record.key;
+        let id = self.records.insert(record);
+        self.by_key.insert(key, id);
+        id
+    }
+
+    /// Notes how an attempt ended.
+    ///
+    /// If the record was handed over while the attempt ran, it is returned: its new home needs it.
+    pub fn finish(
+        &mut self,
+        id: RecordId,
+        outcome: Outcome,
+        now: MonotonicTime,
+    ) -> Option<HandedRecord> {
+        let record = self.records.get_mut(id)?;
+        let handed_over = matches!(record.state, RecordState::HandedOverRunning);
+        if let Outcome::NotRun { unspent } = outcome {
+            record.attempts = AttemptCount(unspent.0.min(record.attempts.0));
+        }
+        let state = self.state_of(outcome);
+        self.settle_as(id, state, now);
+        match handed_over {
+            true => self.take_out(id),
+            false => None,
+        }
+    }
+
+    fn state_of(&self, outcome: Outcome) -> RecordState {
+        match outcome {
+            Outcome::NotRun { .. } => RecordState::NotRun,
+            Outcome::MayHaveRun => RecordState::MayHaveRun,
+            Outcome::Answered(answer) if answer.size_bytes() > self.limits.answer_max_bytes => {
+                RecordState::AnswerNotKept
+            }
+            Outcome::Answered(answer) => RecordState::Answered(answer),
+        }
+    }
+
+    pub(super) fn settle_as(&mut self, id: RecordId, state: RecordState, now: MonotonicTime) {
+        if let RecordState::Answered(answer) = &state {
+            self.answers_bytes += answer.size_bytes();
+            self.answered.push_back(id);
+        }
+        let at = now.after(self.limits.retention);
+        let record = &mut self.records[id];
+        record.state = state;
+        record.expires_at = at;
+        self.expiry.push_back(Expiry { record: id, at });
+        self.drop_old_answers();
+    }
+
+    fn drop_old_answers(&mut self) {
+        while self.answers_bytes > self.limits.answers_max_bytes {
+            let Some(id) = self.answered.pop_front() else {
+                return;
+            };
+            if let Some(record) = self.records.get_mut(id) {
+                self.answers_bytes -= record.state.answer_bytes();
+                record.state = match std::mem::replace(&mut record.state, RecordState::MayHaveRun) {
+                    RecordState::Answered(_) => RecordState::AnswerNotKept,
+                    other => other,
+                };
+            }
+        }
+    }
+
+    /// Removes the records whose time has come.
+    ///
+    /// Keys as old as a removed record are answered [`Begin::MayHaveRun`] from then on.
+    pub fn expire(&mut self, now: MonotonicTime) {
+        while self.expiry.front().is_some_and(|entry| entry.at <= now) {
+            if let Some(entry) = self.expiry.pop_front() {
+                self.expire_record(&entry);
+            }
+        }
+        while self.oldest_answer_is_gone() {
+            self.answered.pop_front();
+        }
+    }
+
+    fn expire_record(&mut self, entry: &Expiry) {
+        let Some(record) = self.records.get(entry.record) else {
+            return;
+        };
+        if !record.is_settled() || record.expires_at != entry.at {
+            return;
+        }
+        if let (Some(mint), true) = (record.mint, record.may_have_run()) {
+            self.expired_before = self.expired_before.max(mint.after_ms(1));
+        }
+        self.remove(entry.record);
+    }
+
+    fn oldest_answer_is_gone(&self) -> bool {
+        let oldest = self.answered.front();
+        oldest.is_some_and(|id| !self.records.contains_key(*id))
+    }
+
+    pub(super) fn remove(&mut self, id: RecordId) -> Option<Record> {
+        let record = self.records.remove(id)?;
+        self.by_key.remove(&record.key);
+        self.answers_bytes -= record.state.answer_bytes();
+        if let Some(held) = self.organisations.get_mut(&record.organisation) {
+            *held -= 1;
+        }
+        self.organisations.retain(|_, held| *held > 0);
+        Some(record)
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -25,3 +25,5 @@
 mod test_routing;
 mod test_secret;
 mod test_whole_path;
+mod test_once_records;
+mod test_once_schedules;
