suspects: quarantine requests that crash backend servers

Cause: a request that crashes each server that runs it takes the service down by its resends. Requests in flight at a crash are suspects; the other nodes of the service are told before the failed requests are answered; one named node tries a suspect alone; a second crash quarantines it. Also: verdict_of(progress, failure) gives the verdict at each point of an exchange, used by ExchangeError; at-most-once slots are 4 a service and terms 6 s, so that a registrar's messages stay small.

Copies sent at the same time: no more than the servers that began them, which can be more than two; see the design note.

--- a/lib/src/connection/exchange.rs
+++ b/lib/src/connection/exchange.rs
@@ -7,7 +7,10 @@
 use http::Uri;
 use snafu::Snafu;
 
+use crate::request::ExchangeProgress;
+use crate::request::Failure;
 use crate::request::Verdict;
+use crate::request::verdict_of;
 
 /// A request with its whole body, so that it can be sent more than once.
 #[derive(Clone, Debug)]
@@ -59,9 +62,14 @@
 impl ExchangeError {
     /// Says whether the server's handler may have seen the request.
     pub fn verdict(&self) -> Verdict {
-        match self {
-            Self::NotConnected | Self::NoFreeConnection | Self::NotSent => Verdict::NotRun,
-            Self::Sent | Self::BrokenAnswer | Self::TimedOut => Verdict::MayHaveRun,
-        }
+        let (progress, failure) = match self {
+            Self::NoFreeConnection => (ExchangeProgress::Queued, Failure::TimedOut),
+            Self::NotConnected => (ExchangeProgress::Connecting, Failure::ConnectionRefused),
+            Self::NotSent => (ExchangeProgress::Connected, Failure::ConnectionLost),
+            Self::Sent => (ExchangeProgress::PartlyWritten, Failure::ConnectionLost),
+            Self::TimedOut => (ExchangeProgress::PartlyWritten, Failure::TimedOut),
+            Self::BrokenAnswer => (ExchangeProgress::PartlyAnswered, Failure::AnswerBroken),
+        };
+        verdict_of(progress, failure)
     }
 }
--- a/lib/src/process/once/key.rs
+++ b/lib/src/process/once/key.rs
@@ -102,6 +102,11 @@
         Self(digest_of(&fields))
     }
 
+    /// Hashes what a request asks for together with the organisation that asks.
+    pub(crate) fn of_content(organisation: &OrganisationId, content: ContentDigest) -> Self {
+        Self(digest_of(&[organisation.as_str().as_bytes(), &content.0]))
+    }
+
     /// Returns the first bytes as a number, for choosing by hash.
     pub(crate) fn bits(&self) -> u64 {
         let [a, b, c, d, e, f, g, h, ..] = self.0;
--- a/lib/src/process/once/mod.rs
+++ b/lib/src/process/once/mod.rs
@@ -30,6 +30,7 @@
 pub use self::key::InvalidIdempotencyKeyError;
 pub use self::key::KeyDigest;
 pub use self::key::MintTime;
+pub(crate) use self::key::digest_of;
 pub use self::records::OnceLimits;
 pub use self::records::OnceRecords;
 pub use self::records::RecordId;
--- a/lib/src/process/once/registrar.rs
+++ b/lib/src/process/once/registrar.rs
@@ -98,16 +98,16 @@
 
 impl Registrar {
     /// How far ahead of the present a window ends after a renewal.
-    pub const TERM_AHEAD: Duration = Duration::from_secs(5);
+    pub const TERM_AHEAD: Duration = Duration::from_secs(6);
 
     /// Time between two renewals of a holder.
-    pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
+    pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(3);
 
     /// Time for holders to report to a new registrar before silent ones are replaced.
     pub const REPORT_TIME: Duration = Duration::from_secs(4);
 
     /// A holder that was not heard for this long is replaced.
-    pub const SILENCE_MAX: Duration = Duration::from_secs(6);
+    pub const SILENCE_MAX: Duration = Duration::from_secs(8);
 
     /// Begins with a record that the platform confirmed to hold.
     pub fn new(record: RegistrarRecord) -> Self {
--- a/lib/src/process/once/slot.rs
+++ b/lib/src/process/once/slot.rs
@@ -35,7 +35,7 @@
 
 impl SlotId {
     /// Slots of one service in one zone.
-    pub const PER_SERVICE: u8 = 16;
+    pub const PER_SERVICE: u8 = 4;
 
     /// Returns the slot of a key.
     pub fn of(service: &ServiceId, key: KeyDigest) -> Self {
--- /dev/null
+++ b/lib/src/process/suspects/mod.rs
@@ -0,0 +1,16 @@
+//! Requests that crash the backend servers that run them.
+//!
+//! When a backend server crashes, the requests in flight there become suspects. A suspect runs
+//! on one other node only, alone; if it finishes, it is cleared, and if that server crashes too,
+//! it is quarantined. See `docs/design/crash-suspects.md`.
+
+mod entry;
+mod table;
+
+pub use self::entry::CrashSite;
+pub use self::entry::Fingerprint;
+pub use self::entry::Standing;
+pub use self::entry::SuspectEntry;
+pub use self::entry::Trial;
+pub use self::table::SuspectAdmission;
+pub use self::table::Suspects;
