node: lend attempts, bound retries and onward repeats on the whole path

Cause: the thin path halved a plain counter, retried at once without a bound per service, and did not see retries that a backend server makes on its own. Forwarding now uses AttemptBudget, FailedAttempt with RetryRatio and Backoff; each hop takes its time off the deadline; chains deeper than 16 services are refused at the exit.

Excluded: a pause before every attempt; only retries wait (up to 5 ms at first, with jitter). Result: with every stock server losing its answers, one request makes at most 7 runs of each service of its chain; a lost answer two services deep is retried there, and the upper services run once for each of ten requests.

--- a/lib/src/process/node/answer.rs
+++ b/lib/src/process/node/answer.rs
@@ -10,6 +10,7 @@
 use crate::connection::FLOOR_HEADER;
 use crate::connection::UNSPENT_HEADER;
 use crate::connection::WholeAnswer;
+use crate::request::AttemptCount;
 use crate::request::Refusal;
 use crate::request::refusal_response;
 
@@ -19,7 +20,7 @@
     /// The answer or refusal.
     pub(super) outcome: Result<WholeAnswer, Refusal>,
     /// Extra attempts that the request below did not use.
-    pub(super) unspent_attempts: u32,
+    pub(super) unspent_attempts: AttemptCount,
 }
 
 /// Makes the response for a caller or for the backend server beside this node.
--- a/lib/src/process/node/entry.rs
+++ b/lib/src/process/node/entry.rs
@@ -21,6 +21,10 @@
 use crate::connection::read_body;
 use crate::connection::strip_connection_headers;
 use crate::connection::strip_system_headers;
+use crate::request::AttemptBudget;
+use crate::request::AttemptCount;
+use crate::request::ChainDepth;
+use crate::request::Deadline;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::values::OrganisationId;
@@ -53,19 +57,20 @@
         return Err(Refusal::not_run(RefusalReason::Draining));
     }
     check_idempotency_key(route, request.headers())?;
-    let deadline_at = node.clock.now().after(Duration::from_millis(deadline_ms));
+    let limit = Duration::from_millis(deadline_ms);
+    let deadline = Deadline::within(node.clock.now(), limit);
     let mut request = whole_request(node, request).await?;
     request.headers.remove(header::AUTHORIZATION);
     strip_system_headers(&mut request.headers);
-    let extra_attempts = Mutex::new(route.extra_attempts);
+    let extra_attempts = Mutex::new(AttemptBudget::new(AttemptCount(route.extra_attempts)));
     let outbound = Outbound {
         route,
         request,
         root: RequestId(rand::random()),
         organisation,
         importance: route.importance,
-        deadline_at,
-        depth: 0,
+        deadline,
+        depth: ChainDepth::default(),
         extra_attempts: &extra_attempts,
     };
     forward(node, outbound).await
--- a/lib/src/process/node/exit.rs
+++ b/lib/src/process/node/exit.rs
@@ -16,7 +16,10 @@
 use super::forward::forward;
 use crate::connection::HANDLE_HEADER;
 use crate::connection::WholeAnswer;
+use crate::connection::WholeRequest;
 use crate::connection::strip_system_headers;
+use crate::request::CallEnd;
+use crate::request::CallHash;
 use crate::request::Handle;
 use crate::request::InFlight;
 use crate::request::Refusal;
@@ -46,17 +49,37 @@
         .ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute))?;
     let mut request = whole_request(node, request).await?;
     strip_system_headers(&mut request.headers);
+    let depth = parent.context.depth.onward().map_err(Refusal::not_run)?;
+    let call = begin_onward(&parent, &request)?;
     let outbound = Outbound {
         route,
         request,
         root: parent.context.root,
         organisation: parent.context.organisation.clone(),
         importance: parent.context.importance,
-        deadline_at: parent.deadline_at,
-        depth: parent.context.depth + 1,
+        deadline: parent.deadline,
+        depth,
         extra_attempts: &parent.extra_attempts,
     };
-    forward(node, outbound).await
+    let outcome = forward(node, outbound).await;
+    let end = match &outcome {
+        Ok(_) => CallEnd::Answered,
+        Err(_) => CallEnd::Failed,
+    };
+    parent.onward_calls.lock().end(call, end);
+    outcome
+}
+
+/// Admits an onward call; one that repeats a failed or running call is an extra attempt.
+fn begin_onward(parent: &InFlight, request: &WholeRequest) -> Result<CallHash, Refusal> {
+    let uri = request.uri.to_string();
+    let call = CallHash::of(request.method.as_str(), &uri, &request.body);
+    let mut onward_calls = parent.onward_calls.lock();
+    let mut attempts = parent.extra_attempts.lock();
+    onward_calls
+        .begin(call, &mut attempts)
+        .map_err(Refusal::not_run)?;
+    Ok(call)
 }
 
 fn parent(node: &Node, headers: &HeaderMap) -> Option<Arc<InFlight>> {
--- a/lib/src/process/node/forward.rs
+++ b/lib/src/process/node/forward.rs
@@ -16,18 +16,21 @@
 use crate::connection::WholeAnswer;
 use crate::connection::WholeRequest;
 use crate::process::membership::NodeRecord;
+use crate::request::AttemptBudget;
+use crate::request::AttemptCount;
 use crate::request::AttemptId;
+use crate::request::ChainDepth;
+use crate::request::Deadline;
+use crate::request::FailedAttempt;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::request::RequestContext;
 use crate::request::Verdict;
 use crate::request::refusal_of;
 use crate::values::Importance;
-use crate::values::MonotonicTime;
 use crate::values::NodeId;
 use crate::values::OrganisationId;
 use crate::values::RequestId;
-use crate::version::Repeatability;
 use crate::version::Route;
 
 /// A request on its way to a service.
@@ -43,11 +46,11 @@
     /// Rank of the root request.
     pub(super) importance: Importance,
     /// When the request runs out of time.
-    pub(super) deadline_at: MonotonicTime,
+    pub(super) deadline: Deadline,
     /// Calls in the chain above this one.
-    pub(super) depth: u8,
+    pub(super) depth: ChainDepth,
     /// Attempts beyond the first, shared with the other calls of the same parent.
-    pub(super) extra_attempts: &'a Mutex<u32>,
+    pub(super) extra_attempts: &'a Mutex<AttemptBudget>,
 }
 
 /// Passes a request to a node of its service until an attempt gives a final answer.
@@ -55,16 +58,33 @@
     node: &Arc<Node>,
     outbound: Outbound<'_>,
 ) -> Result<WholeAnswer, Refusal> {
+    let service = &outbound.route.service;
     let mut tried: Vec<NodeId> = Vec::new();
     let mut verdict = Verdict::NotRun;
+    node.retries.on_first_attempt(service);
     loop {
         let refusal = match attempt(node, &outbound, &mut tried).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
         verdict = verdict.max(refusal.verdict);
-        if !may_try_again(&outbound, &refusal) || !spend_attempt(outbound.extra_attempts) {
-            return Err(Refusal { verdict, ..refusal });
+        let refusal = Refusal { verdict, ..refusal };
+        if !another_may_help(refusal.reason) {
+            return Err(refusal);
+        }
+        let failed = FailedAttempt {
+            verdict,
+            repeatability: outbound.route.repeatability,
+            earlier_retries: tried.len().saturating_sub(1) as u32,
+            deadline: outbound.deadline,
+        };
+        let now = node.clock.now();
+        match node
+            .retries
+            .retry(service, &failed, outbound.extra_attempts, now)
+        {
+            Ok(wait) => tokio::time::sleep(wait).await,
+            Err(_) => return Err(refusal),
         }
     }
 }
@@ -74,20 +94,20 @@
     outbound: &Outbound<'_>,
     tried: &mut Vec<NodeId>,
 ) -> Result<WholeAnswer, Refusal> {
-    let remaining = outbound.deadline_at.since(node.clock.now());
-    if remaining.is_zero() {
-        return Err(Refusal::not_run(RefusalReason::DeadlineExceeded));
-    }
+    let remaining_us = outbound
+        .deadline
+        .for_next_hop(node.clock.now())
+        .map_err(Refusal::not_run)?;
     let destination = choose(node, outbound, tried)?;
     tried.push(destination.id.clone());
-    let lent_attempts = lend_attempts(outbound.extra_attempts);
+    let loan = outbound.extra_attempts.lock().lend();
     let context = RequestContext {
         root: outbound.root,
         attempt: AttemptId::random(),
         organisation: outbound.organisation.clone(),
         importance: outbound.importance,
-        remaining_us: remaining.as_micros() as u64,
-        extra_attempts: lent_attempts,
+        remaining_us,
+        extra_attempts: loan.lent(),
         depth: outbound.depth,
     };
     let request = outbound.request.clone();
@@ -96,7 +116,9 @@
     } else {
         send(node, &destination, context, request).await
     };
-    *outbound.extra_attempts.lock() += answer.unspent_attempts.min(lent_attempts);
+    let mut attempts = outbound.extra_attempts.lock();
+    attempts.take_back(loan, answer.unspent_attempts);
+    drop(attempts);
     answer.outcome
 }
 
@@ -129,7 +151,7 @@
 ) -> NodeAnswer {
     let attempt = context.attempt;
     let lent_attempts = context.extra_attempts;
-    let limit = Duration::from_micros(context.remaining_us);
+    let limit = Duration::from_micros(context.remaining_us.0);
     let signed = match peer_message::sign(&node.peer_key, &destination.id, &context, request) {
         Ok(signed) => signed,
         Err(refusal) => return lost(refusal, lent_attempts),
@@ -139,7 +161,10 @@
         Ok(answer) if header(&answer, ATTEMPT_HEADER) == Some(attempt) => received(answer),
         Ok(answer) => match refusal_of(&answer) {
             Some(refusal) => lost(refusal, lent_attempts),
-            None => lost(Refusal::may_have_run(RefusalReason::BadAnswer), 0),
+            None => lost(
+                Refusal::may_have_run(RefusalReason::BadAnswer),
+                AttemptCount(0),
+            ),
         },
         Err(error) => {
             let refusal = Refusal {
@@ -149,7 +174,7 @@
             };
             let unspent = match refusal.verdict {
                 Verdict::NotRun => lent_attempts,
-                Verdict::MayHaveRun | Verdict::Ran => 0,
+                Verdict::MayHaveRun | Verdict::Ran => AttemptCount(0),
             };
             lost(refusal, unspent)
         }
@@ -157,7 +182,7 @@
 }
 
 fn received(answer: WholeAnswer) -> NodeAnswer {
-    let unspent_attempts = header(&answer, UNSPENT_HEADER).unwrap_or(0);
+    let unspent_attempts = header(&answer, UNSPENT_HEADER).unwrap_or_default();
     let outcome = match refusal_of(&answer) {
         Some(refusal) => Err(refusal),
         None => Ok(answer),
@@ -168,7 +193,7 @@
     }
 }
 
-fn lost(refusal: Refusal, unspent_attempts: u32) -> NodeAnswer {
+fn lost(refusal: Refusal, unspent_attempts: AttemptCount) -> NodeAnswer {
     NodeAnswer {
         outcome: Err(refusal),
         unspent_attempts,
@@ -179,35 +204,13 @@
     answer.headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
-/// Takes half of the extra attempts for one call.
-fn lend_attempts(extra_attempts: &Mutex<u32>) -> u32 {
-    let mut extra_attempts = extra_attempts.lock();
-    let lent = *extra_attempts / 2;
-    *extra_attempts -= lent;
-    lent
-}
-
-fn spend_attempt(extra_attempts: &Mutex<u32>) -> bool {
-    let mut extra_attempts = extra_attempts.lock();
-    let left = extra_attempts.checked_sub(1);
-    *extra_attempts = left.unwrap_or(0);
-    left.is_some()
-}
-
-/// Returns whether another attempt is allowed after `refusal` and can help.
-fn may_try_again(outbound: &Outbound<'_>, refusal: &Refusal) -> bool {
-    let can_help = matches!(
-        refusal.reason,
+/// Returns whether an attempt at another node can help after a refusal for `reason`.
+fn another_may_help(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
         RefusalReason::Overloaded
             | RefusalReason::Draining
             | RefusalReason::NoServer
             | RefusalReason::BadAnswer
-    );
-    match refusal.verdict {
-        Verdict::NotRun => can_help,
-        Verdict::MayHaveRun => {
-            can_help && outbound.route.repeatability == Repeatability::Idempotent
-        }
-        Verdict::Ran => false,
-    }
+    )
 }
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -10,6 +10,7 @@
 mod forward;
 mod local_server;
 mod peer_message;
+mod retries;
 mod serve;
 mod shared;
 
--- a/lib/src/process/node/serve.rs
+++ b/lib/src/process/node/serve.rs
@@ -1,7 +1,5 @@
 //! The gate: runs a request on the backend server beside this node.
 
-use std::time::Duration;
-
 use http::HeaderValue;
 use parking_lot::Mutex;
 use volo_http::request::Request;
@@ -19,10 +17,12 @@
 use crate::connection::WholeAnswer;
 use crate::connection::WholeRequest;
 use crate::connection::strip_system_headers;
+use crate::request::AttemptBudget;
 use crate::request::AttemptId;
-use crate::request::DEPTH_MAX;
+use crate::request::Deadline;
 use crate::request::Handle;
 use crate::request::InFlight;
+use crate::request::OnwardCalls;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::request::RequestContext;
@@ -56,9 +56,6 @@
         outcome: Err(refusal),
         unspent_attempts: lent_attempts,
     };
-    if context.depth >= DEPTH_MAX {
-        return refused(Refusal::not_run(RefusalReason::TooDeep));
-    }
     let Some(server) = node.server() else {
         return refused(Refusal::not_run(RefusalReason::NoServer));
     };
@@ -66,15 +63,17 @@
         Ok(permit) => permit,
         Err(refusal) => return refused(refusal),
     };
-    let remaining = Duration::from_micros(context.remaining_us);
+    let now = node.clock.now();
+    let deadline = Deadline::starting(now, context.remaining_us);
     let guard = node.in_flight.add(InFlight {
-        deadline_at: node.clock.now().after(remaining),
-        extra_attempts: Mutex::new(lent_attempts),
+        deadline,
+        extra_attempts: Mutex::new(AttemptBudget::new(lent_attempts)),
+        onward_calls: Mutex::new(OnwardCalls::default()),
         context,
     });
     let handle = guard.handle();
     let request = with_handle(request, &handle);
-    let result = server.pool.exchange(request, remaining).await;
+    let result = server.pool.exchange(request, deadline.remaining(now)).await;
     drop(permit);
     let outcome = match result {
         Ok(answer) => checked_answer(answer, &handle),
@@ -84,7 +83,7 @@
             retry_after_ms: None,
         }),
     };
-    let unspent_attempts = *guard.request().extra_attempts.lock();
+    let unspent_attempts = guard.request().extra_attempts.lock().remaining();
     NodeAnswer {
         outcome,
         unspent_attempts,
@@ -120,7 +119,7 @@
         Ok(whole) => whole,
         Err(refusal) => refusal_response(&refusal),
     };
-    let unspent = HeaderValue::from(answer.unspent_attempts);
+    let unspent = HeaderValue::from(answer.unspent_attempts.0);
     whole.headers.insert(UNSPENT_HEADER, unspent);
     if let Ok(value) = HeaderValue::try_from(attempt.to_string()) {
         whole.headers.insert(ATTEMPT_HEADER, value);
--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -10,6 +10,7 @@
 use parking_lot::RwLock;
 
 use super::local_server::LocalServer;
+use super::retries::Retries;
 use crate::connection::ConnectionPool;
 use crate::connection::PoolLimits;
 use crate::process::membership::MemberTable;
@@ -44,6 +45,7 @@
     /// Requests on the backend server beside this node.
     pub in_flight: Arc<InFlightTable>,
     pub(super) peer_key: DerivedKey,
+    pub(super) retries: Retries,
     version: RwLock<Option<Arc<Configuration>>>,
     members: RwLock<Arc<MemberTable>>,
     server: RwLock<Option<Arc<LocalServer>>>,
@@ -60,6 +62,7 @@
             addresses,
             clock: Clock::start(),
             in_flight: Arc::default(),
+            retries: Retries::new(rand::random()),
             version: RwLock::default(),
             members: RwLock::default(),
             server: RwLock::default(),
--- a/lib/src/request/attempts.rs
+++ b/lib/src/request/attempts.rs
@@ -7,6 +7,9 @@
 //! counted twice, and the extra attempts of the whole tree never exceed the number of its root.
 
 use std::collections::HashMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 
 use super::RefusalReason;
 
@@ -83,6 +86,15 @@
     CallHash(u64)
 }
 
+impl CallHash {
+    /// Hashes the method, the path with its query, and the body of a call.
+    pub fn of(method: &str, path_and_query: &str, body: &[u8]) -> Self {
+        let mut hasher = DefaultHasher::new();
+        (method, path_and_query, body).hash(&mut hasher);
+        Self(hasher.finish())
+    }
+}
+
 plain_value! {
     /// How an onward call ended, as far as repeats of it are concerned.
     pub enum CallEnd {
--- a/lib/src/request/context.rs
+++ b/lib/src/request/context.rs
@@ -3,13 +3,13 @@
 use std::fmt;
 use std::str::FromStr;
 
+use super::AttemptCount;
+use super::ChainDepth;
+use super::RemainingUs;
 use crate::values::Importance;
 use crate::values::OrganisationId;
 use crate::values::RequestId;
 
-/// Most calls in a chain, the caller's own included.
-pub const DEPTH_MAX: u8 = 32;
-
 plain_value! {
     /// Identifies one attempt at a request, so that its answer is told from those of others.
     #[serde(transparent)]
@@ -51,10 +51,10 @@
         /// Rank of the root request.
         pub importance: Importance,
         /// Time that the request may still take.
-        pub remaining_us: u64,
+        pub remaining_us: RemainingUs,
         /// Attempts beyond the first that the tree below this request may make.
-        pub extra_attempts: u32,
+        pub extra_attempts: AttemptCount,
         /// Calls in the chain above this one.
-        pub depth: u8,
+        pub depth: ChainDepth,
     }
 }
--- a/lib/src/request/deadline.rs
+++ b/lib/src/request/deadline.rs
@@ -9,8 +9,8 @@
 use crate::values::MonotonicTime;
 
 number_type! {
-    /// Time that a request has left when it is sent to the next node.
-    RemainingMs(u64)
+    /// Microseconds that a request has left when it is sent to the next node.
+    RemainingUs(u64)
 }
 
 /// The point in time, by this node's clock, at which a request is given up.
@@ -23,10 +23,20 @@
     /// Time that each hop takes off for the way there and back.
     pub const HOP: Duration = Duration::from_millis(4);
 
+    /// Least time with which a call is worth sending.
+    pub const USEFUL_MIN: Duration = Duration::from_millis(1);
+
     /// Starts the clock for a request that came with `remaining` time.
-    pub fn starting(now: MonotonicTime, remaining: RemainingMs) -> Self {
+    pub fn starting(now: MonotonicTime, remaining: RemainingUs) -> Self {
+        Self {
+            at: now.after(Duration::from_micros(remaining.0)),
+        }
+    }
+
+    /// Starts the clock for a request that may take `limit`.
+    pub fn within(now: MonotonicTime, limit: Duration) -> Self {
         Self {
-            at: now.after(Duration::from_millis(remaining.0)),
+            at: now.after(limit),
         }
     }
 
@@ -48,11 +58,11 @@
     /// Returns the time that a call to another node gets, less what the hop takes.
     ///
     /// Fails with [`RefusalReason::DeadlineExceeded`] when less than a millisecond would be left.
-    pub fn for_next_hop(&self, now: MonotonicTime) -> Result<RemainingMs, RefusalReason> {
+    pub fn for_next_hop(&self, now: MonotonicTime) -> Result<RemainingUs, RefusalReason> {
         let left = self.remaining(now).saturating_sub(Self::HOP);
-        match left.as_millis() as u64 {
-            0 => Err(RefusalReason::DeadlineExceeded),
-            left_ms => Ok(RemainingMs(left_ms)),
+        match left {
+            left if left < Self::USEFUL_MIN => Err(RefusalReason::DeadlineExceeded),
+            left => Ok(RemainingUs(left.as_micros() as u64)),
         }
     }
 
--- a/lib/src/request/in_flight.rs
+++ b/lib/src/request/in_flight.rs
@@ -5,10 +5,12 @@
 use parking_lot::Mutex;
 use slotmap::SlotMap;
 
+use super::AttemptBudget;
+use super::Deadline;
 use super::Handle;
+use super::OnwardCalls;
 use super::RequestContext;
 use super::handle::InFlightKey;
-use crate::values::MonotonicTime;
 
 /// A request that runs on the backend server beside this node.
 #[derive(Debug)]
@@ -16,9 +18,11 @@
     /// What the previous node told about the request.
     pub context: RequestContext,
     /// When the request runs out of time.
-    pub deadline_at: MonotonicTime,
+    pub deadline: Deadline,
     /// Attempts beyond the first that onward calls may still make.
-    pub extra_attempts: Mutex<u32>,
+    pub extra_attempts: Mutex<AttemptBudget>,
+    /// The onward calls so far. Taken before the lock on the attempts.
+    pub onward_calls: Mutex<OnwardCalls>,
 }
 
 #[derive(Debug)]
--- a/lib/tests/test_attempts.rs
+++ b/lib/tests/test_attempts.rs
@@ -12,7 +12,7 @@
 use balsamfold::request::FailedAttempt;
 use balsamfold::request::OnwardCalls;
 use balsamfold::request::RefusalReason;
-use balsamfold::request::RemainingMs;
+use balsamfold::request::RemainingUs;
 use balsamfold::request::RetryRatio;
 use balsamfold::request::Verdict;
 use balsamfold::values::MonotonicTime;
@@ -236,7 +236,7 @@
         verdict,
         repeatability,
         earlier_retries: 0,
-        deadline: Deadline::starting(MonotonicTime(0), RemainingMs(1000)),
+        deadline: Deadline::starting(MonotonicTime(0), RemainingUs(1_000_000)),
     };
     failed
         .retry(
@@ -266,7 +266,7 @@
         verdict: Verdict::NotRun,
         repeatability: Repeatability::Idempotent,
         earlier_retries: 0,
-        deadline: Deadline::starting(MonotonicTime(0), RemainingMs(1000)),
+        deadline: Deadline::starting(MonotonicTime(0), RemainingUs(1_000_000)),
     };
     let mut rng = StdRng::seed_from_u64(1);
     let mut budget = AttemptBudget::new(AttemptCount(1));
@@ -284,11 +284,11 @@
 
 #[test]
 fn each_hop_takes_its_time_off_the_deadline() {
-    let deadline = Deadline::starting(MonotonicTime(0), RemainingMs(100));
+    let deadline = Deadline::starting(MonotonicTime(0), RemainingUs(100_000));
     let now = MonotonicTime(20_000);
-    let hop_ms = Deadline::HOP.as_millis() as u64;
+    let hop_us = Deadline::HOP.as_micros() as u64;
     assert_eq!(deadline.remaining(now), Duration::from_millis(80));
-    assert_eq!(deadline.for_next_hop(now), Ok(RemainingMs(80 - hop_ms)));
+    assert_eq!(deadline.for_next_hop(now), Ok(RemainingUs(80_000 - hop_us)));
     assert_eq!(
         deadline.for_next_hop(MonotonicTime(96_500)),
         Err(RefusalReason::DeadlineExceeded)
--- /dev/null
+++ b/lib/tests/test_node_attempts.rs
@@ -0,0 +1,74 @@
+//! Attempts of one request over a chain of running nodes.
+
+use http::StatusCode;
+use testutils::backend_server::Fault;
+use testutils::backend_server::ServerPlan;
+use testutils::fleet::TestFleet;
+use testutils::fleet::post;
+use testutils::fleet::sample_configuration;
+use testutils::fleet::sample_key;
+
+const SERVICES: [&str; 3] = ["order", "price", "stock"];
+const EXTRA_ATTEMPTS: usize = 6;
+
+/// Two servers for each service of a chain.
+async fn doubled_chain() -> TestFleet {
+    let mut plans = Vec::new();
+    for _ in 0..2 {
+        plans.push(("zone-a", ServerPlan::small("order", &["/price"])));
+        plans.push(("zone-a", ServerPlan::small("price", &["/stock"])));
+        plans.push(("zone-a", ServerPlan::small("stock", &[])));
+    }
+    let configuration = sample_configuration(&["zone-a"], &["small"], &SERVICES);
+    TestFleet::start(configuration, &plans).await
+}
+
+fn runs_of(fleet: &TestFleet, path: &str) -> usize {
+    fleet
+        .nodes
+        .iter()
+        .flat_map(|node| node.server.recorder().runs())
+        .filter(|run| run.path == path)
+        .count()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_answers_deep_in_a_chain_never_cost_more_than_the_attempts_of_the_root() {
+    let fleet = doubled_chain().await;
+    for node in &fleet.nodes {
+        node.server
+            .change(|behaviour| behaviour.fault = Fault::LoseAnswer);
+    }
+    let request = post("/order", Some(&sample_key("small")), &[], "request");
+    let answer = fleet.nodes[0].caller.send(request).await.unwrap();
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    let firsts = 1;
+    assert!(runs_of(&fleet, "/order") <= firsts + EXTRA_ATTEMPTS);
+    assert!(runs_of(&fleet, "/stock") <= firsts + EXTRA_ATTEMPTS);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lost_answer_deep_in_a_chain_is_retried_there() {
+    let fleet = doubled_chain().await;
+    let stocks: Vec<_> = fleet
+        .nodes
+        .iter()
+        .filter(|node| node_is(node, "stock"))
+        .collect();
+    stocks[0]
+        .server
+        .change(|behaviour| behaviour.fault = Fault::LoseAnswer);
+    for number in 0..10 {
+        let body = format!("request-{number}");
+        let request = post("/order", Some(&sample_key("small")), &[], &body);
+        let answer = fleet.nodes[0].caller.send(request).await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(runs_of(&fleet, "/order"), 10);
+    assert_eq!(runs_of(&fleet, "/price"), 10);
+}
+
+fn node_is(node: &testutils::fleet::TestNode, service: &str) -> bool {
+    let settings = &node.daemon.node().settings;
+    settings.service.as_str() == service
+}
