--- a/lib/src/process/node/forward.rs
+++ b/lib/src/process/node/forward.rs
@@ -54,6 +54,8 @@
 }
 
 /// Passes a request to a node of its service until an attempt gives a final answer.
+///
+/// When no further node is left to try, the refusal is that of the last one tried.
 pub(super) async fn forward(
     node: &Arc<Node>,
     outbound: Outbound<'_>,
@@ -61,15 +63,21 @@
     let service = &outbound.route.service;
     let mut tried: Vec<NodeId> = Vec::new();
     let mut verdict = Verdict::NotRun;
+    let mut earlier: Option<Refusal> = None;
     node.retries.on_first_attempt(service);
     loop {
+        let tried_before = tried.len();
         let refusal = match attempt(node, &outbound, &mut tried).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
         verdict = verdict.max(refusal.verdict);
-        let refusal = Refusal { verdict, ..refusal };
-        if !another_may_help(refusal.reason) {
+        let refusal = match earlier {
+            Some(earlier) if tried.len() == tried_before => earlier,
+            _ => Refusal { verdict, ..refusal },
+        };
+        earlier = Some(refusal.clone());
+        if tried.len() == tried_before || !another_may_help(refusal.reason) {
             return Err(refusal);
         }
         let failed = FailedAttempt {
