--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod test_attempts;
 mod test_change;
+mod test_configuration_spread;
 mod test_events;
 mod test_folder;
 mod test_gate;
