--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -15,6 +15,7 @@
 use super::load_control::LoadControl;
 use super::local_server::LocalServer;
 use super::rates::NodeRates;
+use super::retries::Retries;
 use crate::connection::ConnectionPool;
 use crate::connection::PoolLimits;
 use crate::process::configuration::ConfigurationNews;
@@ -56,6 +57,7 @@
     /// The other nodes.
     pub membership: Membership,
     pub(super) peer_key: DerivedKey,
+    pub(super) retries: Retries,
     /// The configuration in force.
     pub configuration: ConfigurationHolder,
     /// The platform's service.
@@ -84,6 +86,7 @@
             addresses,
             clock,
             in_flight: Arc::default(),
+            retries: Retries::new(rand::random()),
             configuration: ConfigurationHolder::new(),
             platform,
             configuration_news: broadcast::Sender::new(NEWS_QUEUE_MAX),
