membership: one node of a zone keeps its seed list

The platform's key for seeds holds one value for each zone, so two slots written each minute by two nodes did not fit it. The live node with the lowest hash of its id writes the three lowest, and only after a change.

--- a/lib/src/process/membership/seeds.rs
+++ b/lib/src/process/membership/seeds.rs
@@ -1,76 +1,59 @@
-//! Which nodes keep a seed record in the platform's service.
+//! Which addresses a zone keeps in the platform's service, and which node writes them.
 //!
-//! New nodes find the fleet through seed records and through addresses in their settings. Two nodes
-//! of each zone keep one, so the calls to the platform do not grow with the number of nodes.
+//! New nodes find the fleet through these and through addresses in their settings. One node of each
+//! zone writes a list of a few, and only when the list changes: the calls to the platform do not
+//! grow with the number of nodes.
 
-use std::time::Duration;
+use std::net::SocketAddr;
 
 use super::MemberTable;
 use super::NodeCondition;
 use super::NodeRecord;
-use crate::values::MonotonicTime;
 use crate::values::NodeId;
 
-/// Seed records that each zone keeps.
-pub const SEEDS_PER_ZONE: usize = 2;
-
-/// Age at which a seed writes its record again.
-pub const SEED_REFRESH_INTERVAL: Duration = Duration::from_secs(60);
-
-number_type! {
-    /// The place of a seed record within its zone, from 0 to [`SEEDS_PER_ZONE`] - 1.
-    SeedSlot(u8)
-}
+/// Most seeds of a zone.
+pub const SEEDS_PER_ZONE: usize = 3;
 
 plain_data! {
-    /// What the platform's service holds for one seed.
+    /// A node that new nodes may ask for the others.
     #[derive(Eq)]
     pub struct SeedRecord {
-        /// The node that wrote the record.
+        /// The node.
         pub node: NodeId,
         /// Where the node answers membership datagrams.
-        pub probe: std::net::SocketAddr,
+        pub probe: SocketAddr,
     }
 }
 
-/// The last write of a seed record by this node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SeedWrite {
-    /// The slot that was written.
-    pub slot: SeedSlot,
-    /// When it was written.
-    pub time: MonotonicTime,
+plain_data! {
+    /// The seeds of a zone, as the platform's service holds them.
+    #[derive(Eq)]
+    pub struct SeedList {
+        /// At most [`SEEDS_PER_ZONE`] nodes.
+        pub seeds: Vec<SeedRecord>,
+    }
 }
 
-/// Returns the seed slot of this node in its zone, if it is one of the zone's seeds.
+/// Returns the list that this node keeps for its zone, or none if another node does.
 ///
-/// All nodes with the same table agree: the seeds are the live nodes of the zone with the lowest
-/// hashes of their ids.
-pub fn seed_slot(own: &NodeRecord, table: &MemberTable) -> Option<SeedSlot> {
-    let rank_of = |id: &NodeId| *blake3::hash(id.as_str().as_bytes()).as_bytes();
-    let own_rank = rank_of(&own.id);
-    let rivals = table
+/// The seeds are the live nodes of the zone with the lowest hashes of their ids, and the first of
+/// them writes the list: all nodes with the same table agree.
+pub fn seed_list(own: &NodeRecord, table: &MemberTable) -> Option<SeedList> {
+    let mut zone: Vec<_> = table
         .nodes()
-        .filter(|record| record.zone == own.zone && record.id != own.id)
+        .filter(|record| record.zone == own.zone)
         .filter(|record| record.condition == NodeCondition::Alive)
-        .filter(|record| rank_of(&record.id) < own_rank)
-        .count();
-    match own.condition {
-        NodeCondition::Alive if rivals < SEEDS_PER_ZONE => Some(SeedSlot(rivals as u8)),
-        _ => None,
-    }
+        .collect();
+    zone.sort_by_cached_key(|record| rank(&record.id));
+    let seeds = zone.iter().take(SEEDS_PER_ZONE).map(|record| SeedRecord {
+        node: record.id.clone(),
+        probe: record.addresses.probe,
+    });
+    let seeds: Vec<_> = seeds.collect();
+    let is_writer = seeds.first().is_some_and(|first| first.node == own.id);
+    is_writer.then_some(SeedList { seeds })
 }
 
-/// Returns the slot that this node should write now, if any.
-pub fn seed_write_due(
-    own: &NodeRecord,
-    table: &MemberTable,
-    last: Option<SeedWrite>,
-    now: MonotonicTime,
-) -> Option<SeedSlot> {
-    let slot = seed_slot(own, table)?;
-    match last {
-        Some(write) if write.slot == slot && now.since(write.time) < SEED_REFRESH_INTERVAL => None,
-        _ => Some(slot),
-    }
+fn rank(id: &NodeId) -> [u8; blake3::OUT_LEN] {
+    *blake3::hash(id.as_str().as_bytes()).as_bytes()
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -19,6 +19,7 @@
 mod test_membership_merge;
 mod test_membership_node;
 mod test_membership_nodes;
+mod test_membership_seeds;
 mod test_planned_stop;
 mod test_platform;
 mod test_rates;
