--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -25,6 +25,7 @@
 mod test_once_records;
 mod test_once_schedules;
 mod test_overload;
+mod test_membership_seeds;
 mod test_planned_stop;
 mod test_platform;
 mod test_rates;
