--- a/lib/src/process/node/dump.rs
+++ b/lib/src/process/node/dump.rs
@@ -1,10 +1,14 @@
 //! The whole state of a node on request, for operators.
 
+use std::sync::Arc;
+
 use super::Announcement;
 use super::Node;
 use crate::process::gate::FloorNotice;
+use crate::process::membership::MembershipCounters;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeRecord;
+use crate::process::rates::HolderRecord;
 use crate::values::ConfigVersion;
 use crate::values::NodeId;
 use crate::values::ZoneId;
@@ -30,8 +34,14 @@
         pub in_flight_requests: usize,
         /// Requests of callers that were refused because a service below would have refused them.
         pub refused_at_entry: u64,
+        /// Whether the node holds the rates of its zone.
+        pub holds_rates: bool,
+        /// The holder of the zone's rates, as the platform's record last named it to this node.
+        pub rate_holder: Option<HolderRecord>,
         /// All known nodes.
         pub members: Vec<NodeRecord>,
+        /// Membership datagrams since the start.
+        pub membership: MembershipCounters,
     }
 }
 
@@ -55,7 +65,7 @@
 
 impl Node {
     /// Returns what the node knows and does.
-    pub fn dump(&self) -> NodeDump {
+    pub fn dump(self: &Arc<Self>) -> NodeDump {
         let configuration = self.configuration().ok();
         NodeDump {
             node: self.settings.node.clone(),
@@ -74,7 +84,10 @@
             }),
             in_flight_requests: self.in_flight.len(),
             refused_at_entry: self.load.refused_at_entry(),
+            holds_rates: self.holds_rates(),
+            rate_holder: self.rates().service.known_holder(),
             members: self.members().nodes().cloned().collect(),
+            membership: self.membership.counters(),
         }
     }
 }
--- a/lib/src/process/node/entry.rs
+++ b/lib/src/process/node/entry.rs
@@ -28,13 +28,10 @@
 use crate::values::RequestId;
 use crate::version::Access;
 use crate::version::CallerKey;
-use crate::version::Configuration;
+use crate::version::IndexedConfiguration;
 use crate::version::Repeatability;
 use crate::version::Route;
 
-/// Longest time that the body of a request may take to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 const BEARER_PREFIX: &str = "Bearer ";
 
 /// Answers a request of a caller from outside.
@@ -44,7 +41,7 @@
 }
 
 async fn enter(node: &Arc<Node>, request: Request) -> Result<WholeAnswer, Refusal> {
-    let configuration = node.configuration()?;
+    let configuration = node.indexed_configuration()?;
     let route = configuration
         .route_of(request.uri().path())
         .ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute))?;
@@ -54,6 +51,13 @@
         return Err(Refusal::not_run(RefusalReason::Draining));
     }
     check_idempotency_key(route, request.headers())?;
+    // Checked before the rate: a request that is shed takes no token.
+    let root = RequestId(rand::random());
+    node.load
+        .check_entry(route, organisation.as_ref(), root, node.clock.now())?;
+    if let Some(organisation) = &organisation {
+        node.rates().client.admit(organisation).await?;
+    }
     let deadline_at = node.clock.now().after(Duration::from_millis(deadline_ms));
     let mut request = whole_request(node, request).await?;
     request.headers.remove(header::AUTHORIZATION);
@@ -62,7 +66,7 @@
     let outbound = Outbound {
         route,
         request,
-        root: RequestId(rand::random()),
+        root,
         organisation,
         importance: route.importance,
         deadline_at,
@@ -70,14 +74,14 @@
         extra_attempts: &extra_attempts,
         origin: Origin::Caller,
     };
-    node.load.check_entry(&outbound, node.clock.now())?;
     forward(node, outbound).await
 }
 
 /// Reads a request whole, without the headers that concern one connection only.
 pub(super) async fn whole_request(node: &Node, request: Request) -> Result<WholeRequest, Refusal> {
     let (mut parts, body) = request.into_parts();
-    let body = read_body(body, node.settings.body_bytes_max, BODY_TIMEOUT)
+    let limit = Duration::from_millis(node.settings.client_timeout_ms);
+    let body = read_body(body, node.settings.body_bytes_max, limit)
         .await
         .map_err(|error| match error {
             BodyError::TooLarge { .. } => Refusal::not_run(RefusalReason::BodyTooLarge),
@@ -100,7 +104,7 @@
 
 /// Finds the organisation for which a request runs.
 fn organisation(
-    configuration: &Configuration,
+    configuration: &IndexedConfiguration,
     route: &Route,
     headers: &HeaderMap,
 ) -> Result<Option<OrganisationId>, Refusal> {
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod announcement;
 mod answer;
+mod configuration;
 mod daemon;
 mod dump;
 mod entry;
@@ -10,7 +11,10 @@
 mod forward;
 mod load_control;
 mod local_server;
+mod members;
 mod peer_message;
+mod rate_role;
+mod rates;
 mod serve;
 mod shared;
 
@@ -21,4 +25,5 @@
 pub use self::daemon::StartError;
 pub use self::dump::NodeDump;
 pub use self::dump::ServerDump;
+pub use self::members::ProbeSocket;
 pub use self::shared::Node;
--- a/testutils/src/rate_fleet/fleet.rs
+++ b/testutils/src/rate_fleet/fleet.rs
@@ -36,7 +36,7 @@
 use super::node::WaitingRequest;
 
 /// Asks that wait for loans are decided again after this time.
-const LOAN_PATIENCE_US: u64 = 10_100;
+const LOAN_PATIENCE_US: u64 = 25_100;
 
 /// How messages fare, in parts of 1,000.
 #[derive(Clone, Copy, Debug, Default)]
@@ -119,6 +119,8 @@
     pub waited: u64,
     /// Messages about tokens that were sent.
     pub messages: u64,
+    /// The same by kind.
+    pub messages_by_kind: BTreeMap<&'static str, u64>,
     /// Their bytes as JSON.
     pub json_bytes: u64,
     /// The messages about tokens that each node sent or was sent.
@@ -314,7 +316,7 @@
                     organisation: organisation.clone(),
                 };
                 self.nodes[node].waiting.push_back(request);
-                self.schedule(self.now_us + 50_000, Event::GiveUp(node, id));
+                self.schedule(self.now_us + 250_000, Event::GiveUp(node, id));
             }
         }
         self.ask_if_needed(node, &organisation);
@@ -397,6 +399,11 @@
         if message.is_about_tokens() {
             let bytes = message.json_bytes();
             self.tally.messages += 1;
+            *self
+                .tally
+                .messages_by_kind
+                .entry(message.kind())
+                .or_default() += 1;
             self.tally.json_bytes += bytes;
             for end in [from, to] {
                 self.tally.messages_by_node[end] += 1;
@@ -476,7 +483,7 @@
             self.nodes[node].lease.epoch_seen(ask.epoch);
         }
         if !self.become_holder(node) {
-            return self.answer(node, from, &ask, Answer::NotHolder);
+            return self.answer(node, from, &ask, Answer::NotHolder(None));
         }
         let holder = self.nodes[node].holder.as_mut();
         let reply = holder.expect("the node holds the role").ask(&ask, now);
@@ -520,7 +527,7 @@
         let waiting = std::mem::take(&mut self.nodes[node].waiting_asks);
         for WaitingAsk { from, ask } in waiting {
             if !self.become_holder(node) {
-                self.answer(node, from, &ask, Answer::NotHolder);
+                self.answer(node, from, &ask, Answer::NotHolder(None));
                 continue;
             }
             let holder = self.nodes[node].holder.as_mut();
