--- a/lib/benches/key_lookup.rs
+++ b/lib/benches/key_lookup.rs
@@ -14,8 +14,6 @@
 use balsamfold::version::KeyState;
 use balsamfold::version::Organisation;
 use criterion::Criterion;
-use criterion::criterion_group;
-use criterion::criterion_main;
 use uuid::Uuid;
 
 fn configuration(keys: usize) -> Configuration {
@@ -65,5 +63,8 @@
     }
 }
 
-criterion_group!(benches, key_lookup);
-criterion_main!(benches);
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    key_lookup(&mut criterion);
+    criterion.final_summary();
+}
