--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -10,11 +10,12 @@
 use parking_lot::RwLock;
 use tokio::sync::broadcast;
 
+use super::ProbeSocket;
 use super::local_server::LocalServer;
 use crate::connection::ConnectionPool;
 use crate::connection::PoolLimits;
 use crate::process::configuration::ConfigurationNews;
-use crate::process::membership::MemberTable;
+use crate::process::membership::Membership;
 use crate::process::membership::NodeAddresses;
 use crate::process::platform::PlatformClient;
 use crate::process::platform::PlatformSettings;
@@ -47,59 +48,52 @@
     pub clock: Clock,
     /// Requests on the backend server beside this node.
     pub in_flight: Arc<InFlightTable>,
+    /// The other nodes.
+    pub membership: Membership,
     pub(super) peer_key: DerivedKey,
     /// The configuration in force.
     pub configuration: ConfigurationHolder,
     /// The platform's service.
     pub platform: PlatformClient,
     pub(super) configuration_news: broadcast::Sender<ConfigurationNews>,
-    members: RwLock<Arc<MemberTable>>,
     server: RwLock<Option<Arc<LocalServer>>>,
     peer_pools: Mutex<HashMap<SocketAddr, Arc<ConnectionPool>>>,
     draining: AtomicBool,
 }
 
 impl Node {
-    /// Makes a node that has no configuration, no members and no backend server yet.
-    pub fn new(settings: NodeSettings, addresses: NodeAddresses) -> Self {
+    /// Makes a node that has no configuration and no backend server yet.
+    pub fn new(settings: NodeSettings, addresses: NodeAddresses, probes: ProbeSocket) -> Self {
+        let clock = Clock::start();
         let platform = PlatformClient::new(&PlatformSettings {
             zone: Some(settings.zone.clone()),
             ..PlatformSettings::new(settings.platform)
         });
         Self {
             peer_key: settings.fleet_secret.derive(KeyPurpose::PeerRequest),
+            membership: probes.start(&settings, &addresses, &clock),
             settings,
             addresses,
-            clock: Clock::start(),
+            clock,
             in_flight: Arc::default(),
             configuration: ConfigurationHolder::new(),
             platform,
             configuration_news: broadcast::Sender::new(NEWS_QUEUE_MAX),
-            members: RwLock::default(),
             server: RwLock::default(),
             peer_pools: Mutex::default(),
             draining: AtomicBool::new(false),
         }
     }
 
-    /// Returns the known nodes.
-    pub fn members(&self) -> Arc<MemberTable> {
-        Arc::clone(&self.members.read())
-    }
-
-    /// Replaces the known nodes.
-    pub fn set_members(&self, members: Arc<MemberTable>) {
-        *self.members.write() = members;
-    }
-
     /// Returns the backend server beside this node while it is announced.
     pub(super) fn server(&self) -> Option<Arc<LocalServer>> {
         self.server.read().clone()
     }
 
-    /// Replaces the backend server beside this node.
+    /// Replaces the backend server beside this node, and tells the fleet.
     pub(super) fn set_server(&self, server: Option<Arc<LocalServer>>) {
         *self.server.write() = server;
+        self.publish_server();
     }
 
     /// Returns the kept connections to another node.
@@ -127,8 +121,9 @@
         self.draining.load(Ordering::Relaxed)
     }
 
-    /// Begins a planned stop; returns whether it had not begun before.
+    /// Begins a planned stop and tells the fleet; returns whether it had not begun before.
     pub fn start_draining(&self) -> bool {
+        self.membership.leave();
         !self.draining.swap(true, Ordering::Relaxed)
     }
 }
