--- a/lib/src/process/node/configuration.rs
+++ b/lib/src/process/node/configuration.rs
@@ -97,11 +97,20 @@
         }
     }
 
-    fn watches_platform(&self) -> bool {
+    /// Returns whether the node is one of those of its zone that watch the platform's service.
+    pub(super) fn watches_platform(&self) -> bool {
         let Self { settings, .. } = self;
         !self.is_draining() && watches_platform(&settings.node, &settings.zone, &self.members())
     }
 
+    /// Returns the control address of a node that has a newer configuration, if one is known.
+    fn hinted_node(&self) -> Option<SocketAddr> {
+        let hint = self.membership.config_hint()?;
+        let members = self.members();
+        let hinted = members.node(&hint.node)?;
+        Some(hinted.addresses.control)
+    }
+
     fn some_nodes(&self, count: usize) -> Vec<SocketAddr> {
         choose_nodes(
             &self.settings.node,
@@ -169,21 +178,33 @@
     }
 }
 
-/// Asks other nodes for a newer configuration: on news at once, else one node now and then.
+/// Asks other nodes for a newer configuration: on news at once, on a hint of membership soon, else
+/// one node now and then.
 async fn ask_nodes(node: Arc<Node>) {
     let mut news = node.configuration_news.subscribe();
     loop {
-        let asked = match timeout(ask_pause(&node), news.recv()).await {
-            Ok(Ok(told)) if told.version > node.configuration.version() => Some(told.control),
-            Ok(Ok(_)) => None,
-            Ok(Err(_)) | Err(_) => node.some_nodes(1).pop(),
-        };
-        if let Some(asked) = asked {
-            fetch(&node, asked).await;
+        match timeout(ask_pause(&node), news.recv()).await {
+            Ok(Ok(told)) if told.version > node.configuration.version() => {
+                fetch(&node, told.control).await;
+            }
+            Ok(Ok(_)) => {}
+            Ok(Err(_)) | Err(_) => ask_one(&node).await,
         }
     }
 }
 
+/// Asks the node that membership names as newer, and if that brings nothing, a random one.
+async fn ask_one(node: &Node) {
+    let before = node.configuration.version();
+    if let Some(hinted) = node.hinted_node() {
+        fetch(node, hinted).await;
+    }
+    match node.some_nodes(1).pop() {
+        Some(other) if node.configuration.version() == before => fetch(node, other).await,
+        Some(_) | None => {}
+    }
+}
+
 /// Returns the time until the next question, with a random part.
 fn ask_pause(node: &Node) -> Duration {
     let period = match node.configuration.version() {
@@ -210,8 +231,10 @@
 async fn tell_nodes(node: Arc<Node>) {
     let mut versions: watch::Receiver<ConfigVersion> = node.configuration.subscribe();
     while versions.changed().await.is_ok() {
+        let version = *versions.borrow_and_update();
+        node.membership.set_config(version);
         let news = ConfigurationNews {
-            version: *versions.borrow_and_update(),
+            version,
             control: node.addresses.control,
         };
         let told = node.some_nodes(NEWS_FANOUT);
--- a/lib/src/process/node/dump.rs
+++ b/lib/src/process/node/dump.rs
@@ -5,6 +5,7 @@
 use crate::process::membership::MembershipCounters;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeRecord;
+use crate::process::platform::CallCounts;
 use crate::values::ConfigVersion;
 use crate::values::NodeId;
 use crate::values::ZoneId;
@@ -24,6 +25,10 @@
         pub draining: bool,
         /// The configuration in force.
         pub config_version: Option<ConfigVersion>,
+        /// Whether the node is one of those of its zone that watch the platform's service.
+        pub watches_platform: bool,
+        /// Calls to the platform's service since the start.
+        pub platform_calls: CallCounts,
         /// The backend server beside the node.
         pub server: Option<ServerDump>,
         /// Requests that run on the backend server.
@@ -56,6 +61,8 @@
             uptime_ms: self.clock.now().0 / 1_000,
             draining: self.is_draining(),
             config_version: configuration.map(|configuration| configuration.version),
+            watches_platform: self.watches_platform(),
+            platform_calls: self.platform.counts(),
             server: self.server().map(|server| ServerDump {
                 announcement: server.announcement.clone(),
                 open_connections: server.pool.open_connections(),
