--- a/lib/src/process/rates/holder.rs
+++ b/lib/src/process/rates/holder.rs
@@ -30,6 +30,9 @@
 /// Tokens for this much of the expected demand are borrowed ahead.
 const BORROW_AHEAD: Duration = Duration::from_millis(100);
 
+/// Holders that expect to need fewer tokens than this borrow only for requests that wait.
+const MIN_BORROW_AHEAD_TOKENS: u64 = 4;
+
 /// A lender keeps tokens for this much of its own zone's expected demand.
 const LENDER_RESERVE: Duration = Duration::from_millis(50);
 
@@ -299,6 +302,7 @@
                 tokens: part.tokens,
                 lifetime_us: part.lifetime.as_micros() as u64,
             })),
+            None if ask.waiting_tokens.0 == 0 => Some(Answer::NoneAhead),
             None if ask.purpose == AskPurpose::Spend && account.awaits_loan(now) => None,
             None => Some(Answer::Dry(Dry {
                 zone: self.settings.zone.clone(),
@@ -316,10 +320,10 @@
         let granted = taken.map_or(0, |part| part.tokens.0);
         let missing = ask.waiting_tokens.0.saturating_sub(granted);
         let wanted = account.loan_wanted(missing, now);
-        let zones = account.lenders_to_ask(now);
+        let zones = account.lenders_to_ask(wanted, self.last_ask.0, now);
         let each = wanted.div_ceil((zones.len() as u64).max(1));
         let mut asks = Vec::new();
-        for lender in zones.into_iter().filter(|_| wanted > 0) {
+        for lender in zones {
             let id = self.last_ask.next();
             self.last_ask = id;
             account
@@ -409,7 +413,10 @@
     }
 
     fn loan_wanted(&self, missing_tokens: u64, now: MonotonicTime) -> u64 {
-        let ahead = self.demand.expected(BORROW_AHEAD, now).0;
+        let ahead = match self.demand.expected(BORROW_AHEAD, now) {
+            TokenCount(few) if few < MIN_BORROW_AHEAD_TOKENS => 0,
+            TokenCount(ahead) => ahead,
+        };
         let stock = self.stock_tokens(now);
         match stock {
             _ if missing_tokens > 0 => missing_tokens + ahead,
@@ -417,12 +424,17 @@
         }
     }
 
-    fn lenders_to_ask(&self, now: MonotonicTime) -> Vec<ZoneId> {
+    /// Returns at most one lender for each wanted token. `turn` changes which come first.
+    fn lenders_to_ask(&self, wanted_tokens: u64, turn: u64, now: MonotonicTime) -> Vec<ZoneId> {
         let lenders = self.lenders.iter();
-        lenders
+        let mut zones: Vec<_> = lenders
             .filter(|(_, lender)| lender.can_be_asked(now))
             .map(|(zone, _)| zone.clone())
-            .collect()
+            .collect();
+        let first = turn as usize % zones.len().max(1);
+        zones.rotate_left(first);
+        zones.truncate(usize::try_from(wanted_tokens).unwrap_or(usize::MAX));
+        zones
     }
 
     fn awaits_loan(&self, now: MonotonicTime) -> bool {
--- a/lib/src/process/rates/local.rs
+++ b/lib/src/process/rates/local.rs
@@ -32,6 +32,9 @@
 /// Tokens are asked for ahead to last this long.
 const PREFETCH_FOR: Duration = Duration::from_millis(200);
 
+/// A node that was given no tokens ahead asks for none for this time.
+const PREFETCH_PAUSE: Duration = Duration::from_millis(50);
+
 /// Nodes that expect to need fewer tokens than this ask for each when a request needs it.
 const MIN_PREFETCH_TOKENS: u64 = 4;
 
@@ -100,6 +103,8 @@
     demand: Demand,
     open: Option<OpenAsk>,
     dry: Option<DryWord>,
+    /// Tokens are not asked for ahead before this time.
+    prefetch_from: MonotonicTime,
     lifetime: Duration,
 }
 
@@ -225,6 +230,10 @@
                 *seen = dry.epoch;
                 self.accept_dry(organisation, dry, now);
             }
+            Answer::NoneAhead => {
+                let account = self.account(organisation, now);
+                account.prefetch_from = now.after(PREFETCH_PAUSE);
+            }
             _ => self.is_silent(open.zone, now),
         }
     }
@@ -324,6 +333,7 @@
             demand: Demand::new(now),
             open: None,
             dry: None,
+            prefetch_from: now,
             lifetime: MIN_BATCH_LIFETIME,
         }
     }
@@ -341,8 +351,9 @@
         let target = self.demand.expected(span, now).0;
         let soon = self.demand.expected(REFILL_BEFORE, now).0;
         let is_dry = self.dry.is_some_and(|dry| now < dry.holds_until);
+        let is_pausing = is_dry || now < self.prefetch_from;
         match left {
-            _ if is_dry || target < MIN_PREFETCH_TOKENS => TokenCount(0),
+            _ if is_pausing || target < MIN_PREFETCH_TOKENS => TokenCount(0),
             _ if waiting.0 == 0 && left > soon.max(target / REFILL_DIVISOR) => TokenCount(0),
             _ => TokenCount(target.saturating_sub(left)),
         }
--- a/lib/src/process/rates/messages.rs
+++ b/lib/src/process/rates/messages.rs
@@ -162,8 +162,10 @@
     pub enum Answer {
         /// Tokens, perhaps fewer than asked for.
         Grant(Grant),
-        /// No token.
+        /// No token for requests that wait.
         Dry(Dry),
+        /// No request waits, and there are no tokens to spare for later ones.
+        NoneAhead,
         /// The asked node does not hold the zone's rates.
         NotHolder,
     }
--- a/lib/tests/test_rates_demand.rs
+++ b/lib/tests/test_rates_demand.rs
@@ -47,7 +47,7 @@
     "workshop".parse().expect("the name is valid")
 }
 
-fn fleet(seed: u64, organisation: Organisation) -> RateFleet {
+fn fleet(seed: u64, lending: Lending, organisation: Organisation) -> RateFleet {
     RateFleet::new(FleetSettings {
         seed,
         zone_count: ZONES,
@@ -55,7 +55,7 @@
         link: Link::default(),
         drift_ppm: 0,
         new_holder: NewHolder::Empty,
-        lending: Lending::On,
+        lending,
         organisations: vec![organisation],
     })
 }
@@ -103,38 +103,49 @@
     planned
 }
 
-/// Returns the planned requests and the times after a shift at which requests were refused.
-fn refusals(rate_per_s: u32, burst_tokens: u64, where_from: Place, seed: u64) -> (usize, Vec<u64>) {
-    let organisation = organisation(rate_per_s, burst_tokens);
+/// Returns how many requests were refused, and after how much of each shift.
+fn refusals(
+    organisation: &Organisation,
+    lending: Lending,
+    where_from: Place,
+    seed: u64,
+) -> Vec<u64> {
     let until_us = WARM_UP_US + 24 * SECOND_US;
-    let mut fleet = fleet(seed, organisation.clone());
-    let planned = plan_conforming_load(&mut fleet, &organisation, where_from, seed, until_us);
+    let mut fleet = fleet(seed, lending, organisation.clone());
+    let planned = plan_conforming_load(&mut fleet, organisation, where_from, seed, until_us);
     fleet.run_until(until_us + SECOND_US);
+    let admitted = fleet.tally.admitted_us.remove(&id()).unwrap_or_default();
     let refused = fleet.tally.refused_us.remove(&id()).unwrap_or_default();
-    (
-        planned,
-        refused
-            .into_iter()
-            .map(|at_us| at_us % SHIFT_EVERY_US)
-            .collect(),
-    )
+    assert_eq!(admitted.len() + refused.len(), planned);
+    let after_shift = refused.into_iter().map(|at_us| at_us % SHIFT_EVERY_US);
+    after_shift.collect()
 }
 
 #[test]
 fn requests_within_the_rate_are_not_refused() {
     for (rate_per_s, burst_tokens) in [(400, 400), (100, 200), (40, 20), (20, 80)] {
+        let organisation = organisation(rate_per_s, burst_tokens);
         for where_from in [
             Place::Everywhere,
             Place::OneZoneAtATime,
             Place::OneNodeAtATime,
         ] {
             for seed in 0..3 {
-                let (planned, refused) = refusals(rate_per_s, burst_tokens, where_from, seed);
-                eprintln!(
-                    "{rate_per_s} {burst_tokens} {where_from:?} {seed}: {} of {planned}, {refused:?}",
-                    refused.len()
+                let refused = refusals(&organisation, Lending::On, where_from, seed);
+                assert_eq!(
+                    refused,
+                    Vec::<u64>::new(),
+                    "{organisation:?} {where_from:?} seed {seed}"
                 );
             }
         }
     }
 }
+
+#[test]
+fn without_lending_demand_that_moves_is_refused() {
+    let organisation = organisation(100, 200);
+    let refused = refusals(&organisation, Lending::Off, Place::OneZoneAtATime, 0);
+    let a_second_later = refused.iter().filter(|after_us| **after_us > SECOND_US);
+    assert!(a_second_later.count() > 0);
+}
