rates: client and holder service over plain state machines

Requests that need a token share one ask; an ask that finds no token waits for loans for at most 12 ms. The first holder of a zone has no batches of an earlier holder to wait for. Removed organisations keep their account until no token of theirs is outstanding.

--- /dev/null
+++ b/lib/src/process/rates/client.rs
@@ -0,0 +1,245 @@
+//! Admits requests on a node: spends its tokens and asks holders for more.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use super::ASK_TIMEOUT;
+use super::Answer;
+use super::AskTarget;
+use super::LocalTokens;
+use super::ReportTarget;
+use super::Spend;
+use crate::request::Refusal;
+use crate::request::RefusalReason;
+use crate::values::Clock;
+use crate::values::Incarnation;
+use crate::values::NodeId;
+use crate::values::OrganisationId;
+use crate::values::TokenCount;
+use crate::values::ZoneId;
+use crate::version::Configuration;
+
+/// Time between two rounds of reports.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Longest time that a request waits for a token. It spans two asks, to the holder of the own zone
+/// and to that of another.
+const WAIT_MAX: Duration = Duration::from_millis(60);
+
+/// When a caller may try again if no holder can be reached.
+const RETRY_WITHOUT_HOLDER_MS: u64 = 1_000;
+
+/// Sends messages to the holders of zones.
+pub struct HolderCalls {
+    /// Sends an ask. Gives none if the holder did not answer.
+    pub ask: Box<dyn Fn(AskTarget) -> BoxFuture<'static, Option<Answer>> + Send + Sync>,
+    /// Sends a report, which may get lost.
+    pub report: Box<dyn Fn(ReportTarget) -> BoxFuture<'static, ()> + Send + Sync>,
+}
+
+impl fmt::Debug for HolderCalls {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("HolderCalls")
+    }
+}
+
+/// Requests of one organisation that wait for a token.
+#[derive(Debug, Default)]
+struct Waiting {
+    tokens: u64,
+    wake: Arc<Notify>,
+}
+
+/// What the lock protects. It is held for single steps only.
+#[derive(Debug)]
+struct ClientState {
+    tokens: LocalTokens,
+    waiting: BTreeMap<OrganisationId, Waiting>,
+}
+
+/// Admits requests on a node.
+///
+/// A request that finds a token does not wait. The others wait for one ask that they share.
+#[derive(Debug)]
+pub struct RateClient {
+    zone: ZoneId,
+    clock: Clock,
+    calls: HolderCalls,
+    state: Mutex<ClientState>,
+}
+
+impl RateClient {
+    /// Starts without tokens.
+    pub fn new(
+        node: NodeId,
+        incarnation: Incarnation,
+        zone: ZoneId,
+        clock: Clock,
+        calls: HolderCalls,
+    ) -> Self {
+        Self {
+            state: Mutex::new(ClientState {
+                tokens: LocalTokens::new(node, incarnation, vec![zone.clone()]),
+                waiting: BTreeMap::new(),
+            }),
+            zone,
+            clock,
+            calls,
+        }
+    }
+
+    /// Takes in the zones and organisations of a configuration.
+    pub fn configure(&self, configuration: &Configuration) {
+        let others = configuration.zones.keys();
+        let others = others.filter(|zone| **zone != self.zone).cloned();
+        let zones = std::iter::once(self.zone.clone()).chain(others).collect();
+        let organisations = &configuration.organisations;
+        let mut state = self.state.lock();
+        state.tokens.set_zones(zones);
+        state.tokens.retain(|id| organisations.contains_key(id));
+        state.waiting.retain(|id, _| organisations.contains_key(id));
+    }
+
+    /// Spends a token on a request of `organisation`, or refuses it.
+    pub async fn admit(self: &Arc<Self>, organisation: &OrganisationId) -> Result<(), Refusal> {
+        let spend = self
+            .state
+            .lock()
+            .tokens
+            .arrive(organisation, self.clock.now());
+        let outcome = match spend {
+            Spend::NeedsTokens => self.wait_for_token(organisation).await,
+            spend => spend,
+        };
+        self.ask_if_needed(organisation);
+        match outcome {
+            Spend::Admitted => Ok(()),
+            Spend::Refused { retry_after } => Err(refusal(
+                RefusalReason::RateExceeded,
+                retry_after.as_millis() as u64,
+            )),
+            Spend::NeedsTokens | Spend::Unreachable => Err(refusal(
+                RefusalReason::RateHolderUnreachable,
+                RETRY_WITHOUT_HOLDER_MS,
+            )),
+        }
+    }
+
+    /// Sends the reports that are due, until the future is dropped.
+    pub async fn run(self: Arc<Self>) {
+        let mut period = tokio::time::interval(TICK);
+        loop {
+            period.tick().await;
+            let reports = self.state.lock().tokens.tick(self.clock.now());
+            for report in reports {
+                tokio::spawn((self.calls.report)(report));
+            }
+        }
+    }
+
+    /// Gives all tokens back before a planned stop.
+    pub async fn give_up_all(&self) {
+        let reports = self.state.lock().tokens.give_up_all(self.clock.now());
+        let sent = reports
+            .into_iter()
+            .map(|report| (self.calls.report)(report));
+        futures::future::join_all(sent).await;
+    }
+
+    async fn wait_for_token(self: &Arc<Self>, organisation: &OrganisationId) -> Spend {
+        let waiting = WaitingGuard::start(self, organisation);
+        let spent = self.spend_when_woken(organisation, &waiting.wake);
+        let spent = tokio::time::timeout(WAIT_MAX, spent);
+        spent.await.unwrap_or(Spend::NeedsTokens)
+    }
+
+    async fn spend_when_woken(
+        self: &Arc<Self>,
+        organisation: &OrganisationId,
+        wake: &Notify,
+    ) -> Spend {
+        loop {
+            let woken = wake.notified();
+            tokio::pin!(woken);
+            woken.as_mut().enable();
+            let spend = self
+                .state
+                .lock()
+                .tokens
+                .spend(organisation, self.clock.now());
+            if spend != Spend::NeedsTokens {
+                return spend;
+            }
+            self.ask_if_needed(organisation);
+            woken.await;
+        }
+    }
+
+    /// Sends an ask if one is due. Its answer wakes all requests that wait.
+    fn ask_if_needed(self: &Arc<Self>, organisation: &OrganisationId) {
+        let target = {
+            let mut state = self.state.lock();
+            let waiting = state.waiting.get(organisation);
+            let tokens = TokenCount(waiting.map_or(0, |waiting| waiting.tokens));
+            let now = self.clock.now();
+            state.tokens.begin_ask(organisation, tokens, now)
+        };
+        if let Some(target) = target {
+            let client = Arc::clone(self);
+            let organisation = organisation.clone();
+            tokio::spawn(async move { client.ask(&organisation, target).await });
+        }
+    }
+
+    async fn ask(self: &Arc<Self>, organisation: &OrganisationId, target: AskTarget) {
+        let id = target.ask.id;
+        let answer = tokio::time::timeout(ASK_TIMEOUT, (self.calls.ask)(target)).await;
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        match answer.ok().flatten() {
+            Some(answer) => state.tokens.answered(organisation, id, &answer, now),
+            None => state.tokens.unanswered(organisation, id, now),
+        }
+        if let Some(waiting) = state.waiting.get(organisation) {
+            waiting.wake.notify_waiters();
+        }
+    }
+}
+
+/// Counts a request that waits, until it has an outcome or its caller leaves.
+struct WaitingGuard<'a> {
+    client: &'a RateClient,
+    organisation: &'a OrganisationId,
+    wake: Arc<Notify>,
+}
+
+impl<'a> WaitingGuard<'a> {
+    fn start(client: &'a RateClient, organisation: &'a OrganisationId) -> Self {
+        let mut state = client.state.lock();
+        let waiting = state.waiting.entry(organisation.clone()).or_default();
+        waiting.tokens += 1;
+        Self {
+            client,
+            organisation,
+            wake: Arc::clone(&waiting.wake),
+        }
+    }
+}
+
+impl Drop for WaitingGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(waiting) = self.client.state.lock().waiting.get_mut(self.organisation) {
+            waiting.tokens = waiting.tokens.saturating_sub(1);
+        }
+    }
+}
+
+fn refusal(reason: RefusalReason, retry_after_ms: u64) -> Refusal {
+    Refusal::not_run(reason).retry_after_ms(retry_after_ms)
+}
--- a/lib/src/process/rates/holder.rs
+++ b/lib/src/process/rates/holder.rs
@@ -19,6 +19,7 @@
 use super::Settlement;
 use super::TakenPart;
 use super::ZoneShare;
+use super::lease::FIRST_EPOCH;
 use super::lender::Lender;
 use crate::values::Epoch;
 use crate::values::MonotonicTime;
@@ -105,15 +106,18 @@
 
 impl Holder {
     /// Makes a holder that has just taken over. All its buckets are empty, and they stay empty until
-    /// every batch of the holder before has ended.
+    /// every batch of the holder before has ended. The first holder of a zone has none before it.
     pub fn new(settings: HolderSettings, now: MonotonicTime) -> Self {
         Self {
+            unknown_until: match settings.epoch {
+                FIRST_EPOCH => now,
+                _ => now.after(MAX_BATCH_LIFETIME),
+            },
             accounts: BTreeMap::new(),
             next_batch: BatchId(0),
             last_ask: AskId::start_of_life(settings.epoch.0),
             settings,
             lender_epochs: BTreeMap::new(),
-            unknown_until: now.after(MAX_BATCH_LIFETIME),
         }
     }
 
@@ -148,9 +152,16 @@
             .collect();
     }
 
-    /// Forgets organisations that `keep` does not name.
-    pub fn retain(&mut self, keep: impl Fn(&OrganisationId) -> bool) {
-        self.accounts.retain(|organisation, _| keep(organisation));
+    /// Mints no more for organisations that `keep` does not name, and forgets them when none of
+    /// their tokens is outstanding.
+    pub fn retain(&mut self, keep: impl Fn(&OrganisationId) -> bool, now: MonotonicTime) {
+        for (_, account) in self.accounts.iter_mut().filter(|(id, _)| !keep(id)) {
+            account.bucket.set_share(ZoneShare::NONE, now);
+        }
+        let is_needed = |id: &OrganisationId, account: &Account| {
+            keep(id) || account.bucket.outstanding() > TokenCount(0)
+        };
+        self.accounts.retain(|id, account| is_needed(id, account));
     }
 
     /// Returns the tokens in the bucket of `organisation`.
@@ -172,6 +183,13 @@
         self.decide(ask, now)
     }
 
+    /// Decides about an ask that waits no longer for loans.
+    pub fn last_try(&mut self, ask: &Ask, now: MonotonicTime) -> HolderReply {
+        let reply = self.decide(ask, now);
+        let answer = reply.answer.or_else(|| self.dry(ask, now));
+        HolderReply { answer, ..reply }
+    }
+
     /// Takes in reports on batches.
     pub fn report(
         &mut self,
@@ -264,10 +282,11 @@
     }
 
     fn decide(&mut self, ask: &Ask, now: MonotonicTime) -> HolderReply {
-        let is_superseded = ask.epoch > self.settings.epoch;
-        let account = self.accounts.get_mut(&ask.organisation);
-        let Some(account) = account.filter(|_| !is_superseded) else {
-            return HolderReply::only(Answer::NotHolder);
+        if ask.epoch > self.settings.epoch {
+            return HolderReply::only(Answer::NotHolder(None));
+        }
+        let Some(account) = self.accounts.get_mut(&ask.organisation) else {
+            return HolderReply::only(self.unknown_organisation());
         };
         account.advance(now);
         let id = self.next_batch;
@@ -304,15 +323,30 @@
             })),
             None if ask.waiting_tokens.0 == 0 => Some(Answer::NoneAhead),
             None if ask.purpose == AskPurpose::Spend && account.awaits_loan(now) => None,
-            None => Some(Answer::Dry(Dry {
-                zone: self.settings.zone.clone(),
-                epoch: self.settings.epoch,
-                holds_us: account.dry_holds(ask.purpose, now).as_micros() as u64,
-                next_token_us: account.until_next_token(now).as_micros() as u64,
-            })),
+            None => self.dry(ask, now),
         }
     }
 
+    /// The configuration that names the organisation has not arrived here yet.
+    fn unknown_organisation(&self) -> Answer {
+        Answer::Dry(Dry {
+            zone: self.settings.zone.clone(),
+            epoch: self.settings.epoch,
+            holds_us: MAX_DRY.as_micros() as u64,
+            next_token_us: MAX_BATCH_LIFETIME.as_micros() as u64,
+        })
+    }
+
+    fn dry(&self, ask: &Ask, now: MonotonicTime) -> Option<Answer> {
+        let account = self.accounts.get(&ask.organisation)?;
+        Some(Answer::Dry(Dry {
+            zone: self.settings.zone.clone(),
+            epoch: self.settings.epoch,
+            holds_us: account.dry_holds(ask.purpose, now).as_micros() as u64,
+            next_token_us: account.until_next_token(now).as_micros() as u64,
+        }))
+    }
+
     fn borrow(&mut self, ask: &Ask, taken: Option<TakenPart>, now: MonotonicTime) -> Vec<LoanAsk> {
         let Some(account) = self.accounts.get_mut(&ask.organisation) else {
             return Vec::new();
--- a/lib/src/process/rates/lease.rs
+++ b/lib/src/process/rates/lease.rs
@@ -31,6 +31,9 @@
 /// Nodes of a zone that watch the record, ready to take over.
 pub const CANDIDATES_PER_ZONE: usize = 3;
 
+/// The epoch of the first holder that a zone ever has.
+pub(super) const FIRST_EPOCH: Epoch = Epoch(1);
+
 plain_data! {
     /// The platform's record of the holder of one zone.
     #[derive(Eq)]
@@ -190,6 +193,9 @@
         if !is_ours {
             self.held = None;
         }
+        if record.is_none() {
+            self.next_call = now;
+        }
         match &self.seen {
             Some(seen) if seen.record == record => {}
             _ => self.seen = Some(SeenRecord { record, since: now }),
--- a/lib/src/process/rates/messages.rs
+++ b/lib/src/process/rates/messages.rs
@@ -166,8 +166,8 @@
         Dry(Dry),
         /// No request waits, and there are no tokens to spare for later ones.
         NoneAhead,
-        /// The asked node does not hold the zone's rates.
-        NotHolder,
+        /// The asked node does not hold the zone's rates; it may know which node does.
+        NotHolder(Option<NodeId>),
     }
 }
 
--- a/lib/src/process/rates/mod.rs
+++ b/lib/src/process/rates/mod.rs
@@ -6,6 +6,7 @@
 //! from the holders of other zones. `docs/design/fleet-rates.md` has the proof of the bound.
 
 mod bucket;
+mod client;
 mod demand;
 mod holder;
 mod lease;
@@ -14,11 +15,14 @@
 mod local;
 mod local_batch;
 mod messages;
+mod service;
 mod share;
 
 use std::time::Duration;
 
 pub use self::bucket::Bucket;
+pub use self::client::HolderCalls;
+pub use self::client::RateClient;
 pub use self::demand::Demand;
 pub use self::holder::Holder;
 pub use self::holder::HolderReply;
@@ -51,6 +55,8 @@
 pub use self::messages::LoanAsk;
 pub use self::messages::Report;
 pub use self::messages::Settlement;
+pub use self::service::HolderService;
+pub use self::service::LenderCalls;
 pub use self::share::MAX_BATCH_LIFETIME;
 pub use self::share::MIN_BATCH_LIFETIME;
 pub use self::share::MicroRate;
--- /dev/null
+++ b/lib/src/process/rates/service.rs
@@ -0,0 +1,278 @@
+//! Answers asks on the node that holds the rates of its zone.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use super::Answer;
+use super::Ask;
+use super::Holder;
+use super::HolderLease;
+use super::HolderRecord;
+use super::HolderReply;
+use super::HolderReport;
+use super::HolderSettings;
+use super::LeaseAction;
+use super::LoanAsk;
+use super::PeerStanding;
+use super::Report;
+use super::split_over_zones;
+use crate::process::events::rates as events;
+use crate::values::Clock;
+use crate::values::Incarnation;
+use crate::values::MonotonicTime;
+use crate::values::NodeId;
+use crate::values::ZoneId;
+use crate::version::Configuration;
+
+/// Longest time that an ask waits for loans.
+const LOAN_PATIENCE: Duration = Duration::from_millis(12);
+
+/// Sends messages to the holders of other zones.
+pub struct LenderCalls {
+    /// Sends an ask. Gives none if the lender did not answer.
+    pub ask: Box<dyn Fn(LoanAsk) -> BoxFuture<'static, Option<Answer>> + Send + Sync>,
+    /// Sends a report, which may get lost.
+    pub report: Box<dyn Fn(HolderReport) -> BoxFuture<'static, ()> + Send + Sync>,
+}
+
+impl fmt::Debug for LenderCalls {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("LenderCalls")
+    }
+}
+
+/// What the lock protects. It is held for single steps only.
+#[derive(Debug)]
+struct ServiceState {
+    lease: HolderLease,
+    holder: Option<Holder>,
+    configuration: Option<Arc<Configuration>>,
+}
+
+/// Answers asks on a node, for as long as the node holds the rates of its zone.
+#[derive(Debug)]
+pub struct HolderService {
+    zone: ZoneId,
+    node: NodeId,
+    clock: Clock,
+    calls: LenderCalls,
+    loan_answered: Notify,
+    state: Mutex<ServiceState>,
+}
+
+impl HolderService {
+    /// Starts without the role.
+    pub fn new(
+        node: NodeId,
+        incarnation: Incarnation,
+        zone: ZoneId,
+        clock: Clock,
+        calls: LenderCalls,
+    ) -> Self {
+        Self {
+            state: Mutex::new(ServiceState {
+                lease: HolderLease::new(node.clone(), incarnation),
+                holder: None,
+                configuration: None,
+            }),
+            zone,
+            node,
+            clock,
+            calls,
+            loan_answered: Notify::new(),
+        }
+    }
+
+    /// Puts the shares of a configuration in force. This makes no tokens.
+    pub fn configure(&self, configuration: &Arc<Configuration>) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        state.configuration = Some(Arc::clone(configuration));
+        if let Some(holder) = &mut state.holder {
+            apply_shares(holder, configuration, &self.zone, now);
+        }
+    }
+
+    /// Returns whether the node holds the role now.
+    pub fn is_holder(&self) -> bool {
+        let state = self.state.lock();
+        state.lease.held_epoch(self.clock.now()).is_some()
+    }
+
+    /// Returns the holder of the node's zone as the platform's record last named it.
+    pub fn known_holder(&self) -> Option<HolderRecord> {
+        self.state.lock().lease.known_holder().cloned()
+    }
+
+    /// Answers an ask, after loans if it has to wait for them.
+    pub async fn answer(self: &Arc<Self>, ask: Ask) -> Answer {
+        let first = self.decide(&ask, Holder::ask);
+        match self.carry_out(first, &ask) {
+            Some(answer) => answer,
+            None => self.answer_after_loans(&ask).await,
+        }
+    }
+
+    /// Takes in a report on batches.
+    pub fn report(&self, report: &Report) {
+        let now = self.clock.now();
+        if let Some(holder) = &mut self.state.lock().holder {
+            holder.report(&report.organisation, &report.settlements, now);
+        }
+    }
+
+    /// Answers the holder of the zone, and promises what the answer says.
+    pub fn standing(&self) -> PeerStanding {
+        self.state.lock().lease.standing(self.clock.now())
+    }
+
+    /// Decides about the lease, with the time of the decision.
+    pub fn with_lease<T>(&self, step: impl FnOnce(&mut HolderLease, MonotonicTime) -> T) -> T {
+        let mut state = self.state.lock();
+        step(&mut state.lease, self.clock.now())
+    }
+
+    /// Returns what to send to the platform now.
+    pub fn next_lease_action(&self, is_candidate: bool) -> LeaseAction {
+        self.with_lease(|lease, now| lease.next_action(is_candidate, now))
+    }
+
+    /// Sends the reports that are due to other zones.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        let reports = match &mut self.state.lock().holder {
+            Some(holder) => holder.tick(now),
+            None => Vec::new(),
+        };
+        for report in reports {
+            tokio::spawn((self.calls.report)(report));
+        }
+    }
+
+    /// Gives all borrowed tokens back before a planned stop.
+    pub async fn give_up_loans(&self) {
+        let now = self.clock.now();
+        let reports = match &mut self.state.lock().holder {
+            Some(holder) => holder.give_up_loans(now),
+            None => Vec::new(),
+        };
+        let sent = reports
+            .into_iter()
+            .map(|report| (self.calls.report)(report));
+        futures::future::join_all(sent).await;
+    }
+
+    async fn answer_after_loans(self: &Arc<Self>, ask: &Ask) -> Answer {
+        let retry = async {
+            loop {
+                let answered = self.loan_answered.notified();
+                tokio::pin!(answered);
+                answered.as_mut().enable();
+                let reply = self.decide(ask, Holder::retry);
+                match self.carry_out(reply, ask) {
+                    Some(answer) => return answer,
+                    None => answered.await,
+                }
+            }
+        };
+        match tokio::time::timeout(LOAN_PATIENCE, retry).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                let reply = self.decide(ask, Holder::last_try);
+                let answer = self.carry_out(reply, ask);
+                answer.unwrap_or(Answer::NoneAhead)
+            }
+        }
+    }
+
+    fn decide(
+        &self,
+        ask: &Ask,
+        decision: impl FnOnce(&mut Holder, &Ask, MonotonicTime) -> HolderReply,
+    ) -> HolderReply {
+        let mut state = self.state.lock();
+        let state = &mut *state;
+        state.lease.epoch_seen(ask.epoch);
+        let now = self.clock.now();
+        match self.acting_holder(state, now) {
+            Some(holder) => decision(holder, ask, now),
+            None => HolderReply {
+                answer: Some(Answer::NotHolder(self.hint(state))),
+                loan_asks: Vec::new(),
+            },
+        }
+    }
+
+    /// Returns the holder if the lease is valid at `now`, starting it if the role is new.
+    fn acting_holder<'a>(
+        &self,
+        state: &'a mut ServiceState,
+        now: MonotonicTime,
+    ) -> Option<&'a mut Holder> {
+        let epoch = state.lease.held_epoch(now)?;
+        let configuration = state.configuration.as_ref()?;
+        let is_current = |holder: &Holder| holder.epoch() == epoch;
+        if !state.holder.as_ref().is_some_and(is_current) {
+            let settings = HolderSettings {
+                zone: self.zone.clone(),
+                node: self.node.clone(),
+                epoch,
+            };
+            let mut holder = Holder::new(settings, now);
+            apply_shares(&mut holder, configuration, &self.zone, now);
+            events::HOLDER_TAKEN.log(format_args!("zone {}, epoch {epoch}", self.zone));
+            state.holder = Some(holder);
+        }
+        state.holder.as_mut()
+    }
+
+    fn hint(&self, state: &ServiceState) -> Option<NodeId> {
+        let record = state.lease.known_holder()?;
+        (record.holder != self.node).then(|| record.holder.clone())
+    }
+
+    fn carry_out(self: &Arc<Self>, reply: HolderReply, ask: &Ask) -> Option<Answer> {
+        for loan in reply.loan_asks {
+            let service = Arc::clone(self);
+            let organisation = ask.organisation.clone();
+            tokio::spawn(async move {
+                let (lender, id) = (loan.lender.clone(), loan.ask.id);
+                let answer = (service.calls.ask)(loan).await;
+                let answer = answer.unwrap_or(Answer::NotHolder(None));
+                let now = service.clock.now();
+                if let Some(holder) = &mut service.state.lock().holder {
+                    holder.loan_answered(&organisation, &lender, id, &answer, now);
+                }
+                service.loan_answered.notify_waiters();
+            });
+        }
+        reply.answer
+    }
+}
+
+fn apply_shares(
+    holder: &mut Holder,
+    configuration: &Configuration,
+    zone: &ZoneId,
+    now: MonotonicTime,
+) {
+    holder.retain(|id| configuration.organisations.contains_key(id), now);
+    let lenders: BTreeMap<_, _> = configuration
+        .zones
+        .iter()
+        .filter(|(id, _)| *id != zone)
+        .collect();
+    for organisation in configuration.organisations.values() {
+        let shares = split_over_zones(organisation, &configuration.zones);
+        if let Some(share) = shares.get(zone) {
+            let lenders = lenders.keys().map(|id| (*id).clone());
+            holder.set_share(&organisation.id, *share, lenders, now);
+        }
+    }
+}
--- a/lib/src/process/rates/share.rs
+++ b/lib/src/process/rates/share.rs
@@ -38,6 +38,13 @@
 }
 
 impl ZoneShare {
+    /// The share of an organisation that may use nothing.
+    pub const NONE: Self = Self {
+        rate_micro_per_s: MicroRate(0),
+        burst_tokens: TokenCount(0),
+        batch_lifetime_us: 0,
+    };
+
     /// Returns how long a batch may be spent after it was asked for.
     pub fn batch_lifetime(&self) -> Duration {
         Duration::from_micros(self.batch_lifetime_us)
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -30,6 +30,8 @@
         IdempotencyKeyReused,
         /// The organisation's rate and burst over the whole fleet are used up.
         RateExceeded,
+        /// No holder of rates can be reached, so nobody knows what is left of the rate.
+        RateHolderUnreachable,
         /// The request was shed because capacity is short.
         Overloaded,
         /// The node or its backend server is stopping.
@@ -72,6 +74,7 @@
             Self::IdempotencyKeyMissing => "idempotency-key-missing",
             Self::IdempotencyKeyReused => "idempotency-key-reused",
             Self::RateExceeded => "rate-exceeded",
+            Self::RateHolderUnreachable => "rate-holder-unreachable",
             Self::Overloaded => "overloaded",
             Self::Draining => "draining",
             Self::NoServer => "no-server",
@@ -105,6 +108,7 @@
             | Self::Draining
             | Self::NoServer
             | Self::HomeUnreachable
+            | Self::RateHolderUnreachable
             | Self::NotReady
             | Self::AttemptsExhausted => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -122,6 +126,7 @@
             Self::IdempotencyKeyMissing => events::IDEMPOTENCY_KEY_MISSING,
             Self::IdempotencyKeyReused => events::IDEMPOTENCY_KEY_REUSED,
             Self::RateExceeded => events::RATE_EXCEEDED,
+            Self::RateHolderUnreachable => events::RATE_HOLDER_UNREACHABLE,
             Self::Overloaded => events::OVERLOADED,
             Self::Draining => events::DRAINING,
             Self::NoServer => events::NO_SERVER,
--- a/lib/tests/test_rates.rs
+++ b/lib/tests/test_rates.rs
@@ -288,7 +288,7 @@
         ..ask(1, AskPurpose::Spend, 1)
     };
     let reply = holder.ask(&newer, at(0));
-    assert_eq!(reply.answer, Some(Answer::NotHolder));
+    assert_eq!(reply.answer, Some(Answer::NotHolder(None)));
 }
 
 #[test]
--- a/testutils/src/rate_fleet/fleet.rs
+++ b/testutils/src/rate_fleet/fleet.rs
@@ -476,7 +476,7 @@
             self.nodes[node].lease.epoch_seen(ask.epoch);
         }
         if !self.become_holder(node) {
-            return self.answer(node, from, &ask, Answer::NotHolder);
+            return self.answer(node, from, &ask, Answer::NotHolder(None));
         }
         let holder = self.nodes[node].holder.as_mut();
         let reply = holder.expect("the node holds the role").ask(&ask, now);
@@ -520,7 +520,7 @@
         let waiting = std::mem::take(&mut self.nodes[node].waiting_asks);
         for WaitingAsk { from, ask } in waiting {
             if !self.become_holder(node) {
-                self.answer(node, from, &ask, Answer::NotHolder);
+                self.answer(node, from, &ask, Answer::NotHolder(None));
                 continue;
             }
             let holder = self.nodes[node].holder.as_mut();
