node: admit requests by the fleet's rates

The entry spends a token of the organisation before it reads the body. The holder of a zone is fenced by one record per zone in the platform's service (platform key rate-holder/ZONE in place of one per organisation, so that calls do not grow with organisations).

A run on the loaded machine refused one request as rate-holder-unreachable, because asks were given up after 25 ms; now after 100 ms.

--- a/lib/src/process/control/api.rs
+++ b/lib/src/process/control/api.rs
@@ -5,6 +5,10 @@
 
 use crate::process::membership::NodeRecord;
 use crate::process::node::NodeDump;
+use crate::process::rates::Answer;
+use crate::process::rates::Ask;
+use crate::process::rates::PeerStanding;
+use crate::process::rates::Report;
 use crate::values::ConfigVersion;
 use crate::version::Configuration;
 
@@ -38,4 +42,16 @@
     /// Returns the configuration in force if it is newer than `than`.
     #[method(name = "newerConfiguration")]
     async fn newer_configuration(&self, than: ConfigVersion) -> RpcResult<Option<Configuration>>;
+
+    /// Asks the holder of the node's zone for tokens.
+    #[method(name = "askTokens")]
+    async fn ask_tokens(&self, ask: Ask) -> RpcResult<Answer>;
+
+    /// Reports what happened to tokens of the node's zone.
+    #[method(name = "reportTokens")]
+    async fn report_tokens(&self, report: Report) -> RpcResult<()>;
+
+    /// Asks whether the node may take over the rates of its zone, by the holder of the zone.
+    #[method(name = "rateHolderStanding")]
+    async fn rate_holder_standing(&self) -> RpcResult<PeerStanding>;
 }
--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -17,6 +17,7 @@
 use super::announcement;
 use super::entry::handle_caller;
 use super::exit::handle_local;
+use super::rates::RateTasks;
 use super::serve::handle_peer;
 use crate::connection::ListenError;
 use crate::connection::Listener;
@@ -29,6 +30,10 @@
 use crate::process::events::process as events;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeRecord;
+use crate::process::rates::Answer;
+use crate::process::rates::Ask;
+use crate::process::rates::PeerStanding;
+use crate::process::rates::Report;
 use crate::process::settings::NodeSettings;
 use crate::values::ConfigVersion;
 use crate::version::Configuration;
@@ -86,6 +91,7 @@
     control: ControlServing,
     drain_asked: Arc<Notify>,
     _housekeeping: AbortOnDropHandle<()>,
+    rate_tasks: RateTasks,
 }
 
 impl NodeDaemon {
@@ -130,6 +136,9 @@
                 source: Box::new(error),
             })?;
         let housekeeping = tokio::spawn(keep_house(Arc::clone(&node)));
+        let rate_tasks = RateTasks::start(&node).map_err(|error| StartError::Control {
+            source: Box::new(error),
+        })?;
         events::STARTED.log(format_args!("callers on {caller_address}"));
         Ok(Self {
             callers: serve_callers(callers, &node, connections_max),
@@ -141,6 +150,7 @@
             control,
             drain_asked,
             _housekeeping: AbortOnDropHandle::new(housekeeping),
+            rate_tasks,
         })
     }
 
@@ -185,6 +195,7 @@
         tokio::time::sleep(notice).await;
         tokio::join!(self.callers.stop(), self.peers.stop());
         self.local.stop().await;
+        self.rate_tasks.stop(&self.node).await;
         self.control.stop();
         events::STOPPED.log(&self.node.settings.node);
     }
@@ -272,4 +283,17 @@
             .filter(|current| current.version > than)
             .map(|current| current.as_ref().clone()))
     }
+
+    async fn ask_tokens(&self, ask: Ask) -> RpcResult<Answer> {
+        Ok(self.node.rates().service.answer(ask).await)
+    }
+
+    async fn report_tokens(&self, report: Report) -> RpcResult<()> {
+        self.node.rates().service.report(&report);
+        Ok(())
+    }
+
+    async fn rate_holder_standing(&self) -> RpcResult<PeerStanding> {
+        Ok(self.node.rates().service.standing())
+    }
 }
--- a/lib/src/process/node/dump.rs
+++ b/lib/src/process/node/dump.rs
@@ -1,10 +1,13 @@
 //! The whole state of a node on request, for operators.
 
+use std::sync::Arc;
+
 use super::Announcement;
 use super::Node;
 use crate::process::membership::MembershipCounters;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeRecord;
+use crate::process::rates::HolderRecord;
 use crate::values::ConfigVersion;
 use crate::values::NodeId;
 use crate::values::ZoneId;
@@ -28,6 +31,10 @@
         pub server: Option<ServerDump>,
         /// Requests that run on the backend server.
         pub in_flight_requests: usize,
+        /// Whether the node holds the rates of its zone.
+        pub holds_rates: bool,
+        /// The holder of the zone's rates, as the platform's record last named it to this node.
+        pub rate_holder: Option<HolderRecord>,
         /// All known nodes.
         pub members: Vec<NodeRecord>,
         /// Membership datagrams since the start.
@@ -47,7 +54,7 @@
 
 impl Node {
     /// Returns what the node knows and does.
-    pub fn dump(&self) -> NodeDump {
+    pub fn dump(self: &Arc<Self>) -> NodeDump {
         let configuration = self.configuration().ok();
         NodeDump {
             node: self.settings.node.clone(),
@@ -61,6 +68,8 @@
                 open_connections: server.pool.open_connections(),
             }),
             in_flight_requests: self.in_flight.len(),
+            holds_rates: self.holds_rates(),
+            rate_holder: self.rates().service.known_holder(),
             members: self.members().nodes().cloned().collect(),
             membership: self.membership.counters(),
         }
--- a/lib/src/process/node/entry.rs
+++ b/lib/src/process/node/entry.rs
@@ -50,6 +50,9 @@
         return Err(Refusal::not_run(RefusalReason::Draining));
     }
     check_idempotency_key(route, request.headers())?;
+    if let Some(organisation) = &organisation {
+        node.rates().client.admit(organisation).await?;
+    }
     let deadline_at = node.clock.now().after(Duration::from_millis(deadline_ms));
     let mut request = whole_request(node, request).await?;
     request.headers.remove(header::AUTHORIZATION);
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -11,6 +11,8 @@
 mod local_server;
 mod members;
 mod peer_message;
+mod rate_role;
+mod rates;
 mod serve;
 mod shared;
 
--- /dev/null
+++ b/lib/src/process/node/rate_role.rs
@@ -0,0 +1,158 @@
+//! Keeps the lease on the rates of a node's zone, through the platform's service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Node;
+use crate::process::control::ControlClient;
+use crate::process::membership::NodeRecord;
+use crate::process::platform::PlatformClient;
+use crate::process::platform::PlatformError;
+use crate::process::platform::PlatformKey;
+use crate::process::platform::PlatformSettings;
+use crate::process::platform::PlatformValue;
+use crate::process::platform::Revision;
+use crate::process::platform::Stored;
+use crate::process::platform::Swap;
+use crate::process::rates::HolderLease;
+use crate::process::rates::HolderRecord;
+use crate::process::rates::LeaseAction;
+use crate::process::rates::PeerStanding;
+use crate::process::rates::RecordWrite;
+use crate::process::rates::holder_candidates;
+
+/// Time between two looks at the lease.
+const PERIOD: Duration = Duration::from_millis(100);
+
+/// Longest time that a call to the platform's service may take.
+const CALL_TIMEOUT_MS: u64 = 500;
+
+/// Most calls to the platform's service in a second.
+const CALLS_PER_S: u32 = 5;
+
+/// Keeps the lease on the rates of a node's zone.
+pub(super) struct RoleKeeper {
+    node: Arc<Node>,
+    platform: PlatformClient,
+    key: PlatformKey,
+    /// The revision of the record that the lease has seen.
+    revision: Option<Revision>,
+}
+
+impl RoleKeeper {
+    /// Makes a keeper that has read nothing yet.
+    pub fn new(node: Arc<Node>) -> Result<Self, PlatformError> {
+        let settings = PlatformSettings {
+            zone: Some(node.settings.zone.clone()),
+            call_timeout_ms: CALL_TIMEOUT_MS,
+            calls_per_s: CALLS_PER_S,
+            ..PlatformSettings::new(node.settings.platform)
+        };
+        Ok(Self {
+            platform: PlatformClient::new(&settings)?,
+            key: PlatformKey::RateHolder(node.settings.zone.clone()),
+            node,
+            revision: None,
+        })
+    }
+
+    /// Takes, renews and watches the role until the future is dropped.
+    pub async fn run(mut self) {
+        let mut period = tokio::time::interval(PERIOD);
+        period.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            period.tick().await;
+            self.ask_for_promises().await;
+            let service = Arc::clone(&self.node.rates().service);
+            match service.next_lease_action(self.is_candidate()) {
+                LeaseAction::Wait => {}
+                LeaseAction::Read => self.read().await,
+                LeaseAction::Write(write) => self.write(write).await,
+            }
+        }
+    }
+
+    fn is_candidate(&self) -> bool {
+        let settings = &self.node.settings;
+        let candidates = holder_candidates(&settings.zone, &self.node.members());
+        !self.node.is_draining() && candidates.contains(&settings.node)
+    }
+
+    async fn read(&mut self) {
+        let reply = self.platform.get(&self.key).await;
+        let service = &self.node.rates().service;
+        match reply {
+            Ok(None) => {
+                self.revision = None;
+                service.with_lease(|lease, now| lease.record_read(None, now));
+            }
+            Ok(Some(stored)) if parse(&stored).is_some() => {
+                self.revision = Some(stored.revision);
+                service.with_lease(|lease, now| lease.record_read(parse(&stored), now));
+            }
+            Ok(Some(_)) | Err(_) => service.with_lease(|lease, _| lease.platform_unreachable()),
+        }
+    }
+
+    async fn write(&mut self, write: RecordWrite) {
+        let Some(value) = value_of(&write.record) else {
+            return;
+        };
+        let reply = self
+            .platform
+            .compare_and_swap(&self.key, self.revision, &value, None)
+            .await;
+        let service = &self.node.rates().service;
+        match reply {
+            Ok(Swap::Done(revision)) => {
+                self.revision = Some(revision);
+                service.with_lease(|lease, now| lease.write_succeeded(now));
+            }
+            Ok(Swap::Conflict(_)) => service.with_lease(|lease, now| lease.write_conflicted(now)),
+            Err(error) => service.with_lease(|lease, _| write_failed(lease, &error)),
+        }
+    }
+
+    /// Asks all nodes of the zone that are not known to be dead, while the platform is away.
+    async fn ask_for_promises(&self) {
+        let service = &self.node.rates().service;
+        let needed = service.with_lease(|lease, now| lease.needs_promises(now).then_some(now));
+        let Some(asked_at) = needed else {
+            return;
+        };
+        let members = self.node.members();
+        let peers = members.nodes().filter(|record| self.is_live_peer(record));
+        let asked = peers.map(|record| self.standing_of(record));
+        let answers = futures::future::join_all(asked).await;
+        service.with_lease(|lease, _| lease.promises_answered(&answers, asked_at));
+    }
+
+    fn is_live_peer(&self, record: &NodeRecord) -> bool {
+        let settings = &self.node.settings;
+        record.zone == settings.zone && record.id != settings.node && record.takes_work()
+    }
+
+    async fn standing_of(&self, record: &NodeRecord) -> Option<PeerStanding> {
+        let caller = self
+            .node
+            .rates()
+            .caller(&self.node, record.addresses.control)?;
+        caller.rate_holder_standing().await.ok()
+    }
+}
+
+fn write_failed(lease: &mut HolderLease, error: &PlatformError) {
+    match error.may_have_run() {
+        true => lease.platform_unreachable(),
+        false => lease.write_not_sent(),
+    }
+}
+
+fn parse(stored: &Stored) -> Option<HolderRecord> {
+    serde_json::from_str(stored.value.as_str()).ok()
+}
+
+fn value_of(record: &HolderRecord) -> Option<PlatformValue> {
+    let text = serde_json::to_string(record).ok()?;
+    PlatformValue::try_from(text).ok()
+}
--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
@@ -11,10 +12,12 @@
 
 use super::ProbeSocket;
 use super::local_server::LocalServer;
+use super::rates::NodeRates;
 use crate::connection::ConnectionPool;
 use crate::connection::PoolLimits;
 use crate::process::membership::Membership;
 use crate::process::membership::NodeAddresses;
+use crate::process::rates::BucketDump;
 use crate::process::secret::DerivedKey;
 use crate::process::secret::KeyPurpose;
 use crate::process::settings::NodeSettings;
@@ -22,6 +25,7 @@
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::values::Clock;
+use crate::values::OrganisationId;
 use crate::version::Configuration;
 
 /// Most connections from one node to another.
@@ -51,6 +55,7 @@
     server: RwLock<Option<Arc<LocalServer>>>,
     peer_pools: Mutex<HashMap<SocketAddr, Arc<ConnectionPool>>>,
     draining: AtomicBool,
+    rates: OnceLock<NodeRates>,
 }
 
 impl Node {
@@ -68,6 +73,7 @@
             server: RwLock::default(),
             peer_pools: Mutex::default(),
             draining: AtomicBool::new(false),
+            rates: OnceLock::new(),
         }
     }
 
@@ -120,6 +126,21 @@
         }
     }
 
+    /// Returns the rates of organisations as this node serves and uses them.
+    pub(super) fn rates(self: &Arc<Self>) -> &NodeRates {
+        self.rates.get_or_init(|| NodeRates::new(self))
+    }
+
+    /// Returns whether this node holds the rates of its zone now.
+    pub fn holds_rates(self: &Arc<Self>) -> bool {
+        self.rates().service.is_holder()
+    }
+
+    /// Returns the tokens of an organisation in the zone, if this node holds the zone's rates.
+    pub fn rate_tokens(self: &Arc<Self>, organisation: &OrganisationId) -> Option<BucketDump> {
+        self.rates().service.bucket(organisation)
+    }
+
     /// Returns whether a planned stop has begun.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
--- a/lib/src/process/platform/key.rs
+++ b/lib/src/process/platform/key.rs
@@ -6,8 +6,6 @@
 use snafu::OptionExt;
 use snafu::Snafu;
 
-use crate::values::InvalidNameError;
-use crate::values::OrganisationId;
 use crate::values::ZoneId;
 
 /// A key in the platform's service.
@@ -20,8 +18,8 @@
     Configuration,
     /// Addresses of a few nodes of a zone, for nodes that start.
     Seeds(ZoneId),
-    /// Epoch and holder of the token bucket of an organisation in a zone.
-    BucketHolder(ZoneId, OrganisationId),
+    /// Epoch and holder of the token buckets of a zone.
+    RateHolder(ZoneId),
     /// Epoch of the at-most-once records of a zone.
     RecordHome(ZoneId),
 }
@@ -38,9 +36,7 @@
         match self {
             Self::Configuration => f.write_str("configuration"),
             Self::Seeds(zone) => write!(f, "seeds/{zone}"),
-            Self::BucketHolder(zone, organisation) => {
-                write!(f, "bucket-holder/{zone}/{organisation}")
-            }
+            Self::RateHolder(zone) => write!(f, "rate-holder/{zone}"),
             Self::RecordHome(zone) => write!(f, "record-home/{zone}"),
         }
     }
@@ -54,7 +50,7 @@
         let key = match parts.as_slice() {
             ["configuration"] => Ok(Self::Configuration),
             ["seeds", zone] => zone.parse().map(Self::Seeds),
-            ["bucket-holder", zone, organisation] => bucket_holder(zone, organisation),
+            ["rate-holder", zone] => zone.parse().map(Self::RateHolder),
             ["record-home", zone] => zone.parse().map(Self::RecordHome),
             _ => return InvalidPlatformKeySnafu { text }.fail(),
         };
@@ -62,13 +58,6 @@
     }
 }
 
-fn bucket_holder(zone: &str, organisation: &str) -> Result<PlatformKey, InvalidNameError> {
-    Ok(PlatformKey::BucketHolder(
-        zone.parse()?,
-        organisation.parse()?,
-    ))
-}
-
 impl TryFrom<String> for PlatformKey {
     type Error = InvalidPlatformKeyError;
 
--- a/lib/src/process/rates/holder.rs
+++ b/lib/src/process/rates/holder.rs
@@ -15,6 +15,7 @@
 use super::LoanAsk;
 use super::Loans;
 use super::MAX_BATCH_LIFETIME;
+use super::MicroRate;
 use super::Report;
 use super::Settlement;
 use super::TakenPart;
@@ -81,6 +82,21 @@
     pub report: Report,
 }
 
+plain_data! {
+    /// What is in the bucket of one organisation in one zone.
+    #[derive(Eq)]
+    pub struct BucketDump {
+        /// Whole tokens in the bucket.
+        pub tokens: TokenCount,
+        /// Tokens of the bucket that may still be spent somewhere.
+        pub outstanding_tokens: TokenCount,
+        /// Tokens borrowed from other zones that can be handed out.
+        pub borrowed_tokens: TokenCount,
+        /// What the zone mints.
+        pub rate_micro_per_s: MicroRate,
+    }
+}
+
 /// The account of one organisation in the zone.
 #[derive(Clone, Debug)]
 struct Account {
@@ -164,10 +180,20 @@
         self.accounts.retain(|id, account| is_needed(id, account));
     }
 
-    /// Returns the tokens in the bucket of `organisation`.
-    pub fn level(&self, organisation: &OrganisationId) -> Option<TokenCount> {
-        let account = self.accounts.get(organisation)?;
-        Some(account.bucket.level())
+    /// Returns what is in the bucket of `organisation`.
+    pub fn bucket(
+        &mut self,
+        organisation: &OrganisationId,
+        now: MonotonicTime,
+    ) -> Option<BucketDump> {
+        let account = self.accounts.get_mut(organisation)?;
+        account.advance(now);
+        Some(BucketDump {
+            tokens: account.bucket.level(),
+            outstanding_tokens: account.bucket.outstanding(),
+            borrowed_tokens: account.loans.available(now),
+            rate_micro_per_s: account.bucket.share().rate_micro_per_s,
+        })
     }
 
     /// Decides what to answer to an ask by a node of the zone or by another zone's holder.
--- a/lib/src/process/rates/lease.rs
+++ b/lib/src/process/rates/lease.rs
@@ -225,6 +225,12 @@
         self.next_call = now;
     }
 
+    /// Takes in that the open write did not reach the platform and has no effect.
+    pub fn write_not_sent(&mut self) {
+        self.platform = PlatformStanding::Unreachable;
+        self.open = None;
+    }
+
     /// Takes in that the platform did not answer. An open write stays in doubt.
     pub fn platform_unreachable(&mut self) {
         self.platform = PlatformStanding::Unreachable;
--- a/lib/src/process/rates/lender.rs
+++ b/lib/src/process/rates/lender.rs
@@ -7,7 +7,7 @@
 use crate::values::MonotonicTime;
 
 /// How long requests wait for a lender's answer.
-const PATIENCE: Duration = Duration::from_millis(10);
+const PATIENCE: Duration = Duration::from_millis(25);
 
 /// How long a lender that did not answer is not asked again.
 const PAUSE_AFTER_SILENCE: Duration = Duration::from_millis(200);
--- a/lib/src/process/rates/local.rs
+++ b/lib/src/process/rates/local.rs
@@ -24,7 +24,7 @@
 use crate::values::ZoneId;
 
 /// A zone whose holder did not answer is not asked again for this time.
-const PAUSE_AFTER_SILENCE: Duration = Duration::from_millis(200);
+const PAUSE_AFTER_SILENCE: Duration = Duration::from_millis(500);
 
 /// More tokens are asked for when those left are expected to last only this long.
 const REFILL_BEFORE: Duration = Duration::from_millis(20);
@@ -42,7 +42,7 @@
 const REFILL_DIVISOR: u64 = 4;
 
 /// An ask without an answer is given up after this time.
-pub const ASK_TIMEOUT: Duration = Duration::from_millis(25);
+pub const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// The shortest span over which the times to try again are spread.
 const MIN_RETRY_SPREAD: Duration = Duration::from_millis(100);
--- a/lib/src/process/rates/mod.rs
+++ b/lib/src/process/rates/mod.rs
@@ -24,6 +24,7 @@
 pub use self::client::HolderCalls;
 pub use self::client::RateClient;
 pub use self::demand::Demand;
+pub use self::holder::BucketDump;
 pub use self::holder::Holder;
 pub use self::holder::HolderReply;
 pub use self::holder::HolderReport;
--- a/lib/src/process/rates/service.rs
+++ b/lib/src/process/rates/service.rs
@@ -11,6 +11,7 @@
 
 use super::Answer;
 use super::Ask;
+use super::BucketDump;
 use super::Holder;
 use super::HolderLease;
 use super::HolderRecord;
@@ -27,11 +28,12 @@
 use crate::values::Incarnation;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
+use crate::values::OrganisationId;
 use crate::values::ZoneId;
 use crate::version::Configuration;
 
 /// Longest time that an ask waits for loans.
-const LOAN_PATIENCE: Duration = Duration::from_millis(12);
+const LOAN_PATIENCE: Duration = Duration::from_millis(30);
 
 /// Sends messages to the holders of other zones.
 pub struct LenderCalls {
@@ -99,10 +101,19 @@
         }
     }
 
-    /// Returns whether the node holds the role now.
+    /// Returns whether the node holds the role now and has begun to grant tokens.
     pub fn is_holder(&self) -> bool {
         let state = self.state.lock();
-        state.lease.held_epoch(self.clock.now()).is_some()
+        let held = state.lease.held_epoch(self.clock.now());
+        held.is_some() && held == state.holder.as_ref().map(Holder::epoch)
+    }
+
+    /// Returns what is in the bucket of `organisation`, if the node holds the role now.
+    pub fn bucket(&self, organisation: &OrganisationId) -> Option<BucketDump> {
+        let mut state = self.state.lock();
+        let now = self.clock.now();
+        self.acting_holder(&mut state, now)?
+            .bucket(organisation, now)
     }
 
     /// Returns the holder of the node's zone as the platform's record last named it.
@@ -143,12 +154,15 @@
         self.with_lease(|lease, now| lease.next_action(is_candidate, now))
     }
 
-    /// Sends the reports that are due to other zones.
+    /// Starts a role that is new, and sends the reports that are due to other zones.
     pub fn tick(&self) {
-        let now = self.clock.now();
-        let reports = match &mut self.state.lock().holder {
-            Some(holder) => holder.tick(now),
-            None => Vec::new(),
+        let reports = {
+            let mut state = self.state.lock();
+            let now = self.clock.now();
+            match self.acting_holder(&mut state, now) {
+                Some(holder) => holder.tick(now),
+                None => Vec::new(),
+            }
         };
         for report in reports {
             tokio::spawn((self.calls.report)(report));
--- a/testutils/src/mesh/process_fleet.rs
+++ b/testutils/src/mesh/process_fleet.rs
@@ -1,5 +1,6 @@
 //! Starts nodes and stand-ins as separate processes.
 
+use std::collections::BTreeSet;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -47,6 +48,8 @@
 pub struct ProcessFleet {
     /// The nodes.
     pub nodes: Vec<ProcessNode>,
+    /// The platform's service.
+    pub platform: ChildProcess,
 }
 
 impl ProcessFleet {
@@ -56,6 +59,8 @@
         zones: &[&str],
         services: &[ServicePlan],
     ) -> Result<Self, Box<dyn Error>> {
+        let platform = ChildProcess::start(&mut programs.command("platform-stand-in"))?;
+        let platform_address: SocketAddr = platform.first_line().trim().parse()?;
         let mut nodes: Vec<ProcessNode> = Vec::new();
         for zone in zones {
             for service in services {
@@ -66,14 +71,21 @@
                         .map(|node| node.addresses.others.probe)
                         .collect();
                     let name = format!("node-{}", nodes.len());
-                    nodes.push(start_node(programs, &name, zone, service, &seeds)?);
+                    let place = NodePlace {
+                        name: &name,
+                        zone,
+                        platform: platform_address,
+                        seeds: &seeds,
+                    };
+                    nodes.push(start_node(programs, &place, service)?);
                 }
             }
         }
-        Ok(Self { nodes })
+        Ok(Self { nodes, platform })
     }
 
-    /// Puts `configuration` in force on all nodes and waits until they know all backend servers.
+    /// Puts `configuration` in force on all nodes and waits until they know all backend servers and
+    /// every zone has a holder of its rates.
     pub async fn configure(&self, configuration: &Configuration) -> Result<(), Box<dyn Error>> {
         for node in &self.nodes {
             let control = node.control()?;
@@ -86,11 +98,25 @@
                     tokio::time::sleep(POLL_PERIOD).await;
                 }
             }
+            while !self.all_zones_have_rate_holders().await? {
+                tokio::time::sleep(POLL_PERIOD).await;
+            }
             Ok(())
         };
         tokio::time::timeout(START_TIMEOUT, known).await?
     }
 
+    async fn all_zones_have_rate_holders(&self) -> Result<bool, Box<dyn Error>> {
+        let mut without: BTreeSet<&str> =
+            self.nodes.iter().map(|node| node.zone.as_str()).collect();
+        for node in &self.nodes {
+            if node.control()?.dump().await?.holds_rates {
+                without.remove(node.zone.as_str());
+            }
+        }
+        Ok(without.is_empty())
+    }
+
     /// Returns the caller listeners of all nodes.
     pub fn entries(&self) -> Vec<SocketAddr> {
         self.nodes
@@ -115,21 +141,28 @@
     Ok(serving.count())
 }
 
+/// Where a node runs and what it is told.
+struct NodePlace<'a> {
+    name: &'a str,
+    zone: &'a str,
+    platform: SocketAddr,
+    seeds: &'a [SocketAddr],
+}
+
 fn start_node(
     programs: &Programs,
-    name: &str,
-    zone: &str,
+    place: &NodePlace<'_>,
     service: &ServicePlan,
-    seeds: &[SocketAddr],
 ) -> Result<ProcessNode, Box<dyn Error>> {
+    let NodePlace { name, zone, .. } = *place;
     let mut command = programs.command("balsamfold-node");
     command
         .args(["--node", name, "--zone", zone])
         .args(["--service", service.server.service.as_str()])
-        .args(["--platform", "127.0.0.1:1"])
+        .args(["--platform", &place.platform.to_string()])
         .args(["--log-level", "warn"])
         .env("BALSAMFOLD_FLEET_SECRET", FLEET_SECRET);
-    for seed in seeds {
+    for seed in place.seeds {
         command.args(["--seed", &seed.to_string()]);
     }
     let node = ChildProcess::start(&mut command)?;
--- a/testutils/src/rate_fleet/fleet.rs
+++ b/testutils/src/rate_fleet/fleet.rs
@@ -36,7 +36,7 @@
 use super::node::WaitingRequest;
 
 /// Asks that wait for loans are decided again after this time.
-const LOAN_PATIENCE_US: u64 = 10_100;
+const LOAN_PATIENCE_US: u64 = 25_100;
 
 /// How messages fare, in parts of 1,000.
 #[derive(Clone, Copy, Debug, Default)]
@@ -314,7 +314,7 @@
                     organisation: organisation.clone(),
                 };
                 self.nodes[node].waiting.push_back(request);
-                self.schedule(self.now_us + 50_000, Event::GiveUp(node, id));
+                self.schedule(self.now_us + 250_000, Event::GiveUp(node, id));
             }
         }
         self.ask_if_needed(node, &organisation);
