--- a/lib/examples/fleet_rates/holders.rs
+++ b/lib/examples/fleet_rates/holders.rs
@@ -44,6 +44,7 @@
     let messages = Traffic::of_nodes(&fleet.tally.messages_by_node, STARTS_US);
     let bytes = Traffic::of_nodes(&fleet.tally.json_bytes_by_node, STARTS_US);
     let waited = 100.0 * fleet.tally.waited as f64 / load.arrivals.len() as f64;
+    println!("  {:?}", fleet.tally.messages_by_kind);
     println!("  ({waited:.1} % of the requests waited for a token)");
     Outcome::new(load, &admitted_us, messages, bytes)
 }
--- a/lib/src/process/rates/local.rs
+++ b/lib/src/process/rates/local.rs
@@ -30,13 +30,13 @@
 const REFILL_BEFORE: Duration = Duration::from_millis(20);
 
 /// Tokens are asked for ahead to last this long.
-const PREFETCH_FOR: Duration = Duration::from_millis(200);
+const PREFETCH_FOR: Duration = Duration::from_millis(400);
 
 /// A node that was given no tokens ahead asks for none for this time.
 const PREFETCH_PAUSE: Duration = Duration::from_millis(50);
 
 /// Nodes that expect to need fewer tokens than this ask for each when a request needs it.
-const MIN_PREFETCH_TOKENS: u64 = 4;
+const MIN_PREFETCH_TOKENS: u64 = 2;
 
 /// More tokens are asked for when this part of the wanted stock is left.
 const REFILL_DIVISOR: u64 = 4;
--- a/testutils/src/rate_fleet/fleet.rs
+++ b/testutils/src/rate_fleet/fleet.rs
@@ -119,6 +119,8 @@
     pub waited: u64,
     /// Messages about tokens that were sent.
     pub messages: u64,
+    /// The same by kind.
+    pub messages_by_kind: BTreeMap<&'static str, u64>,
     /// Their bytes as JSON.
     pub json_bytes: u64,
     /// The messages about tokens that each node sent or was sent.
@@ -397,6 +399,11 @@
         if message.is_about_tokens() {
             let bytes = message.json_bytes();
             self.tally.messages += 1;
+            *self
+                .tally
+                .messages_by_kind
+                .entry(message.kind())
+                .or_default() += 1;
             self.tally.json_bytes += bytes;
             for end in [from, to] {
                 self.tally.messages_by_node[end] += 1;
--- a/testutils/src/rate_fleet/message.rs
+++ b/testutils/src/rate_fleet/message.rs
@@ -53,6 +53,20 @@
         text.expect("messages have a JSON form").len() as u64
     }
 
+    /// Returns a name for what the message does.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Ask(_) => "ask",
+            Self::Answer(_, _, Answer::Grant(_)) => "grant",
+            Self::Answer(..) => "other answer",
+            Self::LoanAsk(_) => "loan ask",
+            Self::LoanAnswer(_, _, _, Answer::Grant(_)) => "loan",
+            Self::LoanAnswer(..) => "other loan answer",
+            Self::Report(_) => "report",
+            _ => "lease",
+        }
+    }
+
     /// Returns whether the message carries tokens, asks for them or reports on them.
     pub fn is_about_tokens(&self) -> bool {
         matches!(
