--- a/lib/src/process/node/rates.rs
+++ b/lib/src/process/node/rates.rs
@@ -63,7 +63,8 @@
     /// Starts without tokens and without the role of a holder.
     pub fn new(node: &Arc<Node>) -> Self {
         let settings = &node.settings;
-        let incarnation = Incarnation(node.clock.wall().0);
+        // Lives have to differ only, and a wall clock may step back to an earlier time.
+        let incarnation = Incarnation(u64::from(rand::random::<u32>()));
         let client = RateClient::new(
             settings.node.clone(),
             incarnation,
--- a/lib/src/process/rates/holder.rs
+++ b/lib/src/process/rates/holder.rs
@@ -41,6 +41,9 @@
 /// At most this part of what is left goes to demand that does not wait yet.
 const PREFETCH_DIVISOR: u64 = 4;
 
+/// With fewer tokens than this left, all are kept for requests that wait.
+const MIN_STOCK_FOR_PREFETCH_TOKENS: u64 = 8;
+
 /// The shortest time for which the word that there is no token holds.
 const MIN_DRY: Duration = Duration::from_millis(1);
 
@@ -442,7 +445,10 @@
         self.askers.insert(ask.asker.clone(), now);
         let stock = self.stock_tokens(now);
         let waiting = ask.waiting_tokens.0.min(stock);
-        let spare = (stock - waiting) / PREFETCH_DIVISOR;
+        let spare = match stock - waiting {
+            few if few < MIN_STOCK_FOR_PREFETCH_TOKENS => 0,
+            left => left / PREFETCH_DIVISOR,
+        };
         let wanted = TokenCount(waiting + ask.prefetch_tokens.0.min(spare));
         match wanted {
             TokenCount(0) => None,
