--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -15,6 +15,7 @@
 use super::NodeDump;
 use super::ProbeSocket;
 use super::announcement;
+use super::configuration::ConfigurationTasks;
 use super::entry::handle_caller;
 use super::exit::handle_local;
 use super::rates::RateTasks;
@@ -23,6 +24,7 @@
 use crate::connection::Listener;
 use crate::connection::ListenerLimits;
 use crate::connection::Serving;
+use crate::process::configuration::ConfigurationNews;
 use crate::process::control::ControlListener;
 use crate::process::control::ControlServer;
 use crate::process::control::ControlServing;
@@ -91,6 +93,7 @@
     control: ControlServing,
     drain_asked: Arc<Notify>,
     _housekeeping: AbortOnDropHandle<()>,
+    _configuration: ConfigurationTasks,
     rate_tasks: RateTasks,
 }
 
@@ -136,9 +139,8 @@
                 source: Box::new(error),
             })?;
         let housekeeping = tokio::spawn(keep_house(Arc::clone(&node)));
-        let rate_tasks = RateTasks::start(&node).map_err(|error| StartError::Control {
-            source: Box::new(error),
-        })?;
+        let configuration = ConfigurationTasks::start(&node);
+        let rate_tasks = RateTasks::start(&node);
         events::STARTED.log(format_args!("callers on {caller_address}"));
         Ok(Self {
             callers: serve_callers(callers, &node, connections_max),
@@ -150,6 +152,7 @@
             control,
             drain_asked,
             _housekeeping: AbortOnDropHandle::new(housekeeping),
+            _configuration: configuration,
             rate_tasks,
         })
     }
@@ -277,6 +280,11 @@
         Ok(in_force.unwrap_or(offered))
     }
 
+    async fn configuration_news(&self, news: ConfigurationNews) -> RpcResult<()> {
+        self.node.note_configuration_news(news);
+        Ok(())
+    }
+
     async fn newer_configuration(&self, than: ConfigVersion) -> RpcResult<Option<Configuration>> {
         let current = self.node.configuration().ok();
         Ok(current
--- a/lib/src/process/node/dump.rs
+++ b/lib/src/process/node/dump.rs
@@ -4,6 +4,7 @@
 
 use super::Announcement;
 use super::Node;
+use crate::process::gate::FloorNotice;
 use crate::process::membership::MembershipCounters;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeRecord;
@@ -35,6 +36,8 @@
         pub holds_rates: bool,
         /// The holder of the zone's rates, as the platform's record last named it to this node.
         pub rate_holder: Option<HolderRecord>,
+        /// Requests of callers that were refused because a service below would have refused them.
+        pub refused_at_entry: u64,
         /// All known nodes.
         pub members: Vec<NodeRecord>,
         /// Membership datagrams since the start.
@@ -49,6 +52,14 @@
         pub announcement: Announcement,
         /// Open connections to it.
         pub open_connections: usize,
+        /// Requests that may run on it at the same time, as decided by the node.
+        pub limit_slots: u32,
+        /// Requests that hold a slot.
+        pub held_slots: u32,
+        /// Requests that wait for a slot.
+        pub waiting_requests: usize,
+        /// The admission floor that the node reports.
+        pub floor: FloorNotice,
     }
 }
 
@@ -66,10 +77,15 @@
             server: self.server().map(|server| ServerDump {
                 announcement: server.announcement.clone(),
                 open_connections: server.pool.open_connections(),
+                limit_slots: server.gate.slots(),
+                held_slots: server.gate.in_flight(),
+                waiting_requests: server.gate.waiting(),
+                floor: server.gate.floor(),
             }),
             in_flight_requests: self.in_flight.len(),
             holds_rates: self.holds_rates(),
             rate_holder: self.rates().service.known_holder(),
+            refused_at_entry: self.load.refused_at_entry(),
             members: self.members().nodes().cloned().collect(),
             membership: self.membership.counters(),
         }
--- a/lib/src/process/node/entry.rs
+++ b/lib/src/process/node/entry.rs
@@ -13,6 +13,7 @@
 use super::answer::response;
 use super::forward::Outbound;
 use super::forward::forward;
+use super::load_control::Origin;
 use crate::connection::BodyError;
 use crate::connection::DEADLINE_HEADER;
 use crate::connection::IDEMPOTENCY_KEY_HEADER;
@@ -27,7 +28,7 @@
 use crate::values::RequestId;
 use crate::version::Access;
 use crate::version::CallerKey;
-use crate::version::Configuration;
+use crate::version::IndexedConfiguration;
 use crate::version::Repeatability;
 use crate::version::Route;
 
@@ -40,7 +41,7 @@
 }
 
 async fn enter(node: &Arc<Node>, request: Request) -> Result<WholeAnswer, Refusal> {
-    let configuration = node.configuration()?;
+    let configuration = node.indexed_configuration()?;
     let route = configuration
         .route_of(request.uri().path())
         .ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute))?;
@@ -67,7 +68,9 @@
         deadline_at,
         depth: 0,
         extra_attempts: &extra_attempts,
+        origin: Origin::Caller,
     };
+    node.load.check_entry(&outbound, node.clock.now())?;
     forward(node, outbound).await
 }
 
@@ -98,7 +101,7 @@
 
 /// Finds the organisation for which a request runs.
 fn organisation(
-    configuration: &Configuration,
+    configuration: &IndexedConfiguration,
     route: &Route,
     headers: &HeaderMap,
 ) -> Result<Option<OrganisationId>, Refusal> {
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -3,11 +3,13 @@
 
 mod announcement;
 mod answer;
+mod configuration;
 mod daemon;
 mod dump;
 mod entry;
 mod exit;
 mod forward;
+mod load_control;
 mod local_server;
 mod members;
 mod peer_message;
--- a/lib/src/process/node/rate_role.rs
+++ b/lib/src/process/node/rate_role.rs
@@ -41,19 +41,19 @@
 
 impl RoleKeeper {
     /// Makes a keeper that has read nothing yet.
-    pub fn new(node: Arc<Node>) -> Result<Self, PlatformError> {
+    pub fn new(node: Arc<Node>) -> Self {
         let settings = PlatformSettings {
             zone: Some(node.settings.zone.clone()),
             call_timeout_ms: CALL_TIMEOUT_MS,
             calls_per_s: CALLS_PER_S,
             ..PlatformSettings::new(node.settings.platform)
         };
-        Ok(Self {
-            platform: PlatformClient::new(&settings)?,
+        Self {
+            platform: PlatformClient::new(&settings),
             key: PlatformKey::RateHolder(node.settings.zone.clone()),
             node,
             revision: None,
-        })
+        }
     }
 
     /// Takes, renews and watches the role until the future is dropped.
--- a/lib/src/process/node/rates.rs
+++ b/lib/src/process/node/rates.rs
@@ -17,7 +17,6 @@
 use crate::process::control;
 use crate::process::control::ControlCaller;
 use crate::process::control::ControlClient;
-use crate::process::platform::PlatformError;
 use crate::process::rates::Answer;
 use crate::process::rates::Ask;
 use crate::process::rates::HolderCalls;
@@ -63,8 +62,7 @@
     /// Starts without tokens and without the role of a holder.
     pub fn new(node: &Arc<Node>) -> Self {
         let settings = &node.settings;
-        // Lives have to differ only, and a wall clock may step back to an earlier time.
-        let incarnation = Incarnation(u64::from(rand::random::<u32>()));
+        let incarnation = Incarnation(node.clock.wall().0);
         let client = RateClient::new(
             settings.node.clone(),
             incarnation,
@@ -110,14 +108,14 @@
 
 impl RateTasks {
     /// Starts the tasks of `node`.
-    pub fn start(node: &Arc<Node>) -> Result<Self, PlatformError> {
+    pub fn start(node: &Arc<Node>) -> Self {
         let client = Arc::clone(&node.rates().client);
-        let keeper = RoleKeeper::new(Arc::clone(node))?;
-        Ok(Self {
+        let keeper = RoleKeeper::new(Arc::clone(node));
+        Self {
             _reports: AbortOnDropHandle::new(tokio::spawn(client.run())),
             _ticks: AbortOnDropHandle::new(tokio::spawn(tick(Arc::clone(node)))),
             role: AbortOnDropHandle::new(tokio::spawn(keeper.run())),
-        })
+        }
     }
 
     /// Gives tokens and loans back, at the end of a planned stop.
--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -9,29 +9,34 @@
 
 use parking_lot::Mutex;
 use parking_lot::RwLock;
+use tokio::sync::broadcast;
 
 use super::ProbeSocket;
+use super::load_control::LoadControl;
 use super::local_server::LocalServer;
 use super::rates::NodeRates;
 use crate::connection::ConnectionPool;
 use crate::connection::PoolLimits;
+use crate::process::configuration::ConfigurationNews;
 use crate::process::membership::Membership;
 use crate::process::membership::NodeAddresses;
+use crate::process::platform::PlatformClient;
+use crate::process::platform::PlatformSettings;
 use crate::process::rates::BucketDump;
 use crate::process::secret::DerivedKey;
 use crate::process::secret::KeyPurpose;
 use crate::process::settings::NodeSettings;
 use crate::request::InFlightTable;
-use crate::request::Refusal;
-use crate::request::RefusalReason;
 use crate::values::Clock;
 use crate::values::OrganisationId;
-use crate::version::Configuration;
+use crate::version::ConfigurationHolder;
 
 /// Most connections from one node to another.
 const PEER_CONNECTIONS_MAX: u32 = 1_024;
 /// Longest time to open a connection to another node or to the backend server.
 const CONNECT_TIMEOUT_MS: u64 = 500;
+/// Most news of configurations that wait to be looked at.
+const NEWS_QUEUE_MAX: usize = 64;
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT_MS: u64 = 30_000;
 
@@ -51,7 +56,12 @@
     /// The other nodes.
     pub membership: Membership,
     pub(super) peer_key: DerivedKey,
-    version: RwLock<Option<Arc<Configuration>>>,
+    /// The configuration in force.
+    pub configuration: ConfigurationHolder,
+    /// The platform's service.
+    pub platform: PlatformClient,
+    pub(super) configuration_news: broadcast::Sender<ConfigurationNews>,
+    pub(super) load: LoadControl,
     server: RwLock<Option<Arc<LocalServer>>>,
     peer_pools: Mutex<HashMap<SocketAddr, Arc<ConnectionPool>>>,
     draining: AtomicBool,
@@ -62,14 +72,21 @@
     /// Makes a node that has no configuration and no backend server yet.
     pub fn new(settings: NodeSettings, addresses: NodeAddresses, probes: ProbeSocket) -> Self {
         let clock = Clock::start();
+        let platform = PlatformClient::new(&PlatformSettings {
+            zone: Some(settings.zone.clone()),
+            ..PlatformSettings::new(settings.platform)
+        });
         Self {
+            load: LoadControl::new(settings.zone.clone(), clock.now()),
             peer_key: settings.fleet_secret.derive(KeyPurpose::PeerRequest),
             membership: probes.start(&settings, &addresses, &clock),
             settings,
             addresses,
             clock,
             in_flight: Arc::default(),
-            version: RwLock::default(),
+            configuration: ConfigurationHolder::new(),
+            platform,
+            configuration_news: broadcast::Sender::new(NEWS_QUEUE_MAX),
             server: RwLock::default(),
             peer_pools: Mutex::default(),
             draining: AtomicBool::new(false),
@@ -77,24 +94,6 @@
         }
     }
 
-    /// Returns the configuration in force.
-    pub fn configuration(&self) -> Result<Arc<Configuration>, Refusal> {
-        let version = self.version.read().clone();
-        version.ok_or_else(|| Refusal::not_run(RefusalReason::NotReady))
-    }
-
-    /// Puts `configuration` in force unless the one in force is as new.
-    pub fn offer_configuration(&self, configuration: Configuration) {
-        let mut version = self.version.write();
-        let newer = match version.as_ref() {
-            Some(current) => configuration.version > current.version,
-            None => true,
-        };
-        if newer {
-            *version = Some(Arc::new(configuration));
-        }
-    }
-
     /// Returns the backend server beside this node while it is announced.
     pub(super) fn server(&self) -> Option<Arc<LocalServer>> {
         self.server.read().clone()
