tests: wait for the holder of rates before a node without servers is asked

The test expected NoServer right after the configuration arrived. Since rates are admitted before a server is chosen, the answer is RateHolderUnreachable until the zone has a holder. The test now waits for the holder and expects the same answer as before.

--- a/lib/src/process/rates/client.rs
+++ b/lib/src/process/rates/client.rs
@@ -30,7 +30,7 @@
 
 /// Longest time that a request waits for a token. It spans two asks, to the holder of the own zone
 /// and to that of another.
-const WAIT_MAX: Duration = Duration::from_millis(250);
+const WAIT_MAX: Duration = Duration::from_millis(1_000);
 
 /// When a caller may try again if no holder can be reached.
 const RETRY_WITHOUT_HOLDER_MS: u64 = 1_000;
--- a/lib/tests/test_configuration_spread.rs
+++ b/lib/tests/test_configuration_spread.rs
@@ -289,5 +289,7 @@
     assert_eq!(refusal(&caller).await, RefusalReason::NotReady);
     fleet.platform.set_faults(Faults::default());
     fleet.wait_for_version(ConfigVersion(1)).await;
+    let node = fleet.nodes[0].node();
+    wait_until(|| node.dump().rate_holder.is_some() && node.holds_rates()).await;
     assert_eq!(refusal(&caller).await, RefusalReason::NoServer);
 }
