--- a/lib/examples/fleet_rates/holders.rs
+++ b/lib/examples/fleet_rates/holders.rs
@@ -1,5 +1,6 @@
 //! One holder in each zone, with the library's state machines.
 
+use testutils::rate_fleet::Counting;
 use testutils::rate_fleet::FleetSettings;
 use testutils::rate_fleet::Lending;
 use testutils::rate_fleet::Link;
@@ -21,6 +22,7 @@
         nodes_per_zone: load.size.nodes_per_zone,
         link: Link::default(),
         drift_ppm: 0,
+        counting: Counting::Bytes,
         new_holder: NewHolder::Empty,
         lending,
         organisations: load.organisations.clone(),
--- /dev/null
+++ b/lib/src/process/rates/account.rs
@@ -0,0 +1,202 @@
+//! The account of one organisation in one zone.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::Ask;
+use super::AskPurpose;
+use super::BatchId;
+use super::Bucket;
+use super::Demand;
+use super::HolderReport;
+use super::Loans;
+use super::MAX_BATCH_LIFETIME;
+use super::Report;
+use super::TakenPart;
+use super::ZoneShare;
+use super::lender::Lender;
+use crate::values::MonotonicTime;
+use crate::values::NodeId;
+use crate::values::OrganisationId;
+use crate::values::TokenCount;
+use crate::values::ZoneId;
+
+/// Tokens for this much of the expected demand are borrowed ahead.
+const BORROW_AHEAD: Duration = Duration::from_millis(100);
+
+/// Holders that expect to need fewer tokens than this borrow only for requests that wait.
+const MIN_BORROW_AHEAD_TOKENS: u64 = 4;
+
+/// A lender keeps tokens for this much of its own zone's expected demand.
+const LENDER_RESERVE: Duration = Duration::from_millis(50);
+
+/// At most this part of what is left goes to demand that does not wait yet.
+const PREFETCH_DIVISOR: u64 = 4;
+
+/// With fewer tokens than this left, all are kept for requests that wait.
+const MIN_STOCK_FOR_PREFETCH_TOKENS: u64 = 8;
+
+/// The shortest time for which the word that there is no token holds.
+const MIN_DRY: Duration = Duration::from_millis(1);
+
+/// The longest time for which the word that there is no token holds.
+pub(super) const MAX_DRY: Duration = Duration::from_millis(50);
+
+/// The shortest time for which the word to another zone that there is no token holds.
+const MIN_LENDER_DRY: Duration = Duration::from_millis(25);
+
+/// An asker that was silent for this time no longer counts.
+const ASKER_MEMORY: Duration = Duration::from_millis(500);
+
+/// The account of one organisation in the zone.
+#[derive(Clone, Debug)]
+pub(super) struct Account {
+    pub bucket: Bucket,
+    pub loans: Loans,
+    pub demand: Demand,
+    pub lenders: BTreeMap<ZoneId, Lender>,
+    pub askers: BTreeMap<NodeId, MonotonicTime>,
+}
+
+impl Account {
+    pub fn new(share: ZoneShare, now: MonotonicTime, unknown_until: MonotonicTime) -> Self {
+        Self {
+            bucket: Bucket::empty(share, now, unknown_until),
+            loans: Loans::default(),
+            demand: Demand::new(now),
+            lenders: BTreeMap::new(),
+            askers: BTreeMap::new(),
+        }
+    }
+
+    pub fn advance(&mut self, now: MonotonicTime) {
+        self.bucket.advance(now);
+        self.loans.advance(now);
+    }
+
+    /// Forgets askers that were silent for long.
+    pub fn forget_silent_askers(&mut self, now: MonotonicTime) {
+        self.askers
+            .retain(|_, last| now.since(*last) < ASKER_MEMORY);
+    }
+
+    pub fn stock_tokens(&self, now: MonotonicTime) -> u64 {
+        self.bucket.level().0 + self.loans.available(now).0
+    }
+
+    /// Takes borrowed tokens first, because they end, then tokens of the zone's own bucket.
+    pub fn take_for_node(
+        &mut self,
+        id: BatchId,
+        ask: &Ask,
+        now: MonotonicTime,
+    ) -> Option<TakenPart> {
+        self.askers.insert(ask.asker.clone(), now);
+        let stock = self.stock_tokens(now);
+        let waiting = ask.waiting_tokens.0.min(stock);
+        let spare = match stock - waiting {
+            few if few < MIN_STOCK_FOR_PREFETCH_TOKENS => 0,
+            left => left / PREFETCH_DIVISOR,
+        };
+        let wanted = TokenCount(waiting + ask.prefetch_tokens.0.min(spare));
+        match wanted {
+            TokenCount(0) => None,
+            _ if self.loans.available(now).0 > 0 => self.loans.take(id, wanted, now),
+            _ => self.take_own(id, wanted, now),
+        }
+    }
+
+    pub fn take_for_zone(
+        &mut self,
+        id: BatchId,
+        ask: &Ask,
+        now: MonotonicTime,
+    ) -> Option<TakenPart> {
+        let reserve = self.demand.expected(LENDER_RESERVE, now).0;
+        let spare = self.bucket.level().0.saturating_sub(reserve);
+        match spare.min(ask.waiting_tokens.0) {
+            0 => None,
+            tokens => self.take_own(id, TokenCount(tokens), now),
+        }
+    }
+
+    pub fn take_own(
+        &mut self,
+        id: BatchId,
+        wanted: TokenCount,
+        now: MonotonicTime,
+    ) -> Option<TakenPart> {
+        let tokens = wanted.min(self.bucket.level());
+        let lifetime = self.bucket.share().batch_lifetime();
+        let taken = tokens.0 > 0 && self.bucket.take(id, tokens, now.after(lifetime));
+        taken.then_some(TakenPart { tokens, lifetime })
+    }
+
+    pub fn loan_wanted(&self, missing_tokens: u64, now: MonotonicTime) -> u64 {
+        let ahead = match self.demand.expected(BORROW_AHEAD, now) {
+            TokenCount(few) if few < MIN_BORROW_AHEAD_TOKENS => 0,
+            TokenCount(ahead) => ahead,
+        };
+        let stock = self.stock_tokens(now);
+        match stock {
+            _ if missing_tokens > 0 => missing_tokens + ahead,
+            _ => ahead.saturating_sub(stock),
+        }
+    }
+
+    /// Returns at most one lender for each wanted token. `turn` changes which come first.
+    pub fn lenders_to_ask(&self, wanted_tokens: u64, turn: u64, now: MonotonicTime) -> Vec<ZoneId> {
+        let lenders = self.lenders.iter();
+        let mut zones: Vec<_> = lenders
+            .filter(|(_, lender)| lender.can_be_asked(now))
+            .map(|(zone, _)| zone.clone())
+            .collect();
+        let first = turn as usize % zones.len().max(1);
+        zones.rotate_left(first);
+        zones.truncate(usize::try_from(wanted_tokens).unwrap_or(usize::MAX));
+        zones
+    }
+
+    pub fn awaits_loan(&self, now: MonotonicTime) -> bool {
+        self.lenders.values().any(|lender| lender.is_awaited(now))
+    }
+
+    /// Returns the time in which the rates of all zones mint one token for each asker.
+    pub fn dry_holds(&self, purpose: AskPurpose, now: MonotonicTime) -> Duration {
+        let is_active = |last: &&MonotonicTime| now.since(**last) < ASKER_MEMORY;
+        let askers = self.askers.values().filter(is_active).count() as u64;
+        let zones = self.lenders.len() as u64 + 1;
+        let rate = self.bucket.share().rate_micro_per_s.0.max(1);
+        let fleet_rate = rate.saturating_mul(zones);
+        let micros = askers.saturating_mul(1_000_000_000_000) / fleet_rate;
+        let next_own = self.bucket.until_next_token().unwrap_or(MAX_DRY);
+        match purpose {
+            AskPurpose::Spend => Duration::from_micros(micros).clamp(MIN_DRY, MAX_DRY),
+            AskPurpose::Lend => next_own.clamp(MIN_LENDER_DRY, MAX_DRY),
+        }
+    }
+
+    pub fn until_next_token(&self, now: MonotonicTime) -> Duration {
+        let lenders = self.lenders.values();
+        let soonest = lenders.map(|lender| lender.until_next_token(now)).min();
+        let own = self.bucket.until_next_token();
+        own.into_iter()
+            .chain(soonest)
+            .min()
+            .unwrap_or(MAX_BATCH_LIFETIME)
+    }
+
+    pub fn reports(&mut self, organisation: &OrganisationId) -> Vec<HolderReport> {
+        let lenders = self.loans.lenders_to_tell();
+        lenders
+            .into_iter()
+            .map(|lender| HolderReport {
+                report: Report {
+                    organisation: organisation.clone(),
+                    settlements: self.loans.settlements(&lender),
+                },
+                lender,
+            })
+            .collect()
+    }
+}
--- a/lib/src/process/rates/lease.rs
+++ b/lib/src/process/rates/lease.rs
@@ -12,12 +12,14 @@
 
 use std::time::Duration;
 
-use crate::process::membership::MemberTable;
+use super::HolderRecord;
+use super::PeerStanding;
+use super::PlatformStanding;
+use super::RecordWrite;
 use crate::values::Epoch;
 use crate::values::Incarnation;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
-use crate::values::ZoneId;
 
 /// How long the role is held after a renewal was sent.
 pub const LEASE_HOLD: Duration = Duration::from_millis(3_000);
@@ -28,59 +30,9 @@
 /// Time between renewals, and between reads of a candidate.
 pub const LEASE_RENEWAL: Duration = Duration::from_millis(1_000);
 
-/// Nodes of a zone that watch the record, ready to take over.
-pub const CANDIDATES_PER_ZONE: usize = 3;
-
 /// The epoch of the first holder that a zone ever has.
 pub(super) const FIRST_EPOCH: Epoch = Epoch(1);
 
-plain_data! {
-    /// The platform's record of the holder of one zone.
-    #[derive(Eq)]
-    pub struct HolderRecord {
-        /// The node that holds the role.
-        pub holder: NodeId,
-        /// The life of that node.
-        pub incarnation: Incarnation,
-        /// Rises by one with each change of the holder.
-        pub epoch: Epoch,
-        /// Rises by one with each renewal.
-        pub renewals: u64,
-    }
-}
-
-plain_value! {
-    /// Whether a node can write to the platform.
-    #[serde(rename_all = "kebab-case")]
-    pub enum PlatformStanding {
-        /// It can, or a write of it may still take effect.
-        Reachable,
-        /// It cannot, and no write of it is in doubt.
-        Unreachable,
-    }
-}
-
-plain_data! {
-    /// What a node tells the holder of its zone.
-    #[derive(Eq)]
-    pub struct PeerStanding {
-        /// The highest epoch of the zone that the node has seen.
-        pub epoch: Epoch,
-        /// Whether the node can write to the platform. A node that cannot promises not to take over
-        /// for [`LEASE_TAKEOVER`].
-        pub platform: PlatformStanding,
-    }
-}
-
-/// A compare-and-swap to send to the platform.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RecordWrite {
-    /// The record that must be in place, or none if there must be no record.
-    pub expected: Option<HolderRecord>,
-    /// The record to put in its place.
-    pub record: HolderRecord,
-}
-
 /// What a node does about the role now.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaseAction {
@@ -338,24 +290,3 @@
         };
     }
 }
-
-/// Returns the nodes of `zone` that may take over its rates, by rendezvous hashing.
-pub fn holder_candidates(zone: &ZoneId, members: &MemberTable) -> Vec<NodeId> {
-    let in_zone = members
-        .nodes()
-        .filter(|record| record.zone == *zone && record.takes_work());
-    let mut ranked: Vec<_> = in_zone
-        .map(|record| (rendezvous_rank(zone, &record.id), record.id.clone()))
-        .collect();
-    ranked.sort();
-    ranked.truncate(CANDIDATES_PER_ZONE);
-    ranked.into_iter().map(|(_, id)| id).collect()
-}
-
-fn rendezvous_rank(zone: &ZoneId, node: &NodeId) -> [u8; 32] {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(zone.as_str().as_bytes());
-    hasher.update(&[0]);
-    hasher.update(node.as_str().as_bytes());
-    hasher.finalize().into()
-}
--- /dev/null
+++ b/lib/src/process/rates/lease_record.rs
@@ -0,0 +1,52 @@
+//! What the platform and the nodes of a zone say about the holder of its rates.
+
+use crate::values::Epoch;
+use crate::values::Incarnation;
+use crate::values::NodeId;
+
+plain_data! {
+    /// The platform's record of the holder of one zone.
+    #[derive(Eq)]
+    pub struct HolderRecord {
+        /// The node that holds the role.
+        pub holder: NodeId,
+        /// The life of that node.
+        pub incarnation: Incarnation,
+        /// Rises by one with each change of the holder.
+        pub epoch: Epoch,
+        /// Rises by one with each renewal.
+        pub renewals: u64,
+    }
+}
+
+plain_value! {
+    /// Whether a node can write to the platform.
+    #[serde(rename_all = "kebab-case")]
+    pub enum PlatformStanding {
+        /// It can, or a write of it may still take effect.
+        Reachable,
+        /// It cannot, and no write of it is in doubt.
+        Unreachable,
+    }
+}
+
+plain_data! {
+    /// What a node tells the holder of its zone.
+    #[derive(Eq)]
+    pub struct PeerStanding {
+        /// The highest epoch of the zone that the node has seen.
+        pub epoch: Epoch,
+        /// Whether the node can write to the platform. A node that cannot promises not to take over
+        /// for [`LEASE_TAKEOVER`](super::LEASE_TAKEOVER).
+        pub platform: PlatformStanding,
+    }
+}
+
+/// A compare-and-swap to send to the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RecordWrite {
+    /// The record that must be in place, or none if there must be no record.
+    pub expected: Option<HolderRecord>,
+    /// The record to put in its place.
+    pub record: HolderRecord,
+}
--- a/lib/src/process/rates/local.rs
+++ b/lib/src/process/rates/local.rs
@@ -10,11 +10,12 @@
 use super::Ask;
 use super::AskId;
 use super::AskPurpose;
-use super::Demand;
 use super::Dry;
-use super::MIN_BATCH_LIFETIME;
+use super::Grant;
 use super::Report;
-use super::local_batch::LocalBatches;
+use super::local_account::DryWord;
+use super::local_account::LocalAccount;
+use super::local_account::OpenAsk;
 use crate::values::Epoch;
 use crate::values::Incarnation;
 use crate::values::MonotonicTime;
@@ -26,21 +27,9 @@
 /// A zone whose holder did not answer is not asked again for this time.
 const PAUSE_AFTER_SILENCE: Duration = Duration::from_millis(500);
 
-/// More tokens are asked for when those left are expected to last only this long.
-const REFILL_BEFORE: Duration = Duration::from_millis(20);
-
-/// Tokens are asked for ahead to last this long.
-const PREFETCH_FOR: Duration = Duration::from_millis(400);
-
 /// A node that was given no tokens ahead asks for none for this time.
 const PREFETCH_PAUSE: Duration = Duration::from_millis(50);
 
-/// Nodes that expect to need fewer tokens than this ask for each when a request needs it.
-const MIN_PREFETCH_TOKENS: u64 = 2;
-
-/// More tokens are asked for when this part of the wanted stock is left.
-const REFILL_DIVISOR: u64 = 4;
-
 /// An ask without an answer is given up after this time.
 pub const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -81,33 +70,6 @@
     pub report: Report,
 }
 
-/// An ask that was not answered yet.
-#[derive(Clone, Debug)]
-struct OpenAsk {
-    id: AskId,
-    zone: ZoneId,
-    sent: MonotonicTime,
-}
-
-/// The holder's word that there is no token.
-#[derive(Clone, Copy, Debug)]
-struct DryWord {
-    holds_until: MonotonicTime,
-    next_token: MonotonicTime,
-}
-
-/// One organisation on this node.
-#[derive(Clone, Debug)]
-struct LocalAccount {
-    batches: LocalBatches,
-    demand: Demand,
-    open: Option<OpenAsk>,
-    dry: Option<DryWord>,
-    /// Tokens are not asked for ahead before this time.
-    prefetch_from: MonotonicTime,
-    lifetime: Duration,
-}
-
 /// The tokens of all organisations that a node may spend.
 ///
 /// Lifetimes are counted from when an ask was sent, by the node's own monotonic clock, so that they
@@ -289,12 +251,7 @@
             .insert(zone, now.after(PAUSE_AFTER_SILENCE));
     }
 
-    fn accept_grant(
-        &mut self,
-        organisation: &OrganisationId,
-        grant: &super::Grant,
-        open: &OpenAsk,
-    ) {
+    fn accept_grant(&mut self, organisation: &OrganisationId, grant: &Grant, open: &OpenAsk) {
         let account = self.account(organisation, open.sent);
         account.lifetime = grant.lifetime();
         account.dry = None;
@@ -325,51 +282,3 @@
         due + Duration::from_micros(offset_us)
     }
 }
-
-impl LocalAccount {
-    fn new(now: MonotonicTime) -> Self {
-        Self {
-            batches: LocalBatches::default(),
-            demand: Demand::new(now),
-            open: None,
-            dry: None,
-            prefetch_from: now,
-            lifetime: MIN_BATCH_LIFETIME,
-        }
-    }
-
-    fn is_asking(&self, now: MonotonicTime) -> bool {
-        match &self.open {
-            Some(open) => now < open.sent.after(ASK_TIMEOUT),
-            None => false,
-        }
-    }
-
-    fn prefetch_wanted(&self, waiting: TokenCount, now: MonotonicTime) -> TokenCount {
-        let left = self.batches.available(now).0;
-        let span = PREFETCH_FOR.min(self.lifetime / 2);
-        let target = self.demand.expected(span, now).0;
-        let soon = self.demand.expected(REFILL_BEFORE, now).0;
-        let is_dry = self.dry.is_some_and(|dry| now < dry.holds_until);
-        let is_pausing = is_dry || now < self.prefetch_from;
-        match left {
-            _ if is_pausing || target < MIN_PREFETCH_TOKENS => TokenCount(0),
-            _ if waiting.0 == 0 && left > soon.max(target / REFILL_DIVISOR) => TokenCount(0),
-            _ => TokenCount(target.saturating_sub(left)),
-        }
-    }
-
-    fn reports(&mut self, organisation: &OrganisationId, now: MonotonicTime) -> Vec<ReportTarget> {
-        let zones = self.batches.zones_to_tell(now);
-        zones
-            .into_iter()
-            .map(|zone| ReportTarget {
-                report: Report {
-                    organisation: organisation.clone(),
-                    settlements: self.batches.settlements(&zone),
-                },
-                zone,
-            })
-            .collect()
-    }
-}
--- /dev/null
+++ b/lib/src/process/rates/local_account.rs
@@ -0,0 +1,106 @@
+//! One organisation on a node: its batches and when to ask for more.
+
+use std::time::Duration;
+
+use super::ASK_TIMEOUT;
+use super::AskId;
+use super::Demand;
+use super::MIN_BATCH_LIFETIME;
+use super::Report;
+use super::ReportTarget;
+use super::local_batch::LocalBatches;
+use crate::values::MonotonicTime;
+use crate::values::OrganisationId;
+use crate::values::TokenCount;
+use crate::values::ZoneId;
+
+/// More tokens are asked for when those left are expected to last only this long.
+const REFILL_BEFORE: Duration = Duration::from_millis(20);
+
+/// Tokens are asked for ahead to last this long.
+const PREFETCH_FOR: Duration = Duration::from_millis(400);
+
+/// Nodes that expect to need fewer tokens than this ask for each when a request needs it.
+const MIN_PREFETCH_TOKENS: u64 = 2;
+
+/// More tokens are asked for when this part of the wanted stock is left.
+const REFILL_DIVISOR: u64 = 4;
+
+/// An ask that was not answered yet.
+#[derive(Clone, Debug)]
+pub(super) struct OpenAsk {
+    pub id: AskId,
+    pub zone: ZoneId,
+    pub sent: MonotonicTime,
+}
+
+/// The holder's word that there is no token.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct DryWord {
+    pub holds_until: MonotonicTime,
+    pub next_token: MonotonicTime,
+}
+
+/// One organisation on this node.
+#[derive(Clone, Debug)]
+pub(super) struct LocalAccount {
+    pub batches: LocalBatches,
+    pub demand: Demand,
+    pub open: Option<OpenAsk>,
+    pub dry: Option<DryWord>,
+    /// Tokens are not asked for ahead before this time.
+    pub prefetch_from: MonotonicTime,
+    pub lifetime: Duration,
+}
+
+impl LocalAccount {
+    pub fn new(now: MonotonicTime) -> Self {
+        Self {
+            batches: LocalBatches::default(),
+            demand: Demand::new(now),
+            open: None,
+            dry: None,
+            prefetch_from: now,
+            lifetime: MIN_BATCH_LIFETIME,
+        }
+    }
+
+    pub fn is_asking(&self, now: MonotonicTime) -> bool {
+        match &self.open {
+            Some(open) => now < open.sent.after(ASK_TIMEOUT),
+            None => false,
+        }
+    }
+
+    pub fn prefetch_wanted(&self, waiting: TokenCount, now: MonotonicTime) -> TokenCount {
+        let left = self.batches.available(now).0;
+        let span = PREFETCH_FOR.min(self.lifetime / 2);
+        let target = self.demand.expected(span, now).0;
+        let soon = self.demand.expected(REFILL_BEFORE, now).0;
+        let is_dry = self.dry.is_some_and(|dry| now < dry.holds_until);
+        let is_pausing = is_dry || now < self.prefetch_from;
+        match left {
+            _ if is_pausing || target < MIN_PREFETCH_TOKENS => TokenCount(0),
+            _ if waiting.0 == 0 && left > soon.max(target / REFILL_DIVISOR) => TokenCount(0),
+            _ => TokenCount(target.saturating_sub(left)),
+        }
+    }
+
+    pub fn reports(
+        &mut self,
+        organisation: &OrganisationId,
+        now: MonotonicTime,
+    ) -> Vec<ReportTarget> {
+        let zones = self.batches.zones_to_tell(now);
+        zones
+            .into_iter()
+            .map(|zone| ReportTarget {
+                report: Report {
+                    organisation: organisation.clone(),
+                    settlements: self.batches.settlements(&zone),
+                },
+                zone,
+            })
+            .collect()
+    }
+}
--- a/lib/src/process/rates/local_batch.rs
+++ b/lib/src/process/rates/local_batch.rs
@@ -15,7 +15,7 @@
 const MIN_RETURN_MARGIN: Duration = Duration::from_millis(10);
 
 /// What was spent is reported without an ask after this part of a batch's lifetime.
-const REPORTS_PER_LIFETIME: u32 = 2;
+const REPORTS_PER_LIFETIME: u32 = 4;
 
 /// A batch that the node may spend until it ends.
 #[derive(Clone, Debug)]
--- a/lib/src/process/rates/mod.rs
+++ b/lib/src/process/rates/mod.rs
@@ -5,14 +5,19 @@
 //! a short time. The other nodes spend them ([`LocalTokens`]). A zone without tokens borrows them
 //! from the holders of other zones. `docs/design/fleet-rates.md` has the proof of the bound.
 
+mod account;
 mod bucket;
+mod candidates;
 mod client;
 mod demand;
 mod holder;
+mod holder_reply;
 mod lease;
+mod lease_record;
 mod lender;
 mod loans;
 mod local;
+mod local_account;
 mod local_batch;
 mod messages;
 mod service;
@@ -21,24 +26,24 @@
 use std::time::Duration;
 
 pub use self::bucket::Bucket;
+pub use self::candidates::CANDIDATES_PER_ZONE;
+pub use self::candidates::holder_candidates;
 pub use self::client::HolderCalls;
 pub use self::client::RateClient;
 pub use self::demand::Demand;
-pub use self::holder::BucketDump;
 pub use self::holder::Holder;
-pub use self::holder::HolderReply;
-pub use self::holder::HolderReport;
-pub use self::holder::HolderSettings;
-pub use self::lease::CANDIDATES_PER_ZONE;
+pub use self::holder_reply::BucketDump;
+pub use self::holder_reply::HolderReply;
+pub use self::holder_reply::HolderReport;
+pub use self::holder_reply::HolderSettings;
 pub use self::lease::HolderLease;
-pub use self::lease::HolderRecord;
 pub use self::lease::LEASE_HOLD;
 pub use self::lease::LEASE_TAKEOVER;
 pub use self::lease::LeaseAction;
-pub use self::lease::PeerStanding;
-pub use self::lease::PlatformStanding;
-pub use self::lease::RecordWrite;
-pub use self::lease::holder_candidates;
+pub use self::lease_record::HolderRecord;
+pub use self::lease_record::PeerStanding;
+pub use self::lease_record::PlatformStanding;
+pub use self::lease_record::RecordWrite;
 pub use self::loans::Loans;
 pub use self::loans::TakenPart;
 pub use self::local::ASK_TIMEOUT;
--- a/lib/tests/test_rates_bound.rs
+++ b/lib/tests/test_rates_bound.rs
@@ -8,6 +8,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use testutils::rate_fleet::Bound;
+use testutils::rate_fleet::Counting;
 use testutils::rate_fleet::Fault;
 use testutils::rate_fleet::FleetSettings;
 use testutils::rate_fleet::Lending;
@@ -73,6 +74,7 @@
         nodes_per_zone: NODES_PER_ZONE,
         link,
         drift_ppm: DRIFT_PPM,
+        counting: Counting::Messages,
         new_holder,
         lending: Lending::On,
         organisations: scaled(100),
--- a/lib/tests/test_rates_demand.rs
+++ b/lib/tests/test_rates_demand.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use testutils::rate_fleet::Counting;
 use testutils::rate_fleet::FleetSettings;
 use testutils::rate_fleet::Lending;
 use testutils::rate_fleet::Link;
@@ -54,6 +55,7 @@
         nodes_per_zone: NODES_PER_ZONE,
         link: Link::default(),
         drift_ppm: 0,
+        counting: Counting::Messages,
         new_holder: NewHolder::Empty,
         lending,
         organisations: vec![organisation],
--- a/testutils/src/rate_fleet/fleet.rs
+++ b/testutils/src/rate_fleet/fleet.rs
@@ -49,6 +49,15 @@
     pub late_permille: u32,
 }
 
+/// What is counted of messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Counting {
+    /// Their number.
+    Messages,
+    /// Their number and their bytes.
+    Bytes,
+}
+
 /// What a fleet is made of.
 #[derive(Clone, Debug)]
 pub struct FleetSettings {
@@ -66,6 +75,8 @@
     pub new_holder: NewHolder,
     /// Whether holders lend to one another.
     pub lending: Lending,
+    /// Whether the bytes of messages are counted, which takes time.
+    pub counting: Counting,
     /// Organisations of the first configuration.
     pub organisations: Vec<Organisation>,
 }
@@ -397,7 +408,10 @@
 
     fn send(&mut self, from: NodeIndex, to: NodeIndex, message: Message) {
         if message.is_about_tokens() {
-            let bytes = message.json_bytes();
+            let bytes = match self.settings.counting {
+                Counting::Messages => 0,
+                Counting::Bytes => message.json_bytes(),
+            };
             self.tally.messages += 1;
             *self
                 .tally
--- a/testutils/src/rate_fleet/mod.rs
+++ b/testutils/src/rate_fleet/mod.rs
@@ -6,6 +6,7 @@
 mod node;
 
 pub use self::bound::Bound;
+pub use self::fleet::Counting;
 pub use self::fleet::Fault;
 pub use self::fleet::FleetSettings;
 pub use self::fleet::Link;
