rates: change the split over zones without going over the whole

Zones learn a new split at different times; a zone with a larger new part next to one with a larger old part went over the whole. A holder is now bound by every split that may be in force somewhere until all zones' records name the newest.

The bound test now changes weights with each change of rates.

--- a/lib/src/process/node/rate_role.rs
+++ b/lib/src/process/node/rate_role.rs
@@ -20,6 +20,7 @@
 use crate::process::rates::PeerStanding;
 use crate::process::rates::RecordWrite;
 use crate::process::rates::holder_candidates;
+use crate::values::ZoneId;
 
 /// Time between two looks at the lease.
 const PERIOD: Duration = Duration::from_millis(100);
@@ -28,7 +29,7 @@
 const CALL_TIMEOUT_MS: u64 = 500;
 
 /// Most calls to the platform's service in a second.
-const CALLS_PER_S: u32 = 5;
+const CALLS_PER_S: u32 = 20;
 
 /// Keeps the lease on the rates of a node's zone.
 pub(super) struct RoleKeeper {
@@ -107,12 +108,36 @@
             Ok(Swap::Done(revision)) => {
                 self.revision = Some(revision);
                 service.with_lease(|lease, now| lease.write_succeeded(now));
+                self.read_other_zones().await;
             }
             Ok(Swap::Conflict(_)) => service.with_lease(|lease, now| lease.write_conflicted(now)),
             Err(error) => service.with_lease(|lease, _| write_failed(lease, &error)),
         }
     }
 
+    /// Reads the records of other zones while zones may split rates differently.
+    async fn read_other_zones(&self) {
+        let service = &self.node.rates().service;
+        let zones = service.zones_to_read();
+        let is_needed = !zones.is_empty();
+        let reads = zones.into_iter().map(|zone| self.read_other_zone(zone));
+        let records: Option<Vec<_>> = futures::future::join_all(reads).await.into_iter().collect();
+        match records {
+            Some(records) if is_needed => service.zones_read(&records),
+            _ => {}
+        }
+    }
+
+    /// Returns none if the record cannot be read, and no record if the zone has none.
+    async fn read_other_zone(&self, zone: ZoneId) -> Option<Option<HolderRecord>> {
+        let key = PlatformKey::RateHolder(zone);
+        match self.platform.get(&key).await {
+            Ok(Some(stored)) => Some(Some(parse(&stored)?)),
+            Ok(None) => Some(None),
+            Err(_) => None,
+        }
+    }
+
     /// Asks all nodes of the zone that are not known to be dead, while the platform is away.
     async fn ask_for_promises(&self) {
         let service = &self.node.rates().service;
--- a/lib/src/process/rates/lease.rs
+++ b/lib/src/process/rates/lease.rs
@@ -10,16 +10,20 @@
 //! all of them; each that cannot reach the platform either promises not to take over for
 //! [`LEASE_TAKEOVER`]. With all promises the holder goes on for another [`LEASE_HOLD`].
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::HolderRecord;
+use super::LayoutSet;
 use super::PeerStanding;
 use super::PlatformStanding;
 use super::RecordWrite;
+use super::ZoneLayout;
 use crate::values::Epoch;
 use crate::values::Incarnation;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
+use crate::values::ZoneId;
 
 /// How long the role is held after a renewal was sent.
 pub const LEASE_HOLD: Duration = Duration::from_millis(3_000);
@@ -70,6 +74,9 @@
     next_call: MonotonicTime,
     platform: PlatformStanding,
     highest_epoch: Epoch,
+    /// The layout of the configuration in force on this node.
+    wanted: Option<ZoneLayout>,
+    layouts: LayoutSet,
 }
 
 /// The role while this node holds it.
@@ -92,6 +99,8 @@
             next_call: MonotonicTime::default(),
             platform: PlatformStanding::Unreachable,
             highest_epoch: Epoch::default(),
+            wanted: None,
+            layouts: LayoutSet::default(),
         }
     }
 
@@ -105,6 +114,32 @@
         }
     }
 
+    /// Takes in the layout of the configuration in force. Nodes without one do not take over.
+    pub fn want_layout(&mut self, layout: ZoneLayout, now: MonotonicTime) {
+        if self.held.is_some() {
+            self.layouts.adopt(&layout, now);
+        }
+        self.wanted = Some(layout);
+    }
+
+    /// Returns the layouts that bind this node while it holds the role.
+    pub fn layouts(&self) -> &LayoutSet {
+        &self.layouts
+    }
+
+    /// Returns the zones whose records have to be read before this node is bound by one layout only.
+    pub fn zones_to_read(&self, own: &ZoneId) -> BTreeSet<ZoneId> {
+        match self.held {
+            Some(_) => self.layouts.zones_to_read(own),
+            None => BTreeSet::new(),
+        }
+    }
+
+    /// Takes in the records of [`Self::zones_to_read`], read since then.
+    pub fn zones_read(&mut self, others: &[Option<HolderRecord>]) {
+        self.layouts.settle(others);
+    }
+
     /// Returns until when this node may grant tokens, if it still holds the role.
     pub fn held_until(&self) -> Option<MonotonicTime> {
         self.held.map(|held| held.valid_until)
@@ -124,7 +159,7 @@
         self.next_call = now.after(LEASE_RENEWAL);
         match (&self.seen, is_holder) {
             _ if self.open.is_some() => LeaseAction::Read,
-            (Some(seen), true) => self.write(self.renewal(seen), now),
+            (Some(seen), true) => self.write(self.renewal(seen, now), now),
             (Some(seen), false) if self.may_take_over(seen, now) => {
                 self.write(self.takeover(seen), now)
             }
@@ -243,19 +278,31 @@
         LeaseAction::Write(write)
     }
 
-    fn renewal(&self, seen: &SeenRecord) -> RecordWrite {
+    fn renewal(&self, seen: &SeenRecord, now: MonotonicTime) -> RecordWrite {
         let renewals = seen.record.as_ref().map_or(0, |record| record.renewals);
         let epoch = self.held.map_or(Epoch(0), |held| held.epoch);
-        self.record_after(seen, epoch, renewals + 1)
+        self.record_after(seen, epoch, renewals + 1, self.layouts.to_publish(now))
     }
 
     fn takeover(&self, seen: &SeenRecord) -> RecordWrite {
         let in_record = seen.record.as_ref().map_or(Epoch(0), |record| record.epoch);
         let epoch = Epoch(in_record.max(self.highest_epoch).0 + 1);
-        self.record_after(seen, epoch, 0)
+        let layouts = match &seen.record {
+            Some(record) => record.layouts.clone(),
+            None => std::iter::once(ZoneLayout::empty())
+                .chain(self.wanted.clone())
+                .collect(),
+        };
+        self.record_after(seen, epoch, 0, layouts)
     }
 
-    fn record_after(&self, seen: &SeenRecord, epoch: Epoch, renewals: u64) -> RecordWrite {
+    fn record_after(
+        &self,
+        seen: &SeenRecord,
+        epoch: Epoch,
+        renewals: u64,
+        layouts: Vec<ZoneLayout>,
+    ) -> RecordWrite {
         RecordWrite {
             expected: seen.record.clone(),
             record: HolderRecord {
@@ -263,6 +310,7 @@
                 incarnation: self.incarnation,
                 epoch,
                 renewals,
+                layouts,
             },
         }
     }
@@ -270,7 +318,8 @@
     fn may_take_over(&self, seen: &SeenRecord, now: MonotonicTime) -> bool {
         let is_vacant = seen.record.is_none();
         let is_lapsed = now.since(seen.since) >= LEASE_TAKEOVER;
-        now >= self.no_takeover_before && (is_vacant || is_lapsed)
+        let is_free = is_vacant || is_lapsed;
+        self.wanted.is_some() && now >= self.no_takeover_before && is_free
     }
 
     fn is_own(&self, record: &HolderRecord) -> bool {
@@ -286,7 +335,14 @@
                 epoch,
                 valid_until: held.valid_until.max(valid_until),
             }),
-            _ => Some(HeldLease { epoch, valid_until }),
+            _ => {
+                self.layouts = LayoutSet::inherited(&open.record.layouts, open.sent);
+                Some(HeldLease { epoch, valid_until })
+            }
         };
+        self.layouts.was_published(&open.record.layouts);
+        if let Some(wanted) = &self.wanted {
+            self.layouts.adopt(wanted, open.sent);
+        }
     }
 }
--- a/lib/src/process/rates/lease_record.rs
+++ b/lib/src/process/rates/lease_record.rs
@@ -1,5 +1,6 @@
 //! What the platform and the nodes of a zone say about the holder of its rates.
 
+use super::ZoneLayout;
 use crate::values::Epoch;
 use crate::values::Incarnation;
 use crate::values::NodeId;
@@ -16,6 +17,8 @@
         pub epoch: Epoch,
         /// Rises by one with each renewal.
         pub renewals: u64,
+        /// Splits of rates over zones that bind the holder, the newest last.
+        pub layouts: Vec<ZoneLayout>,
     }
 }
 
--- a/lib/src/process/rates/service.rs
+++ b/lib/src/process/rates/service.rs
@@ -1,6 +1,6 @@
 //! Answers asks on the node that holds the rates of its zone.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,7 +22,7 @@
 use super::LoanAsk;
 use super::PeerStanding;
 use super::Report;
-use super::split_over_zones;
+use super::ZoneLayout;
 use crate::process::events::rates as events;
 use crate::values::Clock;
 use crate::values::Incarnation;
@@ -96,9 +96,21 @@
         let now = self.clock.now();
         let mut state = self.state.lock();
         state.configuration = Some(Arc::clone(configuration));
-        if let Some(holder) = &mut state.holder {
-            apply_shares(holder, configuration, &self.zone, now);
-        }
+        state.lease.want_layout(ZoneLayout::of(configuration), now);
+        self.apply_shares(&mut state, now);
+    }
+
+    /// Returns the zones whose records have to be read, see [`HolderLease::zones_to_read`].
+    pub fn zones_to_read(&self) -> BTreeSet<ZoneId> {
+        self.state.lock().lease.zones_to_read(&self.zone)
+    }
+
+    /// Takes in the records of those zones.
+    pub fn zones_read(&self, others: &[Option<HolderRecord>]) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        state.lease.zones_read(others);
+        self.apply_shares(&mut state, now);
     }
 
     /// Returns whether the node holds the role now and has begun to grant tokens.
@@ -230,7 +242,6 @@
         now: MonotonicTime,
     ) -> Option<&'a mut Holder> {
         let epoch = state.lease.held_epoch(now)?;
-        let configuration = state.configuration.as_ref()?;
         let is_current = |holder: &Holder| holder.epoch() == epoch;
         if !state.holder.as_ref().is_some_and(is_current) {
             let settings = HolderSettings {
@@ -238,10 +249,9 @@
                 node: self.node.clone(),
                 epoch,
             };
-            let mut holder = Holder::new(settings, now);
-            apply_shares(&mut holder, configuration, &self.zone, now);
             events::HOLDER_TAKEN.log(format_args!("zone {}, epoch {epoch}", self.zone));
-            state.holder = Some(holder);
+            state.holder = Some(Holder::new(settings, now));
+            self.apply_shares(state, now);
         }
         state.holder.as_mut()
     }
@@ -268,25 +278,19 @@
         }
         reply.answer
     }
-}
 
-fn apply_shares(
-    holder: &mut Holder,
-    configuration: &Configuration,
-    zone: &ZoneId,
-    now: MonotonicTime,
-) {
-    holder.retain(|id| configuration.organisations.contains_key(id), now);
-    let lenders: BTreeMap<_, _> = configuration
-        .zones
-        .iter()
-        .filter(|(id, _)| *id != zone)
-        .collect();
-    for organisation in configuration.organisations.values() {
-        let shares = split_over_zones(organisation, &configuration.zones);
-        if let Some(share) = shares.get(zone) {
-            let lenders = lenders.keys().map(|id| (*id).clone());
-            holder.set_share(&organisation.id, *share, lenders, now);
+    /// Gives the holder the shares of the configuration in force.
+    fn apply_shares(&self, state: &mut ServiceState, now: MonotonicTime) {
+        let (Some(holder), Some(configuration)) = (&mut state.holder, &state.configuration) else {
+            return;
+        };
+        let organisations = &configuration.organisations;
+        holder.retain(|id| organisations.contains_key(id), now);
+        for organisation in organisations.values() {
+            let share = state.lease.layouts().share(organisation, &self.zone);
+            let others = configuration.zones.keys();
+            let lenders = others.filter(|id| **id != self.zone).cloned();
+            holder.set_share(&organisation.id, share, lenders, now);
         }
     }
 }
--- a/lib/src/process/rates/share.rs
+++ b/lib/src/process/rates/share.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::ZoneLayout;
 use crate::values::TokenCount;
 use crate::values::ZoneId;
 use crate::version::Organisation;
-use crate::version::ZoneRecord;
 
 /// Millionths of a token in one token.
 const MICROS_PER_TOKEN: u64 = 1_000_000;
@@ -66,12 +66,9 @@
 /// no token.
 pub fn split_over_zones(
     organisation: &Organisation,
-    zones: &BTreeMap<ZoneId, ZoneRecord>,
+    layout: &ZoneLayout,
 ) -> BTreeMap<ZoneId, ZoneShare> {
-    let weights: Vec<u64> = zones
-        .values()
-        .map(|zone| u64::from(zone.rate_weight))
-        .collect();
+    let weights: Vec<u64> = layout.weights.values().copied().map(u64::from).collect();
     let bursts = largest_remainder(organisation.burst_tokens.0, &weights);
     let minting: Vec<u64> = weights
         .iter()
@@ -89,7 +86,7 @@
             burst_tokens: TokenCount(burst),
             batch_lifetime_us,
         });
-    zones.keys().cloned().zip(shares).collect()
+    layout.weights.keys().cloned().zip(shares).collect()
 }
 
 /// Returns how long a batch of the organisation's tokens may be spent after it was asked for.
--- a/lib/tests/test_rates.rs
+++ b/lib/tests/test_rates.rs
@@ -1,6 +1,5 @@
 //! Parts of rates over the fleet: shares, buckets, holders and the tokens of a node.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use balsamfold::process::rates::Answer;
@@ -15,6 +14,7 @@
 use balsamfold::process::rates::LocalTokens;
 use balsamfold::process::rates::Settlement;
 use balsamfold::process::rates::Spend;
+use balsamfold::process::rates::ZoneLayout;
 use balsamfold::process::rates::ZoneShare;
 use balsamfold::process::rates::split_over_zones;
 use balsamfold::values::Epoch;
@@ -25,7 +25,6 @@
 use balsamfold::values::TokenCount;
 use balsamfold::values::ZoneId;
 use balsamfold::version::Organisation;
-use balsamfold::version::ZoneRecord;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -45,22 +44,15 @@
     "workshop".parse().expect("the name is valid")
 }
 
-fn zones(weights: &[u32]) -> BTreeMap<ZoneId, ZoneRecord> {
-    let record = |(index, rate_weight): (usize, &u32)| {
-        let id = zone(&format!("z{index}"));
-        let region = "r".parse().expect("the name is valid");
-        let record = ZoneRecord {
-            id: id.clone(),
-            region,
-            rate_weight: *rate_weight,
-        };
-        (id, record)
-    };
-    weights.iter().enumerate().map(record).collect()
+fn layout(weights: &[u32]) -> ZoneLayout {
+    let weight = |(index, weight): (usize, &u32)| (zone(&format!("z{index}")), *weight);
+    ZoneLayout {
+        weights: weights.iter().enumerate().map(weight).collect(),
+    }
 }
 
 fn shares(organisation: &Organisation, weights: &[u32]) -> Vec<ZoneShare> {
-    let shares = split_over_zones(organisation, &zones(weights));
+    let shares = split_over_zones(organisation, &layout(weights));
     shares.into_values().collect()
 }
 
--- a/lib/tests/test_rates_bound.rs
+++ b/lib/tests/test_rates_bound.rs
@@ -141,9 +141,16 @@
     let mut percent = 100;
     for at_us in (CHANGE_EVERY_US..until_us).step_by(CHANGE_EVERY_US as usize) {
         let next = rng.random_range(30..150);
+        let mut layout = fleet.equal_layout();
+        for weight in layout.weights.values_mut() {
+            *weight = rng.random_range(1..6);
+        }
         for node in 0..fleet.node_count() {
             let delay_us = rng.random_range(0..4 * SECOND_US);
-            fleet.plan_fault(at_us + delay_us, Fault::Configure(node, scaled(next)));
+            fleet.plan_fault(
+                at_us + delay_us,
+                Fault::Configure(node, scaled(next), layout.clone()),
+            );
         }
         for (index, bound) in bounds.iter_mut().enumerate() {
             let larger = &scaled(percent.max(next))[index];
--- a/lib/tests/test_rates_lease.rs
+++ b/lib/tests/test_rates_lease.rs
@@ -8,17 +8,35 @@
 use balsamfold::process::rates::PeerStanding;
 use balsamfold::process::rates::PlatformStanding;
 use balsamfold::process::rates::RecordWrite;
+use balsamfold::process::rates::ZoneLayout;
 use balsamfold::values::Epoch;
 use balsamfold::values::Incarnation;
 use balsamfold::values::MonotonicTime;
+use balsamfold::values::RatePerSecond;
+use balsamfold::values::TokenCount;
+use balsamfold::values::ZoneId;
+use balsamfold::version::Organisation;
 
 fn at(ms: u64) -> MonotonicTime {
     MonotonicTime(ms * 1_000)
 }
 
+fn layout(weight: u32) -> ZoneLayout {
+    let other = "z1".parse().expect("the name is valid");
+    ZoneLayout {
+        weights: [(zone(), weight), (other, 1)].into(),
+    }
+}
+
+fn zone() -> ZoneId {
+    "z0".parse().expect("the name is valid")
+}
+
 fn lease(node: &str) -> HolderLease {
     let node = node.parse().expect("the name is valid");
-    HolderLease::new(node, Incarnation(1))
+    let mut lease = HolderLease::new(node, Incarnation(1));
+    lease.want_layout(layout(1), at(0));
+    lease
 }
 
 fn write_of(action: LeaseAction) -> RecordWrite {
@@ -99,6 +117,7 @@
     let record = take(&mut first, 0);
     let node = "n1".parse().expect("the name is valid");
     let mut restarted = HolderLease::new(node, Incarnation(2));
+    restarted.want_layout(layout(1), at(400));
     restarted.record_read(Some(record), at(500));
     assert_eq!(restarted.held_epoch(at(500)), None);
     assert_eq!(restarted.next_action(true, at(1_600)), LeaseAction::Read);
@@ -163,3 +182,86 @@
     first.epoch_seen(Epoch(2));
     assert_eq!(first.held_epoch(at(10)), None);
 }
+
+/// Returns the record of a zone that is bound by the layouts of these weights, the newest last.
+fn record_of_other_zone(weights: &[u32]) -> Option<HolderRecord> {
+    Some(HolderRecord {
+        holder: "n9".parse().expect("the name is valid"),
+        incarnation: Incarnation(1),
+        epoch: Epoch(1),
+        renewals: 0,
+        layouts: weights.iter().map(|weight| layout(*weight)).collect(),
+    })
+}
+
+fn share_tokens(lease: &HolderLease) -> u64 {
+    let organisation = Organisation {
+        id: "workshop".parse().expect("the name is valid"),
+        rate_per_s: RatePerSecond(80),
+        burst_tokens: TokenCount(80),
+    };
+    lease.layouts().share(&organisation, &zone()).burst_tokens.0
+}
+
+/// Renews the lease at `ms`, and returns what was written.
+fn renew(lease: &mut HolderLease, ms: u64) -> HolderRecord {
+    let write = write_of(lease.next_action(true, at(ms)));
+    lease.write_succeeded(at(ms + 3));
+    write.record
+}
+
+#[test]
+fn the_first_holder_has_no_share_before_it_has_read_the_other_zones() {
+    let mut first = lease("n1");
+    take(&mut first, 0);
+    assert_eq!(share_tokens(&first), 0);
+    assert_eq!(first.zones_to_read(&zone()).len(), 1);
+    first.zones_read(&[None]);
+    assert_eq!(share_tokens(&first), 40);
+}
+
+#[test]
+fn a_larger_part_waits_until_the_other_zone_has_the_smaller_one() {
+    let mut first = lease("n1");
+    take(&mut first, 0);
+    first.zones_read(&[record_of_other_zone(&[1])]);
+    first.want_layout(layout(3), at(10));
+    assert_eq!(share_tokens(&first), 40);
+    assert_eq!(renew(&mut first, 1_000).layouts.len(), 1);
+    assert_eq!(renew(&mut first, 2_000).layouts.len(), 2);
+    first.zones_read(&[record_of_other_zone(&[1])]);
+    assert_eq!(share_tokens(&first), 40);
+    first.zones_read(&[record_of_other_zone(&[1, 3])]);
+    assert_eq!(share_tokens(&first), 60);
+}
+
+#[test]
+fn a_smaller_part_is_in_force_at_once_and_published_when_old_batches_have_ended() {
+    let mut first = lease("n1");
+    take(&mut first, 0);
+    first.want_layout(layout(3), at(10));
+    renew(&mut first, 1_100);
+    first.zones_read(&[record_of_other_zone(&[1, 3])]);
+    assert_eq!(share_tokens(&first), 60);
+    first.want_layout(layout(1), at(1_200));
+    assert_eq!(share_tokens(&first), 40);
+    let newest = |record: HolderRecord| record.layouts.last().cloned();
+    assert_eq!(newest(renew(&mut first, 2_150)), Some(layout(3)));
+    assert_eq!(newest(renew(&mut first, 3_200)), Some(layout(1)));
+}
+
+#[test]
+fn a_new_holder_inherits_the_layouts_of_the_one_before() {
+    let mut first = lease("n1");
+    take(&mut first, 0);
+    first.zones_read(&[None]);
+    renew(&mut first, 1_100);
+    first.want_layout(layout(3), at(1_200));
+    let record = renew(&mut first, 2_300);
+    let mut second = lease("n2");
+    second.want_layout(layout(3), at(0));
+    second.record_read(Some(record), at(2_400));
+    second.next_action(true, at(2_400).after(LEASE_TAKEOVER));
+    second.write_succeeded(at(2_410).after(LEASE_TAKEOVER));
+    assert_eq!(share_tokens(&second), 40);
+}
--- a/testutils/src/rate_fleet/fleet.rs
+++ b/testutils/src/rate_fleet/fleet.rs
@@ -13,6 +13,7 @@
 use balsamfold::process::rates::LoanAsk;
 use balsamfold::process::rates::RecordWrite;
 use balsamfold::process::rates::Spend;
+use balsamfold::process::rates::ZoneLayout;
 use balsamfold::values::MonotonicTime;
 use balsamfold::values::OrganisationId;
 use balsamfold::values::RegionId;
@@ -103,7 +104,7 @@
     /// The platform answers again.
     PlatformUp,
     /// A configuration arrives at a node.
-    Configure(NodeIndex, Vec<Organisation>),
+    Configure(NodeIndex, Vec<Organisation>, ZoneLayout),
 }
 
 /// What happens at one time of the schedule.
@@ -200,6 +201,7 @@
             let id = format!("n{index}").parse().expect("the name is valid");
             let mut node = SimNode::new(id, fleet.zones_from(index), clock);
             node.organisations = fleet.settings.organisations.clone();
+            node.want_layout(fleet.equal_layout(), clock.read(0));
             fleet.nodes.push(node);
             let first_tick_us = rng.random_range(0..50_000);
             fleet.schedule(first_tick_us, Event::Tick(index));
@@ -210,6 +212,13 @@
         fleet
     }
 
+    /// Returns the layout in which all zones have equal parts.
+    pub fn equal_layout(&self) -> ZoneLayout {
+        ZoneLayout {
+            weights: self.zone_ids.iter().map(|zone| (zone.clone(), 1)).collect(),
+        }
+    }
+
     /// Returns the number of nodes.
     pub fn node_count(&self) -> usize {
         self.nodes.len()
@@ -476,8 +485,17 @@
                 let after = self.nodes[node].lease.held_epoch(now);
                 self.tally.takeovers += u64::from(after > before);
                 self.become_holder(node);
+                let zones = self.nodes[node].lease.zones_to_read(&self.nodes[node].zone);
+                if !zones.is_empty() {
+                    self.send_to_platform(node, PlatformCall::ReadOthers(zones));
+                }
             }
             Message::Written(false) => self.nodes[node].lease.write_conflicted(now),
+            Message::OtherRecords(records) => {
+                let lending = self.settings.lending;
+                self.nodes[node].lease.zones_read(&records);
+                self.nodes[node].apply_shares(&self.zones, lending, now);
+            }
             Message::NoPlatform => self.nodes[node].lease.platform_unreachable(),
         }
     }
@@ -635,6 +653,10 @@
             _ if is_cut || !self.platform_is_up => Message::NoPlatform,
             PlatformCall::Read => Message::Record(self.platform.get(&zone).cloned()),
             PlatformCall::Write(write) => Message::Written(self.swap(&zone, write)),
+            PlatformCall::ReadOthers(zones) => {
+                let records = zones.iter().map(|zone| self.platform.get(zone).cloned());
+                Message::OtherRecords(records.collect())
+            }
         };
         let is_answer_lost = self.rng.random_range(0..1_000) < self.settings.link.lost_permille;
         let message = if is_answer_lost {
@@ -665,7 +687,8 @@
             }
             Fault::Restart(node) => {
                 let zones = self.zones_from(node);
-                self.nodes[node].restart(zones);
+                let now = self.clock(node);
+                self.nodes[node].restart(zones, now);
             }
             Fault::Cut(one, other) => {
                 self.cuts.insert((one.min(other), one.max(other)));
@@ -681,14 +704,17 @@
             }
             Fault::PlatformDown => self.platform_is_up = false,
             Fault::PlatformUp => self.platform_is_up = true,
-            Fault::Configure(node, organisations) => self.configure(node, organisations),
+            Fault::Configure(node, organisations, layout) => {
+                self.configure(node, organisations, layout);
+            }
         }
     }
 
-    fn configure(&mut self, node: NodeIndex, organisations: Vec<Organisation>) {
+    fn configure(&mut self, node: NodeIndex, organisations: Vec<Organisation>, layout: ZoneLayout) {
         let now = self.clock(node);
         let lending = self.settings.lending;
         self.nodes[node].organisations = organisations;
+        self.nodes[node].want_layout(layout, now);
         self.nodes[node].apply_shares(&self.zones, lending, now);
     }
 }
--- a/testutils/src/rate_fleet/message.rs
+++ b/testutils/src/rate_fleet/message.rs
@@ -1,5 +1,7 @@
 //! Messages of the schedule.
 
+use std::collections::BTreeSet;
+
 use balsamfold::process::rates::Answer;
 use balsamfold::process::rates::Ask;
 use balsamfold::process::rates::AskId;
@@ -35,6 +37,8 @@
     Record(Option<HolderRecord>),
     /// Whether a write to the platform took effect.
     Written(bool),
+    /// The platform's records of other zones.
+    OtherRecords(Vec<Option<HolderRecord>>),
     /// The platform did not answer.
     NoPlatform,
 }
@@ -87,4 +91,6 @@
     Read,
     /// Writes the record of the node's zone.
     Write(RecordWrite),
+    /// Reads the records of other zones.
+    ReadOthers(BTreeSet<ZoneId>),
 }
--- a/testutils/src/rate_fleet/node.rs
+++ b/testutils/src/rate_fleet/node.rs
@@ -9,7 +9,7 @@
 use balsamfold::process::rates::HolderSettings;
 use balsamfold::process::rates::LocalTokens;
 use balsamfold::process::rates::PeerStanding;
-use balsamfold::process::rates::split_over_zones;
+use balsamfold::process::rates::ZoneLayout;
 use balsamfold::values::Incarnation;
 use balsamfold::values::MonotonicTime;
 use balsamfold::values::NodeId;
@@ -107,6 +107,8 @@
     pub holder: Option<Holder>,
     /// The configuration in force on the node.
     pub organisations: Vec<Organisation>,
+    /// Its split of rates over zones.
+    pub layout: ZoneLayout,
     /// Requests without a token.
     pub waiting: VecDeque<WaitingRequest>,
     /// Asks that wait for loans.
@@ -129,6 +131,7 @@
             lease: HolderLease::new(id.clone(), incarnation),
             holder: None,
             organisations: Vec::new(),
+            layout: ZoneLayout::empty(),
             waiting: VecDeque::new(),
             waiting_asks: Vec::new(),
             poll: None,
@@ -137,14 +140,22 @@
     }
 
     /// Replaces the node by one in its next life.
-    pub fn restart(&mut self, zones: Vec<ZoneId>) {
+    pub fn restart(&mut self, zones: Vec<ZoneId>, now: MonotonicTime) {
         let incarnation = Incarnation(self.incarnation.0 + 1);
         let organisations = std::mem::take(&mut self.organisations);
+        let layout = self.layout.clone();
         *self = Self::new(self.id.clone(), zones.clone(), self.clock);
         self.organisations = organisations;
         self.local = LocalTokens::new(self.id.clone(), incarnation, zones);
         self.incarnation = incarnation;
         self.lease = HolderLease::new(self.id.clone(), incarnation);
+        self.want_layout(layout, now);
+    }
+
+    /// Takes in the layout of a configuration.
+    pub fn want_layout(&mut self, layout: ZoneLayout, now: MonotonicTime) {
+        self.lease.want_layout(layout.clone(), now);
+        self.layout = layout;
     }
 
     /// Returns the holder if the node may act as such now.
@@ -187,7 +198,7 @@
             return;
         };
         for organisation in &self.organisations {
-            let share = split_over_zones(organisation, zones)[&self.zone];
+            let share = self.lease.layouts().share(organisation, &self.zone);
             let others = zones
                 .keys()
                 .filter(|zone| **zone != self.zone && lending == Lending::On);
