--- a/lib/src/process/node/entry.rs
+++ b/lib/src/process/node/entry.rs
@@ -22,6 +22,10 @@
 use crate::connection::read_body;
 use crate::connection::strip_connection_headers;
 use crate::connection::strip_system_headers;
+use crate::request::AttemptBudget;
+use crate::request::AttemptCount;
+use crate::request::ChainDepth;
+use crate::request::Deadline;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::values::OrganisationId;
@@ -51,26 +55,30 @@
         return Err(Refusal::not_run(RefusalReason::Draining));
     }
     check_idempotency_key(route, request.headers())?;
+    // Checked before the rate: a request that is shed takes no token.
+    let root = RequestId(rand::random());
+    node.load
+        .check_entry(route, organisation.as_ref(), root, node.clock.now())?;
     if let Some(organisation) = &organisation {
         node.rates().client.admit(organisation).await?;
     }
-    let deadline_at = node.clock.now().after(Duration::from_millis(deadline_ms));
+    let limit = Duration::from_millis(deadline_ms);
+    let deadline = Deadline::within(node.clock.now(), limit);
     let mut request = whole_request(node, request).await?;
     request.headers.remove(header::AUTHORIZATION);
     strip_system_headers(&mut request.headers);
-    let extra_attempts = Mutex::new(route.extra_attempts);
+    let extra_attempts = Mutex::new(AttemptBudget::new(AttemptCount(route.extra_attempts)));
     let outbound = Outbound {
         route,
         request,
-        root: RequestId(rand::random()),
+        root,
         organisation,
         importance: route.importance,
-        deadline_at,
-        depth: 0,
+        deadline,
+        depth: ChainDepth::default(),
         extra_attempts: &extra_attempts,
         origin: Origin::Caller,
     };
-    node.load.check_entry(&outbound, node.clock.now())?;
     forward(node, outbound).await
 }
 
--- a/lib/src/process/node/load_control.rs
+++ b/lib/src/process/node/load_control.rs
@@ -22,7 +22,10 @@
 use crate::request::RefusalReason;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
+use crate::values::OrganisationId;
+use crate::values::RequestId;
 use crate::values::ZoneId;
+use crate::version::Route;
 
 /// What a node learnt of the load of others.
 ///
@@ -69,16 +72,14 @@
     /// Refuses a request of a caller that the services below would refuse.
     pub(super) fn check_entry(
         &self,
-        outbound: &Outbound<'_>,
+        route: &Route,
+        organisation: Option<&OrganisationId>,
+        root: RequestId,
         now: MonotonicTime,
     ) -> Result<(), Refusal> {
-        let admission = self.entry_floors.lock().check(
-            &outbound.route.path,
-            outbound.importance,
-            outbound.organisation.as_ref(),
-            outbound.root,
-            now,
-        );
+        let mut floors = self.entry_floors.lock();
+        let admission = floors.check(&route.path, route.importance, organisation, root, now);
+        drop(floors);
         if let Admission::Refuse { .. } = admission {
             self.refused_at_entry.fetch_add(1, Ordering::Relaxed);
         }
--- a/lib/src/process/node/serve.rs
+++ b/lib/src/process/node/serve.rs
@@ -1,7 +1,6 @@
 //! The gate: runs a request on the backend server beside this node.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::HeaderValue;
 use http::StatusCode;
@@ -26,8 +25,9 @@
 use crate::process::gate::EnterRequest;
 use crate::process::gate::FloorNotice;
 use crate::process::gate::Outcome;
+use crate::request::AttemptBudget;
 use crate::request::AttemptId;
-use crate::request::DEPTH_MAX;
+use crate::request::Deadline;
 use crate::request::Handle;
 use crate::request::InFlight;
 use crate::request::OnwardTime;
@@ -61,7 +61,7 @@
 ) -> NodeAnswer {
     let arrived = arrived(node, context, &request);
     let outcome = admit_and_run(node, &arrived, request).await;
-    let unspent_attempts = *arrived.extra_attempts.lock();
+    let unspent_attempts = arrived.extra_attempts.lock().remaining();
     NodeAnswer {
         outcome,
         unspent_attempts,
@@ -74,12 +74,13 @@
     let route = configuration
         .as_ref()
         .and_then(|configuration| configuration.route_of(request.uri.path()));
-    let remaining = Duration::from_micros(context.remaining_us);
+    let budget = AttemptBudget::new(context.extra_attempts);
     Arc::new(InFlight {
         route: route.map(|route| route.path.clone()).unwrap_or_default(),
-        deadline_at: node.clock.now().after(remaining),
-        extra_attempts: Mutex::new(context.extra_attempts),
+        deadline: Deadline::starting(node.clock.now(), context.remaining_us),
+        extra_attempts: Mutex::new(budget),
         onward: Mutex::default(),
+        onward_calls: Mutex::default(),
         context,
     })
 }
@@ -96,9 +97,6 @@
     arrived: &Arc<InFlight>,
     request: WholeRequest,
 ) -> Result<WholeAnswer, Refusal> {
-    if arrived.context.depth >= DEPTH_MAX {
-        return Err(Refusal::not_run(RefusalReason::TooDeep));
-    }
     let server = node
         .server()
         .ok_or_else(|| Refusal::not_run(RefusalReason::NoServer))?;
@@ -106,7 +104,7 @@
     let permit = server.gate.enter(enter_request(node, arrived)).await?;
     let guard = node.in_flight.add(Arc::clone(arrived));
     let handle = guard.handle();
-    let remaining = arrived.deadline_at.since(node.clock.now());
+    let remaining = arrived.deadline.remaining(node.clock.now());
     let request = with_handle(request, &handle);
     let result = server.pool.exchange(request, remaining).await;
     let onward = *arrived.onward.lock();
@@ -133,7 +131,7 @@
         rate: rate.map(|known| known.rate_per_s).unwrap_or_default(),
         organisation,
         root: arrived.context.root,
-        remaining: arrived.deadline_at.since(node.clock.now()),
+        remaining: arrived.deadline.remaining(node.clock.now()),
     }
 }
 
@@ -180,7 +178,7 @@
         Ok(whole) => whole,
         Err(refusal) => refusal_response(&refusal),
     };
-    let unspent = HeaderValue::from(answer.unspent_attempts);
+    let unspent = HeaderValue::from(answer.unspent_attempts.0);
     whole.headers.insert(UNSPENT_HEADER, unspent);
     if let Some(floor) = answer.floor.filter(|floor| !floor.is_open())
         && let Ok(value) = HeaderValue::try_from(floor.to_string())
--- a/lib/src/request/in_flight.rs
+++ b/lib/src/request/in_flight.rs
@@ -5,11 +5,13 @@
 use parking_lot::Mutex;
 use slotmap::SlotMap;
 
+use super::AttemptBudget;
+use super::Deadline;
 use super::Handle;
+use super::OnwardCalls;
 use super::OnwardTime;
 use super::RequestContext;
 use super::handle::InFlightKey;
-use crate::values::MonotonicTime;
 
 /// A request that runs on the backend server beside this node.
 #[derive(Debug)]
@@ -19,11 +21,13 @@
     /// Path of the route by which the request came to this node.
     pub route: String,
     /// When the request runs out of time.
-    pub deadline_at: MonotonicTime,
+    pub deadline: Deadline,
     /// Attempts beyond the first that onward calls may still make.
-    pub extra_attempts: Mutex<u32>,
+    pub extra_attempts: Mutex<AttemptBudget>,
     /// The time in which the request waited for its onward calls.
     pub onward: Mutex<OnwardTime>,
+    /// The onward calls so far. Taken before the lock on the attempts.
+    pub onward_calls: Mutex<OnwardCalls>,
 }
 
 #[derive(Debug)]
