--- a/cli/tests/desk.rs
+++ b/cli/tests/desk.rs
@@ -55,6 +55,13 @@
     }
 }
 
+impl Drop for Desk {
+    fn drop(&mut self) {
+        let calls = self.platform.status().calls;
+        println!("calls to the platform: {calls:?}");
+    }
+}
+
 /// Runs the program without any of the test's own variables.
 pub async fn run(args: &[&str]) -> Ended {
     let mut command = Command::new(env!("CARGO_BIN_EXE_balsamfold"));
--- a/lib/tests/test_change.rs
+++ b/lib/tests/test_change.rs
@@ -1,5 +1,7 @@
 //! Changes of the configuration over time.
 
+use std::thread;
+
 use balsamfold::values::ConfigVersion;
 use balsamfold::values::KeyId;
 use balsamfold::version::CallerKey;
@@ -170,6 +172,34 @@
     assert_eq!(*holder.subscribe().borrow(), ConfigVersion(2));
 }
 
+#[test]
+fn readers_never_see_a_version_go_back() {
+    const VERSIONS: u64 = 2_000;
+    let holder = ConfigurationHolder::new();
+    let first = applied(None, &folder(&organisation("acme", 1)), 1);
+    let offer_every_second = |start: u64| {
+        for version in (start..=VERSIONS).step_by(2) {
+            let version = ConfigVersion(version);
+            holder.offer(Configuration {
+                version,
+                ..first.clone()
+            });
+        }
+    };
+    thread::scope(|scope| {
+        scope.spawn(|| offer_every_second(1));
+        scope.spawn(|| offer_every_second(2));
+        scope.spawn(|| {
+            let mut seen = ConfigVersion(0);
+            while seen < ConfigVersion(VERSIONS) {
+                let version = holder.version();
+                assert!(version >= seen);
+                seen = version;
+            }
+        });
+    });
+}
+
 /// One step of an operator in the property test.
 #[derive(Clone, Debug)]
 enum Step {
@@ -215,6 +245,20 @@
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
+    #[test]
+    fn holder_has_the_highest_version_offered_so_far(offers in prop::collection::vec(1..9_u64, 0..30)) {
+        let holder = ConfigurationHolder::new();
+        let first = applied(None, &folder(&organisation("acme", 1)), 1);
+        let mut highest = 0;
+        for offered in offers {
+            let version = ConfigVersion(offered);
+            let outcome = holder.offer(Configuration { version, ..first.clone() });
+            prop_assert_eq!(outcome == Offer::Accepted, offered > highest);
+            highest = highest.max(offered);
+            prop_assert_eq!(holder.version(), ConfigVersion(highest));
+        }
+    }
+
     #[test]
     fn versions_rise_and_withdrawn_keys_stay(steps in prop::collection::vec(step(), 0..40)) {
         let mut current = applied(None, &folder(&organisation("acme", 1)), 1);
--- a/testutils/src/fleet/configured_fleet.rs
+++ b/testutils/src/fleet/configured_fleet.rs
@@ -111,6 +111,13 @@
     }
 }
 
+impl Drop for ConfiguredFleet {
+    fn drop(&mut self) {
+        let calls = self.platform.status().calls;
+        println!("calls to the platform, the operator's included: {calls:?}");
+    }
+}
+
 /// Waits until `condition` holds, and fails the test if it never does.
 pub async fn wait_until(condition: impl Fn() -> bool) {
     let holds = async {
