--- a/cli/tests/test_nodes.rs
+++ b/cli/tests/test_nodes.rs
@@ -60,6 +60,46 @@
     fleet.nodes[0].daemon.drain_asked().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn applied_folder_is_in_force_on_all_nodes() {
+    let configuration = sample_configuration(&["zone-a"], &["small"], &["stock"]);
+    let fleet = ConfiguredFleet::start(&configuration, &["zone-a"; 3]).await;
+    let platform = fleet.platform.address().to_string();
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/examples/botonera");
+    let apply = [
+        "--platform",
+        &platform,
+        "--timeout-ms",
+        "60000",
+        "apply",
+        example,
+    ];
+    let refused = run(&apply).await;
+    assert_eq!(refused.exit, Some(2));
+    assert!(
+        refused
+            .stderr
+            .contains("organisation small goes, but its key small is active")
+    );
+    let withdraw = [
+        "--platform",
+        &platform,
+        "--timeout-ms",
+        "60000",
+        "key",
+        "withdraw",
+        "small",
+    ];
+    assert_eq!(run(&withdraw).await.exit, Some(0));
+    assert_eq!(run(&apply).await.exit, Some(0));
+    fleet.wait_for_version(ConfigVersion(3)).await;
+    for daemon in &fleet.nodes {
+        let in_force = daemon.node().configuration().unwrap();
+        assert_eq!(in_force.organisations.len(), 8);
+        assert_eq!(in_force.route_of("/stock/zip").unwrap().importance.0, 200);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn withdrawal_reaches_told_nodes_with_the_platform_down_after_the_write() {
     let configuration = sample_configuration(&["zone-a"], &["small"], &["stock"]);
--- a/lib/tests/test_configuration_spread.rs
+++ b/lib/tests/test_configuration_spread.rs
@@ -5,15 +5,19 @@
 use std::time::Duration;
 
 use balsamfold::process::configuration::ConfigurationNews;
+use balsamfold::process::configuration::ConfigurationStore;
 use balsamfold::process::configuration::NEWS_FANOUT;
 use balsamfold::process::configuration::WATCHERS_PER_ZONE;
+use balsamfold::process::configuration::WriteOutcome;
 use balsamfold::process::configuration::choose_nodes;
 use balsamfold::process::configuration::watches_platform;
 use balsamfold::process::membership::MemberTable;
 use balsamfold::process::membership::NodeAddresses;
 use balsamfold::process::membership::NodeCondition;
 use balsamfold::process::membership::NodeRecord;
+use balsamfold::process::platform::PlatformClient;
 use balsamfold::process::platform::PlatformKey;
+use balsamfold::process::platform::PlatformSettings;
 use balsamfold::process::platform::PlatformValue;
 use balsamfold::request::RefusalReason;
 use balsamfold::request::refusal_of;
@@ -23,10 +27,13 @@
 use balsamfold::version::ChangeId;
 use balsamfold::version::Configuration;
 use balsamfold::version::change::withdraw_key;
+use http::StatusCode;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use testutils::backend_server::ServerPlan;
 use testutils::fleet::Caller;
 use testutils::fleet::ConfiguredFleet;
+use testutils::fleet::TestFleet;
 use testutils::fleet::post;
 use testutils::fleet::sample_configuration;
 use testutils::fleet::sample_key;
@@ -212,6 +219,45 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn backend_server_runs_nothing_for_a_withdrawn_key() {
+    let plans = ["zone-a", "zone-b"].map(|zone| (zone, ServerPlan::small("stock", &[])));
+    let fleet = TestFleet::start(configuration(), &plans).await;
+    let operator = PlatformClient::new(&PlatformSettings::new(fleet.platform.address()));
+    let store = ConfigurationStore::new(&operator, 1);
+    let written = store.write(None, &configuration()).await;
+    assert!(matches!(written, Ok(WriteOutcome::Done)), "{written:?}");
+    let send = |node: usize, key: &'static str| {
+        let request = post("/stock", Some(&sample_key(key)), &[], "request");
+        fleet.nodes[node].caller.send(request)
+    };
+    for node in 0..plans.len() {
+        assert_eq!(send(node, "small").await.unwrap().status, StatusCode::OK);
+    }
+    let base = store.read().await.unwrap().unwrap();
+    let next = withdraw_small(&base.configuration, ChangeId::generate());
+    let written = store.write(Some(base.revision), &next).await;
+    assert!(matches!(written, Ok(WriteOutcome::Done)), "{written:?}");
+    wait_until(|| {
+        let mut nodes = fleet.nodes.iter().map(|node| node.daemon.node());
+        nodes.all(|node| node.configuration.version() == next.version)
+    })
+    .await;
+    let runs = || {
+        fleet
+            .nodes
+            .iter()
+            .map(|node| node.server.recorder().runs().len())
+    };
+    let runs_before: usize = runs().sum();
+    for node in 0..plans.len() {
+        let status = send(node, "small").await.unwrap().status;
+        assert_eq!(status, StatusCode::UNAUTHORIZED);
+    }
+    assert_eq!(runs().sum::<usize>(), runs_before);
+    assert_eq!(send(0, "large").await.unwrap().status, StatusCode::OK);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn change_offered_to_one_node_spreads_with_the_platform_down() {
     let fleet = ConfiguredFleet::start(&configuration(), &ZONES.repeat(3)).await;
