--- a/lib/examples/membership_slopes.rs
+++ b/lib/examples/membership_slopes/main.rs
@@ -6,56 +6,45 @@
 //! headers of UDP and IP, sent and received. Processor time is that of the whole process, the
 //! kernel's part included, divided by the number of nodes.
 
-use std::fs;
+mod links;
+mod process_cost;
+mod row;
+mod start;
+
 use std::net::SocketAddr;
 use std::ops::Range;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use balsamfold::process::membership::LinkFilter;
+use balsamfold::process::membership::LinkState;
 use balsamfold::process::membership::Membership;
-use balsamfold::process::membership::MembershipOptions;
-use balsamfold::process::membership::NodeAddresses;
 use balsamfold::process::membership::NodeCondition;
-use balsamfold::process::membership::ServerRecord;
-use balsamfold::process::secret::FleetSecret;
 use balsamfold::values::Clock;
-use balsamfold::values::ConnectionCount;
-use balsamfold::values::NodeId;
-use balsamfold::values::SlotCount;
 use tokio::net::UdpSocket;
 
-const TARGET_NODES: f64 = 780.0;
-const ZONES: usize = 8;
-const SERVICES: usize = 130;
-const SEEDS: usize = 16;
-const STARTS_PER_BATCH: usize = 50;
-const BATCH_PERIOD: Duration = Duration::from_millis(100);
+use crate::links::Links;
+use crate::process_cost::cpu_s;
+use crate::process_cost::resident_kb;
+use crate::row::Row;
+use crate::row::extended;
+use crate::row::print_row;
+use crate::start::SEEDS;
+use crate::start::node_id;
+use crate::start::options;
+use crate::start::start_fleet;
+
 const JOIN_LIMIT: Duration = Duration::from_secs(120);
 const SETTLE_TIME: Duration = Duration::from_secs(45);
 const STEADY_TIME: Duration = Duration::from_secs(20);
 const LEAVES: usize = 5;
 const RESTART_LIMIT: Duration = Duration::from_secs(30);
 const LEAVE_LIMIT: Duration = Duration::from_secs(30);
+const CUT_TIME: Duration = Duration::from_secs(30);
+const HEAL_LIMIT: Duration = Duration::from_secs(60);
 const POLL_PERIOD: Duration = Duration::from_millis(5);
 const HEADER_BYTES: u64 = 28;
-/// Clock ticks a second in `/proc/self/stat`.
-const TICKS_PER_S: f64 = 100.0;
-/// Position of the user time in `/proc/self/stat`, counted after the name of the command.
-const USER_TIME_FIELD: usize = 11;
-
-/// What one size gave.
-struct Row {
-    nodes: usize,
-    join_s: f64,
-    join_kb: f64,
-    steady_bytes_per_s: f64,
-    steady_cpu_percent: f64,
-    leave_s: f64,
-    leave_kb: f64,
-    restart_s: f64,
-    memory_kb: f64,
-}
 
 #[tokio::main]
 async fn main() {
@@ -64,9 +53,9 @@
         .filter_map(|text| text.parse().ok())
         .collect();
     println!(
-        "| nodes | join s | join KB/node | steady B/s/node | steady CPU %/node | leave known s (worst of {LEAVES}) | leave KB/node | restart known s | memory KB/node |"
+        "| nodes | join s | join KB/node | steady B/s/node | steady CPU %/node | leave known s (worst of {LEAVES}) | leave KB/node | region heal agreed s | heal KB/node | restart known s | memory KB/node |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|");
     let mut rows = Vec::new();
     for size in sizes {
         let row = measure(size).await;
@@ -81,7 +70,8 @@
 async fn measure(size: usize) -> Row {
     let memory_before = resident_kb();
     let joining = Instant::now();
-    let mut fleet = start_fleet(size).await;
+    let links = Arc::new(Links::default());
+    let mut fleet = start_fleet(size, &links).await;
     wait_until(JOIN_LIMIT, || fleet.iter().all(|node| knows(node, size))).await;
     let join_s = joining.elapsed().as_secs_f64();
     tokio::time::sleep(SETTLE_TIME).await;
@@ -101,6 +91,7 @@
     let leaves_s = leaving_since.elapsed().as_secs_f64();
     let leave_bytes = (total_bytes(&fleet) - bytes_before) as f64 / size as f64;
     let leave_bytes = leave_bytes - steady_bytes_per_s * leaves_s;
+    let (heal_s, heal_bytes) = measure_heal(&fleet, &links).await;
     Row {
         nodes: size,
         join_s,
@@ -109,6 +100,8 @@
         steady_cpu_percent: 100.0 * steady_cpu_s / steady_s / size as f64,
         leave_s,
         leave_kb: leave_bytes / 1_000.0 / LEAVES as f64,
+        heal_s,
+        heal_kb: heal_bytes as f64 / 1_000.0 / size as f64,
         restart_s: measure_restart(&mut fleet).await,
         memory_kb: (resident_kb() - memory_before) / size as f64,
     }
@@ -133,6 +126,37 @@
     worst_s
 }
 
+/// Cuts the two regions from each other, and returns the time until all agree after the heal and
+/// the bytes of all nodes in that time.
+async fn measure_heal(fleet: &[Membership], links: &Links) -> (f64, u64) {
+    links.set(LinkState::Cut);
+    tokio::time::sleep(CUT_TIME).await;
+    let lost = fleet.iter().map(|node| count(node, NodeCondition::Suspect));
+    let lost: usize = lost.sum();
+    let dead = fleet.iter().map(|node| count(node, NodeCondition::Dead));
+    let dead: usize = dead.sum();
+    eprintln!(
+        "{} nodes, cut: {lost} records suspect, {dead} dead",
+        fleet.len()
+    );
+
+    let bytes_before = total_bytes(fleet);
+    let healed = Instant::now();
+    links.set(LinkState::Up);
+    let agrees = |node: &Membership| {
+        count(node, NodeCondition::Suspect) + count(node, NodeCondition::Dead) == 0
+    };
+    wait_until(HEAL_LIMIT, || fleet.iter().all(agrees)).await;
+    let heal_s = healed.elapsed().as_secs_f64();
+    (heal_s, total_bytes(fleet) - bytes_before)
+}
+
+fn count(node: &Membership, condition: NodeCondition) -> usize {
+    let table = node.latest();
+    let nodes = table.nodes();
+    nodes.filter(|record| record.condition == condition).count()
+}
+
 /// Replaces the last node, and returns the time until it and all others knew one another.
 async fn measure_restart(fleet: &mut Vec<Membership>) -> f64 {
     let size = fleet.len();
@@ -166,56 +190,6 @@
     node.own().addresses.probe
 }
 
-async fn start_fleet(size: usize) -> Vec<Membership> {
-    let mut sockets = Vec::new();
-    for _ in 0..size {
-        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
-        sockets.push(socket);
-    }
-    let addresses: Vec<SocketAddr> = sockets
-        .iter()
-        .map(|socket| socket.local_addr().expect("bound socket"))
-        .collect();
-    let seeds: Vec<_> = addresses.iter().take(SEEDS).copied().collect();
-    let mut fleet = Vec::new();
-    for (index, socket) in sockets.into_iter().enumerate() {
-        let options = options(index, addresses[index], seeds.clone());
-        let membership = Membership::start(options, socket, LinkFilter::open(), Clock::start());
-        fleet.push(membership);
-        if index % STARTS_PER_BATCH == 0 {
-            tokio::time::sleep(BATCH_PERIOD).await;
-        }
-    }
-    fleet
-}
-
-fn options(index: usize, address: SocketAddr, seeds: Vec<SocketAddr>) -> MembershipOptions {
-    let secret: FleetSecret = "a secret for measurements".parse().expect("long enough");
-    let zone = format!("region-{}-zone-{}", index % 2, index % ZONES);
-    let service = format!("service-{}", index % SERVICES);
-    MembershipOptions {
-        id: node_id(index),
-        zone: zone.parse().expect("valid name"),
-        addresses: NodeAddresses {
-            peer: address,
-            control: address,
-            probe: address,
-        },
-        server: Some(ServerRecord {
-            service: service.parse().expect("valid name"),
-            slots: SlotCount(90),
-            connections: ConnectionCount(650),
-        }),
-        seeds,
-        secret,
-        random_seed: index as u64,
-    }
-}
-
-fn node_id(index: usize) -> NodeId {
-    format!("instance-{index:04}").parse().expect("valid name")
-}
-
 fn knows(node: &Membership, size: usize) -> bool {
     node.latest().nodes().count() == size
 }
@@ -239,61 +213,3 @@
         })
         .sum()
 }
-
-/// Returns the processor time that this process used, in user mode and in the kernel.
-fn cpu_s() -> f64 {
-    let text = fs::read_to_string("/proc/self/stat").expect("Linux");
-    let after_name = text.rsplit(')').next().unwrap_or_default();
-    let fields = after_name.split_whitespace().skip(USER_TIME_FIELD).take(2);
-    let ticks: f64 = fields.filter_map(|field| field.parse::<f64>().ok()).sum();
-    ticks / TICKS_PER_S
-}
-
-/// Returns the resident memory of this process.
-fn resident_kb() -> f64 {
-    let text = fs::read_to_string("/proc/self/status").expect("Linux");
-    let line = text.lines().find(|line| line.starts_with("VmRSS:"));
-    let number = line.and_then(|line| line.split_whitespace().nth(1));
-    number.and_then(|number| number.parse().ok()).unwrap_or(0.0)
-}
-
-/// Returns the least-squares line through the rows at the target size.
-fn extended(rows: &[Row]) -> Row {
-    let at_target = |value: fn(&Row) -> f64| {
-        let count = rows.len() as f64;
-        let mean_x = rows.iter().map(|row| row.nodes as f64).sum::<f64>() / count;
-        let mean_y = rows.iter().map(value).sum::<f64>() / count;
-        let shift = |row: &Row| row.nodes as f64 - mean_x;
-        let covariance: f64 = rows
-            .iter()
-            .map(|row| shift(row) * (value(row) - mean_y))
-            .sum();
-        let variance: f64 = rows.iter().map(|row| shift(row).powi(2)).sum();
-        mean_y + covariance / variance * (TARGET_NODES - mean_x)
-    };
-    Row {
-        nodes: TARGET_NODES as usize,
-        join_s: at_target(|row| row.join_s),
-        join_kb: at_target(|row| row.join_kb),
-        steady_bytes_per_s: at_target(|row| row.steady_bytes_per_s),
-        steady_cpu_percent: at_target(|row| row.steady_cpu_percent),
-        leave_s: at_target(|row| row.leave_s),
-        leave_kb: at_target(|row| row.leave_kb),
-        restart_s: at_target(|row| row.restart_s),
-        memory_kb: at_target(|row| row.memory_kb),
-    }
-}
-
-fn print_row(label: &str, row: &Row) {
-    println!(
-        "| {label} | {:.1} | {:.0} | {:.0} | {:.3} | {:.2} | {:.1} | {:.2} | {:.0} |",
-        row.join_s,
-        row.join_kb,
-        row.steady_bytes_per_s,
-        row.steady_cpu_percent,
-        row.leave_s,
-        row.leave_kb,
-        row.restart_s,
-        row.memory_kb,
-    );
-}
--- a/lib/src/process/membership/timing.rs
+++ b/lib/src/process/membership/timing.rs
@@ -39,7 +39,7 @@
 pub const PAUSE_GAP: Duration = Duration::from_secs(2);
 
 /// Least time between two table comparisons that a node starts.
-pub const SYNC_INTERVAL: Duration = Duration::from_secs(3);
+pub const SYNC_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time between two tries to reach a seed address at which no known node listens.
 pub const SEED_INTERVAL: Duration = Duration::from_secs(5);
