--- a/lib/src/process/gate/permit.rs
+++ b/lib/src/process/gate/permit.rs
@@ -10,10 +10,10 @@
 use tokio::time::timeout;
 
 use super::AdaptiveLimit;
-use super::AdmissionFloor;
 use super::Completion;
 use super::EnterRequest;
 use super::Entry;
+use super::FloorNotice;
 use super::GateState;
 use super::GivenUp;
 use super::Outcome;
@@ -28,6 +28,7 @@
 
 type Answer = Result<(), Refusal>;
 
+#[derive(Debug)]
 struct Shared {
     state: GateState,
     waiting: SecondaryMap<Ticket, oneshot::Sender<Answer>>,
@@ -58,7 +59,7 @@
 /// The gate in front of a backend server. Clones share one gate.
 ///
 /// It has one lock, which is never held over an await and under which no other lock is taken.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Gate {
     shared: Arc<Mutex<Shared>>,
     clock: Clock,
@@ -102,8 +103,9 @@
     }
 
     /// Returns the present admission floor.
-    pub fn floor(&self) -> AdmissionFloor {
-        self.shared.lock().state.floor()
+    pub fn floor(&self) -> FloorNotice {
+        let now = self.clock.now();
+        self.shared.lock().state.floor(now)
     }
 
     /// Returns when a caller refused now may try again, in milliseconds.
--- a/lib/src/process/node/entry.rs
+++ b/lib/src/process/node/entry.rs
@@ -13,6 +13,7 @@
 use super::answer::response;
 use super::forward::Outbound;
 use super::forward::forward;
+use super::load_control::Origin;
 use crate::connection::BodyError;
 use crate::connection::DEADLINE_HEADER;
 use crate::connection::IDEMPOTENCY_KEY_HEADER;
@@ -21,13 +22,17 @@
 use crate::connection::read_body;
 use crate::connection::strip_connection_headers;
 use crate::connection::strip_system_headers;
+use crate::request::AttemptBudget;
+use crate::request::AttemptCount;
+use crate::request::ChainDepth;
+use crate::request::Deadline;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::values::OrganisationId;
 use crate::values::RequestId;
 use crate::version::Access;
 use crate::version::CallerKey;
-use crate::version::Configuration;
+use crate::version::IndexedConfiguration;
 use crate::version::Repeatability;
 use crate::version::Route;
 
@@ -40,7 +45,7 @@
 }
 
 async fn enter(node: &Arc<Node>, request: Request) -> Result<WholeAnswer, Refusal> {
-    let configuration = node.configuration()?;
+    let configuration = node.indexed_configuration()?;
     let route = configuration
         .route_of(request.uri().path())
         .ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute))?;
@@ -50,20 +55,29 @@
         return Err(Refusal::not_run(RefusalReason::Draining));
     }
     check_idempotency_key(route, request.headers())?;
-    let deadline_at = node.clock.now().after(Duration::from_millis(deadline_ms));
+    // Checked before the rate: a request that is shed takes no token.
+    let root = RequestId(rand::random());
+    node.load
+        .check_entry(route, organisation.as_ref(), root, node.clock.now())?;
+    if let Some(organisation) = &organisation {
+        node.rates().client.admit(organisation).await?;
+    }
+    let limit = Duration::from_millis(deadline_ms);
+    let deadline = Deadline::within(node.clock.now(), limit);
     let mut request = whole_request(node, request).await?;
     request.headers.remove(header::AUTHORIZATION);
     strip_system_headers(&mut request.headers);
-    let extra_attempts = Mutex::new(route.extra_attempts);
+    let extra_attempts = Mutex::new(AttemptBudget::new(AttemptCount(route.extra_attempts)));
     let outbound = Outbound {
         route,
         request,
-        root: RequestId(rand::random()),
+        root,
         organisation,
         importance: route.importance,
-        deadline_at,
-        depth: 0,
+        deadline,
+        depth: ChainDepth::default(),
         extra_attempts: &extra_attempts,
+        origin: Origin::Caller,
     };
     forward(node, outbound).await
 }
@@ -95,7 +109,7 @@
 
 /// Finds the organisation for which a request runs.
 fn organisation(
-    configuration: &Configuration,
+    configuration: &IndexedConfiguration,
     route: &Route,
     headers: &HeaderMap,
 ) -> Result<Option<OrganisationId>, Refusal> {
--- a/lib/src/process/node/exit.rs
+++ b/lib/src/process/node/exit.rs
@@ -14,9 +14,13 @@
 use super::entry::whole_request;
 use super::forward::Outbound;
 use super::forward::forward;
+use super::load_control::Origin;
 use crate::connection::HANDLE_HEADER;
 use crate::connection::WholeAnswer;
+use crate::connection::WholeRequest;
 use crate::connection::strip_system_headers;
+use crate::request::CallEnd;
+use crate::request::CallHash;
 use crate::request::Handle;
 use crate::request::InFlight;
 use crate::request::Refusal;
@@ -46,17 +50,61 @@
         .ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute))?;
     let mut request = whole_request(node, request).await?;
     strip_system_headers(&mut request.headers);
+    let depth = parent.context.depth.onward().map_err(Refusal::not_run)?;
+    let call = begin_onward(&parent, &request)?;
     let outbound = Outbound {
         route,
         request,
         root: parent.context.root,
         organisation: parent.context.organisation.clone(),
         importance: parent.context.importance,
-        deadline_at: parent.deadline_at,
-        depth: parent.context.depth + 1,
+        deadline: parent.deadline,
+        depth,
         extra_attempts: &parent.extra_attempts,
+        origin: Origin::Parent(&parent),
     };
-    forward(node, outbound).await
+    let _waiting = OnwardWait::start(node, &parent);
+    let outcome = forward(node, outbound).await;
+    let end = match &outcome {
+        Ok(_) => CallEnd::Answered,
+        Err(_) => CallEnd::Failed,
+    };
+    if end == CallEnd::Failed {
+        parent.onward.lock().failed();
+    }
+    parent.onward_calls.lock().end(call, end);
+    outcome
+}
+
+/// Measures the time in which a request waits for an onward call, until it is dropped.
+struct OnwardWait<'a> {
+    node: &'a Node,
+    parent: &'a InFlight,
+}
+
+impl<'a> OnwardWait<'a> {
+    fn start(node: &'a Node, parent: &'a InFlight) -> Self {
+        parent.onward.lock().started(node.clock.now());
+        Self { node, parent }
+    }
+}
+
+impl Drop for OnwardWait<'_> {
+    fn drop(&mut self) {
+        self.parent.onward.lock().ended(self.node.clock.now());
+    }
+}
+
+/// Admits an onward call; one that repeats a failed or running call is an extra attempt.
+fn begin_onward(parent: &InFlight, request: &WholeRequest) -> Result<CallHash, Refusal> {
+    let uri = request.uri.to_string();
+    let call = CallHash::of(request.method.as_str(), &uri, &request.body);
+    let mut onward_calls = parent.onward_calls.lock();
+    let mut attempts = parent.extra_attempts.lock();
+    onward_calls
+        .begin(call, &mut attempts)
+        .map_err(Refusal::not_run)?;
+    Ok(call)
 }
 
 fn parent(node: &Node, headers: &HeaderMap) -> Option<Arc<InFlight>> {
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -3,14 +3,19 @@
 
 mod announcement;
 mod answer;
+mod configuration;
 mod daemon;
 mod dump;
 mod entry;
 mod exit;
 mod forward;
+mod load_control;
 mod local_server;
 mod members;
 mod peer_message;
+mod rate_role;
+mod rates;
+mod retries;
 mod serve;
 mod shared;
 
--- a/lib/src/process/rates/holder.rs
+++ b/lib/src/process/rates/holder.rs
@@ -15,10 +15,12 @@
 use super::LoanAsk;
 use super::Loans;
 use super::MAX_BATCH_LIFETIME;
+use super::MicroRate;
 use super::Report;
 use super::Settlement;
 use super::TakenPart;
 use super::ZoneShare;
+use super::lease::FIRST_EPOCH;
 use super::lender::Lender;
 use crate::values::Epoch;
 use crate::values::MonotonicTime;
@@ -30,12 +32,18 @@
 /// Tokens for this much of the expected demand are borrowed ahead.
 const BORROW_AHEAD: Duration = Duration::from_millis(100);
 
+/// Holders that expect to need fewer tokens than this borrow only for requests that wait.
+const MIN_BORROW_AHEAD_TOKENS: u64 = 4;
+
 /// A lender keeps tokens for this much of its own zone's expected demand.
 const LENDER_RESERVE: Duration = Duration::from_millis(50);
 
 /// At most this part of what is left goes to demand that does not wait yet.
 const PREFETCH_DIVISOR: u64 = 4;
 
+/// With fewer tokens than this left, all are kept for requests that wait.
+const MIN_STOCK_FOR_PREFETCH_TOKENS: u64 = 8;
+
 /// The shortest time for which the word that there is no token holds.
 const MIN_DRY: Duration = Duration::from_millis(1);
 
@@ -77,6 +85,21 @@
     pub report: Report,
 }
 
+plain_data! {
+    /// What is in the bucket of one organisation in one zone.
+    #[derive(Eq)]
+    pub struct BucketDump {
+        /// Whole tokens in the bucket.
+        pub tokens: TokenCount,
+        /// Tokens of the bucket that may still be spent somewhere.
+        pub outstanding_tokens: TokenCount,
+        /// Tokens borrowed from other zones that can be handed out.
+        pub borrowed_tokens: TokenCount,
+        /// What the zone mints.
+        pub rate_micro_per_s: MicroRate,
+    }
+}
+
 /// The account of one organisation in the zone.
 #[derive(Clone, Debug)]
 struct Account {
@@ -102,15 +125,18 @@
 
 impl Holder {
     /// Makes a holder that has just taken over. All its buckets are empty, and they stay empty until
-    /// every batch of the holder before has ended.
+    /// every batch of the holder before has ended. The first holder of a zone has none before it.
     pub fn new(settings: HolderSettings, now: MonotonicTime) -> Self {
         Self {
+            unknown_until: match settings.epoch {
+                FIRST_EPOCH => now,
+                _ => now.after(MAX_BATCH_LIFETIME),
+            },
             accounts: BTreeMap::new(),
             next_batch: BatchId(0),
             last_ask: AskId::start_of_life(settings.epoch.0),
             settings,
             lender_epochs: BTreeMap::new(),
-            unknown_until: now.after(MAX_BATCH_LIFETIME),
         }
     }
 
@@ -145,15 +171,32 @@
             .collect();
     }
 
-    /// Forgets organisations that `keep` does not name.
-    pub fn retain(&mut self, keep: impl Fn(&OrganisationId) -> bool) {
-        self.accounts.retain(|organisation, _| keep(organisation));
+    /// Mints no more for organisations that `keep` does not name, and forgets them when none of
+    /// their tokens is outstanding.
+    pub fn retain(&mut self, keep: impl Fn(&OrganisationId) -> bool, now: MonotonicTime) {
+        for (_, account) in self.accounts.iter_mut().filter(|(id, _)| !keep(id)) {
+            account.bucket.set_share(ZoneShare::NONE, now);
+        }
+        let is_needed = |id: &OrganisationId, account: &Account| {
+            keep(id) || account.bucket.outstanding() > TokenCount(0)
+        };
+        self.accounts.retain(|id, account| is_needed(id, account));
     }
 
-    /// Returns the tokens in the bucket of `organisation`.
-    pub fn level(&self, organisation: &OrganisationId) -> Option<TokenCount> {
-        let account = self.accounts.get(organisation)?;
-        Some(account.bucket.level())
+    /// Returns what is in the bucket of `organisation`.
+    pub fn bucket(
+        &mut self,
+        organisation: &OrganisationId,
+        now: MonotonicTime,
+    ) -> Option<BucketDump> {
+        let account = self.accounts.get_mut(organisation)?;
+        account.advance(now);
+        Some(BucketDump {
+            tokens: account.bucket.level(),
+            outstanding_tokens: account.bucket.outstanding(),
+            borrowed_tokens: account.loans.available(now),
+            rate_micro_per_s: account.bucket.share().rate_micro_per_s,
+        })
     }
 
     /// Decides what to answer to an ask by a node of the zone or by another zone's holder.
@@ -169,6 +212,13 @@
         self.decide(ask, now)
     }
 
+    /// Decides about an ask that waits no longer for loans.
+    pub fn last_try(&mut self, ask: &Ask, now: MonotonicTime) -> HolderReply {
+        let reply = self.decide(ask, now);
+        let answer = reply.answer.or_else(|| self.dry(ask, now));
+        HolderReply { answer, ..reply }
+    }
+
     /// Takes in reports on batches.
     pub fn report(
         &mut self,
@@ -261,10 +311,11 @@
     }
 
     fn decide(&mut self, ask: &Ask, now: MonotonicTime) -> HolderReply {
-        let is_superseded = ask.epoch > self.settings.epoch;
-        let account = self.accounts.get_mut(&ask.organisation);
-        let Some(account) = account.filter(|_| !is_superseded) else {
-            return HolderReply::only(Answer::NotHolder);
+        if ask.epoch > self.settings.epoch {
+            return HolderReply::only(Answer::NotHolder(None));
+        }
+        let Some(account) = self.accounts.get_mut(&ask.organisation) else {
+            return HolderReply::only(self.unknown_organisation());
         };
         account.advance(now);
         let id = self.next_batch;
@@ -299,16 +350,32 @@
                 tokens: part.tokens,
                 lifetime_us: part.lifetime.as_micros() as u64,
             })),
+            None if ask.waiting_tokens.0 == 0 => Some(Answer::NoneAhead),
             None if ask.purpose == AskPurpose::Spend && account.awaits_loan(now) => None,
-            None => Some(Answer::Dry(Dry {
-                zone: self.settings.zone.clone(),
-                epoch: self.settings.epoch,
-                holds_us: account.dry_holds(ask.purpose, now).as_micros() as u64,
-                next_token_us: account.until_next_token(now).as_micros() as u64,
-            })),
+            None => self.dry(ask, now),
         }
     }
 
+    /// The configuration that names the organisation has not arrived here yet.
+    fn unknown_organisation(&self) -> Answer {
+        Answer::Dry(Dry {
+            zone: self.settings.zone.clone(),
+            epoch: self.settings.epoch,
+            holds_us: MAX_DRY.as_micros() as u64,
+            next_token_us: MAX_BATCH_LIFETIME.as_micros() as u64,
+        })
+    }
+
+    fn dry(&self, ask: &Ask, now: MonotonicTime) -> Option<Answer> {
+        let account = self.accounts.get(&ask.organisation)?;
+        Some(Answer::Dry(Dry {
+            zone: self.settings.zone.clone(),
+            epoch: self.settings.epoch,
+            holds_us: account.dry_holds(ask.purpose, now).as_micros() as u64,
+            next_token_us: account.until_next_token(now).as_micros() as u64,
+        }))
+    }
+
     fn borrow(&mut self, ask: &Ask, taken: Option<TakenPart>, now: MonotonicTime) -> Vec<LoanAsk> {
         let Some(account) = self.accounts.get_mut(&ask.organisation) else {
             return Vec::new();
@@ -316,10 +383,10 @@
         let granted = taken.map_or(0, |part| part.tokens.0);
         let missing = ask.waiting_tokens.0.saturating_sub(granted);
         let wanted = account.loan_wanted(missing, now);
-        let zones = account.lenders_to_ask(now);
+        let zones = account.lenders_to_ask(wanted, self.last_ask.0, now);
         let each = wanted.div_ceil((zones.len() as u64).max(1));
         let mut asks = Vec::new();
-        for lender in zones.into_iter().filter(|_| wanted > 0) {
+        for lender in zones {
             let id = self.last_ask.next();
             self.last_ask = id;
             account
@@ -378,7 +445,10 @@
         self.askers.insert(ask.asker.clone(), now);
         let stock = self.stock_tokens(now);
         let waiting = ask.waiting_tokens.0.min(stock);
-        let spare = (stock - waiting) / PREFETCH_DIVISOR;
+        let spare = match stock - waiting {
+            few if few < MIN_STOCK_FOR_PREFETCH_TOKENS => 0,
+            left => left / PREFETCH_DIVISOR,
+        };
         let wanted = TokenCount(waiting + ask.prefetch_tokens.0.min(spare));
         match wanted {
             TokenCount(0) => None,
@@ -409,7 +479,10 @@
     }
 
     fn loan_wanted(&self, missing_tokens: u64, now: MonotonicTime) -> u64 {
-        let ahead = self.demand.expected(BORROW_AHEAD, now).0;
+        let ahead = match self.demand.expected(BORROW_AHEAD, now) {
+            TokenCount(few) if few < MIN_BORROW_AHEAD_TOKENS => 0,
+            TokenCount(ahead) => ahead,
+        };
         let stock = self.stock_tokens(now);
         match stock {
             _ if missing_tokens > 0 => missing_tokens + ahead,
@@ -417,12 +490,17 @@
         }
     }
 
-    fn lenders_to_ask(&self, now: MonotonicTime) -> Vec<ZoneId> {
+    /// Returns at most one lender for each wanted token. `turn` changes which come first.
+    fn lenders_to_ask(&self, wanted_tokens: u64, turn: u64, now: MonotonicTime) -> Vec<ZoneId> {
         let lenders = self.lenders.iter();
-        lenders
+        let mut zones: Vec<_> = lenders
             .filter(|(_, lender)| lender.can_be_asked(now))
             .map(|(zone, _)| zone.clone())
-            .collect()
+            .collect();
+        let first = turn as usize % zones.len().max(1);
+        zones.rotate_left(first);
+        zones.truncate(usize::try_from(wanted_tokens).unwrap_or(usize::MAX));
+        zones
     }
 
     fn awaits_loan(&self, now: MonotonicTime) -> bool {
--- a/lib/src/process/rates/local.rs
+++ b/lib/src/process/rates/local.rs
@@ -24,22 +24,25 @@
 use crate::values::ZoneId;
 
 /// A zone whose holder did not answer is not asked again for this time.
-const PAUSE_AFTER_SILENCE: Duration = Duration::from_millis(200);
+const PAUSE_AFTER_SILENCE: Duration = Duration::from_millis(500);
 
 /// More tokens are asked for when those left are expected to last only this long.
 const REFILL_BEFORE: Duration = Duration::from_millis(20);
 
 /// Tokens are asked for ahead to last this long.
-const PREFETCH_FOR: Duration = Duration::from_millis(200);
+const PREFETCH_FOR: Duration = Duration::from_millis(400);
+
+/// A node that was given no tokens ahead asks for none for this time.
+const PREFETCH_PAUSE: Duration = Duration::from_millis(50);
 
 /// Nodes that expect to need fewer tokens than this ask for each when a request needs it.
-const MIN_PREFETCH_TOKENS: u64 = 4;
+const MIN_PREFETCH_TOKENS: u64 = 2;
 
 /// More tokens are asked for when this part of the wanted stock is left.
 const REFILL_DIVISOR: u64 = 4;
 
 /// An ask without an answer is given up after this time.
-pub const ASK_TIMEOUT: Duration = Duration::from_millis(25);
+pub const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// The shortest span over which the times to try again are spread.
 const MIN_RETRY_SPREAD: Duration = Duration::from_millis(100);
@@ -100,6 +103,8 @@
     demand: Demand,
     open: Option<OpenAsk>,
     dry: Option<DryWord>,
+    /// Tokens are not asked for ahead before this time.
+    prefetch_from: MonotonicTime,
     lifetime: Duration,
 }
 
@@ -225,6 +230,10 @@
                 *seen = dry.epoch;
                 self.accept_dry(organisation, dry, now);
             }
+            Answer::NoneAhead => {
+                let account = self.account(organisation, now);
+                account.prefetch_from = now.after(PREFETCH_PAUSE);
+            }
             _ => self.is_silent(open.zone, now),
         }
     }
@@ -324,6 +333,7 @@
             demand: Demand::new(now),
             open: None,
             dry: None,
+            prefetch_from: now,
             lifetime: MIN_BATCH_LIFETIME,
         }
     }
@@ -341,8 +351,9 @@
         let target = self.demand.expected(span, now).0;
         let soon = self.demand.expected(REFILL_BEFORE, now).0;
         let is_dry = self.dry.is_some_and(|dry| now < dry.holds_until);
+        let is_pausing = is_dry || now < self.prefetch_from;
         match left {
-            _ if is_dry || target < MIN_PREFETCH_TOKENS => TokenCount(0),
+            _ if is_pausing || target < MIN_PREFETCH_TOKENS => TokenCount(0),
             _ if waiting.0 == 0 && left > soon.max(target / REFILL_DIVISOR) => TokenCount(0),
             _ => TokenCount(target.saturating_sub(left)),
         }
