--- a/lib/tests/test_planned_stop.rs
+++ b/lib/tests/test_planned_stop.rs
@@ -67,10 +67,8 @@
     for number in 0..20 {
         let body = format!("after-{number}");
         let request = post("/stock", Some(&sample_key("small")), &[], &body);
-        assert_eq!(
-            entry.caller.send(request).await.unwrap().status,
-            StatusCode::OK
-        );
+        let answer = entry.caller.send(request).await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
     }
     assert_eq!(leaving.server.recorder().runs(), Vec::new());
 }
