gate, overload: one job per file

Requests at the gate and their fates move out of the gate's state; the driver of the experiment is split into clients, calls and servers.

--- a/lib/src/process/gate/gate_state.rs
+++ b/lib/src/process/gate/gate_state.rs
@@ -5,7 +5,10 @@
 use super::AdaptiveLimit;
 use super::Completion;
 use super::DemandMeter;
+use super::EnterRequest;
+use super::Entry;
 use super::FloorNotice;
+use super::GivenUp;
 use super::Outcome;
 use super::QueueEntry;
 use super::RetryAfter;
@@ -13,6 +16,7 @@
 use super::Ticket;
 use super::Usage;
 use super::WaitingQueue;
+use super::Wakeups;
 use super::WindowLoad;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
@@ -23,55 +27,6 @@
 use crate::values::RequestId;
 use crate::values::SlotCount;
 
-/// A request that asks for a slot.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EnterRequest {
-    /// Rank of the root request.
-    pub importance: Importance,
-    /// The organisation for which the request runs; none on routes open to all.
-    pub organisation: Option<OrganisationId>,
-    /// The rate of the organisation, which is its share.
-    pub rate: RatePerSecond,
-    /// The root request.
-    pub root: RequestId,
-    /// Time left until the deadline.
-    pub remaining: Duration,
-}
-
-/// What becomes of a request that asks for a slot.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Entry {
-    /// The request holds a slot.
-    Started,
-    /// The request waits for a slot.
-    Waiting {
-        /// Identifies the waiting request.
-        ticket: Ticket,
-        /// When the request must be given up because it can no longer finish in time.
-        start_by: MonotonicTime,
-    },
-    /// The request is refused.
-    Refused(Refusal),
-}
-
-/// A waiting request that is answered with a refusal now.
-#[derive(Clone, Debug, PartialEq)]
-pub struct GivenUp {
-    /// The waiting request.
-    pub ticket: Ticket,
-    /// Its answer.
-    pub refusal: Refusal,
-}
-
-/// Waiting requests whose fate was decided.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Wakeups {
-    /// Requests that hold a slot now.
-    pub started: Vec<Ticket>,
-    /// Requests that are answered with a refusal now.
-    pub given_up: Vec<GivenUp>,
-}
-
 /// The decisions of a gate, without locks and timers.
 #[derive(Clone, Debug)]
 pub struct GateState {
--- a/lib/src/process/gate/mod.rs
+++ b/lib/src/process/gate/mod.rs
@@ -3,6 +3,7 @@
 
 mod completion;
 mod demand;
+mod entry;
 mod fair_share;
 mod floor;
 mod gate_state;
@@ -20,15 +21,15 @@
 pub use self::completion::Outcome;
 pub use self::demand::DemandMeter;
 pub use self::demand::WindowLoad;
+pub use self::entry::EnterRequest;
+pub use self::entry::Entry;
+pub use self::entry::GivenUp;
+pub use self::entry::Wakeups;
 pub use self::fair_share::OrganisationDemand;
 pub use self::fair_share::fair_level;
 pub use self::floor::AdmissionFloor;
 pub use self::floor::InvalidFloorError;
-pub use self::gate_state::EnterRequest;
-pub use self::gate_state::Entry;
 pub use self::gate_state::GateState;
-pub use self::gate_state::GivenUp;
-pub use self::gate_state::Wakeups;
 pub use self::learnt::Admission;
 pub use self::learnt::LearntFloors;
 pub use self::limit::AdaptiveLimit;
--- a/testutils/src/overload/mod.rs
+++ b/testutils/src/overload/mod.rs
@@ -4,10 +4,14 @@
 //! Sockets, tokens, leases and faults of the network are left out. Sizes are those of the
 //! deployments, and service times are chosen, as nobody has stated them.
 
+mod bucket;
+mod calls;
+mod clients;
 mod deployment;
 mod driver;
 mod model;
 mod report;
+mod servers;
 
 pub use self::deployment::Deployment;
 pub use self::deployment::Organisation;
--- /dev/null
+++ b/testutils/src/overload/servers.rs
@@ -0,0 +1,232 @@
+//! What gates and servers do: admit, run and answer.
+
+use std::time::Duration;
+
+use balsamfold::process::gate::Completion;
+use balsamfold::process::gate::EnterRequest;
+use balsamfold::process::gate::Entry;
+use balsamfold::process::gate::FloorNotice;
+use balsamfold::process::gate::Outcome;
+use balsamfold::process::gate::Wakeups;
+use balsamfold::process::routing::CallOutcome;
+use balsamfold::request::RefusalReason;
+use balsamfold::values::Importance;
+use balsamfold::values::RatePerSecond;
+use rand::Rng;
+
+use super::Control;
+use super::clients::HOP_RETRIES;
+use super::clients::PATIENCE;
+use super::driver::Driver;
+use super::driver::Event;
+use super::model::Answer;
+use super::model::Call;
+use super::model::CallKey;
+use super::model::CallState;
+use super::model::Role;
+
+impl<'a> Driver<'a> {
+    pub(super) fn arrive(&mut self, key: CallKey) {
+        let Some(call) = self.calls.get(key).cloned() else {
+            return;
+        };
+        let admitted = self.control != Control::All
+            || self.below_admits(call.attempt, call.node, Role::Server);
+        match self.control {
+            Control::None => self.arrive_at_server(key, call.node),
+            Control::Limits | Control::All if admitted => self.arrive_at_gate(key, &call),
+            _ => self.finish(key, CallOutcome::Refused, Some(RefusalReason::Overloaded)),
+        }
+    }
+
+    pub(super) fn arrive_at_server(&mut self, key: CallKey, node: usize) {
+        let service = &self.deployment.services[self.nodes[node].service];
+        let node = &mut self.nodes[node];
+        if node.running < service.slots as usize {
+            return self.start(key);
+        }
+        if node.running + node.backlog.len() < service.connections {
+            node.backlog.push_back(key);
+            self.calls[key].state = CallState::Waiting(None);
+            return;
+        }
+        self.finish(key, CallOutcome::Refused, Some(RefusalReason::Overloaded));
+    }
+
+    pub(super) fn arrive_at_gate(&mut self, key: CallKey, call: &Call) {
+        let request = self.enter_request(call);
+        let (entry, displaced) = self.nodes[call.node].gate.enter(&request, self.now);
+        if let Some(given_up) = displaced
+            && let Some(lost) = self.nodes[call.node].waiting.remove(&given_up.ticket)
+        {
+            let reason = given_up.refusal.reason;
+            self.finish(lost, CallOutcome::Refused, Some(reason));
+        }
+        match entry {
+            Entry::Started => self.start(key),
+            Entry::Refused(refusal) => {
+                self.finish(key, CallOutcome::Refused, Some(refusal.reason));
+            }
+            Entry::Waiting { ticket, start_by } => {
+                self.nodes[call.node].waiting.insert(ticket, key);
+                self.calls[key].state = CallState::Waiting(Some(ticket));
+                self.after(start_by.since(self.now), Event::GiveUp(key));
+            }
+        }
+    }
+
+    /// Without importance and shares, all requests look alike to the gate.
+    pub(super) fn enter_request(&self, call: &Call) -> EnterRequest {
+        let attempt = &self.attempts[call.attempt];
+        let organisation = self.requests[attempt.request].organisation;
+        let rate = self.deployment.organisations[organisation].rate_per_s;
+        match self.control {
+            Control::All => EnterRequest {
+                importance: Importance(self.route_of(call.attempt).importance),
+                organisation: Some(self.organisations[organisation].clone()),
+                rate: RatePerSecond(rate),
+                root: attempt.root,
+                remaining: attempt.deadline.since(self.now),
+            },
+            Control::None | Control::Limits => EnterRequest {
+                importance: Importance(u8::MAX),
+                organisation: None,
+                rate: RatePerSecond(1),
+                root: attempt.root,
+                remaining: call.sent_at.after(PATIENCE).since(self.now),
+            },
+        }
+    }
+
+    pub(super) fn start(&mut self, key: CallKey) {
+        let call = &mut self.calls[key];
+        call.state = CallState::Running { since: self.now };
+        let node = &mut self.nodes[call.node];
+        node.running += 1;
+        let service = &self.deployment.services[node.service];
+        let slowed = node.service == self.deployment.slowed && self.in_trigger();
+        let factor = if slowed {
+            self.deployment.slow_factor
+        } else {
+            1
+        };
+        let spread = self.random.random_range(0.5..1.5);
+        let work = (service.service_time * factor).mul_f64(spread);
+        self.after(work, Event::Worked(key));
+    }
+
+    pub(super) fn worked(&mut self, key: CallKey) {
+        let Some(call) = self.calls.get(key).cloned() else {
+            return;
+        };
+        match call.hop + 1 < self.route_of(call.attempt).chain.len() {
+            true => self.call(
+                call.attempt,
+                call.hop + 1,
+                call.node,
+                Some(key),
+                HOP_RETRIES,
+                &[],
+            ),
+            false => self.finish(key, CallOutcome::Answered, None),
+        }
+    }
+
+    /// Ends a call at its node and sends the answer back.
+    pub(super) fn finish(
+        &mut self,
+        key: CallKey,
+        outcome: CallOutcome,
+        reason: Option<RefusalReason>,
+    ) {
+        let Some(call) = self.calls.remove(key) else {
+            return;
+        };
+        self.release(&call, outcome);
+        let route = self.route_of(call.attempt);
+        let node = &mut self.nodes[call.node];
+        let below = node.onward_floors.notice(route.path, self.now);
+        let floor = match self.control {
+            Control::All => node.gate.floor(self.now).highest(below),
+            Control::None | Control::Limits => FloorNotice::default(),
+        };
+        let trip = self.trip(call.caller, call.node);
+        let answer = Answer {
+            call,
+            outcome,
+            reason,
+            floor,
+        };
+        self.after(trip, Event::Answered(Box::new(answer)));
+    }
+
+    /// Gives back what a call holds at its node.
+    pub(super) fn release(&mut self, call: &Call, outcome: CallOutcome) {
+        self.attempts[call.attempt]
+            .live
+            .retain(|key| self.calls.contains_key(*key));
+        let node = &mut self.nodes[call.node];
+        match call.state {
+            CallState::Running { since } => {
+                node.running -= 1;
+                let held = self.now.since(since);
+                self.attempts[call.attempt].held += held;
+                let outcome = match outcome {
+                    CallOutcome::Answered => Outcome::Answered,
+                    CallOutcome::Cancelled => Outcome::Cancelled,
+                    CallOutcome::Refused | CallOutcome::Failed => Outcome::Failed,
+                };
+                self.next_at(call, outcome, held);
+            }
+            CallState::Waiting(Some(ticket)) => {
+                let reason = RefusalReason::DeadlineExceeded;
+                node.gate.abandon(ticket, reason, self.now);
+                node.waiting.remove(&ticket);
+            }
+            CallState::Waiting(None) | CallState::Travelling => {}
+        }
+    }
+
+    pub(super) fn next_at(&mut self, call: &Call, outcome: Outcome, held: Duration) {
+        let node = &mut self.nodes[call.node];
+        if self.control == Control::None {
+            while let Some(next) = node.backlog.pop_front() {
+                if self.calls.contains_key(next) {
+                    return self.start(next);
+                }
+            }
+            return;
+        }
+        let completion = Completion {
+            outcome,
+            held,
+            onward: call.onward,
+        };
+        let wakeups = node.gate.leave(&completion, self.now);
+        self.wake(call.node, wakeups);
+    }
+
+    pub(super) fn wake(&mut self, node: usize, wakeups: Wakeups) {
+        for ticket in wakeups.started {
+            if let Some(key) = self.nodes[node].waiting.remove(&ticket) {
+                self.start(key);
+            }
+        }
+        for given_up in wakeups.given_up {
+            if let Some(key) = self.nodes[node].waiting.remove(&given_up.ticket) {
+                let reason = given_up.refusal.reason;
+                self.finish(key, CallOutcome::Refused, Some(reason));
+            }
+        }
+    }
+
+    pub(super) fn give_up(&mut self, key: CallKey) {
+        if let Some(CallState::Waiting(_)) = self.calls.get(key).map(|call| call.state) {
+            self.finish(
+                key,
+                CallOutcome::Refused,
+                Some(RefusalReason::DeadlineExceeded),
+            );
+        }
+    }
+}
