--- a/lib/src/process/node/answer.rs
+++ b/lib/src/process/node/answer.rs
@@ -11,6 +11,7 @@
 use crate::connection::UNSPENT_HEADER;
 use crate::connection::WholeAnswer;
 use crate::process::gate::FloorNotice;
+use crate::request::AttemptCount;
 use crate::request::Refusal;
 use crate::request::refusal_response;
 
@@ -20,9 +21,9 @@
     /// The answer or refusal.
     pub(super) outcome: Result<WholeAnswer, Refusal>,
     /// Extra attempts that the request below did not use.
-    pub(super) unspent_attempts: u32,
     /// The admission floor of the node and those below it; none if no node of the service answered.
     pub(super) floor: Option<FloorNotice>,
+    pub(super) unspent_attempts: AttemptCount,
 }
 
 /// Makes the response for a caller or for the backend server beside this node.
--- a/lib/src/process/node/dump.rs
+++ b/lib/src/process/node/dump.rs
@@ -8,6 +8,7 @@
 use crate::process::membership::MembershipCounters;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeRecord;
+use crate::process::platform::CallCounts;
 use crate::process::rates::HolderRecord;
 use crate::values::ConfigVersion;
 use crate::values::NodeId;
@@ -28,16 +29,20 @@
         pub draining: bool,
         /// The configuration in force.
         pub config_version: Option<ConfigVersion>,
+        /// Whether the node is one of those of its zone that watch the platform's service.
+        pub watches_platform: bool,
+        /// Calls to the platform's service since the start.
+        pub platform_calls: CallCounts,
         /// The backend server beside the node.
         pub server: Option<ServerDump>,
         /// Requests that run on the backend server.
         pub in_flight_requests: usize,
-        /// Requests of callers that were refused because a service below would have refused them.
-        pub refused_at_entry: u64,
         /// Whether the node holds the rates of its zone.
         pub holds_rates: bool,
         /// The holder of the zone's rates, as the platform's record last named it to this node.
         pub rate_holder: Option<HolderRecord>,
+        /// Requests of callers that were refused because a service below would have refused them.
+        pub refused_at_entry: u64,
         /// All known nodes.
         pub members: Vec<NodeRecord>,
         /// Membership datagrams since the start.
@@ -74,6 +79,8 @@
             uptime_ms: self.clock.now().0 / 1_000,
             draining: self.is_draining(),
             config_version: configuration.map(|configuration| configuration.version),
+            watches_platform: self.watches_platform(),
+            platform_calls: self.platform.counts(),
             server: self.server().map(|server| ServerDump {
                 announcement: server.announcement.clone(),
                 open_connections: server.pool.open_connections(),
@@ -83,9 +90,9 @@
                 floor: server.gate.floor(),
             }),
             in_flight_requests: self.in_flight.len(),
-            refused_at_entry: self.load.refused_at_entry(),
             holds_rates: self.holds_rates(),
             rate_holder: self.rates().service.known_holder(),
+            refused_at_entry: self.load.refused_at_entry(),
             members: self.members().nodes().cloned().collect(),
             membership: self.membership.counters(),
         }
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -15,6 +15,7 @@
 mod peer_message;
 mod rate_role;
 mod rates;
+mod retries;
 mod serve;
 mod shared;
 
--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -15,6 +15,7 @@
 use super::load_control::LoadControl;
 use super::local_server::LocalServer;
 use super::rates::NodeRates;
+use super::retries::Retries;
 use crate::connection::ConnectionPool;
 use crate::connection::PoolLimits;
 use crate::process::configuration::ConfigurationNews;
@@ -56,12 +57,13 @@
     /// The other nodes.
     pub membership: Membership,
     pub(super) peer_key: DerivedKey,
-    pub(super) load: LoadControl,
+    pub(super) retries: Retries,
     /// The configuration in force.
     pub configuration: ConfigurationHolder,
     /// The platform's service.
     pub platform: PlatformClient,
     pub(super) configuration_news: broadcast::Sender<ConfigurationNews>,
+    pub(super) load: LoadControl,
     server: RwLock<Option<Arc<LocalServer>>>,
     peer_pools: Mutex<HashMap<SocketAddr, Arc<ConnectionPool>>>,
     draining: AtomicBool,
@@ -84,6 +86,7 @@
             addresses,
             clock,
             in_flight: Arc::default(),
+            retries: Retries::new(rand::random()),
             configuration: ConfigurationHolder::new(),
             platform,
             configuration_news: broadcast::Sender::new(NEWS_QUEUE_MAX),
