--- a/lib/examples/overload.rs
+++ b/lib/examples/overload.rs
@@ -12,7 +12,9 @@
 fn main() {
     let seed = std::env::args().nth(1).and_then(|text| text.parse().ok());
     let seed = seed.unwrap_or(DEFAULT_SEED);
-    for deployment in [Deployment::botonera(), Deployment::cap_bon()] {
+    let deployments = [Deployment::botonera(), Deployment::cap_bon()];
+    let kept = deployments.clone().map(Deployment::without_excess);
+    for deployment in deployments.into_iter().chain(kept) {
         let reports = [Control::None, Control::Limits, Control::All]
             .map(|control| run(&deployment, control, seed));
         print(&deployment, seed, &reports);
@@ -20,7 +22,11 @@
 }
 
 fn print(deployment: &Deployment, seed: u64, reports: &[Report]) {
-    println!("## {}, seed {seed}\n", deployment.name);
+    let trigger = match deployment.excess_factor > deployment.load {
+        true => "one service slowed and one organisation over its rate",
+        false => "one service slowed",
+    };
+    println!("## {}, {trigger}, seed {seed}\n", deployment.name);
     println!("| measure | no control | limits only | all of it |");
     println!("|---|---|---|---|");
     for route in &deployment.routes {
--- a/lib/tests/test_overload.rs
+++ b/lib/tests/test_overload.rs
@@ -38,6 +38,16 @@
     controlled(&Deployment::cap_bon().shortened(TRIGGER));
 }
 
+/// No organisation exceeds its rate, so that there is capacity for all important requests.
+#[test]
+fn all_important_requests_are_served_while_capacity_for_them_exists() {
+    for deployment in [Deployment::botonera(), Deployment::cap_bon()] {
+        let report = controlled(&deployment.without_excess().shortened(TRIGGER));
+        let served = report.served_within_rate[&200];
+        assert!(served >= 0.99, "important requests served: {served}");
+    }
+}
+
 #[test]
 fn equal_seeds_give_equal_reports() {
     let deployment = Deployment::botonera().shortened(Duration::from_millis(500));
--- a/testutils/src/overload/deployment.rs
+++ b/testutils/src/overload/deployment.rs
@@ -120,6 +120,14 @@
         }
     }
 
+    /// Lets the first organisation keep its rate like the others.
+    pub fn without_excess(self) -> Self {
+        Self {
+            excess_factor: self.load,
+            ..self
+        }
+    }
+
     /// Makes the experiment short, with the trigger after two seconds.
     pub fn shortened(self, trigger: Duration) -> Self {
         let trigger_start = Duration::from_secs(2);
