node: run keyed requests at their home, under terms from the zone's registrar

Cause: at-most-once routes ran each resend anew on the whole path. The entry finds the home zone and slot of the key and asks the likeliest holders of its term; the home runs the request on its own backend server under a record, in a task that outlives the caller; resends join or get the recorded answer. Nodes renew terms with the registrar, which keeps its record in the platform; slots move to better homes and, at a planned stop, to the next one with their records. A zone without at-most-once routes has no registrar and makes no platform call.

Shown failing first: with keyed requests routed like others, all seven new tests fail (4 runs for 4 sends, 12 for 12 at once, 40 of 40 run with the home zone cut off). Without the handover at a stop, a resend gets 504 after 9 s in place of the recorded answer. Result: 1 run in each; 200 after the handover.

--- a/lib/src/process/control/api.rs
+++ b/lib/src/process/control/api.rs
@@ -6,6 +6,12 @@
 use crate::process::configuration::ConfigurationNews;
 use crate::process::membership::NodeRecord;
 use crate::process::node::NodeDump;
+use crate::process::node::RenewalReply;
+use crate::process::node::RenewalRequest;
+use crate::process::once::Assignment;
+use crate::process::once::HandedRecord;
+use crate::process::once::HomeSession;
+use crate::process::once::SlotHandover;
 use crate::values::ConfigVersion;
 use crate::version::Configuration;
 
@@ -44,6 +50,26 @@
     #[method(name = "newerConfiguration")]
     async fn newer_configuration(&self, than: ConfigVersion) -> RpcResult<Option<Configuration>>;
 
+    /// Asks for later ends of the windows of terms.
+    #[method(name = "onceRenew")]
+    async fn once_renew(&self, request: RenewalRequest) -> RpcResult<RenewalReply>;
+
+    /// Returns the session to which terms for the node are addressed; none while it is leaving.
+    #[method(name = "onceSession")]
+    async fn once_session(&self) -> RpcResult<Option<HomeSession>>;
+
+    /// Gives a new term to the node; returns whether it took it.
+    #[method(name = "onceAssign")]
+    async fn once_assign(&self, assignment: Assignment) -> RpcResult<bool>;
+
+    /// Passes a term with its records on to the node; returns whether it took it.
+    #[method(name = "onceHandOver")]
+    async fn once_hand_over(&self, handover: SlotHandover) -> RpcResult<bool>;
+
+    /// Tells the end of an attempt whose record was handed over while it ran.
+    #[method(name = "onceSettle")]
+    async fn once_settle(&self, settled: HandedRecord) -> RpcResult<()>;
+
     /// Tells what the caller knows of the nodes and returns what this node knows.
     #[method(name = "exchangeMembers")]
     async fn exchange_members(&self, records: Vec<NodeRecord>) -> RpcResult<Vec<NodeRecord>>;
--- a/lib/src/process/events/once.rs
+++ b/lib/src/process/events/once.rs
@@ -6,5 +6,6 @@
 use super::events;
 
 events! {
+    REGISTRAR_TAKEN = 6001, Info, "once.registrar-taken", "This node now gives out the terms of at-most-once records in its zone.";
     SUSPECT_QUARANTINED = 6000, Warn, "once.suspect-quarantined", "A request fingerprint was present at two crashes and is refused for a bounded time.";
 }
--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -18,6 +18,11 @@
 use super::configuration::ConfigurationTasks;
 use super::entry::handle_caller;
 use super::exit::handle_local;
+use super::once::OnceTasks;
+use super::once::RenewalReply;
+use super::once::RenewalRequest;
+use super::once::pass_all_on;
+use super::once::runs_ended;
 use super::serve::handle_peer;
 use crate::connection::ListenError;
 use crate::connection::Listener;
@@ -35,6 +40,10 @@
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeCondition;
 use crate::process::membership::NodeRecord;
+use crate::process::once::Assignment;
+use crate::process::once::HandedRecord;
+use crate::process::once::HomeSession;
+use crate::process::once::SlotHandover;
 use crate::process::settings::NodeSettings;
 use crate::values::ConfigVersion;
 use crate::values::Incarnation;
@@ -92,6 +101,7 @@
     drain_asked: Arc<Notify>,
     _housekeeping: AbortOnDropHandle<()>,
     _configuration: ConfigurationTasks,
+    _once: OnceTasks,
 }
 
 impl NodeDaemon {
@@ -134,6 +144,7 @@
             })?;
         let housekeeping = tokio::spawn(keep_house(Arc::clone(&node)));
         let configuration = ConfigurationTasks::start(&node);
+        let once = OnceTasks::start(&node);
         events::STARTED.log(format_args!("callers on {caller_address}"));
         Ok(Self {
             callers: serve_callers(callers, &node, connections_max),
@@ -146,6 +157,7 @@
             drain_asked,
             _housekeeping: AbortOnDropHandle::new(housekeeping),
             _configuration: configuration,
+            _once: once,
         })
     }
 
@@ -188,7 +200,9 @@
         events::DRAIN_STARTED.log(self.node.in_flight.len());
         let notice = Duration::from_millis(self.node.settings.leave_notice_ms);
         tokio::time::sleep(notice).await;
+        pass_all_on(&self.node).await;
         tokio::join!(self.callers.stop(), self.peers.stop());
+        runs_ended(&self.node).await;
         self.local.stop().await;
         self.control.stop();
         events::STOPPED.log(&self.node.settings.node);
@@ -326,6 +340,27 @@
             .map(|current| current.as_ref().clone()))
     }
 
+    async fn once_renew(&self, request: RenewalRequest) -> RpcResult<RenewalReply> {
+        Ok(self.node.renew_terms(&request))
+    }
+
+    async fn once_session(&self) -> RpcResult<Option<HomeSession>> {
+        Ok(self.node.once_session())
+    }
+
+    async fn once_assign(&self, assignment: Assignment) -> RpcResult<bool> {
+        Ok(self.node.take_assignment(assignment))
+    }
+
+    async fn once_hand_over(&self, handover: SlotHandover) -> RpcResult<bool> {
+        Ok(self.node.take_handover(handover))
+    }
+
+    async fn once_settle(&self, settled: HandedRecord) -> RpcResult<()> {
+        self.node.take_settlement(settled);
+        Ok(())
+    }
+
     async fn exchange_members(&self, records: Vec<NodeRecord>) -> RpcResult<Vec<NodeRecord>> {
         self.node.set_members(merged(&self.node, records));
         Ok(self.node.members().nodes().cloned().collect())
--- a/lib/src/process/node/dump.rs
+++ b/lib/src/process/node/dump.rs
@@ -4,6 +4,7 @@
 use super::Node;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeRecord;
+use crate::process::once::SlotId;
 use crate::values::ConfigVersion;
 use crate::values::NodeId;
 use crate::values::ZoneId;
@@ -27,11 +28,25 @@
         pub server: Option<ServerDump>,
         /// Requests that run on the backend server.
         pub in_flight_requests: usize,
+        /// At-most-once records and terms.
+        pub once: OnceDump,
         /// All known nodes.
         pub members: Vec<NodeRecord>,
     }
 }
 
+plain_data! {
+    /// At-most-once records and terms of a node.
+    pub struct OnceDump {
+        /// Records of keys.
+        pub records: usize,
+        /// Slots of which the node holds terms.
+        pub held_slots: Vec<SlotId>,
+        /// The registrar of the zone, as far as the node knows.
+        pub registrar: Option<NodeId>,
+    }
+}
+
 plain_data! {
     /// The backend server beside a node.
     pub struct ServerDump {
@@ -58,6 +73,11 @@
                 open_connections: server.pool.open_connections(),
             }),
             in_flight_requests: self.in_flight.len(),
+            once: OnceDump {
+                records: self.once.record_count(),
+                held_slots: self.once.held_slots(),
+                registrar: self.known_registrar(),
+            },
             members: self.members().nodes().cloned().collect(),
         }
     }
--- a/lib/src/process/node/forward.rs
+++ b/lib/src/process/node/forward.rs
@@ -9,8 +9,9 @@
 
 use super::Node;
 use super::answer::NodeAnswer;
+use super::once::forward_keyed;
 use super::peer_message;
-use super::serve::serve;
+use super::serve::serve_any;
 use crate::connection::ATTEMPT_HEADER;
 use crate::connection::UNSPENT_HEADER;
 use crate::connection::WholeAnswer;
@@ -22,6 +23,7 @@
 use crate::request::ChainDepth;
 use crate::request::Deadline;
 use crate::request::FailedAttempt;
+use crate::request::KeyedContext;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::request::RequestContext;
@@ -31,6 +33,7 @@
 use crate::values::NodeId;
 use crate::values::OrganisationId;
 use crate::values::RequestId;
+use crate::version::Repeatability;
 use crate::version::Route;
 
 /// A request on its way to a service.
@@ -54,9 +57,20 @@
 }
 
 /// Passes a request to a node of its service until an attempt gives a final answer.
+pub(super) async fn forward(
+    node: &Arc<Node>,
+    outbound: Outbound<'_>,
+) -> Result<WholeAnswer, Refusal> {
+    match outbound.route.repeatability {
+        Repeatability::AtMostOnce => forward_keyed(node, outbound).await,
+        Repeatability::Idempotent => forward_unkeyed(node, outbound).await,
+    }
+}
+
+/// Passes a request to a node of its service, without a record of its key.
 ///
 /// When no further node is left to try, the refusal is that of the last one tried.
-pub(super) async fn forward(
+pub(super) async fn forward_unkeyed(
     node: &Arc<Node>,
     outbound: Outbound<'_>,
 ) -> Result<WholeAnswer, Refusal> {
@@ -101,13 +115,23 @@
     node: &Arc<Node>,
     outbound: &Outbound<'_>,
     tried: &mut Vec<NodeId>,
+) -> Result<WholeAnswer, Refusal> {
+    let destination = choose(node, outbound, tried)?;
+    tried.push(destination.id.clone());
+    attempt_at(node, outbound, &destination, None).await
+}
+
+/// Makes one attempt at the node `destination`.
+pub(super) async fn attempt_at(
+    node: &Arc<Node>,
+    outbound: &Outbound<'_>,
+    destination: &NodeRecord,
+    keyed: Option<KeyedContext>,
 ) -> Result<WholeAnswer, Refusal> {
     let remaining_us = outbound
         .deadline
         .for_next_hop(node.clock.now())
         .map_err(Refusal::not_run)?;
-    let destination = choose(node, outbound, tried)?;
-    tried.push(destination.id.clone());
     let loan = outbound.extra_attempts.lock().lend();
     let context = RequestContext {
         root: outbound.root,
@@ -117,12 +141,13 @@
         remaining_us,
         extra_attempts: loan.lent(),
         depth: outbound.depth,
+        keyed,
     };
     let request = outbound.request.clone();
     let answer = if destination.id == node.settings.node {
-        Box::pin(serve(node, context, request)).await
+        Box::pin(serve_any(node, context, request)).await
     } else {
-        send(node, &destination, context, request).await
+        send(node, destination, context, request).await
     };
     let mut attempts = outbound.extra_attempts.lock();
     attempts.take_back(loan, answer.unspent_attempts);
@@ -213,7 +238,7 @@
 }
 
 /// Returns whether an attempt at another node can help after a refusal for `reason`.
-fn another_may_help(reason: RefusalReason) -> bool {
+pub(super) fn another_may_help(reason: RefusalReason) -> bool {
     matches!(
         reason,
         RefusalReason::Overloaded
--- /dev/null
+++ b/lib/src/process/node/once/home.rs
@@ -0,0 +1,285 @@
+//! The home of a key: runs its request under a record, or answers from the record.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use super::state::OutcomeReceiver;
+use super::state::OutcomeSender;
+use super::stored::replayed;
+use super::stored::stored;
+use super::transfer::send_settlement;
+use crate::connection::WholeAnswer;
+use crate::connection::WholeRequest;
+use crate::process::node::Node;
+use crate::process::node::answer::NodeAnswer;
+use crate::process::node::forward::Outbound;
+use crate::process::node::forward::another_may_help;
+use crate::process::node::forward::forward_unkeyed;
+use crate::process::node::serve::serve;
+use crate::process::once::Begin;
+use crate::process::once::ContentDigest;
+use crate::process::once::HandedRecord;
+use crate::process::once::KeyedRequest;
+use crate::process::once::MintTime;
+use crate::process::once::Outcome;
+use crate::process::once::RecordId;
+use crate::process::once::SlotId;
+use crate::request::AttemptBudget;
+use crate::request::AttemptCount;
+use crate::request::AttemptId;
+use crate::request::Deadline;
+use crate::request::KeyedContext;
+use crate::request::Refusal;
+use crate::request::RefusalReason;
+use crate::request::RequestContext;
+use crate::request::Verdict;
+use crate::version::Route;
+
+/// When a caller may come back after a refusal for want of a record.
+const FULL_RETRY_MS: u64 = 1_000;
+/// When a caller may come back while no node holds the term of its key.
+pub(super) const HOME_RETRY_MS: u64 = 1_000;
+
+/// Answers a request with a key as the key's home.
+///
+/// The future is boxed because a run may lead to other nodes' paths, and so to this one again.
+pub(in crate::process::node) fn serve_keyed(
+    node: &Arc<Node>,
+    context: RequestContext,
+    keyed: KeyedContext,
+    request: WholeRequest,
+) -> BoxFuture<'_, NodeAnswer> {
+    Box::pin(answer_keyed(node, context, keyed, request))
+}
+
+async fn answer_keyed(
+    node: &Arc<Node>,
+    context: RequestContext,
+    keyed: KeyedContext,
+    request: WholeRequest,
+) -> NodeAnswer {
+    let lent = context.extra_attempts;
+    let deadline = Deadline::starting(node.clock.now(), context.remaining_us);
+    let (outcome, unspent_attempts) = match begin(node, &context, &keyed, &request) {
+        Ok(Begun::Start(started, receiver)) => {
+            let run = Run {
+                started,
+                context,
+                request,
+                deadline,
+            };
+            tokio::spawn(run_to_the_end(Arc::clone(node), run));
+            // What the run leaves unspent stays with the record, for resends of the same key.
+            (wait(node, receiver, deadline).await, AttemptCount(0))
+        }
+        Ok(Begun::Join(receiver)) => (wait(node, receiver, deadline).await, lent),
+        Ok(Begun::Settled(outcome)) => (outcome, lent),
+        Err(refusal) => (Err(refusal), lent),
+    };
+    NodeAnswer {
+        outcome,
+        unspent_attempts,
+    }
+}
+
+/// What follows from a record.
+enum Begun {
+    Start(Started, OutcomeReceiver),
+    Join(OutcomeReceiver),
+    Settled(Result<WholeAnswer, Refusal>),
+}
+
+/// A run that was entered in the records and has to be made.
+struct Started {
+    record: RecordId,
+    attempts: AttemptCount,
+    route: Route,
+    sender: OutcomeSender,
+}
+
+fn begin(
+    node: &Node,
+    context: &RequestContext,
+    keyed: &KeyedContext,
+    request: &WholeRequest,
+) -> Result<Begun, Refusal> {
+    let configuration = node.configuration()?;
+    let route = configuration
+        .route_of(request.uri.path())
+        .ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute))?;
+    let uri = request.uri.to_string();
+    let keyed_request = KeyedRequest {
+        key: keyed.key,
+        organisation: keyed.organisation.clone(),
+        slot: SlotId::of(&route.service, keyed.key),
+        mint: keyed.mint,
+        content: ContentDigest::of(request.method.as_str(), &uri, &request.body),
+        extra_attempts: context.extra_attempts,
+    };
+    let wall = MintTime::from(node.clock.wall());
+    let mut home = node.once.home.lock();
+    let window = home.terms.window(&keyed_request.slot);
+    let begin = home
+        .records
+        .begin(&keyed_request, window, wall, node.clock.now());
+    Ok(match begin {
+        Begin::Run { record, attempts } => {
+            let (sender, receiver) = watch::channel(None);
+            home.running.insert(record, receiver.clone());
+            let started = Started {
+                record,
+                attempts,
+                route: route.clone(),
+                sender,
+            };
+            Begun::Start(started, receiver)
+        }
+        Begin::Join(record) => match home.running.get(&record) {
+            Some(receiver) => Begun::Join(receiver.clone()),
+            None => Begun::Settled(Err(Refusal::may_have_run(RefusalReason::OutcomeUnknown))),
+        },
+        settled => Begun::Settled(answer_of(settled)),
+    })
+}
+
+/// Returns the answer of a decision that neither runs nor joins.
+fn answer_of(begin: Begin) -> Result<WholeAnswer, Refusal> {
+    let not_run = |reason, retry_after_ms| {
+        let refusal = Refusal::not_run(reason);
+        Err(refusal.retry_after_ms(retry_after_ms))
+    };
+    match begin {
+        Begin::Answered(answer) => Ok(replayed(answer)),
+        Begin::AnswerNotKept => Err(Refusal {
+            reason: RefusalReason::OutcomeUnknown,
+            verdict: Verdict::Ran,
+            retry_after_ms: None,
+        }),
+        Begin::MayHaveRun | Begin::Run { .. } | Begin::Join(_) => {
+            Err(Refusal::may_have_run(RefusalReason::OutcomeUnknown))
+        }
+        Begin::Conflict => Err(Refusal::not_run(RefusalReason::IdempotencyKeyReused)),
+        Begin::NotHome => not_run(RefusalReason::HomeUnreachable, HOME_RETRY_MS),
+        Begin::NotYet { retry_after_ms } => not_run(RefusalReason::HomeUnreachable, retry_after_ms),
+        Begin::Full => not_run(RefusalReason::Overloaded, FULL_RETRY_MS),
+        Begin::AttemptsExhausted => Err(Refusal::not_run(RefusalReason::AttemptsExhausted)),
+    }
+}
+
+/// A run under a record.
+struct Run {
+    started: Started,
+    context: RequestContext,
+    request: WholeRequest,
+    deadline: Deadline,
+}
+
+/// The end of a run whose record was handed over meanwhile.
+struct Settlement {
+    record: HandedRecord,
+    next_home: SocketAddr,
+}
+
+/// Makes a run; it goes on when the caller that began it leaves.
+async fn run_to_the_end(node: Arc<Node>, run: Run) {
+    let attempts = Mutex::new(AttemptBudget::new(run.started.attempts));
+    let outcome = attempt_all(&node, &run, &attempts).await;
+    let unspent = attempts.into_inner().remaining();
+    let recorded = match &outcome {
+        Ok(answer) => Outcome::Answered(stored(answer)),
+        Err(refusal) if refusal.verdict == Verdict::NotRun => Outcome::NotRun { unspent },
+        Err(_) => Outcome::MayHaveRun,
+    };
+    let settlement = finish(&node, run.started.record, recorded);
+    run.started.sender.send_replace(Some(Arc::new(outcome)));
+    if let Some(settlement) = settlement {
+        send_settlement(&node, settlement.next_home, settlement.record).await;
+    }
+}
+
+/// Ends a record; returns it with its new home if it was handed over meanwhile.
+fn finish(node: &Node, record: RecordId, outcome: Outcome) -> Option<Settlement> {
+    let mut home = node.once.home.lock();
+    home.running.remove(&record);
+    let handed = home.records.finish(record, outcome, node.clock.now())?;
+    let next_home = home.handed_to.remove(&handed.key)?;
+    Some(Settlement {
+        record: handed,
+        next_home,
+    })
+}
+
+/// Tries the backend server beside the home first, then others while that is true to the record.
+async fn attempt_all(
+    node: &Arc<Node>,
+    run: &Run,
+    attempts: &Mutex<AttemptBudget>,
+) -> Result<WholeAnswer, Refusal> {
+    let route = &run.started.route;
+    let is_own = node.settings.service == route.service && node.server().is_some();
+    if is_own {
+        let refusal = match attempt_here(node, run, attempts).await {
+            Ok(answer) => return Ok(answer),
+            Err(refusal) => refusal,
+        };
+        let final_verdict = refusal.verdict != Verdict::NotRun;
+        if final_verdict || !another_may_help(refusal.reason) || attempts.lock().spend().is_err() {
+            return Err(refusal);
+        }
+    }
+    let outbound = Outbound {
+        route,
+        request: run.request.clone(),
+        root: run.context.root,
+        organisation: run.context.organisation.clone(),
+        importance: run.context.importance,
+        deadline: run.deadline,
+        depth: run.context.depth,
+        extra_attempts: attempts,
+    };
+    Box::pin(forward_unkeyed(node, outbound)).await
+}
+
+async fn attempt_here(
+    node: &Arc<Node>,
+    run: &Run,
+    attempts: &Mutex<AttemptBudget>,
+) -> Result<WholeAnswer, Refusal> {
+    let remaining_us = run
+        .deadline
+        .for_next_hop(node.clock.now())
+        .map_err(Refusal::not_run)?;
+    let loan = attempts.lock().lend();
+    let context = RequestContext {
+        attempt: AttemptId::random(),
+        remaining_us,
+        extra_attempts: loan.lent(),
+        keyed: None,
+        ..run.context.clone()
+    };
+    let answer = serve(node, context, run.request.clone()).await;
+    attempts.lock().take_back(loan, answer.unspent_attempts);
+    answer.outcome
+}
+
+async fn wait(
+    node: &Node,
+    mut receiver: OutcomeReceiver,
+    deadline: Deadline,
+) -> Result<WholeAnswer, Refusal> {
+    let limit: Duration = deadline.remaining(node.clock.now());
+    let ended = tokio::time::timeout(limit, receiver.wait_for(Option::is_some)).await;
+    match ended {
+        Ok(Ok(outcome)) => match outcome.as_deref() {
+            Some(outcome) => outcome.clone(),
+            None => Err(Refusal::may_have_run(RefusalReason::OutcomeUnknown)),
+        },
+        Ok(Err(_)) => Err(Refusal::may_have_run(RefusalReason::OutcomeUnknown)),
+        Err(_) => Err(Refusal::may_have_run(RefusalReason::DeadlineExceeded)),
+    }
+}
--- /dev/null
+++ b/lib/src/process/node/once/registrar.rs
@@ -0,0 +1,264 @@
+//! The registrar of a zone: which node it is, and what it does.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::state::OwnRegistrar;
+use super::terms::connect;
+use crate::process::control::ControlClient;
+use crate::process::events::once as events;
+use crate::process::membership::NodeRecord;
+use crate::process::node::Node;
+use crate::process::once::MintTime;
+use crate::process::once::Registrar;
+use crate::process::once::RegistrarRecord;
+use crate::process::once::SlotId;
+use crate::process::platform::PlatformKey;
+use crate::process::platform::PlatformValue;
+use crate::process::platform::Revision;
+use crate::process::platform::Stored;
+use crate::process::platform::Swap;
+use crate::values::NodeId;
+use crate::version::Repeatability;
+
+/// Time after the start before a node may become registrar, so that it knows the others.
+const START_DELAY: Duration = Duration::from_millis(500);
+/// The bound on grants is raised when it is nearer than the full time by this much.
+const LIMIT_RENEWAL: Duration = Duration::from_secs(60);
+
+/// Returns the node that is taken for the registrar of the zone.
+pub(super) fn known(node: &Node) -> Option<NodeRecord> {
+    let members = node.members();
+    let known = node.known_registrar();
+    let known = known.and_then(|id| members.node(&id).cloned());
+    known
+        .filter(NodeRecord::takes_work)
+        .or_else(|| first_of_zone(node))
+}
+
+fn first_of_zone(node: &Node) -> Option<NodeRecord> {
+    let members = node.members();
+    members
+        .nodes()
+        .filter(|record| record.zone == node.settings.zone)
+        .find(|record| record.takes_work())
+        .cloned()
+}
+
+/// Learns from a node that it is not the registrar, and who it thinks is.
+pub(super) fn on_not_registrar(node: &Node, other: Option<NodeId>) {
+    node.once.role.lock().known = other;
+}
+
+/// Notes that the node taken for the registrar did not answer.
+pub(super) fn on_silent(node: &Node, silent: &NodeId) {
+    let mut role = node.once.role.lock();
+    if role.known.as_ref() == Some(silent) {
+        role.known = None;
+    }
+}
+
+/// Takes the role if it falls to this node, and does its work.
+pub(super) async fn keep_role(node: &Arc<Node>) {
+    let started = node.clock.now().0 >= START_DELAY.as_micros() as u64;
+    let is_mine = known(node).is_some_and(|known| known.id == node.settings.node);
+    let has_role = node.once.role.lock().own.is_some();
+    match has_role {
+        true => do_work(node).await,
+        false if started && is_mine && !wanted_slots(node).is_empty() => take_over(node).await,
+        false => {}
+    }
+}
+
+fn key(node: &Node) -> PlatformKey {
+    PlatformKey::RecordHome(node.settings.zone.clone())
+}
+
+fn record_of(stored: &Stored) -> Option<RegistrarRecord> {
+    serde_json::from_str(stored.value.as_str()).ok()
+}
+
+/// Becomes registrar unless the platform names another node that is still there.
+async fn take_over(node: &Arc<Node>) {
+    let Ok(stored) = node.platform.get(&key(node)).await else {
+        return;
+    };
+    let earlier = match &stored {
+        Some(stored) => match record_of(stored) {
+            Some(record) => Some(record),
+            // A record that cannot be read must not be replaced: it bounds what was granted.
+            None => return,
+        },
+        None => None,
+    };
+    if let Some(other) = other_registrar(node, earlier.as_ref()) {
+        node.once.role.lock().known = Some(other);
+        return;
+    }
+    let wall = MintTime::from(node.clock.wall());
+    let me = node.settings.node.clone();
+    let next = RegistrarRecord::take_over(earlier.as_ref(), me.clone(), wall);
+    let expected = stored.map(|stored| stored.revision);
+    if let Some(revision) = write(node, expected, &next).await {
+        events::REGISTRAR_TAKEN.log(format_args!("epoch {}", next.epoch));
+        let mut role = node.once.role.lock();
+        role.known = Some(me);
+        role.own = Some(OwnRegistrar {
+            registrar: Registrar::new(next),
+            revision: Some(revision),
+            taken_over_at: node.clock.now(),
+        });
+    }
+}
+
+fn other_registrar(node: &Node, record: Option<&RegistrarRecord>) -> Option<NodeId> {
+    let named = &record?.registrar;
+    let members = node.members();
+    let is_there = members.node(named).is_some_and(NodeRecord::takes_work);
+    (is_there && *named != node.settings.node).then(|| named.clone())
+}
+
+/// Writes a record; returns its revision only if the platform confirmed it.
+async fn write(
+    node: &Node,
+    expected: Option<Revision>,
+    record: &RegistrarRecord,
+) -> Option<Revision> {
+    let text = serde_json::to_string(record).ok()?;
+    let value = PlatformValue::try_from(text).ok()?;
+    let swap = node
+        .platform
+        .compare_and_swap(&key(node), expected, &value, None)
+        .await;
+    match swap {
+        Ok(Swap::Done(revision)) => Some(revision),
+        Ok(Swap::Conflict(_)) | Err(_) => None,
+    }
+}
+
+async fn do_work(node: &Arc<Node>) {
+    let wall = MintTime::from(node.clock.wall());
+    let planned = {
+        let role = node.once.role.lock();
+        role.own.as_ref().map(|own| {
+            let slots = unheld(node, own);
+            let current = own.registrar.record();
+            let due = limit_is_due(current, wall) || !slots.is_empty();
+            let next = current.advance(wall, &slots);
+            (due, own.revision, next)
+        })
+    };
+    if let Some((true, revision, next)) = planned {
+        advance(node, revision, next).await;
+    }
+    assign_vacant(node, wall).await;
+}
+
+fn limit_is_due(record: &RegistrarRecord, wall: MintTime) -> bool {
+    let ahead = RegistrarRecord::GRANT_AHEAD - LIMIT_RENEWAL;
+    record.grant_limit < wall.after_ms(ahead.as_millis() as u64)
+}
+
+/// Returns the slots that need a new term.
+fn unheld(node: &Node, own: &OwnRegistrar) -> Vec<SlotId> {
+    let now = node.clock.now();
+    let wanted = wanted_slots(node);
+    own.registrar.unheld(&wanted, own.taken_over_at, now)
+}
+
+/// Returns the slots of services with at-most-once routes.
+fn wanted_slots(node: &Node) -> Vec<SlotId> {
+    let Ok(configuration) = node.configuration() else {
+        return Vec::new();
+    };
+    let mut wanted: Vec<SlotId> = configuration
+        .routes
+        .iter()
+        .filter(|route| route.repeatability == Repeatability::AtMostOnce)
+        .flat_map(|route| SlotId::all(&route.service))
+        .collect();
+    wanted.sort();
+    wanted.dedup();
+    wanted
+}
+
+async fn advance(node: &Arc<Node>, revision: Option<Revision>, next: RegistrarRecord) {
+    match write(node, revision, &next).await {
+        Some(revision) => {
+            let mut role = node.once.role.lock();
+            if let Some(own) = &mut role.own {
+                own.registrar.on_confirmed(next);
+                own.revision = Some(revision);
+            }
+        }
+        None => read_back(node).await,
+    }
+}
+
+/// Learns what the platform holds after a write that failed or was not confirmed.
+async fn read_back(node: &Arc<Node>) {
+    let Ok(Some(stored)) = node.platform.get(&key(node)).await else {
+        return;
+    };
+    let Some(record) = record_of(&stored) else {
+        return;
+    };
+    let mut role = node.once.role.lock();
+    let Some(own) = &mut role.own else {
+        return;
+    };
+    if record.epoch == own.registrar.record().epoch {
+        own.registrar.on_confirmed(record);
+        own.revision = Some(stored.revision);
+    } else {
+        role.known = Some(record.registrar);
+        role.own = None;
+    }
+}
+
+/// Assigns vacant slots to the best nodes of the zone.
+async fn assign_vacant(node: &Arc<Node>, wall: MintTime) {
+    let vacant = {
+        let role = node.once.role.lock();
+        role.own.as_ref().map(|own| own.registrar.vacant())
+    };
+    for slot in vacant.unwrap_or_default() {
+        assign(node, &slot, wall).await;
+    }
+}
+
+async fn assign(node: &Arc<Node>, slot: &SlotId, wall: MintTime) {
+    let members = node.members();
+    let in_zone = members
+        .nodes()
+        .filter(|record| record.zone == node.settings.zone);
+    for candidate in slot.candidates(in_zone) {
+        let is_me = candidate.id == node.settings.node;
+        let control = connect(node, candidate);
+        let session = match &control {
+            _ if is_me => node.once_session(),
+            Some(control) => control.once_session().await.ok().flatten(),
+            None => None,
+        };
+        let Some(session) = session else {
+            continue;
+        };
+        let now = node.clock.now();
+        let assignment = {
+            let mut role = node.once.role.lock();
+            let own = role.own.as_mut();
+            own.and_then(|own| own.registrar.assign(slot, session, wall, now))
+        };
+        if let Some(assignment) = assignment {
+            match control {
+                _ if is_me => {
+                    node.take_assignment(assignment);
+                }
+                // Without an answer the holder stays silent if it was lost, and is replaced.
+                Some(control) => drop(control.once_assign(assignment).await),
+                None => {}
+            }
+        }
+        return;
+    }
+}
--- /dev/null
+++ b/lib/src/process/node/once/route.rs
@@ -0,0 +1,116 @@
+//! Finds the home of a request that must run at most once, and passes the request there.
+
+use std::sync::Arc;
+
+use http::HeaderValue;
+use uuid::Uuid;
+
+use super::home::HOME_RETRY_MS;
+use crate::connection::IDEMPOTENCY_KEY_HEADER;
+use crate::connection::WholeAnswer;
+use crate::process::membership::NodeRecord;
+use crate::process::node::Node;
+use crate::process::node::forward::Outbound;
+use crate::process::node::forward::attempt_at;
+use crate::process::once::IdempotencyKey;
+use crate::process::once::KeyDigest;
+use crate::process::once::SlotId;
+use crate::process::once::home_zone;
+use crate::request::KeyedContext;
+use crate::request::Refusal;
+use crate::request::RefusalReason;
+use crate::request::Verdict;
+use crate::values::OrganisationId;
+
+/// Nodes that are asked for a key, the best candidate first.
+const CANDIDATES_MAX: usize = 3;
+/// Stands for the callers of routes that are open to all.
+const OPEN_ORGANISATION: &str = "_open";
+
+/// Passes a request to the home of its key until a node gives a final answer.
+///
+/// A lost answer of the home is asked for again there: the home answers from its record.
+pub(in crate::process::node) async fn forward_keyed(
+    node: &Arc<Node>,
+    outbound: Outbound<'_>,
+) -> Result<WholeAnswer, Refusal> {
+    let keyed = keyed_context(&outbound)?;
+    let mut refusal =
+        Refusal::not_run(RefusalReason::HomeUnreachable).retry_after_ms(HOME_RETRY_MS);
+    let mut verdict = Verdict::NotRun;
+    for home in homes(node, &outbound, &keyed)? {
+        loop {
+            let failed = match attempt_at(node, &outbound, &home, Some(keyed.clone())).await {
+                Ok(answer) => return Ok(answer),
+                Err(failed) => failed,
+            };
+            verdict = verdict.max(failed.verdict);
+            match next_step(&failed) {
+                NextStep::Answer => return Err(Refusal { verdict, ..failed }),
+                NextStep::AskAgain if outbound.extra_attempts.lock().spend().is_ok() => {}
+                NextStep::AskAgain => return Err(Refusal { verdict, ..failed }),
+                NextStep::AskNext => {
+                    refusal.retry_after_ms = failed.retry_after_ms.or(refusal.retry_after_ms);
+                    break;
+                }
+            }
+        }
+    }
+    Err(Refusal { verdict, ..refusal })
+}
+
+enum NextStep {
+    Answer,
+    AskAgain,
+    AskNext,
+}
+
+fn next_step(failed: &Refusal) -> NextStep {
+    match (failed.reason, failed.verdict) {
+        (RefusalReason::HomeUnreachable | RefusalReason::Draining, Verdict::NotRun) => {
+            NextStep::AskNext
+        }
+        (RefusalReason::NoServer, Verdict::NotRun) => NextStep::AskNext,
+        (RefusalReason::NoServer, Verdict::MayHaveRun) => NextStep::AskAgain,
+        _ => NextStep::Answer,
+    }
+}
+
+fn keyed_context(outbound: &Outbound<'_>) -> Result<KeyedContext, Refusal> {
+    let bad_request = || Refusal::not_run(RefusalReason::BadRequest);
+    let key: IdempotencyKey = match outbound.request.headers.get(IDEMPOTENCY_KEY_HEADER) {
+        Some(value) => text(value).and_then(|text| text.parse().ok()),
+        // A call of a backend server without a key is a new request.
+        None => Uuid::now_v7().to_string().parse().ok(),
+    }
+    .ok_or_else(bad_request)?;
+    let organisation: OrganisationId = match &outbound.organisation {
+        Some(organisation) => organisation.clone(),
+        None => OPEN_ORGANISATION.parse().map_err(|_| bad_request())?,
+    };
+    Ok(KeyedContext {
+        key: KeyDigest::of(&organisation, &key),
+        organisation,
+        mint: key.mint_time(),
+    })
+}
+
+fn text(value: &HeaderValue) -> Option<&str> {
+    value.to_str().ok()
+}
+
+/// Returns the nodes of the key's home zone that may hold its term, the likeliest first.
+fn homes(
+    node: &Node,
+    outbound: &Outbound<'_>,
+    keyed: &KeyedContext,
+) -> Result<Vec<NodeRecord>, Refusal> {
+    let configuration = node.configuration()?;
+    let zone = home_zone(keyed.key, configuration.zones.keys());
+    let members = node.members();
+    let in_zone = members.nodes().filter(|record| Some(&record.zone) == zone);
+    let slot = SlotId::of(&outbound.route.service, keyed.key);
+    let mut homes: Vec<_> = slot.candidates(in_zone).into_iter().cloned().collect();
+    homes.truncate(CANDIDATES_MAX);
+    Ok(homes)
+}
--- /dev/null
+++ b/lib/src/process/node/once/stored.rs
@@ -0,0 +1,49 @@
+//! Whole answers as records keep them, and back.
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::StatusCode;
+
+use crate::connection::VERDICT_HEADER;
+use crate::connection::WholeAnswer;
+use crate::process::once::HeaderLine;
+use crate::process::once::StoredAnswer;
+use crate::request::Verdict;
+
+/// Makes the answer that a record keeps.
+pub(super) fn stored(answer: &WholeAnswer) -> StoredAnswer {
+    let headers = answer
+        .headers
+        .iter()
+        .filter(|(name, _)| **name != VERDICT_HEADER)
+        .filter_map(|(name, value)| {
+            let value = value.to_str().ok()?.to_owned();
+            let name = name.as_str().to_owned();
+            Some(HeaderLine { name, value })
+        });
+    StoredAnswer {
+        status: answer.status.as_u16(),
+        headers: headers.collect(),
+        body: answer.body.clone(),
+    }
+}
+
+/// Makes the answer for a resent request from what its record keeps.
+pub(super) fn replayed(stored: StoredAnswer) -> WholeAnswer {
+    let mut headers = HeaderMap::new();
+    for line in stored.headers {
+        let name = HeaderName::try_from(line.name);
+        let value = HeaderValue::try_from(line.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    let verdict = HeaderValue::from_static(Verdict::Ran.as_str());
+    headers.insert(VERDICT_HEADER, verdict);
+    WholeAnswer {
+        status: StatusCode::from_u16(stored.status).unwrap_or_default(),
+        headers,
+        body: stored.body,
+    }
+}
--- /dev/null
+++ b/lib/src/process/node/once/terms.rs
@@ -0,0 +1,154 @@
+//! Keeps the terms of this node: renews them with the zone's registrar, or takes that role.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio_util::task::AbortOnDropHandle;
+
+use super::messages::RenewalReply;
+use super::messages::RenewalRequest;
+use super::registrar;
+use super::transfer;
+use crate::process::control;
+use crate::process::control::ControlCaller;
+use crate::process::control::ControlClient;
+use crate::process::membership::NodeRecord;
+use crate::process::node::Node;
+use crate::process::once::Assignment;
+use crate::process::once::HandedRecord;
+use crate::process::once::HomeSession;
+use crate::process::once::MintTime;
+use crate::process::once::Registrar;
+use crate::process::once::SlotHandover;
+use crate::values::NodeId;
+
+/// Time between two looks at terms and roles.
+const TICK: Duration = Duration::from_millis(200);
+/// Longest time for a control call to another node.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The tasks that keep terms and records. They stop when this is dropped.
+#[derive(Debug)]
+pub(in crate::process::node) struct OnceTasks {
+    _keeping: AbortOnDropHandle<()>,
+}
+
+impl OnceTasks {
+    /// Starts the tasks.
+    pub(in crate::process::node) fn start(node: &Arc<Node>) -> Self {
+        let keeping = tokio::spawn(keep_terms(Arc::clone(node)));
+        Self {
+            _keeping: AbortOnDropHandle::new(keeping),
+        }
+    }
+}
+
+async fn keep_terms(node: Arc<Node>) {
+    let mut tick = tokio::time::interval(TICK);
+    loop {
+        tick.tick().await;
+        if node.is_draining() {
+            continue;
+        }
+        registrar::keep_role(&node).await;
+        if renewal_is_due(&node) {
+            renew(&node).await;
+            transfer::pass_on_to_better(&node).await;
+        }
+    }
+}
+
+fn renewal_is_due(node: &Node) -> bool {
+    let since_last = node.clock.now().since(node.once.role.lock().renewed_at);
+    let holds_terms = !node.once.held_slots().is_empty();
+    holds_terms && since_last >= Registrar::RENEWAL_INTERVAL
+}
+
+async fn renew(node: &Arc<Node>) {
+    let request = RenewalRequest {
+        node: node.settings.node.clone(),
+        renewal: node.once.home.lock().terms.renewal(),
+    };
+    let Some(registrar) = registrar::known(node) else {
+        return;
+    };
+    let reply = match registrar.id == node.settings.node {
+        true => Some(node.renew_terms(&request)),
+        false => match connect(node, &registrar) {
+            Some(control) => control.once_renew(request).await.ok(),
+            None => None,
+        },
+    };
+    match reply {
+        Some(RenewalReply::Answer(answer)) => {
+            let mut role = node.once.role.lock();
+            let mut home = node.once.home.lock();
+            let obeyed_before = home.terms.renewal().epoch;
+            // The first renewal under a new epoch is only a report: renew again at once.
+            if answer.epoch == obeyed_before {
+                role.renewed_at = node.clock.now();
+            }
+            home.terms.on_renewal_answer(answer);
+        }
+        Some(RenewalReply::NotRegistrar(other)) => registrar::on_not_registrar(node, other),
+        None => registrar::on_silent(node, &registrar.id),
+    }
+}
+
+/// Makes a client of another node's control channel.
+pub(super) fn connect(node: &Node, other: &NodeRecord) -> Option<ControlCaller> {
+    let secret = &node.settings.fleet_secret;
+    control::connect(other.addresses.control, secret, CONTROL_TIMEOUT).ok()
+}
+
+impl Node {
+    /// Answers a renewal if this node is the registrar of its zone.
+    pub fn renew_terms(&self, request: &RenewalRequest) -> RenewalReply {
+        let wall = MintTime::from(self.clock.wall());
+        let now = self.clock.now();
+        let mut role = self.once.role.lock();
+        match &mut role.own {
+            Some(own) => {
+                let answer = own.registrar.renew(&request.renewal, wall, now);
+                RenewalReply::Answer(answer)
+            }
+            None => RenewalReply::NotRegistrar(role.known.clone()),
+        }
+    }
+
+    /// Returns the session to which terms for this node are addressed.
+    pub fn once_session(&self) -> Option<HomeSession> {
+        let session = self.once.home.lock().terms.session();
+        (!self.is_draining()).then_some(session)
+    }
+
+    /// Takes a new term from a registrar; returns whether it was taken.
+    pub fn take_assignment(&self, assignment: Assignment) -> bool {
+        self.once.home.lock().terms.assign(assignment)
+    }
+
+    /// Takes a term with its records from its holder; returns whether it was taken.
+    pub fn take_handover(&self, handover: SlotHandover) -> bool {
+        let now = self.clock.now();
+        let mut home = self.once.home.lock();
+        let slot = handover.moved.held.slot.clone();
+        let taken = home.terms.adopt(handover.moved);
+        if taken {
+            let expired_before = handover.expired_before;
+            home.records
+                .take_over(&slot, handover.records, expired_before, now);
+        }
+        taken
+    }
+
+    /// Takes the end of an attempt whose record was handed over while it ran.
+    pub fn take_settlement(&self, settled: HandedRecord) {
+        let now = self.clock.now();
+        self.once.home.lock().records.settle(settled, now);
+    }
+
+    /// Returns the registrar of the zone, as far as this node knows.
+    pub fn known_registrar(&self) -> Option<NodeId> {
+        self.once.role.lock().known.clone()
+    }
+}
--- /dev/null
+++ b/lib/src/process/node/once/transfer.rs
@@ -0,0 +1,120 @@
+//! Passes terms with their records on to other nodes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::terms::connect;
+use crate::process::control;
+use crate::process::control::ControlClient;
+use crate::process::membership::NodeRecord;
+use crate::process::node::Node;
+use crate::process::once::HandedRecord;
+use crate::process::once::HomeSession;
+use crate::process::once::SlotHandover;
+use crate::process::once::SlotId;
+
+/// Longest time for a control call that carries records.
+const RECORDS_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time between two looks at the runs that still go on.
+const RUNS_POLL_PERIOD: Duration = Duration::from_millis(20);
+
+/// Passes slots on for which another node was the better home at two looks in a row.
+pub(super) async fn pass_on_to_better(node: &Arc<Node>) {
+    for slot in node.once.held_slots() {
+        if let Some(better) = steadily_better_home(node, &slot) {
+            pass_on(node, &slot, &better).await;
+        }
+    }
+}
+
+fn steadily_better_home(node: &Node, slot: &SlotId) -> Option<NodeRecord> {
+    let better = best_home(node, slot).filter(|best| best.id != node.settings.node);
+    let mut home = node.once.home.lock();
+    let seen_before = match &better {
+        Some(better) => home.better_homes.insert(slot.clone(), better.id.clone()),
+        None => home.better_homes.remove(slot),
+    };
+    better.filter(|better| seen_before.as_ref() == Some(&better.id))
+}
+
+/// Waits until no run under a record goes on here, not even one whose caller has left.
+pub(in crate::process::node) async fn runs_ended(node: &Node) {
+    while !node.once.home.lock().running.is_empty() {
+        tokio::time::sleep(RUNS_POLL_PERIOD).await;
+    }
+}
+
+/// Passes all slots on at a planned stop.
+pub(in crate::process::node) async fn pass_all_on(node: &Arc<Node>) {
+    for slot in node.once.held_slots() {
+        for next in next_homes(node, &slot) {
+            if pass_on(node, &slot, &next).await {
+                break;
+            }
+        }
+    }
+}
+
+fn best_home(node: &Node, slot: &SlotId) -> Option<NodeRecord> {
+    let members = node.members();
+    let in_zone = members
+        .nodes()
+        .filter(|record| record.zone == node.settings.zone);
+    slot.candidates(in_zone).first().map(|best| (*best).clone())
+}
+
+fn next_homes(node: &Node, slot: &SlotId) -> Vec<NodeRecord> {
+    let members = node.members();
+    let others = members
+        .nodes()
+        .filter(|record| record.zone == node.settings.zone && record.id != node.settings.node);
+    slot.candidates(others).into_iter().cloned().collect()
+}
+
+/// Passes one slot on; returns whether it left this node.
+async fn pass_on(node: &Arc<Node>, slot: &SlotId, next: &NodeRecord) -> bool {
+    let Some(control) = connect(node, next) else {
+        return false;
+    };
+    let Ok(Some(session)) = control.once_session().await else {
+        return false;
+    };
+    let Some(handover) = take_out(node, slot, session, next.addresses.control) else {
+        return false;
+    };
+    let secret = &node.settings.fleet_secret;
+    if let Ok(control) = control::connect(next.addresses.control, secret, RECORDS_TIMEOUT) {
+        // Without an answer the term may have arrived: it must not be used here again.
+        let _ = control.once_hand_over(handover).await;
+    }
+    true
+}
+
+fn take_out(
+    node: &Node,
+    slot: &SlotId,
+    session: HomeSession,
+    next: SocketAddr,
+) -> Option<SlotHandover> {
+    let mut home = node.once.home.lock();
+    let moved = home.terms.pass_on(slot, session)?;
+    let records = home.records.hand_over(slot);
+    for record in &records {
+        home.handed_to.insert(record.key, next);
+    }
+    Some(SlotHandover {
+        moved,
+        records,
+        expired_before: home.records.expired_before(),
+    })
+}
+
+/// Tells the next home how an attempt ended that ran here while its record was handed over.
+pub(super) async fn send_settlement(node: &Node, next: SocketAddr, settled: HandedRecord) {
+    let secret = &node.settings.fleet_secret;
+    if let Ok(control) = control::connect(next, secret, RECORDS_TIMEOUT) {
+        // Without it the next home goes on to answer that the request may have run.
+        let _ = control.once_settle(settled).await;
+    }
+}
--- a/lib/src/process/node/serve.rs
+++ b/lib/src/process/node/serve.rs
@@ -1,5 +1,7 @@
 //! The gate: runs a request on the backend server beside this node.
 
+use std::sync::Arc;
+
 use http::HeaderValue;
 use parking_lot::Mutex;
 use volo_http::request::Request;
@@ -9,6 +11,7 @@
 use super::answer::NodeAnswer;
 use super::answer::plain_response;
 use super::entry::whole_request;
+use super::once::serve_keyed;
 use super::peer_message;
 use crate::connection::ATTEMPT_HEADER;
 use crate::connection::HANDLE_HEADER;
@@ -30,7 +33,7 @@
 use crate::request::refusal_response;
 
 /// Answers a request of another node.
-pub(super) async fn handle_peer(node: &Node, request: Request) -> Response {
+pub(super) async fn handle_peer(node: &Arc<Node>, request: Request) -> Response {
     let mut request = match whole_request(node, request).await {
         Ok(request) => request,
         Err(refusal) => return plain_response(node, refusal_response(&refusal)),
@@ -41,10 +44,22 @@
         Err(refusal) => return plain_response(node, refusal_response(&refusal)),
     };
     let attempt = context.attempt;
-    let answer = serve(node, context, request).await;
+    let answer = serve_any(node, context, request).await;
     plain_response(node, peer_answer(attempt, answer))
 }
 
+/// Answers a request that came for this node: as the home of its key, or by its backend server.
+pub(super) async fn serve_any(
+    node: &Arc<Node>,
+    mut context: RequestContext,
+    request: WholeRequest,
+) -> NodeAnswer {
+    match context.keyed.take() {
+        Some(keyed) => serve_keyed(node, context, keyed, request).await,
+        None => serve(node, context, request).await,
+    }
+}
+
 /// Runs a request on the backend server beside this node.
 pub(super) async fn serve(
     node: &Node,
--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 
 use super::local_server::LocalServer;
+use super::once::OnceState;
 use super::retries::Retries;
 use crate::connection::ConnectionPool;
 use crate::connection::PoolLimits;
@@ -48,6 +49,7 @@
     pub in_flight: Arc<InFlightTable>,
     pub(super) peer_key: DerivedKey,
     pub(super) retries: Retries,
+    pub(super) once: OnceState,
     /// The configuration in force.
     pub configuration: ConfigurationHolder,
     /// The platform's service.
@@ -73,6 +75,7 @@
             clock: Clock::start(),
             in_flight: Arc::default(),
             retries: Retries::new(rand::random()),
+            once: OnceState::new(),
             configuration: ConfigurationHolder::new(),
             platform,
             configuration_news: watch::Sender::new(None),
--- a/lib/src/request/context.rs
+++ b/lib/src/request/context.rs
@@ -6,6 +6,8 @@
 use super::AttemptCount;
 use super::ChainDepth;
 use super::RemainingUs;
+use crate::process::once::KeyDigest;
+use crate::process::once::MintTime;
 use crate::values::Importance;
 use crate::values::OrganisationId;
 use crate::values::RequestId;
@@ -37,6 +39,18 @@
     }
 }
 
+plain_data! {
+    /// The key of a request that must run at most once.
+    pub struct KeyedContext {
+        /// The key.
+        pub key: KeyDigest,
+        /// The organisation in which the key is unique.
+        pub organisation: OrganisationId,
+        /// When the key was made, if it says.
+        pub mint: Option<MintTime>,
+    }
+}
+
 plain_data! {
     /// What a node tells the next node about a request.
     ///
@@ -56,5 +70,7 @@
         pub extra_attempts: AttemptCount,
         /// Calls in the chain above this one.
         pub depth: ChainDepth,
+        /// The key of a request that is sent to its home; none if it is to run.
+        pub keyed: Option<KeyedContext>,
     }
 }
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -18,6 +18,7 @@
 pub use self::attempts::Loan;
 pub use self::attempts::OnwardCalls;
 pub use self::context::AttemptId;
+pub use self::context::KeyedContext;
 pub use self::context::RequestContext;
 pub use self::deadline::ChainDepth;
 pub use self::deadline::Deadline;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -19,6 +19,7 @@
 mod test_membership_merge;
 mod test_membership_node;
 mod test_node_attempts;
+mod test_node_once;
 mod test_once_records;
 mod test_once_schedules;
 mod test_platform;
--- a/testutils/src/fleet/test_fleet.rs
+++ b/testutils/src/fleet/test_fleet.rs
@@ -15,6 +15,7 @@
 use crate::backend_server::Behaviour;
 use crate::backend_server::ServerPlan;
 use crate::backend_server::Upstream;
+use crate::platform::PlatformStandIn;
 
 /// The fleet secret of all tests.
 pub const FLEET_SECRET: &str = "a-fleet-secret-for-tests-only";
@@ -37,6 +38,8 @@
 pub struct TestFleet {
     /// The nodes in the order of their plans.
     pub nodes: Vec<TestNode>,
+    /// The platform's stand-in.
+    pub platform: PlatformStandIn,
 }
 
 impl TestFleet {
@@ -45,9 +48,12 @@
     pub async fn start(configuration: Configuration, plans: &[(&str, ServerPlan)]) -> Self {
         let mut nodes: Vec<TestNode> = Vec::new();
         let mut seeds: Vec<String> = Vec::new();
+        let platform = PlatformStandIn::start_local().await;
+        let platform = platform.expect("the stand-in starts");
         for (index, (zone, plan)) in plans.iter().enumerate() {
             let raw = RawNodeSettings {
                 seeds: seeds.clone(),
+                platform: platform.address().to_string(),
                 ..raw_settings(&format!("node-{index}"), zone, plan.service.as_str())
             };
             let settings = NodeSettings::try_from(raw).expect("settings of tests are valid");
@@ -73,7 +79,7 @@
                 caller,
             });
         }
-        let fleet = Self { nodes };
+        let fleet = Self { nodes, platform };
         fleet.wait_until_known(plans.len()).await;
         fleet
     }
