--- a/lib/src/process/control/api.rs
+++ b/lib/src/process/control/api.rs
@@ -12,6 +12,10 @@
 use crate::process::once::HandedRecord;
 use crate::process::once::HomeSession;
 use crate::process::once::SlotHandover;
+use crate::process::rates::Answer;
+use crate::process::rates::Ask;
+use crate::process::rates::PeerStanding;
+use crate::process::rates::Report;
 use crate::values::ConfigVersion;
 use crate::version::Configuration;
 
@@ -70,7 +74,15 @@
     #[method(name = "onceSettle")]
     async fn once_settle(&self, settled: HandedRecord) -> RpcResult<()>;
 
-    /// Tells what the caller knows of the nodes and returns what this node knows.
-    #[method(name = "exchangeMembers")]
-    async fn exchange_members(&self, records: Vec<NodeRecord>) -> RpcResult<Vec<NodeRecord>>;
+    /// Asks the holder of the node's zone for tokens.
+    #[method(name = "askTokens")]
+    async fn ask_tokens(&self, ask: Ask) -> RpcResult<Answer>;
+
+    /// Reports what happened to tokens of the node's zone.
+    #[method(name = "reportTokens")]
+    async fn report_tokens(&self, report: Report) -> RpcResult<()>;
+
+    /// Asks whether the node may take over the rates of its zone, by the holder of the zone.
+    #[method(name = "rateHolderStanding")]
+    async fn rate_holder_standing(&self) -> RpcResult<PeerStanding>;
 }
--- a/lib/src/process/node/answer.rs
+++ b/lib/src/process/node/answer.rs
@@ -10,6 +10,7 @@
 use crate::connection::FLOOR_HEADER;
 use crate::connection::UNSPENT_HEADER;
 use crate::connection::WholeAnswer;
+use crate::process::gate::FloorNotice;
 use crate::request::AttemptCount;
 use crate::request::Refusal;
 use crate::request::refusal_response;
@@ -21,6 +22,8 @@
     pub(super) outcome: Result<WholeAnswer, Refusal>,
     /// Extra attempts that the request below did not use.
     pub(super) unspent_attempts: AttemptCount,
+    /// The admission floor of the node and those below it; none if no node of the service answered.
+    pub(super) floor: Option<FloorNotice>,
 }
 
 /// Makes the response for a caller or for the backend server beside this node.
--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -1,6 +1,5 @@
 //! Starts a node's listeners and tasks, and stops them in order.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +13,7 @@
 
 use super::Node;
 use super::NodeDump;
+use super::ProbeSocket;
 use super::announcement;
 use super::configuration::ConfigurationTasks;
 use super::entry::handle_caller;
@@ -23,42 +23,38 @@
 use super::once::RenewalRequest;
 use super::once::pass_all_on;
 use super::once::runs_ended;
+use super::rates::RateTasks;
 use super::serve::handle_peer;
 use crate::connection::ListenError;
 use crate::connection::Listener;
 use crate::connection::ListenerLimits;
 use crate::connection::Serving;
 use crate::process::configuration::ConfigurationNews;
-use crate::process::control;
-use crate::process::control::ControlClient;
 use crate::process::control::ControlListener;
 use crate::process::control::ControlServer;
 use crate::process::control::ControlServing;
 use crate::process::control::DrainStarted;
 use crate::process::events::process as events;
-use crate::process::membership::MemberTable;
 use crate::process::membership::NodeAddresses;
-use crate::process::membership::NodeCondition;
 use crate::process::membership::NodeRecord;
 use crate::process::once::Assignment;
 use crate::process::once::HandedRecord;
 use crate::process::once::HomeSession;
 use crate::process::once::SlotHandover;
+use crate::process::rates::Answer;
+use crate::process::rates::Ask;
+use crate::process::rates::PeerStanding;
+use crate::process::rates::Report;
 use crate::process::settings::NodeSettings;
 use crate::values::ConfigVersion;
-use crate::values::Incarnation;
 use crate::version::Configuration;
 
-/// Longest time that a client may take for the headers of a request.
-const HEADER_TIMEOUT_MS: u64 = 10_000;
 /// Most bytes in the headers of a request.
 const HEADER_BYTES_MAX: usize = 64 * 1_024;
 /// Most connections from the backend server or from other nodes at the same time.
 const INNER_CONNECTIONS_MAX: u32 = 16_384;
 /// Time between two rounds of housekeeping.
 const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(200);
-/// Longest time for a control call to another node.
-const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A node could not be started.
 #[derive(Debug, Snafu)]
@@ -69,6 +65,12 @@
         /// The cause.
         source: ListenError,
     },
+    /// The address for membership datagrams could not be bound.
+    #[snafu(display("cannot listen for membership datagrams: {source}"))]
+    Probes {
+        /// The cause.
+        source: std::io::Error,
+    },
     /// The control channel could not be served.
     #[snafu(display("cannot serve control calls: {source}"))]
     Control {
@@ -102,6 +104,7 @@
     _housekeeping: AbortOnDropHandle<()>,
     _configuration: ConfigurationTasks,
     _once: OnceTasks,
+    rate_tasks: RateTasks,
 }
 
 impl NodeDaemon {
@@ -121,13 +124,16 @@
             .map_err(|error| StartError::Control {
                 source: Box::new(error),
             })?;
+        let probes = ProbeSocket::bind(settings.probe_listen)
+            .await
+            .context(ProbesSnafu)?;
         let addresses = NodeAddresses {
             peer: peers.address(),
             control: control.address(),
-            probe: control.address(),
+            probe: probes.address(),
         };
         let connections_max = settings.connections_max;
-        let node = Arc::new(Node::new(settings, addresses));
+        let node = Arc::new(Node::new(settings, addresses, probes));
         let drain_asked = Arc::new(Notify::new());
         let caller_address = callers.address();
         let local_address = local.address();
@@ -145,6 +151,7 @@
         let housekeeping = tokio::spawn(keep_house(Arc::clone(&node)));
         let configuration = ConfigurationTasks::start(&node);
         let once = OnceTasks::start(&node);
+        let rate_tasks = RateTasks::start(&node);
         events::STARTED.log(format_args!("callers on {caller_address}"));
         Ok(Self {
             callers: serve_callers(callers, &node, connections_max),
@@ -158,6 +165,7 @@
             _housekeeping: AbortOnDropHandle::new(housekeeping),
             _configuration: configuration,
             _once: once,
+            rate_tasks,
         })
     }
 
@@ -204,15 +212,16 @@
         tokio::join!(self.callers.stop(), self.peers.stop());
         runs_ended(&self.node).await;
         self.local.stop().await;
+        self.rate_tasks.stop(&self.node).await;
         self.control.stop();
         events::STOPPED.log(&self.node.settings.node);
     }
 }
 
-fn inner_limits() -> ListenerLimits {
+fn inner_limits(node: &Node) -> ListenerLimits {
     ListenerLimits {
         connections_max: INNER_CONNECTIONS_MAX,
-        header_timeout_ms: HEADER_TIMEOUT_MS,
+        header_timeout_ms: node.settings.client_timeout_ms,
         header_bytes_max: HEADER_BYTES_MAX,
     }
 }
@@ -220,7 +229,7 @@
 fn serve_callers(listener: Listener, node: &Arc<Node>, connections_max: u32) -> Serving {
     let limits = ListenerLimits {
         connections_max,
-        ..inner_limits()
+        ..inner_limits(node)
     };
     let node = Arc::clone(node);
     listener.serve(limits, move |request| {
@@ -230,16 +239,18 @@
 }
 
 fn serve_local(listener: Listener, node: &Arc<Node>) -> Serving {
+    let limits = inner_limits(node);
     let node = Arc::clone(node);
-    listener.serve(inner_limits(), move |request| {
+    listener.serve(limits, move |request| {
         let node = Arc::clone(&node);
         async move { handle_local(&node, request).await }
     })
 }
 
 fn serve_peers(listener: Listener, node: &Arc<Node>) -> Serving {
+    let limits = inner_limits(node);
     let node = Arc::clone(node);
-    listener.serve(inner_limits(), move |request| {
+    listener.serve(limits, move |request| {
         let node = Arc::clone(&node);
         async move { handle_peer(&node, request).await }
     })
@@ -250,51 +261,6 @@
     loop {
         period.tick().await;
         announcement::expire(&node);
-        exchange_members(&node).await;
-    }
-}
-
-/// Tells the seeds what this node knows of the others, and learns what they know.
-async fn exchange_members(node: &Arc<Node>) {
-    node.set_members(merged(node, Vec::new()));
-    for seed in &node.settings.seeds {
-        let Ok(seed) = control::connect(*seed, &node.settings.fleet_secret, CONTROL_TIMEOUT) else {
-            continue;
-        };
-        let known = node.members().nodes().cloned().collect();
-        if let Ok(records) = seed.exchange_members(known).await {
-            node.set_members(merged(node, records));
-        }
-    }
-}
-
-fn merged(node: &Node, records: Vec<NodeRecord>) -> Arc<MemberTable> {
-    let members = node.members();
-    let mut known: BTreeMap<_, NodeRecord> = BTreeMap::new();
-    for record in members.nodes().cloned().chain(records) {
-        match known.get(&record.id) {
-            Some(present) if present.incarnation >= record.incarnation => {}
-            Some(_) | None => {
-                known.insert(record.id.clone(), record);
-            }
-        }
-    }
-    let own = own_record(node);
-    known.insert(own.id.clone(), own);
-    Arc::new(MemberTable::new(known.into_values()))
-}
-
-fn own_record(node: &Node) -> NodeRecord {
-    NodeRecord {
-        id: node.settings.node.clone(),
-        zone: node.settings.zone.clone(),
-        addresses: node.addresses.clone(),
-        incarnation: Incarnation(node.clock.wall().0),
-        condition: match node.is_draining() {
-            true => NodeCondition::Leaving,
-            false => NodeCondition::Alive,
-        },
-        server: announcement::server_record(node),
     }
 }
 
@@ -361,8 +327,16 @@
         Ok(())
     }
 
-    async fn exchange_members(&self, records: Vec<NodeRecord>) -> RpcResult<Vec<NodeRecord>> {
-        self.node.set_members(merged(&self.node, records));
-        Ok(self.node.members().nodes().cloned().collect())
+    async fn ask_tokens(&self, ask: Ask) -> RpcResult<Answer> {
+        Ok(self.node.rates().service.answer(ask).await)
+    }
+
+    async fn report_tokens(&self, report: Report) -> RpcResult<()> {
+        self.node.rates().service.report(&report);
+        Ok(())
+    }
+
+    async fn rate_holder_standing(&self) -> RpcResult<PeerStanding> {
+        Ok(self.node.rates().service.standing())
     }
 }
--- a/lib/src/process/node/dump.rs
+++ b/lib/src/process/node/dump.rs
@@ -1,10 +1,15 @@
 //! The whole state of a node on request, for operators.
 
+use std::sync::Arc;
+
 use super::Announcement;
 use super::Node;
+use crate::process::gate::FloorNotice;
+use crate::process::membership::MembershipCounters;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeRecord;
 use crate::process::once::SlotId;
+use crate::process::rates::HolderRecord;
 use crate::values::ConfigVersion;
 use crate::values::NodeId;
 use crate::values::ZoneId;
@@ -30,8 +35,16 @@
         pub in_flight_requests: usize,
         /// At-most-once records and terms.
         pub once: OnceDump,
+        /// Whether the node holds the rates of its zone.
+        pub holds_rates: bool,
+        /// The holder of the zone's rates, as the platform's record last named it to this node.
+        pub rate_holder: Option<HolderRecord>,
+        /// Requests of callers that were refused because a service below would have refused them.
+        pub refused_at_entry: u64,
         /// All known nodes.
         pub members: Vec<NodeRecord>,
+        /// Membership datagrams since the start.
+        pub membership: MembershipCounters,
     }
 }
 
@@ -54,12 +67,20 @@
         pub announcement: Announcement,
         /// Open connections to it.
         pub open_connections: usize,
+        /// Requests that may run on it at the same time, as decided by the node.
+        pub limit_slots: u32,
+        /// Requests that hold a slot.
+        pub held_slots: u32,
+        /// Requests that wait for a slot.
+        pub waiting_requests: usize,
+        /// The admission floor that the node reports.
+        pub floor: FloorNotice,
     }
 }
 
 impl Node {
     /// Returns what the node knows and does.
-    pub fn dump(&self) -> NodeDump {
+    pub fn dump(self: &Arc<Self>) -> NodeDump {
         let configuration = self.configuration().ok();
         NodeDump {
             node: self.settings.node.clone(),
@@ -71,6 +92,10 @@
             server: self.server().map(|server| ServerDump {
                 announcement: server.announcement.clone(),
                 open_connections: server.pool.open_connections(),
+                limit_slots: server.gate.slots(),
+                held_slots: server.gate.in_flight(),
+                waiting_requests: server.gate.waiting(),
+                floor: server.gate.floor(),
             }),
             in_flight_requests: self.in_flight.len(),
             once: OnceDump {
@@ -78,7 +103,11 @@
                 held_slots: self.once.held_slots(),
                 registrar: self.known_registrar(),
             },
+            holds_rates: self.holds_rates(),
+            rate_holder: self.rates().service.known_holder(),
+            refused_at_entry: self.load.refused_at_entry(),
             members: self.members().nodes().cloned().collect(),
+            membership: self.membership.counters(),
         }
     }
 }
--- a/lib/src/process/node/entry.rs
+++ b/lib/src/process/node/entry.rs
@@ -13,6 +13,7 @@
 use super::answer::response;
 use super::forward::Outbound;
 use super::forward::forward;
+use super::load_control::Origin;
 use crate::connection::BodyError;
 use crate::connection::DEADLINE_HEADER;
 use crate::connection::IDEMPOTENCY_KEY_HEADER;
@@ -35,9 +36,6 @@
 use crate::version::Repeatability;
 use crate::version::Route;
 
-/// Longest time that the body of a request may take to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 const BEARER_PREFIX: &str = "Bearer ";
 
 /// Answers a request of a caller from outside.
@@ -57,6 +55,9 @@
         return Err(Refusal::not_run(RefusalReason::Draining));
     }
     check_idempotency_key(route, request.headers())?;
+    if let Some(organisation) = &organisation {
+        node.rates().client.admit(organisation).await?;
+    }
     let limit = Duration::from_millis(deadline_ms);
     let deadline = Deadline::within(node.clock.now(), limit);
     let mut request = whole_request(node, request).await?;
@@ -72,14 +73,17 @@
         deadline,
         depth: ChainDepth::default(),
         extra_attempts: &extra_attempts,
+        origin: Origin::Caller,
     };
+    node.load.check_entry(&outbound, node.clock.now())?;
     forward(node, outbound).await
 }
 
 /// Reads a request whole, without the headers that concern one connection only.
 pub(super) async fn whole_request(node: &Node, request: Request) -> Result<WholeRequest, Refusal> {
     let (mut parts, body) = request.into_parts();
-    let body = read_body(body, node.settings.body_bytes_max, BODY_TIMEOUT)
+    let limit = Duration::from_millis(node.settings.client_timeout_ms);
+    let body = read_body(body, node.settings.body_bytes_max, limit)
         .await
         .map_err(|error| match error {
             BodyError::TooLarge { .. } => Refusal::not_run(RefusalReason::BodyTooLarge),
--- a/lib/src/process/node/exit.rs
+++ b/lib/src/process/node/exit.rs
@@ -14,6 +14,7 @@
 use super::entry::whole_request;
 use super::forward::Outbound;
 use super::forward::forward;
+use super::load_control::Origin;
 use crate::connection::HANDLE_HEADER;
 use crate::connection::WholeAnswer;
 use crate::connection::WholeRequest;
@@ -60,13 +61,18 @@
         deadline: parent.deadline,
         depth,
         extra_attempts: &parent.extra_attempts,
+        origin: Origin::Parent(&parent),
     };
+    let _waiting = OnwardWait::start(node, &parent);
     let outcome = forward(node, outbound).await;
     let end = match &outcome {
         Ok(_) => CallEnd::Answered,
         Err(_) => CallEnd::Failed,
     };
     parent.onward_calls.lock().end(call, end);
+    if end == CallEnd::Failed {
+        parent.onward.lock().failed();
+    }
     outcome
 }
 
@@ -82,6 +88,25 @@
     Ok(call)
 }
 
+/// Measures the time in which a request waits for an onward call, until it is dropped.
+struct OnwardWait<'a> {
+    node: &'a Node,
+    parent: &'a InFlight,
+}
+
+impl<'a> OnwardWait<'a> {
+    fn start(node: &'a Node, parent: &'a InFlight) -> Self {
+        parent.onward.lock().started(node.clock.now());
+        Self { node, parent }
+    }
+}
+
+impl Drop for OnwardWait<'_> {
+    fn drop(&mut self) {
+        self.parent.onward.lock().ended(self.node.clock.now());
+    }
+}
+
 fn parent(node: &Node, headers: &HeaderMap) -> Option<Arc<InFlight>> {
     let handle: Handle = headers.get(HANDLE_HEADER)?.to_str().ok()?.parse().ok()?;
     node.in_flight.resolve(&handle)
--- a/lib/src/process/node/once/home.rs
+++ b/lib/src/process/node/once/home.rs
@@ -15,11 +15,14 @@
 use super::transfer::send_settlement;
 use crate::connection::WholeAnswer;
 use crate::connection::WholeRequest;
+use crate::process::gate::FloorNotice;
 use crate::process::node::Node;
 use crate::process::node::answer::NodeAnswer;
 use crate::process::node::forward::Outbound;
 use crate::process::node::forward::another_may_help;
 use crate::process::node::forward::forward_unkeyed;
+use crate::process::node::load_control::Origin;
+use crate::process::node::serve::floor;
 use crate::process::node::serve::serve;
 use crate::process::once::Begin;
 use crate::process::once::ContentDigest;
@@ -64,6 +67,7 @@
     request: WholeRequest,
 ) -> NodeAnswer {
     let lent = context.extra_attempts;
+    let floor = own_floor(node, request.uri.path());
     let deadline = Deadline::starting(node.clock.now(), context.remaining_us);
     let (outcome, unspent_attempts) = match begin(node, &context, &keyed, &request) {
         Ok(Begun::Start(started, receiver)) => {
@@ -84,9 +88,18 @@
     NodeAnswer {
         outcome,
         unspent_attempts,
+        floor,
     }
 }
 
+/// Returns the floor for requests on `path` if the backend server beside the home answers them.
+fn own_floor(node: &Node, path: &str) -> Option<FloorNotice> {
+    let configuration = node.configuration().ok()?;
+    let route = configuration.route_of(path)?;
+    let is_own = route.service == node.settings.service;
+    is_own.then(|| floor(node, &route.path)).flatten()
+}
+
 /// What follows from a record.
 enum Begun {
     Start(Started, OutcomeReceiver),
@@ -241,6 +254,7 @@
         deadline: run.deadline,
         depth: run.context.depth,
         extra_attempts: attempts,
+        origin: Origin::Caller,
     };
     Box::pin(forward_unkeyed(node, outbound)).await
 }
--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -3,34 +3,42 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
 use parking_lot::Mutex;
 use parking_lot::RwLock;
-use tokio::sync::watch;
+use tokio::sync::broadcast;
 
+use super::ProbeSocket;
+use super::load_control::LoadControl;
 use super::local_server::LocalServer;
 use super::once::OnceState;
+use super::rates::NodeRates;
 use super::retries::Retries;
 use crate::connection::ConnectionPool;
 use crate::connection::PoolLimits;
 use crate::process::configuration::ConfigurationNews;
-use crate::process::membership::MemberTable;
+use crate::process::membership::Membership;
 use crate::process::membership::NodeAddresses;
 use crate::process::platform::PlatformClient;
 use crate::process::platform::PlatformSettings;
+use crate::process::rates::BucketDump;
 use crate::process::secret::DerivedKey;
 use crate::process::secret::KeyPurpose;
 use crate::process::settings::NodeSettings;
 use crate::request::InFlightTable;
 use crate::values::Clock;
+use crate::values::OrganisationId;
 use crate::version::ConfigurationHolder;
 
 /// Most connections from one node to another.
 const PEER_CONNECTIONS_MAX: u32 = 1_024;
 /// Longest time to open a connection to another node or to the backend server.
 const CONNECT_TIMEOUT_MS: u64 = 500;
+/// Most news of configurations that wait to be looked at.
+const NEWS_QUEUE_MAX: usize = 64;
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT_MS: u64 = 30_000;
 
@@ -47,6 +55,8 @@
     pub clock: Clock,
     /// Requests on the backend server beside this node.
     pub in_flight: Arc<InFlightTable>,
+    /// The other nodes.
+    pub membership: Membership,
     pub(super) peer_key: DerivedKey,
     pub(super) retries: Retries,
     pub(super) once: OnceState,
@@ -54,56 +64,51 @@
     pub configuration: ConfigurationHolder,
     /// The platform's service.
     pub platform: PlatformClient,
-    pub(super) configuration_news: watch::Sender<Option<ConfigurationNews>>,
-    members: RwLock<Arc<MemberTable>>,
+    pub(super) configuration_news: broadcast::Sender<ConfigurationNews>,
+    pub(super) load: LoadControl,
     server: RwLock<Option<Arc<LocalServer>>>,
     peer_pools: Mutex<HashMap<SocketAddr, Arc<ConnectionPool>>>,
     draining: AtomicBool,
+    rates: OnceLock<NodeRates>,
 }
 
 impl Node {
-    /// Makes a node that has no configuration, no members and no backend server yet.
-    pub fn new(settings: NodeSettings, addresses: NodeAddresses) -> Self {
+    /// Makes a node that has no configuration and no backend server yet.
+    pub fn new(settings: NodeSettings, addresses: NodeAddresses, probes: ProbeSocket) -> Self {
+        let clock = Clock::start();
         let platform = PlatformClient::new(&PlatformSettings {
             zone: Some(settings.zone.clone()),
             ..PlatformSettings::new(settings.platform)
         });
         Self {
+            load: LoadControl::new(settings.zone.clone(), clock.now()),
             peer_key: settings.fleet_secret.derive(KeyPurpose::PeerRequest),
+            membership: probes.start(&settings, &addresses, &clock),
             settings,
             addresses,
-            clock: Clock::start(),
+            clock,
             in_flight: Arc::default(),
             retries: Retries::new(rand::random()),
             once: OnceState::new(),
             configuration: ConfigurationHolder::new(),
             platform,
-            configuration_news: watch::Sender::new(None),
-            members: RwLock::default(),
+            configuration_news: broadcast::Sender::new(NEWS_QUEUE_MAX),
             server: RwLock::default(),
             peer_pools: Mutex::default(),
             draining: AtomicBool::new(false),
+            rates: OnceLock::new(),
         }
     }
 
-    /// Returns the known nodes.
-    pub fn members(&self) -> Arc<MemberTable> {
-        Arc::clone(&self.members.read())
-    }
-
-    /// Replaces the known nodes.
-    pub fn set_members(&self, members: Arc<MemberTable>) {
-        *self.members.write() = members;
-    }
-
     /// Returns the backend server beside this node while it is announced.
     pub(super) fn server(&self) -> Option<Arc<LocalServer>> {
         self.server.read().clone()
     }
 
-    /// Replaces the backend server beside this node.
+    /// Replaces the backend server beside this node, and tells the fleet.
     pub(super) fn set_server(&self, server: Option<Arc<LocalServer>>) {
         *self.server.write() = server;
+        self.publish_server();
     }
 
     /// Returns the kept connections to another node.
@@ -126,13 +131,29 @@
         }
     }
 
+    /// Returns the rates of organisations as this node serves and uses them.
+    pub(super) fn rates(self: &Arc<Self>) -> &NodeRates {
+        self.rates.get_or_init(|| NodeRates::new(self))
+    }
+
+    /// Returns whether this node holds the rates of its zone now.
+    pub fn holds_rates(self: &Arc<Self>) -> bool {
+        self.rates().service.is_holder()
+    }
+
+    /// Returns the tokens of an organisation in the zone, if this node holds the zone's rates.
+    pub fn rate_tokens(self: &Arc<Self>, organisation: &OrganisationId) -> Option<BucketDump> {
+        self.rates().service.bucket(organisation)
+    }
+
     /// Returns whether a planned stop has begun.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
     }
 
-    /// Begins a planned stop; returns whether it had not begun before.
+    /// Begins a planned stop and tells the fleet; returns whether it had not begun before.
     pub fn start_draining(&self) -> bool {
+        self.membership.leave();
         !self.draining.swap(true, Ordering::Relaxed)
     }
 }
--- a/lib/src/request/in_flight.rs
+++ b/lib/src/request/in_flight.rs
@@ -9,6 +9,7 @@
 use super::Deadline;
 use super::Handle;
 use super::OnwardCalls;
+use super::OnwardTime;
 use super::RequestContext;
 use super::handle::InFlightKey;
 
@@ -17,12 +18,16 @@
 pub struct InFlight {
     /// What the previous node told about the request.
     pub context: RequestContext,
+    /// Path of the route by which the request came to this node.
+    pub route: String,
     /// When the request runs out of time.
     pub deadline: Deadline,
     /// Attempts beyond the first that onward calls may still make.
     pub extra_attempts: Mutex<AttemptBudget>,
     /// The onward calls so far. Taken before the lock on the attempts.
     pub onward_calls: Mutex<OnwardCalls>,
+    /// The time in which the request waited for its onward calls.
+    pub onward: Mutex<OnwardTime>,
 }
 
 #[derive(Debug)]
@@ -41,8 +46,7 @@
 
 impl InFlightTable {
     /// Adds a request; it stays until the guard is dropped.
-    pub fn add(self: &Arc<Self>, request: InFlight) -> InFlightGuard {
-        let request = Arc::new(request);
+    pub fn add(self: &Arc<Self>, request: Arc<InFlight>) -> InFlightGuard {
         let mut entries = self.entries.lock();
         let key = entries.insert_with_key(|key| Entry {
             handle: Handle::random(key),
--- a/lib/tests/test_node_once.rs
+++ b/lib/tests/test_node_once.rs
@@ -80,7 +80,7 @@
         assert_eq!(first.status, StatusCode::OK);
         for entry in 0..3 {
             let resent = order(&fleet, entry, &key, &body).await;
-            assert_eq!(resent.status, StatusCode::OK);
+            assert_eq!(resent.status, StatusCode::OK, "{:?}", resent.body);
             assert_eq!(resent.body, first.body);
             assert_eq!(resent.headers[VERDICT_HEADER], "ran");
         }
@@ -151,7 +151,7 @@
     wait_for_terms(&fleet).await;
     for key in &keys {
         let resent = order(&fleet, 1, key, key).await;
-        assert_eq!(resent.status, StatusCode::OK);
+        assert_eq!(resent.status, StatusCode::OK, "{:?}", resent.body);
     }
     let left = leaving.server.recorder().runs().len();
     let runs: usize = keys.iter().map(|key| run_count(&fleet, key)).sum();
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod fleet;
 pub mod load;
 pub mod mesh;
+pub mod overload;
 pub mod platform;
 pub mod rate_fleet;
