--- a/lib/src/process/node/answer.rs
+++ b/lib/src/process/node/answer.rs
@@ -21,9 +21,9 @@
     /// The answer or refusal.
     pub(super) outcome: Result<WholeAnswer, Refusal>,
     /// Extra attempts that the request below did not use.
-    pub(super) unspent_attempts: AttemptCount,
     /// The admission floor of the node and those below it; none if no node of the service answered.
     pub(super) floor: Option<FloorNotice>,
+    pub(super) unspent_attempts: AttemptCount,
 }
 
 /// Makes the response for a caller or for the backend server beside this node.
--- a/lib/src/process/node/entry.rs
+++ b/lib/src/process/node/entry.rs
@@ -55,6 +55,10 @@
         return Err(Refusal::not_run(RefusalReason::Draining));
     }
     check_idempotency_key(route, request.headers())?;
+    // Checked before the rate: a request that is shed takes no token.
+    let root = RequestId(rand::random());
+    node.load
+        .check_entry(route, organisation.as_ref(), root, node.clock.now())?;
     if let Some(organisation) = &organisation {
         node.rates().client.admit(organisation).await?;
     }
@@ -67,7 +71,7 @@
     let outbound = Outbound {
         route,
         request,
-        root: RequestId(rand::random()),
+        root,
         organisation,
         importance: route.importance,
         deadline,
@@ -75,7 +79,6 @@
         extra_attempts: &extra_attempts,
         origin: Origin::Caller,
     };
-    node.load.check_entry(&outbound, node.clock.now())?;
     forward(node, outbound).await
 }
 
--- a/lib/src/process/node/exit.rs
+++ b/lib/src/process/node/exit.rs
@@ -69,25 +69,13 @@
         Ok(_) => CallEnd::Answered,
         Err(_) => CallEnd::Failed,
     };
-    parent.onward_calls.lock().end(call, end);
     if end == CallEnd::Failed {
         parent.onward.lock().failed();
     }
+    parent.onward_calls.lock().end(call, end);
     outcome
 }
 
-/// Admits an onward call; one that repeats a failed or running call is an extra attempt.
-fn begin_onward(parent: &InFlight, request: &WholeRequest) -> Result<CallHash, Refusal> {
-    let uri = request.uri.to_string();
-    let call = CallHash::of(request.method.as_str(), &uri, &request.body);
-    let mut onward_calls = parent.onward_calls.lock();
-    let mut attempts = parent.extra_attempts.lock();
-    onward_calls
-        .begin(call, &mut attempts)
-        .map_err(Refusal::not_run)?;
-    Ok(call)
-}
-
 /// Measures the time in which a request waits for an onward call, until it is dropped.
 struct OnwardWait<'a> {
     node: &'a Node,
@@ -107,6 +95,18 @@
     }
 }
 
+/// Admits an onward call; one that repeats a failed or running call is an extra attempt.
+fn begin_onward(parent: &InFlight, request: &WholeRequest) -> Result<CallHash, Refusal> {
+    let uri = request.uri.to_string();
+    let call = CallHash::of(request.method.as_str(), &uri, &request.body);
+    let mut onward_calls = parent.onward_calls.lock();
+    let mut attempts = parent.extra_attempts.lock();
+    onward_calls
+        .begin(call, &mut attempts)
+        .map_err(Refusal::not_run)?;
+    Ok(call)
+}
+
 fn parent(node: &Node, headers: &HeaderMap) -> Option<Arc<InFlight>> {
     let handle: Handle = headers.get(HANDLE_HEADER)?.to_str().ok()?.parse().ok()?;
     node.in_flight.resolve(&handle)
--- a/lib/src/process/node/serve.rs
+++ b/lib/src/process/node/serve.rs
@@ -87,12 +87,13 @@
     let route = configuration
         .as_ref()
         .and_then(|configuration| configuration.route_of(request.uri.path()));
+    let budget = AttemptBudget::new(context.extra_attempts);
     Arc::new(InFlight {
         route: route.map(|route| route.path.clone()).unwrap_or_default(),
         deadline: Deadline::starting(node.clock.now(), context.remaining_us),
-        extra_attempts: Mutex::new(AttemptBudget::new(context.extra_attempts)),
-        onward_calls: Mutex::default(),
+        extra_attempts: Mutex::new(budget),
         onward: Mutex::default(),
+        onward_calls: Mutex::default(),
         context,
     })
 }
--- a/lib/src/request/in_flight.rs
+++ b/lib/src/request/in_flight.rs
@@ -24,10 +24,10 @@
     pub deadline: Deadline,
     /// Attempts beyond the first that onward calls may still make.
     pub extra_attempts: Mutex<AttemptBudget>,
-    /// The onward calls so far. Taken before the lock on the attempts.
-    pub onward_calls: Mutex<OnwardCalls>,
     /// The time in which the request waited for its onward calls.
     pub onward: Mutex<OnwardTime>,
+    /// The onward calls so far. Taken before the lock on the attempts.
+    pub onward_calls: Mutex<OnwardCalls>,
 }
 
 #[derive(Debug)]
--- a/lib/tests/test_node_once.rs
+++ b/lib/tests/test_node_once.rs
@@ -9,6 +9,7 @@
 use balsamfold::request::RefusalReason;
 use balsamfold::request::Verdict;
 use balsamfold::request::refusal_of;
+use balsamfold::values::TokenCount;
 use balsamfold::version::Configuration;
 use balsamfold::version::Repeatability;
 use http::StatusCode;
@@ -22,6 +23,8 @@
 use uuid::Uuid;
 
 const ZONE: &str = "zone-a";
+/// More than a test spends.
+const TOKENS: TokenCount = TokenCount(1_000);
 const POLL_PERIOD: Duration = Duration::from_millis(20);
 
 fn configuration(zones: &[&str]) -> Configuration {
@@ -36,6 +39,9 @@
     let fleet = TestFleet::start(configuration(zones), &plans).await;
     wait_for_terms(&fleet).await;
     fleet
+        .wait_for_tokens(&"small".parse().unwrap(), TOKENS)
+        .await;
+    fleet
 }
 
 async fn wait_for_terms(fleet: &TestFleet) {
@@ -148,6 +154,8 @@
     let leaving = fleet.nodes.remove(holder.unwrap());
     assert!(held(&leaving) > 0);
     leaving.daemon.stop().await;
+    let organisation = "small".parse().unwrap();
+    fleet.wait_for_tokens(&organisation, TOKENS).await;
     wait_for_terms(&fleet).await;
     for key in &keys {
         let resent = order(&fleet, 1, key, key).await;
