rates: settle the split of a zone that is alone

Cause: a holder that took a vacant role is bound by the empty split and the wanted one until it has read the records of all other zones. A configuration with one zone names no other zone, so that nothing was read and the holder was bound by the empty split for ever: every keyed request got 429. Excluded: the wait for a holder, since the answer was rate-exceeded and not unreachable. Tests that wait for a request to run are bounded.

--- a/lib/src/process/node/rate_role.rs
+++ b/lib/src/process/node/rate_role.rs
@@ -118,13 +118,13 @@
     /// Reads the records of other zones while zones may split rates differently.
     async fn read_other_zones(&self) {
         let service = &self.node.rates().service;
-        let zones = service.zones_to_read();
-        let is_needed = !zones.is_empty();
+        let Some(zones) = service.zones_to_read() else {
+            return;
+        };
         let reads = zones.into_iter().map(|zone| self.read_other_zone(zone));
         let records: Option<Vec<_>> = futures::future::join_all(reads).await.into_iter().collect();
-        match records {
-            Some(records) if is_needed => service.zones_read(&records),
-            _ => {}
+        if let Some(records) = records {
+            service.zones_read(&records);
         }
     }
 
--- a/lib/src/process/rates/layout.rs
+++ b/lib/src/process/rates/layout.rs
@@ -97,11 +97,12 @@
     }
 
     /// Returns the zones whose records have to be read now, after the newest layout was published.
-    pub fn zones_to_read(&self, own: &ZoneId) -> BTreeSet<ZoneId> {
+    ///
+    /// Gives none if nothing is to be settled; a zone alone has no record to read and settles.
+    pub fn zones_to_read(&self, own: &ZoneId) -> Option<BTreeSet<ZoneId>> {
         let is_unsettled = self.layouts.len() > 1 && self.newest_is_published();
-        let layouts = self.layouts.iter().filter(|_| is_unsettled);
-        let zones = layouts.flat_map(|layout| layout.weights.keys());
-        zones.filter(|zone| *zone != own).cloned().collect()
+        let zones = self.layouts.iter().flat_map(|layout| layout.weights.keys());
+        is_unsettled.then(|| zones.filter(|zone| *zone != own).cloned().collect())
     }
 
     /// Settles on the newest layout if all other zones name it as theirs. A zone without a record
--- a/lib/src/process/rates/lease.rs
+++ b/lib/src/process/rates/lease.rs
@@ -128,11 +128,8 @@
     }
 
     /// Returns the zones whose records have to be read before this node is bound by one layout only.
-    pub fn zones_to_read(&self, own: &ZoneId) -> BTreeSet<ZoneId> {
-        match self.held {
-            Some(_) => self.layouts.zones_to_read(own),
-            None => BTreeSet::new(),
-        }
+    pub fn zones_to_read(&self, own: &ZoneId) -> Option<BTreeSet<ZoneId>> {
+        self.held.and_then(|_| self.layouts.zones_to_read(own))
     }
 
     /// Takes in the records of [`Self::zones_to_read`], read since then.
--- a/lib/src/process/rates/service.rs
+++ b/lib/src/process/rates/service.rs
@@ -101,7 +101,7 @@
     }
 
     /// Returns the zones whose records have to be read, see [`HolderLease::zones_to_read`].
-    pub fn zones_to_read(&self) -> BTreeSet<ZoneId> {
+    pub fn zones_to_read(&self) -> Option<BTreeSet<ZoneId>> {
         self.state.lock().lease.zones_to_read(&self.zone)
     }
 
--- a/lib/tests/test_planned_stop.rs
+++ b/lib/tests/test_planned_stop.rs
@@ -30,14 +30,18 @@
         .change(|behaviour| behaviour.service_time_ms = 600.0);
     let request = post("/order", Some(&sample_key("small")), &[], "long");
     let answer = tokio::spawn(async move { order.caller.send(request).await });
-    while stock.daemon.node().in_flight.is_empty() || order.daemon.node().in_flight.is_empty() {
-        tokio::time::sleep(POLL_PERIOD).await;
-    }
+    let running = async {
+        while stock.daemon.node().in_flight.is_empty() || order.daemon.node().in_flight.is_empty() {
+            tokio::time::sleep(POLL_PERIOD).await;
+        }
+    };
+    let running = tokio::time::timeout(HANG_TIMEOUT, running).await;
+    assert!(running.is_ok(), "the request did not start to run");
     let node = std::sync::Arc::clone(order.daemon.node());
     tokio::join!(order.daemon.stop(), stock.daemon.stop());
     assert!(node.in_flight.is_empty());
     let answer = answer.await.unwrap().unwrap();
-    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
     assert!(is_whole(&answer.body));
 }
 
--- a/lib/tests/test_rates_lease.rs
+++ b/lib/tests/test_rates_lease.rs
@@ -215,11 +215,31 @@
     let mut first = lease("n1");
     take(&mut first, 0);
     assert_eq!(share_tokens(&first), 0);
-    assert_eq!(first.zones_to_read(&zone()).len(), 1);
+    assert_eq!(
+        first.zones_to_read(&zone()).map(|zones| zones.len()),
+        Some(1)
+    );
     first.zones_read(&[None]);
     assert_eq!(share_tokens(&first), 40);
 }
 
+#[test]
+fn a_zone_alone_settles_without_reading_any_record() {
+    let mut lease = lease("n1");
+    let alone = ZoneLayout {
+        weights: std::iter::once((zone(), 1)).collect(),
+    };
+    lease.want_layout(alone, at(0));
+    take(&mut lease, 0);
+    assert_eq!(
+        lease.zones_to_read(&zone()).map(|zones| zones.len()),
+        Some(0)
+    );
+    lease.zones_read(&[]);
+    assert_eq!(lease.zones_to_read(&zone()), None);
+    assert!(share_tokens(&lease) > 0);
+}
+
 #[test]
 fn a_larger_part_waits_until_the_other_zone_has_the_smaller_one() {
     let mut first = lease("n1");
--- a/lib/tests/test_whole_path.rs
+++ b/lib/tests/test_whole_path.rs
@@ -34,7 +34,7 @@
     let fleet = chain_fleet().await;
     let request = post("/catalogue", Some(&sample_key("small")), &[], "request-1");
     let answer = fleet.nodes[0].caller.send(request).await.unwrap();
-    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
     assert!(is_whole(&answer.body));
     assert_eq!(answer.headers[VERDICT_HEADER], "ran");
     for node in &fleet.nodes {
@@ -50,7 +50,7 @@
     for node in &fleet.nodes {
         let request = post("/stock", Some(&sample_key("large")), &[], "request");
         let answer = node.caller.send(request).await.unwrap();
-        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
     }
 }
 
--- a/testutils/src/fleet/test_fleet.rs
+++ b/testutils/src/fleet/test_fleet.rs
@@ -24,6 +24,8 @@
 /// The fleet secret of all tests.
 pub const FLEET_SECRET: &str = "a-fleet-secret-for-tests-only";
 
+/// A fleet has started when each organisation has half of these tokens, or of its burst.
+const START_TOKENS: u64 = 200;
 const POLL_PERIOD: Duration = Duration::from_millis(20);
 /// Longest time that a fleet may take to start; only a hanging test reaches it.
 const START_TIMEOUT: Duration = Duration::from_secs(60);
@@ -87,6 +89,11 @@
         let fleet = Self { nodes, platform };
         fleet.wait_until_known(plans.len()).await;
         fleet.wait_for_rate_holders().await;
+        for organisation in configuration.organisations.values() {
+            let tokens = organisation.burst_tokens.0.min(START_TOKENS) / 2;
+            let id = &organisation.id;
+            fleet.wait_for_tokens(id, TokenCount(tokens)).await;
+        }
         fleet
     }
 
--- a/testutils/src/rate_fleet/fleet.rs
+++ b/testutils/src/rate_fleet/fleet.rs
@@ -486,7 +486,7 @@
                 self.tally.takeovers += u64::from(after > before);
                 self.become_holder(node);
                 let zones = self.nodes[node].lease.zones_to_read(&self.nodes[node].zone);
-                if !zones.is_empty() {
+                if let Some(zones) = zones {
                     self.send_to_platform(node, PlatformCall::ReadOthers(zones));
                 }
             }
