--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod test_attempts;
 mod test_change;
+mod test_configuration_roles;
 mod test_configuration_spread;
 mod test_events;
 mod test_folder;
@@ -28,6 +29,7 @@
 mod test_overload;
 mod test_planned_stop;
 mod test_platform;
+mod test_platform_decisions;
 mod test_rates;
 mod test_rates_bound;
 mod test_rates_demand;
--- a/lib/tests/test_configuration_spread.rs
+++ b/lib/tests/test_configuration_spread.rs
@@ -1,20 +1,11 @@
 //! A configuration on its way from the platform's service to all nodes.
 
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use balsamfold::process::configuration::ConfigurationNews;
 use balsamfold::process::configuration::ConfigurationStore;
-use balsamfold::process::configuration::NEWS_FANOUT;
 use balsamfold::process::configuration::WATCHERS_PER_ZONE;
 use balsamfold::process::configuration::WriteOutcome;
-use balsamfold::process::configuration::choose_nodes;
-use balsamfold::process::configuration::watches_platform;
-use balsamfold::process::membership::MemberTable;
-use balsamfold::process::membership::NodeAddresses;
-use balsamfold::process::membership::NodeCondition;
-use balsamfold::process::membership::NodeRecord;
 use balsamfold::process::platform::PlatformClient;
 use balsamfold::process::platform::PlatformKey;
 use balsamfold::process::platform::PlatformSettings;
@@ -22,14 +13,11 @@
 use balsamfold::request::RefusalReason;
 use balsamfold::request::refusal_of;
 use balsamfold::values::ConfigVersion;
-use balsamfold::values::Incarnation;
 use balsamfold::values::KeyId;
 use balsamfold::version::ChangeId;
 use balsamfold::version::Configuration;
 use balsamfold::version::change::withdraw_key;
 use http::StatusCode;
-use rand::SeedableRng;
-use rand::rngs::StdRng;
 use testutils::backend_server::ServerPlan;
 use testutils::fleet::Caller;
 use testutils::fleet::ConfiguredFleet;
@@ -84,91 +72,6 @@
     assert!(result.is_ok(), "no request was admitted");
 }
 
-fn fleet_table(nodes: usize, zones: usize) -> MemberTable {
-    let records = (0..nodes).map(|index| {
-        let port = |kind: usize| {
-            let host = [10, kind as u8, (index / 250) as u8, (index % 250) as u8];
-            SocketAddr::from((host, 7_000))
-        };
-        NodeRecord {
-            id: format!("node-{index}").parse().unwrap(),
-            zone: format!("zone-{}", index % zones).parse().unwrap(),
-            addresses: NodeAddresses {
-                peer: port(1),
-                control: port(2),
-                probe: port(3),
-            },
-            incarnation: Incarnation(1),
-            condition: NodeCondition::Alive,
-            server: None,
-        }
-    });
-    MemberTable::new(records)
-}
-
-#[test]
-fn watchers_do_not_grow_with_the_fleet() {
-    for nodes in [16, 80, 780] {
-        let table = fleet_table(nodes, 8);
-        let watchers = table
-            .nodes()
-            .filter(|record| watches_platform(&record.id, &record.zone, &table));
-        assert_eq!(watchers.count(), 8 * WATCHERS_PER_ZONE, "{nodes} nodes");
-    }
-}
-
-#[test]
-fn watcher_that_is_not_alive_is_replaced() {
-    let table = fleet_table(12, 2);
-    let is_watcher = |record: &&NodeRecord| watches_platform(&record.id, &record.zone, &table);
-    let first = table.nodes().find(is_watcher).unwrap().clone();
-    let records = table
-        .nodes()
-        .cloned()
-        .map(|record| match record.id == first.id {
-            true => NodeRecord {
-                condition: NodeCondition::Dead,
-                ..record
-            },
-            false => record,
-        });
-    let after = MemberTable::new(records.collect::<Vec<_>>());
-    let alive = after.nodes().filter(|record| record.takes_work());
-    let watchers = alive.filter(|record| watches_platform(&record.id, &record.zone, &after));
-    assert_eq!(watchers.count(), 2 * WATCHERS_PER_ZONE);
-}
-
-/// Each node that hears the news tells [`NEWS_FANOUT`] others. What is left learns by asking.
-#[test]
-fn news_reach_nearly_all_of_780_nodes_in_few_steps() {
-    let table = fleet_table(780, 8);
-    let mut random = StdRng::seed_from_u64(1);
-    let watchers = table
-        .nodes()
-        .filter(|record| watches_platform(&record.id, &record.zone, &table));
-    let mut telling: Vec<&NodeRecord> = watchers.collect();
-    let mut informed: BTreeSet<SocketAddr> =
-        telling.iter().map(|node| node.addresses.control).collect();
-    let mut steps = 0;
-    while !telling.is_empty() {
-        let told: BTreeSet<SocketAddr> = telling
-            .iter()
-            .flat_map(|node| choose_nodes(&node.id, &table, NEWS_FANOUT, &mut random))
-            .collect();
-        let newly: BTreeSet<_> = told.difference(&informed).copied().collect();
-        let is_new = |record: &&NodeRecord| newly.contains(&record.addresses.control);
-        telling = table.nodes().filter(is_new).collect();
-        steps += usize::from(!newly.is_empty());
-        informed.extend(newly);
-    }
-    println!(
-        "{} of 780 nodes heard the news after {steps} steps",
-        informed.len()
-    );
-    assert!(steps <= 8);
-    assert!(informed.len() >= 770);
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn platform_calls_do_not_grow_with_the_fleet() {
     const CHANGES: u64 = 5;
--- /dev/null
+++ b/lib/tests/test_platform_decisions.rs
@@ -0,0 +1,179 @@
+//! The decisions of the platform's client, and the state of its stand-in.
+
+use std::time::Duration;
+
+use balsamfold::process::platform::Backoff;
+use balsamfold::process::platform::CallBudget;
+use balsamfold::process::platform::ChangeSeen;
+use balsamfold::process::platform::PlatformCall;
+use balsamfold::process::platform::PlatformError;
+use balsamfold::process::platform::PlatformKey;
+use balsamfold::process::platform::PlatformReply;
+use balsamfold::process::platform::PlatformValue;
+use balsamfold::process::platform::Revision;
+use balsamfold::process::platform::Settlement;
+use balsamfold::process::platform::Step;
+use balsamfold::process::platform::Stored;
+use balsamfold::process::platform::Swap;
+use balsamfold::process::platform::VALUE_MAX_BYTES;
+use balsamfold::values::MonotonicTime;
+use balsamfold::values::ZoneId;
+use testutils::platform::PlatformStore;
+
+const KEY: PlatformKey = PlatformKey::Configuration;
+
+fn value(text: &str) -> PlatformValue {
+    PlatformValue::try_from(text.to_owned()).unwrap()
+}
+
+/// Takes a value as showing the change if it starts with `mine`.
+fn holds_mine(current: Option<&Stored>) -> ChangeSeen {
+    match current {
+        Some(stored) if stored.value.as_str().starts_with("mine") => ChangeSeen::Yes,
+        _ => ChangeSeen::No,
+    }
+}
+
+fn no_reply() -> PlatformError {
+    let detail = "test".to_owned();
+    PlatformError::NoReply { detail }
+}
+
+fn not_sent() -> PlatformError {
+    let detail = "test".to_owned();
+    PlatformError::NotSent { detail }
+}
+
+fn stored(revision: u64, text: &str) -> Stored {
+    Stored {
+        revision: Revision(revision),
+        value: value(text),
+    }
+}
+
+#[test]
+fn lost_reply_is_settled_by_reading_back() {
+    let mut settlement = Settlement::new(Some(Revision(1)), 5);
+    let step = settlement.after_swap(Err(no_reply()), holds_mine);
+    assert_eq!(step, Step::Read);
+    let step = settlement.after_read(Ok(Some(stored(2, "mine"))), holds_mine);
+    assert_eq!(step, Step::Done);
+}
+
+#[test]
+fn unchanged_key_after_a_lost_reply_is_written_again() {
+    let mut settlement = Settlement::new(Some(Revision(1)), 5);
+    settlement.after_swap(Err(no_reply()), holds_mine);
+    let step = settlement.after_read(Ok(Some(stored(1, "old"))), holds_mine);
+    assert_eq!(step, Step::Swap);
+    let late = Swap::Conflict(Some(stored(2, "mine")));
+    assert_eq!(settlement.after_swap(Ok(late), holds_mine), Step::Done);
+}
+
+#[test]
+fn other_change_is_a_conflict() {
+    let mut settlement = Settlement::new(Some(Revision(1)), 5);
+    settlement.after_swap(Err(no_reply()), holds_mine);
+    let other = Some(stored(2, "other"));
+    let step = settlement.after_read(Ok(other.clone()), holds_mine);
+    assert_eq!(step, Step::Conflict(other));
+}
+
+#[test]
+fn outcome_is_unknown_only_if_a_reply_was_lost() {
+    let mut unsent = Settlement::new(None, 2);
+    assert_eq!(unsent.after_swap(Err(not_sent()), holds_mine), Step::Swap);
+    let step = unsent.after_swap(Err(not_sent()), holds_mine);
+    assert_eq!(step, Step::NothingChanged(not_sent()));
+    let mut lost = Settlement::new(None, 2);
+    assert_eq!(lost.after_swap(Err(no_reply()), holds_mine), Step::Read);
+    assert_eq!(lost.after_read(Err(not_sent()), holds_mine), Step::Unknown);
+}
+
+#[test]
+fn value_too_distant_to_tell_after_a_lost_reply_is_unknown() {
+    let cannot_tell = |_: Option<&Stored>| ChangeSeen::CannotTell;
+    let mut settlement = Settlement::new(Some(Revision(1)), 5);
+    settlement.after_swap(Err(no_reply()), cannot_tell);
+    let step = settlement.after_read(Ok(Some(stored(99, "later"))), cannot_tell);
+    assert_eq!(step, Step::Unknown);
+}
+
+#[test]
+fn budget_spaces_calls() {
+    let mut budget = CallBudget::new(10);
+    let mut now = MonotonicTime(5_000_000);
+    let mut made_at = Vec::new();
+    for _ in 0..50 {
+        now = now.after(budget.reserve(now));
+        made_at.push(now);
+    }
+    let most_in_a_second = made_at.iter().map(|start| {
+        let in_window = made_at
+            .iter()
+            .filter(|at| **at >= *start && at.since(*start) < Duration::from_secs(1));
+        in_window.count()
+    });
+    assert_eq!(most_in_a_second.max(), Some(10));
+}
+
+#[test]
+fn pauses_grow_to_their_bound_and_depend_on_the_seed() {
+    let pauses = |seed| {
+        let first = Duration::from_millis(10);
+        let mut backoff = Backoff::new(first, Duration::from_millis(100), seed);
+        [(); 40].map(|()| backoff.next_pause())
+    };
+    assert_eq!(pauses(1), pauses(1));
+    assert_ne!(pauses(1), pauses(2));
+    assert!(pauses(1)[0] <= Duration::from_millis(10));
+    let longest = pauses(1)[39];
+    assert!((50..=100).contains(&longest.as_millis()));
+}
+
+#[test]
+fn values_are_bounded() {
+    assert!(PlatformValue::try_from("x".repeat(VALUE_MAX_BYTES)).is_ok());
+    assert!(PlatformValue::try_from("x".repeat(VALUE_MAX_BYTES + 1)).is_err());
+}
+
+#[test]
+fn keys_round_trip_as_text() {
+    let zone: ZoneId = "bello".parse().unwrap();
+    let keys = [
+        PlatformKey::Configuration,
+        PlatformKey::Seeds(zone.clone()),
+        PlatformKey::RateHolder(zone.clone()),
+        PlatformKey::RecordHome(zone),
+    ];
+    for key in keys {
+        assert_eq!(key.to_string().parse(), Ok(key));
+    }
+}
+
+#[test]
+fn values_go_with_their_lease() {
+    let mut store = PlatformStore::default();
+    let grant = PlatformCall::GrantLease { ttl_ms: 1_000 };
+    let PlatformReply::Lease(lease) = store.apply(grant, MonotonicTime(0)) else {
+        panic!("no lease");
+    };
+    let write = PlatformCall::CompareAndSwap {
+        key: KEY,
+        expected: None,
+        value: value("held"),
+        lease: Some(lease),
+    };
+    store.apply(write.clone(), MonotonicTime(1));
+    let renew = PlatformCall::RenewLease { lease };
+    store.apply(renew.clone(), MonotonicTime(900_000));
+    let get = PlatformCall::Get { key: KEY };
+    let held = store.apply(get.clone(), MonotonicTime(1_899_999));
+    assert!(matches!(held, PlatformReply::Value(Some(_))));
+    let ended = store.apply(get, MonotonicTime(1_900_000));
+    assert_eq!(ended, PlatformReply::Value(None));
+    let late = store.apply(renew, MonotonicTime(1_900_001));
+    assert_eq!(late, PlatformReply::LeaseEnded);
+    let write = store.apply(write, MonotonicTime(1_900_002));
+    assert_eq!(write, PlatformReply::LeaseEnded);
+}
--- a/testutils/src/platform/mod.rs
+++ b/testutils/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! A stand-in of the platform's key-value service, in memory.
 
 mod faults;
+mod http;
 mod server;
 mod store;
 
--- a/testutils/src/platform/server.rs
+++ b/testutils/src/platform/server.rs
@@ -13,28 +13,14 @@
 use balsamfold::process::platform::PlatformValue;
 use balsamfold::process::platform::Swap;
 use balsamfold::process::platform::Watched;
-use balsamfold::process::platform::wire;
 use balsamfold::values::Clock;
 use balsamfold::values::MonotonicTime;
 use balsamfold::values::ZoneId;
-use bytes::Bytes;
-use http::Method;
-use http::Request;
-use http::Response;
-use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde::Serialize;
 use snafu::Snafu;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
@@ -43,15 +29,7 @@
 
 use super::Faults;
 use super::PlatformStore;
-
-/// The path at which faults are read and switched.
-const FAULTS_PATH: &str = "/v1/faults";
-
-/// The path at which the counts of calls are read.
-const STATUS_PATH: &str = "/v1/status";
-
-/// Largest body of a call: a value in JSON, with room for escapes.
-const BODY_MAX_BYTES: usize = 4_000_000;
+use super::http::accept;
 
 /// Longest time between two looks at the leases while a call waits.
 const LEASE_CHECK: Duration = Duration::from_millis(50);
@@ -75,7 +53,7 @@
 }
 
 /// State of the service. `state` is the one lock and is never held across an await.
-struct Shared {
+pub(super) struct Shared {
     state: Mutex<State>,
     changes: watch::Sender<u64>,
     clock: Clock,
@@ -94,7 +72,7 @@
 /// The connection is to be closed without a reply.
 #[derive(Debug, Snafu)]
 #[snafu(display("connection cut by a fault"))]
-struct CutError;
+pub(super) struct CutError;
 
 impl PlatformStandIn {
     /// Starts a stand-in on `address`; port 0 takes a free one.
@@ -131,7 +109,7 @@
 
     /// Returns what the stand-in has seen.
     pub fn status(&self) -> StandInStatus {
-        self.shared.state.lock().status.clone()
+        self.shared.status()
     }
 
     /// Writes a value without any check.
@@ -157,11 +135,19 @@
 }
 
 impl Shared {
-    fn set_faults(&self, faults: Faults) {
+    pub(super) fn set_faults(&self, faults: Faults) {
         self.state.lock().faults = faults;
         self.announce();
     }
 
+    pub(super) fn faults(&self) -> Faults {
+        self.state.lock().faults.clone()
+    }
+
+    pub(super) fn status(&self) -> StandInStatus {
+        self.state.lock().status.clone()
+    }
+
     fn announce(&self) {
         self.changes.send_modify(|count| *count += 1);
     }
@@ -170,7 +156,7 @@
         self.state.lock().faults.cuts(zone)
     }
 
-    async fn call(
+    pub(super) async fn call(
         &self,
         call: PlatformCall,
         zone: Option<&ZoneId>,
@@ -280,56 +266,3 @@
         CutError
     }
 }
-
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(serve(stream, shared.clone()));
-    }
-}
-
-async fn serve(stream: TcpStream, shared: Arc<Shared>) {
-    let service = service_fn(|request| answer(request, shared.clone()));
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-    let _ = connection.await;
-}
-
-async fn answer(
-    request: Request<Incoming>,
-    shared: Arc<Shared>,
-) -> Result<Response<Full<Bytes>>, CutError> {
-    let zone = request.headers().get(wire::ZONE_HEADER);
-    let zone: Option<ZoneId> = zone.and_then(|zone| zone.to_str().ok()?.parse().ok());
-    let (head, body) = request.into_parts();
-    let body = Limited::new(body, BODY_MAX_BYTES).collect().await;
-    let body = body.map_err(|_| CutError)?.to_bytes();
-    match (&head.method, head.uri.path()) {
-        (&Method::POST, wire::CALL_PATH) => match wire::decode(&body) {
-            Ok(call) => Ok(json(&shared.call(call, zone.as_ref()).await?)),
-            Err(error) => Ok(bad_request(error.to_string())),
-        },
-        (&Method::PUT, FAULTS_PATH) => match wire::decode(&body) {
-            Ok(faults) => {
-                shared.set_faults(faults);
-                Ok(json(&()))
-            }
-            Err(error) => Ok(bad_request(error.to_string())),
-        },
-        (&Method::GET, FAULTS_PATH) => Ok(json(&shared.state.lock().faults)),
-        (&Method::GET, STATUS_PATH) => Ok(json(&shared.state.lock().status)),
-        _ => Ok(with_status(StatusCode::NOT_FOUND, Bytes::new())),
-    }
-}
-
-fn json(message: &impl Serialize) -> Response<Full<Bytes>> {
-    with_status(StatusCode::OK, wire::encode(message).into())
-}
-
-fn bad_request(message: String) -> Response<Full<Bytes>> {
-    with_status(StatusCode::BAD_REQUEST, message.into())
-}
-
-fn with_status(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(body));
-    *response.status_mut() = status;
-    response
-}
