--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -18,6 +18,11 @@
 use super::configuration::ConfigurationTasks;
 use super::entry::handle_caller;
 use super::exit::handle_local;
+use super::once::OnceTasks;
+use super::once::RenewalReply;
+use super::once::RenewalRequest;
+use super::once::pass_all_on;
+use super::once::runs_ended;
 use super::rates::RateTasks;
 use super::serve::handle_peer;
 use crate::connection::ListenError;
@@ -32,6 +37,10 @@
 use crate::process::events::process as events;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeRecord;
+use crate::process::once::Assignment;
+use crate::process::once::HandedRecord;
+use crate::process::once::HomeSession;
+use crate::process::once::SlotHandover;
 use crate::process::rates::Answer;
 use crate::process::rates::Ask;
 use crate::process::rates::PeerStanding;
@@ -94,6 +103,7 @@
     drain_asked: Arc<Notify>,
     _housekeeping: AbortOnDropHandle<()>,
     _configuration: ConfigurationTasks,
+    _once: OnceTasks,
     rate_tasks: RateTasks,
 }
 
@@ -140,6 +150,7 @@
             })?;
         let housekeeping = tokio::spawn(keep_house(Arc::clone(&node)));
         let configuration = ConfigurationTasks::start(&node);
+        let once = OnceTasks::start(&node);
         let rate_tasks = RateTasks::start(&node);
         events::STARTED.log(format_args!("callers on {caller_address}"));
         Ok(Self {
@@ -153,6 +164,7 @@
             drain_asked,
             _housekeeping: AbortOnDropHandle::new(housekeeping),
             _configuration: configuration,
+            _once: once,
             rate_tasks,
         })
     }
@@ -196,7 +208,9 @@
         events::DRAIN_STARTED.log(self.node.in_flight.len());
         let notice = Duration::from_millis(self.node.settings.leave_notice_ms);
         tokio::time::sleep(notice).await;
+        pass_all_on(&self.node).await;
         tokio::join!(self.callers.stop(), self.peers.stop());
+        runs_ended(&self.node).await;
         self.local.stop().await;
         self.rate_tasks.stop(&self.node).await;
         self.control.stop();
@@ -292,6 +306,27 @@
             .map(|current| current.as_ref().clone()))
     }
 
+    async fn once_renew(&self, request: RenewalRequest) -> RpcResult<RenewalReply> {
+        Ok(self.node.renew_terms(&request))
+    }
+
+    async fn once_session(&self) -> RpcResult<Option<HomeSession>> {
+        Ok(self.node.once_session())
+    }
+
+    async fn once_assign(&self, assignment: Assignment) -> RpcResult<bool> {
+        Ok(self.node.take_assignment(assignment))
+    }
+
+    async fn once_hand_over(&self, handover: SlotHandover) -> RpcResult<bool> {
+        Ok(self.node.take_handover(handover))
+    }
+
+    async fn once_settle(&self, settled: HandedRecord) -> RpcResult<()> {
+        self.node.take_settlement(settled);
+        Ok(())
+    }
+
     async fn ask_tokens(&self, ask: Ask) -> RpcResult<Answer> {
         Ok(self.node.rates().service.answer(ask).await)
     }
--- a/lib/src/process/rates/lease.rs
+++ b/lib/src/process/rates/lease.rs
@@ -10,9 +10,15 @@
 //! all of them; each that cannot reach the platform either promises not to take over for
 //! [`LEASE_TAKEOVER`]. With all promises the holder goes on for another [`LEASE_HOLD`].
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use crate::process::membership::MemberTable;
+use super::HolderRecord;
+use super::LayoutSet;
+use super::PeerStanding;
+use super::PlatformStanding;
+use super::RecordWrite;
+use super::ZoneLayout;
 use crate::values::Epoch;
 use crate::values::Incarnation;
 use crate::values::MonotonicTime;
@@ -28,59 +34,9 @@
 /// Time between renewals, and between reads of a candidate.
 pub const LEASE_RENEWAL: Duration = Duration::from_millis(1_000);
 
-/// Nodes of a zone that watch the record, ready to take over.
-pub const CANDIDATES_PER_ZONE: usize = 3;
-
 /// The epoch of the first holder that a zone ever has.
 pub(super) const FIRST_EPOCH: Epoch = Epoch(1);
 
-plain_data! {
-    /// The platform's record of the holder of one zone.
-    #[derive(Eq)]
-    pub struct HolderRecord {
-        /// The node that holds the role.
-        pub holder: NodeId,
-        /// The life of that node.
-        pub incarnation: Incarnation,
-        /// Rises by one with each change of the holder.
-        pub epoch: Epoch,
-        /// Rises by one with each renewal.
-        pub renewals: u64,
-    }
-}
-
-plain_value! {
-    /// Whether a node can write to the platform.
-    #[serde(rename_all = "kebab-case")]
-    pub enum PlatformStanding {
-        /// It can, or a write of it may still take effect.
-        Reachable,
-        /// It cannot, and no write of it is in doubt.
-        Unreachable,
-    }
-}
-
-plain_data! {
-    /// What a node tells the holder of its zone.
-    #[derive(Eq)]
-    pub struct PeerStanding {
-        /// The highest epoch of the zone that the node has seen.
-        pub epoch: Epoch,
-        /// Whether the node can write to the platform. A node that cannot promises not to take over
-        /// for [`LEASE_TAKEOVER`].
-        pub platform: PlatformStanding,
-    }
-}
-
-/// A compare-and-swap to send to the platform.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RecordWrite {
-    /// The record that must be in place, or none if there must be no record.
-    pub expected: Option<HolderRecord>,
-    /// The record to put in its place.
-    pub record: HolderRecord,
-}
-
 /// What a node does about the role now.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaseAction {
@@ -118,6 +74,9 @@
     next_call: MonotonicTime,
     platform: PlatformStanding,
     highest_epoch: Epoch,
+    /// The layout of the configuration in force on this node.
+    wanted: Option<ZoneLayout>,
+    layouts: LayoutSet,
 }
 
 /// The role while this node holds it.
@@ -140,6 +99,8 @@
             next_call: MonotonicTime::default(),
             platform: PlatformStanding::Unreachable,
             highest_epoch: Epoch::default(),
+            wanted: None,
+            layouts: LayoutSet::default(),
         }
     }
 
@@ -153,6 +114,32 @@
         }
     }
 
+    /// Takes in the layout of the configuration in force. Nodes without one do not take over.
+    pub fn want_layout(&mut self, layout: ZoneLayout, now: MonotonicTime) {
+        if self.held.is_some() {
+            self.layouts.adopt(&layout, now);
+        }
+        self.wanted = Some(layout);
+    }
+
+    /// Returns the layouts that bind this node while it holds the role.
+    pub fn layouts(&self) -> &LayoutSet {
+        &self.layouts
+    }
+
+    /// Returns the zones whose records have to be read before this node is bound by one layout only.
+    pub fn zones_to_read(&self, own: &ZoneId) -> BTreeSet<ZoneId> {
+        match self.held {
+            Some(_) => self.layouts.zones_to_read(own),
+            None => BTreeSet::new(),
+        }
+    }
+
+    /// Takes in the records of [`Self::zones_to_read`], read since then.
+    pub fn zones_read(&mut self, others: &[Option<HolderRecord>]) {
+        self.layouts.settle(others);
+    }
+
     /// Returns until when this node may grant tokens, if it still holds the role.
     pub fn held_until(&self) -> Option<MonotonicTime> {
         self.held.map(|held| held.valid_until)
@@ -172,7 +159,7 @@
         self.next_call = now.after(LEASE_RENEWAL);
         match (&self.seen, is_holder) {
             _ if self.open.is_some() => LeaseAction::Read,
-            (Some(seen), true) => self.write(self.renewal(seen), now),
+            (Some(seen), true) => self.write(self.renewal(seen, now), now),
             (Some(seen), false) if self.may_take_over(seen, now) => {
                 self.write(self.takeover(seen), now)
             }
@@ -291,19 +278,31 @@
         LeaseAction::Write(write)
     }
 
-    fn renewal(&self, seen: &SeenRecord) -> RecordWrite {
+    fn renewal(&self, seen: &SeenRecord, now: MonotonicTime) -> RecordWrite {
         let renewals = seen.record.as_ref().map_or(0, |record| record.renewals);
         let epoch = self.held.map_or(Epoch(0), |held| held.epoch);
-        self.record_after(seen, epoch, renewals + 1)
+        self.record_after(seen, epoch, renewals + 1, self.layouts.to_publish(now))
     }
 
     fn takeover(&self, seen: &SeenRecord) -> RecordWrite {
         let in_record = seen.record.as_ref().map_or(Epoch(0), |record| record.epoch);
         let epoch = Epoch(in_record.max(self.highest_epoch).0 + 1);
-        self.record_after(seen, epoch, 0)
+        let layouts = match &seen.record {
+            Some(record) => record.layouts.clone(),
+            None => std::iter::once(ZoneLayout::empty())
+                .chain(self.wanted.clone())
+                .collect(),
+        };
+        self.record_after(seen, epoch, 0, layouts)
     }
 
-    fn record_after(&self, seen: &SeenRecord, epoch: Epoch, renewals: u64) -> RecordWrite {
+    fn record_after(
+        &self,
+        seen: &SeenRecord,
+        epoch: Epoch,
+        renewals: u64,
+        layouts: Vec<ZoneLayout>,
+    ) -> RecordWrite {
         RecordWrite {
             expected: seen.record.clone(),
             record: HolderRecord {
@@ -311,6 +310,7 @@
                 incarnation: self.incarnation,
                 epoch,
                 renewals,
+                layouts,
             },
         }
     }
@@ -318,7 +318,8 @@
     fn may_take_over(&self, seen: &SeenRecord, now: MonotonicTime) -> bool {
         let is_vacant = seen.record.is_none();
         let is_lapsed = now.since(seen.since) >= LEASE_TAKEOVER;
-        now >= self.no_takeover_before && (is_vacant || is_lapsed)
+        let is_free = is_vacant || is_lapsed;
+        self.wanted.is_some() && now >= self.no_takeover_before && is_free
     }
 
     fn is_own(&self, record: &HolderRecord) -> bool {
@@ -334,28 +335,14 @@
                 epoch,
                 valid_until: held.valid_until.max(valid_until),
             }),
-            _ => Some(HeldLease { epoch, valid_until }),
+            _ => {
+                self.layouts = LayoutSet::inherited(&open.record.layouts, open.sent);
+                Some(HeldLease { epoch, valid_until })
+            }
         };
+        self.layouts.was_published(&open.record.layouts);
+        if let Some(wanted) = &self.wanted {
+            self.layouts.adopt(wanted, open.sent);
+        }
     }
 }
-
-/// Returns the nodes of `zone` that may take over its rates, by rendezvous hashing.
-pub fn holder_candidates(zone: &ZoneId, members: &MemberTable) -> Vec<NodeId> {
-    let in_zone = members
-        .nodes()
-        .filter(|record| record.zone == *zone && record.takes_work());
-    let mut ranked: Vec<_> = in_zone
-        .map(|record| (rendezvous_rank(zone, &record.id), record.id.clone()))
-        .collect();
-    ranked.sort();
-    ranked.truncate(CANDIDATES_PER_ZONE);
-    ranked.into_iter().map(|(_, id)| id).collect()
-}
-
-fn rendezvous_rank(zone: &ZoneId, node: &NodeId) -> [u8; 32] {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(zone.as_str().as_bytes());
-    hasher.update(&[0]);
-    hasher.update(node.as_str().as_bytes());
-    hasher.finalize().into()
-}
