node: meet through seed lists in the platform's service

One node of each zone keeps a list of three seeds there: a read and a write after a change, at most each 30 s, and a read each 10 min. Nodes read the lists only while they know no other node. At 780 nodes in 8 zones that is 8 reads each 10 min, whatever the number of nodes, and a read for each start.

--- a/lib/src/process/membership/seeds.rs
+++ b/lib/src/process/membership/seeds.rs
@@ -34,6 +34,19 @@
     }
 }
 
+impl SeedList {
+    /// Adds seeds of `present` that this node does not know, as far as there is room.
+    ///
+    /// A node that is cut off from the rest of its zone thereby does not wipe out their list.
+    pub fn filled_from(mut self, present: &Self, table: &MemberTable) -> Self {
+        let unknown = |seed: &&SeedRecord| table.node(&seed.node).is_none();
+        let room = SEEDS_PER_ZONE.saturating_sub(self.seeds.len());
+        let others = present.seeds.iter().filter(unknown).take(room);
+        self.seeds.extend(others.cloned());
+        self
+    }
+}
+
 /// Returns the list that this node keeps for its zone, or none if another node does.
 ///
 /// The seeds are the live nodes of the zone with the lowest hashes of their ids, and the first of
--- a/lib/src/process/membership/state/mod.rs
+++ b/lib/src/process/membership/state/mod.rs
@@ -55,6 +55,9 @@
     pub random_seed: u64,
 }
 
+/// Most seed addresses that a node holds.
+const SEEDS_MAX: usize = 64;
+
 /// A datagram to send.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Outgoing {
@@ -206,7 +209,8 @@
 
     /// Adds an address at which another node may listen, as read from the platform's service.
     pub fn add_seed(&mut self, seed: SocketAddr) {
-        if seed != self.own.addresses.probe && !self.seeds.contains(&seed) {
+        let is_new = seed != self.own.addresses.probe && !self.seeds.contains(&seed);
+        if is_new && self.seeds.len() < SEEDS_MAX {
             self.seeds.push(seed);
         }
     }
--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -19,6 +19,7 @@
 use super::entry::handle_caller;
 use super::exit::handle_local;
 use super::rates::RateTasks;
+use super::seed_lists::keep_seed_lists;
 use super::serve::handle_peer;
 use crate::connection::ListenError;
 use crate::connection::Listener;
@@ -93,6 +94,7 @@
     control: ControlServing,
     drain_asked: Arc<Notify>,
     _housekeeping: AbortOnDropHandle<()>,
+    _seed_lists: AbortOnDropHandle<()>,
     _configuration: ConfigurationTasks,
     rate_tasks: RateTasks,
 }
@@ -139,6 +141,7 @@
                 source: Box::new(error),
             })?;
         let housekeeping = tokio::spawn(keep_house(Arc::clone(&node)));
+        let seed_lists = tokio::spawn(keep_seed_lists(Arc::clone(&node)));
         let configuration = ConfigurationTasks::start(&node);
         let rate_tasks = RateTasks::start(&node);
         events::STARTED.log(format_args!("callers on {caller_address}"));
@@ -152,6 +155,7 @@
             control,
             drain_asked,
             _housekeeping: AbortOnDropHandle::new(housekeeping),
+            _seed_lists: AbortOnDropHandle::new(seed_lists),
             _configuration: configuration,
             rate_tasks,
         })
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -16,6 +16,7 @@
 mod rate_role;
 mod rates;
 mod retries;
+mod seed_lists;
 mod serve;
 mod shared;
 
--- a/lib/tests/test_membership_seeds.rs
+++ b/lib/tests/test_membership_seeds.rs
@@ -5,8 +5,19 @@
 use balsamfold::process::membership::NodeRecord;
 use balsamfold::process::membership::SEEDS_PER_ZONE;
 use balsamfold::process::membership::SeedList;
+use balsamfold::process::membership::SeedRecord;
 use balsamfold::process::membership::seed_list;
+use balsamfold::process::node::NodeDaemon;
+use balsamfold::process::platform::CallCounts;
+use balsamfold::process::settings::NodeSettings;
+use balsamfold::process::settings::RawNodeSettings;
+use testutils::fleet::raw_settings;
+use testutils::fleet::wait_until;
+use testutils::platform::Faults;
+use testutils::platform::PlatformStandIn;
 
+use crate::fleet::address;
+use crate::fleet::node_id;
 use crate::fleet::record;
 
 const ZONE_SIZE: usize = 98;
@@ -53,3 +64,58 @@
     }
     assert_eq!(lists(&records).len(), 2);
 }
+
+#[test]
+fn node_cut_off_from_its_zone_keeps_the_others_on_the_list() {
+    let own = record(1, 1, NodeCondition::Alive);
+    let table = MemberTable::new([own.clone()]);
+    let present = SeedList {
+        seeds: [7, 8, 9].map(seed).to_vec(),
+    };
+    let list = seed_list(&own, &table).expect("the only node writes");
+    let filled = list.filled_from(&present, &table);
+    assert_eq!(filled.seeds, [1, 7, 8].map(seed));
+}
+
+fn seed(index: usize) -> SeedRecord {
+    SeedRecord {
+        node: node_id(index),
+        probe: address(index),
+    }
+}
+
+async fn start_node(name: &str, platform: &PlatformStandIn, seeds: Vec<String>) -> NodeDaemon {
+    let raw = RawNodeSettings {
+        platform: platform.address().to_string(),
+        seeds,
+        ..raw_settings(name, "zone-a", "stock")
+    };
+    let settings = NodeSettings::try_from(raw).expect("settings of tests are valid");
+    NodeDaemon::start(settings).await.expect("the node starts")
+}
+
+async fn wait_until_known(nodes: &[NodeDaemon]) {
+    let knows_all = |node: &NodeDaemon| node.node().members().nodes().count() == nodes.len();
+    wait_until(|| nodes.iter().all(knows_all)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nodes_without_seeds_in_their_settings_meet_through_the_platform() {
+    let platform = PlatformStandIn::start_local().await;
+    let platform = platform.expect("the stand-in starts");
+    let mut nodes = Vec::new();
+    for name in ["node-0", "node-1", "node-2"] {
+        nodes.push(start_node(name, &platform, Vec::new()).await);
+    }
+    wait_until_known(&nodes).await;
+
+    platform.set_faults(Faults {
+        is_down: true,
+        ..Faults::default()
+    });
+    let seeds = vec![nodes[0].node().addresses.probe.to_string()];
+    nodes.push(start_node("node-3", &platform, seeds).await);
+    wait_until_known(&nodes).await;
+    let calls: CallCounts = platform.status().calls;
+    println!("platform calls: {calls:?}");
+}
