--- a/lib/src/process/node/dump.rs
+++ b/lib/src/process/node/dump.rs
@@ -8,6 +8,7 @@
 use crate::process::membership::MembershipCounters;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeRecord;
+use crate::process::once::SlotId;
 use crate::process::platform::CallCounts;
 use crate::process::rates::HolderRecord;
 use crate::values::ConfigVersion;
@@ -37,6 +38,8 @@
         pub server: Option<ServerDump>,
         /// Requests that run on the backend server.
         pub in_flight_requests: usize,
+        /// At-most-once records and terms.
+        pub once: OnceDump,
         /// Whether the node holds the rates of its zone.
         pub holds_rates: bool,
         /// The holder of the zone's rates, as the platform's record last named it to this node.
@@ -50,6 +53,18 @@
     }
 }
 
+plain_data! {
+    /// At-most-once records and terms of a node.
+    pub struct OnceDump {
+        /// Records of keys.
+        pub records: usize,
+        /// Slots of which the node holds terms.
+        pub held_slots: Vec<SlotId>,
+        /// The registrar of the zone, as far as the node knows.
+        pub registrar: Option<NodeId>,
+    }
+}
+
 plain_data! {
     /// The backend server beside a node.
     pub struct ServerDump {
@@ -90,6 +105,11 @@
                 floor: server.gate.floor(),
             }),
             in_flight_requests: self.in_flight.len(),
+            once: OnceDump {
+                records: self.once.record_count(),
+                held_slots: self.once.held_slots(),
+                registrar: self.known_registrar(),
+            },
             holds_rates: self.holds_rates(),
             rate_holder: self.rates().service.known_holder(),
             refused_at_entry: self.load.refused_at_entry(),
--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -14,6 +14,7 @@
 use super::ProbeSocket;
 use super::load_control::LoadControl;
 use super::local_server::LocalServer;
+use super::once::OnceState;
 use super::rates::NodeRates;
 use super::retries::Retries;
 use crate::connection::ConnectionPool;
@@ -58,6 +59,7 @@
     pub membership: Membership,
     pub(super) peer_key: DerivedKey,
     pub(super) retries: Retries,
+    pub(super) once: OnceState,
     /// The configuration in force.
     pub configuration: ConfigurationHolder,
     /// The platform's service.
@@ -87,6 +89,7 @@
             clock,
             in_flight: Arc::default(),
             retries: Retries::new(rand::random()),
+            once: OnceState::new(),
             configuration: ConfigurationHolder::new(),
             platform,
             configuration_news: broadcast::Sender::new(NEWS_QUEUE_MAX),
