--- a/lib/src/process/node/seed_lists.rs
+++ b/lib/src/process/node/seed_lists.rs
@@ -20,8 +20,10 @@
 
 /// Time between two looks at whether something has to be read or written.
 const CHECK_PERIOD: Duration = Duration::from_secs(2);
-/// Least time between two writes of one node.
-const WRITE_INTERVAL: Duration = Duration::from_secs(30);
+/// Time for which a node waits to meet the nodes in its settings before it reads the lists.
+const JOIN_PAUSE: Duration = Duration::from_secs(5);
+/// Time for which a list has to stay the same before it is written.
+const STABLE_TIME: Duration = Duration::from_secs(30);
 /// Time after which the writer looks whether its list still stands.
 const VERIFY_INTERVAL: Duration = Duration::from_secs(10 * 60);
 /// First pause after a read that brought no other node.
@@ -29,18 +31,49 @@
 /// Longest pause after a read that brought no other node.
 const READ_LONGEST_PAUSE: Duration = Duration::from_secs(30);
 
-/// The last list that this node wrote or found to stand.
-struct Written {
+/// A list at a point in time.
+struct DatedList {
     list: SeedList,
     at: MonotonicTime,
 }
 
+/// What this node wants the list of its zone to be.
+#[derive(Default)]
+struct ListKeeper {
+    /// The list that it wants, and since when.
+    wanted: Option<DatedList>,
+    /// The list that it last wrote or found to stand.
+    written: Option<DatedList>,
+}
+
+impl ListKeeper {
+    /// Notes the list that the node wants now, and returns it if it has to be written.
+    fn due(&mut self, list: SeedList, is_alone: bool, now: MonotonicTime) -> Option<SeedList> {
+        let wanted = match self.wanted.take() {
+            Some(wanted) if wanted.list == list => wanted,
+            Some(_) | None => DatedList { list, at: now },
+        };
+        let is_stable = is_alone || now.since(wanted.at) >= STABLE_TIME;
+        let stands = self.written.as_ref().is_some_and(|written| {
+            written.list == wanted.list && now.since(written.at) < VERIFY_INTERVAL
+        });
+        let due = (is_stable && !stands).then(|| wanted.list.clone());
+        self.wanted = Some(wanted);
+        due
+    }
+
+    /// Notes that `list` was written or found to stand.
+    fn note_written(&mut self, list: SeedList, now: MonotonicTime) {
+        self.written = Some(DatedList { list, at: now });
+    }
+}
+
 /// Reads and writes seed lists as long as the node runs.
 pub(super) async fn keep_seed_lists(node: Arc<Node>) {
     let mut backoff = Backoff::new(READ_FIRST_PAUSE, READ_LONGEST_PAUSE, rand::random());
-    let mut written = None;
+    let mut keeper = ListKeeper::default();
     if !node.settings.seeds.is_empty() {
-        sleep(CHECK_PERIOD).await;
+        sleep(JOIN_PAUSE).await;
     }
     loop {
         let is_alone = node.members().nodes().count() == 1;
@@ -49,7 +82,7 @@
         }
         // An error here means that the platform's service does not answer: the next round tries
         // again, and membership goes on without it.
-        let _ = write_list(&node, &mut written).await;
+        let _ = write_list(&node, &mut keeper, is_alone).await;
         match is_alone {
             true => sleep(backoff.next_pause()).await,
             false => sleep(CHECK_PERIOD).await,
@@ -80,12 +113,16 @@
 }
 
 /// Writes the list of the own zone if this node keeps it and it changed.
-async fn write_list(node: &Node, written: &mut Option<Written>) -> Result<(), PlatformError> {
+async fn write_list(
+    node: &Node,
+    keeper: &mut ListKeeper,
+    is_alone: bool,
+) -> Result<(), PlatformError> {
     let table = node.members();
     let now = node.clock.now();
-    let list = match seed_list(&node.membership.own(), &table) {
-        Some(list) if is_due(&list, written.as_ref(), now) => list,
-        Some(_) | None => return Ok(()),
+    let wanted = seed_list(&node.membership.own(), &table);
+    let Some(list) = wanted.and_then(|list| keeper.due(list, is_alone, now)) else {
+        return Ok(());
     };
     let key = PlatformKey::Seeds(node.settings.zone.clone());
     let stored = node.platform.get(&key).await?;
@@ -102,18 +139,10 @@
             swap.await?;
         }
     }
-    *written = Some(Written { list, at: now });
+    keeper.note_written(list, now);
     Ok(())
 }
 
-fn is_due(list: &SeedList, written: Option<&Written>, now: MonotonicTime) -> bool {
-    match written {
-        Some(written) if written.list == *list => now.since(written.at) >= VERIFY_INTERVAL,
-        Some(written) => now.since(written.at) >= WRITE_INTERVAL,
-        None => true,
-    }
-}
-
 fn decode(stored: &Stored) -> Option<SeedList> {
     serde_json::from_str(stored.value.as_str()).ok()
 }
