--- a/lib/examples/membership_slopes/main.rs
+++ b/lib/examples/membership_slopes/main.rs
@@ -43,6 +43,7 @@
 const LEAVE_LIMIT: Duration = Duration::from_secs(30);
 const CUT_TIME: Duration = Duration::from_secs(30);
 const HEAL_LIMIT: Duration = Duration::from_secs(60);
+const DEATH_LIMIT: Duration = Duration::from_secs(60);
 const POLL_PERIOD: Duration = Duration::from_millis(5);
 const HEADER_BYTES: u64 = 28;
 
@@ -53,9 +54,9 @@
         .filter_map(|text| text.parse().ok())
         .collect();
     println!(
-        "| nodes | join s | join KB/node | steady B/s/node | steady CPU %/node | leave known s (worst of {LEAVES}) | leave KB/node | region heal agreed s | heal KB/node | restart known s | memory KB/node |"
+        "| nodes | join s | join KB/node | steady B/s/node | steady CPU %/node | leave known s (worst of {LEAVES}) | leave KB/node | region heal agreed s | heal KB/node | restart known s | death known s | memory KB/node |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
     let mut rows = Vec::new();
     for size in sizes {
         let row = measure(size).await;
@@ -103,6 +104,7 @@
         heal_s,
         heal_kb: heal_bytes as f64 / 1_000.0 / size as f64,
         restart_s: measure_restart(&mut fleet).await,
+        death_s: measure_death(&mut fleet).await,
         memory_kb: (resident_kb() - memory_before) / size as f64,
     }
 }
@@ -157,6 +159,20 @@
     nodes.filter(|record| record.condition == condition).count()
 }
 
+/// Ends the last node without a word, and returns the time until all others held it for dead.
+async fn measure_death(fleet: &mut Vec<Membership>) -> f64 {
+    let id = node_id(fleet.len() - 1);
+    fleet.pop();
+    let started = Instant::now();
+    let is_known = |node: &Membership| {
+        let table = node.latest();
+        let record = table.node(&id);
+        record.is_some_and(|record| record.condition == NodeCondition::Dead)
+    };
+    wait_until(DEATH_LIMIT, || fleet.iter().all(is_known)).await;
+    started.elapsed().as_secs_f64()
+}
+
 /// Replaces the last node, and returns the time until it and all others knew one another.
 async fn measure_restart(fleet: &mut Vec<Membership>) -> f64 {
     let size = fleet.len();
--- a/lib/examples/membership_slopes/row.rs
+++ b/lib/examples/membership_slopes/row.rs
@@ -14,6 +14,7 @@
     pub(crate) heal_s: f64,
     pub(crate) heal_kb: f64,
     pub(crate) restart_s: f64,
+    pub(crate) death_s: f64,
     pub(crate) memory_kb: f64,
 }
 
@@ -42,6 +43,7 @@
         heal_s: at_target(|row| row.heal_s),
         heal_kb: at_target(|row| row.heal_kb),
         restart_s: at_target(|row| row.restart_s),
+        death_s: at_target(|row| row.death_s),
         memory_kb: at_target(|row| row.memory_kb),
     }
 }
@@ -49,7 +51,7 @@
 /// Prints one row of the table.
 pub(crate) fn print_row(label: &str, row: &Row) {
     println!(
-        "| {label} | {:.1} | {:.0} | {:.0} | {:.3} | {:.2} | {:.1} | {:.2} | {:.0} | {:.2} | {:.0} |",
+        "| {label} | {:.1} | {:.0} | {:.0} | {:.3} | {:.2} | {:.1} | {:.2} | {:.0} | {:.2} | {:.1} | {:.0} |",
         row.join_s,
         row.join_kb,
         row.steady_bytes_per_s,
@@ -59,6 +61,7 @@
         row.heal_s,
         row.heal_kb,
         row.restart_s,
+        row.death_s,
         row.memory_kb,
     );
 }
--- a/lib/src/process/membership/state/mod.rs
+++ b/lib/src/process/membership/state/mod.rs
@@ -95,7 +95,7 @@
 
 /// When the recurring actions are next due.
 #[derive(Clone, Copy, Debug, Default)]
-struct Schedule {
+struct DueTimes {
     probe: MonotonicTime,
     lost_probe: MonotonicTime,
     sync: MonotonicTime,
@@ -120,7 +120,7 @@
     schedule: ProbeSchedule,
     announcer: Announcer,
     transfers: Transfers,
-    due: Schedule,
+    due: DueTimes,
     config: ConfigVersion,
     config_hint: Option<ConfigHint>,
     counters: MembershipCounters,
@@ -157,7 +157,7 @@
             schedule: ProbeSchedule::default(),
             announcer: Announcer::default(),
             transfers: Transfers::default(),
-            due: Schedule::default(),
+            due: DueTimes::default(),
             config: ConfigVersion::default(),
             config_hint: None,
             counters: MembershipCounters::default(),
--- a/lib/src/process/membership/state/send.rs
+++ b/lib/src/process/membership/state/send.rs
@@ -9,6 +9,7 @@
 use crate::process::membership::Envelope;
 use crate::process::membership::Message;
 use crate::process::membership::NodeCondition;
+use crate::process::membership::NodeRecord;
 use crate::process::membership::codec::DatagramBuilder;
 use crate::process::membership::deltas::send_limit;
 use crate::process::membership::transfers::Transfer;
@@ -86,7 +87,7 @@
         }
     }
 
-    fn lost_record(&self, id: &NodeId) -> Option<&crate::process::membership::NodeRecord> {
+    fn lost_record(&self, id: &NodeId) -> Option<&NodeRecord> {
         let record = &self.members.get(id)?.record;
         match record.condition {
             NodeCondition::Suspect | NodeCondition::Dead => Some(record),
--- a/lib/src/process/membership/state/tick.rs
+++ b/lib/src/process/membership/state/tick.rs
@@ -25,7 +25,7 @@
     /// Does what is due at `now`. Call it every [`timing::TICK_INTERVAL`].
     pub fn tick(&mut self, now: MonotonicTime) {
         self.notice_pause(now);
-        self.ask_helpers();
+        self.ask_helpers(now);
         self.fail_probes(now);
         self.expire_suspicions(now);
         self.start_probes(now);
@@ -48,10 +48,8 @@
         }
     }
 
-    fn ask_helpers(&mut self) {
-        let Some(now) = self.due.last_tick else {
-            return;
-        };
+    /// Asks other nodes to probe those that did not answer this one.
+    fn ask_helpers(&mut self, now: MonotonicTime) {
         for (sequence, target) in self.probes.take_unanswered(now) {
             let Some(member) = self.members.get(&target) else {
                 continue;
