--- a/lib/src/process/membership/state/mod.rs
+++ b/lib/src/process/membership/state/mod.rs
@@ -55,6 +55,9 @@
     pub random_seed: u64,
 }
 
+/// Most seed addresses that a node holds.
+const SEEDS_MAX: usize = 64;
+
 /// A datagram to send.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Outgoing {
@@ -92,7 +95,7 @@
 
 /// When the recurring actions are next due.
 #[derive(Clone, Copy, Debug, Default)]
-struct Schedule {
+struct DueTimes {
     probe: MonotonicTime,
     lost_probe: MonotonicTime,
     sync: MonotonicTime,
@@ -117,7 +120,7 @@
     schedule: ProbeSchedule,
     announcer: Announcer,
     transfers: Transfers,
-    due: Schedule,
+    due: DueTimes,
     config: ConfigVersion,
     config_hint: Option<ConfigHint>,
     counters: MembershipCounters,
@@ -154,7 +157,7 @@
             schedule: ProbeSchedule::default(),
             announcer: Announcer::default(),
             transfers: Transfers::default(),
-            due: Schedule::default(),
+            due: DueTimes::default(),
             config: ConfigVersion::default(),
             config_hint: None,
             counters: MembershipCounters::default(),
@@ -206,7 +209,8 @@
 
     /// Adds an address at which another node may listen, as read from the platform's service.
     pub fn add_seed(&mut self, seed: SocketAddr) {
-        if seed != self.own.addresses.probe && !self.seeds.contains(&seed) {
+        let is_new = seed != self.own.addresses.probe && !self.seeds.contains(&seed);
+        if is_new && self.seeds.len() < SEEDS_MAX {
             self.seeds.push(seed);
         }
     }
--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -24,6 +24,7 @@
 use super::once::pass_all_on;
 use super::once::runs_ended;
 use super::rates::RateTasks;
+use super::seed_lists::keep_seed_lists;
 use super::serve::handle_peer;
 use crate::connection::ListenError;
 use crate::connection::Listener;
@@ -102,6 +103,7 @@
     control: ControlServing,
     drain_asked: Arc<Notify>,
     _housekeeping: AbortOnDropHandle<()>,
+    _seed_lists: AbortOnDropHandle<()>,
     _configuration: ConfigurationTasks,
     _once: OnceTasks,
     rate_tasks: RateTasks,
@@ -149,6 +151,7 @@
                 source: Box::new(error),
             })?;
         let housekeeping = tokio::spawn(keep_house(Arc::clone(&node)));
+        let seed_lists = tokio::spawn(keep_seed_lists(Arc::clone(&node)));
         let configuration = ConfigurationTasks::start(&node);
         let once = OnceTasks::start(&node);
         let rate_tasks = RateTasks::start(&node);
@@ -163,6 +166,7 @@
             control,
             drain_asked,
             _housekeeping: AbortOnDropHandle::new(housekeeping),
+            _seed_lists: AbortOnDropHandle::new(seed_lists),
             _configuration: configuration,
             _once: once,
             rate_tasks,
