node: keep requests that crash backend servers off the fleet

Cause: a request that crashes its server was retried on the next one until all were down. The node tells the other nodes of its service who was in flight before it answers the failed requests; suspects run alone on one named node; those present at two crashes are refused. The stand-in can crash alone, on a runtime of its own.

Shown failing first: with every request admitted, 5 of 5 servers go down (expected 2), and bystanders find no server left.

--- a/lib/src/process/control/api.rs
+++ b/lib/src/process/control/api.rs
@@ -16,6 +16,7 @@
 use crate::process::rates::Ask;
 use crate::process::rates::PeerStanding;
 use crate::process::rates::Report;
+use crate::process::suspects::SuspectEntry;
 use crate::values::ConfigVersion;
 use crate::version::Configuration;
 
@@ -70,6 +71,10 @@
     #[method(name = "onceHandOver")]
     async fn once_hand_over(&self, handover: SlotHandover) -> RpcResult<bool>;
 
+    /// Tells of suspected requests; returns those that the node can clear.
+    #[method(name = "suspectNews")]
+    async fn suspect_news(&self, news: Vec<SuspectEntry>) -> RpcResult<Vec<SuspectEntry>>;
+
     /// Tells the end of an attempt whose record was handed over while it ran.
     #[method(name = "onceSettle")]
     async fn once_settle(&self, settled: HandedRecord) -> RpcResult<()>;
--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -46,6 +46,7 @@
 use crate::process::rates::PeerStanding;
 use crate::process::rates::Report;
 use crate::process::settings::NodeSettings;
+use crate::process::suspects::SuspectEntry;
 use crate::values::ConfigVersion;
 use crate::version::Configuration;
 
@@ -322,6 +323,10 @@
         Ok(self.node.take_handover(handover))
     }
 
+    async fn suspect_news(&self, news: Vec<SuspectEntry>) -> RpcResult<Vec<SuspectEntry>> {
+        Ok(self.node.merge_suspects(&news))
+    }
+
     async fn once_settle(&self, settled: HandedRecord) -> RpcResult<()> {
         self.node.take_settlement(settled);
         Ok(())
--- a/lib/src/process/node/dump.rs
+++ b/lib/src/process/node/dump.rs
@@ -40,6 +40,8 @@
         pub in_flight_requests: usize,
         /// At-most-once records and terms.
         pub once: OnceDump,
+        /// Requests that were present when a backend server crashed.
+        pub suspects: usize,
         /// Whether the node holds the rates of its zone.
         pub holds_rates: bool,
         /// The holder of the zone's rates, as the platform's record last named it to this node.
@@ -105,6 +107,7 @@
                 floor: server.gate.floor(),
             }),
             in_flight_requests: self.in_flight.len(),
+            suspects: self.suspects.count(),
             once: OnceDump {
                 records: self.once.record_count(),
                 held_slots: self.once.held_slots(),
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -19,6 +19,7 @@
 mod retries;
 mod serve;
 mod shared;
+mod suspects;
 
 pub use self::announcement::Announcement;
 pub use self::announcement::AnnouncementAccepted;
--- a/lib/src/process/node/serve.rs
+++ b/lib/src/process/node/serve.rs
@@ -14,6 +14,7 @@
 use super::entry::whole_request;
 use super::once::serve_keyed;
 use super::peer_message;
+use super::suspects;
 use crate::connection::ATTEMPT_HEADER;
 use crate::connection::ExchangeError;
 use crate::connection::FLOOR_HEADER;
@@ -68,7 +69,7 @@
 
 /// Runs a request on the backend server beside this node.
 pub(super) async fn serve(
-    node: &Node,
+    node: &Arc<Node>,
     context: RequestContext,
     request: WholeRequest,
 ) -> NodeAnswer {
@@ -106,7 +107,7 @@
 }
 
 async fn admit_and_run(
-    node: &Node,
+    node: &Arc<Node>,
     arrived: &Arc<InFlight>,
     request: WholeRequest,
 ) -> Result<WholeAnswer, Refusal> {
@@ -115,6 +116,8 @@
         .ok_or_else(|| Refusal::not_run(RefusalReason::NoServer))?;
     node.load.check_onward(arrived, node.clock.now())?;
     let permit = server.gate.enter(enter_request(node, arrived)).await?;
+    let organisation = arrived.context.organisation.as_ref();
+    let run = suspects::admit(node, organisation, &request).await?;
     let guard = node.in_flight.add(Arc::clone(arrived));
     let handle = guard.handle();
     let remaining = arrived.deadline.remaining(node.clock.now());
@@ -123,12 +126,21 @@
     let onward = *arrived.onward.lock();
     permit.finish(gate_outcome(&result, &onward), onward.waited());
     match result {
-        Ok(answer) => checked_answer(answer, &handle),
-        Err(error) => Err(Refusal {
-            reason: RefusalReason::BadAnswer,
-            verdict: error.verdict(),
-            retry_after_ms: None,
-        }),
+        Ok(answer) => {
+            run.finished();
+            checked_answer(answer, &handle)
+        }
+        Err(error) => {
+            let verdict = error.verdict();
+            if matches!(error, ExchangeError::Sent | ExchangeError::BrokenAnswer) {
+                run.failed(&server).await;
+            }
+            Err(Refusal {
+                reason: RefusalReason::BadAnswer,
+                verdict,
+                retry_after_ms: None,
+            })
+        }
     }
 }
 
--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -17,6 +17,7 @@
 use super::once::OnceState;
 use super::rates::NodeRates;
 use super::retries::Retries;
+use super::suspects::SuspectState;
 use crate::connection::ConnectionPool;
 use crate::connection::PoolLimits;
 use crate::process::configuration::ConfigurationNews;
@@ -60,6 +61,7 @@
     pub(super) peer_key: DerivedKey,
     pub(super) retries: Retries,
     pub(super) once: OnceState,
+    pub(super) suspects: SuspectState,
     /// The configuration in force.
     pub configuration: ConfigurationHolder,
     /// The platform's service.
@@ -80,6 +82,7 @@
             zone: Some(settings.zone.clone()),
             ..PlatformSettings::new(settings.platform)
         });
+        let suspects = SuspectState::new(settings.node.clone());
         Self {
             load: LoadControl::new(settings.zone.clone(), clock.now()),
             peer_key: settings.fleet_secret.derive(KeyPurpose::PeerRequest),
@@ -90,6 +93,7 @@
             in_flight: Arc::default(),
             retries: Retries::new(rand::random()),
             once: OnceState::new(),
+            suspects,
             configuration: ConfigurationHolder::new(),
             platform,
             configuration_news: broadcast::Sender::new(NEWS_QUEUE_MAX),
--- a/lib/src/process/once/key.rs
+++ b/lib/src/process/once/key.rs
@@ -103,8 +103,12 @@
     }
 
     /// Hashes what a request asks for together with the organisation that asks.
-    pub(crate) fn of_content(organisation: &OrganisationId, content: ContentDigest) -> Self {
-        Self(digest_of(&[organisation.as_str().as_bytes(), &content.0]))
+    pub(crate) fn of_content(
+        organisation: Option<&OrganisationId>,
+        content: ContentDigest,
+    ) -> Self {
+        let organisation = organisation.map_or("", OrganisationId::as_str);
+        Self(digest_of(&[organisation.as_bytes(), &content.0]))
     }
 
     /// Returns the first bytes as a number, for choosing by hash.
--- a/lib/src/process/suspects/entry.rs
+++ b/lib/src/process/suspects/entry.rs
@@ -14,8 +14,8 @@
 }
 
 impl Fingerprint {
-    /// Makes the fingerprint of a request.
-    pub fn of(organisation: &OrganisationId, content: ContentDigest) -> Self {
+    /// Makes the fingerprint of a request; routes open to all have no organisation.
+    pub fn of(organisation: Option<&OrganisationId>, content: ContentDigest) -> Self {
         Self(KeyDigest::of_content(organisation, content))
     }
 
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -24,6 +24,7 @@
 mod test_membership_seeds;
 mod test_node_attempts;
 mod test_node_once;
+mod test_node_suspects;
 mod test_once_records;
 mod test_once_schedules;
 mod test_overload;
--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -24,7 +24,7 @@
 
 fn fingerprint(body: u32) -> Fingerprint {
     let content = ContentDigest::of("POST", "/stock", &body.to_be_bytes());
-    Fingerprint::of(&"workshop".parse().unwrap(), content)
+    Fingerprint::of(Some(&"workshop".parse().unwrap()), content)
 }
 
 fn record(index: usize) -> NodeRecord {
--- a/testutils/src/backend_server/server.rs
+++ b/testutils/src/backend_server/server.rs
@@ -27,6 +27,8 @@
 use rand::rngs::StdRng;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
 use tokio::sync::Semaphore;
 use tokio_util::task::AbortOnDropHandle;
 use volo_http::body::Body;
@@ -87,9 +89,33 @@
     address: SocketAddr,
     serving: Serving,
     _announcing: Option<AbortOnDropHandle<()>>,
+    own_runtime: OwnRuntime,
 }
 
+/// The runtime of a stand-in that can crash alone; none if it shares that of the test.
+#[derive(Clone, Default)]
+struct OwnRuntime(Arc<Mutex<Option<Runtime>>>);
+
+impl OwnRuntime {
+    /// Closes all sockets of the stand-in at once, as a crash does.
+    fn shut_down(&self) {
+        if let Some(runtime) = self.0.lock().take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for BackendServer {
+    fn drop(&mut self) {
+        self.own_runtime.shut_down();
+    }
+}
+
+/// What a stand-in does when a request crashes it.
+type CrashAction = Box<dyn Fn() + Send + Sync>;
+
 struct Shared {
+    crash: CrashAction,
     plan: ServerPlan,
     slots: Semaphore,
     behaviour: Mutex<Behaviour>,
@@ -99,11 +125,43 @@
 }
 
 impl BackendServer {
-    /// Starts a stand-in on a free port.
+    /// Starts a stand-in on a free port. A crash ends the whole process.
     pub async fn start(
         plan: ServerPlan,
         behaviour: Behaviour,
         upstream: Upstream,
+    ) -> std::io::Result<Self> {
+        let crash = Box::new(|| std::process::abort());
+        Self::start_with(plan, behaviour, upstream, crash).await
+    }
+
+    /// Starts a stand-in on a free port and a runtime of its own. A crash ends only the stand-in.
+    pub async fn start_apart(
+        plan: ServerPlan,
+        behaviour: Behaviour,
+        upstream: Upstream,
+    ) -> std::io::Result<Self> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()?;
+        let own_runtime = OwnRuntime::default();
+        let crashing = own_runtime.clone();
+        let crash = Box::new(move || crashing.shut_down());
+        let starting = runtime.spawn(Self::start_with(plan, behaviour, upstream, crash));
+        *own_runtime.0.lock() = Some(runtime);
+        let server = starting.await.map_err(std::io::Error::other)?;
+        server.map(|mut server| {
+            server.own_runtime = own_runtime;
+            server
+        })
+    }
+
+    async fn start_with(
+        plan: ServerPlan,
+        behaviour: Behaviour,
+        upstream: Upstream,
+        crash: CrashAction,
     ) -> std::io::Result<Self> {
         let listener = Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))
             .await
@@ -115,6 +173,7 @@
             header_bytes_max: 64 * 1_024,
         };
         let shared = Arc::new(Shared {
+            crash,
             slots: Semaphore::new(plan.slots as usize),
             behaviour: Mutex::new(behaviour),
             random: Mutex::new(StdRng::seed_from_u64(plan.seed)),
@@ -141,6 +200,7 @@
             address,
             serving,
             _announcing: announcing,
+            own_runtime: OwnRuntime::default(),
         })
     }
 
@@ -224,7 +284,8 @@
     }
     shared.recorder.note(path, headers, &body);
     if behaviour.crashes_on(&body) {
-        std::process::abort();
+        (shared.crash)();
+        std::future::pending::<()>().await;
     }
     let service_time = behaviour.service_time(&mut shared.random.lock());
     {
--- a/testutils/src/fleet/test_fleet.rs
+++ b/testutils/src/fleet/test_fleet.rs
@@ -70,7 +70,7 @@
                 service_time_ms: 1.0,
                 ..Behaviour::default()
             };
-            let server = BackendServer::start(
+            let server = BackendServer::start_apart(
                 plan.clone(),
                 behaviour,
                 Upstream::Node(daemon.local_address()),
