--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -20,6 +20,7 @@
 mod seed_lists;
 mod serve;
 mod shared;
+mod suspects;
 
 pub use self::announcement::Announcement;
 pub use self::announcement::AnnouncementAccepted;
