--- a/testutils/src/backend_server/recorder.rs
+++ b/testutils/src/backend_server/recorder.rs
@@ -1,5 +1,9 @@
 //! Records what really ran, for checks that do not trust the product's own word.
 
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+
 use http::HeaderMap;
 use http::header;
 use parking_lot::Mutex;
@@ -23,9 +27,21 @@
 #[derive(Debug, Default)]
 pub struct Recorder {
     runs: Mutex<Vec<Run>>,
+    /// Each run is also sent here before it starts, so that the record outlives the process.
+    report_to: Option<UdpSocket>,
 }
 
 impl Recorder {
+    /// Makes a recorder that also sends each run to `address`.
+    pub fn reporting_to(address: SocketAddr) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+        socket.connect(address)?;
+        Ok(Self {
+            runs: Mutex::default(),
+            report_to: Some(socket),
+        })
+    }
+
     /// Notes that a request starts to run.
     pub fn note(&self, path: &str, headers: &HeaderMap, body: &[u8]) {
         let run = Run {
@@ -34,6 +50,11 @@
             carried_key: headers.contains_key(header::AUTHORIZATION),
             header_names: headers.iter().map(|(name, _)| name.to_string()).collect(),
         };
+        if let Some(report_to) = &self.report_to {
+            let datagram = serde_json::to_vec(&run).unwrap_or_default();
+            // A lost report can hide a second run, and never shows one that was not.
+            let _ = report_to.send(&datagram);
+        }
         self.runs.lock().push(run);
     }
 
--- a/testutils/src/backend_server/server.rs
+++ b/testutils/src/backend_server/server.rs
@@ -61,6 +61,8 @@
     pub calls: Vec<String>,
     /// Seed of its random choices.
     pub seed: u64,
+    /// Each run is sent here before it starts.
+    pub report_to: Option<SocketAddr>,
 }
 
 /// Where a stand-in sends its onward calls.
@@ -177,7 +179,10 @@
             slots: Semaphore::new(plan.slots as usize),
             behaviour: Mutex::new(behaviour),
             random: Mutex::new(StdRng::seed_from_u64(plan.seed)),
-            recorder: Recorder::default(),
+            recorder: match plan.report_to {
+                Some(address) => Recorder::reporting_to(address)?,
+                None => Recorder::default(),
+            },
             upstream: upstream
                 .address()
                 .map(|address| ConnectionPool::new(address, pool_limits())),
@@ -407,6 +412,7 @@
             connections: CONNECTIONS,
             calls: calls.iter().map(|&call| call.to_owned()).collect(),
             seed: 1,
+            report_to: None,
         }
     }
 }
--- /dev/null
+++ b/testutils/src/chaos/faults.rs
@@ -0,0 +1,289 @@
+//! The failures that a run brings about.
+
+use std::error::Error;
+use std::fmt;
+use std::time::Duration;
+
+use balsamfold::connection::ConnectionPool;
+use balsamfold::connection::PoolLimits;
+use balsamfold::process::configuration::ConfigurationStore;
+use balsamfold::process::configuration::WriteOutcome;
+use balsamfold::process::platform::PlatformClient;
+use balsamfold::process::platform::PlatformSettings;
+use balsamfold::values::ConfigVersion;
+use balsamfold::version::ChangeId;
+use balsamfold::version::Configuration;
+use balsamfold::version::KeyState;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use rand::Rng;
+use rand::rngs::StdRng;
+use rustix::process::Signal;
+use uuid::Uuid;
+
+use crate::mesh::ProcessFleet;
+use crate::platform::Faults;
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+const PLATFORM_DELAY_MS: u64 = 800;
+const OPERATORS: usize = 4;
+
+/// A failure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultKind {
+    /// None, as a measure for the others.
+    None,
+    /// A node is killed and later replaced, with its backend server.
+    KillNode,
+    /// A backend server is killed and later replaced, with its node.
+    KillServer,
+    /// A node is paused and later resumed.
+    PauseNode,
+    /// A zone is cut off from the platform.
+    CutPlatformFromZone,
+    /// The platform is down.
+    PlatformOutage,
+    /// The platform is slow.
+    PlatformSlow,
+    /// Answers of the platform are lost after writes took effect.
+    PlatformLostAnswers,
+    /// Operators race on one change.
+    OperatorRace,
+    /// A key is withdrawn while its callers are connected.
+    WithdrawKey,
+    /// A node stops as planned and is replaced.
+    PlannedStop,
+}
+
+impl FaultKind {
+    /// All failures, one after another.
+    pub const ALL: [Self; 11] = [
+        Self::None,
+        Self::KillNode,
+        Self::KillServer,
+        Self::PauseNode,
+        Self::CutPlatformFromZone,
+        Self::PlatformOutage,
+        Self::PlatformSlow,
+        Self::PlatformLostAnswers,
+        Self::OperatorRace,
+        Self::PlannedStop,
+        Self::WithdrawKey,
+    ];
+
+    /// Failures at the same time.
+    pub const PAIRS: [(Self, Self); 5] = [
+        (Self::KillNode, Self::PlatformOutage),
+        (Self::PauseNode, Self::KillServer),
+        (Self::PlannedStop, Self::PlatformOutage),
+        (Self::KillNode, Self::PauseNode),
+        (Self::CutPlatformFromZone, Self::KillServer),
+    ];
+}
+
+impl fmt::Display for FaultKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::None => "no failure",
+            Self::KillNode => "node killed",
+            Self::KillServer => "backend server killed",
+            Self::PauseNode => "node paused",
+            Self::CutPlatformFromZone => "zone cut from platform",
+            Self::PlatformOutage => "platform outage",
+            Self::PlatformSlow => "platform slow",
+            Self::PlatformLostAnswers => "platform loses answers",
+            Self::OperatorRace => "operators race",
+            Self::WithdrawKey => "key withdrawn",
+            Self::PlannedStop => "planned stop",
+        })
+    }
+}
+
+/// What has to be done to end a failure.
+#[derive(Clone, Copy, Debug)]
+pub enum Remedy {
+    /// Nothing.
+    None,
+    /// The node is replaced.
+    Restart(usize),
+    /// The node has to end by itself and without error, and is replaced.
+    Replace(usize),
+    /// The node is resumed.
+    Resume(usize),
+    /// The platform gets well.
+    HealPlatform,
+}
+
+impl Remedy {
+    /// Returns the node that the failure concerns.
+    pub fn node(&self) -> Option<usize> {
+        match self {
+            Self::Restart(index) | Self::Replace(index) | Self::Resume(index) => Some(*index),
+            Self::None | Self::HealPlatform => None,
+        }
+    }
+}
+
+/// Begins a failure on a random node that is not `spare`.
+pub async fn begin(
+    fault: FaultKind,
+    fleet: &mut ProcessFleet,
+    spare: Option<usize>,
+    random: &mut StdRng,
+) -> Result<Remedy, Box<dyn Error>> {
+    let index = loop {
+        let index = random.random_range(0..fleet.nodes.len());
+        if Some(index) != spare {
+            break index;
+        }
+    };
+    let platform = |faults| switch_platform(fleet, faults);
+    match fault {
+        FaultKind::None => Ok(Remedy::None),
+        FaultKind::KillNode => {
+            fleet.nodes[index].node.signal(Signal::KILL)?;
+            Ok(Remedy::Restart(index))
+        }
+        FaultKind::KillServer => {
+            fleet.nodes[index].server.signal(Signal::KILL)?;
+            Ok(Remedy::Restart(index))
+        }
+        FaultKind::PauseNode => {
+            fleet.nodes[index].node.signal(Signal::STOP)?;
+            Ok(Remedy::Resume(index))
+        }
+        FaultKind::PlannedStop => {
+            fleet.nodes[index].node.signal(Signal::TERM)?;
+            Ok(Remedy::Replace(index))
+        }
+        FaultKind::CutPlatformFromZone => {
+            let zone = fleet.nodes[index].zone.parse()?;
+            platform(Faults {
+                cut_zones: std::iter::once(zone).collect(),
+                ..Faults::default()
+            })
+            .await
+        }
+        FaultKind::PlatformOutage => {
+            platform(Faults {
+                is_down: true,
+                ..Faults::default()
+            })
+            .await
+        }
+        FaultKind::PlatformSlow => {
+            platform(Faults {
+                delay_ms: PLATFORM_DELAY_MS,
+                ..Faults::default()
+            })
+            .await
+        }
+        FaultKind::PlatformLostAnswers => {
+            platform(Faults {
+                lost_swap_replies: 5,
+                ..Faults::default()
+            })
+            .await
+        }
+        FaultKind::OperatorRace => {
+            race_operators(fleet).await?;
+            Ok(Remedy::None)
+        }
+        FaultKind::WithdrawKey => {
+            change(fleet, withdraw_last).await?;
+            Ok(Remedy::None)
+        }
+    }
+}
+
+/// Ends a failure.
+pub async fn end(remedy: Remedy, fleet: &mut ProcessFleet) -> Result<(), Box<dyn Error>> {
+    match remedy {
+        Remedy::None => Ok(()),
+        Remedy::Restart(index) => fleet.restart(index),
+        Remedy::Replace(index) => match fleet.nodes[index].node.wait()? {
+            true => fleet.restart(index),
+            false => Err("a planned stop ended with an error".into()),
+        },
+        Remedy::Resume(index) => Ok(fleet.nodes[index].node.signal(Signal::CONT)?),
+        Remedy::HealPlatform => {
+            switch_platform(fleet, Faults::default()).await?;
+            Ok(())
+        }
+    }
+}
+
+async fn switch_platform(fleet: &ProcessFleet, faults: Faults) -> Result<Remedy, Box<dyn Error>> {
+    let limits = PoolLimits {
+        connections_max: 1,
+        connect_timeout_ms: 1_000,
+        idle_timeout_ms: 1_000,
+        answer_bytes_max: 64 * 1_024,
+    };
+    let pool = ConnectionPool::new(fleet.platform_address, limits);
+    let request = balsamfold::connection::WholeRequest {
+        method: Method::PUT,
+        uri: "/v1/faults".parse()?,
+        headers: HeaderMap::new(),
+        body: Bytes::from(serde_json::to_vec(&faults)?),
+    };
+    let answer = pool.exchange(request, CALL_TIMEOUT).await?;
+    match answer.status.is_success() {
+        true => Ok(Remedy::HealPlatform),
+        false => Err(format!("the platform answered {}", answer.status).into()),
+    }
+}
+
+/// Several operators write different changes over the same version: exactly one may win.
+async fn race_operators(fleet: &ProcessFleet) -> Result<(), Box<dyn Error>> {
+    let client = PlatformClient::new(&PlatformSettings::new(fleet.platform_address));
+    let store = ConfigurationStore::new(&client, 1);
+    let base = store.read().await?.ok_or("no configuration is stored")?;
+    let changes: Vec<Configuration> = (0..OPERATORS)
+        .map(|_| next_version(&base.configuration))
+        .collect();
+    let writes = changes
+        .iter()
+        .map(|next| store.write(Some(base.revision), next));
+    let outcomes = futures::future::join_all(writes).await;
+    let won = outcomes
+        .iter()
+        .filter(|outcome| matches!(outcome, Ok(WriteOutcome::Done)))
+        .count();
+    match won {
+        1 => Ok(()),
+        _ => Err(format!("{won} of {OPERATORS} operators won the race").into()),
+    }
+}
+
+/// Changes the stored configuration.
+pub async fn change(
+    fleet: &ProcessFleet,
+    edit: impl Fn(Configuration) -> Configuration,
+) -> Result<ConfigVersion, Box<dyn Error>> {
+    let client = PlatformClient::new(&PlatformSettings::new(fleet.platform_address));
+    let store = ConfigurationStore::new(&client, 1);
+    let base = store.read().await?.ok_or("no configuration is stored")?;
+    let next = edit(next_version(&base.configuration));
+    match store.write(Some(base.revision), &next).await {
+        Ok(WriteOutcome::Done) => Ok(next.version),
+        outcome => Err(format!("the change was not accepted: {outcome:?}").into()),
+    }
+}
+
+fn next_version(current: &Configuration) -> Configuration {
+    Configuration {
+        version: ConfigVersion(current.version.0 + 1),
+        change_id: ChangeId(Uuid::new_v4()),
+        ..current.clone()
+    }
+}
+
+/// Withdraws the key that is last by name.
+fn withdraw_last(mut configuration: Configuration) -> Configuration {
+    if let Some(mut last) = configuration.keys.last_entry() {
+        last.get_mut().state = KeyState::Withdrawn;
+    }
+    configuration
+}
--- /dev/null
+++ b/testutils/src/chaos/invariants.rs
@@ -0,0 +1,79 @@
+//! Judges the records of callers and backend servers, not what the product says about itself.
+
+use std::collections::BTreeMap;
+
+use balsamfold::request::Verdict;
+
+use super::journal::End;
+use super::journal::Seen;
+use super::journal::runs_by_request;
+use crate::backend_server::Run;
+
+/// What the checks need to know of an organisation.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowance {
+    /// Its rate.
+    pub rate_per_s: f64,
+    /// Its burst.
+    pub burst_tokens: f64,
+}
+
+/// A breach of what must always hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Breach {
+    /// A request on a path that must run at most once ran more often.
+    RanTwice(String),
+    /// A request whose caller was told that it did not run did run.
+    FalseNotRun(String),
+    /// A backend server saw a caller's key.
+    KeySeen(String),
+    /// A caller got an answer that is not whole or not its own.
+    WrongAnswer(String),
+    /// More requests of an organisation ran than its rate and burst allow.
+    RateExceeded(String),
+}
+
+/// Checks the records of one load; `once_paths` are the paths that must run at most once.
+pub fn breaches(
+    seen: &BTreeMap<String, Seen>,
+    runs: &[Run],
+    once_paths: &[&str],
+    allowances: &BTreeMap<String, Allowance>,
+) -> Vec<Breach> {
+    let counts = runs_by_request(runs);
+    let last_ms = seen.values().map(|seen| seen.finished_ms).max();
+    let duration_s = last_ms.unwrap_or(0) as f64 / 1_000.0;
+    let ran_twice = counts
+        .iter()
+        .filter(|((path, _), count)| **count > 1 && once_paths.contains(path))
+        .map(|((_, body), _)| Breach::RanTwice((*body).to_owned()));
+    let false_not_run = seen
+        .iter()
+        .filter(|(_, seen)| seen.end == End::Refused(Verdict::NotRun))
+        .filter(|(body, seen)| counts.contains_key(&(seen.path.as_str(), body.as_str())))
+        .map(|(body, _)| Breach::FalseNotRun(body.clone()));
+    let key_seen = runs
+        .iter()
+        .filter(|run| run.carried_key)
+        .map(|run| Breach::KeySeen(run.body.clone()));
+    let wrong = seen
+        .iter()
+        .filter(|(_, seen)| seen.end == End::Wrong)
+        .map(|(body, _)| Breach::WrongAnswer(body.clone()));
+    let over = allowances.iter().filter_map(|(organisation, allowance)| {
+        let ran = seen
+            .iter()
+            .filter(|(_, seen)| seen.organisation == *organisation)
+            .filter(|(body, seen)| counts.contains_key(&(seen.path.as_str(), body.as_str())))
+            .count();
+        let allowed = allowance.burst_tokens + allowance.rate_per_s * duration_s;
+        (ran as f64 > allowed)
+            .then(|| Breach::RateExceeded(format!("{organisation}: {ran} over {allowed}")))
+    });
+    ran_twice
+        .chain(false_not_run)
+        .chain(key_seen)
+        .chain(wrong)
+        .chain(over)
+        .collect()
+}
--- /dev/null
+++ b/testutils/src/chaos/journal.rs
@@ -0,0 +1,91 @@
+//! What callers saw and what backend servers ran, each noted by the side that knows it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use balsamfold::request::Verdict;
+use parking_lot::Mutex;
+use tokio::net::UdpSocket;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::backend_server::Run;
+
+const DATAGRAM_BYTES_MAX: usize = 16 * 1_024;
+
+/// What a caller saw of one request over all its resends.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// The organisation.
+    pub organisation: String,
+    /// The path.
+    pub path: String,
+    /// When the last answer came, in milliseconds since the start of the load.
+    pub finished_ms: u64,
+    /// The end of the request.
+    pub end: End,
+}
+
+/// The end of a request as its caller saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum End {
+    /// A whole answer to this request.
+    Whole,
+    /// An answer that was not whole or belonged to another request.
+    Wrong,
+    /// A refusal or failure with the highest verdict of all attempts.
+    Refused(Verdict),
+    /// No answer.
+    Lost,
+}
+
+/// What backend servers ran, by the body of the request.
+#[derive(Debug)]
+pub struct Runs {
+    runs: Arc<Mutex<Vec<Run>>>,
+    address: std::net::SocketAddr,
+    _receiving: AbortOnDropHandle<()>,
+}
+
+impl Runs {
+    /// Starts to receive the reports of stand-ins.
+    pub async fn receive() -> std::io::Result<Self> {
+        let socket = UdpSocket::bind(("127.0.0.1", 0)).await?;
+        let address = socket.local_addr()?;
+        let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
+        let received = Arc::clone(&runs);
+        let receiving = tokio::spawn(async move {
+            let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
+            while let Ok(bytes) = socket.recv(&mut buffer).await {
+                if let Ok(run) = serde_json::from_slice(&buffer[..bytes]) {
+                    received.lock().push(run);
+                }
+            }
+        });
+        Ok(Self {
+            runs,
+            address,
+            _receiving: AbortOnDropHandle::new(receiving),
+        })
+    }
+
+    /// Returns where stand-ins report.
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.address
+    }
+
+    /// Returns all runs so far and forgets them.
+    pub fn take(&self) -> Vec<Run> {
+        std::mem::take(&mut *self.runs.lock())
+    }
+}
+
+/// Counts runs by path and body.
+pub fn runs_by_request(runs: &[Run]) -> BTreeMap<(&str, &str), usize> {
+    let mut counts = BTreeMap::new();
+    for run in runs {
+        *counts
+            .entry((run.path.as_str(), run.body.as_str()))
+            .or_default() += 1;
+    }
+    counts
+}
--- /dev/null
+++ b/testutils/src/chaos/mod.rs
@@ -0,0 +1,11 @@
+//! Brings about failures in a fleet of processes under load and checks what must always hold.
+
+mod faults;
+mod invariants;
+mod journal;
+mod pressure;
+mod runner;
+
+pub use self::faults::FaultKind;
+pub use self::runner::ChaosPlan;
+pub use self::runner::run_chaos;
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for callers, backend servers and the platform, for tests and measurements.
 
 pub mod backend_server;
+pub mod chaos;
 pub mod fleet;
 pub mod load;
 pub mod mesh;
--- a/testutils/src/mesh/process_fleet.rs
+++ b/testutils/src/mesh/process_fleet.rs
@@ -10,6 +10,7 @@
 use balsamfold::process::control::ControlClient;
 use balsamfold::process::node::ReadyLine;
 use balsamfold::process::secret::FleetSecret;
+use balsamfold::values::ServiceId;
 use balsamfold::version::Configuration;
 
 use super::ChildProcess;
@@ -33,6 +34,8 @@
     pub name: String,
     /// The zone of the node.
     pub zone: String,
+    /// The service of its backend server.
+    pub service: ServiceId,
     /// The node.
     pub node: ChildProcess,
     /// The backend server.
@@ -50,6 +53,10 @@
     pub nodes: Vec<ProcessNode>,
     /// The platform's service.
     pub platform: ChildProcess,
+    /// Where the platform's service listens.
+    pub platform_address: SocketAddr,
+    programs: Programs,
+    services: Vec<ServicePlan>,
 }
 
 impl ProcessFleet {
@@ -81,7 +88,42 @@
                 }
             }
         }
-        Ok(Self { nodes, platform })
+        Ok(Self {
+            nodes,
+            platform,
+            platform_address,
+            programs: programs.clone(),
+            services: services.to_vec(),
+        })
+    }
+
+    /// Ends a node and its backend server and starts both again under the same name.
+    pub fn restart(&mut self, index: usize) -> Result<(), Box<dyn Error>> {
+        let seeds: Vec<SocketAddr> = self
+            .nodes
+            .iter()
+            .enumerate()
+            .filter(|(other, _)| *other != index)
+            .map(|(_, node)| node.addresses.others.probe)
+            .take(SEEDS_MAX)
+            .collect();
+        let old = &self.nodes[index];
+        let name = old.name.clone();
+        let zone = old.zone.clone();
+        let service = self
+            .services
+            .iter()
+            .find(|service| service.server.service == old.service)
+            .ok_or("the service of the node has no plan")?;
+        let place = NodePlace {
+            name: &name,
+            zone: &zone,
+            platform: self.platform_address,
+            seeds: &seeds,
+        };
+        let node = start_node(&self.programs, &place, service)?;
+        self.nodes[index] = node;
+        Ok(())
     }
 
     /// Puts `configuration` in force on all nodes and waits until they know all backend servers and
@@ -91,6 +133,11 @@
             let control = node.control()?;
             control.offer_configuration(configuration.clone()).await?;
         }
+        self.wait_until_ready().await
+    }
+
+    /// Waits until all nodes know all backend servers and every zone has a holder of its rates.
+    pub async fn wait_until_ready(&self) -> Result<(), Box<dyn Error>> {
         let known = async {
             for node in &self.nodes {
                 let control = node.control()?;
@@ -176,6 +223,7 @@
     Ok(ProcessNode {
         name: name.to_owned(),
         zone: zone.to_owned(),
+        service: service.server.service.clone(),
         server_address: server.first_line().parse()?,
         node,
         server,
