rates: release the role of a holder at a planned stop

Before, the zone's tokens were not minted until the lease of a stopped holder had ended, 4 s after its last renewal. The next candidate now takes the role with its next read, at most a second later. Levels are not handed over; a new holder starts empty.

--- a/lib/src/process/node/rate_role.rs
+++ b/lib/src/process/node/rate_role.rs
@@ -63,6 +63,9 @@
         period.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             period.tick().await;
+            if self.node.is_draining() {
+                return self.release().await;
+            }
             self.ask_for_promises().await;
             let service = Arc::clone(&self.node.rates().service);
             match service.next_lease_action(self.is_candidate()) {
@@ -79,6 +82,19 @@
         !self.node.is_draining() && candidates.contains(&settings.node)
     }
 
+    /// Lets another node take the role at once. If the write fails, it waits for the lease.
+    async fn release(&self) {
+        let service = &self.node.rates().service;
+        let write = service.with_lease(|lease, now| lease.release(now));
+        if let Some(value) = write.and_then(|write| value_of(&write.record)) {
+            let swap = self
+                .platform
+                .compare_and_swap(&self.key, self.revision, &value, None);
+            // Without the write the role is taken over when the lease has ended.
+            let _ = swap.await;
+        }
+    }
+
     async fn read(&mut self) {
         let reply = self.platform.get(&self.key).await;
         let service = &self.node.rates().service;
--- a/lib/src/process/rates/lease.rs
+++ b/lib/src/process/rates/lease.rs
@@ -186,6 +186,27 @@
         }
     }
 
+    /// Gives the role up, for a planned stop. Returns what to write, unless a write is in doubt.
+    ///
+    /// This node grants nothing from now on, whatever becomes of the write.
+    pub fn release(&mut self, now: MonotonicTime) -> Option<RecordWrite> {
+        let held = self.held.take();
+        let seen = self
+            .seen
+            .as_ref()
+            .filter(|_| held.is_some() && self.open.is_none())?;
+        let record = seen.record.clone()?;
+        Some(RecordWrite {
+            expected: Some(record.clone()),
+            record: HolderRecord {
+                renewals: record.renewals + 1,
+                released: true,
+                layouts: self.layouts.to_publish(now),
+                ..record
+            },
+        })
+    }
+
     /// Takes in that the open write took effect.
     pub fn write_succeeded(&mut self, now: MonotonicTime) {
         self.platform = PlatformStanding::Reachable;
@@ -307,6 +328,7 @@
                 incarnation: self.incarnation,
                 epoch,
                 renewals,
+                released: false,
                 layouts,
             },
         }
@@ -315,7 +337,8 @@
     fn may_take_over(&self, seen: &SeenRecord, now: MonotonicTime) -> bool {
         let is_vacant = seen.record.is_none();
         let is_lapsed = now.since(seen.since) >= LEASE_TAKEOVER;
-        let is_free = is_vacant || is_lapsed;
+        let is_released = seen.record.as_ref().is_some_and(|record| record.released);
+        let is_free = is_vacant || is_released || is_lapsed;
         self.wanted.is_some() && now >= self.no_takeover_before && is_free
     }
 
--- a/lib/src/process/rates/lease_record.rs
+++ b/lib/src/process/rates/lease_record.rs
@@ -17,6 +17,8 @@
         pub epoch: Epoch,
         /// Rises by one with each renewal.
         pub renewals: u64,
+        /// Whether the holder has given the role up, so that it can be taken at once.
+        pub released: bool,
         /// Splits of rates over zones that bind the holder, the newest last.
         pub layouts: Vec<ZoneLayout>,
     }
--- a/lib/tests/test_rates_lease.rs
+++ b/lib/tests/test_rates_lease.rs
@@ -190,6 +190,7 @@
         incarnation: Incarnation(1),
         epoch: Epoch(1),
         renewals: 0,
+        released: false,
         layouts: weights.iter().map(|weight| layout(*weight)).collect(),
     })
 }
@@ -285,3 +286,26 @@
     second.write_succeeded(at(2_410).after(LEASE_TAKEOVER));
     assert_eq!(share_tokens(&second), 40);
 }
+
+#[test]
+fn a_released_role_is_taken_at_once() {
+    let mut first = lease("n1");
+    take(&mut first, 0);
+    let write = first.release(at(100)).expect("the role is given up");
+    assert_eq!(first.held_epoch(at(100)), None);
+    let mut second = lease("n2");
+    second.record_read(Some(write.record), at(110));
+    let takeover = write_of(second.next_action(true, at(120)));
+    assert_eq!(takeover.record.epoch, Epoch(2));
+    assert!(!takeover.record.released);
+}
+
+#[test]
+fn a_role_with_a_write_in_doubt_is_not_released() {
+    let mut first = lease("n1");
+    take(&mut first, 0);
+    first.next_action(true, at(1_100));
+    first.platform_unreachable();
+    assert_eq!(first.release(at(1_200)), None);
+    assert_eq!(first.held_epoch(at(1_200)), None);
+}
