entry: refuse paths with dot segments

Cause: routes match the path as it was sent, and a backend server may resolve '/stock/open/../keyed' to '/stock/keyed'. A caller without a key could so reach a keyed path of a service that also has an open route. Found by reading; the test failed first (200 instead of 400 for '/stock/open/../keyed'). Plain and percent-encoded segments are refused with bad-request, at the entry and for onward calls.

--- a/lib/src/process/node/entry.rs
+++ b/lib/src/process/node/entry.rs
@@ -32,9 +32,11 @@
 use crate::values::RequestId;
 use crate::version::Access;
 use crate::version::CallerKey;
+use crate::version::Configuration;
 use crate::version::IndexedConfiguration;
 use crate::version::Repeatability;
 use crate::version::Route;
+use crate::version::has_dot_segment;
 
 const BEARER_PREFIX: &str = "Bearer ";
 
@@ -46,9 +48,7 @@
 
 async fn enter(node: &Arc<Node>, request: Request) -> Result<WholeAnswer, Refusal> {
     let configuration = node.indexed_configuration()?;
-    let route = configuration
-        .route_of(request.uri().path())
-        .ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute))?;
+    let route = checked_route(configuration.configuration(), request.uri().path())?;
     let organisation = organisation(&configuration, route, request.headers())?;
     let deadline_ms = deadline_ms(route, request.headers())?;
     if node.is_draining() {
@@ -82,6 +82,18 @@
     forward(node, outbound).await
 }
 
+/// Finds the route of `path`.
+pub(super) fn checked_route<'a>(
+    configuration: &'a Configuration,
+    path: &str,
+) -> Result<&'a Route, Refusal> {
+    match configuration.route_of(path) {
+        _ if has_dot_segment(path) => Err(Refusal::not_run(RefusalReason::BadRequest)),
+        Some(route) => Ok(route),
+        None => Err(Refusal::not_run(RefusalReason::NoRoute)),
+    }
+}
+
 /// Reads a request whole, without the headers that concern one connection only.
 pub(super) async fn whole_request(node: &Node, request: Request) -> Result<WholeRequest, Refusal> {
     let (mut parts, body) = request.into_parts();
--- a/lib/src/process/node/exit.rs
+++ b/lib/src/process/node/exit.rs
@@ -11,6 +11,7 @@
 use super::announcement::ANNOUNCE_PATH;
 use super::announcement::LEAVE_PATH;
 use super::answer::response;
+use super::entry::checked_route;
 use super::entry::whole_request;
 use super::forward::Outbound;
 use super::forward::forward;
@@ -45,9 +46,7 @@
     let parent = parent(node, request.headers())
         .ok_or_else(|| Refusal::not_run(RefusalReason::HandleUnknown))?;
     let configuration = node.configuration()?;
-    let route = configuration
-        .route_of(request.uri().path())
-        .ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute))?;
+    let route = checked_route(&configuration, request.uri().path())?;
     let mut request = whole_request(node, request).await?;
     strip_system_headers(&mut request.headers);
     let depth = parent.context.depth.onward().map_err(Refusal::not_run)?;
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -27,4 +27,5 @@
 pub use self::route::Access;
 pub use self::route::Repeatability;
 pub use self::route::Route;
+pub use self::route::has_dot_segment;
 pub use self::zone::ZoneRecord;
--- a/lib/src/version/route.rs
+++ b/lib/src/version/route.rs
@@ -45,6 +45,16 @@
     }
 }
 
+/// Returns whether `path` has a segment `.` or `..`, plain or percent-encoded.
+///
+/// A backend server may resolve such a path to another one, whose route was not checked.
+pub fn has_dot_segment(path: &str) -> bool {
+    path.split('/').any(|segment| {
+        let plain = segment.replace("%2e", ".").replace("%2E", ".");
+        plain == "." || plain == ".."
+    })
+}
+
 impl Route {
     /// Returns whether the route answers `path`.
     pub fn matches(&self, path: &str) -> bool {
--- a/lib/tests/test_http_input.rs
+++ b/lib/tests/test_http_input.rs
@@ -1,5 +1,7 @@
 //! Bad, slow and unusual HTTP from callers gets a clear answer and harms no one else.
 
+use balsamfold::version::Access;
+use balsamfold::version::Route;
 use http::Method;
 use http::StatusCode;
 use http::header;
@@ -10,6 +12,7 @@
 use testutils::fleet::post;
 use testutils::fleet::sample_configuration;
 use testutils::fleet::sample_key;
+use testutils::fleet::sample_route;
 use testutils::fleet::send_raw;
 
 const BODY_BYTES_MAX: usize = 1_048_576;
@@ -147,3 +150,32 @@
         1
     );
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn paths_with_dot_segments_open_no_keyed_route() {
+    let plans = [("zone-a", ServerPlan::small("stock", &[]))];
+    let mut configuration = sample_configuration(&["zone-a"], &["small"], &["stock"]);
+    let open = Route {
+        path: "/stock/open".to_owned(),
+        access: Access::Open,
+        ..sample_route("stock")
+    };
+    configuration.routes.push(open);
+    let fleet = TestFleet::start(configuration, &plans).await;
+    let caller = &fleet.nodes[0].caller;
+    let good = caller
+        .send(post("/stock/open", None, &[], "good"))
+        .await
+        .unwrap();
+    assert_eq!(good.status, StatusCode::OK);
+    for path in [
+        "/stock/open/../keyed",
+        "/stock/open/%2E%2e/keyed",
+        "/stock/open/./x",
+        "/stock/open/.%2e",
+    ] {
+        let answer = caller.send(post(path, None, &[], "bad")).await.unwrap();
+        assert_eq!(answer.status, StatusCode::BAD_REQUEST, "{path}");
+    }
+    assert_eq!(fleet.nodes[0].server.recorder().runs().len(), 1);
+}
