--- a/lib/tests/test_load_control.rs
+++ b/lib/tests/test_load_control.rs
@@ -23,6 +23,8 @@
 
 const IMPORTANT: Importance = Importance(200);
 const POLL_PERIOD: Duration = Duration::from_millis(10);
+/// Longest wait; only a failing test reaches it.
+const HANG_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// A configuration in which `/stock` is important and `/browse` leads to the same service.
 fn configuration() -> Configuration {
@@ -51,11 +53,15 @@
     node.daemon.node().dump().server.expect("a server")
 }
 
-/// Waits until a condition holds; only a hanging test never returns.
+/// Waits until a condition holds.
 async fn until(condition: impl AsyncFn() -> bool) {
-    while !condition().await {
-        tokio::time::sleep(POLL_PERIOD).await;
-    }
+    let holds = async {
+        while !condition().await {
+            tokio::time::sleep(POLL_PERIOD).await;
+        }
+    };
+    let result = tokio::time::timeout(HANG_TIMEOUT, holds).await;
+    assert!(result.is_ok(), "the condition never held");
 }
 
 fn served(answers: &[WholeAnswer]) -> usize {
