testutils: let the platform's faults of a change concern the configuration only

Nodes now write seed lists and the rates' holder as well. Their writes took the fault that was meant for the operator's, so withdrawal_reaches_told_nodes_with_the_platform_down_after_the_write got exit code 4 each time. The barrier and going down now count changes of the configuration; both faults are named for that.

--- a/cli/tests/test_configuration.rs
+++ b/cli/tests/test_configuration.rs
@@ -148,7 +148,7 @@
     let twos = desk.write("twos", "10.toml", &acme(2));
     let threes = desk.write("threes", "10.toml", &acme(3));
     desk.platform.set_faults(Faults {
-        swap_barrier: 2,
+        change_barrier: 2,
         ..Faults::default()
     });
     let first = ["apply", twos.as_str()];
@@ -199,7 +199,7 @@
     let folder = desk.write("one", "10.toml", &acme(1));
     desk.platform.set_faults(Faults {
         lost_swap_replies: 1,
-        goes_down_with_swap: true,
+        goes_down_with_change: true,
         ..Faults::default()
     });
     assert_snapshot!(desk.run(&["apply", &folder]).await.text(), @r"
--- a/cli/tests/test_keys.rs
+++ b/cli/tests/test_keys.rs
@@ -103,7 +103,7 @@
 async fn racing_operators_make_one_key_of_a_name() {
     let desk = desk("key-race").await;
     desk.platform.set_faults(Faults {
-        swap_barrier: 2,
+        change_barrier: 2,
         ..Faults::default()
     });
     let (first, second) = tokio::join!(desk.run(&NEW), desk.run(&NEW));
@@ -124,7 +124,7 @@
     let desk = desk("withdraw-race").await;
     assert_eq!(desk.run(&NEW).await.exit, Some(0));
     desk.platform.set_faults(Faults {
-        swap_barrier: 2,
+        change_barrier: 2,
         ..Faults::default()
     });
     let other = ["key", "new", "other", "--organisation", "acme"];
--- a/cli/tests/test_nodes.rs
+++ b/cli/tests/test_nodes.rs
@@ -105,7 +105,7 @@
     let configuration = sample_configuration(&["zone-a"], &["small"], &["stock"]);
     let fleet = ConfiguredFleet::start(&configuration, &["zone-a"; 3]).await;
     fleet.platform.set_faults(Faults {
-        goes_down_with_swap: true,
+        goes_down_with_change: true,
         ..Faults::default()
     });
     let platform = fleet.platform.address().to_string();
--- a/testutils/src/platform/faults.rs
+++ b/testutils/src/platform/faults.rs
@@ -16,12 +16,12 @@
     pub delay_ms: u64,
     /// So many of the next compare-and-swaps take effect but get no reply.
     pub lost_swap_replies: u32,
-    /// The service goes down with the next compare-and-swap, which takes effect.
+    /// The service goes down with the next change of the configuration, which takes effect.
     ///
     /// Its writer gets a reply unless that is lost too; no watcher gets one.
-    pub goes_down_with_swap: bool,
-    /// Compare-and-swaps wait until so many of them are waiting, and then all go on.
-    pub swap_barrier: u32,
+    pub goes_down_with_change: bool,
+    /// Changes of the configuration wait until so many of them are waiting, and then all go on.
+    pub change_barrier: u32,
     /// Calls from these zones are treated as if the service were down.
     pub cut_zones: BTreeSet<ZoneId>,
     /// Calls above this number in a second are refused as busy; none for no limit.
--- a/testutils/src/platform/server.rs
+++ b/testutils/src/platform/server.rs
@@ -64,7 +64,7 @@
     store: PlatformStore,
     faults: Faults,
     status: StandInStatus,
-    swaps_waiting: u32,
+    changes_waiting: u32,
     second: u64,
     calls_in_second: u32,
 }
@@ -166,7 +166,7 @@
             return Ok(busy);
         }
         sleep(delay).await;
-        if call.kind() == CallKind::CompareAndSwap {
+        if changes_configuration(&call) {
             self.pass_barrier().await;
         }
         let deadline = Instant::now() + Duration::from_millis(call.wait_ms());
@@ -188,19 +188,19 @@
         }
     }
 
-    /// Waits until as many compare-and-swaps wait as the faults ask for.
+    /// Waits until as many changes of the configuration wait as the faults ask for.
     async fn pass_barrier(&self) {
         let mut changes = self.changes.subscribe();
         {
             let mut state = self.state.lock();
-            state.swaps_waiting += 1;
-            if state.swaps_waiting >= state.faults.swap_barrier {
-                state.swaps_waiting = 0;
-                state.faults.swap_barrier = 0;
+            state.changes_waiting += 1;
+            if state.changes_waiting >= state.faults.change_barrier {
+                state.changes_waiting = 0;
+                state.faults.change_barrier = 0;
             }
         }
         self.announce();
-        while self.state.lock().faults.swap_barrier > 0 {
+        while self.state.lock().faults.change_barrier > 0 {
             if changes.changed().await.is_err() {
                 return;
             }
@@ -241,12 +241,13 @@
     }
 
     fn apply(&self, call: PlatformCall) -> Result<PlatformReply, CutError> {
+        let is_change = changes_configuration(&call);
         let mut state = self.state.lock();
         let reply = state.store.apply(call, self.clock.now());
         let changed = !matches!(reply, PlatformReply::Watch(_) | PlatformReply::Value(_));
         let is_written = matches!(reply, PlatformReply::Swap(Swap::Done(_)));
         let is_lost = is_written && state.faults.lost_swap_replies > 0;
-        state.faults.is_down |= is_written && state.faults.goes_down_with_swap;
+        state.faults.is_down |= is_written && is_change && state.faults.goes_down_with_change;
         if is_lost {
             state.faults.lost_swap_replies -= 1;
             state.status.cut += 1;
@@ -266,3 +267,8 @@
         CutError
     }
 }
+
+fn changes_configuration(call: &PlatformCall) -> bool {
+    let changed = PlatformKey::Configuration;
+    matches!(call, PlatformCall::CompareAndSwap { key, .. } if *key == changed)
+}
