--- a/testutils/src/platform/faults.rs
+++ b/testutils/src/platform/faults.rs
@@ -16,7 +16,7 @@
     pub delay_ms: u64,
     /// So many of the next compare-and-swaps take effect but get no reply.
     pub lost_swap_replies: u32,
-    /// The service goes down with the next compare-and-swap, which takes effect.
+    /// The service goes down with the next compare-and-swap of the configuration, which takes effect.
     ///
     /// Its writer gets a reply unless that is lost too; no watcher gets one.
     pub goes_down_with_swap: bool,
--- a/testutils/src/platform/server.rs
+++ b/testutils/src/platform/server.rs
@@ -242,11 +242,12 @@
 
     fn apply(&self, call: PlatformCall) -> Result<PlatformReply, CutError> {
         let mut state = self.state.lock();
+        let is_configuration = changes_configuration(&call);
         let reply = state.store.apply(call, self.clock.now());
         let changed = !matches!(reply, PlatformReply::Watch(_) | PlatformReply::Value(_));
         let is_written = matches!(reply, PlatformReply::Swap(Swap::Done(_)));
         let is_lost = is_written && state.faults.lost_swap_replies > 0;
-        state.faults.is_down |= is_written && state.faults.goes_down_with_swap;
+        state.faults.is_down |= is_written && is_configuration && state.faults.goes_down_with_swap;
         if is_lost {
             state.faults.lost_swap_replies -= 1;
             state.status.cut += 1;
@@ -266,3 +267,11 @@
         CutError
     }
 }
+
+/// Returns whether `call` is an operator's change, and not one of the leases of nodes.
+fn changes_configuration(call: &PlatformCall) -> bool {
+    match call {
+        PlatformCall::CompareAndSwap { key, .. } => *key == PlatformKey::Configuration,
+        _ => false,
+    }
+}
