membership: probe a silent leaving node again before it is held for dead

A leaving node cannot be suspect, so it had no rumour to refute: one failed probe by one node, and no datagram to that node within 5 s, ended it for all.

Failing first: lost_datagrams_do_not_end_a_draining_node_of_a_large_zone (40 nodes, 15 % loss) was red; it passes with the silent node probed each second.

--- a/lib/src/process/membership/state/tick.rs
+++ b/lib/src/process/membership/state/tick.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
+use rand::seq::IteratorRandom;
 
 use super::MembershipState;
 use super::receive::RecordSource;
@@ -113,12 +114,25 @@
         }
         if now >= self.due.lost_probe {
             self.due.lost_probe = now.after(timing::LOST_PROBE_INTERVAL);
-            if let Some(target) = self.schedule.next_lost(&self.members, &mut self.rng) {
+            let lost = self.silent_leaving_node();
+            let lost = lost.or_else(|| self.schedule.next_lost(&self.members, &mut self.rng));
+            if let Some(target) = lost {
                 self.probe(&target, ProbePurpose::Recovery, now);
             }
         }
     }
 
+    /// Returns a leaving node that did not answer. It cannot refute by a higher incarnation in time,
+    /// so it is probed again before it is held for dead.
+    fn silent_leaving_node(&mut self) -> Option<NodeId> {
+        let is_leaving = |id: &&NodeId| {
+            let member = self.members.get(id);
+            member.is_some_and(|member| member.record.condition == NodeCondition::Leaving)
+        };
+        let silent = self.suspicions.nodes().filter(is_leaving);
+        silent.choose(&mut self.rng).cloned()
+    }
+
     /// Sends a probe to `target`, if it is known.
     pub(super) fn probe(&mut self, target: &NodeId, purpose: ProbePurpose, now: MonotonicTime) {
         let Some(member) = self.members.get(target) else {
--- a/lib/src/process/membership/suspicions.rs
+++ b/lib/src/process/membership/suspicions.rs
@@ -49,6 +49,11 @@
         self.by_node.insert(id.clone(), Suspicion::new(now));
     }
 
+    /// Returns the nodes that do not answer.
+    pub fn nodes(&self) -> impl Iterator<Item = &NodeId> {
+        self.by_node.keys()
+    }
+
     /// Ends the suspicion of one node.
     pub fn remove(&mut self, id: &NodeId) {
         self.by_node.remove(id);
--- a/lib/tests/test_membership_leaving.rs
+++ b/lib/tests/test_membership_leaving.rs
@@ -45,6 +45,19 @@
     assert!(fleet.all_see(5, NodeCondition::Leaving));
 }
 
+#[test]
+fn lost_datagrams_do_not_end_a_draining_node_of_a_large_zone() {
+    let mut fleet = Fleet::start(1, 40);
+    let now = fleet.now;
+    fleet.node(30).leave(now);
+    fleet.run_for(LEAVE_LIMIT);
+    fleet.loss_percent = 15;
+    for _ in 0..90 {
+        fleet.run_for(Duration::from_secs(1));
+        assert!(fleet.all_see(30, NodeCondition::Leaving));
+    }
+}
+
 #[test]
 fn left_node_ends_and_is_not_probed_for_its_return() {
     let mut fleet = Fleet::start(3, 4);
