--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod events;
 pub mod gate;
 pub mod membership;
+pub mod metrics;
 pub mod node;
 pub mod once;
 pub mod platform;
--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -38,6 +38,8 @@
 use crate::process::events::process as events;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeRecord;
+use crate::process::metrics::Gauge;
+use crate::process::metrics::Metrics;
 use crate::process::once::Assignment;
 use crate::process::once::HandedRecord;
 use crate::process::once::HomeSession;
@@ -73,6 +75,12 @@
         /// The cause.
         source: std::io::Error,
     },
+    /// Metrics could not be sent.
+    #[snafu(display("cannot send metrics: {source}"))]
+    Metrics {
+        /// The cause.
+        source: std::io::Error,
+    },
     /// The control channel could not be served.
     #[snafu(display("cannot serve control calls: {source}"))]
     Control {
@@ -136,7 +144,8 @@
             probe: probes.address(),
         };
         let connections_max = settings.connections_max;
-        let node = Arc::new(Node::new(settings, addresses, probes));
+        let metrics = Metrics::start(settings.metrics).context(MetricsSnafu)?;
+        let node = Arc::new(Node::new(settings, addresses, probes, metrics));
         let drain_asked = Arc::new(Notify::new());
         let caller_address = callers.address();
         let local_address = local.address();
@@ -266,7 +275,28 @@
     loop {
         period.tick().await;
         announcement::expire(&node);
+        report_gauges(&node);
+    }
+}
+
+fn report_gauges(node: &Node) {
+    let gate = node
+        .server()
+        .map(|server| (server.gate.waiting(), server.gate.slots()));
+    if let Some((waiting, slots)) = gate {
+        node.metrics.gauge(Gauge::Waiting, waiting as u64);
+        node.metrics.gauge(Gauge::LimitSlots, slots.into());
     }
+    let taking_work = node
+        .members()
+        .nodes()
+        .filter(|record| record.takes_work())
+        .count();
+    node.metrics
+        .gauge(Gauge::InFlight, node.in_flight.len() as u64);
+    node.metrics.gauge(Gauge::Members, taking_work as u64);
+    node.metrics
+        .gauge(Gauge::ConfigVersion, node.configuration.version().0);
 }
 
 /// Answers control calls for a node.
--- a/lib/src/process/node/entry.rs
+++ b/lib/src/process/node/entry.rs
@@ -42,7 +42,12 @@
 
 /// Answers a request of a caller from outside.
 pub(super) async fn handle_caller(node: &Arc<Node>, request: Request) -> Response {
+    let started = node.clock.now();
     let outcome = enter(node, request).await;
+    match &outcome {
+        Ok(_) => node.metrics.answered(node.clock.now().since(started)),
+        Err(refusal) => node.metrics.refused(refusal),
+    }
     response(node, outcome)
 }
 
--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -23,6 +23,7 @@
 use crate::process::configuration::ConfigurationNews;
 use crate::process::membership::Membership;
 use crate::process::membership::NodeAddresses;
+use crate::process::metrics::Metrics;
 use crate::process::platform::PlatformClient;
 use crate::process::platform::PlatformSettings;
 use crate::process::rates::BucketDump;
@@ -54,6 +55,8 @@
     pub addresses: NodeAddresses,
     /// The source of time.
     pub clock: Clock,
+    /// Metrics for operators.
+    pub metrics: Metrics,
     /// Requests on the backend server beside this node.
     pub in_flight: Arc<InFlightTable>,
     /// The other nodes.
@@ -76,7 +79,12 @@
 
 impl Node {
     /// Makes a node that has no configuration and no backend server yet.
-    pub fn new(settings: NodeSettings, addresses: NodeAddresses, probes: ProbeSocket) -> Self {
+    pub fn new(
+        settings: NodeSettings,
+        addresses: NodeAddresses,
+        probes: ProbeSocket,
+        metrics: Metrics,
+    ) -> Self {
         let clock = Clock::start();
         let platform = PlatformClient::new(&PlatformSettings {
             zone: Some(settings.zone.clone()),
@@ -91,6 +99,7 @@
             addresses,
             clock,
             in_flight: Arc::default(),
+            metrics,
             retries: Retries::new(rand::random()),
             once: OnceState::new(),
             suspects,
--- a/lib/src/process/settings/node_settings.rs
+++ b/lib/src/process/settings/node_settings.rs
@@ -51,6 +51,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The secret that all nodes of the fleet share.
     pub fleet_secret: FleetSecret,
+    /// Where metrics are sent in the statsd format; none for nowhere.
+    pub metrics: Option<SocketAddr>,
     /// Most bytes in the body of a request or an answer.
     pub body_bytes_max: usize,
     /// Most connections from callers at the same time.
@@ -95,6 +97,10 @@
             platform: parse("--platform", &raw.platform, ADDRESS_ALLOWED)?,
             seeds: seeds?,
             fleet_secret: parse_secret(&raw.fleet_secret)?,
+            metrics: match raw.metrics.as_str() {
+                "" => None,
+                text => Some(parse("--metrics", text, ADDRESS_ALLOWED)?),
+            },
             body_bytes_max: parse_within(
                 "--body-bytes-max",
                 &raw.body_bytes_max,
--- a/lib/src/process/settings/raw.rs
+++ b/lib/src/process/settings/raw.rs
@@ -27,6 +27,8 @@
     pub seeds: Vec<String>,
     /// `--fleet-secret`, or the content of the file that `--fleet-secret-file` names.
     pub fleet_secret: String,
+    /// `--metrics`; empty for none.
+    pub metrics: String,
     /// `--body-bytes-max`
     pub body_bytes_max: String,
     /// `--connections-max`
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -23,6 +23,7 @@
 mod test_membership_node;
 mod test_membership_nodes;
 mod test_membership_seeds;
+mod test_metrics;
 mod test_node_attempts;
 mod test_node_once;
 mod test_node_suspects;
--- a/node/src/flags.rs
+++ b/node/src/flags.rs
@@ -86,6 +86,12 @@
     default: Some(""),
     help: "File that holds the fleet secret; goes before --fleet-secret",
 };
+const METRICS: Flag = Flag {
+    name: "metrics",
+    variable: "BALSAMFOLD_METRICS",
+    default: Some(""),
+    help: "Address to which metrics are sent in the statsd format (UDP); empty for none",
+};
 const BODY_BYTES_MAX: Flag = Flag {
     name: "body-bytes-max",
     variable: "BALSAMFOLD_BODY_BYTES_MAX",
@@ -118,7 +124,7 @@
 };
 
 /// Flags with one text each, in the order of the help page.
-const TEXT_FLAGS: [&Flag; 16] = [
+const TEXT_FLAGS: [&Flag; 17] = [
     &NODE,
     &ZONE,
     &SERVICE,
@@ -130,6 +136,7 @@
     &PLATFORM,
     &FLEET_SECRET,
     &FLEET_SECRET_FILE,
+    &METRICS,
     &BODY_BYTES_MAX,
     &CONNECTIONS_MAX,
     &CLIENT_TIMEOUT_MS,
@@ -195,6 +202,7 @@
         platform: text(&PLATFORM),
         seeds: seeds.cloned().collect(),
         fleet_secret: fleet_secret(&text(&FLEET_SECRET), &text(&FLEET_SECRET_FILE))?,
+        metrics: text(&METRICS),
         body_bytes_max: text(&BODY_BYTES_MAX),
         connections_max: text(&CONNECTIONS_MAX),
         client_timeout_ms: text(&CLIENT_TIMEOUT_MS),
--- a/testutils/src/fleet/test_fleet.rs
+++ b/testutils/src/fleet/test_fleet.rs
@@ -179,6 +179,7 @@
         platform: "127.0.0.1:1".to_owned(),
         seeds: Vec::new(),
         fleet_secret: FLEET_SECRET.to_owned(),
+        metrics: String::new(),
         body_bytes_max: "1048576".to_owned(),
         connections_max: "4096".to_owned(),
         client_timeout_ms: "300".to_owned(),
