rates: go on through an outage when nodes of the zone make no calls

Cause: a node answers the holder's question whether it may take over by whether the platform answered its last call. Each starting node is its own candidate until it knows others and reads the record once; when it is no candidate any more it makes no calls, and said 'reachable' for ever. The holder then never had all promises, its lease ended 3 s into an outage of the platform, and all keyed requests of the zone got 503. Found by the chaos command; excluded: time limits and a slow machine, since refusals began with the end of the lease.

--- a/lib/src/process/rates/lease.rs
+++ b/lib/src/process/rates/lease.rs
@@ -34,6 +34,11 @@
 /// Time between renewals, and between reads of a candidate.
 pub const LEASE_RENEWAL: Duration = Duration::from_millis(1_000);
 
+/// A node that has had no answer of the platform for this time does not know whether it is reachable.
+///
+/// Nodes that are no candidates make no calls; a promise of theirs is as good as any other.
+const PLATFORM_ANSWER_MEMORY: Duration = Duration::from_millis(1_500);
+
 /// The epoch of the first holder that a zone ever has.
 pub(super) const FIRST_EPOCH: Epoch = Epoch(1);
 
@@ -73,6 +78,8 @@
     no_takeover_before: MonotonicTime,
     next_call: MonotonicTime,
     platform: PlatformStanding,
+    /// When the platform last answered; none if it never did.
+    platform_answered: Option<MonotonicTime>,
     highest_epoch: Epoch,
     /// The layout of the configuration in force on this node.
     wanted: Option<ZoneLayout>,
@@ -98,6 +105,7 @@
             no_takeover_before: MonotonicTime::default(),
             next_call: MonotonicTime::default(),
             platform: PlatformStanding::Unreachable,
+            platform_answered: None,
             highest_epoch: Epoch::default(),
             wanted: None,
             layouts: LayoutSet::default(),
@@ -166,7 +174,7 @@
 
     /// Takes in the record that the platform held.
     pub fn record_read(&mut self, record: Option<HolderRecord>, now: MonotonicTime) {
-        self.platform = PlatformStanding::Reachable;
+        self.platform_answered(now);
         let epoch = record.as_ref().map_or(Epoch(0), |record| record.epoch);
         self.highest_epoch = self.highest_epoch.max(epoch);
         match self.open.take() {
@@ -209,7 +217,7 @@
 
     /// Takes in that the open write took effect.
     pub fn write_succeeded(&mut self, now: MonotonicTime) {
-        self.platform = PlatformStanding::Reachable;
+        self.platform_answered(now);
         if let Some(open) = self.open.take() {
             self.took_effect(&open);
             self.highest_epoch = self.highest_epoch.max(open.record.epoch);
@@ -224,7 +232,7 @@
     ///
     /// A lease that is still held goes on to its end, because nobody takes over before.
     pub fn write_conflicted(&mut self, now: MonotonicTime) {
-        self.platform = PlatformStanding::Reachable;
+        self.platform_answered(now);
         self.open = None;
         self.seen = None;
         self.next_call = now;
@@ -241,6 +249,11 @@
         self.platform = PlatformStanding::Unreachable;
     }
 
+    fn platform_answered(&mut self, now: MonotonicTime) {
+        self.platform = PlatformStanding::Reachable;
+        self.platform_answered = Some(now);
+    }
+
     /// Takes in an epoch of the zone that another node has seen.
     pub fn epoch_seen(&mut self, epoch: Epoch) {
         self.highest_epoch = self.highest_epoch.max(epoch);
@@ -248,9 +261,13 @@
 
     /// Answers the holder of the zone, and promises what the answer says.
     pub fn standing(&mut self, now: MonotonicTime) -> PeerStanding {
+        let answered_lately = self
+            .platform_answered
+            .is_some_and(|answered| now.since(answered) < PLATFORM_ANSWER_MEMORY);
         let platform = match self.open {
             Some(_) => PlatformStanding::Reachable,
-            None => self.platform,
+            None if answered_lately => self.platform,
+            None => PlatformStanding::Unreachable,
         };
         if platform == PlatformStanding::Unreachable {
             self.no_takeover_before = self.no_takeover_before.max(now.after(LEASE_TAKEOVER));
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -37,6 +37,7 @@
 mod test_rates_bound;
 mod test_rates_demand;
 mod test_rates_lease;
+mod test_rates_outage;
 mod test_rates_whole;
 mod test_routing;
 mod test_secret;
--- a/lib/tests/test_rates_lease.rs
+++ b/lib/tests/test_rates_lease.rs
@@ -163,6 +163,20 @@
     ));
 }
 
+#[test]
+fn a_node_that_makes_no_more_calls_promises_as_well() {
+    let mut second = lease("n2");
+    second.record_read(None, at(0));
+    assert_eq!(
+        second.standing(at(100)).platform,
+        PlatformStanding::Reachable
+    );
+    assert_eq!(
+        second.standing(at(2_000)).platform,
+        PlatformStanding::Unreachable
+    );
+}
+
 #[test]
 fn a_node_with_a_write_in_doubt_promises_nothing() {
     let mut second = lease("n2");
--- a/node/src/logging.rs
+++ b/node/src/logging.rs
@@ -1,11 +1,14 @@
 //! The log on standard error, as text or as JSON lines.
 
 use std::fmt;
+use std::io;
+use std::io::Write;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use clap::ArgMatches;
 use fern::Dispatch;
+use fern::Output;
 use log::Level;
 use log::LevelFilter;
 
@@ -27,7 +30,9 @@
     let dispatch = Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("balsamfold", level)
-        .chain(std::io::stderr());
+        .chain(Output::call(|record| {
+            write_line(&record.args().to_string())
+        }));
     let dispatch = match text(LOG_FORMAT) {
         "json" => dispatch.format(|out, message, record| {
             out.finish(format_args!("{}", json_line(record.level(), message)));
@@ -40,6 +45,13 @@
     let _ = dispatch.apply();
 }
 
+/// Writes a whole line at once, so that lines of processes that share a terminal do not mix.
+fn write_line(text: &str) {
+    let line = format!("{text}\n");
+    // There is nowhere to report that standard error is closed.
+    let _ = io::stderr().write_all(line.as_bytes());
+}
+
 fn json_line(level: Level, message: &fmt::Arguments<'_>) -> String {
     let line = JsonLine {
         time_ms: time_ms(),
--- a/testutils/src/bin/chaos.rs
+++ b/testutils/src/bin/chaos.rs
@@ -7,6 +7,7 @@
 use testutils::chaos::ChaosPlan;
 use testutils::chaos::run_chaos;
 use testutils::mesh::Programs;
+use testutils::mesh::stop_asked;
 
 const SEED_DEFAULT: u64 = 1;
 
@@ -18,7 +19,11 @@
     };
     let programs = Programs::build()?;
     println!("seed {seed}");
-    match run_chaos(&programs, ChaosPlan::all(seed)).await? {
+    let breaches = tokio::select! {
+        breaches = run_chaos(&programs, ChaosPlan::all(seed)) => breaches?,
+        () = stop_asked() => return Ok(ExitCode::FAILURE),
+    };
+    match breaches {
         0 => Ok(ExitCode::SUCCESS),
         _ => Ok(ExitCode::FAILURE),
     }
--- a/testutils/src/bin/mesh.rs
+++ b/testutils/src/bin/mesh.rs
@@ -12,6 +12,7 @@
 use testutils::mesh::ProcessFleet;
 use testutils::mesh::Programs;
 use testutils::mesh::chain;
+use testutils::mesh::stop_asked;
 
 const ZONES: [&str; 2] = ["zone-a", "zone-b"];
 const SERVICES: [&str; 4] = ["catalogue", "price", "order", "stock"];
@@ -23,6 +24,13 @@
 
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    tokio::select! {
+        result = run() => result,
+        () = stop_asked() => Err("stopped by a signal".into()),
+    }
+}
+
+async fn run() -> Result<(), Box<dyn std::error::Error>> {
     let show = std::io::stderr().is_terminal();
     println!("building the programs");
     let programs = Programs::build()?;
--- a/testutils/src/mesh/mod.rs
+++ b/testutils/src/mesh/mod.rs
@@ -4,6 +4,7 @@
 mod layout;
 mod process_fleet;
 mod programs;
+mod signals;
 mod usage;
 
 pub use self::child::ChildProcess;
@@ -13,4 +14,5 @@
 pub use self::process_fleet::ProcessNode;
 pub use self::process_fleet::start_server;
 pub use self::programs::Programs;
+pub use self::signals::stop_asked;
 pub use self::usage::ProcessUsage;
