rates: hand buckets over at a planned stop

Cause: a holder that stops released its role, but candidates read the record once a second, and the next holder started empty with the whole burst counted as outstanding for 1 s. Excluded: the time a request waits, which is bounded on purpose. The released record now carries levels and outstanding tokens; only the one successor whose compare-and-swap replaces it gets them, so none are made. What was outstanding counts for the longest lifetime of a batch. Candidates are told.

--- a/lib/src/process/control/api.rs
+++ b/lib/src/process/control/api.rs
@@ -87,6 +87,10 @@
     #[method(name = "reportTokens")]
     async fn report_tokens(&self, report: Report) -> RpcResult<()>;
 
+    /// Tells that the holder of the node's zone has given its role up.
+    #[method(name = "rateHolderReleased")]
+    async fn rate_holder_released(&self) -> RpcResult<()>;
+
     /// Asks whether the node may take over the rates of its zone, by the holder of the zone.
     #[method(name = "rateHolderStanding")]
     async fn rate_holder_standing(&self) -> RpcResult<PeerStanding>;
--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -375,6 +375,12 @@
         Ok(())
     }
 
+    async fn rate_holder_released(&self) -> RpcResult<()> {
+        let service = &self.node.rates().service;
+        service.with_lease(|lease, now| lease.release_heard(now));
+        Ok(())
+    }
+
     async fn rate_holder_standing(&self) -> RpcResult<PeerStanding> {
         Ok(self.node.rates().service.standing())
     }
--- a/lib/src/process/node/rate_role.rs
+++ b/lib/src/process/node/rate_role.rs
@@ -85,16 +85,34 @@
     /// Lets another node take the role at once. If the write fails, it waits for the lease.
     async fn release(&self) {
         let service = &self.node.rates().service;
-        let write = service.with_lease(|lease, now| lease.release(now));
-        if let Some(value) = write.and_then(|write| value_of(&write.record)) {
-            let swap = self
-                .platform
-                .compare_and_swap(&self.key, self.revision, &value, None);
-            // Without the write the role is taken over when the lease has ended.
-            let _ = swap.await;
+        let Some(value) = service.release().and_then(|write| value_of(&write.record)) else {
+            return;
+        };
+        let swap = self
+            .platform
+            .compare_and_swap(&self.key, self.revision, &value, None);
+        // Without the write the role is taken over when the lease has ended.
+        if let Ok(Swap::Done(_)) = swap.await {
+            self.tell_candidates().await;
         }
     }
 
+    /// Tells the nodes that may take the role that it is free.
+    async fn tell_candidates(&self) {
+        let members = self.node.members();
+        let candidates = holder_candidates(&self.node.settings.zone, &members);
+        let others = candidates
+            .iter()
+            .filter(|id| **id != self.node.settings.node);
+        let calls = others.filter_map(|id| {
+            let address = members.node(id)?.addresses.control;
+            let caller = self.node.rates().caller(&self.node, address)?;
+            // A candidate that does not hear of it finds out by its next read.
+            Some(async move { caller.rate_holder_released().await.ok() })
+        });
+        futures::future::join_all(calls).await;
+    }
+
     async fn read(&mut self) {
         let reply = self.platform.get(&self.key).await;
         let service = &self.node.rates().service;
--- a/lib/src/process/rates/bucket.rs
+++ b/lib/src/process/rates/bucket.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use super::BatchId;
+use super::HandedBucket;
+use super::MAX_BATCH_LIFETIME;
 use super::Settlement;
 use super::ZoneShare;
 use crate::values::MonotonicTime;
@@ -57,6 +59,27 @@
         }
     }
 
+    /// Makes the bucket that a holder takes over from one that gave the role up.
+    ///
+    /// What the holder before had granted counts as outstanding for the longest lifetime of a batch.
+    pub fn handed(share: ZoneShare, handed: &HandedBucket, now: MonotonicTime) -> Self {
+        let unknown = Outstanding {
+            unspent_tokens: handed.outstanding_tokens.0,
+            returned_tokens: 0,
+            ends: now.after(MAX_BATCH_LIFETIME),
+        };
+        let mut bucket = Self {
+            share,
+            level_picos: u128::from(handed.level_tokens.0) * PICOS_PER_TOKEN,
+            updated: now,
+            outstanding_tokens: unknown.unspent_tokens,
+            unknown: Some(unknown),
+            batches: BTreeMap::new(),
+        };
+        bucket.level_picos = bucket.level_picos.min(bucket.room_picos());
+        bucket
+    }
+
     /// Returns the share that the bucket mints.
     pub fn share(&self) -> ZoneShare {
         self.share
--- a/lib/src/process/rates/holder.rs
+++ b/lib/src/process/rates/holder.rs
@@ -7,9 +7,11 @@
 use super::AskId;
 use super::AskPurpose;
 use super::BatchId;
+use super::Bucket;
 use super::BucketDump;
 use super::Dry;
 use super::Grant;
+use super::HandedBucket;
 use super::HolderReply;
 use super::HolderReport;
 use super::HolderSettings;
@@ -100,6 +102,30 @@
         self.accounts.retain(|id, account| is_needed(id, account));
     }
 
+    /// Takes over what the holder before left; the organisations must have their shares.
+    pub fn take_over(&mut self, handed: &[HandedBucket], now: MonotonicTime) {
+        for bucket in handed {
+            if let Some(account) = self.accounts.get_mut(&bucket.organisation) {
+                account.bucket = Bucket::handed(account.bucket.share(), bucket, now);
+            }
+        }
+    }
+
+    /// Returns what the next holder may take over, after this one grants no more.
+    pub fn hand_over(&mut self, now: MonotonicTime) -> Vec<HandedBucket> {
+        self.accounts
+            .iter_mut()
+            .map(|(organisation, account)| {
+                account.advance(now);
+                HandedBucket {
+                    organisation: organisation.clone(),
+                    level_tokens: account.bucket.level(),
+                    outstanding_tokens: account.bucket.outstanding(),
+                }
+            })
+            .collect()
+    }
+
     /// Returns what is in the bucket of `organisation`.
     pub fn bucket(
         &mut self,
--- a/lib/src/process/rates/lease.rs
+++ b/lib/src/process/rates/lease.rs
@@ -13,6 +13,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use super::HandedBucket;
 use super::HolderRecord;
 use super::LayoutSet;
 use super::PeerStanding;
@@ -64,6 +65,8 @@
 #[derive(Clone, Debug)]
 struct OpenWrite {
     record: HolderRecord,
+    /// What the record in place hands over to whoever replaces it.
+    handed: Vec<HandedBucket>,
     sent: MonotonicTime,
 }
 
@@ -81,6 +84,8 @@
     /// When the platform last answered; none if it never did.
     platform_answered: Option<MonotonicTime>,
     highest_epoch: Epoch,
+    /// What the holder before left to this one, until it is taken.
+    handed: Vec<HandedBucket>,
     /// The layout of the configuration in force on this node.
     wanted: Option<ZoneLayout>,
     layouts: LayoutSet,
@@ -106,6 +111,7 @@
             next_call: MonotonicTime::default(),
             platform: PlatformStanding::Unreachable,
             platform_answered: None,
+            handed: Vec::new(),
             highest_epoch: Epoch::default(),
             wanted: None,
             layouts: LayoutSet::default(),
@@ -197,7 +203,11 @@
     /// Gives the role up, for a planned stop. Returns what to write, unless a write is in doubt.
     ///
     /// This node grants nothing from now on, whatever becomes of the write.
-    pub fn release(&mut self, now: MonotonicTime) -> Option<RecordWrite> {
+    pub fn release(
+        &mut self,
+        handed: Vec<HandedBucket>,
+        now: MonotonicTime,
+    ) -> Option<RecordWrite> {
         let held = self.held.take();
         let seen = self
             .seen
@@ -209,12 +219,23 @@
             record: HolderRecord {
                 renewals: record.renewals + 1,
                 released: true,
+                handed,
                 layouts: self.layouts.to_publish(now),
                 ..record
             },
         })
     }
 
+    /// Takes what the holder before left to this one. It is given once.
+    pub fn take_handed(&mut self) -> Vec<HandedBucket> {
+        std::mem::take(&mut self.handed)
+    }
+
+    /// Takes in that another node may have given the role up: the record is read at once.
+    pub fn release_heard(&mut self, now: MonotonicTime) {
+        self.next_call = now;
+    }
+
     /// Takes in that the open write took effect.
     pub fn write_succeeded(&mut self, now: MonotonicTime) {
         self.platform_answered(now);
@@ -308,6 +329,11 @@
     fn write(&mut self, write: RecordWrite, now: MonotonicTime) -> LeaseAction {
         self.open = Some(OpenWrite {
             record: write.record.clone(),
+            handed: write
+                .expected
+                .as_ref()
+                .map(|record| record.handed.clone())
+                .unwrap_or_default(),
             sent: now,
         });
         LeaseAction::Write(write)
@@ -346,6 +372,7 @@
                 epoch,
                 renewals,
                 released: false,
+                handed: Vec::new(),
                 layouts,
             },
         }
@@ -374,6 +401,7 @@
             }),
             _ => {
                 self.layouts = LayoutSet::inherited(&open.record.layouts, open.sent);
+                self.handed = open.handed.clone();
                 Some(HeldLease { epoch, valid_until })
             }
         };
--- a/lib/src/process/rates/lease_record.rs
+++ b/lib/src/process/rates/lease_record.rs
@@ -4,6 +4,21 @@
 use crate::values::Epoch;
 use crate::values::Incarnation;
 use crate::values::NodeId;
+use crate::values::OrganisationId;
+use crate::values::TokenCount;
+
+plain_data! {
+    /// What a holder that stops leaves of one organisation to the next holder.
+    #[derive(Eq)]
+    pub struct HandedBucket {
+        /// The organisation.
+        pub organisation: OrganisationId,
+        /// Tokens in the bucket, which only the next holder may grant.
+        pub level_tokens: TokenCount,
+        /// Tokens that nodes and other zones may still spend.
+        pub outstanding_tokens: TokenCount,
+    }
+}
 
 plain_data! {
     /// The platform's record of the holder of one zone.
@@ -19,6 +34,8 @@
         pub renewals: u64,
         /// Whether the holder has given the role up, so that it can be taken at once.
         pub released: bool,
+        /// Buckets that a holder that gave the role up leaves to the next one; else empty.
+        pub handed: Vec<HandedBucket>,
         /// Splits of rates over zones that bind the holder, the newest last.
         pub layouts: Vec<ZoneLayout>,
     }
--- a/lib/src/process/rates/mod.rs
+++ b/lib/src/process/rates/mod.rs
@@ -43,6 +43,7 @@
 pub use self::lease::LEASE_HOLD;
 pub use self::lease::LEASE_TAKEOVER;
 pub use self::lease::LeaseAction;
+pub use self::lease_record::HandedBucket;
 pub use self::lease_record::HolderRecord;
 pub use self::lease_record::PeerStanding;
 pub use self::lease_record::PlatformStanding;
--- a/lib/src/process/rates/service.rs
+++ b/lib/src/process/rates/service.rs
@@ -21,6 +21,7 @@
 use super::LeaseAction;
 use super::LoanAsk;
 use super::PeerStanding;
+use super::RecordWrite;
 use super::Report;
 use super::ZoneLayout;
 use crate::process::events::rates as events;
@@ -155,6 +156,17 @@
         self.state.lock().lease.standing(self.clock.now())
     }
 
+    /// Gives the role up with all buckets. Returns what to write, unless a write is in doubt.
+    pub fn release(&self) -> Option<RecordWrite> {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        let handed = self
+            .acting_holder(&mut state, now)
+            .map(|holder| holder.hand_over(now));
+        state.holder = None;
+        state.lease.release(handed.unwrap_or_default(), now)
+    }
+
     /// Decides about the lease, with the time of the decision.
     pub fn with_lease<T>(&self, step: impl FnOnce(&mut HolderLease, MonotonicTime) -> T) -> T {
         let mut state = self.state.lock();
@@ -252,6 +264,10 @@
             events::HOLDER_TAKEN.log(format_args!("zone {}, epoch {epoch}", self.zone));
             state.holder = Some(Holder::new(settings, now));
             self.apply_shares(state, now);
+            let handed = state.lease.take_handed();
+            if let Some(holder) = &mut state.holder {
+                holder.take_over(&handed, now);
+            }
         }
         state.holder.as_mut()
     }
--- a/lib/tests/test_rates_lease.rs
+++ b/lib/tests/test_rates_lease.rs
@@ -1,14 +1,18 @@
 //! The lease on the role of a zone's holder.
 
+use balsamfold::process::rates::Bucket;
+use balsamfold::process::rates::HandedBucket;
 use balsamfold::process::rates::HolderLease;
 use balsamfold::process::rates::HolderRecord;
 use balsamfold::process::rates::LEASE_HOLD;
 use balsamfold::process::rates::LEASE_TAKEOVER;
 use balsamfold::process::rates::LeaseAction;
+use balsamfold::process::rates::MicroRate;
 use balsamfold::process::rates::PeerStanding;
 use balsamfold::process::rates::PlatformStanding;
 use balsamfold::process::rates::RecordWrite;
 use balsamfold::process::rates::ZoneLayout;
+use balsamfold::process::rates::ZoneShare;
 use balsamfold::values::Epoch;
 use balsamfold::values::Incarnation;
 use balsamfold::values::MonotonicTime;
@@ -205,6 +209,7 @@
         epoch: Epoch(1),
         renewals: 0,
         released: false,
+        handed: Vec::new(),
         layouts: weights.iter().map(|weight| layout(*weight)).collect(),
     })
 }
@@ -305,7 +310,9 @@
 fn a_released_role_is_taken_at_once() {
     let mut first = lease("n1");
     take(&mut first, 0);
-    let write = first.release(at(100)).expect("the role is given up");
+    let write = first
+        .release(Vec::new(), at(100))
+        .expect("the role is given up");
     assert_eq!(first.held_epoch(at(100)), None);
     let mut second = lease("n2");
     second.record_read(Some(write.record), at(110));
@@ -320,6 +327,49 @@
     take(&mut first, 0);
     first.next_action(true, at(1_100));
     first.platform_unreachable();
-    assert_eq!(first.release(at(1_200)), None);
+    assert_eq!(first.release(Vec::new(), at(1_200)), None);
     assert_eq!(first.held_epoch(at(1_200)), None);
 }
+
+#[test]
+fn buckets_that_were_handed_over_go_to_one_successor_once() {
+    let mut first = lease("n1");
+    take(&mut first, 0);
+    let handed = vec![HandedBucket {
+        organisation: "workshop".parse().expect("the name is valid"),
+        level_tokens: TokenCount(7),
+        outstanding_tokens: TokenCount(3),
+    }];
+    let write = first
+        .release(handed.clone(), at(100))
+        .expect("the role is given up");
+    let mut second = lease("n2");
+    second.record_read(Some(write.record.clone()), at(200));
+    let takeover = write_of(second.next_action(true, at(1_300)));
+    assert_eq!(takeover.expected, Some(write.record));
+    assert_eq!(takeover.record.handed, Vec::new());
+    second.write_succeeded(at(1_301));
+    assert_eq!(second.take_handed(), handed);
+    assert_eq!(second.take_handed(), Vec::new());
+}
+
+#[test]
+fn a_handed_bucket_mints_only_beside_what_is_still_outstanding() {
+    let share = ZoneShare {
+        rate_micro_per_s: MicroRate(10_000_000),
+        burst_tokens: TokenCount(10),
+        batch_lifetime_us: 500_000,
+    };
+    let handed = HandedBucket {
+        organisation: "workshop".parse().expect("the name is valid"),
+        level_tokens: TokenCount(9),
+        outstanding_tokens: TokenCount(4),
+    };
+    let mut bucket = Bucket::handed(share, &handed, at(0));
+    assert_eq!(bucket.level(), TokenCount(6));
+    bucket.advance(at(999));
+    assert_eq!(bucket.level(), TokenCount(6));
+    bucket.advance(at(1_300));
+    assert!(bucket.level() > TokenCount(6));
+    assert!(bucket.level() <= TokenCount(10));
+}
