--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod test_attempts;
 mod test_change;
+mod test_chaos_checks;
 mod test_configuration_roles;
 mod test_configuration_spread;
 mod test_events;
