node: keep idle connections between nodes longer than their users do

Cause: the time limit for headers also closes idle kept connections. With the limit for callers (10 s) on the inner listeners, and pools that keep connections for 30 s, a request that was sent while its connection closed had no answer: a spurious may-have-run, and a lost attempt for at-most-once requests. Found by an error 'Sent' in a suspects test; excluded: a panic of a handler (none logged). The new test fails before (early end of the connection) and passes after. Callers of tests keep connections for less time than the nodes in tests.

--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -26,6 +26,7 @@
 use super::rates::RateTasks;
 use super::seed_lists::keep_seed_lists;
 use super::serve::handle_peer;
+use super::shared::IDLE_TIMEOUT_MS;
 use crate::connection::ListenError;
 use crate::connection::Listener;
 use crate::connection::ListenerLimits;
@@ -53,6 +54,11 @@
 use crate::values::ConfigVersion;
 use crate::version::Configuration;
 
+/// Longest time that another node or the backend server may take for the headers of a request.
+///
+/// It also closes idle connections, so it is longer than their users keep them: a request that is
+/// sent while its connection is being closed has no answer, and may have run.
+const INNER_HEADER_TIMEOUT_MS: u64 = 2 * IDLE_TIMEOUT_MS;
 /// Most bytes in the headers of a request.
 const HEADER_BYTES_MAX: usize = 64 * 1_024;
 /// Most connections from the backend server or from other nodes at the same time.
@@ -232,10 +238,10 @@
     }
 }
 
-fn inner_limits(node: &Node) -> ListenerLimits {
+fn inner_limits() -> ListenerLimits {
     ListenerLimits {
         connections_max: INNER_CONNECTIONS_MAX,
-        header_timeout_ms: node.settings.client_timeout_ms,
+        header_timeout_ms: INNER_HEADER_TIMEOUT_MS,
         header_bytes_max: HEADER_BYTES_MAX,
     }
 }
@@ -243,7 +249,8 @@
 fn serve_callers(listener: Listener, node: &Arc<Node>, connections_max: u32) -> Serving {
     let limits = ListenerLimits {
         connections_max,
-        ..inner_limits(node)
+        header_timeout_ms: node.settings.client_timeout_ms,
+        ..inner_limits()
     };
     let node = Arc::clone(node);
     listener.serve(limits, move |request| {
@@ -253,7 +260,7 @@
 }
 
 fn serve_local(listener: Listener, node: &Arc<Node>) -> Serving {
-    let limits = inner_limits(node);
+    let limits = inner_limits();
     let node = Arc::clone(node);
     listener.serve(limits, move |request| {
         let node = Arc::clone(&node);
@@ -262,7 +269,7 @@
 }
 
 fn serve_peers(listener: Listener, node: &Arc<Node>) -> Serving {
-    let limits = inner_limits(node);
+    let limits = inner_limits();
     let node = Arc::clone(node);
     listener.serve(limits, move |request| {
         let node = Arc::clone(&node);
--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -42,7 +42,7 @@
 /// Most news of configurations that wait to be looked at.
 const NEWS_QUEUE_MAX: usize = 64;
 /// Time after which an idle connection is closed.
-const IDLE_TIMEOUT_MS: u64 = 30_000;
+pub(super) const IDLE_TIMEOUT_MS: u64 = 30_000;
 
 /// The state that all requests of a node share.
 ///
--- a/lib/tests/test_http_input.rs
+++ b/lib/tests/test_http_input.rs
@@ -14,6 +14,9 @@
 use testutils::fleet::sample_key;
 use testutils::fleet::sample_route;
 use testutils::fleet::send_raw;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 const BODY_BYTES_MAX: usize = 1_048_576;
 
@@ -179,3 +182,20 @@
     }
     assert_eq!(fleet.nodes[0].server.recorder().runs().len(), 1);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idle_connections_between_nodes_outlive_the_limit_for_callers() {
+    let fleet = small_fleet().await;
+    let daemon = &fleet.nodes[0].daemon;
+    let mut peer = TcpStream::connect(daemon.node().addresses.peer)
+        .await
+        .unwrap();
+    let mut caller = TcpStream::connect(daemon.caller_address()).await.unwrap();
+    // Returns when the node has closed the caller's idle connection.
+    let _ = caller.read(&mut [0]).await;
+    let request = b"POST /stock HTTP/1.1\r\nhost: test\r\ncontent-length: 0\r\n\r\n";
+    peer.write_all(request).await.unwrap();
+    let mut answer = [0; 12];
+    peer.read_exact(&mut answer).await.unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 401");
+}
--- a/testutils/src/fleet/caller.rs
+++ b/testutils/src/fleet/caller.rs
@@ -29,7 +29,8 @@
         let limits = PoolLimits {
             connections_max: 4_096,
             connect_timeout_ms: 2_000,
-            idle_timeout_ms: 30_000,
+            // Shorter than a node in a test keeps idle connections.
+            idle_timeout_ms: 200,
             answer_bytes_max: 64 * 1_024 * 1_024,
         };
         Self {
