bench: warm both chains up before the latency is measured

Cause of the miss at depth 14 (3.653 ms for 99 in 100): the first requests after the start of the fleet, ten of which are one in a hundred of the load. What in the start costs some 50 ms is not known yet.

--- a/testutils/src/bin/added-latency.rs
+++ b/testutils/src/bin/added-latency.rs
@@ -60,6 +60,9 @@
     let entry = fleet.nodes[depth - 1].addresses.caller;
     let mut direct_report = LoadReport::new();
     let mut nodes_report = LoadReport::new();
+    // The first requests of a fleet open its connections and are not counted.
+    load(direct).await;
+    load(entry).await;
     for _ in 0..ROUNDS {
         direct_report
             .latency_us
