rates: collect the zones to tell as a set

Loans and a node's batches each sorted and deduplicated a list of zones by the same three steps; both now collect a set, in the same order.

--- a/lib/src/process/rates/loans.rs
+++ b/lib/src/process/rates/loans.rs
@@ -1,6 +1,7 @@
 //! Tokens that the holder of a zone borrowed from other zones.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -164,12 +165,9 @@
     }
 
     /// Returns the zones that have not been told the latest about their loans.
-    pub fn lenders_to_tell(&self) -> Vec<ZoneId> {
+    pub fn lenders_to_tell(&self) -> BTreeSet<ZoneId> {
         let changed = self.loans.values().filter(|loan| loan.changed);
-        let mut lenders: Vec<_> = changed.map(|loan| loan.lender.clone()).collect();
-        lenders.sort();
-        lenders.dedup();
-        lenders
+        changed.map(|loan| loan.lender.clone()).collect()
     }
 
     /// Returns the reports for `lender` that it has not been told yet.
--- a/lib/src/process/rates/local_batch.rs
+++ b/lib/src/process/rates/local_batch.rs
@@ -1,5 +1,6 @@
 //! The batches of one organisation that a node may spend.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::BatchId;
@@ -101,13 +102,10 @@
     }
 
     /// Returns the zones that are to be told the latest about their batches now.
-    pub fn zones_to_tell(&self, now: MonotonicTime) -> Vec<ZoneId> {
+    pub fn zones_to_tell(&self, now: MonotonicTime) -> BTreeSet<ZoneId> {
         let is_due = |batch: &&LocalBatch| batch.changed && batch.report_at <= now;
         let changed = self.batches.iter().filter(is_due);
-        let mut zones: Vec<_> = changed.map(|batch| batch.zone.clone()).collect();
-        zones.sort();
-        zones.dedup();
-        zones
+        changed.map(|batch| batch.zone.clone()).collect()
     }
 
     /// Returns the reports for `zone` that its holder has not been told yet.
