--- a/lib/src/connection/pool.rs
+++ b/lib/src/connection/pool.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::header;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -59,9 +61,38 @@
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     idle_since: Instant,
+    idle_limit: Option<Duration>,
     _permit: OwnedSemaphorePermit,
 }
 
+impl KeptConnection {
+    /// Part of the server's own idle timeout in which a connection is used again, so that a
+    /// request never crosses the server's close.
+    const IDLE_PART: f64 = 0.6;
+
+    /// Takes the idle timeout that the server names in its `Keep-Alive` header, if it does.
+    fn limit_idle_time(&mut self, headers: &HeaderMap) {
+        let timeout_s = headers
+            .get("keep-alive")
+            .and_then(|value| value.to_str().ok())
+            .and_then(|text| {
+                let parameters = text.split(',').map(str::trim);
+                parameters
+                    .filter_map(|parameter| parameter.strip_prefix("timeout="))
+                    .find_map(|seconds| seconds.trim().parse::<u32>().ok())
+            });
+        if let Some(timeout_s) = timeout_s {
+            let limit_s = f64::from(timeout_s) * Self::IDLE_PART;
+            self.idle_limit = Some(Duration::from_secs_f64(limit_s));
+        }
+    }
+
+    fn is_usable(&self, idle_timeout: Duration) -> bool {
+        let idle_limit = self.idle_limit.unwrap_or(idle_timeout).min(idle_timeout);
+        self.sender.is_ready() && self.idle_since.elapsed() < idle_limit
+    }
+}
+
 impl Drop for KeptConnection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -94,6 +125,18 @@
         &self,
         request: WholeRequest,
         limit: Duration,
+    ) -> Result<WholeAnswer, ExchangeError> {
+        self.exchange_checked(request, limit, |_, _| true).await
+    }
+
+    /// Sends `request` once and returns the whole answer if `is_own_answer` accepts its head.
+    ///
+    /// An answer that is not accepted belongs to another request: its connection is closed.
+    pub async fn exchange_checked(
+        &self,
+        request: WholeRequest,
+        limit: Duration,
+        is_own_answer: impl Fn(StatusCode, &HeaderMap) -> bool,
     ) -> Result<WholeAnswer, ExchangeError> {
         let give_up_at = Instant::now() + limit;
         let mut connection = self.connection(limit).await?;
@@ -105,6 +148,10 @@
             Ok(Err(_)) => return Err(ExchangeError::Sent),
             Err(_) => return Err(ExchangeError::TimedOut),
         };
+        if !is_own_answer(response.status(), response.headers()) {
+            return Err(ExchangeError::BrokenAnswer);
+        }
+        connection.limit_idle_time(response.headers());
         let answer = self.whole_answer(&method, response, give_up_at).await?;
         self.keep(connection);
         Ok(answer)
@@ -152,9 +199,7 @@
     fn take_idle(&self) -> Option<KeptConnection> {
         let idle_timeout = Duration::from_millis(self.limits.idle_timeout_ms);
         let mut idle = self.idle.lock();
-        idle.retain(|connection| {
-            connection.sender.is_ready() && connection.idle_since.elapsed() < idle_timeout
-        });
+        idle.retain(|connection| connection.is_usable(idle_timeout));
         idle.pop()
     }
 
@@ -181,6 +226,7 @@
         sender,
         driver,
         idle_since: Instant::now(),
+        idle_limit: None,
         _permit: permit,
     })
 }
--- a/lib/src/process/events/mod.rs
+++ b/lib/src/process/events/mod.rs
@@ -7,6 +7,7 @@
 pub mod platform;
 pub mod process;
 pub mod rates;
+pub mod relay;
 pub mod request;
 pub mod version;
 
@@ -63,6 +64,7 @@
         rates::ALL,
         once::ALL,
         platform::ALL,
+        relay::ALL,
     ];
     let mut all = areas.concat();
     all.sort_by_key(|event| event.number);
--- a/lib/src/process/gate/limit.rs
+++ b/lib/src/process/gate/limit.rs
@@ -30,6 +30,8 @@
 /// What the limit is doing.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
+    /// The limit is given and does not adapt.
+    Fixed,
     /// The server is cold: the limit doubles with each window.
     Ramping,
     /// The limit grows while latency is normal.
@@ -150,6 +152,18 @@
         }
     }
 
+    /// Makes a limit that stays at what was announced.
+    ///
+    /// For a server whose announced slots are exact and all of whose work passes this gate.
+    pub fn fixed(announced: SlotCount, now: MonotonicTime) -> Self {
+        let cold = Self::cold(announced, now);
+        Self {
+            limit: cold.announced,
+            phase: Phase::Fixed,
+            ..cold
+        }
+    }
+
     /// Returns how many requests may run at the same time.
     pub fn slots(&self) -> u32 {
         self.limit.floor().max(1.0) as u32
@@ -168,7 +182,10 @@
     /// Takes a new announcement of a server that went on running.
     pub fn announce(&mut self, announced: SlotCount) {
         self.announced = f64::from(announced.0.max(1));
-        self.limit = self.limit.min(self.announced);
+        self.limit = match self.phase {
+            Phase::Fixed => self.announced,
+            _ => self.limit.min(self.announced),
+        };
     }
 
     /// Counts a request that starts while `in_flight` requests run, with itself.
@@ -186,7 +203,7 @@
             Outcome::ServerRefused => self.window.refused += 1,
             Outcome::Failed | Outcome::Cancelled => {}
         }
-        if self.window_is_over(now) {
+        if self.phase != Phase::Fixed && self.window_is_over(now) {
             self.close_window(now);
         }
     }
@@ -225,6 +242,7 @@
         let ratio = mean_us / self.learn_normal(mean_us);
         let saturated = f64::from(window.peak_in_flight) >= self.limit.floor();
         match self.phase {
+            Phase::Fixed => {}
             Phase::Measuring => self.begin_trial(mean_us),
             Phase::Settling { before } => self.phase = Phase::Comparing { before },
             Phase::Comparing { before } => self.end_trial(before, mean_us, now),
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -10,6 +10,7 @@
 pub mod once;
 pub mod platform;
 pub mod rates;
+pub mod relay;
 pub mod routing;
 pub mod secret;
 pub mod settings;
--- /dev/null
+++ b/lib/src/process/relay/allowance.rs
@@ -0,0 +1,179 @@
+//! A node's share of each organisation's rate and burst, and what it lends to other nodes.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::values::MonotonicTime;
+use crate::values::OrganisationId;
+use crate::values::TokenCount;
+use crate::version::OrganisationTerms;
+use crate::version::TrafficPlan;
+
+/// One organisation's tokens on this node.
+#[derive(Clone, Debug)]
+struct Account {
+    rate_per_s: f64,
+    burst_tokens: f64,
+    level_tokens: f64,
+    updated_at: MonotonicTime,
+    borrow_after: MonotonicTime,
+    is_borrowing: bool,
+}
+
+impl Account {
+    fn advance(&mut self, now: MonotonicTime) {
+        let elapsed_s = now.since(self.updated_at).as_secs_f64();
+        let minted = self.rate_per_s * elapsed_s;
+        self.updated_at = self.updated_at.max(now);
+        // Borrowed tokens may stand above the share of the burst; they are kept, not added to.
+        if self.level_tokens < self.burst_tokens {
+            self.level_tokens = (self.level_tokens + minted).min(self.burst_tokens);
+        }
+    }
+
+    fn until_next_token(&self) -> Duration {
+        let missing = (1.0 - self.level_tokens).max(0.0);
+        match self.rate_per_s {
+            rate if rate <= 0.0 => Allowances::NO_RATE_PAUSE,
+            rate => Duration::from_secs_f64(missing / rate).min(Allowances::NO_RATE_PAUSE),
+        }
+    }
+}
+
+/// What becomes of a request under its organisation's allowance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AllowanceDecision {
+    /// The request may run; a token was taken if the organisation has a limit.
+    Granted,
+    /// This node has no token now. Another node may lend some, unless one was asked just before.
+    Short {
+        /// Time until the node's own share brings the next token.
+        next_token_in: Duration,
+    },
+}
+
+/// A node's share of each organisation's rate and burst.
+///
+/// The shares of all nodes add up to the whole, and tokens move between nodes only by being taken
+/// from the lender first: cuts, lost messages and crashes lose tokens but never make any. A node
+/// starts without tokens.
+#[derive(Clone, Debug, Default)]
+pub struct Allowances {
+    accounts: HashMap<OrganisationId, Account>,
+}
+
+impl Allowances {
+    /// Pause that is told when a share has no rate.
+    const NO_RATE_PAUSE: Duration = Duration::from_secs(1);
+
+    /// Part of its tokens that a node lends at once.
+    const LENT_PART: f64 = 0.5;
+
+    /// Part of the burst's share below which a node asks others for tokens ahead of need.
+    const BORROW_BELOW: f64 = 0.3;
+
+    /// Pause after a question that brought no tokens: half the time in which a burst of one second's
+    /// rate refills to the level at which others lend.
+    const BORROW_PAUSE: Duration = Duration::from_millis(250);
+
+    /// Puts the limits of `plan` in force, divided by the number of nodes.
+    pub fn set_plan(&mut self, plan: &TrafficPlan, node_count: usize, now: MonotonicTime) {
+        self.accounts
+            .retain(|id, _| plan.organisations.contains_key(id));
+        for terms in plan.organisations.values() {
+            self.set_terms(terms, node_count, now);
+        }
+    }
+
+    fn set_terms(&mut self, terms: &OrganisationTerms, node_count: usize, now: MonotonicTime) {
+        let Some(rate) = terms.rate_per_s else {
+            self.accounts.remove(&terms.id);
+            return;
+        };
+        let nodes = node_count.max(1) as f64;
+        let account = self
+            .accounts
+            .entry(terms.id.clone())
+            .or_insert_with(|| Account {
+                rate_per_s: 0.0,
+                burst_tokens: 0.0,
+                level_tokens: 0.0,
+                updated_at: now,
+                borrow_after: now,
+                is_borrowing: false,
+            });
+        account.advance(now);
+        account.rate_per_s = f64::from(rate.0) / nodes;
+        account.burst_tokens = terms.burst.0 as f64 / nodes;
+        account.level_tokens = account.level_tokens.min(account.burst_tokens.max(1.0));
+    }
+
+    /// Takes a token for a request.
+    pub fn take(&mut self, organisation: &OrganisationId, now: MonotonicTime) -> AllowanceDecision {
+        let Some(account) = self.accounts.get_mut(organisation) else {
+            return AllowanceDecision::Granted;
+        };
+        account.advance(now);
+        if account.level_tokens >= 1.0 {
+            account.level_tokens -= 1.0;
+            return AllowanceDecision::Granted;
+        }
+        AllowanceDecision::Short {
+            next_token_in: account.until_next_token(),
+        }
+    }
+
+    /// Gives back the token of a request that did not run.
+    pub fn give_back(&mut self, organisation: &OrganisationId) {
+        if let Some(account) = self.accounts.get_mut(organisation) {
+            account.level_tokens += 1.0;
+        }
+    }
+
+    /// Returns whether to ask another node for tokens now, and marks the question as under way.
+    pub fn begin_borrowing(&mut self, organisation: &OrganisationId, now: MonotonicTime) -> bool {
+        let Some(account) = self.accounts.get_mut(organisation) else {
+            return false;
+        };
+        account.advance(now);
+        let is_low = account.level_tokens < (account.burst_tokens * Self::BORROW_BELOW).max(1.0);
+        let begins = is_low && !account.is_borrowing && now >= account.borrow_after;
+        account.is_borrowing |= begins;
+        begins
+    }
+
+    /// Adds what another node lent. Nothing lent begins a pause.
+    pub fn end_borrowing(
+        &mut self,
+        organisation: &OrganisationId,
+        tokens: TokenCount,
+        now: MonotonicTime,
+    ) {
+        if let Some(account) = self.accounts.get_mut(organisation) {
+            account.advance(now);
+            account.is_borrowing = false;
+            account.level_tokens += tokens.0 as f64;
+            if tokens.0 == 0 {
+                account.borrow_after = now.after(Self::BORROW_PAUSE);
+            }
+        }
+    }
+
+    /// Takes out tokens to be lent to another node.
+    pub fn lend(&mut self, organisation: &OrganisationId, now: MonotonicTime) -> TokenCount {
+        let Some(account) = self.accounts.get_mut(organisation) else {
+            return TokenCount(0);
+        };
+        account.advance(now);
+        let lent = (account.level_tokens * Self::LENT_PART).floor().max(0.0);
+        account.level_tokens -= lent;
+        TokenCount(lent as u64)
+    }
+
+    /// Returns the tokens that an organisation has on this node.
+    pub fn level(&self, organisation: &OrganisationId) -> Option<f64> {
+        self.accounts
+            .get(organisation)
+            .map(|account| account.level_tokens)
+    }
+}
--- /dev/null
+++ b/lib/src/process/relay/confirmation.rs
@@ -0,0 +1,82 @@
+//! How old the knowledge is that a configuration is the newest one.
+
+use std::time::Duration;
+
+use crate::values::ConfigVersion;
+use crate::values::MonotonicTime;
+
+plain_value! {
+    /// What a node says of the newest configuration that it knows.
+    pub struct Voucher {
+        /// The version.
+        pub version: ConfigVersion,
+        /// Time since the version was certainly the newest, or none if that is unknown.
+        pub age_us: Option<u64>,
+    }
+}
+
+plain_value! {
+    /// What becomes of a voucher of another node.
+    pub enum VoucherUse {
+        /// It confirmed the version in force, or told nothing new.
+        Taken,
+        /// It names a version that this node does not have.
+        NewerVersion,
+    }
+}
+
+/// The last moment at which the configuration in force was certainly the newest one.
+///
+/// A confirmation counts from the moment before its question was sent: whatever changed later may
+/// be missing in the answer. Other nodes vouch for the age of their own confirmations; that age is
+/// taken back from the moment before they were asked, so no clocks are compared.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Confirmation {
+    version: ConfigVersion,
+    confirmed_at: Option<MonotonicTime>,
+}
+
+impl Confirmation {
+    /// Notes that `version` was the newest one in the store's answer to a question of `asked_at`.
+    pub fn confirm(&mut self, version: ConfigVersion, asked_at: MonotonicTime) {
+        if version > self.version {
+            self.version = version;
+            self.confirmed_at = Some(asked_at);
+        } else if version == self.version {
+            self.confirmed_at = self.confirmed_at.max(Some(asked_at));
+        }
+    }
+
+    /// Puts a version in force that a watch brought.
+    pub fn adopt(&mut self, version: ConfigVersion) {
+        if version > self.version {
+            self.version = version;
+        }
+    }
+
+    /// Takes the voucher of another node that was asked at `asked_at`.
+    pub fn take_voucher(&mut self, voucher: Voucher, asked_at: MonotonicTime) -> VoucherUse {
+        if voucher.version > self.version {
+            return VoucherUse::NewerVersion;
+        }
+        if let (true, Some(age_us)) = (voucher.version == self.version, voucher.age_us)
+            && let Some(at_us) = asked_at.0.checked_sub(age_us)
+        {
+            self.confirmed_at = self.confirmed_at.max(Some(MonotonicTime(at_us)));
+        }
+        VoucherUse::Taken
+    }
+
+    /// Returns the time since the version in force was certainly the newest.
+    pub fn age(&self, now: MonotonicTime) -> Option<Duration> {
+        self.confirmed_at.map(|at| now.since(at))
+    }
+
+    /// Returns what this node can say to others.
+    pub fn voucher(&self, now: MonotonicTime) -> Voucher {
+        Voucher {
+            version: self.version,
+            age_us: self.age(now).map(|age| age.as_micros() as u64),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/process/relay/daemon.rs
@@ -0,0 +1,212 @@
+//! Starts a relay's listeners and tasks, and stops them in order.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::StatusCode;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio_util::task::AbortOnDropHandle;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use super::callers::handle_caller;
+use super::entry::keep_entry;
+use super::node::RelayNode;
+use super::peers::serve_peers;
+use super::protocol::Protocol;
+use super::reports::handle_ready;
+use super::reports::handle_report;
+use super::settings::RelaySettings;
+use super::store::SharedStore;
+use super::tasks::keep_confirmed;
+use super::tasks::tidy_fleet;
+use super::tasks::watch_configuration;
+use super::tasks::watch_fleet;
+use crate::connection::ListenError;
+use crate::connection::Listener;
+use crate::connection::ListenerLimits;
+use crate::connection::Serving;
+use crate::process::events::relay as events;
+use crate::version::CallerLimits;
+
+/// Most connections of callers at the same time.
+const CALLER_CONNECTIONS_MAX: u32 = 3_000;
+/// Most connections to the other listeners at the same time.
+const SMALL_CONNECTIONS_MAX: u32 = 64;
+/// Time after which an idle connection to the other listeners is closed.
+const SMALL_IDLE_TIMEOUT_MS: u64 = 30_000;
+/// Time between two looks at whether requests are still in flight during a planned stop.
+const STOP_POLL: Duration = Duration::from_millis(25);
+/// Part of a planned stop in which new requests are still served, until callers and other nodes
+/// have learnt of it.
+const STOP_SERVING_PART: f64 = 0.45;
+
+/// A relay could not be started.
+#[derive(Debug, Snafu)]
+pub enum RelayStartError {
+    /// A listener could not be bound.
+    #[snafu(display("{source}"))]
+    Bind {
+        /// The cause.
+        source: ListenError,
+    },
+    /// The address for other nodes could not be bound.
+    #[snafu(display("cannot listen for other nodes: {source}"))]
+    BindPeers {
+        /// The cause.
+        source: std::io::Error,
+    },
+}
+
+/// A running relay.
+pub struct RelayDaemon {
+    node: Arc<RelayNode>,
+    callers: Serving,
+    _small: Vec<Serving>,
+    tasks: Vec<AbortOnDropHandle<()>>,
+}
+
+impl RelayDaemon {
+    /// Binds all addresses of `settings` and starts to serve.
+    pub async fn start(
+        settings: RelaySettings,
+        protocol: Protocol,
+        store: Arc<dyn SharedStore>,
+    ) -> Result<Self, RelayStartError> {
+        let listen = settings.raw.listen.clone();
+        let callers = Listener::bind(listen.callers).await.context(BindSnafu)?;
+        let ready = Listener::bind(listen.ready).await.context(BindSnafu)?;
+        let reports = Listener::bind(listen.reports).await.context(BindSnafu)?;
+        let peers = TcpListener::bind(listen.peers)
+            .await
+            .context(BindPeersSnafu)?;
+        let metrics = match listen.metrics {
+            Some(address) => Some(Listener::bind(address).await.context(BindSnafu)?),
+            None => None,
+        };
+        let node = Arc::new(RelayNode::new(settings, protocol, store));
+        events::STARTED.log(format_args!(
+            "node={} zone={} service={} callers={}",
+            node.settings.raw.node,
+            node.settings.raw.zone,
+            node.settings.raw.service,
+            listen.callers
+        ));
+        let mut small = vec![
+            serve_ready(ready, &node),
+            serve_reports(reports, &node),
+        ];
+        small.extend(metrics.map(|listener| serve_metrics(listener, &node)));
+        let tasks = vec![
+            spawn(serve_peers(Arc::clone(&node), peers)),
+            spawn(watch_configuration(Arc::clone(&node))),
+            spawn(keep_confirmed(Arc::clone(&node))),
+            spawn(watch_fleet(Arc::clone(&node))),
+            spawn(tidy_fleet(Arc::clone(&node))),
+            spawn(keep_entry(Arc::clone(&node))),
+        ];
+        Ok(Self {
+            callers: serve_callers(callers, &node),
+            _small: small,
+            node,
+            tasks,
+        })
+    }
+
+    /// Returns the shared state.
+    pub fn node(&self) -> &Arc<RelayNode> {
+        &self.node
+    }
+
+    /// Stops as planned: asks for no new work, finishes requests in flight and leaves the fleet.
+    pub async fn stop(self) {
+        let limit = self.node.settings.stop_limit();
+        let started_at = self.node.clock.now();
+        self.node.begin_stop();
+        events::STOPPING.log(format_args!(
+            "in_flight={} limit_ms={}",
+            self.node.in_flight.load(Ordering::Relaxed),
+            limit.as_millis()
+        ));
+        tokio::time::sleep(limit.mul_f64(STOP_SERVING_PART)).await;
+        let callers = self.callers.clone();
+        let closing = tokio::spawn(async move { callers.stop().await });
+        while self.node.clock.now().since(started_at) < limit {
+            if closing.is_finished() && self.node.is_idle() {
+                break;
+            }
+            tokio::time::sleep(STOP_POLL).await;
+        }
+        events::STOPPED.log(format_args!(
+            "in_flight={}",
+            self.node.in_flight.load(Ordering::Relaxed)
+        ));
+        drop(self.tasks);
+    }
+}
+
+impl RelayNode {
+    /// Returns whether no request of a caller or of another node is in flight here.
+    fn is_idle(&self) -> bool {
+        let backend = self.backend();
+        let runs = backend.is_some_and(|backend| backend.gate.in_flight() > 0);
+        !runs && self.in_flight.load(Ordering::Relaxed) == 0
+    }
+}
+
+fn spawn(task: impl Future<Output = ()> + Send + 'static) -> AbortOnDropHandle<()> {
+    AbortOnDropHandle::new(tokio::spawn(task))
+}
+
+fn serve_callers(listener: Listener, node: &Arc<RelayNode>) -> Serving {
+    let defaults = CallerLimits::default();
+    let limits = ListenerLimits {
+        connections_max: CALLER_CONNECTIONS_MAX,
+        // The listener's limit also closes idle connections, so it is that of idle ones.
+        header_timeout_ms: defaults.idle_timeout_ms,
+        header_bytes_max: defaults.header_bytes_max,
+    };
+    let node = Arc::clone(node);
+    listener.serve(limits, move |request| {
+        let node = Arc::clone(&node);
+        async move { handle_caller(&node, request).await }
+    })
+}
+
+fn small_limits() -> ListenerLimits {
+    ListenerLimits {
+        connections_max: SMALL_CONNECTIONS_MAX,
+        header_timeout_ms: SMALL_IDLE_TIMEOUT_MS,
+        header_bytes_max: CallerLimits::default().header_bytes_max,
+    }
+}
+
+fn serve_ready(listener: Listener, node: &Arc<RelayNode>) -> Serving {
+    let node = Arc::clone(node);
+    listener.serve(small_limits(), move |request| {
+        let node = Arc::clone(&node);
+        async move { handle_ready(&node, request).await }
+    })
+}
+
+fn serve_reports(listener: Listener, node: &Arc<RelayNode>) -> Serving {
+    let node = Arc::clone(node);
+    listener.serve(small_limits(), move |request| {
+        let node = Arc::clone(&node);
+        async move { handle_report(&node, request).await }
+    })
+}
+
+fn serve_metrics(listener: Listener, node: &Arc<RelayNode>) -> Serving {
+    let node = Arc::clone(node);
+    listener.serve(small_limits(), move |_| {
+        let in_flight = node.in_flight.load(Ordering::Relaxed);
+        let text = node.metrics.text(in_flight, node.confirmation_age());
+        let mut response = Response::new(Body::from(text));
+        *response.status_mut() = StatusCode::OK;
+        std::future::ready(response)
+    })
+}
--- /dev/null
+++ b/lib/src/process/relay/entry.rs
@@ -0,0 +1,107 @@
+//! Keeps the node's own leased entry in the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::node::RelayNode;
+use super::store::LeaseId;
+use super::store::StoreError;
+use super::tasks::ENTRY_PREFIX;
+use crate::process::events::relay as events;
+use crate::process::membership::NodeRecord;
+use crate::process::platform::Backoff;
+
+/// Duration of the lease: three renewals, so that a lost one costs nothing.
+const LEASE_TTL: Duration = Duration::from_secs(9);
+/// Time between two renewals.
+const RENEW_PERIOD: Duration = Duration::from_secs(3);
+/// First pause after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after a failed call: a lapsed entry is back well within two seconds of the
+/// store's return.
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+
+/// What the store holds of this node, as far as is known.
+#[derive(Default)]
+struct Kept {
+    lease: Option<LeaseId>,
+    written: Option<NodeRecord>,
+}
+
+/// Keeps the node's own leased entry in the store until the future is dropped.
+pub(super) async fn keep_entry(node: Arc<RelayNode>) {
+    let mut kept = Kept::default();
+    let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE, rand::random());
+    loop {
+        match bring_up_to_date(&node, &mut kept).await {
+            Ok(()) => {
+                backoff.reset();
+                let changed = timeout(RENEW_PERIOD, node.entry_changed.notified()).await;
+                if changed.is_err() {
+                    renew(&node, &mut kept).await;
+                } else {
+                    // The entry is written again even if it looks the same: a late write of an
+                    // earlier one may have replaced it.
+                    kept.written = None;
+                }
+            }
+            Err(StoreError::LeaseEnded) => {
+                events::ENTRY_LAPSED.log("writing");
+                kept = Kept::default();
+            }
+            Err(error) => {
+                node.metrics.note_store_error(&error);
+                sleep(backoff.next_pause()).await;
+            }
+        }
+    }
+}
+
+async fn bring_up_to_date(node: &RelayNode, kept: &mut Kept) -> Result<(), StoreError> {
+    let record = node.own_record();
+    if kept.written.as_ref() == Some(&record) {
+        return Ok(());
+    }
+    let lease = match kept.lease {
+        Some(lease) => lease,
+        None => {
+            let granted = node.store.grant_lease(LEASE_TTL).await;
+            node.metrics.store_call(granted.is_ok());
+            *kept.lease.insert(granted?)
+        }
+    };
+    let value = serde_json::to_vec(&record).map_err(|error| StoreError::Unreadable {
+        reason: error.to_string(),
+    })?;
+    let key = format!("{ENTRY_PREFIX}{}", record.id);
+    let written = node.store.put(&key, Bytes::from(value), lease).await;
+    node.metrics.store_call(written.is_ok());
+    let revision = written?;
+    events::ENTRY_WRITTEN.log(format_args!(
+        "revision={revision} condition={:?} serves={}",
+        record.condition,
+        record.server.is_some()
+    ));
+    kept.written = Some(record);
+    Ok(())
+}
+
+async fn renew(node: &RelayNode, kept: &mut Kept) {
+    let Some(lease) = kept.lease else {
+        return;
+    };
+    let renewed = node.store.renew_lease(lease).await;
+    node.metrics.store_call(renewed.is_ok());
+    match renewed {
+        Ok(()) => {}
+        Err(StoreError::LeaseEnded) => {
+            events::ENTRY_LAPSED.log("renewal");
+            *kept = Kept::default();
+        }
+        Err(error) => node.metrics.note_store_error(&error),
+    }
+}
--- /dev/null
+++ b/lib/src/process/relay/forward.rs
@@ -0,0 +1,339 @@
+//! Passes a request to a node of its service, and tries others where that is allowed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+
+use super::backend::run;
+use super::frame::ExchangeId;
+use super::frame::Head;
+use super::frame::RequestHead;
+use super::frame::RequestTerms;
+use super::frame::encode_frame;
+use super::frame::header_list;
+use super::link::LinkFailure;
+use super::link::PeerReply;
+use super::node::RelayNode;
+use crate::connection::WholeAnswer;
+use crate::connection::WholeRequest;
+use crate::process::events::relay as events;
+use crate::process::membership::NodeRecord;
+use crate::process::routing::CallOutcome;
+use crate::process::routing::ChooseContext;
+use crate::request::Refusal;
+use crate::request::RefusalReason;
+use crate::request::Verdict;
+use crate::values::MonotonicTime;
+use crate::values::NodeId;
+use crate::values::ServiceId;
+use crate::version::PlannedRoute;
+use crate::version::Repeatability;
+
+/// Nodes that refused a request before its server saw it, after which no other is asked: under
+/// overload each question costs processor time that answers need.
+const REFUSING_NODES_MAX: usize = 2;
+/// Nodes that are tried in all.
+const TRIED_NODES_MAX: usize = 6;
+/// Shortest time left in which another attempt is worth its cost.
+const ATTEMPT_USEFUL_MIN: Duration = Duration::from_millis(5);
+
+/// A request on its way to a service.
+pub(super) struct Outbound<'a> {
+    /// The route that the request matched.
+    pub(super) route: &'a PlannedRoute,
+    /// The service that the split chose.
+    pub(super) service: ServiceId,
+    /// The request without the headers that the system sets.
+    pub(super) request: WholeRequest,
+    /// What was decided about it; the time left is that of the first attempt.
+    pub(super) terms: RequestTerms,
+    /// When the caller stops to wait.
+    pub(super) deadline: MonotonicTime,
+}
+
+/// What the attempts at a request have brought so far.
+#[derive(Default)]
+struct Progress {
+    tried: Vec<NodeId>,
+    /// Attempts that reached a backend server.
+    arrivals: u32,
+    refusing_nodes: usize,
+    verdict: Option<Verdict>,
+    /// A backend server's failure, to be passed on if nothing better comes.
+    failed_answer: Option<WholeAnswer>,
+    last_refusal: Option<Refusal>,
+}
+
+/// What to do after an attempt.
+enum NextStep {
+    Answer(WholeAnswer),
+    TryAnother,
+    GiveUp,
+}
+
+/// Passes a request to nodes of its service until one gives a final answer.
+pub(super) async fn forward(
+    node: &Arc<RelayNode>,
+    outbound: &Outbound<'_>,
+) -> Result<WholeAnswer, Refusal> {
+    node.count_first_attempt(&outbound.service);
+    let mut progress = Progress::default();
+    loop {
+        let Some(destination) = choose(node, outbound, &progress.tried) else {
+            break;
+        };
+        progress.tried.push(destination.id.clone());
+        let result = attempt(node, outbound, &destination).await;
+        match judge(node, outbound, &destination, &mut progress, result) {
+            NextStep::Answer(answer) => return Ok(answer),
+            NextStep::TryAnother => {}
+            NextStep::GiveUp => break,
+        }
+    }
+    progress.finish()
+}
+
+impl Progress {
+    fn finish(self) -> Result<WholeAnswer, Refusal> {
+        if let Some(answer) = self.failed_answer {
+            return Ok(answer);
+        }
+        let refusal = self
+            .last_refusal
+            .unwrap_or_else(|| Refusal::not_run(RefusalReason::NoServer));
+        let verdict = self.verdict.unwrap_or(Verdict::NotRun).max(refusal.verdict);
+        let reason = match (refusal.reason, verdict) {
+            (RefusalReason::DeadlineExceeded, Verdict::NotRun) => RefusalReason::Overloaded,
+            (RefusalReason::DeadlineExceeded, _) => RefusalReason::DeadlineExceeded,
+            (reason, Verdict::NotRun) => reason,
+            _ => RefusalReason::BadAnswer,
+        };
+        Err(Refusal {
+            reason,
+            verdict,
+            ..refusal
+        })
+    }
+}
+
+/// Decides what follows an attempt.
+fn judge(
+    node: &RelayNode,
+    outbound: &Outbound<'_>,
+    destination: &NodeRecord,
+    progress: &mut Progress,
+    result: Result<WholeAnswer, Refusal>,
+) -> NextStep {
+    let refusal = match result {
+        Ok(answer) if is_final(outbound.route, &answer) => return NextStep::Answer(answer),
+        Ok(answer) => {
+            progress.arrivals += 1;
+            progress.failed_answer = Some(answer);
+            Refusal {
+                reason: RefusalReason::BadAnswer,
+                verdict: Verdict::Ran,
+                retry_after_ms: None,
+            }
+        }
+        Err(refusal) => {
+            let arrived = refusal.verdict != Verdict::NotRun
+                || refusal.reason == RefusalReason::RefusedByServer;
+            progress.arrivals += u32::from(arrived);
+            refusal
+        }
+    };
+    progress.verdict = progress.verdict.max(Some(refusal.verdict));
+    progress.refusing_nodes += usize::from(refusal.reason == RefusalReason::Overloaded);
+    let step = next_step(node, outbound, progress, &refusal);
+    events::ATTEMPT_FAILED.log(format_args!(
+        "request={} route={} peer={} reason={} verdict={} attempt={} next={}",
+        outbound.terms.request_id,
+        outbound.route.name,
+        destination.id,
+        refusal.reason,
+        refusal.verdict,
+        progress.tried.len(),
+        match step {
+            NextStep::TryAnother => "another",
+            NextStep::Answer(_) | NextStep::GiveUp => "none",
+        }
+    ));
+    progress.last_refusal = Some(refusal);
+    step
+}
+
+fn next_step(
+    node: &RelayNode,
+    outbound: &Outbound<'_>,
+    progress: &Progress,
+    refusal: &Refusal,
+) -> NextStep {
+    let remaining = outbound.deadline.since(node.clock.now());
+    let may_repeat = outbound.route.repeatability == Repeatability::Idempotent
+        || progress.verdict == Some(Verdict::NotRun);
+    match refusal.reason {
+        _ if !may_repeat || remaining < ATTEMPT_USEFUL_MIN => NextStep::GiveUp,
+        _ if progress.tried.len() >= TRIED_NODES_MAX => NextStep::GiveUp,
+        RefusalReason::DeadlineExceeded => NextStep::GiveUp,
+        RefusalReason::Overloaded if progress.refusing_nodes >= REFUSING_NODES_MAX => {
+            NextStep::GiveUp
+        }
+        _ if progress.arrivals == 0 => NextStep::TryAnother,
+        _ if progress.arrivals >= outbound.route.attempts_max => NextStep::GiveUp,
+        _ if !node.try_retry(&outbound.service) => NextStep::GiveUp,
+        _ => NextStep::TryAnother,
+    }
+}
+
+/// Returns whether an answer goes to the caller without another attempt.
+fn is_final(route: &PlannedRoute, answer: &WholeAnswer) -> bool {
+    let failed = answer.status.is_server_error() && answer.status != StatusCode::GATEWAY_TIMEOUT;
+    !failed || route.repeatability == Repeatability::AtMostOnce
+}
+
+/// Chooses a node of the service that was not tried yet.
+fn choose(node: &RelayNode, outbound: &Outbound<'_>, tried: &[NodeId]) -> Option<NodeRecord> {
+    let members = node.members();
+    let unreachable = members
+        .serving(&outbound.service)
+        .iter()
+        .filter(|record| node.links.failed_lately(record.addresses.peer))
+        .map(|record| record.id.clone());
+    let excluded: Vec<NodeId> = tried.iter().cloned().chain(unreachable).collect();
+    let context = ChooseContext {
+        members: &members,
+        zones: &node.zones,
+        excluded: &excluded,
+        now: node.clock.now(),
+    };
+    node.router.lock().choose(&outbound.service, &context)
+}
+
+async fn attempt(
+    node: &Arc<RelayNode>,
+    outbound: &Outbound<'_>,
+    destination: &NodeRecord,
+) -> Result<WholeAnswer, Refusal> {
+    let started_at = node.clock.now();
+    let remaining = outbound.deadline.since(started_at);
+    if remaining < ATTEMPT_USEFUL_MIN {
+        return Err(Refusal::not_run(RefusalReason::DeadlineExceeded));
+    }
+    let mut observed = ObservedCall::start(node, &destination.id, started_at);
+    let terms = RequestTerms {
+        remaining_us: remaining.as_micros() as u64,
+        ..outbound.terms.clone()
+    };
+    let exchange = async {
+        match destination.id == node.settings.raw.node {
+            true => run(node, &terms, outbound.request.clone()).await,
+            false => send(node, outbound, destination, &terms).await,
+        }
+    };
+    let result = match tokio::time::timeout(remaining, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(Refusal::may_have_run(RefusalReason::DeadlineExceeded)),
+    };
+    observed.finish(call_outcome(&result));
+    result
+}
+
+async fn send(
+    node: &Arc<RelayNode>,
+    outbound: &Outbound<'_>,
+    destination: &NodeRecord,
+    terms: &RequestTerms,
+) -> Result<WholeAnswer, Refusal> {
+    let address = destination.addresses.peer;
+    let not_sent = || Refusal::not_run(RefusalReason::NoServer);
+    let link = node
+        .links
+        .get(&destination.id, address)
+        .await
+        .map_err(|_| not_sent())?;
+    let asked_at = node.clock.now();
+    let reply = link
+        .exchange(|exchange| request_frame(exchange, &outbound.request, terms))
+        .await;
+    let vouched = match reply {
+        Ok(vouched) => vouched,
+        Err(LinkFailure::NotSent) => return Err(not_sent()),
+        Err(LinkFailure::Lost) => return Err(Refusal::may_have_run(RefusalReason::NoServer)),
+    };
+    if let Some(voucher) = vouched.voucher {
+        node.take_voucher(voucher, asked_at);
+    }
+    match vouched.reply {
+        PeerReply::Answer(answer) => Ok(answer),
+        PeerReply::Refused(refusal) => Err(refusal),
+        PeerReply::Pong | PeerReply::Lent(_) => {
+            Err(Refusal::may_have_run(RefusalReason::BadAnswer))
+        }
+    }
+}
+
+fn request_frame(
+    exchange: ExchangeId,
+    request: &WholeRequest,
+    terms: &RequestTerms,
+) -> Result<Bytes, LinkFailure> {
+    let uri = request.uri.to_string();
+    let head = Head::Request(RequestHead {
+        exchange,
+        method: request.method.as_str(),
+        uri: &uri,
+        headers: header_list(&request.headers),
+        terms: terms.clone(),
+    });
+    encode_frame(&head, &request.body).map_err(|_| LinkFailure::NotSent)
+}
+
+fn call_outcome(result: &Result<WholeAnswer, Refusal>) -> CallOutcome {
+    match result {
+        Ok(answer) if answer.status == StatusCode::INTERNAL_SERVER_ERROR => CallOutcome::Failed,
+        Ok(_) => CallOutcome::Answered,
+        Err(refusal) => match refusal.reason {
+            RefusalReason::Overloaded | RefusalReason::Draining => CallOutcome::Refused,
+            RefusalReason::DeadlineExceeded => CallOutcome::Cancelled,
+            _ => CallOutcome::Failed,
+        },
+    }
+}
+
+/// A call to another node; when it is dropped before its answer, the call counts as cancelled.
+struct ObservedCall<'a> {
+    node: &'a RelayNode,
+    destination: NodeId,
+    started_at: MonotonicTime,
+    is_finished: bool,
+}
+
+impl<'a> ObservedCall<'a> {
+    fn start(node: &'a RelayNode, destination: &NodeId, started_at: MonotonicTime) -> Self {
+        node.router.lock().started(destination);
+        Self {
+            node,
+            destination: destination.clone(),
+            started_at,
+            is_finished: false,
+        }
+    }
+
+    fn finish(&mut self, outcome: CallOutcome) {
+        self.is_finished = true;
+        let now = self.node.clock.now();
+        let latency = now.since(self.started_at);
+        let mut router = self.node.router.lock();
+        router.finished(&self.destination, outcome, latency, now);
+    }
+}
+
+impl Drop for ObservedCall<'_> {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            self.finish(CallOutcome::Cancelled);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/process/relay/link.rs
@@ -0,0 +1,471 @@
+//! Connections to other nodes: one for each, shared by all exchanges.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::StatusCode;
+use parking_lot::Mutex;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::confirmation::Voucher;
+use super::frame::ExchangeId;
+use super::frame::Frame;
+use super::frame::Head;
+use super::frame::encode_frame;
+use super::frame::header_map;
+use crate::connection::WholeAnswer;
+use crate::process::events::relay as events;
+use crate::request::Refusal;
+use crate::request::RefusalReason;
+use crate::values::Clock;
+use crate::values::MonotonicTime;
+use crate::values::NodeId;
+use crate::values::TokenCount;
+
+/// Longest time to open a connection: several round trips between zones, and short enough for
+/// another attempt within the shortest deadlines.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after a failed connection in which no other is tried.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(500);
+/// Silence after which a node with open exchanges is asked for a sign of life.
+const SILENCE_BEFORE_PING: Duration = Duration::from_millis(400);
+/// Silence after which a connection with open exchanges counts as lost.
+const SILENCE_MAX: Duration = Duration::from_millis(1_600);
+/// Time without exchanges after which a connection is closed.
+const IDLE_MAX: Duration = Duration::from_secs(30);
+/// Time between two looks at a connection's silence.
+const WATCH_PERIOD: Duration = Duration::from_millis(200);
+/// Most bytes that wait to be written to one node; more means that it does not read.
+const QUEUED_BYTES_MAX: usize = 16 * 1_024 * 1_024;
+/// Bytes that are joined into one write.
+const WRITE_BYTES: usize = 64 * 1_024;
+/// Bytes for which there is room at each read.
+pub(super) const READ_BYTES: usize = 16 * 1_024;
+
+/// What another node answered.
+#[derive(Debug)]
+pub(super) enum PeerReply {
+    /// A backend server's answer.
+    Answer(WholeAnswer),
+    /// A refusal.
+    Refused(Refusal),
+    /// A sign of life.
+    Pong,
+    /// Tokens that are lent.
+    Lent(TokenCount),
+}
+
+/// A reply with the voucher that came with it.
+#[derive(Debug)]
+pub(super) struct VouchedReply {
+    pub(super) reply: PeerReply,
+    pub(super) voucher: Option<Voucher>,
+}
+
+/// Why an exchange gave no reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LinkFailure {
+    /// No byte of the message left this node.
+    NotSent,
+    /// The message may have arrived.
+    Lost,
+}
+
+type ReplySender = oneshot::Sender<Result<VouchedReply, LinkFailure>>;
+
+#[derive(Debug)]
+struct LinkState {
+    pending: HashMap<ExchangeId, ReplySender>,
+    next_exchange: u64,
+    heard_at: MonotonicTime,
+    used_at: MonotonicTime,
+    queued_bytes: usize,
+    is_closed: bool,
+}
+
+/// A connection to one node, shared by all exchanges with it.
+#[derive(Debug)]
+pub(super) struct Link {
+    peer: NodeId,
+    clock: Clock,
+    state: Mutex<LinkState>,
+    outgoing: mpsc::UnboundedSender<Bytes>,
+}
+
+impl Link {
+    /// Connects to `peer` and starts the tasks of the connection.
+    async fn open(
+        from: NodeId,
+        peer: NodeId,
+        address: SocketAddr,
+        clock: Clock,
+    ) -> std::io::Result<Arc<Self>> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (reader, writer) = stream.into_split();
+        let (outgoing, frames) = mpsc::unbounded_channel();
+        let now = clock.now();
+        let link = Arc::new(Self {
+            peer: peer.clone(),
+            clock,
+            state: Mutex::new(LinkState {
+                pending: HashMap::new(),
+                next_exchange: 0,
+                heard_at: now,
+                used_at: now,
+                queued_bytes: 0,
+                is_closed: false,
+            }),
+            outgoing,
+        });
+        link.queue(&Head::Hello { from, to: peer }, &[])
+            .map_err(|_| std::io::Error::other("greeting was not queued"))?;
+        tokio::spawn(run_link(Arc::clone(&link), reader, writer, frames));
+        Ok(link)
+    }
+
+    /// Queues a frame to be written.
+    fn queue(&self, head: &Head<'_>, body: &[u8]) -> Result<(), LinkFailure> {
+        let frame = encode_frame(head, body).map_err(|_| LinkFailure::NotSent)?;
+        let mut state = self.state.lock();
+        if state.is_closed || state.queued_bytes + frame.len() > QUEUED_BYTES_MAX {
+            return Err(LinkFailure::NotSent);
+        }
+        state.queued_bytes += frame.len();
+        drop(state);
+        self.outgoing.send(frame).map_err(|_| LinkFailure::NotSent)
+    }
+
+    /// Sends a message made by `head` and waits for its reply. Dropping the future cancels the
+    /// exchange at the other node.
+    pub(super) async fn exchange(
+        self: &Arc<Self>,
+        head: impl FnOnce(ExchangeId) -> Result<Bytes, LinkFailure>,
+    ) -> Result<VouchedReply, LinkFailure> {
+        let (sender, receiver) = oneshot::channel();
+        let exchange = {
+            let mut state = self.state.lock();
+            if state.is_closed {
+                return Err(LinkFailure::NotSent);
+            }
+            let exchange = ExchangeId(state.next_exchange);
+            let frame = head(exchange)?;
+            if state.queued_bytes + frame.len() > QUEUED_BYTES_MAX {
+                return Err(LinkFailure::NotSent);
+            }
+            let now = self.clock.now();
+            if state.pending.is_empty() {
+                state.heard_at = now;
+            }
+            state.next_exchange += 1;
+            state.used_at = now;
+            state.queued_bytes += frame.len();
+            state.pending.insert(exchange, sender);
+            if self.outgoing.send(frame).is_err() {
+                state.pending.remove(&exchange);
+                return Err(LinkFailure::NotSent);
+            }
+            exchange
+        };
+        let guard = CancelGuard {
+            link: self,
+            exchange,
+        };
+        let reply = receiver.await.unwrap_or(Err(LinkFailure::Lost));
+        std::mem::forget(guard);
+        reply
+    }
+
+    fn take_frame(&self, frame: &Frame) -> Result<(), super::frame::FrameError> {
+        let (exchange, reply, voucher) = match frame.head()? {
+            Head::Answer(answer) => {
+                let reply = match (StatusCode::from_u16(answer.status), header_map(&answer.headers))
+                {
+                    (Ok(status), Some(headers)) => PeerReply::Answer(WholeAnswer {
+                        status,
+                        headers,
+                        body: frame.body.clone(),
+                    }),
+                    _ => PeerReply::Refused(Refusal::may_have_run(RefusalReason::BadAnswer)),
+                };
+                (answer.exchange, reply, Some(answer.voucher))
+            }
+            Head::Refused {
+                exchange,
+                refusal,
+                voucher,
+            } => (exchange, PeerReply::Refused(refusal), Some(voucher)),
+            Head::Pong { exchange, voucher } => (exchange, PeerReply::Pong, Some(voucher)),
+            Head::Lent { exchange, tokens } => (exchange, PeerReply::Lent(tokens), None),
+            Head::Hello { .. }
+            | Head::Request(_)
+            | Head::Cancel { .. }
+            | Head::Ping { .. }
+            | Head::Borrow { .. } => return Ok(()),
+        };
+        let waiting = self.state.lock().pending.remove(&exchange);
+        if let Some(sender) = waiting {
+            // A receiver that is gone has cancelled the exchange.
+            let _ = sender.send(Ok(VouchedReply { reply, voucher }));
+        }
+        Ok(())
+    }
+
+    fn close(&self) {
+        let mut state = self.state.lock();
+        state.is_closed = true;
+        let pending = std::mem::take(&mut state.pending);
+        drop(state);
+        for sender in pending.into_values() {
+            // A receiver that is gone no longer waits.
+            let _ = sender.send(Err(LinkFailure::Lost));
+        }
+    }
+
+    fn is_closed(&self) -> bool {
+        self.state.lock().is_closed
+    }
+
+    /// Decides what to do about the time in which nothing was heard.
+    fn check_silence(&self) -> SilenceAction {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let silence = now.since(state.heard_at);
+        match state.pending.is_empty() {
+            true if now.since(state.used_at) > IDLE_MAX => SilenceAction::Close,
+            true => SilenceAction::None,
+            false if silence > SILENCE_MAX => SilenceAction::Close,
+            false if silence > SILENCE_BEFORE_PING => SilenceAction::Ping,
+            false => SilenceAction::None,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SilenceAction {
+    None,
+    Ping,
+    Close,
+}
+
+/// Tells the other node that an exchange is no longer waited for.
+struct CancelGuard<'a> {
+    link: &'a Arc<Link>,
+    exchange: ExchangeId,
+}
+
+impl Drop for CancelGuard<'_> {
+    fn drop(&mut self) {
+        let waited = self.link.state.lock().pending.remove(&self.exchange);
+        if waited.is_some() {
+            let exchange = self.exchange;
+            // A connection that is closing cancels all its exchanges by that.
+            let _ = self.link.queue(&Head::Cancel { exchange }, &[]);
+        }
+    }
+}
+
+async fn run_link(
+    link: Arc<Link>,
+    reader: OwnedReadHalf,
+    writer: OwnedWriteHalf,
+    frames: mpsc::UnboundedReceiver<Bytes>,
+) {
+    let written = |bytes| {
+        let mut state = link.state.lock();
+        state.queued_bytes = state.queued_bytes.saturating_sub(bytes);
+    };
+    let reason = tokio::select! {
+        reason = read_frames(&link, reader) => reason,
+        result = write_frames(writer, frames, written) => match result {
+            Ok(()) => "closed here".to_owned(),
+            Err(error) => error.to_string(),
+        },
+        reason = watch_silence(&link) => reason.to_owned(),
+    };
+    link.close();
+    events::LINK_LOST.log(format_args!("peer={} reason=\"{reason}\"", link.peer));
+}
+
+async fn read_frames(link: &Link, mut reader: OwnedReadHalf) -> String {
+    let mut received = BytesMut::with_capacity(READ_BYTES);
+    loop {
+        received.reserve(READ_BYTES);
+        match reader.read_buf(&mut received).await {
+            Ok(0) => return "closed by the other node".to_owned(),
+            Ok(_) => {}
+            Err(error) => return error.to_string(),
+        }
+        link.state.lock().heard_at = link.clock.now();
+        loop {
+            match Frame::split_from(&mut received) {
+                Ok(Some(frame)) => {
+                    if let Err(error) = link.take_frame(&frame) {
+                        return error.to_string();
+                    }
+                }
+                Ok(None) => break,
+                Err(error) => return error.to_string(),
+            }
+        }
+    }
+}
+
+/// Writes frames, joining those that wait, and reports written bytes.
+pub(super) async fn write_frames(
+    mut writer: OwnedWriteHalf,
+    mut frames: mpsc::UnboundedReceiver<Bytes>,
+    written: impl Fn(usize),
+) -> std::io::Result<()> {
+    while let Some(first) = frames.recv().await {
+        match frames.try_recv() {
+            Err(_) => {
+                writer.write_all(&first).await?;
+                written(first.len());
+            }
+            Ok(second) => {
+                let mut joined = BytesMut::from(&first[..]);
+                joined.extend_from_slice(&second);
+                while joined.len() < WRITE_BYTES
+                    && let Ok(next) = frames.try_recv()
+                {
+                    joined.extend_from_slice(&next);
+                }
+                writer.write_all(&joined).await?;
+                written(joined.len());
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn watch_silence(link: &Link) -> &'static str {
+    loop {
+        tokio::time::sleep(WATCH_PERIOD).await;
+        match link.check_silence() {
+            SilenceAction::None => {}
+            SilenceAction::Close => return "silent",
+            SilenceAction::Ping => {
+                // The answer only has to be heard; its exchange is none of the open ones.
+                let exchange = ExchangeId(u64::MAX);
+                if link.queue(&Head::Ping { exchange }, &[]).is_err() {
+                    return "not reading";
+                }
+            }
+        }
+    }
+}
+
+/// What is known of the connection to one node.
+#[derive(Debug)]
+enum LinkSlot {
+    Open(Arc<Link>),
+    FailedAt(MonotonicTime),
+}
+
+/// The connections to other nodes.
+#[derive(Debug)]
+pub(super) struct Links {
+    me: NodeId,
+    clock: Clock,
+    slots: Mutex<HashMap<SocketAddr, LinkSlot>>,
+    opening: Mutex<HashMap<SocketAddr, Arc<tokio::sync::Mutex<()>>>>,
+}
+
+impl Links {
+    pub(super) fn new(me: NodeId, clock: Clock) -> Self {
+        Self {
+            me,
+            clock,
+            slots: Mutex::default(),
+            opening: Mutex::default(),
+        }
+    }
+
+    /// Returns the connection to a node, and opens it if there is none.
+    pub(super) async fn get(
+        &self,
+        peer: &NodeId,
+        address: SocketAddr,
+    ) -> Result<Arc<Link>, LinkFailure> {
+        if let Some(known) = self.known(peer, address) {
+            return known;
+        }
+        let opening = Arc::clone(self.opening.lock().entry(address).or_default());
+        let _turn = opening.lock().await;
+        if let Some(known) = self.known(peer, address) {
+            return known;
+        }
+        let opened = Link::open(self.me.clone(), peer.clone(), address, self.clock.clone());
+        let reason = match timeout(CONNECT_TIMEOUT, opened).await {
+            Ok(Ok(link)) => {
+                let slot = LinkSlot::Open(Arc::clone(&link));
+                self.slots.lock().insert(address, slot);
+                return Ok(link);
+            }
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "timed out".to_owned(),
+        };
+        events::LINK_NOT_OPENED.log(format_args!("peer={peer} reason=\"{reason}\""));
+        let slot = LinkSlot::FailedAt(self.clock.now());
+        self.slots.lock().insert(address, slot);
+        Err(LinkFailure::NotSent)
+    }
+
+    fn known(
+        &self,
+        peer: &NodeId,
+        address: SocketAddr,
+    ) -> Option<Result<Arc<Link>, LinkFailure>> {
+        match self.slots.lock().get(&address)? {
+            LinkSlot::Open(link) if !link.is_closed() && link.peer == *peer => {
+                Some(Ok(Arc::clone(link)))
+            }
+            LinkSlot::FailedAt(at) if self.clock.now().since(*at) < RECONNECT_PAUSE => {
+                Some(Err(LinkFailure::NotSent))
+            }
+            LinkSlot::Open(_) | LinkSlot::FailedAt(_) => None,
+        }
+    }
+
+    /// Returns whether a connection to a node failed just now.
+    pub(super) fn failed_lately(&self, address: SocketAddr) -> bool {
+        match self.slots.lock().get(&address) {
+            Some(LinkSlot::FailedAt(at)) => self.clock.now().since(*at) < RECONNECT_PAUSE,
+            Some(LinkSlot::Open(_)) | None => false,
+        }
+    }
+
+    /// Returns an open connection that was used last, if there is one.
+    pub(super) fn any_open(&self) -> Option<Arc<Link>> {
+        let slots = self.slots.lock();
+        let open = slots.values().filter_map(|slot| match slot {
+            LinkSlot::Open(link) if !link.is_closed() => Some(link),
+            LinkSlot::Open(_) | LinkSlot::FailedAt(_) => None,
+        });
+        open.max_by_key(|link| link.state.lock().heard_at).cloned()
+    }
+
+    /// Forgets closed connections.
+    pub(super) fn forget_closed(&self) {
+        let now = self.clock.now();
+        self.slots.lock().retain(|_, slot| match slot {
+            LinkSlot::Open(link) => !link.is_closed(),
+            LinkSlot::FailedAt(at) => now.since(*at) < RECONNECT_PAUSE,
+        });
+        self.opening
+            .lock()
+            .retain(|_, opening| Arc::strong_count(opening) > 1);
+    }
+}
--- /dev/null
+++ b/lib/src/process/relay/metrics.rs
@@ -0,0 +1,160 @@
+//! Counters and histograms of a relay, in the Prometheus text format.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::StatusCode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+use super::store::StoreError;
+use crate::request::Refusal;
+
+/// First bound of the latency histogram, in seconds.
+const LATENCY_FIRST_S: f64 = 0.002;
+/// Bounds of the latency histogram; each is twice the one before, up to eight seconds.
+const LATENCY_BOUNDS: u16 = 13;
+
+/// A label whose values are few and fixed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Kind {
+    kind: &'static str,
+}
+
+/// Counters and histograms of a relay. Labels have few and fixed values.
+#[derive(Debug)]
+pub struct RelayMetrics {
+    registry: Registry,
+    answers: Family<Kind, Counter>,
+    refusals: Family<Kind, Counter>,
+    latency_s: Histogram,
+    callers_left: Counter,
+    store_calls: Family<Kind, Counter>,
+    in_flight: Gauge,
+    confirmation_age_ms: Gauge,
+    store_answers: AtomicBool,
+}
+
+impl RelayMetrics {
+    /// Makes counters that stand at zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("balsamfold");
+        let answers = Family::<Kind, Counter>::default();
+        let refusals = Family::<Kind, Counter>::default();
+        let bounds = exponential_buckets(LATENCY_FIRST_S, 2.0, LATENCY_BOUNDS);
+        let latency_s = Histogram::new(bounds);
+        let callers_left = Counter::default();
+        let store_calls = Family::<Kind, Counter>::default();
+        let in_flight = Gauge::default();
+        let confirmation_age_ms = Gauge::default();
+        registry.register("answers", "Answers of backend servers", answers.clone());
+        registry.register(
+            "refusals",
+            "Requests that were refused, by reason",
+            refusals.clone(),
+        );
+        registry.register(
+            "latency_seconds",
+            "Time until an answer or refusal",
+            latency_s.clone(),
+        );
+        registry.register(
+            "callers_left",
+            "Callers that left before the answer",
+            callers_left.clone(),
+        );
+        registry.register("store_calls", "Calls of the store", store_calls.clone());
+        registry.register("in_flight", "Requests in flight", in_flight.clone());
+        registry.register(
+            "confirmation_age_ms",
+            "Time since the configuration was confirmed, or -1",
+            confirmation_age_ms.clone(),
+        );
+        Self {
+            registry,
+            answers,
+            refusals,
+            latency_s,
+            callers_left,
+            store_calls,
+            in_flight,
+            confirmation_age_ms,
+            store_answers: AtomicBool::new(false),
+        }
+    }
+
+    /// Counts an answer of a backend server.
+    pub fn answered(&self, status: StatusCode, held: Duration) {
+        let kind = match status.as_u16() {
+            200..=299 => "success",
+            500..=599 => "server-error",
+            _ => "other",
+        };
+        self.answers.get_or_create(&Kind { kind }).inc();
+        self.latency_s.observe(held.as_secs_f64());
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, refusal: &Refusal, held: Duration) {
+        let kind = refusal.reason.code();
+        self.refusals.get_or_create(&Kind { kind }).inc();
+        self.latency_s.observe(held.as_secs_f64());
+    }
+
+    /// Counts a caller that left before the answer.
+    pub fn caller_left(&self) {
+        self.callers_left.inc();
+    }
+
+    /// Counts a call of the store.
+    pub fn store_call(&self, answered: bool) {
+        let kind = match answered {
+            true => "answered",
+            false => "failed",
+        };
+        self.store_calls.get_or_create(&Kind { kind }).inc();
+    }
+
+    /// Counts why a call of the store failed.
+    pub fn note_store_error(&self, error: &StoreError) {
+        let kind = match error {
+            StoreError::NotDone { .. } => "not-done",
+            StoreError::Unknown { .. } => "unknown",
+            StoreError::HistoryLost => "history-lost",
+            StoreError::LeaseEnded => "lease-ended",
+            StoreError::Unreadable { .. } => "unreadable",
+        };
+        self.store_calls.get_or_create(&Kind { kind }).inc();
+    }
+
+    /// Notes whether the store answers, and returns whether that is news.
+    pub fn set_store_answers(&self, answers: bool) -> bool {
+        self.store_answers.swap(answers, Ordering::Relaxed) != answers
+    }
+
+    /// Returns all metrics as text.
+    pub fn text(&self, in_flight: u64, confirmation_age: Option<Duration>) -> String {
+        self.in_flight.set(in_flight as i64);
+        let age_ms = confirmation_age.map_or(-1, |age| age.as_millis() as i64);
+        self.confirmation_age_ms.set(age_ms);
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            // Writing to a string fails only if a metric's own encoding does.
+            Err(error) => format!("# metrics cannot be encoded: {error}\n"),
+        }
+    }
+}
+
+impl Default for RelayMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/lib/src/process/relay/node.rs
@@ -0,0 +1,283 @@
+//! The state that all requests of a relay share.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use parking_lot::RwLock;
+use tokio::sync::Notify;
+
+use super::allowance::Allowances;
+use super::backend::Backend;
+use super::confirmation::Confirmation;
+use super::confirmation::Voucher;
+use super::confirmation::VoucherUse;
+use super::fleet::Fleet;
+use super::link::Links;
+use super::metrics::RelayMetrics;
+use super::protocol::Protocol;
+use super::registration::Registration;
+use super::settings::RelaySettings;
+use super::split::SplitState;
+use super::store::SharedStore;
+use crate::process::events::relay as events;
+use crate::process::membership::MemberTable;
+use crate::process::membership::NodeAddresses;
+use crate::process::membership::NodeCondition;
+use crate::process::membership::NodeRecord;
+use crate::process::membership::ServerRecord;
+use crate::process::routing::Router;
+use crate::request::RetryRatio;
+use crate::values::Clock;
+use crate::values::ConnectionCount;
+use crate::values::Incarnation;
+use crate::values::MonotonicTime;
+use crate::values::ServiceId;
+use crate::version::TrafficPlan;
+use crate::version::ZoneRecord;
+
+/// Retries that a service may get from one node beyond the ratio, so that all nodes together stay
+/// below a few dozen.
+const RETRY_BURST: u64 = 2;
+/// Part of the operators' retry ratio that a node uses: calls that a repeated run makes count as
+/// repeats, too.
+const RETRY_RATIO_USED: f64 = 0.4;
+
+/// The state that all requests of a relay share.
+///
+/// Each lock is held for single steps only, never over an await, and never while another one is
+/// taken.
+pub struct RelayNode {
+    /// The checked settings.
+    pub settings: RelaySettings,
+    /// How callers, servers and the store of the platform are understood.
+    pub protocol: Protocol,
+    /// The source of time.
+    pub clock: Clock,
+    /// The shared store.
+    pub store: Arc<dyn SharedStore>,
+    /// Counters and histograms.
+    pub metrics: RelayMetrics,
+    /// Connections to other nodes.
+    pub(super) links: Links,
+    pub(super) allowances: Mutex<Allowances>,
+    pub(super) fleet: Mutex<Fleet>,
+    pub(super) registration: Mutex<Registration>,
+    pub(super) splits: Mutex<SplitState>,
+    pub(super) router: Mutex<Router>,
+    /// Wakes the task that reads the configuration.
+    pub(super) configuration_wanted: Notify,
+    /// Wakes the task that keeps the node's entry in the store.
+    pub(super) entry_changed: Notify,
+    pub(super) in_flight: AtomicU64,
+    /// The zones of the fleet with their regions.
+    pub(super) zones: std::collections::BTreeMap<crate::values::ZoneId, ZoneRecord>,
+    started_ms: u64,
+    plan: RwLock<Option<Arc<TrafficPlan>>>,
+    members: RwLock<Arc<MemberTable>>,
+    backend: RwLock<Option<Arc<Backend>>>,
+    confirmation: Mutex<Confirmation>,
+    retries: Mutex<HashMap<ServiceId, RetryRatio>>,
+    is_stopping: AtomicBool,
+}
+
+impl RelayNode {
+    /// Makes a node that knows neither a configuration nor a backend server yet.
+    pub fn new(settings: RelaySettings, protocol: Protocol, store: Arc<dyn SharedStore>) -> Self {
+        let clock = Clock::start();
+        let zones = settings.raw.zones.iter().map(|(zone, region)| {
+            let record = ZoneRecord {
+                id: zone.clone(),
+                region: region.clone(),
+                rate_weight: 1,
+            };
+            (zone.clone(), record)
+        });
+        let started_ms = clock.wall().0;
+        Self {
+            zones: zones.collect(),
+            links: Links::new(settings.raw.node.clone(), clock.clone()),
+            router: Mutex::new(Router::new(
+                settings.raw.zone.clone(),
+                rand::random(),
+                clock.now(),
+            )),
+            settings,
+            protocol,
+            store,
+            metrics: RelayMetrics::new(),
+            allowances: Mutex::default(),
+            fleet: Mutex::default(),
+            registration: Mutex::default(),
+            splits: Mutex::default(),
+            configuration_wanted: Notify::new(),
+            entry_changed: Notify::new(),
+            in_flight: AtomicU64::new(0),
+            started_ms,
+            plan: RwLock::default(),
+            members: RwLock::default(),
+            backend: RwLock::default(),
+            confirmation: Mutex::default(),
+            retries: Mutex::default(),
+            is_stopping: AtomicBool::new(false),
+            clock,
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn plan(&self) -> Option<Arc<TrafficPlan>> {
+        self.plan.read().clone()
+    }
+
+    /// Puts `plan` in force unless the one in force is as new.
+    pub fn offer_plan(&self, plan: TrafficPlan) -> bool {
+        let version = plan.version;
+        let mut current = self.plan.write();
+        if current.as_ref().is_some_and(|known| known.version >= version) {
+            return false;
+        }
+        let plan = Arc::new(plan);
+        *current = Some(Arc::clone(&plan));
+        drop(current);
+        self.confirmation.lock().adopt(version);
+        self.share_allowances(&plan);
+        events::CONFIGURATION_IN_FORCE.log(format_args!("version={version}"));
+        true
+    }
+
+    /// Divides the limits of organisations among the nodes that are known.
+    pub(super) fn share_allowances(&self, plan: &TrafficPlan) {
+        let now = self.clock.now();
+        let nodes = self.fleet.lock().largest_count(now);
+        self.allowances.lock().set_plan(plan, nodes, now);
+    }
+
+    /// Notes that the configuration in force was the newest at `asked_at`.
+    pub(super) fn confirm(&self, asked_at: MonotonicTime) {
+        if let Some(plan) = self.plan() {
+            self.confirmation.lock().confirm(plan.version, asked_at);
+        }
+    }
+
+    /// Takes what another node says of the configuration after a question of `asked_at`.
+    pub(super) fn take_voucher(&self, voucher: Voucher, asked_at: MonotonicTime) {
+        let used = self.confirmation.lock().take_voucher(voucher, asked_at);
+        if used == VoucherUse::NewerVersion {
+            self.configuration_wanted.notify_one();
+        }
+    }
+
+    /// Returns what this node can say to others of the configuration.
+    pub(super) fn voucher(&self) -> Voucher {
+        self.confirmation.lock().voucher(self.clock.now())
+    }
+
+    /// Returns the time since the configuration in force was certainly the newest.
+    pub fn confirmation_age(&self) -> Option<Duration> {
+        self.confirmation.lock().age(self.clock.now())
+    }
+
+    /// Returns whether requests with keys may run.
+    pub fn accepts_keys(&self) -> bool {
+        match self.settings.key_confirmation_max() {
+            Some(limit) => self.confirmation_age().is_some_and(|age| age < limit),
+            None => true,
+        }
+    }
+
+    /// Returns the view of the fleet.
+    pub fn members(&self) -> Arc<MemberTable> {
+        Arc::clone(&self.members.read())
+    }
+
+    /// Puts the present view of the fleet in force.
+    pub(super) fn publish_fleet(&self) {
+        let table = self.fleet.lock().table();
+        let count = table.nodes().count();
+        *self.members.write() = Arc::new(table);
+        events::FLEET_CHANGED.log(format_args!("nodes={count}"));
+        if let Some(plan) = self.plan() {
+            self.share_allowances(&plan);
+        }
+    }
+
+    /// Returns the backend server beside this node.
+    pub(super) fn backend(&self) -> Option<Arc<Backend>> {
+        self.backend.read().clone()
+    }
+
+    /// Replaces the backend server beside this node.
+    pub(super) fn set_backend(&self, backend: Option<Arc<Backend>>) {
+        *self.backend.write() = backend;
+        self.entry_changed.notify_one();
+    }
+
+    /// Returns the entry of this node as other nodes shall see it.
+    pub(super) fn own_record(&self) -> NodeRecord {
+        let raw = &self.settings.raw;
+        let backend = self.backend();
+        let condition = match self.is_stopping() {
+            true => NodeCondition::Leaving,
+            false => NodeCondition::Alive,
+        };
+        let serving = backend.as_ref().filter(|backend| backend.takes_work());
+        NodeRecord {
+            id: raw.node.clone(),
+            zone: raw.zone.clone(),
+            addresses: NodeAddresses {
+                peer: raw.listen.peers,
+                control: raw.listen.peers,
+                probe: raw.listen.peers,
+            },
+            incarnation: backend
+                .as_ref()
+                .map_or(Incarnation(self.started_ms), |backend| backend.incarnation),
+            condition,
+            server: serving.map(|backend| ServerRecord {
+                service: raw.service.clone(),
+                slots: backend.slots,
+                connections: ConnectionCount(backend.slots.0),
+            }),
+        }
+    }
+
+    /// Returns whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Begins a planned stop.
+    pub(super) fn begin_stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+        self.entry_changed.notify_one();
+    }
+
+    /// Returns whether callers should send requests to this node.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.plan().is_some() && self.accepts_keys()
+    }
+
+    /// Counts the first attempt at a request for `service`.
+    pub(super) fn count_first_attempt(&self, service: &ServiceId) {
+        self.with_retries(service, RetryRatio::on_first_attempt);
+    }
+
+    /// Takes a retry from the budget of `service`, and returns whether it may be made.
+    pub(super) fn try_retry(&self, service: &ServiceId) -> bool {
+        self.with_retries(service, RetryRatio::try_retry)
+    }
+
+    fn with_retries<T>(&self, service: &ServiceId, step: impl FnOnce(&mut RetryRatio) -> T) -> T {
+        let mut retries = self.retries.lock();
+        if !retries.contains_key(service) {
+            let ratio = self.settings.raw.bounds.retry_ratio * RETRY_RATIO_USED;
+            let fresh = RetryRatio::new((ratio * 1e3) as u64, RETRY_BURST);
+            retries.insert(service.clone(), fresh);
+        }
+        step(retries.entry(service.clone()).or_default())
+    }
+}
--- /dev/null
+++ b/lib/src/process/relay/peers.rs
@@ -0,0 +1,238 @@
+//! Serves the connections that other nodes open to this one.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::Method;
+use http::Uri;
+use parking_lot::Mutex;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+use super::backend::run;
+use super::frame::AnswerHead;
+use super::frame::ExchangeId;
+use super::frame::Frame;
+use super::frame::Head;
+use super::frame::RequestHead;
+use super::frame::encode_frame;
+use super::frame::header_list;
+use super::frame::header_map;
+use super::link::READ_BYTES;
+use super::link::write_frames;
+use super::node::RelayNode;
+use crate::connection::WholeAnswer;
+use crate::connection::WholeRequest;
+use crate::process::events::relay as events;
+use crate::request::Refusal;
+use crate::request::RefusalReason;
+
+/// Pause after a failed accept, for example when the process has no free file descriptor.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+/// Silence after which a connection is closed: other nodes close idle ones sooner.
+const SILENCE_MAX: Duration = Duration::from_secs(60);
+
+/// Accepts connections of other nodes until the future is dropped.
+pub(super) async fn serve_peers(node: Arc<RelayNode>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let node = Arc::clone(&node);
+                tokio::spawn(async move { serve_connection(node, stream).await });
+            }
+            Err(error) => {
+                events::LINK_NOT_OPENED.log(format_args!("peer=unknown reason=\"{error}\""));
+                tokio::time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+/// Requests that run for one connection; they are cancelled when it ends.
+#[derive(Default)]
+struct Running {
+    tasks: Mutex<HashMap<ExchangeId, AbortHandle>>,
+}
+
+impl Running {
+    fn cancel(&self, exchange: ExchangeId) {
+        if let Some(task) = self.tasks.lock().remove(&exchange) {
+            task.abort();
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        for task in self.tasks.get_mut().values() {
+            task.abort();
+        }
+    }
+}
+
+async fn serve_connection(node: Arc<RelayNode>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        events::LINK_LOST.log(format_args!("peer=unknown reason=\"{error}\""));
+        return;
+    }
+    let (reader, writer) = stream.into_split();
+    let (replies, frames) = mpsc::unbounded_channel();
+    let running = Arc::new(Running::default());
+    tokio::select! {
+        reason = read_requests(&node, &running, reader, replies) => {
+            events::LINK_LOST.log(format_args!("peer=caller reason=\"{reason}\""));
+        }
+        result = write_frames(writer, frames, |_| {}) => {
+            if let Err(error) = result {
+                events::LINK_LOST.log(format_args!("peer=caller reason=\"{error}\""));
+            }
+        }
+    }
+    let tasks = std::mem::take(&mut *running.tasks.lock());
+    for task in tasks.into_values() {
+        task.abort();
+    }
+}
+
+async fn read_requests(
+    node: &Arc<RelayNode>,
+    running: &Arc<Running>,
+    mut reader: OwnedReadHalf,
+    replies: mpsc::UnboundedSender<Bytes>,
+) -> String {
+    let mut received = BytesMut::with_capacity(READ_BYTES);
+    loop {
+        received.reserve(READ_BYTES);
+        match tokio::time::timeout(SILENCE_MAX, reader.read_buf(&mut received)).await {
+            Ok(Ok(0)) => return "closed by the other node".to_owned(),
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => return error.to_string(),
+            Err(_) => return "silent".to_owned(),
+        }
+        loop {
+            match Frame::split_from(&mut received) {
+                Ok(Some(frame)) => {
+                    if let Err(reason) = take_frame(node, running, &frame, &replies) {
+                        return reason;
+                    }
+                }
+                Ok(None) => break,
+                Err(error) => return error.to_string(),
+            }
+        }
+    }
+}
+
+fn take_frame(
+    node: &Arc<RelayNode>,
+    running: &Arc<Running>,
+    frame: &Frame,
+    replies: &mpsc::UnboundedSender<Bytes>,
+) -> Result<(), String> {
+    match frame.head().map_err(|error| error.to_string())? {
+        Head::Hello { to, .. } if to != node.settings.raw.node => {
+            return Err(format!("meant for {to}"));
+        }
+        Head::Hello { .. } => {}
+        Head::Request(head) => start_request(node, running, head, frame.body.clone(), replies),
+        Head::Cancel { exchange } => running.cancel(exchange),
+        Head::Ping { exchange } => {
+            let voucher = node.voucher();
+            reply(replies, &Head::Pong { exchange, voucher }, &[]);
+        }
+        Head::Borrow {
+            exchange,
+            organisation,
+        } => {
+            let now = node.clock.now();
+            let tokens = node.allowances.lock().lend(&organisation, now);
+            reply(replies, &Head::Lent { exchange, tokens }, &[]);
+        }
+        Head::Answer(_) | Head::Refused { .. } | Head::Pong { .. } | Head::Lent { .. } => {}
+    }
+    Ok(())
+}
+
+fn reply(replies: &mpsc::UnboundedSender<Bytes>, head: &Head<'_>, body: &[u8]) {
+    match encode_frame(head, body) {
+        // A receiver that is gone means that the connection has ended.
+        Ok(frame) => drop(replies.send(frame)),
+        Err(error) => events::LINK_LOST.log(format_args!("peer=caller reason=\"{error}\"")),
+    }
+}
+
+fn start_request(
+    node: &Arc<RelayNode>,
+    running: &Arc<Running>,
+    head: RequestHead<'_>,
+    body: Bytes,
+    replies: &mpsc::UnboundedSender<Bytes>,
+) {
+    let exchange = head.exchange;
+    let Some(request) = whole_request(&head, body) else {
+        let refusal = Refusal::not_run(RefusalReason::BadRequest);
+        reply_refusal(node, exchange, refusal, replies);
+        return;
+    };
+    let terms = head.terms;
+    let node = Arc::clone(node);
+    let replies = replies.clone();
+    let ended = Arc::downgrade(running);
+    let mut tasks = running.tasks.lock();
+    let task = tokio::spawn(async move {
+        let outcome = run(&node, &terms, request).await;
+        if let Some(running) = ended.upgrade() {
+            running.tasks.lock().remove(&exchange);
+        }
+        match outcome {
+            Ok(answer) => reply_answer(&node, exchange, &answer, &replies),
+            Err(refusal) => reply_refusal(&node, exchange, refusal, &replies),
+        }
+    });
+    tasks.insert(exchange, task.abort_handle());
+}
+
+fn whole_request(head: &RequestHead<'_>, body: Bytes) -> Option<WholeRequest> {
+    Some(WholeRequest {
+        method: Method::from_bytes(head.method.as_bytes()).ok()?,
+        uri: Uri::try_from(head.uri).ok()?,
+        headers: header_map(&head.headers)?,
+        body,
+    })
+}
+
+fn reply_answer(
+    node: &RelayNode,
+    exchange: ExchangeId,
+    answer: &WholeAnswer,
+    replies: &mpsc::UnboundedSender<Bytes>,
+) {
+    let head = Head::Answer(AnswerHead {
+        exchange,
+        status: answer.status.as_u16(),
+        headers: header_list(&answer.headers),
+        voucher: node.voucher(),
+    });
+    reply(replies, &head, &answer.body);
+}
+
+fn reply_refusal(
+    node: &RelayNode,
+    exchange: ExchangeId,
+    refusal: Refusal,
+    replies: &mpsc::UnboundedSender<Bytes>,
+) {
+    let head = Head::Refused {
+        exchange,
+        refusal,
+        voucher: node.voucher(),
+    };
+    reply(replies, &head, &[]);
+}
--- /dev/null
+++ b/lib/src/process/relay/reports.rs
@@ -0,0 +1,134 @@
+//! Reports of the backend server, and the readiness question.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use super::backend::Backend;
+use super::node::RelayNode;
+use super::protocol::ControlCall;
+use super::protocol::ServerReport;
+use super::registration::ReportEffect;
+use crate::connection::read_body;
+use crate::process::events::relay as events;
+use crate::values::Incarnation;
+
+/// Most bytes in a report.
+const REPORT_BYTES_MAX: usize = 64 * 1_024;
+/// Longest time for the body of a report: reports are acknowledged within a second.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Answers the readiness question.
+pub(super) async fn handle_ready(node: &Arc<RelayNode>, request: Request) -> Response {
+    let status = match request.uri().path() == node.protocol.ready_path {
+        false => StatusCode::NOT_FOUND,
+        true if node.is_ready() => StatusCode::OK,
+        true => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    empty(status)
+}
+
+/// Answers a report of the backend server.
+pub(super) async fn handle_report(node: &Arc<RelayNode>, request: Request) -> Response {
+    let (parts, body) = request.into_parts();
+    let body = match read_body(body, REPORT_BYTES_MAX, REPORT_TIMEOUT).await {
+        Ok(body) => body,
+        Err(error) => {
+            events::SERVER_REPORT_REFUSED.log(format_args!("reason=\"{error}\""));
+            return empty(StatusCode::BAD_REQUEST);
+        }
+    };
+    match (node.protocol.decode_control)(&parts.method, parts.uri.path(), &body) {
+        Ok(ControlCall::Report(report)) => take_report(node, &report),
+        Ok(ControlCall::Leave { server_id }) => take_departure(node, &server_id),
+        Ok(ControlCall::Unknown) => empty(StatusCode::NOT_FOUND),
+        Err(reason) => {
+            events::SERVER_REPORT_REFUSED.log(format_args!("reason=\"{reason}\""));
+            empty(StatusCode::BAD_REQUEST)
+        }
+    }
+}
+
+fn take_report(node: &RelayNode, report: &ServerReport) -> Response {
+    let raw = &node.settings.raw;
+    if report.service != raw.service || report.address != raw.server_address {
+        events::SERVER_REPORT_REFUSED.log(format_args!(
+            "server={} service={} address={} reason=\"not the server beside this node\"",
+            report.server_id, report.service, report.address
+        ));
+        return accepted();
+    }
+    let effect = node.registration.lock().report(report);
+    match (effect, node.backend()) {
+        (ReportEffect::Outdated, _) => {
+            events::SERVER_REPORT_REFUSED.log(format_args!(
+                "server={} sequence={} reason=\"outdated\"",
+                report.server_id, report.sequence
+            ));
+        }
+        (ReportEffect::Renewed, Some(backend)) => {
+            let was_lost = !backend.takes_work();
+            backend.heard();
+            if was_lost && backend.takes_work() {
+                node.entry_changed.notify_one();
+            }
+        }
+        (ReportEffect::BeganDraining, Some(backend)) => {
+            backend.drain();
+            log_report(report, effect);
+            node.entry_changed.notify_one();
+        }
+        (ReportEffect::WantsWork, Some(backend)) => {
+            backend.resume();
+            log_report(report, effect);
+            node.entry_changed.notify_one();
+        }
+        (_, known) => {
+            if let Some(known) = known {
+                known.drain();
+            }
+            log_report(report, effect);
+            let incarnation = Incarnation(node.clock.wall().0);
+            let backend = Backend::new(report, incarnation, node.clock.clone());
+            node.set_backend(Some(Arc::new(backend)));
+        }
+    }
+    accepted()
+}
+
+fn log_report(report: &ServerReport, effect: ReportEffect) {
+    events::SERVER_REPORTED.log(format_args!(
+        "server={} born_ms={} sequence={} slots={} effect={effect:?}",
+        report.server_id, report.born_ms, report.sequence, report.slots
+    ));
+}
+
+fn take_departure(node: &RelayNode, server_id: &str) -> Response {
+    let is_known = node.registration.lock().leave(server_id);
+    if is_known && let Some(backend) = node.backend() {
+        backend.drain();
+        node.set_backend(None);
+        events::SERVER_REPORTED.log(format_args!("server={server_id} effect=Left"));
+    }
+    accepted()
+}
+
+fn accepted() -> Response {
+    let mut response = Response::new(Body::from("{}"));
+    *response.status_mut() = StatusCode::OK;
+    let json = http::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, json);
+    response
+}
+
+fn empty(status: StatusCode) -> Response {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/lib/src/process/relay/settings.rs
@@ -0,0 +1,156 @@
+//! Checked settings of a relay.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use snafu::Snafu;
+
+use crate::values::NodeId;
+use crate::values::RegionId;
+use crate::values::ServiceId;
+use crate::values::ZoneId;
+
+plain_data! {
+    /// The settings file as it is written. All tables but `bounds` are fixed while the relay runs.
+    #[serde(deny_unknown_fields)]
+    pub struct RawRelaySettings {
+        /// The node's name.
+        pub node: NodeId,
+        /// The zone of its instance.
+        pub zone: ZoneId,
+        /// The service of the backend server beside it.
+        pub service: ServiceId,
+        /// The address of the backend server.
+        pub server_address: SocketAddr,
+        /// The address of the shared store.
+        pub store_address: SocketAddr,
+        /// Where the relay listens.
+        pub listen: ListenSettings,
+        /// The region of each zone.
+        pub zones: BTreeMap<ZoneId, RegionId>,
+        /// Time limits that the operators set.
+        pub bounds: BoundSettings,
+    }
+}
+
+plain_data! {
+    /// Where a relay listens.
+    #[serde(deny_unknown_fields)]
+    pub struct ListenSettings {
+        /// Requests of callers on the instance and of its backend server.
+        pub callers: SocketAddr,
+        /// Other nodes.
+        pub peers: SocketAddr,
+        /// The readiness question.
+        pub ready: SocketAddr,
+        /// Reports of the backend server.
+        pub reports: SocketAddr,
+        /// Metrics, if they are served.
+        pub metrics: Option<SocketAddr>,
+    }
+}
+
+plain_data! {
+    /// Time limits that the operators set.
+    #[serde(deny_unknown_fields)]
+    pub struct BoundSettings {
+        /// Longest time until a new configuration is in force.
+        pub configuration_apply_ms: u64,
+        /// Longest time for which a withdrawn key may still work.
+        pub key_withdrawal_ms: u64,
+        /// Whether requests with keys are refused when that time cannot be kept otherwise.
+        pub key_withdrawal_is_strict: bool,
+        /// Time after a stop signal before the process is killed.
+        pub stop_grace_s: f64,
+        /// Retries that a service may get for each request.
+        pub retry_ratio: f64,
+    }
+}
+
+/// A fault of the settings file.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum RelaySettingsError {
+    /// The text is not of the documented form.
+    #[snafu(display("{reason}"))]
+    Syntax {
+        /// Where and why.
+        reason: String,
+    },
+    /// Values do not fit each other.
+    #[snafu(display("{}", faults.join("; ")))]
+    Values {
+        /// All faults.
+        faults: Vec<String>,
+    },
+}
+
+/// Checked settings of a relay.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RelaySettings {
+    /// The settings as written.
+    pub raw: RawRelaySettings,
+}
+
+impl RelaySettings {
+    /// Shortest grace in which a planned stop can finish requests.
+    const STOP_GRACE_MIN_S: f64 = 1.0;
+
+    /// Reads and checks the text of a settings file.
+    pub fn parse(text: &str) -> Result<Self, RelaySettingsError> {
+        let raw: RawRelaySettings =
+            toml::from_str(text).map_err(|error| RelaySettingsError::Syntax {
+                reason: error.to_string(),
+            })?;
+        Self::try_from(raw)
+    }
+
+    /// Returns the longest time since a confirmation in which keys are accepted, if there is one.
+    pub fn key_confirmation_max(&self) -> Option<Duration> {
+        let bounds = &self.raw.bounds;
+        let limit = Duration::from_millis(bounds.key_withdrawal_ms);
+        bounds.key_withdrawal_is_strict.then_some(limit)
+    }
+
+    /// Returns the time in which a planned stop must have ended, with a tenth kept back for the
+    /// end of the process.
+    pub fn stop_limit(&self) -> Duration {
+        Duration::from_secs_f64(self.raw.bounds.stop_grace_s * 0.9)
+    }
+}
+
+impl TryFrom<RawRelaySettings> for RelaySettings {
+    type Error = RelaySettingsError;
+
+    fn try_from(raw: RawRelaySettings) -> Result<Self, Self::Error> {
+        let mut faults = Vec::new();
+        let bounds = &raw.bounds;
+        if !raw.zones.contains_key(&raw.zone) {
+            faults.push(format!("zone: {:?} is none of `zones`", raw.zone.as_str()));
+        }
+        for (name, value) in [
+            (
+                "bounds.configuration_apply_ms",
+                bounds.configuration_apply_ms,
+            ),
+            ("bounds.key_withdrawal_ms", bounds.key_withdrawal_ms),
+        ] {
+            if value == 0 {
+                faults.push(format!("{name}: must be at least 1"));
+            }
+        }
+        if !(bounds.stop_grace_s >= Self::STOP_GRACE_MIN_S) {
+            faults.push(format!(
+                "bounds.stop_grace_s: must be at least {}",
+                Self::STOP_GRACE_MIN_S
+            ));
+        }
+        if !(0.0..=1.0).contains(&bounds.retry_ratio) {
+            faults.push("bounds.retry_ratio: must be from 0 to 1".to_owned());
+        }
+        match faults.is_empty() {
+            true => Ok(Self { raw }),
+            false => ValuesSnafu { faults }.fail(),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/process/relay/store.rs
@@ -0,0 +1,115 @@
+//! The store that the nodes of a fleet share, as the relay needs it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use snafu::Snafu;
+
+number_type! {
+    /// A state of the store. Each change raises it.
+    StoreRevision(u64)
+}
+
+number_type! {
+    /// Names a lease of the store.
+    LeaseId(u64)
+}
+
+/// An item of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreItem {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Bytes,
+    /// The revision of the last change.
+    pub revision: StoreRevision,
+}
+
+/// A change that a watch saw.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreEvent {
+    /// An item was written.
+    Written(StoreItem),
+    /// An item was removed.
+    Removed {
+        /// The key.
+        key: String,
+        /// The revision of the removal.
+        revision: StoreRevision,
+    },
+}
+
+/// Items or events, with the store's revision when it answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AsOf<T> {
+    /// What was read.
+    pub content: T,
+    /// The store's revision.
+    pub revision: StoreRevision,
+}
+
+/// The reason why a call of the store failed.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum StoreError {
+    /// Nothing was done: no connection, or the store turned the call away.
+    #[snafu(display("the store did nothing: {reason}"))]
+    NotDone {
+        /// What was seen.
+        reason: String,
+    },
+    /// The call may have been carried out, or may be carried out later.
+    #[snafu(display("no answer of the store: {reason}"))]
+    Unknown {
+        /// What was seen.
+        reason: String,
+    },
+    /// The history that a watch asked for is no longer kept.
+    #[snafu(display("the store no longer keeps this history"))]
+    HistoryLost,
+    /// The lease has ended.
+    #[snafu(display("the lease has ended"))]
+    LeaseEnded,
+    /// The answer could not be read.
+    #[snafu(display("the store's answer cannot be read: {reason}"))]
+    Unreadable {
+        /// What was seen.
+        reason: String,
+    },
+}
+
+/// The result of a call of the store.
+pub type StoreResult<T> = BoxFuture<'static, Result<T, StoreError>>;
+
+/// The store that the nodes of a fleet share.
+///
+/// Reads are linearizable. Each call ends within a time limit of the client.
+pub trait SharedStore: Send + Sync {
+    /// Reads one item.
+    fn get(&self, key: &str) -> StoreResult<AsOf<Option<StoreItem>>>;
+
+    /// Reads all items whose keys begin with `prefix`. Pages are not a snapshot; the revision is
+    /// that of the first page.
+    fn list(&self, prefix: &str) -> StoreResult<AsOf<Vec<StoreItem>>>;
+
+    /// Waits at most `wait` for changes after a revision.
+    fn watch(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> StoreResult<AsOf<Vec<StoreEvent>>>;
+
+    /// Writes an item that ends with its lease.
+    fn put(&self, key: &str, value: Bytes, lease: LeaseId) -> StoreResult<StoreRevision>;
+
+    /// Begins a lease.
+    fn grant_lease(&self, ttl: Duration) -> StoreResult<LeaseId>;
+
+    /// Renews a lease.
+    fn renew_lease(&self, lease: LeaseId) -> StoreResult<()>;
+
+    /// Ends a lease and removes its items.
+    fn end_lease(&self, lease: LeaseId) -> StoreResult<()>;
+}
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -34,6 +34,10 @@
         RateHolderUnreachable,
         /// The request was shed because capacity is short.
         Overloaded,
+        /// The backend server itself said that it did not run the request.
+        RefusedByServer,
+        /// Requests with keys are refused, as the keys in force cannot be confirmed.
+        Unconfirmed,
         /// The node or its backend server is stopping.
         Draining,
         /// No backend server of the service is known or reachable.
@@ -76,6 +80,8 @@
             Self::RateExceeded => "rate-exceeded",
             Self::RateHolderUnreachable => "rate-holder-unreachable",
             Self::Overloaded => "overloaded",
+            Self::RefusedByServer => "refused-by-server",
+            Self::Unconfirmed => "unconfirmed",
             Self::Draining => "draining",
             Self::NoServer => "no-server",
             Self::HomeUnreachable => "home-unreachable",
@@ -105,6 +111,8 @@
             Self::BadAnswer => StatusCode::BAD_GATEWAY,
             Self::DeadlineExceeded | Self::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
             Self::Overloaded
+            | Self::RefusedByServer
+            | Self::Unconfirmed
             | Self::Draining
             | Self::NoServer
             | Self::HomeUnreachable
@@ -128,6 +136,8 @@
             Self::RateExceeded => events::RATE_EXCEEDED,
             Self::RateHolderUnreachable => events::RATE_HOLDER_UNREACHABLE,
             Self::Overloaded => events::OVERLOADED,
+            Self::RefusedByServer => events::REFUSED_BY_SERVER,
+            Self::Unconfirmed => events::UNCONFIRMED,
             Self::Draining => events::DRAINING,
             Self::NoServer => events::NO_SERVER,
             Self::HomeUnreachable => events::HOME_UNREACHABLE,
--- a/lib/src/values/clock.rs
+++ b/lib/src/values/clock.rs
@@ -1,11 +1,12 @@
 //! Points in time, passed into every decision so that tests choose the clock.
 
-use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
 number_type! {
     /// Microseconds since the start of the process. It never goes back.
     MonotonicTime(u64)
@@ -29,22 +30,25 @@
 }
 
 /// The source of time of a process.
-#[derive(Clone, Debug)]
+///
+/// It counts the time for which the instance was suspended, so that nothing that ends by itself
+/// (a confirmation, a lease, a batch of tokens) outlives a suspension.
+#[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    started: Arc<Instant>,
+    started_us: u64,
 }
 
 impl Clock {
     /// Starts a clock at zero.
     pub fn start() -> Self {
         Self {
-            started: Arc::new(Instant::now()),
+            started_us: boot_time_us(),
         }
     }
 
     /// Returns the monotonic time.
     pub fn now(&self) -> MonotonicTime {
-        MonotonicTime(self.started.elapsed().as_micros() as u64)
+        MonotonicTime(boot_time_us() - self.started_us)
     }
 
     /// Returns the wall clock time.
@@ -53,3 +57,9 @@
         WallTime(since_epoch.unwrap_or_default().as_millis() as u64)
     }
 }
+
+/// Returns the time since the instance started, in microseconds.
+fn boot_time_us() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000
+}
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -9,6 +9,7 @@
 mod key;
 mod organisation;
 mod route;
+mod traffic_plan;
 mod zone;
 
 pub use self::class::ImportanceClass;
@@ -28,4 +29,10 @@
 pub use self::route::Repeatability;
 pub use self::route::Route;
 pub use self::route::has_dot_segment;
+pub use self::traffic_plan::CallerLimits;
+pub use self::traffic_plan::HostRoutes;
+pub use self::traffic_plan::OrganisationTerms;
+pub use self::traffic_plan::PlannedRoute;
+pub use self::traffic_plan::TrafficPlan;
+pub use self::traffic_plan::WeightedService;
 pub use self::zone::ZoneRecord;
--- /dev/null
+++ b/lib/src/version/traffic_plan.rs
@@ -0,0 +1,176 @@
+//! The routes, organisations and keys of one configuration, indexed for forwarding.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::CallerKey;
+use super::KeyHash;
+use super::Repeatability;
+use crate::values::ConfigVersion;
+use crate::values::Importance;
+use crate::values::OrganisationId;
+use crate::values::RatePerSecond;
+use crate::values::ServiceId;
+use crate::values::TokenCount;
+
+plain_data! {
+    /// A service that a route leads to, with its part of the route's requests.
+    pub struct WeightedService {
+        /// The service.
+        pub service: ServiceId,
+        /// The service's part, relative to the other parts of the route.
+        pub weight: u32,
+    }
+}
+
+plain_data! {
+    /// How requests of one route are treated.
+    pub struct PlannedRoute {
+        /// The name of the route.
+        pub name: String,
+        /// The services that run its requests; at least one.
+        pub targets: Vec<WeightedService>,
+        /// Whether a request may run more than once.
+        pub repeatability: Repeatability,
+        /// Longest time that a request is kept waiting.
+        pub timeout_ms: u64,
+        /// Time within which an answer has its full worth.
+        pub latency_objective_ms: u64,
+        /// Most servers that one request may be sent to.
+        pub attempts_max: u32,
+        /// Rank when capacity is short.
+        pub importance: Importance,
+        /// Whether requests need no key.
+        pub is_open: bool,
+    }
+}
+
+plain_data! {
+    /// What one organisation may use.
+    pub struct OrganisationTerms {
+        /// The organisation.
+        pub id: OrganisationId,
+        /// Requests that it may start on average in a second; none means no limit.
+        pub rate_per_s: Option<RatePerSecond>,
+        /// Requests that it may start at once beyond the rate.
+        pub burst: TokenCount,
+        /// Rank that goes before the route's, if set.
+        pub importance: Option<Importance>,
+    }
+}
+
+plain_value! {
+    /// Bounds on what callers may send.
+    pub struct CallerLimits {
+        /// Most bytes in the headers of a request.
+        pub header_bytes_max: usize,
+        /// Most bytes in the body of a request.
+        pub body_bytes_max: usize,
+        /// Longest time for the headers of a request.
+        pub header_timeout_ms: u64,
+        /// Time after which an idle connection is closed.
+        pub idle_timeout_ms: u64,
+    }
+}
+
+impl Default for CallerLimits {
+    /// Returns the bounds before the first configuration: those of HTTP servers in common use.
+    fn default() -> Self {
+        Self {
+            header_bytes_max: 64 * 1_024,
+            body_bytes_max: 64 * 1_024 * 1_024,
+            header_timeout_ms: 10_000,
+            idle_timeout_ms: 60_000,
+        }
+    }
+}
+
+/// The routes of one host, by their prefix.
+#[derive(Clone, Debug, Default)]
+pub struct HostRoutes {
+    by_prefix: HashMap<String, Arc<PlannedRoute>>,
+}
+
+impl HostRoutes {
+    /// Makes the routes of a host; of two with the same prefix, the later one stands.
+    pub fn new(routes: impl IntoIterator<Item = (String, PlannedRoute)>) -> Self {
+        let by_prefix = routes
+            .into_iter()
+            .map(|(prefix, route)| (prefix, Arc::new(route)))
+            .collect();
+        Self { by_prefix }
+    }
+
+    /// Finds the route with the longest prefix of `path`. Prefixes end with a slash.
+    fn route_of(&self, path: &str) -> Option<&Arc<PlannedRoute>> {
+        let mut end = path.len();
+        while let Some(slash) = path.get(..end)?.rfind('/') {
+            if let Some(route) = self.by_prefix.get(&path[..=slash]) {
+                return Some(route);
+            }
+            end = slash;
+        }
+        None
+    }
+}
+
+/// The routes, organisations and keys of one configuration, indexed for forwarding.
+///
+/// Keys are kept as hashes only.
+#[derive(Clone, Debug, Default)]
+pub struct TrafficPlan {
+    /// The version. It only rises.
+    pub version: ConfigVersion,
+    /// The routes by host.
+    pub hosts: HashMap<String, HostRoutes>,
+    /// The organisations.
+    pub organisations: BTreeMap<OrganisationId, Arc<OrganisationTerms>>,
+    /// Bounds on what callers may send.
+    pub limits: CallerLimits,
+    keys: HashMap<[u8; Self::KEY_INDEX_BYTES], (KeyHash, Arc<OrganisationTerms>)>,
+}
+
+impl TrafficPlan {
+    /// Bytes of a key's hash by which it is indexed.
+    const KEY_INDEX_BYTES: usize = 16;
+
+    /// Makes a configuration without routes and organisations.
+    pub fn new(version: ConfigVersion) -> Self {
+        Self {
+            version,
+            ..Self::default()
+        }
+    }
+
+    /// Adds an organisation with its keys.
+    pub fn add_organisation(
+        &mut self,
+        terms: OrganisationTerms,
+        keys: impl IntoIterator<Item = CallerKey>,
+    ) {
+        let terms = Arc::new(terms);
+        for key in keys {
+            let hash = KeyHash::of(&key);
+            self.keys.insert(hash.prefix(), (hash, Arc::clone(&terms)));
+        }
+        self.organisations.insert(terms.id.clone(), terms);
+    }
+
+    /// Finds the route for a host and path.
+    pub fn route_of(&self, host: &str, path: &str) -> Option<&Arc<PlannedRoute>> {
+        self.hosts.get(host)?.route_of(path)
+    }
+
+    /// Returns the organisation that holds `key`.
+    pub fn organisation_of(&self, key: &CallerKey) -> Option<&Arc<OrganisationTerms>> {
+        let hash = KeyHash::of(key);
+        let (known, terms) = self.keys.get(&hash.prefix())?;
+        known.matches(&hash).then_some(terms)
+    }
+
+    /// Returns whether requests of routes that are not open need a key.
+    pub fn needs_keys(&self) -> bool {
+        !self.organisations.is_empty()
+    }
+}
