--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -11,9 +11,11 @@
 use http::HeaderValue;
 use http::StatusCode;
 
+use super::frame::LoadNotice;
 use super::frame::RequestTerms;
 use super::node::RelayNode;
 use super::protocol::ServerReport;
+use super::runs::RunningRequest;
 use crate::connection::ConnectionPool;
 use crate::connection::ExchangeError;
 use crate::connection::PoolLimits;
@@ -30,7 +32,6 @@
 use crate::request::Verdict;
 use crate::values::Clock;
 use crate::values::Incarnation;
-use crate::values::RequestId;
 use crate::values::SlotCount;
 
 /// Longest time to open a connection to the server on the same instance.
@@ -121,16 +122,43 @@
     }
 }
 
+/// How a request ended at the node beside its backend server.
+#[derive(Debug)]
+pub(super) struct RunOutcome {
+    /// The answer of the backend server, or why there is none.
+    pub(super) result: Result<WholeAnswer, Refusal>,
+    /// The load of this node and those below it.
+    pub(super) load: LoadNotice,
+}
+
 /// Runs a request on the backend server beside this node.
 pub(super) async fn run(
     node: &Arc<RelayNode>,
     terms: &RequestTerms,
-    mut request: WholeRequest,
-) -> Result<WholeAnswer, Refusal> {
+    request: WholeRequest,
+) -> RunOutcome {
     let deadline = node
         .clock
         .now()
         .after(Duration::from_micros(terms.remaining_us));
+    let running = RunningRequest::new(terms.clone(), deadline);
+    let result = admit_and_send(node, &running, request).await;
+    RunOutcome {
+        result,
+        load: LoadNotice {
+            floor: node.floor(&terms.route).filter(|floor| !floor.is_open()),
+            call_failed: running.has_failed_call(),
+        },
+    }
+}
+
+async fn admit_and_send(
+    node: &Arc<RelayNode>,
+    running: &Arc<RunningRequest>,
+    mut request: WholeRequest,
+) -> Result<WholeAnswer, Refusal> {
+    let terms = &running.terms;
+    let deadline = running.deadline;
     let backend = match node.backend() {
         Some(backend) if backend.takes_work() => backend,
         Some(_) | None => return Err(Refusal::not_run(RefusalReason::NoServer)),
@@ -139,28 +167,23 @@
         importance: terms.importance,
         organisation: terms.organisation.clone(),
         rate: terms.rate,
-        root: request_number(&terms.request_id),
+        root: terms.root,
         remaining: Duration::from_micros(terms.remaining_us),
     };
+    node.check_onward(terms)?;
     let permit = backend.gate.enter(enter).await?;
     if !backend.takes_work() {
         return Err(Refusal::not_run(RefusalReason::Draining));
     }
     let remaining = deadline.since(node.clock.now());
     set_headers(node, &backend, terms, &mut request, remaining);
+    let _guard = node.runs.add(Arc::clone(running));
     let result = send(node, &backend, terms, request, remaining).await;
-    permit.finish(gate_outcome(&result), Duration::ZERO);
+    let waited = running.onward.lock().waited();
+    permit.finish(gate_outcome(&result), waited);
     result
 }
 
-/// Derives a number from a caller's id, by which ties between requests are broken.
-fn request_number(request_id: &str) -> RequestId {
-    let hash = blake3::hash(request_id.as_bytes());
-    let mut first = [0; 16];
-    first.copy_from_slice(&hash.as_bytes()[..16]);
-    RequestId(u128::from_be_bytes(first))
-}
-
 fn set_headers(
     node: &RelayNode,
     backend: &Backend,
@@ -175,7 +198,7 @@
     let remaining_ms = remaining.as_millis().max(1).to_string();
     set_header(headers, &names.deadline_ms, &remaining_ms);
     headers.remove(&names.organisation);
-    if let Some(organisation) = &terms.organisation {
+    if let (true, Some(organisation)) = (terms.names_organisation, &terms.organisation) {
         set_header(headers, &names.organisation, organisation.as_str());
     }
 }
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -18,6 +18,7 @@
 use super::forward::forward;
 use super::frame::RequestTerms;
 use super::node::RelayNode;
+use super::runs::RunningRequest;
 use crate::connection::BodyError;
 use crate::connection::WholeAnswer;
 use crate::connection::WholeRequest;
@@ -29,6 +30,7 @@
 use crate::request::Verdict;
 use crate::values::MonotonicTime;
 use crate::values::OrganisationId;
+use crate::values::RequestId;
 use crate::version::CallerKey;
 use crate::version::OrganisationTerms;
 use crate::version::PlannedRoute;
@@ -91,7 +93,16 @@
         organisation,
     } = admit(node, &request).await?;
     let limit = Duration::from_millis(route.timeout_ms).min(client_left);
-    let deadline = arrived_at.after(limit);
+    let parent = node.runs.parent_of(request_id);
+    let terms = terms_of(node, &route, organisation.as_deref(), parent.as_deref(), request_id);
+    if parent.is_none() {
+        node.check_entry(&terms)?;
+    }
+    let own_deadline = arrived_at.after(limit);
+    let deadline = match &parent {
+        Some(parent) => own_deadline.min(parent.deadline),
+        None => own_deadline,
+    };
     let request = whole_request(node, &plan, request, limit).await?;
     let taken = match &organisation {
         Some(terms) => take_token(node, &terms.id).await?,
@@ -102,28 +113,26 @@
         .lock()
         .choose(&route)
         .ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute))?;
-    let importance = organisation
-        .as_ref()
-        .and_then(|terms| terms.importance)
-        .unwrap_or(route.importance);
     let outbound = Outbound {
         route: &route,
         service,
         request,
-        terms: RequestTerms {
-            request_id: request_id.to_owned(),
-            caller_service: node.settings.raw.service.to_string(),
-            organisation: organisation.as_ref().map(|terms| terms.id.clone()),
-            rate: organisation
-                .as_ref()
-                .and_then(|terms| terms.rate_per_s)
-                .unwrap_or_default(),
-            importance,
-            remaining_us: 0,
-        },
+        terms,
         deadline,
+        parent,
     };
+    let _waiting = outbound
+        .parent
+        .as_deref()
+        .map(|parent| OnwardWait::start(node, parent));
     let result = forward(node, &outbound).await;
+    let is_failure = match &result {
+        Ok(answer) => answer.status.is_server_error(),
+        Err(_) => true,
+    };
+    if let (true, Some(parent)) = (is_failure, &outbound.parent) {
+        parent.call_failed();
+    }
     if let (Err(refusal), Some(organisation)) = (&result, &taken.0)
         && refusal.verdict == Verdict::NotRun
     {
@@ -132,6 +141,70 @@
     result
 }
 
+/// Decides how a request is treated. A call of the backend server counts as a part of the request
+/// that it is made for.
+fn terms_of(
+    node: &RelayNode,
+    route: &PlannedRoute,
+    organisation: Option<&OrganisationTerms>,
+    parent: Option<&RunningRequest>,
+    request_id: &str,
+) -> RequestTerms {
+    let own = RequestTerms {
+        request_id: request_id.to_owned(),
+        route: route.name.clone(),
+        root: request_number(request_id),
+        is_repeat: false,
+        caller_service: node.settings.raw.service.to_string(),
+        organisation: organisation.map(|terms| terms.id.clone()),
+        names_organisation: organisation.is_some(),
+        rate: organisation
+            .and_then(|terms| terms.rate_per_s)
+            .unwrap_or_default(),
+        importance: route.importance_for(organisation),
+        remaining_us: 0,
+    };
+    match parent.map(|parent| &parent.terms) {
+        Some(parent) => RequestTerms {
+            root: parent.root,
+            is_repeat: parent.is_repeat,
+            organisation: parent.organisation.clone(),
+            names_organisation: false,
+            rate: parent.rate,
+            importance: parent.importance,
+            ..own
+        },
+        None => own,
+    }
+}
+
+/// Derives a number from a caller's id, by which ties between requests are broken.
+fn request_number(request_id: &str) -> RequestId {
+    let hash = blake3::hash(request_id.as_bytes());
+    let mut first = [0; 16];
+    first.copy_from_slice(&hash.as_bytes()[..16]);
+    RequestId(u128::from_be_bytes(first))
+}
+
+/// Measures the time in which a request waits for one of its calls, until it is dropped.
+struct OnwardWait<'a> {
+    node: &'a RelayNode,
+    parent: &'a RunningRequest,
+}
+
+impl<'a> OnwardWait<'a> {
+    fn start(node: &'a RelayNode, parent: &'a RunningRequest) -> Self {
+        parent.onward.lock().started(node.clock.now());
+        Self { node, parent }
+    }
+}
+
+impl Drop for OnwardWait<'_> {
+    fn drop(&mut self) {
+        self.parent.onward.lock().ended(self.node.clock.now());
+    }
+}
+
 /// The organisation from whose allowance a token was taken.
 struct TakenToken(Option<OrganisationId>);
 
@@ -157,7 +230,7 @@
 
 /// Returns whether the configuration is fresh enough to call a route or key unknown.
 fn is_fresh(node: &RelayNode) -> bool {
-    let apply = Duration::from_millis(node.settings.raw.bounds.configuration_apply_ms);
+    let apply = node.bounds().configuration_apply();
     node.confirmation_age()
         .is_some_and(|age| age < apply.mul_f64(DENIAL_AGE_PART))
 }
--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -123,7 +123,7 @@
 
     /// Stops as planned: asks for no new work, finishes requests in flight and leaves the fleet.
     pub async fn stop(self) {
-        let limit = self.node.settings.stop_limit();
+        let limit = self.node.bounds().stop_limit();
         let started_at = self.node.clock.now();
         self.node.begin_stop();
         events::STOPPING.log(format_args!(
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -6,9 +6,11 @@
 use bytes::Bytes;
 use http::StatusCode;
 
+use super::backend::RunOutcome;
 use super::backend::run;
 use super::frame::ExchangeId;
 use super::frame::Head;
+use super::frame::LoadNotice;
 use super::frame::RequestHead;
 use super::frame::RequestTerms;
 use super::frame::encode_frame;
@@ -16,6 +18,7 @@
 use super::link::LinkFailure;
 use super::link::PeerReply;
 use super::node::RelayNode;
+use super::runs::RunningRequest;
 use crate::connection::WholeAnswer;
 use crate::connection::WholeRequest;
 use crate::process::events::relay as events;
@@ -51,6 +54,8 @@
     pub(super) terms: RequestTerms,
     /// When the caller stops to wait.
     pub(super) deadline: MonotonicTime,
+    /// The request on this node's backend server that makes the call, if it is one.
+    pub(super) parent: Option<Arc<RunningRequest>>,
 }
 
 /// What the attempts at a request have brought so far.
@@ -78,15 +83,19 @@
     node: &Arc<RelayNode>,
     outbound: &Outbound<'_>,
 ) -> Result<WholeAnswer, Refusal> {
-    node.count_first_attempt(&outbound.service);
+    match outbound.terms.is_repeat {
+        true => node.count_repeat(&outbound.service),
+        false => node.count_first_attempt(&outbound.service),
+    }
     let mut progress = Progress::default();
     loop {
         let Some(destination) = choose(node, outbound, &progress.tried) else {
             break;
         };
         progress.tried.push(destination.id.clone());
-        let result = attempt(node, outbound, &destination).await;
-        match judge(node, outbound, &destination, &mut progress, result) {
+        let outcome = attempt(node, outbound, &destination, progress.arrivals > 0).await;
+        learn_floor(node, outbound, &destination, &outcome.load);
+        match judge(node, outbound, &destination, &mut progress, outcome) {
             NextStep::Answer(answer) => return Ok(answer),
             NextStep::TryAnother => {}
             NextStep::GiveUp => break,
@@ -124,10 +133,13 @@
     outbound: &Outbound<'_>,
     destination: &NodeRecord,
     progress: &mut Progress,
-    result: Result<WholeAnswer, Refusal>,
+    outcome: RunOutcome,
 ) -> NextStep {
+    let RunOutcome { result, load } = outcome;
     let refusal = match result {
-        Ok(answer) if is_final(outbound.route, &answer) => return NextStep::Answer(answer),
+        Ok(answer) if is_final(outbound.route, &answer, &load) => {
+            return NextStep::Answer(answer);
+        }
         Ok(answer) => {
             progress.arrivals += 1;
             progress.failed_answer = Some(answer);
@@ -188,9 +200,29 @@
 }
 
 /// Returns whether an answer goes to the caller without another attempt.
-fn is_final(route: &PlannedRoute, answer: &WholeAnswer) -> bool {
+///
+/// A server that failed because a call of its own failed would fail again.
+fn is_final(route: &PlannedRoute, answer: &WholeAnswer, load: &LoadNotice) -> bool {
     let failed = answer.status.is_server_error() && answer.status != StatusCode::GATEWAY_TIMEOUT;
-    !failed || route.repeatability == Repeatability::AtMostOnce
+    !failed || load.call_failed || route.repeatability == Repeatability::AtMostOnce
+}
+
+/// Learns the admission floor that came with an answer.
+fn learn_floor(
+    node: &RelayNode,
+    outbound: &Outbound<'_>,
+    destination: &NodeRecord,
+    load: &LoadNotice,
+) {
+    let (floors, route) = match &outbound.parent {
+        Some(parent) => (&node.onward_floors, &parent.terms.route),
+        None => (&node.entry_floors, &outbound.terms.route),
+    };
+    let notice = load.floor.clone().unwrap_or_default();
+    let now = node.clock.now();
+    floors
+        .lock()
+        .learn(route, &outbound.service, &destination.id, notice, now);
 }
 
 /// Chooses a node of the service that was not tried yet.
@@ -215,29 +247,41 @@
     node: &Arc<RelayNode>,
     outbound: &Outbound<'_>,
     destination: &NodeRecord,
-) -> Result<WholeAnswer, Refusal> {
+    is_repeat: bool,
+) -> RunOutcome {
     let started_at = node.clock.now();
     let remaining = outbound.deadline.since(started_at);
     if remaining < ATTEMPT_USEFUL_MIN {
-        return Err(Refusal::not_run(RefusalReason::DeadlineExceeded));
+        return without_load(Err(Refusal::not_run(RefusalReason::DeadlineExceeded)));
     }
     let mut observed = ObservedCall::start(node, &destination.id, started_at);
     let terms = RequestTerms {
         remaining_us: remaining.as_micros() as u64,
+        is_repeat: is_repeat || outbound.terms.is_repeat,
         ..outbound.terms.clone()
     };
     let exchange = async {
         match destination.id == node.settings.raw.node {
             true => run(node, &terms, outbound.request.clone()).await,
-            false => send(node, outbound, destination, &terms).await,
+            false => match send(node, outbound, destination, &terms).await {
+                Ok(outcome) => outcome,
+                Err(refusal) => without_load(Err(refusal)),
+            },
         }
     };
-    let result = match tokio::time::timeout(remaining, exchange).await {
-        Ok(result) => result,
-        Err(_) => Err(Refusal::may_have_run(RefusalReason::DeadlineExceeded)),
+    let outcome = match tokio::time::timeout(remaining, exchange).await {
+        Ok(outcome) => outcome,
+        Err(_) => without_load(Err(Refusal::may_have_run(RefusalReason::DeadlineExceeded))),
     };
-    observed.finish(call_outcome(&result));
-    result
+    observed.finish(call_outcome(&outcome));
+    outcome
+}
+
+fn without_load(result: Result<WholeAnswer, Refusal>) -> RunOutcome {
+    RunOutcome {
+        result,
+        load: LoadNotice::default(),
+    }
 }
 
 async fn send(
@@ -245,7 +289,7 @@
     outbound: &Outbound<'_>,
     destination: &NodeRecord,
     terms: &RequestTerms,
-) -> Result<WholeAnswer, Refusal> {
+) -> Result<RunOutcome, Refusal> {
     let address = destination.addresses.peer;
     let not_sent = || Refusal::not_run(RefusalReason::NoServer);
     let link = node
@@ -265,13 +309,17 @@
     if let Some(voucher) = vouched.voucher {
         node.take_voucher(voucher, asked_at);
     }
-    match vouched.reply {
+    let result = match vouched.reply {
         PeerReply::Answer(answer) => Ok(answer),
         PeerReply::Refused(refusal) => Err(refusal),
         PeerReply::Pong | PeerReply::Lent(_) => {
             Err(Refusal::may_have_run(RefusalReason::BadAnswer))
         }
-    }
+    };
+    Ok(RunOutcome {
+        result,
+        load: vouched.load,
+    })
 }
 
 fn request_frame(
@@ -290,9 +338,12 @@
     encode_frame(&head, &request.body).map_err(|_| LinkFailure::NotSent)
 }
 
-fn call_outcome(result: &Result<WholeAnswer, Refusal>) -> CallOutcome {
-    match result {
-        Ok(answer) if answer.status == StatusCode::INTERNAL_SERVER_ERROR => CallOutcome::Failed,
+fn call_outcome(outcome: &RunOutcome) -> CallOutcome {
+    let failed_itself = !outcome.load.call_failed;
+    match &outcome.result {
+        Ok(answer) if answer.status == StatusCode::INTERNAL_SERVER_ERROR && failed_itself => {
+            CallOutcome::Failed
+        }
         Ok(_) => CallOutcome::Answered,
         Err(refusal) => match refusal.reason {
             RefusalReason::Overloaded | RefusalReason::Draining => CallOutcome::Refused,
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -15,11 +15,13 @@
 use snafu::Snafu;
 
 use super::confirmation::Voucher;
+use crate::process::gate::FloorNotice;
 use crate::request::Refusal;
 use crate::values::Importance;
 use crate::values::NodeId;
 use crate::values::OrganisationId;
 use crate::values::RatePerSecond;
+use crate::values::RequestId;
 use crate::values::TokenCount;
 
 number_type! {
@@ -53,8 +55,16 @@
         pub request_id: String,
         /// The service from which the request came.
         pub caller_service: String,
+        /// The route that the request matched.
+        pub route: String,
+        /// The first request of the call tree.
+        pub root: RequestId,
+        /// Whether the request was sent to a backend server before, or is a call of such a one.
+        pub is_repeat: bool,
         /// The organisation for which the request runs.
         pub organisation: Option<OrganisationId>,
+        /// Whether the backend server is told the organisation; calls of servers carry no key.
+        pub names_organisation: bool,
         /// The rate of the organisation, by which waiting requests share.
         pub rate: RatePerSecond,
         /// Rank when capacity is short.
@@ -76,6 +86,19 @@
     pub headers: HeaderList<'a>,
     /// What the answering node knows about the configuration.
     pub voucher: Voucher,
+    /// The load of the answering node and those below it.
+    pub load: LoadNotice,
+}
+
+plain_data! {
+    /// What an answer tells of the load of its node and those below it.
+    #[derive(Default)]
+    pub struct LoadNotice {
+        /// The highest admission floor, if one is in force.
+        pub floor: Option<FloorNotice>,
+        /// Whether a call that the request made failed.
+        pub call_failed: bool,
+    }
 }
 
 /// The head of a message between nodes.
@@ -106,6 +129,8 @@
         refusal: Refusal,
         /// What the answering node knows about the configuration.
         voucher: Voucher,
+        /// The load of the answering node and those below it.
+        load: LoadNotice,
     },
     /// Asks for a sign of life and a voucher.
     Ping {
--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -22,6 +22,7 @@
 use super::frame::ExchangeId;
 use super::frame::Frame;
 use super::frame::Head;
+use super::frame::LoadNotice;
 use super::frame::encode_frame;
 use super::frame::header_map;
 use crate::connection::WholeAnswer;
@@ -71,6 +72,7 @@
 pub(super) struct VouchedReply {
     pub(super) reply: PeerReply,
     pub(super) voucher: Option<Voucher>,
+    pub(super) load: LoadNotice,
 }
 
 /// Why an exchange gave no reply.
@@ -188,7 +190,7 @@
     }
 
     fn take_frame(&self, frame: &Frame) -> Result<(), super::frame::FrameError> {
-        let (exchange, reply, voucher) = match frame.head()? {
+        let (exchange, reply, voucher, load) = match frame.head()? {
             Head::Answer(answer) => {
                 let reply = match (StatusCode::from_u16(answer.status), header_map(&answer.headers))
                 {
@@ -199,15 +201,22 @@
                     }),
                     _ => PeerReply::Refused(Refusal::may_have_run(RefusalReason::BadAnswer)),
                 };
-                (answer.exchange, reply, Some(answer.voucher))
+                (answer.exchange, reply, Some(answer.voucher), answer.load)
             }
             Head::Refused {
                 exchange,
                 refusal,
                 voucher,
-            } => (exchange, PeerReply::Refused(refusal), Some(voucher)),
-            Head::Pong { exchange, voucher } => (exchange, PeerReply::Pong, Some(voucher)),
-            Head::Lent { exchange, tokens } => (exchange, PeerReply::Lent(tokens), None),
+                load,
+            } => (exchange, PeerReply::Refused(refusal), Some(voucher), load),
+            Head::Pong { exchange, voucher } => {
+                let load = LoadNotice::default();
+                (exchange, PeerReply::Pong, Some(voucher), load)
+            }
+            Head::Lent { exchange, tokens } => {
+                let load = LoadNotice::default();
+                (exchange, PeerReply::Lent(tokens), None, load)
+            }
             Head::Hello { .. }
             | Head::Request(_)
             | Head::Cancel { .. }
@@ -217,7 +226,11 @@
         let waiting = self.state.lock().pending.remove(&exchange);
         if let Some(sender) = waiting {
             // A receiver that is gone has cancelled the exchange.
-            let _ = sender.send(Ok(VouchedReply { reply, voucher }));
+            let _ = sender.send(Ok(VouchedReply {
+                reply,
+                voucher,
+                load,
+            }));
         }
         Ok(())
     }
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -17,20 +17,29 @@
 use super::confirmation::Voucher;
 use super::confirmation::VoucherUse;
 use super::fleet::Fleet;
+use super::frame::RequestTerms;
 use super::link::Links;
 use super::metrics::RelayMetrics;
 use super::protocol::Protocol;
 use super::registration::Registration;
+use super::runs::RunTable;
+use super::settings::BoundSettings;
+use super::settings::RawRelaySettings;
 use super::settings::RelaySettings;
 use super::split::SplitState;
 use super::store::SharedStore;
 use crate::process::events::relay as events;
+use crate::process::gate::Admission;
+use crate::process::gate::FloorNotice;
+use crate::process::gate::LearntFloors;
 use crate::process::membership::MemberTable;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeCondition;
 use crate::process::membership::NodeRecord;
 use crate::process::membership::ServerRecord;
 use crate::process::routing::Router;
+use crate::request::Refusal;
+use crate::request::RefusalReason;
 use crate::request::RetryRatio;
 use crate::values::Clock;
 use crate::values::ConnectionCount;
@@ -52,8 +61,10 @@
 /// Each lock is held for single steps only, never over an await, and never while another one is
 /// taken.
 pub struct RelayNode {
-    /// The checked settings.
+    /// The settings that stay as they were at the start.
     pub settings: RelaySettings,
+    /// The time limits in force, which may change while the relay runs.
+    bounds: RwLock<BoundSettings>,
     /// How callers, servers and the store of the platform are understood.
     pub protocol: Protocol,
     /// The source of time.
@@ -69,6 +80,12 @@
     pub(super) registration: Mutex<Registration>,
     pub(super) splits: Mutex<SplitState>,
     pub(super) router: Mutex<Router>,
+    /// Requests that run on the backend server beside the node.
+    pub(super) runs: RunTable,
+    /// Admission floors for requests of callers.
+    pub(super) entry_floors: Mutex<LearntFloors>,
+    /// Admission floors for the calls of the backend server.
+    pub(super) onward_floors: Mutex<LearntFloors>,
     /// Wakes the task that reads the configuration.
     pub(super) configuration_wanted: Notify,
     /// Wakes the task that keeps the node's entry in the store.
@@ -106,10 +123,14 @@
                 rand::random(),
                 clock.now(),
             )),
+            bounds: RwLock::new(settings.raw.bounds.clone()),
             settings,
             protocol,
             store,
             metrics: RelayMetrics::new(),
+            runs: RunTable::default(),
+            entry_floors: Mutex::default(),
+            onward_floors: Mutex::default(),
             allowances: Mutex::default(),
             fleet: Mutex::default(),
             registration: Mutex::default(),
@@ -128,6 +149,24 @@
         }
     }
 
+    /// Returns the time limits in force.
+    pub fn bounds(&self) -> BoundSettings {
+        self.bounds.read().clone()
+    }
+
+    /// Takes over the time limits of changed settings, and says what needs a new start.
+    pub fn reload(&self, changed: RelaySettings) {
+        let RawRelaySettings { bounds, .. } = &changed.raw;
+        let fixed_before = RawRelaySettings {
+            bounds: bounds.clone(),
+            ..self.settings.raw.clone()
+        };
+        let needs_start = fixed_before != changed.raw;
+        *self.bounds.write() = bounds.clone();
+        self.retries.lock().clear();
+        events::SETTINGS_RELOADED.log(format_args!("other_changes_need_start={needs_start}"));
+    }
+
     /// Returns the configuration in force.
     pub fn plan(&self) -> Option<Arc<TrafficPlan>> {
         self.plan.read().clone()
@@ -183,7 +222,7 @@
 
     /// Returns whether requests with keys may run.
     pub fn accepts_keys(&self) -> bool {
-        match self.settings.key_confirmation_max() {
+        match self.bounds.read().key_confirmation_max() {
             Some(limit) => self.confirmation_age().is_some_and(|age| age < limit),
             None => true,
         }
@@ -261,6 +300,42 @@
         !self.is_stopping() && self.plan().is_some() && self.accepts_keys()
     }
 
+    /// Returns the highest floor of this node's gate and the nodes below it.
+    pub(super) fn floor(&self, route: &str) -> Option<FloorNotice> {
+        let backend = self.backend()?;
+        let below = self.onward_floors.lock().notice(route, self.clock.now());
+        Some(backend.gate.floor().highest(below))
+    }
+
+    /// Refuses a request to the backend server whose calls would be refused.
+    pub(super) fn check_onward(&self, terms: &RequestTerms) -> Result<(), Refusal> {
+        let admission = self.onward_floors.lock().check(
+            &terms.route,
+            terms.importance,
+            terms.organisation.as_ref(),
+            terms.root,
+            self.clock.now(),
+        );
+        admitted(admission)
+    }
+
+    /// Refuses a request of a caller that the services below would refuse.
+    pub(super) fn check_entry(&self, terms: &RequestTerms) -> Result<(), Refusal> {
+        let admission = self.entry_floors.lock().check(
+            &terms.route,
+            terms.importance,
+            terms.organisation.as_ref(),
+            terms.root,
+            self.clock.now(),
+        );
+        admitted(admission)
+    }
+
+    /// Counts a request for `service` that is a repeat because its parent is one.
+    pub(super) fn count_repeat(&self, service: &ServiceId) {
+        self.with_retries(service, RetryRatio::take_anyway);
+    }
+
     /// Counts the first attempt at a request for `service`.
     pub(super) fn count_first_attempt(&self, service: &ServiceId) {
         self.with_retries(service, RetryRatio::on_first_attempt);
@@ -274,10 +349,20 @@
     fn with_retries<T>(&self, service: &ServiceId, step: impl FnOnce(&mut RetryRatio) -> T) -> T {
         let mut retries = self.retries.lock();
         if !retries.contains_key(service) {
-            let ratio = self.settings.raw.bounds.retry_ratio * RETRY_RATIO_USED;
+            let ratio = self.bounds.read().retry_ratio * RETRY_RATIO_USED;
             let fresh = RetryRatio::new((ratio * 1e3) as u64, RETRY_BURST);
             retries.insert(service.clone(), fresh);
         }
         step(retries.entry(service.clone()).or_default())
     }
 }
+
+fn admitted(admission: Admission) -> Result<(), Refusal> {
+    match admission {
+        Admission::Admit | Admission::Probe => Ok(()),
+        Admission::Refuse { retry_after_ms } => {
+            let refusal = Refusal::not_run(RefusalReason::Overloaded);
+            Err(refusal.retry_after_ms(retry_after_ms))
+        }
+    }
+}
--- a/lib/src/process/relay/peers.rs
+++ b/lib/src/process/relay/peers.rs
@@ -21,6 +21,7 @@
 use super::frame::ExchangeId;
 use super::frame::Frame;
 use super::frame::Head;
+use super::frame::LoadNotice;
 use super::frame::RequestHead;
 use super::frame::encode_frame;
 use super::frame::header_list;
@@ -178,7 +179,7 @@
     let exchange = head.exchange;
     let Some(request) = whole_request(&head, body) else {
         let refusal = Refusal::not_run(RefusalReason::BadRequest);
-        reply_refusal(node, exchange, refusal, replies);
+        reply_refusal(node, exchange, refusal, LoadNotice::default(), replies);
         return;
     };
     let terms = head.terms;
@@ -191,9 +192,9 @@
         if let Some(running) = ended.upgrade() {
             running.tasks.lock().remove(&exchange);
         }
-        match outcome {
-            Ok(answer) => reply_answer(&node, exchange, &answer, &replies),
-            Err(refusal) => reply_refusal(&node, exchange, refusal, &replies),
+        match outcome.result {
+            Ok(answer) => reply_answer(&node, exchange, &answer, outcome.load, &replies),
+            Err(refusal) => reply_refusal(&node, exchange, refusal, outcome.load, &replies),
         }
     });
     tasks.insert(exchange, task.abort_handle());
@@ -212,6 +213,7 @@
     node: &RelayNode,
     exchange: ExchangeId,
     answer: &WholeAnswer,
+    load: LoadNotice,
     replies: &mpsc::UnboundedSender<Bytes>,
 ) {
     let head = Head::Answer(AnswerHead {
@@ -219,6 +221,7 @@
         status: answer.status.as_u16(),
         headers: header_list(&answer.headers),
         voucher: node.voucher(),
+        load,
     });
     reply(replies, &head, &answer.body);
 }
@@ -227,12 +230,14 @@
     node: &RelayNode,
     exchange: ExchangeId,
     refusal: Refusal,
+    load: LoadNotice,
     replies: &mpsc::UnboundedSender<Bytes>,
 ) {
     let head = Head::Refused {
         exchange,
         refusal,
         voucher: node.voucher(),
+        load,
     };
     reply(replies, &head, &[]);
 }
--- /dev/null
+++ b/lib/src/process/relay/runs.rs
@@ -0,0 +1,92 @@
+//! Requests that run on the backend server beside the node, and whose calls they make.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+
+use super::frame::RequestTerms;
+use crate::request::OnwardTime;
+use crate::values::MonotonicTime;
+
+/// Joins the ids of a call and of the request that made it.
+const CALL_SEPARATOR: char = '.';
+
+/// A request that runs on the backend server beside the node.
+#[derive(Debug)]
+pub(super) struct RunningRequest {
+    /// What was decided about it.
+    pub(super) terms: RequestTerms,
+    /// When its caller stops to wait.
+    pub(super) deadline: MonotonicTime,
+    /// Time in which it waited for its calls, and whether one failed.
+    pub(super) onward: Mutex<OnwardTime>,
+}
+
+impl RunningRequest {
+    /// Makes the record of a request that begins to run.
+    pub(super) fn new(terms: RequestTerms, deadline: MonotonicTime) -> Arc<Self> {
+        Arc::new(Self {
+            terms,
+            deadline,
+            onward: Mutex::default(),
+        })
+    }
+
+    /// Notes that a call of the request failed: its own failure follows from that.
+    pub(super) fn call_failed(&self) {
+        self.onward.lock().failed();
+    }
+
+    /// Returns whether a call of the request failed.
+    pub(super) fn has_failed_call(&self) -> bool {
+        self.onward.lock().has_failed()
+    }
+}
+
+/// The requests that run on the backend server beside the node, by the callers' ids.
+///
+/// Servers derive the ids of their calls from the id of the request that they run for. A call
+/// whose id does not extend that of a running request counts as one of its own.
+#[derive(Debug, Default)]
+pub(super) struct RunTable {
+    running: Mutex<HashMap<String, Arc<RunningRequest>>>,
+}
+
+impl RunTable {
+    /// Adds a request until the guard is dropped.
+    pub(super) fn add(&self, request: Arc<RunningRequest>) -> RunGuard<'_> {
+        let id = request.terms.request_id.clone();
+        self.running.lock().insert(id, Arc::clone(&request));
+        RunGuard {
+            table: self,
+            request,
+        }
+    }
+
+    /// Returns the running request that made the call `request_id`.
+    pub(super) fn parent_of(&self, request_id: &str) -> Option<Arc<RunningRequest>> {
+        let (parent, _) = request_id.rsplit_once(CALL_SEPARATOR)?;
+        self.running.lock().get(parent).cloned()
+    }
+}
+
+/// Removes a request from the table when it is dropped.
+pub(super) struct RunGuard<'a> {
+    table: &'a RunTable,
+    request: Arc<RunningRequest>,
+}
+
+impl Drop for RunGuard<'_> {
+    fn drop(&mut self) {
+        let mut running = self.table.running.lock();
+        let id = &self.request.terms.request_id;
+        // A repeat of the same id may have taken the place.
+        if running
+            .get(id)
+            .is_some_and(|known| Arc::ptr_eq(known, &self.request))
+        {
+            running.remove(id);
+        }
+    }
+}
--- a/lib/src/process/relay/settings.rs
+++ b/lib/src/process/relay/settings.rs
@@ -68,6 +68,27 @@
     }
 }
 
+impl BoundSettings {
+    /// Part of the grace of a planned stop that is used; the rest is for the end of the process.
+    const STOP_PART: f64 = 0.9;
+
+    /// Returns the longest time since a confirmation in which keys are accepted, if there is one.
+    pub fn key_confirmation_max(&self) -> Option<Duration> {
+        let limit = Duration::from_millis(self.key_withdrawal_ms);
+        self.key_withdrawal_is_strict.then_some(limit)
+    }
+
+    /// Returns the time in which a new configuration must be in force.
+    pub fn configuration_apply(&self) -> Duration {
+        Duration::from_millis(self.configuration_apply_ms)
+    }
+
+    /// Returns the time in which a planned stop must have ended.
+    pub fn stop_limit(&self) -> Duration {
+        Duration::from_secs_f64(self.stop_grace_s * Self::STOP_PART)
+    }
+}
+
 /// A fault of the settings file.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum RelaySettingsError {
@@ -104,19 +125,6 @@
             })?;
         Self::try_from(raw)
     }
-
-    /// Returns the longest time since a confirmation in which keys are accepted, if there is one.
-    pub fn key_confirmation_max(&self) -> Option<Duration> {
-        let bounds = &self.raw.bounds;
-        let limit = Duration::from_millis(bounds.key_withdrawal_ms);
-        bounds.key_withdrawal_is_strict.then_some(limit)
-    }
-
-    /// Returns the time in which a planned stop must have ended, with a tenth kept back for the
-    /// end of the process.
-    pub fn stop_limit(&self) -> Duration {
-        Duration::from_secs_f64(self.raw.bounds.stop_grace_s * 0.9)
-    }
 }
 
 impl TryFrom<RawRelaySettings> for RelaySettings {
--- a/lib/src/process/relay/tasks.rs
+++ b/lib/src/process/relay/tasks.rs
@@ -146,7 +146,7 @@
 
 /// Confirms that the configuration in force is the newest, through other nodes or the store.
 pub(super) async fn keep_confirmed(node: Arc<RelayNode>) {
-    let apply = Duration::from_millis(node.settings.raw.bounds.configuration_apply_ms);
+    let apply = node.bounds().configuration_apply();
     let mut ask_store_at = draw_ask_store_at(apply);
     let mut backoff = new_backoff();
     let mut was_accepting = false;
--- a/lib/src/request/retry.rs
+++ b/lib/src/request/retry.rs
@@ -48,6 +48,13 @@
         self.held_milli_tokens = held.min(self.burst_milli_tokens);
     }
 
+    /// Counts a retry that is made in any case, as far as the bucket holds one.
+    pub fn take_anyway(&mut self) {
+        self.held_milli_tokens = self
+            .held_milli_tokens
+            .saturating_sub(Self::MILLI_TOKENS_PER_RETRY);
+    }
+
     /// Takes a retry, and returns whether it may be made.
     pub fn try_retry(&mut self) -> bool {
         match self
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -33,6 +33,7 @@
 pub use self::traffic_plan::HostRoutes;
 pub use self::traffic_plan::OrganisationTerms;
 pub use self::traffic_plan::PlannedRoute;
+pub use self::traffic_plan::Priority;
 pub use self::traffic_plan::TrafficPlan;
 pub use self::traffic_plan::WeightedService;
 pub use self::zone::ZoneRecord;
--- a/lib/src/version/traffic_plan.rs
+++ b/lib/src/version/traffic_plan.rs
@@ -39,8 +39,8 @@
         pub latency_objective_ms: u64,
         /// Most servers that one request may be sent to.
         pub attempts_max: u32,
-        /// Rank when capacity is short.
-        pub importance: Importance,
+        /// Rank among the routes when capacity is short; 0 is the highest.
+        pub priority: Priority,
         /// Whether requests need no key.
         pub is_open: bool,
     }
@@ -55,8 +55,8 @@
         pub rate_per_s: Option<RatePerSecond>,
         /// Requests that it may start at once beyond the rate.
         pub burst: TokenCount,
-        /// Rank that goes before the route's, if set.
-        pub importance: Option<Importance>,
+        /// Rank among the organisations, which goes before that of the routes; 0 is the highest.
+        pub priority: Priority,
     }
 }
 
@@ -86,6 +86,29 @@
     }
 }
 
+number_type! {
+    /// A rank of which 0 is the highest.
+    Priority(u8)
+}
+
+impl Priority {
+    /// Lowest rank that is told apart from lower ones.
+    const LOWEST: u8 = 15;
+
+    fn step(self) -> u8 {
+        Self::LOWEST - self.0.min(Self::LOWEST)
+    }
+}
+
+impl PlannedRoute {
+    /// Returns the rank of an organisation's request: by organisation first, then by route.
+    /// Requests without one rank like those of the highest organisation.
+    pub fn importance_for(&self, organisation: Option<&OrganisationTerms>) -> Importance {
+        let organisation = organisation.map_or(Priority(0), |terms| terms.priority);
+        Importance(organisation.step() * (Priority::LOWEST + 1) + self.priority.step())
+    }
+}
+
 /// The routes of one host, by their prefix.
 #[derive(Clone, Debug, Default)]
 pub struct HostRoutes {
--- a/node/src/relay/main.rs
+++ b/node/src/relay/main.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use balsamfold::process::events::relay as events;
 use balsamfold::process::relay::RelayDaemon;
@@ -17,6 +18,8 @@
 
 /// Exit code after a failure while running.
 const EXIT_FAILED: u8 = 1;
+/// Time between two looks at whether the settings file changed without a signal.
+const LOOK_PERIOD: Duration = Duration::from_secs(5);
 /// Exit code for a wrong flag or setting.
 const EXIT_USAGE: u8 = 2;
 
@@ -25,7 +28,7 @@
     let log = log_output::start(&matches);
     let path = flags::settings_path(&matches);
     let code = match read_settings(&path) {
-        Ok(settings) => run(settings),
+        Ok(settings) => run(settings, &path),
         Err(error) => {
             events::SETTINGS_REFUSED.log(format_args!("path={} {error}", path.display()));
             eprintln!("error: {}: {error}", path.display());
@@ -42,12 +45,12 @@
     RelaySettings::parse(&text).map_err(|error| error.to_string())
 }
 
-fn run(settings: RelaySettings) -> ExitCode {
+fn run(settings: RelaySettings, path: &Path) -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
     let result = match runtime {
-        Ok(runtime) => runtime.block_on(serve(settings)),
+        Ok(runtime) => runtime.block_on(serve(settings, path)),
         Err(error) => Err(error.into()),
     };
     match result {
@@ -60,15 +63,42 @@
 }
 
 /// Serves until a signal asks for a planned stop.
-async fn serve(settings: RelaySettings) -> Result<(), Box<dyn std::error::Error>> {
+async fn serve(settings: RelaySettings, path: &Path) -> Result<(), Box<dyn std::error::Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let mut look = tokio::time::interval(LOOK_PERIOD);
     let store = Arc::new(PlatformStore::new(settings.raw.store_address));
     let daemon = RelayDaemon::start(settings, protocol(), store).await?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    let mut text = std::fs::read_to_string(path).unwrap_or_default();
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(&daemon, path, &mut text),
+            _ = look.tick() => reload(&daemon, path, &mut text),
+        }
     }
     daemon.stop().await;
     Ok(())
 }
+
+/// Takes over what can change in a settings file that has changed.
+fn reload(daemon: &RelayDaemon, path: &Path, known: &mut String) {
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) if text == *known => return,
+        Ok(text) => text,
+        Err(error) => {
+            events::SETTINGS_REFUSED.log(format_args!("path={} {error}", path.display()));
+            return;
+        }
+    };
+    match RelaySettings::parse(&text) {
+        Ok(settings) => daemon.node().reload(settings),
+        Err(error) => {
+            events::SETTINGS_REFUSED.log(format_args!("path={} {error}", path.display()));
+        }
+    }
+    // A file with faults is reported once, not at every look.
+    *known = text;
+}
