--- a/lib/src/process/relay/borrow.rs
+++ b/lib/src/process/relay/borrow.rs
@@ -59,7 +59,7 @@
     members
         .nodes()
         .filter(|record| record.id != node.settings.raw.node)
-        .filter(|record| !node.links.failed_lately(record.addresses.peer))
+        .filter(|record| !node.links.is_doubtful(record.addresses.peer))
         .cloned()
         .choose_multiple(&mut rand::rng(), ASKED_NODES)
 }
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -231,7 +231,7 @@
     let unreachable = members
         .serving(&outbound.service)
         .iter()
-        .filter(|record| node.links.failed_lately(record.addresses.peer))
+        .filter(|record| node.links.is_doubtful(record.addresses.peer))
         .map(|record| record.id.clone());
     let excluded: Vec<NodeId> = tried.iter().cloned().chain(unreachable).collect();
     let context = ChooseContext {
--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -1,6 +1,7 @@
 //! Connections to other nodes: one for each, shared by all exchanges.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,16 +38,19 @@
 /// Longest time to open a connection: several round trips between zones, and short enough for
 /// another attempt within the shortest deadlines.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time after a failed connection in which no other is tried.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two attempts to reach a node that could not be reached.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(400);
 /// Silence after which a node with open exchanges is asked for a sign of life.
-const SILENCE_BEFORE_PING: Duration = Duration::from_millis(400);
+const SILENCE_BEFORE_PING: Duration = Duration::from_millis(150);
+/// Silence after which new requests go to other nodes: a ping and its answer take a few
+/// milliseconds, and a node that is short of processor time a few hundred.
+const SILENCE_SUSPECT: Duration = Duration::from_millis(400);
 /// Silence after which a connection with open exchanges counts as lost.
-const SILENCE_MAX: Duration = Duration::from_millis(1_600);
+const SILENCE_MAX: Duration = Duration::from_millis(1_000);
 /// Time without exchanges after which a connection is closed.
 const IDLE_MAX: Duration = Duration::from_secs(30);
 /// Time between two looks at a connection's silence.
-const WATCH_PERIOD: Duration = Duration::from_millis(200);
+const WATCH_PERIOD: Duration = Duration::from_millis(100);
 /// Most bytes that wait to be written to one node; more means that it does not read.
 const QUEUED_BYTES_MAX: usize = 16 * 1_024 * 1_024;
 /// Bytes that are joined into one write.
@@ -246,6 +250,13 @@
         }
     }
 
+    /// Returns whether the node has been silent for longer than it should be.
+    fn is_suspect(&self) -> bool {
+        let state = self.state.lock();
+        let silence = self.clock.now().since(state.heard_at);
+        !state.pending.is_empty() && silence > SILENCE_SUSPECT
+    }
+
     fn is_closed(&self) -> bool {
         self.state.lock().is_closed
     }
@@ -384,10 +395,14 @@
 #[derive(Debug)]
 enum LinkSlot {
     Open(Arc<Link>),
-    FailedAt(MonotonicTime),
+    /// The node could not be reached, and a task tries again.
+    Unreachable,
 }
 
 /// The connections to other nodes.
+///
+/// Requests never wait for a node that could not be reached: they go to others until a task of its
+/// own has reached it again.
 #[derive(Debug)]
 pub(super) struct Links {
     me: NodeId,
@@ -408,7 +423,7 @@
 
     /// Returns the connection to a node, and opens it if there is none.
     pub(super) async fn get(
-        &self,
+        self: &Arc<Self>,
         peer: &NodeId,
         address: SocketAddr,
     ) -> Result<Arc<Link>, LinkFailure> {
@@ -420,20 +435,42 @@
         if let Some(known) = self.known(peer, address) {
             return known;
         }
-        let opened = Link::open(self.me.clone(), peer.clone(), address, self.clock.clone());
+        if let Some(link) = self.open(peer, address).await {
+            return Ok(link);
+        }
+        self.slots.lock().insert(address, LinkSlot::Unreachable);
+        let links = Arc::downgrade(self);
+        let peer = peer.clone();
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(RECONNECT_PAUSE).await;
+                // A node that left the fleet is forgotten by then.
+                match links.upgrade() {
+                    Some(links) if links.is_unreachable(address) => {
+                        if links.open(&peer, address).await.is_some() {
+                            return;
+                        }
+                    }
+                    Some(_) | None => return,
+                }
+            }
+        });
+        Err(LinkFailure::NotSent)
+    }
+
+    async fn open(&self, peer: &NodeId, address: SocketAddr) -> Option<Arc<Link>> {
+        let opened = Link::open(self.me.clone(), peer.clone(), address, self.clock);
         let reason = match timeout(CONNECT_TIMEOUT, opened).await {
             Ok(Ok(link)) => {
                 let slot = LinkSlot::Open(Arc::clone(&link));
                 self.slots.lock().insert(address, slot);
-                return Ok(link);
+                return Some(link);
             }
             Ok(Err(error)) => error.to_string(),
             Err(_) => "timed out".to_owned(),
         };
         events::LINK_NOT_OPENED.log(format_args!("peer={peer} reason=\"{reason}\""));
-        let slot = LinkSlot::FailedAt(self.clock.now());
-        self.slots.lock().insert(address, slot);
-        Err(LinkFailure::NotSent)
+        None
     }
 
     fn known(
@@ -445,37 +482,40 @@
             LinkSlot::Open(link) if !link.is_closed() && link.peer == *peer => {
                 Some(Ok(Arc::clone(link)))
             }
-            LinkSlot::FailedAt(at) if self.clock.now().since(*at) < RECONNECT_PAUSE => {
-                Some(Err(LinkFailure::NotSent))
-            }
-            LinkSlot::Open(_) | LinkSlot::FailedAt(_) => None,
+            LinkSlot::Unreachable => Some(Err(LinkFailure::NotSent)),
+            LinkSlot::Open(_) => None,
         }
     }
 
-    /// Returns whether a connection to a node failed just now.
-    pub(super) fn failed_lately(&self, address: SocketAddr) -> bool {
+    fn is_unreachable(&self, address: SocketAddr) -> bool {
+        let slots = self.slots.lock();
+        matches!(slots.get(&address), Some(LinkSlot::Unreachable))
+    }
+
+    /// Returns whether requests should go to other nodes than this one.
+    pub(super) fn is_doubtful(&self, address: SocketAddr) -> bool {
         match self.slots.lock().get(&address) {
-            Some(LinkSlot::FailedAt(at)) => self.clock.now().since(*at) < RECONNECT_PAUSE,
-            Some(LinkSlot::Open(_)) | None => false,
+            Some(LinkSlot::Unreachable) => true,
+            Some(LinkSlot::Open(link)) => link.is_suspect(),
+            None => false,
         }
     }
 
-    /// Returns an open connection that was used last, if there is one.
+    /// Returns the open connection on which something was heard last, if there is one.
     pub(super) fn any_open(&self) -> Option<Arc<Link>> {
         let slots = self.slots.lock();
         let open = slots.values().filter_map(|slot| match slot {
             LinkSlot::Open(link) if !link.is_closed() => Some(link),
-            LinkSlot::Open(_) | LinkSlot::FailedAt(_) => None,
+            LinkSlot::Open(_) | LinkSlot::Unreachable => None,
         });
         open.max_by_key(|link| link.state.lock().heard_at).cloned()
     }
 
-    /// Forgets closed connections.
-    pub(super) fn forget_closed(&self) {
-        let now = self.clock.now();
-        self.slots.lock().retain(|_, slot| match slot {
+    /// Forgets closed connections, and nodes at other addresses than `known`.
+    pub(super) fn forget_ended(&self, known: &HashSet<SocketAddr>) {
+        self.slots.lock().retain(|address, slot| match slot {
             LinkSlot::Open(link) => !link.is_closed(),
-            LinkSlot::FailedAt(at) => now.since(*at) < RECONNECT_PAUSE,
+            LinkSlot::Unreachable => known.contains(address),
         });
         self.opening
             .lock()
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -74,7 +74,7 @@
     /// Counters and histograms.
     pub metrics: RelayMetrics,
     /// Connections to other nodes.
-    pub(super) links: Links,
+    pub(super) links: Arc<Links>,
     pub(super) allowances: Mutex<Allowances>,
     pub(super) fleet: Mutex<Fleet>,
     pub(super) registration: Mutex<Registration>,
@@ -117,7 +117,7 @@
         let started_ms = clock.wall().0;
         Self {
             zones: zones.collect(),
-            links: Links::new(settings.raw.node.clone(), clock.clone()),
+            links: Arc::new(Links::new(settings.raw.node.clone(), clock)),
             router: Mutex::new(Router::new(
                 settings.raw.zone.clone(),
                 rand::random(),
--- a/lib/src/process/relay/tasks.rs
+++ b/lib/src/process/relay/tasks.rs
@@ -322,6 +322,8 @@
         } else if let Some(plan) = node.plan() {
             node.share_allowances(&plan);
         }
-        node.links.forget_closed();
+        let members = node.members();
+        let known = members.nodes().map(|record| record.addresses.peer);
+        node.links.forget_ended(&known.collect());
     }
 }
