--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -47,6 +47,15 @@
 /// Bounds between which the wait is drawn when a refusal names none.
 const RETRY_AFTER_MS: std::ops::Range<f64> = 50.0..400.0;
 
+/// Name of the header that tells how long an idle connection may be used.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Time for which callers may use an idle connection, in seconds: idle connections of callers that
+/// come back on new ones would fill the memory.
+const KEEP_ALIVE_VALUE: &str = "timeout=3";
+/// Time after which an idle connection is closed, long enough that no request crosses the close.
+/// It also bounds the time for the headers of a request.
+pub(super) const IDLE_TIMEOUT_MS: u64 = 5_000;
+
 /// What is known of a caller's request before it is forwarded.
 struct Admitted {
     plan: Arc<TrafficPlan>,
@@ -77,7 +86,7 @@
             refusal_response(node, &refusal, request_id, left)
         }
     };
-    closing(node, response)
+    with_connection_headers(node, response)
 }
 
 async fn enter(
@@ -412,12 +421,13 @@
     Duration::from_secs_f64(wanted_ms / 1e3).min(limit)
 }
 
-/// Asks the caller to close its connection if the node is stopping.
-fn closing(node: &RelayNode, mut response: Response) -> Response {
-    if node.is_stopping() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
-    }
+/// Tells the caller how long its connection may be used: no more if the node is stopping.
+fn with_connection_headers(node: &RelayNode, mut response: Response) -> Response {
+    let (name, value) = match node.is_stopping() {
+        true => (header::CONNECTION, HeaderValue::from_static("close")),
+        false => (KEEP_ALIVE, HeaderValue::from_static(KEEP_ALIVE_VALUE)),
+    };
+    response.headers_mut().insert(name, value);
     response
 }
 
--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -12,6 +12,7 @@
 use volo_http::body::Body;
 use volo_http::response::Response;
 
+use super::callers::IDLE_TIMEOUT_MS;
 use super::callers::handle_caller;
 use super::entry::keep_entry;
 use super::node::RelayNode;
@@ -165,14 +166,14 @@
     let defaults = CallerLimits::default();
     let limits = ListenerLimits {
         connections_max: CALLER_CONNECTIONS_MAX,
-        // The listener's limit also closes idle connections, so it is that of idle ones.
-        header_timeout_ms: defaults.idle_timeout_ms,
+        header_timeout_ms: IDLE_TIMEOUT_MS,
         header_bytes_max: defaults.header_bytes_max,
     };
     let node = Arc::clone(node);
     listener.serve(limits, move |request| {
         let node = Arc::clone(&node);
-        async move { handle_caller(&node, request).await }
+        // Boxed, so that idle connections do not hold room for a request.
+        Box::pin(async move { handle_caller(&node, request).await })
     })
 }
 
