--- a/lib/src/process/node/local_server.rs
+++ b/lib/src/process/node/local_server.rs
@@ -26,7 +26,7 @@
     pub(super) fn new(announcement: Announcement, limits: PoolLimits, clock: &Clock) -> Self {
         Self {
             pool: ConnectionPool::new(announcement.address, limits),
-            gate: Gate::new(announcement.slots, clock.clone()),
+            gate: Gate::new(announcement.slots, *clock),
             renewed_at: Mutex::new(clock.now()),
             announcement,
         }
--- a/lib/src/process/node/members.rs
+++ b/lib/src/process/node/members.rs
@@ -51,7 +51,7 @@
             secret: settings.fleet_secret.clone(),
             random_seed: rand::random(),
         };
-        Membership::start(options, self.socket, LinkFilter::open(), clock.clone())
+        Membership::start(options, self.socket, LinkFilter::open(), *clock)
     }
 }
 
--- a/lib/src/process/node/rates.rs
+++ b/lib/src/process/node/rates.rs
@@ -67,14 +67,14 @@
             settings.node.clone(),
             incarnation,
             settings.zone.clone(),
-            node.clock.clone(),
+            node.clock,
             holder_calls(Arc::downgrade(node)),
         );
         let service = HolderService::new(
             settings.node.clone(),
             incarnation,
             settings.zone.clone(),
-            node.clock.clone(),
+            node.clock,
             lender_calls(Arc::downgrade(node)),
         );
         Self {
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -103,7 +103,13 @@
     } = admit(node, &request).await?;
     let limit = Duration::from_millis(route.timeout_ms).min(client_left);
     let parent = node.runs.parent_of(request_id);
-    let terms = terms_of(node, &route, organisation.as_deref(), parent.as_deref(), request_id);
+    let terms = terms_of(
+        node,
+        &route,
+        organisation.as_deref(),
+        parent.as_deref(),
+        request_id,
+    );
     if parent.is_none() {
         node.check_entry(&terms)?;
     }
--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -20,6 +20,7 @@
 use super::protocol::Protocol;
 use super::reports::handle_ready;
 use super::reports::handle_report;
+use super::settings::ListenSettings;
 use super::settings::RelaySettings;
 use super::store::SharedStore;
 use super::tasks::keep_confirmed;
@@ -73,7 +74,7 @@
 impl RelayDaemon {
     /// Binds all addresses of `settings` and starts to serve.
     pub async fn start(
-        settings: RelaySettings,
+        mut settings: RelaySettings,
         protocol: Protocol,
         store: Arc<dyn SharedStore>,
     ) -> Result<Self, RelayStartError> {
@@ -88,18 +89,22 @@
             Some(address) => Some(Listener::bind(address).await.context(BindSnafu)?),
             None => None,
         };
+        settings.raw.listen = ListenSettings {
+            callers: callers.address(),
+            peers: peers.local_addr().context(BindPeersSnafu)?,
+            ready: ready.address(),
+            reports: reports.address(),
+            metrics: metrics.as_ref().map(Listener::address),
+        };
         let node = Arc::new(RelayNode::new(settings, protocol, store));
         events::STARTED.log(format_args!(
             "node={} zone={} service={} callers={}",
             node.settings.raw.node,
             node.settings.raw.zone,
             node.settings.raw.service,
-            listen.callers
+            node.settings.raw.listen.callers
         ));
-        let mut small = vec![
-            serve_ready(ready, &node),
-            serve_reports(reports, &node),
-        ];
+        let mut small = vec![serve_ready(ready, &node), serve_reports(reports, &node)];
         small.extend(metrics.map(|listener| serve_metrics(listener, &node)));
         let tasks = vec![
             spawn(serve_peers(Arc::clone(&node), peers)),
--- a/lib/src/process/relay/fleet.rs
+++ b/lib/src/process/relay/fleet.rs
@@ -96,7 +96,11 @@
         self.node_counts
             .retain(|(at, _)| now.since(*at) < Self::COUNT_MEMORY);
         let count = self.entries.len();
-        if self.node_counts.last().is_none_or(|(_, last)| *last != count) {
+        if self
+            .node_counts
+            .last()
+            .is_none_or(|(_, last)| *last != count)
+        {
             self.node_counts.push((now, count));
         } else if let Some(last) = self.node_counts.last_mut() {
             last.0 = now;
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -88,10 +88,7 @@
         false => node.count_first_attempt(&outbound.service),
     }
     let mut progress = Progress::default();
-    loop {
-        let Some(destination) = choose(node, outbound, &progress.tried) else {
-            break;
-        };
+    while let Some(destination) = choose(node, outbound, &progress.tried) {
         progress.tried.push(destination.id.clone());
         let outcome = attempt(node, outbound, &destination, progress.arrivals > 0).await;
         learn_floor(node, outbound, &destination, &outcome.load);
--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -196,8 +196,10 @@
     fn take_frame(&self, frame: &Frame) -> Result<(), super::frame::FrameError> {
         let (exchange, reply, voucher, load) = match frame.head()? {
             Head::Answer(answer) => {
-                let reply = match (StatusCode::from_u16(answer.status), header_map(&answer.headers))
-                {
+                let reply = match (
+                    StatusCode::from_u16(answer.status),
+                    header_map(&answer.headers),
+                ) {
                     (Ok(status), Some(headers)) => PeerReply::Answer(WholeAnswer {
                         status,
                         headers,
@@ -473,11 +475,7 @@
         None
     }
 
-    fn known(
-        &self,
-        peer: &NodeId,
-        address: SocketAddr,
-    ) -> Option<Result<Arc<Link>, LinkFailure>> {
+    fn known(&self, peer: &NodeId, address: SocketAddr) -> Option<Result<Arc<Link>, LinkFailure>> {
         match self.slots.lock().get(&address)? {
             LinkSlot::Open(link) if !link.is_closed() && link.peer == *peer => {
                 Some(Ok(Arc::clone(link)))
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -61,7 +61,7 @@
 /// Each lock is held for single steps only, never over an await, and never while another one is
 /// taken.
 pub struct RelayNode {
-    /// The settings that stay as they were at the start.
+    /// The settings that stay as they were at the start, with the ports that were bound.
     pub settings: RelaySettings,
     /// The time limits in force, which may change while the relay runs.
     bounds: RwLock<BoundSettings>,
@@ -176,7 +176,10 @@
     pub fn offer_plan(&self, plan: TrafficPlan) -> bool {
         let version = plan.version;
         let mut current = self.plan.write();
-        if current.as_ref().is_some_and(|known| known.version >= version) {
+        if current
+            .as_ref()
+            .is_some_and(|known| known.version >= version)
+        {
             return false;
         }
         let plan = Arc::new(plan);
--- a/lib/src/process/relay/reports.rs
+++ b/lib/src/process/relay/reports.rs
@@ -93,7 +93,7 @@
             }
             log_report(report, effect);
             let incarnation = Incarnation(node.clock.wall().0);
-            let backend = Backend::new(report, incarnation, node.clock.clone());
+            let backend = Backend::new(report, incarnation, node.clock);
             node.set_backend(Some(Arc::new(backend)));
         }
     }
--- a/lib/src/process/relay/settings.rs
+++ b/lib/src/process/relay/settings.rs
@@ -147,7 +147,7 @@
                 faults.push(format!("{name}: must be at least 1"));
             }
         }
-        if !(bounds.stop_grace_s >= Self::STOP_GRACE_MIN_S) {
+        if bounds.stop_grace_s.is_nan() || bounds.stop_grace_s < Self::STOP_GRACE_MIN_S {
             faults.push(format!(
                 "bounds.stop_grace_s: must be at least {}",
                 Self::STOP_GRACE_MIN_S
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -40,6 +40,8 @@
 mod test_rates_lease;
 mod test_rates_outage;
 mod test_rates_whole;
+mod test_relay_decisions;
+mod test_relay_fleet;
 mod test_routing;
 mod test_secret;
 mod test_strangers;
--- /dev/null
+++ b/lib/tests/test_relay_fleet.rs
@@ -0,0 +1,293 @@
+//! Relays and their backend servers over the loopback interface.
+
+use std::time::Duration;
+
+use balsamfold::values::RatePerSecond;
+use balsamfold::values::TokenCount;
+use balsamfold::version::OrganisationTerms;
+use balsamfold::version::PlannedRoute;
+use balsamfold::version::Priority;
+use balsamfold::version::Repeatability;
+use balsamfold::version::WeightedService;
+use http::StatusCode;
+use testutils::fleet::AfterSend;
+use testutils::fleet::send_raw;
+use testutils::relay::Behaviour;
+use testutils::relay::RelayFleet;
+use testutils::relay::StoredPlan;
+use testutils::relay::relay_protocol;
+
+const KEY: &str = "key-of-a";
+
+fn route(name: &str, service: &str, repeatability: Repeatability) -> PlannedRoute {
+    PlannedRoute {
+        name: name.to_owned(),
+        targets: vec![WeightedService {
+            service: service.parse().expect("valid name"),
+            weight: 1,
+        }],
+        repeatability,
+        timeout_ms: 5_000,
+        latency_objective_ms: 100,
+        attempts_max: 3,
+        priority: Priority(1),
+        is_open: false,
+    }
+}
+
+fn plan(version: u64) -> StoredPlan {
+    let inner = PlannedRoute {
+        is_open: true,
+        ..route("inner", "stock", Repeatability::Idempotent)
+    };
+    let routes = [
+        (
+            "/stock/",
+            route("stock", "stock", Repeatability::Idempotent),
+        ),
+        (
+            "/order/",
+            route("order", "stock", Repeatability::AtMostOnce),
+        ),
+        ("/shop/", route("shop", "front", Repeatability::Idempotent)),
+        ("/inner/", inner),
+    ];
+    let routes = routes.map(|(prefix, route)| ("shop".to_owned(), prefix.to_owned(), route));
+    let organisation = OrganisationTerms {
+        id: "org-a".parse().expect("valid name"),
+        rate_per_s: Some(RatePerSecond(10_000)),
+        burst: TokenCount(10_000),
+        priority: Priority(1),
+    };
+    StoredPlan {
+        version,
+        routes: routes.to_vec(),
+        organisations: vec![(organisation, vec![KEY.to_owned()])],
+    }
+}
+
+/// Returns how often the stand-ins saw the request `id`.
+fn arrivals(fleet: &RelayFleet, id: &str) -> usize {
+    let name = relay_protocol().headers.request_id;
+    let seen = fleet.sides.iter().flat_map(|side| side.server.seen());
+    seen.filter(|request| request.headers.get(&name).is_some_and(|value| value == id))
+        .count()
+}
+
+#[tokio::test]
+async fn request_reaches_a_server_beside_another_node_with_the_systems_headers() {
+    let fleet = RelayFleet::start(&plan(1), &["front", "stock"]).await;
+    let answer = fleet.call(0, "r1", "/stock/x", Some(KEY)).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    let seen = fleet.sides[1].server.seen();
+    let headers = &seen[0].headers;
+    let names = relay_protocol().headers;
+    assert_eq!(seen[0].uri, "/stock/x");
+    assert_eq!(headers[&names.organisation], "org-a");
+    assert_eq!(headers[&names.expected_server], "server-1");
+    assert_eq!(headers[&names.caller_service], "front");
+    assert!(!headers.contains_key(http::header::AUTHORIZATION));
+}
+
+#[tokio::test]
+async fn keys_and_routes_that_are_not_in_force_are_refused() {
+    let fleet = RelayFleet::start(&plan(1), &["stock"]).await;
+    let status = async |path, key| fleet.call(0, "r1", path, key).await.status;
+    assert_eq!(status("/stock/x", None).await, StatusCode::UNAUTHORIZED);
+    assert_eq!(
+        status("/stock/x", Some("other")).await,
+        StatusCode::UNAUTHORIZED
+    );
+    assert_eq!(status("/none/x", Some(KEY)).await, StatusCode::NOT_FOUND);
+    assert_eq!(arrivals(&fleet, "r1"), 0);
+}
+
+#[tokio::test]
+async fn withdrawn_key_stops_working() {
+    let fleet = RelayFleet::start(&plan(1), &["front", "stock"]).await;
+    let mut withdrawn = plan(2);
+    withdrawn.organisations[0].1.clear();
+    fleet.publish(&withdrawn);
+    fleet
+        .wait_until(|fleet| {
+            let versions = fleet.sides.iter().map(|side| side.daemon.node().plan());
+            versions.flatten().all(|plan| plan.version.0 == 2)
+        })
+        .await;
+    for index in 0..2 {
+        let answer = fleet.call(index, "r1", "/stock/x", Some(KEY)).await;
+        assert_eq!(answer.status, StatusCode::UNAUTHORIZED);
+    }
+}
+
+#[tokio::test]
+async fn keys_are_refused_once_the_store_cannot_confirm_them_and_open_routes_go_on() {
+    let fleet = RelayFleet::start(&plan(1), &["front", "stock"]).await;
+    fleet.store.set_down(true);
+    fleet
+        .wait_until(|fleet| {
+            let mut nodes = fleet.sides.iter().map(|side| side.daemon.node());
+            nodes.all(|node| !node.accepts_keys())
+        })
+        .await;
+    let keyed = fleet.call(0, "r1", "/stock/x", Some(KEY)).await;
+    assert_eq!(keyed.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(keyed.headers.contains_key(http::header::RETRY_AFTER));
+    let open = fleet.call(0, "r2", "/inner/x", None).await;
+    assert_eq!(open.status, StatusCode::OK);
+    fleet.store.set_down(false);
+    fleet.wait_until_known().await;
+    let again = fleet.call(0, "r3", "/stock/x", Some(KEY)).await;
+    assert_eq!(again.status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn entries_that_lapsed_are_written_again() {
+    let fleet = RelayFleet::start(&plan(1), &["front", "stock"]).await;
+    fleet.store.end_all_leases();
+    assert_eq!(fleet.store.keys("nodes/"), Vec::<String>::new());
+    fleet
+        .wait_until(|fleet| fleet.store.keys("nodes/").len() == 2)
+        .await;
+    let answer = fleet.call(0, "r1", "/stock/x", Some(KEY)).await;
+    assert_eq!(answer.status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn draining_server_gets_nothing_after_its_report_is_acknowledged() {
+    let fleet = RelayFleet::start(&plan(1), &["front", "stock", "stock"]).await;
+    assert_eq!(fleet.report(1, 2, true).await, StatusCode::OK);
+    for number in 0..20 {
+        let id = format!("r{number}");
+        let answer = fleet.call(0, &id, "/stock/x", Some(KEY)).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(fleet.sides[1].server.seen().len(), 0);
+}
+
+#[tokio::test]
+async fn request_that_a_server_did_not_run_goes_to_another_one_even_if_it_may_run_once() {
+    let fleet = RelayFleet::start(&plan(1), &["front", "stock", "stock"]).await;
+    fleet.sides[1].server.behave(Behaviour::Shed);
+    let answer = fleet.call(0, "r1", "/order/x", Some(KEY)).await;
+    assert_eq!(answer.status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn request_that_may_run_once_is_not_repeated_after_a_crossed_answer() {
+    let fleet = RelayFleet::start(&plan(1), &["front", "stock", "stock"]).await;
+    for side in &fleet.sides {
+        side.server.behave(Behaviour::CrossedAnswer);
+    }
+    let answer = fleet.call(0, "r1", "/order/x", Some(KEY)).await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(arrivals(&fleet, "r1"), 1);
+}
+
+#[tokio::test]
+async fn failed_request_is_repeated_if_it_may_be() {
+    let fleet = RelayFleet::start(&plan(1), &["front", "stock", "stock"]).await;
+    fleet.sides[1].server.behave(Behaviour::Fail);
+    fleet.sides[2].server.behave(Behaviour::Fail);
+    let answer = fleet.call(0, "r1", "/stock/x", Some(KEY)).await;
+    assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(arrivals(&fleet, "r1"), 2);
+}
+
+#[tokio::test]
+async fn request_whose_call_failed_is_not_repeated() {
+    let services = ["front", "front", "stock", "stock"];
+    let fleet = RelayFleet::start(&plan(1), &services).await;
+    let call = Behaviour::CallOnward {
+        host: "shop",
+        path: "/inner/x",
+    };
+    fleet.sides[0].server.behave(call.clone());
+    fleet.sides[1].server.behave(call);
+    fleet.sides[2].server.behave(Behaviour::Fail);
+    fleet.sides[3].server.behave(Behaviour::Fail);
+    let answer = fleet.call(2, "r1", "/shop/x", Some(KEY)).await;
+    assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(arrivals(&fleet, "r1"), 1);
+}
+
+#[tokio::test]
+async fn call_of_a_server_needs_no_key_and_names_no_organisation() {
+    let fleet = RelayFleet::start(&plan(1), &["front", "stock"]).await;
+    fleet.sides[0].server.behave(Behaviour::CallOnward {
+        host: "shop",
+        path: "/inner/x",
+    });
+    let answer = fleet.call(1, "r1", "/shop/x", Some(KEY)).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    let seen = fleet.sides[1].server.seen();
+    let names = relay_protocol().headers;
+    assert_eq!(seen.len(), 1);
+    assert!(!seen[0].headers.contains_key(&names.organisation));
+    assert_eq!(seen[0].headers[&names.caller_service], "front");
+}
+
+#[tokio::test]
+async fn route_timeout_ends_the_wait_with_a_final_answer() {
+    let mut short = plan(1);
+    for (_, _, route) in &mut short.routes {
+        route.timeout_ms = 200;
+    }
+    let fleet = RelayFleet::start(&short, &["front", "stock"]).await;
+    let slow = Behaviour::Slow(Duration::from_secs(10));
+    fleet.sides[1].server.behave(slow);
+    let answer = fleet.call(0, "r1", "/stock/x", Some(KEY)).await;
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+}
+
+#[tokio::test]
+async fn organisation_over_its_rate_is_refused_until_the_next_token() {
+    let mut limited = plan(1);
+    limited.organisations[0].0.rate_per_s = Some(RatePerSecond(1));
+    limited.organisations[0].0.burst = TokenCount(1);
+    let fleet = RelayFleet::start(&limited, &["front", "stock"]).await;
+    let mut refused = 0;
+    for number in 0..20 {
+        let id = format!("r{number}");
+        let answer = fleet.call(0, &id, "/stock/x", Some(KEY)).await;
+        refused += usize::from(answer.status == StatusCode::TOO_MANY_REQUESTS);
+    }
+    assert!(refused >= 15, "{refused} of 20 refused");
+    assert!(fleet.sides[1].server.seen().len() + refused == 20);
+}
+
+#[tokio::test]
+async fn answers_tell_callers_how_long_an_idle_connection_may_be_used() {
+    let fleet = RelayFleet::start(&plan(1), &["stock"]).await;
+    let status = fleet.call(0, "r1", "/stock/x", Some(KEY)).await.status;
+    assert_eq!(status, StatusCode::OK);
+    let address = fleet.sides[0].daemon.node().settings.raw.listen.callers;
+    let raw = b"GET /none/ HTTP/1.1\r\nhost: shop\r\nrequest-id: r2\r\n\r\n";
+    let answer = send_raw(address, raw, AfterSend::KeepOpen)
+        .await
+        .expect("a connection is taken");
+    assert!(answer.contains("keep-alive: timeout=3"), "{answer}");
+}
+
+#[tokio::test]
+async fn planned_stop_finishes_requests_in_flight() {
+    let mut fleet = RelayFleet::start(&plan(1), &["front", "stock"]).await;
+    let slow = Behaviour::Slow(Duration::from_millis(500));
+    fleet.sides[1].server.behave(slow);
+    let front = fleet.sides.remove(0);
+    let address = front.daemon.node().settings.raw.listen.callers;
+    let in_flight = tokio::spawn(async move {
+        let raw = format!(
+            "GET /stock/x HTTP/1.1\r\nhost: shop\r\nrequest-id: r1\r\nauthorization: Key {KEY}\r\n\r\n"
+        );
+        send_raw(address, raw.as_bytes(), AfterSend::KeepOpen).await
+    });
+    let node = front.daemon.node().clone();
+    fleet
+        .wait_until(|fleet| !fleet.sides[0].server.seen().is_empty())
+        .await;
+    front.daemon.stop().await;
+    assert!(!node.is_ready());
+    let answer = in_flight.await.expect("no panic").expect("connected");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod overload;
 pub mod platform;
 pub mod rate_fleet;
+pub mod relay;
--- /dev/null
+++ b/testutils/src/relay/fleet.rs
@@ -0,0 +1,289 @@
+//! Relays with a stand-in of a backend server each, in one process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use balsamfold::connection::ConnectionPool;
+use balsamfold::connection::PoolLimits;
+use balsamfold::connection::WholeAnswer;
+use balsamfold::connection::WholeRequest;
+use balsamfold::process::relay::BoundSettings;
+use balsamfold::process::relay::ControlCall;
+use balsamfold::process::relay::ListenSettings;
+use balsamfold::process::relay::Protocol;
+use balsamfold::process::relay::ProtocolHeaders;
+use balsamfold::process::relay::RawRelaySettings;
+use balsamfold::process::relay::RelayDaemon;
+use balsamfold::process::relay::RelaySettings;
+use balsamfold::process::relay::ServerReport;
+use balsamfold::values::ConfigVersion;
+use balsamfold::values::SlotCount;
+use balsamfold::version::CallerKey;
+use balsamfold::version::HostRoutes;
+use balsamfold::version::OrganisationTerms;
+use balsamfold::version::PlannedRoute;
+use balsamfold::version::TrafficPlan;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::header;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::server::RelayServer;
+use super::store::MemoryStore;
+
+/// The store's key of the configuration.
+pub const CONFIGURATION_KEY: &str = "desk/plan";
+/// Longest wait for a state that must come about.
+const WAIT_MAX: Duration = Duration::from_secs(20);
+/// Longest wait for an answer.
+const ANSWER_MAX: Duration = Duration::from_secs(15);
+
+/// A configuration as the stand-in of the operators stores it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StoredPlan {
+    /// The version.
+    pub version: u64,
+    /// Host, prefix and route.
+    pub routes: Vec<(String, String, PlannedRoute)>,
+    /// Organisations with their keys.
+    pub organisations: Vec<(OrganisationTerms, Vec<String>)>,
+}
+
+/// Returns the names that the stand-ins use.
+pub fn relay_protocol() -> Protocol {
+    Protocol {
+        headers: ProtocolHeaders {
+            request_id: HeaderName::from_static("request-id"),
+            deadline_ms: HeaderName::from_static("wait-ms"),
+            organisation: HeaderName::from_static("organisation"),
+            expected_server: HeaderName::from_static("for-server"),
+            not_run: HeaderName::from_static("not-run"),
+            caller_service: HeaderName::from_static("from-service"),
+        },
+        key_scheme: "Key",
+        ready_path: "/ready",
+        configuration_key: CONFIGURATION_KEY,
+        decode_configuration,
+        decode_control,
+    }
+}
+
+fn decode_configuration(stored: &[u8]) -> Result<TrafficPlan, String> {
+    let stored: StoredPlan = serde_json::from_slice(stored).map_err(|error| error.to_string())?;
+    let mut plan = TrafficPlan::new(ConfigVersion(stored.version));
+    for (host, _, _) in &stored.routes {
+        let of_host = stored.routes.iter().filter(|route| route.0 == *host);
+        let routes = of_host.map(|(_, prefix, route)| (prefix.clone(), route.clone()));
+        plan.hosts.insert(host.clone(), HostRoutes::new(routes));
+    }
+    for (terms, keys) in stored.organisations {
+        let keys = keys.iter().map(|key| CallerKey::new(key));
+        plan.add_organisation(terms, keys);
+    }
+    Ok(plan)
+}
+
+#[derive(Serialize, Deserialize)]
+struct StoredReport {
+    service: String,
+    address: SocketAddr,
+    born_ms: u64,
+    sequence: u64,
+    slots: u32,
+    is_draining: bool,
+}
+
+fn decode_control(method: &Method, path: &str, body: &Bytes) -> Result<ControlCall, String> {
+    let server_id = path.trim_start_matches('/').to_owned();
+    if *method == Method::DELETE {
+        return Ok(ControlCall::Leave { server_id });
+    }
+    let report: StoredReport = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    Ok(ControlCall::Report(ServerReport {
+        server_id,
+        born_ms: report.born_ms,
+        sequence: report.sequence,
+        service: report.service.parse().map_err(|_| "service")?,
+        address: report.address,
+        slots: SlotCount(report.slots),
+        is_draining: report.is_draining,
+    }))
+}
+
+/// One relay with its backend server.
+pub struct RelaySide {
+    /// The relay.
+    pub daemon: RelayDaemon,
+    /// The backend server beside it.
+    pub server: RelayServer,
+    /// The service of the server.
+    pub service: &'static str,
+}
+
+/// Relays with a stand-in of a backend server each, in one process.
+pub struct RelayFleet {
+    /// The store that they share.
+    pub store: MemoryStore,
+    /// The relays.
+    pub sides: Vec<RelaySide>,
+}
+
+impl RelayFleet {
+    /// Starts a relay for each service named, with a server of 8 slots, and waits until all
+    /// know each other.
+    pub async fn start(plan: &StoredPlan, services: &[&'static str]) -> Self {
+        let store = MemoryStore::default();
+        let fleet = Self::start_with_store(store, plan, services).await;
+        fleet.wait_until_known().await;
+        fleet
+    }
+
+    async fn start_with_store(
+        store: MemoryStore,
+        plan: &StoredPlan,
+        services: &[&'static str],
+    ) -> Self {
+        let mut fleet = Self {
+            store,
+            sides: Vec::new(),
+        };
+        fleet.publish(plan);
+        for (index, service) in services.iter().enumerate() {
+            let server = RelayServer::start().await;
+            let settings = settings(&format!("node-{index}"), service, server.address);
+            let store = Arc::new(fleet.store.clone());
+            let daemon = RelayDaemon::start(settings, relay_protocol(), store)
+                .await
+                .expect("ports are free");
+            server.calls_through(daemon.node().settings.raw.listen.callers);
+            fleet.sides.push(RelaySide {
+                daemon,
+                server,
+                service,
+            });
+            fleet.report(index, 1, false).await;
+        }
+        fleet
+    }
+
+    /// Stores a configuration.
+    pub fn publish(&self, plan: &StoredPlan) {
+        let stored = serde_json::to_vec(plan).expect("plans can be stored");
+        self.store.write(CONFIGURATION_KEY, Bytes::from(stored));
+    }
+
+    /// Reports the server of a relay. Returns the status of the answer.
+    pub async fn report(&self, index: usize, sequence: u64, is_draining: bool) -> StatusCode {
+        let side = &self.sides[index];
+        let report = StoredReport {
+            service: side.service.to_owned(),
+            address: side.server.address,
+            born_ms: 1,
+            sequence,
+            slots: 8,
+            is_draining,
+        };
+        let body = serde_json::to_vec(&report).expect("reports can be sent");
+        let request = WholeRequest {
+            method: Method::PUT,
+            uri: format!("/server-{index}").parse().expect("valid path"),
+            headers: HeaderMap::new(),
+            body: Bytes::from(body),
+        };
+        let address = side.daemon.node().settings.raw.listen.reports;
+        exchange(address, request).await.status
+    }
+
+    /// Waits until every relay knows every server, and the configuration is confirmed.
+    pub async fn wait_until_known(&self) {
+        let count = self.sides.len();
+        self.wait_until(|fleet| {
+            fleet.sides.iter().all(|side| {
+                let node = side.daemon.node();
+                let members = node.members();
+                let serving = members.nodes().filter(|record| record.server.is_some());
+                serving.count() == count && node.is_ready()
+            })
+        })
+        .await;
+    }
+
+    /// Waits until `reached` holds.
+    pub async fn wait_until(&self, reached: impl Fn(&Self) -> bool) {
+        let waiting = async {
+            while !reached(self) {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(WAIT_MAX, waiting)
+            .await
+            .expect("the state comes about");
+    }
+
+    /// Sends a request of a caller to a relay.
+    pub async fn call(&self, index: usize, id: &str, path: &str, key: Option<&str>) -> WholeAnswer {
+        let mut headers = HeaderMap::new();
+        let value = |text: &str| HeaderValue::try_from(text).expect("valid header");
+        headers.insert(header::HOST, value("shop"));
+        headers.insert(relay_protocol().headers.request_id, value(id));
+        if let Some(key) = key {
+            headers.insert(header::AUTHORIZATION, value(&format!("Key {key}")));
+        }
+        let request = WholeRequest {
+            method: Method::GET,
+            uri: path.parse().expect("valid path"),
+            headers,
+            body: Bytes::new(),
+        };
+        let address = self.sides[index].daemon.node().settings.raw.listen.callers;
+        exchange(address, request).await
+    }
+}
+
+async fn exchange(address: SocketAddr, request: WholeRequest) -> WholeAnswer {
+    let limits = PoolLimits {
+        connections_max: 1,
+        connect_timeout_ms: 1_000,
+        idle_timeout_ms: 1_000,
+        answer_bytes_max: 1_048_576,
+    };
+    ConnectionPool::new(address, limits)
+        .exchange(request, ANSWER_MAX)
+        .await
+        .expect("an answer comes")
+}
+
+fn settings(node: &str, service: &str, server_address: SocketAddr) -> RelaySettings {
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("valid address");
+    let zone = "zone-a".parse().expect("valid name");
+    let region = "north".parse().expect("valid name");
+    RelaySettings::try_from(RawRelaySettings {
+        node: node.parse().expect("valid name"),
+        zone: "zone-a".parse().expect("valid name"),
+        service: service.parse().expect("valid name"),
+        server_address,
+        store_address: any,
+        listen: ListenSettings {
+            callers: any,
+            peers: any,
+            ready: any,
+            reports: any,
+            metrics: None,
+        },
+        zones: [(zone, region)].into(),
+        bounds: BoundSettings {
+            configuration_apply_ms: 2_000,
+            key_withdrawal_ms: 5_000,
+            key_withdrawal_is_strict: true,
+            stop_grace_s: 6.0,
+            retry_ratio: 0.2,
+        },
+    })
+    .expect("valid settings")
+}
--- /dev/null
+++ b/testutils/src/relay/mod.rs
@@ -0,0 +1,13 @@
+//! Relays in one process, with stand-ins of their store and backend servers.
+
+mod fleet;
+mod server;
+mod store;
+
+pub use self::fleet::CONFIGURATION_KEY;
+pub use self::fleet::RelayFleet;
+pub use self::fleet::StoredPlan;
+pub use self::fleet::relay_protocol;
+pub use self::server::Behaviour;
+pub use self::server::RelayServer;
+pub use self::store::MemoryStore;
--- /dev/null
+++ b/testutils/src/relay/server.rs
@@ -0,0 +1,178 @@
+//! A stand-in of a backend server beside a relay.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use balsamfold::connection::ConnectionPool;
+use balsamfold::connection::Listener;
+use balsamfold::connection::ListenerLimits;
+use balsamfold::connection::PoolLimits;
+use balsamfold::connection::Serving;
+use balsamfold::connection::WholeRequest;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use parking_lot::Mutex;
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use super::fleet::relay_protocol;
+
+/// What a stand-in does with the requests that it gets.
+#[derive(Clone, Debug)]
+pub enum Behaviour {
+    /// Answers at once.
+    Answer,
+    /// Answers after a time.
+    Slow(Duration),
+    /// Says that it did not run the request.
+    Shed,
+    /// Runs the request and fails.
+    Fail,
+    /// Answers with the id of another request.
+    CrossedAnswer,
+    /// Makes a call of its own, and fails if that fails.
+    CallOnward {
+        /// Host and path of the call.
+        host: &'static str,
+        /// The path.
+        path: &'static str,
+    },
+}
+
+/// A request as the stand-in saw it.
+#[derive(Clone, Debug)]
+pub struct SeenRequest {
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Path and query.
+    pub uri: String,
+}
+
+struct Shared {
+    behaviour: Mutex<Behaviour>,
+    seen: Mutex<Vec<SeenRequest>>,
+    onward: Mutex<Option<SocketAddr>>,
+}
+
+/// A stand-in of a backend server beside a relay.
+pub struct RelayServer {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    _serving: Serving,
+}
+
+impl RelayServer {
+    /// Starts a server that answers at once.
+    pub async fn start() -> Self {
+        let any = "127.0.0.1:0".parse().expect("valid address");
+        let listener = Listener::bind(any).await.expect("address is free");
+        let shared = Arc::new(Shared {
+            behaviour: Mutex::new(Behaviour::Answer),
+            seen: Mutex::default(),
+            onward: Mutex::default(),
+        });
+        let limits = ListenerLimits {
+            connections_max: 256,
+            header_timeout_ms: 30_000,
+            header_bytes_max: 65_536,
+        };
+        let address = listener.address();
+        let state = Arc::clone(&shared);
+        let serving = listener.serve(limits, move |request| {
+            let state = Arc::clone(&state);
+            async move { answer(&state, request).await }
+        });
+        Self {
+            address,
+            shared,
+            _serving: serving,
+        }
+    }
+
+    /// Changes what the server does.
+    pub fn behave(&self, behaviour: Behaviour) {
+        *self.shared.behaviour.lock() = behaviour;
+    }
+
+    /// Tells the server where its own calls go.
+    pub fn calls_through(&self, address: SocketAddr) {
+        *self.shared.onward.lock() = Some(address);
+    }
+
+    /// Returns the requests that were seen.
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        self.shared.seen.lock().clone()
+    }
+}
+
+async fn answer(shared: &Shared, request: Request) -> Response {
+    shared.seen.lock().push(SeenRequest {
+        headers: request.headers().clone(),
+        uri: request.uri().to_string(),
+    });
+    let names = relay_protocol().headers;
+    let id = request.headers().get(&names.request_id).cloned();
+    let behaviour = shared.behaviour.lock().clone();
+    let mut response = Response::new(Body::from("done"));
+    let mut echoed = id.clone();
+    match behaviour {
+        Behaviour::Answer => {}
+        Behaviour::Slow(time) => tokio::time::sleep(time).await,
+        Behaviour::Shed => {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            let yes = HeaderValue::from_static("1");
+            response.headers_mut().insert(names.not_run, yes);
+        }
+        Behaviour::Fail => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
+        Behaviour::CrossedAnswer => echoed = Some(HeaderValue::from_static("other")),
+        Behaviour::CallOnward { host, path } => {
+            if !call(shared, id.as_ref(), host, path).await {
+                *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            }
+        }
+    }
+    if let Some(id) = echoed {
+        response.headers_mut().insert(names.request_id, id);
+    }
+    response
+}
+
+/// Makes a call whose id extends that of the request. Returns whether it succeeded.
+async fn call(
+    shared: &Shared,
+    parent: Option<&HeaderValue>,
+    host: &'static str,
+    path: &'static str,
+) -> bool {
+    let onward = *shared.onward.lock();
+    let (Some(address), Some(parent)) = (onward, parent.and_then(|id| id.to_str().ok())) else {
+        return false;
+    };
+    let mut headers = HeaderMap::new();
+    let id = HeaderValue::try_from(format!("{parent}.call")).expect("valid header");
+    headers.insert(relay_protocol().headers.request_id, id);
+    headers.insert(http::header::HOST, HeaderValue::from_static(host));
+    let pool = ConnectionPool::new(
+        address,
+        PoolLimits {
+            connections_max: 1,
+            connect_timeout_ms: 500,
+            idle_timeout_ms: 1_000,
+            answer_bytes_max: 65_536,
+        },
+    );
+    let request = WholeRequest {
+        method: Method::GET,
+        uri: http::Uri::from_static(path),
+        headers,
+        body: Bytes::new(),
+    };
+    let answer = pool.exchange(request, Duration::from_secs(5)).await;
+    answer.is_ok_and(|answer| answer.status.is_success())
+}
--- /dev/null
+++ b/testutils/src/relay/store.rs
@@ -0,0 +1,231 @@
+//! A shared store in memory, with faults.
+
+use std::collections::BTreeMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use balsamfold::process::relay::AsOf;
+use balsamfold::process::relay::LeaseId;
+use balsamfold::process::relay::SharedStore;
+use balsamfold::process::relay::StoreError;
+use balsamfold::process::relay::StoreEvent;
+use balsamfold::process::relay::StoreItem;
+use balsamfold::process::relay::StoreResult;
+use balsamfold::process::relay::StoreRevision;
+use bytes::Bytes;
+use futures::FutureExt;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+#[derive(Default)]
+struct Content {
+    items: BTreeMap<String, (StoreItem, LeaseId)>,
+    history: Vec<StoreEvent>,
+    revision: u64,
+    leases: HashSet<LeaseId>,
+    next_lease: u64,
+    is_down: bool,
+    calls: u64,
+}
+
+impl Content {
+    fn check(&mut self) -> Result<(), StoreError> {
+        self.calls += 1;
+        match self.is_down {
+            true => Err(StoreError::NotDone {
+                reason: "down".to_owned(),
+            }),
+            false => Ok(()),
+        }
+    }
+
+    fn write(&mut self, key: &str, value: Bytes, lease: LeaseId) -> StoreRevision {
+        self.revision += 1;
+        let item = StoreItem {
+            key: key.to_owned(),
+            value,
+            revision: StoreRevision(self.revision),
+        };
+        self.items.insert(key.to_owned(), (item.clone(), lease));
+        self.history.push(StoreEvent::Written(item));
+        StoreRevision(self.revision)
+    }
+
+    fn end_lease(&mut self, lease: LeaseId) {
+        self.leases.remove(&lease);
+        let ended: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, (_, held))| *held == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in ended {
+            self.items.remove(&key);
+            self.revision += 1;
+            let revision = StoreRevision(self.revision);
+            self.history.push(StoreEvent::Removed { key, revision });
+        }
+    }
+
+    fn events_after(&self, prefix: &str, after: StoreRevision) -> Vec<StoreEvent> {
+        let is_new = |event: &&StoreEvent| match event {
+            StoreEvent::Written(item) => item.key.starts_with(prefix) && item.revision > after,
+            StoreEvent::Removed { key, revision } => key.starts_with(prefix) && *revision > after,
+        };
+        self.history.iter().filter(is_new).cloned().collect()
+    }
+}
+
+/// A shared store in memory. Clones share one content.
+#[derive(Clone, Default)]
+pub struct MemoryStore {
+    content: Arc<Mutex<Content>>,
+    changed: Arc<Notify>,
+}
+
+impl MemoryStore {
+    /// Writes an item without a lease, as operators do.
+    pub fn write(&self, key: &str, value: Bytes) {
+        self.content.lock().write(key, value, LeaseId(0));
+        self.changed.notify_waiters();
+    }
+
+    /// Turns all calls away, or serves them again.
+    pub fn set_down(&self, is_down: bool) {
+        self.content.lock().is_down = is_down;
+        self.changed.notify_waiters();
+    }
+
+    /// Ends all leases, as an outage does.
+    pub fn end_all_leases(&self) {
+        let mut content = self.content.lock();
+        let leases: Vec<LeaseId> = content.leases.iter().copied().collect();
+        for lease in leases {
+            content.end_lease(lease);
+        }
+        drop(content);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the keys that begin with `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let content = self.content.lock();
+        let keys = content.items.keys();
+        keys.filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the number of calls that were made.
+    pub fn calls(&self) -> u64 {
+        self.content.lock().calls
+    }
+}
+
+impl SharedStore for MemoryStore {
+    fn get(&self, key: &str) -> StoreResult<AsOf<Option<StoreItem>>> {
+        let mut content = self.content.lock();
+        let result = content.check().map(|()| AsOf {
+            content: content.items.get(key).map(|(item, _)| item.clone()),
+            revision: StoreRevision(content.revision),
+        });
+        std::future::ready(result).boxed()
+    }
+
+    fn list(&self, prefix: &str) -> StoreResult<AsOf<Vec<StoreItem>>> {
+        let mut content = self.content.lock();
+        let result = content.check().map(|()| AsOf {
+            content: content
+                .items
+                .values()
+                .filter(|(item, _)| item.key.starts_with(prefix))
+                .map(|(item, _)| item.clone())
+                .collect(),
+            revision: StoreRevision(content.revision),
+        });
+        std::future::ready(result).boxed()
+    }
+
+    fn watch(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> StoreResult<AsOf<Vec<StoreEvent>>> {
+        let store = self.clone();
+        let prefix = prefix.to_owned();
+        async move {
+            let give_up_at = tokio::time::Instant::now() + wait;
+            store.content.lock().calls += 1;
+            loop {
+                let changed = store.changed.notified();
+                {
+                    let content = store.content.lock();
+                    if content.is_down {
+                        return Err(StoreError::Unknown {
+                            reason: "cut".to_owned(),
+                        });
+                    }
+                    let events = content.events_after(&prefix, after);
+                    if !events.is_empty() {
+                        return Ok(AsOf {
+                            content: events,
+                            revision: StoreRevision(content.revision),
+                        });
+                    }
+                }
+                if tokio::time::timeout_at(give_up_at, changed).await.is_err() {
+                    return Ok(AsOf {
+                        content: Vec::new(),
+                        revision: StoreRevision(store.content.lock().revision),
+                    });
+                }
+            }
+        }
+        .boxed()
+    }
+
+    fn put(&self, key: &str, value: Bytes, lease: LeaseId) -> StoreResult<StoreRevision> {
+        let mut content = self.content.lock();
+        let result = content.check().and_then(|()| {
+            if !content.leases.contains(&lease) {
+                return Err(StoreError::LeaseEnded);
+            }
+            Ok(content.write(key, value, lease))
+        });
+        drop(content);
+        self.changed.notify_waiters();
+        std::future::ready(result).boxed()
+    }
+
+    fn grant_lease(&self, _ttl: Duration) -> StoreResult<LeaseId> {
+        let mut content = self.content.lock();
+        let result = content.check().map(|()| {
+            content.next_lease += 1;
+            let lease = LeaseId(content.next_lease);
+            content.leases.insert(lease);
+            lease
+        });
+        std::future::ready(result).boxed()
+    }
+
+    fn renew_lease(&self, lease: LeaseId) -> StoreResult<()> {
+        let mut content = self.content.lock();
+        let result = content
+            .check()
+            .and_then(|()| match content.leases.contains(&lease) {
+                true => Ok(()),
+                false => Err(StoreError::LeaseEnded),
+            });
+        std::future::ready(result).boxed()
+    }
+
+    fn end_lease(&self, lease: LeaseId) -> StoreResult<()> {
+        let mut content = self.content.lock();
+        let result = content.check().map(|()| content.end_lease(lease));
+        drop(content);
+        self.changed.notify_waiters();
+        std::future::ready(result).boxed()
+    }
+}
