relay: remember a departure over a restart of the node

Excluded: the gate (gives up at once), other nodes' views (they ask this node). Change: the registration is stored before a departure is acknowledged, and read at the start before reports are taken; a departure also counts for lives not known yet.

--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -18,6 +18,7 @@
 use super::node::RelayNode;
 use super::peers::serve_peers;
 use super::protocol::Protocol;
+use super::registration_store::read_registration;
 use super::reports::handle_ready;
 use super::reports::handle_report;
 use super::settings::ListenSettings;
@@ -113,6 +114,7 @@
             spawn(watch_fleet(Arc::clone(&node))),
             spawn(tidy_fleet(Arc::clone(&node))),
             spawn(keep_entry(Arc::clone(&node))),
+            spawn(read_registration(Arc::clone(&node))),
         ];
         Ok(Self {
             callers: serve_callers(callers, &node),
--- a/lib/src/process/relay/mod.rs
+++ b/lib/src/process/relay/mod.rs
@@ -19,6 +19,7 @@
 mod peers;
 mod protocol;
 mod registration;
+mod registration_store;
 mod reports;
 mod runs;
 mod settings;
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -78,6 +78,8 @@
     pub(super) allowances: Mutex<Allowances>,
     pub(super) fleet: Mutex<Fleet>,
     pub(super) registration: Mutex<Registration>,
+    /// Whether what an earlier process stored of the backend server was read.
+    pub(super) registration_read: AtomicBool,
     pub(super) splits: Mutex<SplitState>,
     pub(super) router: Mutex<Router>,
     /// Requests that run on the backend server beside the node.
@@ -134,6 +136,7 @@
             allowances: Mutex::default(),
             fleet: Mutex::default(),
             registration: Mutex::default(),
+            registration_read: AtomicBool::new(false),
             splits: Mutex::default(),
             configuration_wanted: Notify::new(),
             entry_changed: Notify::new(),
--- a/lib/src/process/relay/registration.rs
+++ b/lib/src/process/relay/registration.rs
@@ -1,13 +1,16 @@
 //! Which life of the backend server beside the node is known, from reports in any order.
 
 use super::protocol::ServerReport;
+use crate::values::WallTime;
 
-/// The order of a report among those of all lives of a server.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct ReportStamp {
-    server_id: String,
-    born_ms: u64,
-    sequence: u64,
+plain_data! {
+    /// The order of a report among those of all lives of a server.
+    #[derive(Eq)]
+    struct ReportStamp {
+        server_id: String,
+        born_ms: u64,
+        sequence: u64,
+    }
 }
 
 /// What a report changes.
@@ -25,12 +28,26 @@
     Outdated,
 }
 
-/// Which life of the backend server is known, from reports that may be late or doubled.
-#[derive(Clone, Debug, Default)]
-pub struct Registration {
-    latest: Option<ReportStamp>,
-    is_draining: bool,
-    has_left: bool,
+plain_data! {
+    /// The last departure that was reported.
+    #[derive(Eq)]
+    struct Departure {
+        server_id: String,
+        at: WallTime,
+    }
+}
+
+plain_data! {
+    /// Which life of the backend server is known, from reports that may be late or doubled.
+    ///
+    /// It is stored before a server is told that it may leave: a late report of that life must not
+    /// bring it back after the node was started again.
+    #[derive(Default, Eq)]
+    pub struct Registration {
+        latest: Option<ReportStamp>,
+        is_draining: bool,
+        departed: Option<Departure>,
+    }
 }
 
 impl Registration {
@@ -41,11 +58,13 @@
             born_ms: report.born_ms,
             sequence: report.sequence,
         };
+        if self.has_departed(report) {
+            return ReportEffect::Outdated;
+        }
         let effect = match &self.latest {
             Some(known) if stamp.born_ms < known.born_ms => return ReportEffect::Outdated,
             Some(known) if stamp.born_ms == known.born_ms && stamp.server_id == known.server_id => {
                 match () {
-                    () if self.has_left => return ReportEffect::Outdated,
                     () if stamp.sequence <= known.sequence => return ReportEffect::Outdated,
                     () if report.is_draining && !self.is_draining => ReportEffect::BeganDraining,
                     () if !report.is_draining && self.is_draining => ReportEffect::WantsWork,
@@ -56,17 +75,24 @@
         };
         self.latest = Some(stamp);
         self.is_draining = report.is_draining;
-        self.has_left = false;
         effect
     }
 
-    /// Takes the departure of a server. Returns whether it was the one that is known.
-    pub fn leave(&mut self, server_id: &str) -> bool {
-        let is_known = self
-            .latest
-            .as_ref()
-            .is_some_and(|known| known.server_id == server_id);
-        self.has_left |= is_known;
-        is_known
+    /// Returns whether a report is of a life that departed: it was born before.
+    fn has_departed(&self, report: &ServerReport) -> bool {
+        self.departed.as_ref().is_some_and(|departed| {
+            departed.server_id == report.server_id && report.born_ms <= departed.at.0
+        })
+    }
+
+    /// Takes the departure of a server at `now`, also of one that is not known, as reports may
+    /// come later than it. Returns whether it was the one that is known.
+    pub fn leave(&mut self, server_id: &str, now: WallTime) -> bool {
+        self.departed = Some(Departure {
+            server_id: server_id.to_owned(),
+            at: now,
+        });
+        let known = self.latest.as_ref();
+        known.is_some_and(|known| known.server_id == server_id)
     }
 }
--- a/lib/src/process/relay/reports.rs
+++ b/lib/src/process/relay/reports.rs
@@ -1,6 +1,7 @@
 //! Reports of the backend server, and the readiness question.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -13,6 +14,7 @@
 use super::protocol::ControlCall;
 use super::protocol::ServerReport;
 use super::registration::ReportEffect;
+use super::registration_store::store_registration;
 use crate::connection::read_body;
 use crate::process::events::relay as events;
 use crate::values::Incarnation;
@@ -34,6 +36,9 @@
 
 /// Answers a report of the backend server.
 pub(super) async fn handle_report(node: &Arc<RelayNode>, request: Request) -> Response {
+    if !node.registration_read.load(Ordering::Relaxed) {
+        return empty(StatusCode::SERVICE_UNAVAILABLE);
+    }
     let (parts, body) = request.into_parts();
     let body = match read_body(body, REPORT_BYTES_MAX, REPORT_TIMEOUT).await {
         Ok(body) => body,
@@ -43,8 +48,8 @@
         }
     };
     match (node.protocol.decode_control)(&parts.method, parts.uri.path(), &body) {
-        Ok(ControlCall::Report(report)) => take_report(node, &report),
-        Ok(ControlCall::Leave { server_id }) => take_departure(node, &server_id),
+        Ok(ControlCall::Report(report)) => take_report(node, &report).await,
+        Ok(ControlCall::Leave { server_id }) => take_departure(node, &server_id).await,
         Ok(ControlCall::Unknown) => empty(StatusCode::NOT_FOUND),
         Err(reason) => {
             events::SERVER_REPORT_REFUSED.log(format_args!("reason=\"{reason}\""));
@@ -53,7 +58,7 @@
     }
 }
 
-fn take_report(node: &RelayNode, report: &ServerReport) -> Response {
+async fn take_report(node: &RelayNode, report: &ServerReport) -> Response {
     let raw = &node.settings.raw;
     if report.service != raw.service || report.address != raw.server_address {
         events::SERVER_REPORT_REFUSED.log(format_args!(
@@ -81,6 +86,7 @@
             backend.drain();
             log_report(report, effect);
             node.entry_changed.notify_one();
+            return acknowledge_leaving(node).await;
         }
         (ReportEffect::WantsWork, Some(backend)) => {
             backend.resume();
@@ -95,11 +101,27 @@
             let incarnation = Incarnation(node.clock.wall().0);
             let backend = Backend::new(report, incarnation, node.clock);
             node.set_backend(Some(Arc::new(backend)));
+            if report.is_draining {
+                return acknowledge_leaving(node).await;
+            }
         }
     }
     accepted()
 }
 
+/// Acknowledges that a server leaves once that is stored.
+async fn acknowledge_leaving(node: &RelayNode) -> Response {
+    match store_registration(node).await {
+        Ok(()) => accepted(),
+        Err(error) => {
+            events::SERVER_REPORT_REFUSED.log(format_args!(
+                "reason=\"the departure cannot be stored: {error}\""
+            ));
+            empty(StatusCode::SERVICE_UNAVAILABLE)
+        }
+    }
+}
+
 fn log_report(report: &ServerReport, effect: ReportEffect) {
     events::SERVER_REPORTED.log(format_args!(
         "server={} born_ms={} sequence={} slots={} effect={effect:?}",
@@ -107,14 +129,15 @@
     ));
 }
 
-fn take_departure(node: &RelayNode, server_id: &str) -> Response {
-    let is_known = node.registration.lock().leave(server_id);
+async fn take_departure(node: &RelayNode, server_id: &str) -> Response {
+    let now = node.clock.wall();
+    let is_known = node.registration.lock().leave(server_id, now);
     if is_known && let Some(backend) = node.backend() {
         backend.drain();
         node.set_backend(None);
         events::SERVER_REPORTED.log(format_args!("server={server_id} effect=Left"));
     }
-    accepted()
+    acknowledge_leaving(node).await
 }
 
 fn accepted() -> Response {
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -291,3 +291,31 @@
     let answer = in_flight.await.expect("no panic").expect("connected");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
+
+#[tokio::test]
+async fn late_report_of_a_server_that_left_is_refused_after_a_restart_of_the_node() {
+    let mut fleet = RelayFleet::start(&plan(1), &["front", "stock", "stock"]).await;
+    assert_eq!(fleet.leave(1).await, StatusCode::OK);
+    fleet.restart(1).await;
+    assert_eq!(fleet.report(1, 2, false).await, StatusCode::OK);
+    fleet
+        .wait_until(|fleet| fleet.sides[1].daemon.node().is_ready())
+        .await;
+    for number in 0..20 {
+        let id = format!("r{number}");
+        let answer = fleet.call(1, &id, "/stock/x", Some(KEY)).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(fleet.sides[1].server.seen().len(), 0);
+}
+
+#[tokio::test]
+async fn leaving_is_not_acknowledged_while_it_cannot_be_stored() {
+    let fleet = RelayFleet::start(&plan(1), &["front", "stock", "stock"]).await;
+    fleet.store.set_down(true);
+    assert_eq!(fleet.leave(1).await, StatusCode::SERVICE_UNAVAILABLE);
+    let status = fleet.report_once(2, 2, true).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    fleet.store.set_down(false);
+    assert_eq!(fleet.leave(1).await, StatusCode::OK);
+}
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -41,6 +41,8 @@
 pub const CONFIGURATION_KEY: &str = "desk/plan";
 /// Longest wait for a state that must come about.
 const WAIT_MAX: Duration = Duration::from_secs(20);
+/// Most reports until one is taken.
+const REPORTS_MAX: usize = 100;
 /// Longest wait for an answer.
 const ANSWER_MAX: Duration = Duration::from_secs(15);
 
@@ -172,14 +174,53 @@
         fleet
     }
 
+    /// Ends the relay at `index` without notice and starts another beside the same server, which has
+    /// not reported to it yet.
+    pub async fn restart(&mut self, index: usize) {
+        let side = self.sides.remove(index);
+        let settings = settings(&format!("node-{index}"), side.service, side.server.address);
+        drop(side.daemon);
+        let store = Arc::new(self.store.clone());
+        let daemon = RelayDaemon::start(settings, relay_protocol(), store)
+            .await
+            .expect("ports are free");
+        let callers = daemon.node().settings.raw.listen.callers;
+        side.server.calls_through(callers);
+        self.sides.insert(index, RelaySide { daemon, ..side });
+    }
+
     /// Stores a configuration.
     pub fn publish(&self, plan: &StoredPlan) {
         let stored = serde_json::to_vec(plan).expect("plans can be stored");
         self.store.write(CONFIGURATION_KEY, Bytes::from(stored));
     }
 
-    /// Reports the server of a relay. Returns the status of the answer.
+    /// Tells a relay that its server leaves. Returns the status of the answer.
+    pub async fn leave(&self, index: usize) -> StatusCode {
+        let request = WholeRequest {
+            method: Method::DELETE,
+            uri: format!("/server-{index}").parse().expect("valid path"),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        };
+        let address = self.sides[index].daemon.node().settings.raw.listen.reports;
+        exchange(address, request).await.status
+    }
+
+    /// Reports the server of a relay until the relay takes reports. Returns the status.
     pub async fn report(&self, index: usize, sequence: u64, is_draining: bool) -> StatusCode {
+        for _ in 0..REPORTS_MAX {
+            let status = self.report_once(index, sequence, is_draining).await;
+            if status != StatusCode::SERVICE_UNAVAILABLE {
+                return status;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+
+    /// Reports the server of a relay once. Returns the status of the answer.
+    pub async fn report_once(&self, index: usize, sequence: u64, is_draining: bool) -> StatusCode {
         let side = &self.sides[index];
         let report = StoredReport {
             service: side.service.to_owned(),
