--- a/lib/benches/load_control.rs
+++ b/lib/benches/load_control.rs
@@ -109,6 +109,7 @@
                 members: &members,
                 zones: &zones,
                 excluded: &[],
+                zone_trip: Router::ZONE_TRIP,
                 now,
             };
             let chosen = router.choose(&service, &context);
--- a/lib/src/process/node/load_control.rs
+++ b/lib/src/process/node/load_control.rs
@@ -125,6 +125,7 @@
         members: &members,
         zones: &configuration.zones,
         excluded: tried,
+        zone_trip: Router::ZONE_TRIP,
         now: node.clock.now(),
     };
     let chosen = node
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -25,6 +25,7 @@
 use crate::process::membership::NodeRecord;
 use crate::process::routing::CallOutcome;
 use crate::process::routing::ChooseContext;
+use crate::process::routing::Router;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::request::Verdict;
@@ -39,6 +40,8 @@
 const REFUSING_NODES_MAX: usize = 2;
 /// Nodes that are tried in all.
 const TRIED_NODES_MAX: usize = 6;
+/// Part of the response-time objective that a node in another zone must save to be chosen.
+const ZONE_TRIP_PART: f64 = 0.05;
 /// Shortest time left in which another attempt is worth its cost.
 const ATTEMPT_USEFUL_MIN: Duration = Duration::from_millis(5);
 
@@ -235,11 +238,19 @@
         members: &members,
         zones: &node.zones,
         excluded: &excluded,
+        zone_trip: zone_trip(outbound.route),
         now: node.clock.now(),
     };
     node.router.lock().choose(&outbound.service, &context)
 }
 
+/// Returns what a node in another zone must save to be chosen: bytes between zones cost money, and
+/// a caller hardly notices a small part of the time within which an answer has its full worth.
+fn zone_trip(route: &PlannedRoute) -> Duration {
+    let objective = Duration::from_millis(route.latency_objective_ms);
+    Router::ZONE_TRIP.max(objective.mul_f64(ZONE_TRIP_PART))
+}
+
 async fn attempt(
     node: &Arc<RelayNode>,
     outbound: &Outbound<'_>,
--- a/lib/src/process/routing/router.rs
+++ b/lib/src/process/routing/router.rs
@@ -33,6 +33,8 @@
     pub zones: &'a BTreeMap<ZoneId, ZoneRecord>,
     /// Nodes that earlier attempts at the request used.
     pub excluded: &'a [NodeId],
+    /// What a node must save to be chosen in spite of lying in another zone.
+    pub zone_trip: Duration,
     /// The present time.
     pub now: MonotonicTime,
 }
@@ -69,8 +71,8 @@
 }
 
 impl Router {
-    /// Cost of a trip between zones of one region, in microseconds.
-    const ZONE_TRIP_US: f64 = 1500.0;
+    /// Time of a trip between zones of one region.
+    pub const ZONE_TRIP: Duration = Duration::from_micros(1_500);
 
     /// Usual latency of a service of which no node has answered yet, in microseconds.
     const LATENCY_UNKNOWN_US: f64 = 1000.0;
@@ -121,7 +123,7 @@
                 let Some(candidate) = self.draw(&near, context.now) else {
                     break;
                 };
-                let cost_us = self.cost_us(&candidate, usual_us, context.now);
+                let cost_us = self.cost_us(&candidate, usual_us, context);
                 if best.is_none_or(|(best_us, _)| cost_us < best_us) {
                     best = Some((cost_us, candidate));
                 }
@@ -132,7 +134,7 @@
             destination.bad_fraction(context.now) > Self::DOUBTFUL_FRACTION
         };
         if best.is_some_and(|(_, candidate)| is_doubtful(&candidate)) {
-            best = self.cheapest(&candidates, usual_us, context.now);
+            best = self.cheapest(&candidates, usual_us, context);
         }
         best.map(|(_, candidate)| candidate.record.clone())
     }
@@ -142,11 +144,11 @@
         &self,
         candidates: &[Candidate<'a>],
         usual_us: f64,
-        now: MonotonicTime,
+        context: &ChooseContext,
     ) -> Option<(f64, Candidate<'a>)> {
         candidates
             .iter()
-            .map(|candidate| (self.cost_us(candidate, usual_us, now), *candidate))
+            .map(|candidate| (self.cost_us(candidate, usual_us, context), *candidate))
             .min_by(|a, b| a.0.total_cmp(&b.0))
     }
 
@@ -279,7 +281,7 @@
         Some(drawn)
     }
 
-    fn cost_us(&self, candidate: &Candidate, usual_us: f64, now: MonotonicTime) -> f64 {
+    fn cost_us(&self, candidate: &Candidate, usual_us: f64, context: &ChooseContext) -> f64 {
         let slots = candidate
             .record
             .server
@@ -287,10 +289,12 @@
             .map_or(1, |server| server.slots.0);
         let trip_us = match candidate.distance {
             Distance::SameZone => 0.0,
-            Distance::SameRegion | Distance::OtherRegion => Self::ZONE_TRIP_US,
+            Distance::SameRegion | Distance::OtherRegion => {
+                context.zone_trip.as_micros() as f64
+            }
         };
         let destination = &self.destinations[candidate.destination];
-        destination.cost_us(slots, usual_us, now) + trip_us
+        destination.cost_us(slots, usual_us, context.now) + trip_us
     }
 
     /// Removes entries of nodes that are no longer known, once there are many.
--- a/lib/tests/test_routing.rs
+++ b/lib/tests/test_routing.rs
@@ -90,6 +90,7 @@
             members: &self.members,
             zones: &zones(),
             excluded,
+            zone_trip: Router::ZONE_TRIP,
             now: self.now,
         };
         self.router
--- a/testutils/src/overload/calls.rs
+++ b/testutils/src/overload/calls.rs
@@ -77,6 +77,7 @@
             members: &self.members,
             zones: &zones,
             excluded,
+            zone_trip: Router::ZONE_TRIP,
             now: self.now,
         };
         let router = &mut self.nodes[caller].router;
