--- a/lib/src/process/events/mod.rs
+++ b/lib/src/process/events/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Each area has a block of numbers and a file of its own. `docs/events.md` lists all of them.
 
+mod limiter;
 pub mod membership;
 pub mod once;
 pub mod platform;
@@ -15,6 +16,9 @@
 
 use log::Level;
 
+pub use self::limiter::LineDecision;
+pub use self::limiter::LineLimiter;
+
 /// A kind of log line with a number that never changes its meaning.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -29,8 +33,22 @@
 }
 
 impl Event {
-    /// Logs the event with details.
+    /// Logs the event with details, unless there were too many of its kind in the last second.
     pub fn log(self, details: impl fmt::Display) {
+        if !log::log_enabled!(target: "balsamfold", self.level) {
+            return;
+        }
+        match limiter::decide(self.number) {
+            LineDecision::LeaveOut => {}
+            LineDecision::Write { left_out: 0 } => self.write(details),
+            LineDecision::Write { left_out } => {
+                relay::LINES_LEFT_OUT.write(format_args!("event={} lines={left_out}", self.number));
+                self.write(details);
+            }
+        }
+    }
+
+    fn write(self, details: impl fmt::Display) {
         log::log!(target: "balsamfold", self.level, "[{}] {}: {details}", self.number, self.name);
     }
 }
--- a/lib/src/process/relay/entry.rs
+++ b/lib/src/process/relay/entry.rs
@@ -19,6 +19,9 @@
 const LEASE_TTL: Duration = Duration::from_secs(9);
 /// Time between two renewals.
 const RENEW_PERIOD: Duration = Duration::from_secs(3);
+/// Longest wait for the first report of the server before the entry is written without one: the
+/// usual time between two reports.
+const FIRST_REPORT_WAIT: Duration = Duration::from_millis(1_500);
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call: a lapsed entry is back well within two seconds of the
@@ -35,6 +38,8 @@
 /// Keeps the node's own leased entry in the store until the future is dropped.
 pub(super) async fn keep_entry(node: Arc<RelayNode>) {
     let mut kept = Kept::default();
+    // The entry of a node whose server reports soon is written once, not twice.
+    let _reported = timeout(FIRST_REPORT_WAIT, node.entry_changed.notified()).await;
     let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE, rand::random());
     loop {
         match bring_up_to_date(&node, &mut kept).await {
--- a/lib/src/process/relay/settings.rs
+++ b/lib/src/process/relay/settings.rs
@@ -69,8 +69,9 @@
 }
 
 impl BoundSettings {
-    /// Part of the grace of a planned stop that is used; the rest is for the end of the process.
-    const STOP_PART: f64 = 0.9;
+    /// Part of the grace of a planned stop that is used: the last sixth is for the end of the process
+    /// on an instance that is short of processor time.
+    const STOP_PART: f64 = 5.0 / 6.0;
 
     /// Returns the longest time since a confirmation in which keys are accepted, if there is one.
     pub fn key_confirmation_max(&self) -> Option<Duration> {
--- a/lib/src/process/relay/tasks.rs
+++ b/lib/src/process/relay/tasks.rs
@@ -37,6 +37,9 @@
 const ASK_STORE_AT: std::ops::Range<f64> = 0.6..1.1;
 /// Longest wait for another node's voucher.
 const VOUCHER_WAIT: Duration = Duration::from_millis(300);
+/// Pause after a change of the fleet, so that changes that come together cost one call. Other nodes
+/// refuse a request for a server that has gone, so a late view costs only another attempt.
+const GATHER_CHANGES: Duration = Duration::from_millis(200);
 /// Time between two looks for entries that stayed missing.
 const FLEET_PERIOD: Duration = Duration::from_millis(500);
 
@@ -275,6 +278,9 @@
                 node.metrics.store_call(true);
                 take_changes(node, &changes.content);
                 after = after.max(changes.revision);
+                if !changes.content.is_empty() {
+                    sleep(GATHER_CHANGES).await;
+                }
             }
             Err(error) => {
                 node.metrics.store_call(false);
