relay: pass over a server that fails often, and write a lapsed entry again at once

The node beside the server sees all of its runs, and its refusal costs nothing. Change: the gate's node passes over a server of whose recent runs a fifth failed, but for one request in ten and as a last resort; the removal of the own entry wakes its task. Tests: server_that_fails_often_is_passed_over, servers_that_all_fail_are_still_tried.

--- a/lib/src/process/events/request.rs
+++ b/lib/src/process/events/request.rs
@@ -30,5 +30,6 @@
     NOT_A_PEER = 2021, Warn, "request.not-a-peer", "A message between nodes was not made with the fleet secret; check for a wrong secret or a stranger.";
     REFUSED_BY_SERVER = 2022, Debug, "request.refused-by-server", "A backend server said that it did not run a request.";
     UNCONFIRMED = 2023, Info, "request.unconfirmed", "A request with a key was refused, as the keys in force could not be confirmed in time.";
+    SERVER_FAILING = 2024, Debug, "request.server-failing", "A request was passed over by a backend server that fails often; look at that server.";
     RATE_HOLDER_UNREACHABLE = 2040, Debug, "request.rate-holder-unreachable", "No node that holds rates could be reached; look for a cut between zones, or for a platform outage since the start.";
 }
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -10,12 +10,14 @@
 use http::HeaderName;
 use http::HeaderValue;
 use http::StatusCode;
+use parking_lot::Mutex;
 
 use super::frame::LoadNotice;
 use super::frame::RequestTerms;
 use super::node::RelayNode;
 use super::protocol::ServerReport;
 use super::runs::RunningRequest;
+use super::server_health::ServerHealth;
 use crate::connection::ConnectionPool;
 use crate::connection::ExchangeError;
 use crate::connection::PoolLimits;
@@ -64,6 +66,7 @@
     pool: ConnectionPool,
     is_draining: AtomicBool,
     failed_connections: AtomicU32,
+    health: Mutex<ServerHealth>,
 }
 
 impl Backend {
@@ -88,6 +91,7 @@
             ),
             is_draining: AtomicBool::new(report.is_draining),
             failed_connections: AtomicU32::new(0),
+            health: Mutex::default(),
         }
     }
 
@@ -170,6 +174,10 @@
         root: terms.root,
         remaining: Duration::from_micros(terms.remaining_us),
     };
+    let now = node.clock.now();
+    if !terms.is_last_resort && backend.health.lock().passes_over(now) {
+        return Err(Refusal::not_run(RefusalReason::ServerFailing));
+    }
     node.check_onward(terms)?;
     let permit = backend.gate.enter(enter).await?;
     if !backend.takes_work() {
@@ -179,11 +187,32 @@
     set_headers(node, &backend, terms, &mut request, remaining);
     let _guard = node.runs.add(Arc::clone(running));
     let result = send(node, &backend, terms, request, remaining).await;
+    note_health(node, &backend, running, &result);
     let waited = running.onward.lock().waited();
     permit.finish(gate_outcome(&result), waited);
     result
 }
 
+/// Notes whether the server itself failed; a failure that follows from a failed call is not its own.
+fn note_health(
+    node: &RelayNode,
+    backend: &Backend,
+    running: &RunningRequest,
+    result: &Result<WholeAnswer, Refusal>,
+) {
+    let succeeded = match result {
+        Ok(answer) => answer.status != StatusCode::INTERNAL_SERVER_ERROR,
+        Err(refusal) => !matches!(
+            refusal.reason,
+            RefusalReason::BadAnswer | RefusalReason::RefusedByServer
+        ),
+    };
+    if succeeded || !running.has_failed_call() {
+        let now = node.clock.now();
+        backend.health.lock().finished(succeeded, now);
+    }
+}
+
 fn set_headers(
     node: &RelayNode,
     backend: &Backend,
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -170,6 +170,7 @@
         route: route.name.clone(),
         root: request_number(request_id),
         is_repeat: false,
+        is_last_resort: false,
         caller_service: node.settings.raw.service.to_string(),
         organisation: organisation.map(|terms| terms.id.clone()),
         names_organisation: organisation.is_some(),
--- a/lib/src/process/relay/entry.rs
+++ b/lib/src/process/relay/entry.rs
@@ -41,28 +41,42 @@
     // The entry of a node whose server reports soon is written once, not twice.
     let _reported = timeout(FIRST_REPORT_WAIT, node.entry_changed.notified()).await;
     let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE, rand::random());
+    let mut is_renewal_due = false;
     loop {
-        match bring_up_to_date(&node, &mut kept).await {
-            Ok(()) => {
-                backoff.reset();
-                let changed = timeout(RENEW_PERIOD, node.entry_changed.notified()).await;
-                if changed.is_err() {
-                    renew(&node, &mut kept).await;
-                } else {
-                    // The entry is written again even if it looks the same: a late write of an
-                    // earlier one may have replaced it.
-                    kept.written = None;
-                }
-            }
-            Err(StoreError::LeaseEnded) => {
-                events::ENTRY_LAPSED.log("writing");
-                kept = Kept::default();
-            }
-            Err(error) => {
-                node.metrics.note_store_error(&error);
-                sleep(backoff.next_pause()).await;
-            }
+        if let Err(error) = keep_once(&node, &mut kept, is_renewal_due).await {
+            handle_failure(&node, &mut kept, &error);
+            sleep(backoff.next_pause()).await;
+            continue;
         }
+        backoff.reset();
+        let changed = timeout(RENEW_PERIOD, node.entry_changed.notified()).await;
+        is_renewal_due = changed.is_err();
+        if !is_renewal_due {
+            // The entry is written again even if it looks the same: it may have lapsed, or a late
+            // write of an earlier one may have replaced it.
+            kept.written = None;
+        }
+    }
+}
+
+async fn keep_once(
+    node: &RelayNode,
+    kept: &mut Kept,
+    is_renewal_due: bool,
+) -> Result<(), StoreError> {
+    if is_renewal_due && let Some(lease) = kept.lease {
+        let renewed = node.store.renew_lease(lease).await;
+        node.metrics.store_call(renewed.is_ok());
+        renewed?;
+    }
+    bring_up_to_date(node, kept).await
+}
+
+fn handle_failure(node: &RelayNode, kept: &mut Kept, error: &StoreError) {
+    node.metrics.note_store_error(error);
+    if *error == StoreError::LeaseEnded {
+        events::ENTRY_LAPSED.log(format_args!("node={}", node.settings.raw.node));
+        *kept = Kept::default();
     }
 }
 
@@ -94,19 +108,3 @@
     kept.written = Some(record);
     Ok(())
 }
-
-async fn renew(node: &RelayNode, kept: &mut Kept) {
-    let Some(lease) = kept.lease else {
-        return;
-    };
-    let renewed = node.store.renew_lease(lease).await;
-    node.metrics.store_call(renewed.is_ok());
-    match renewed {
-        Ok(()) => {}
-        Err(StoreError::LeaseEnded) => {
-            events::ENTRY_LAPSED.log("renewal");
-            *kept = Kept::default();
-        }
-        Err(error) => node.metrics.note_store_error(&error),
-    }
-}
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -68,6 +68,8 @@
     /// Attempts that reached a backend server.
     arrivals: u32,
     refusing_nodes: usize,
+    /// A node whose server was passed over, as it fails often.
+    passed_over: Option<NodeRecord>,
     verdict: Option<Verdict>,
     /// A backend server's failure, to be passed on if nothing better comes.
     failed_answer: Option<WholeAnswer>,
@@ -93,7 +95,11 @@
     let mut progress = Progress::default();
     while let Some(destination) = choose(node, outbound, &progress.tried) {
         progress.tried.push(destination.id.clone());
-        let outcome = attempt(node, outbound, &destination, progress.arrivals > 0).await;
+        let kind = AttemptKind {
+            is_repeat: progress.arrivals > 0,
+            is_last_resort: false,
+        };
+        let outcome = attempt(node, outbound, &destination, kind).await;
         learn_floor(node, outbound, &destination, &outcome.load);
         match judge(node, outbound, &destination, &mut progress, outcome) {
             NextStep::Answer(answer) => return Ok(answer),
@@ -101,9 +107,32 @@
             NextStep::GiveUp => break,
         }
     }
+    if progress.arrivals == 0
+        && let Some(destination) = progress.passed_over.take()
+    {
+        let kind = AttemptKind {
+            is_repeat: false,
+            is_last_resort: true,
+        };
+        let outcome = attempt(node, outbound, &destination, kind).await;
+        if let NextStep::Answer(answer) =
+            judge(node, outbound, &destination, &mut progress, outcome)
+        {
+            return Ok(answer);
+        }
+    }
     progress.finish()
 }
 
+/// What a node is told of an attempt.
+#[derive(Clone, Copy)]
+struct AttemptKind {
+    /// An earlier attempt reached a server.
+    is_repeat: bool,
+    /// No other server took the request.
+    is_last_resort: bool,
+}
+
 impl Progress {
     fn finish(self) -> Result<WholeAnswer, Refusal> {
         if let Some(answer) = self.failed_answer {
@@ -157,6 +186,9 @@
         }
     };
     progress.verdict = progress.verdict.max(Some(refusal.verdict));
+    if refusal.reason == RefusalReason::ServerFailing {
+        progress.passed_over.get_or_insert(destination.clone());
+    }
     progress.refusing_nodes += usize::from(refusal.reason == RefusalReason::Overloaded);
     let step = next_step(node, outbound, progress, &refusal);
     events::ATTEMPT_FAILED.log(format_args!(
@@ -255,7 +287,7 @@
     node: &Arc<RelayNode>,
     outbound: &Outbound<'_>,
     destination: &NodeRecord,
-    is_repeat: bool,
+    kind: AttemptKind,
 ) -> RunOutcome {
     let started_at = node.clock.now();
     let remaining = outbound.deadline.since(started_at);
@@ -265,7 +297,8 @@
     let mut observed = ObservedCall::start(node, &destination.id, started_at);
     let terms = RequestTerms {
         remaining_us: remaining.as_micros() as u64,
-        is_repeat: is_repeat || outbound.terms.is_repeat,
+        is_repeat: kind.is_repeat || outbound.terms.is_repeat,
+        is_last_resort: kind.is_last_resort,
         ..outbound.terms.clone()
     };
     let exchange = async {
@@ -354,7 +387,9 @@
         }
         Ok(_) => CallOutcome::Answered,
         Err(refusal) => match refusal.reason {
-            RefusalReason::Overloaded | RefusalReason::Draining => CallOutcome::Refused,
+            RefusalReason::Overloaded | RefusalReason::Draining | RefusalReason::ServerFailing => {
+                CallOutcome::Refused
+            }
             RefusalReason::DeadlineExceeded => CallOutcome::Cancelled,
             _ => CallOutcome::Failed,
         },
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -61,6 +61,8 @@
         pub root: RequestId,
         /// Whether the request was sent to a backend server before, or is a call of such a one.
         pub is_repeat: bool,
+        /// Whether the request runs even on a server that fails often, as no other one took it.
+        pub is_last_resort: bool,
         /// The organisation for which the request runs.
         pub organisation: Option<OrganisationId>,
         /// Whether the backend server is told the organisation; calls of servers carry no key.
--- a/lib/src/process/relay/tasks.rs
+++ b/lib/src/process/relay/tasks.rs
@@ -307,6 +307,10 @@
             }
             StoreEvent::Removed { key, revision } => {
                 if let Some(id) = node_of(key) {
+                    // The node's own lease ended while it lives.
+                    if id == node.settings.raw.node {
+                        node.entry_changed.notify_one();
+                    }
                     node.fleet.lock().remove(&id, *revision, now);
                 }
             }
--- a/lib/src/process/routing/router.rs
+++ b/lib/src/process/routing/router.rs
@@ -289,9 +289,7 @@
             .map_or(1, |server| server.slots.0);
         let trip_us = match candidate.distance {
             Distance::SameZone => 0.0,
-            Distance::SameRegion | Distance::OtherRegion => {
-                context.zone_trip.as_micros() as f64
-            }
+            Distance::SameRegion | Distance::OtherRegion => context.zone_trip.as_micros() as f64,
         };
         let destination = &self.destinations[candidate.destination];
         destination.cost_us(slots, usual_us, context.now) + trip_us
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -36,6 +36,8 @@
         Overloaded,
         /// The backend server itself said that it did not run the request.
         RefusedByServer,
+        /// The backend server fails often, and others may take the request.
+        ServerFailing,
         /// Requests with keys are refused, as the keys in force cannot be confirmed.
         Unconfirmed,
         /// The node or its backend server is stopping.
@@ -81,6 +83,7 @@
             Self::RateHolderUnreachable => "rate-holder-unreachable",
             Self::Overloaded => "overloaded",
             Self::RefusedByServer => "refused-by-server",
+            Self::ServerFailing => "server-failing",
             Self::Unconfirmed => "unconfirmed",
             Self::Draining => "draining",
             Self::NoServer => "no-server",
@@ -112,6 +115,7 @@
             Self::DeadlineExceeded | Self::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
             Self::Overloaded
             | Self::RefusedByServer
+            | Self::ServerFailing
             | Self::Unconfirmed
             | Self::Draining
             | Self::NoServer
@@ -137,6 +141,7 @@
             Self::RateHolderUnreachable => events::RATE_HOLDER_UNREACHABLE,
             Self::Overloaded => events::OVERLOADED,
             Self::RefusedByServer => events::REFUSED_BY_SERVER,
+            Self::ServerFailing => events::SERVER_FAILING,
             Self::Unconfirmed => events::UNCONFIRMED,
             Self::Draining => events::DRAINING,
             Self::NoServer => events::NO_SERVER,
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -146,6 +146,7 @@
     let fleet = RelayFleet::start(&plan(1), &["front", "stock"]).await;
     fleet.store.end_all_leases();
     assert_eq!(fleet.store.keys("nodes/"), Vec::<String>::new());
+    // Nodes keep an entry that is missing for 2.5 s, so the fleet serves all the while.
     fleet
         .wait_until(|fleet| fleet.store.keys("nodes/").len() == 2)
         .await;
@@ -319,3 +320,35 @@
     fleet.store.set_down(false);
     assert_eq!(fleet.leave(1).await, StatusCode::OK);
 }
+
+#[tokio::test]
+async fn server_that_fails_often_is_passed_over_without_being_asked() {
+    let fleet = RelayFleet::start(&plan(1), &["stock", "stock", "front"]).await;
+    fleet.sides[0].server.behave(Behaviour::CrossedAnswer);
+    for number in 0..200 {
+        let id = format!("warm{number}");
+        fleet.call(2, &id, "/order/x", Some(KEY)).await;
+    }
+    // Another entry knows nothing of the failures yet; the node beside the server does.
+    let mut served = 0;
+    for number in 0..20 {
+        let id = format!("r{number}");
+        let answer = fleet.call(0, &id, "/order/x", Some(KEY)).await;
+        served += usize::from(answer.status == StatusCode::OK);
+    }
+    assert!(served >= 17, "{served} of 20 served");
+}
+
+#[tokio::test]
+async fn servers_that_all_fail_are_still_tried() {
+    let fleet = RelayFleet::start(&plan(1), &["stock", "front"]).await;
+    fleet.sides[0].server.behave(Behaviour::Shed);
+    for number in 0..30 {
+        fleet
+            .call(1, &format!("warm{number}"), "/order/x", Some(KEY))
+            .await;
+    }
+    fleet.sides[0].server.behave(Behaviour::Answer);
+    let answer = fleet.call(1, "r1", "/order/x", Some(KEY)).await;
+    assert_eq!(answer.status, StatusCode::OK);
+}
--- a/testutils/src/overload/calls.rs
+++ b/testutils/src/overload/calls.rs
@@ -6,6 +6,7 @@
 use balsamfold::process::gate::Admission;
 use balsamfold::process::routing::CallOutcome;
 use balsamfold::process::routing::ChooseContext;
+use balsamfold::process::routing::Router;
 use balsamfold::request::RefusalReason;
 use balsamfold::values::Importance;
 use balsamfold::values::NodeId;
