routing: compare drawn nodes only, as before

The comparison of all nodes when the drawn ones fail or refuse is reverted. What it was for, servers that fail often, is now kept by the node beside them.

--- a/lib/src/process/routing/destination.rs
+++ b/lib/src/process/routing/destination.rs
@@ -192,14 +192,10 @@
     pub fn cost_us(&self, slots: u32, usual_us: f64, now: MonotonicTime) -> f64 {
         let latency_us = self.latency_us(now).unwrap_or_default();
         let load = f64::from(self.in_flight) / f64::from(slots.max(1));
-        latency_us * (1.0 + load) + usual_us * Self::REFUSED_COST * self.bad_fraction(now)
-    }
-
-    /// Returns the part of the recent calls that failed or were refused. Few calls count less.
-    pub fn bad_fraction(&self, now: MonotonicTime) -> f64 {
         let refused = self.refused.at(now, Self::HALF_LIFE);
         let failed = self.failed.at(now, Self::HALF_LIFE);
         let calls = refused + failed + self.answered.at(now, Self::HALF_LIFE);
-        (refused + failed) / (calls + 1.0)
+        let bad_fraction = (refused + failed) / (calls + 1.0);
+        latency_us * (1.0 + load) + usual_us * Self::REFUSED_COST * bad_fraction
     }
 }
--- a/lib/src/process/routing/router.rs
+++ b/lib/src/process/routing/router.rs
@@ -57,9 +57,8 @@
 /// Chooses among the nodes of a service by what this node saw of them.
 ///
 /// Two random nodes are compared in each of the own zone and the other zones of the region, and
-/// the better of the four is taken, with the trip between zones added to the farther ones. If even
-/// that one fails or refuses calls, all nodes are compared. Nodes of other regions are chosen only
-/// when there are no others.
+/// the better of the four is taken, with the trip between zones added to the farther ones. Nodes of
+/// other regions are chosen only when there are no others.
 #[derive(Clone, Debug)]
 pub struct Router {
     zone: ZoneId,
@@ -83,10 +82,6 @@
     /// Most nodes out of this many that are ejected at the same time: one in three.
     const EJECTED_ONE_IN: usize = 3;
 
-    /// Part of a node's recent calls that failed or were refused above which all nodes are compared
-    /// in place of the drawn ones. One failure among a few calls is below it.
-    const DOUBTFUL_FRACTION: f64 = 0.12;
-
     /// Draws after which a new node is taken in spite of its slow start.
     const DRAWS_MAX: usize = 4;
 
@@ -129,29 +124,9 @@
                 }
             }
         }
-        let is_doubtful = |candidate: &Candidate| {
-            let destination = &self.destinations[candidate.destination];
-            destination.bad_fraction(context.now) > Self::DOUBTFUL_FRACTION
-        };
-        if best.is_some_and(|(_, candidate)| is_doubtful(&candidate)) {
-            best = self.cheapest(&candidates, usual_us, context);
-        }
         best.map(|(_, candidate)| candidate.record.clone())
     }
 
-    /// Returns the candidate of lowest cost among all.
-    fn cheapest<'a>(
-        &self,
-        candidates: &[Candidate<'a>],
-        usual_us: f64,
-        context: &ChooseContext,
-    ) -> Option<(f64, Candidate<'a>)> {
-        candidates
-            .iter()
-            .map(|candidate| (self.cost_us(candidate, usual_us, context), *candidate))
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-    }
-
     /// Counts a call that starts.
     pub fn started(&mut self, node: &NodeId) {
         if let Some(destination) = self.destination_mut(node) {
