relay: know that the right node answers before a request is sent

Change: a connection is used only after the other node has answered the greeting. Test: node_that_has_the_address_of_another_is_not_taken_for_it gave 502 before.

--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -110,7 +110,10 @@
 }
 
 impl Link {
-    /// Connects to `peer` and starts the tasks of the connection.
+    /// Connects to `peer`, starts the tasks of the connection and waits until the peer has answered.
+    ///
+    /// Another node may have the address by now. It closes the connection at the greeting, and no
+    /// request may have been sent by then: a lost one would count as one that may have run.
     async fn open(
         from: NodeId,
         peer: NodeId,
@@ -138,6 +141,8 @@
         link.queue(&Head::Hello { from, to: peer }, &[])
             .map_err(|_| std::io::Error::other("greeting was not queued"))?;
         tokio::spawn(run_link(Arc::clone(&link), reader, writer, frames));
+        let greeted = link.exchange(ping_frame).await;
+        greeted.map_err(|_| std::io::Error::other("another node has the address"))?;
         Ok(link)
     }
 
@@ -285,6 +290,11 @@
     Close,
 }
 
+/// Makes the message that asks for a sign of life.
+pub(super) fn ping_frame(exchange: ExchangeId) -> Result<Bytes, LinkFailure> {
+    encode_frame(&Head::Ping { exchange }, &[]).map_err(|_| LinkFailure::NotSent)
+}
+
 /// Tells the other node that an exchange is no longer waited for.
 struct CancelGuard<'a> {
     link: &'a Arc<Link>,
--- a/lib/src/process/relay/tasks.rs
+++ b/lib/src/process/relay/tasks.rs
@@ -6,9 +6,7 @@
 use rand::Rng;
 use tokio::time::sleep;
 
-use super::frame::Head;
-use super::frame::encode_frame;
-use super::link::LinkFailure;
+use super::link::ping_frame;
 use super::node::RelayNode;
 use super::store::StoreError;
 use super::store::StoreEvent;
@@ -201,9 +199,7 @@
         return;
     };
     let asked_at = node.clock.now();
-    let asked = link.exchange(|exchange| {
-        encode_frame(&Head::Ping { exchange }, &[]).map_err(|_| LinkFailure::NotSent)
-    });
+    let asked = link.exchange(ping_frame);
     if let Ok(Ok(vouched)) = tokio::time::timeout(VOUCHER_WAIT, asked).await
         && let Some(voucher) = vouched.voucher
     {
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -352,3 +352,21 @@
     let answer = fleet.call(1, "r1", "/order/x", Some(KEY)).await;
     assert_eq!(answer.status, StatusCode::OK);
 }
+
+#[tokio::test]
+async fn node_that_has_the_address_of_another_is_not_taken_for_it() {
+    let fleet = RelayFleet::start(&plan(1), &["front", "stock", "other"]).await;
+    fleet.write_stale_entry("gone", "stock", 2);
+    fleet
+        .wait_until(|fleet| {
+            let members = fleet.sides[0].daemon.node().members();
+            members.nodes().count() == 4
+        })
+        .await;
+    for number in 0..30 {
+        let id = format!("r{number}");
+        let answer = fleet.call(0, &id, "/order/x", Some(KEY)).await;
+        assert_eq!(answer.status, StatusCode::OK, "{id}");
+    }
+    assert_eq!(fleet.sides[2].server.seen().len(), 0);
+}
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -189,6 +189,21 @@
         self.sides.insert(index, RelaySide { daemon, ..side });
     }
 
+    /// Stores the entry of a node that is gone and whose address the relay at `index` has now.
+    pub fn write_stale_entry(&self, name: &str, service: &str, index: usize) {
+        let node = self.sides[index].daemon.node();
+        let members = node.members();
+        let of_index = members.node(&node.settings.raw.node);
+        let mut entry = of_index.expect("the relay knows itself").clone();
+        entry.id = name.parse().expect("valid name");
+        if let Some(server) = &mut entry.server {
+            server.service = service.parse().expect("valid name");
+        }
+        let stored = serde_json::to_vec(&entry).expect("entries can be stored");
+        self.store
+            .write(&format!("nodes/{name}"), Bytes::from(stored));
+    }
+
     /// Stores a configuration.
     pub fn publish(&self, plan: &StoredPlan) {
         let stored = serde_json::to_vec(plan).expect("plans can be stored");
