--- a/lib/src/process/gate/learnt.rs
+++ b/lib/src/process/gate/learnt.rs
@@ -9,6 +9,8 @@
 use super::OrganisationFloor;
 use super::RetryAfter;
 use super::rate_meter::RateMeter;
+use crate::request::Refusal;
+use crate::request::RefusalReason;
 use crate::values::Importance;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
@@ -30,6 +32,19 @@
     },
 }
 
+impl Admission {
+    /// Returns the refusal of a request that does not go on.
+    pub fn into_result(self) -> Result<(), Refusal> {
+        match self {
+            Self::Admit | Self::Probe => Ok(()),
+            Self::Refuse { retry_after_ms } => {
+                let refusal = Refusal::not_run(RefusalReason::Overloaded);
+                Err(refusal.retry_after_ms(retry_after_ms))
+            }
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Heard {
     notice: FloorNotice,
--- a/lib/src/process/node/load_control.rs
+++ b/lib/src/process/node/load_control.rs
@@ -83,7 +83,7 @@
         if let Admission::Refuse { .. } = admission {
             self.refused_at_entry.fetch_add(1, Ordering::Relaxed);
         }
-        admitted(admission)
+        admission.into_result()
     }
 
     /// Refuses a request to the backend server whose onward calls would be refused.
@@ -99,17 +99,7 @@
             request.context.root,
             now,
         );
-        admitted(admission)
-    }
-}
-
-fn admitted(admission: Admission) -> Result<(), Refusal> {
-    match admission {
-        Admission::Admit | Admission::Probe => Ok(()),
-        Admission::Refuse { retry_after_ms } => {
-            let refusal = Refusal::not_run(RefusalReason::Overloaded);
-            Err(refusal.retry_after_ms(retry_after_ms))
-        }
+        admission.into_result()
     }
 }
 
--- /dev/null
+++ b/lib/src/process/relay/admission.rs
@@ -0,0 +1,106 @@
+//! Finds the route and the organisation of a caller's request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::header;
+use volo_http::request::Request;
+
+use super::node::RelayNode;
+use crate::request::Refusal;
+use crate::request::RefusalReason;
+use crate::version::CallerKey;
+use crate::version::OrganisationTerms;
+use crate::version::PlannedRoute;
+use crate::version::TrafficPlan;
+
+/// Age of a confirmation beyond which a key or route is not called unknown before the store was
+/// asked again, as a part of the time in which a configuration must be in force.
+const DENIAL_AGE_PART: f64 = 0.5;
+/// Longest wait for the store's answer to that question.
+const DENIAL_WAIT: Duration = Duration::from_millis(600);
+
+/// What is known of a caller's request before it is forwarded.
+pub(super) struct Admitted {
+    pub(super) plan: Arc<TrafficPlan>,
+    pub(super) route: Arc<PlannedRoute>,
+    pub(super) organisation: Option<Arc<OrganisationTerms>>,
+}
+
+/// Finds the route and the organisation of a request.
+pub(super) async fn admit(node: &Arc<RelayNode>, request: &Request) -> Result<Admitted, Refusal> {
+    match try_admit(node, request) {
+        Err(refusal) if is_denial(refusal.reason) && !is_fresh(node) => {
+            if !ask_store(node).await {
+                return Err(Refusal::not_run(RefusalReason::Unconfirmed));
+            }
+            try_admit(node, request)
+        }
+        result => result,
+    }
+}
+
+fn is_denial(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::NoRoute | RefusalReason::KeyInvalid | RefusalReason::KeyMissing
+    )
+}
+
+/// Returns whether the configuration is fresh enough to call a route or key unknown.
+fn is_fresh(node: &RelayNode) -> bool {
+    let apply = node.bounds().configuration_apply();
+    node.confirmation_age()
+        .is_some_and(|age| age < apply.mul_f64(DENIAL_AGE_PART))
+}
+
+/// Waits until the store was asked for the newest configuration. Returns whether it answered.
+async fn ask_store(node: &Arc<RelayNode>) -> bool {
+    let asked = super::tasks::read_configuration(node);
+    matches!(tokio::time::timeout(DENIAL_WAIT, asked).await, Ok(true))
+}
+
+fn try_admit(node: &Arc<RelayNode>, request: &Request) -> Result<Admitted, Refusal> {
+    let plan = node
+        .plan()
+        .ok_or_else(|| Refusal::not_run(RefusalReason::NotReady))?;
+    let route = plan
+        .route_of(host_of(request), request.uri().path())
+        .ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute))?;
+    let organisation = match route.is_open || !plan.needs_keys() {
+        true => None,
+        false => Some(organisation_of(node, &plan, request.headers())?),
+    };
+    Ok(Admitted {
+        route: Arc::clone(route),
+        organisation,
+        plan,
+    })
+}
+
+fn organisation_of(
+    node: &RelayNode,
+    plan: &TrafficPlan,
+    headers: &HeaderMap,
+) -> Result<Arc<OrganisationTerms>, Refusal> {
+    let key = key_of(node, headers).ok_or_else(|| Refusal::not_run(RefusalReason::KeyMissing))?;
+    if !node.accepts_keys() {
+        return Err(Refusal::not_run(RefusalReason::Unconfirmed));
+    }
+    plan.organisation_of(&key)
+        .cloned()
+        .ok_or_else(|| Refusal::not_run(RefusalReason::KeyInvalid))
+}
+
+fn key_of(node: &RelayNode, headers: &HeaderMap) -> Option<CallerKey> {
+    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    let is_known = scheme.eq_ignore_ascii_case(node.protocol.key_scheme);
+    is_known.then(|| CallerKey::new(key.trim()))
+}
+
+fn host_of(request: &Request) -> &str {
+    let host = request.headers().get(header::HOST);
+    host.and_then(|host| host.to_str().ok()).unwrap_or_default()
+}
--- /dev/null
+++ b/lib/src/process/relay/caller_answers.rs
@@ -0,0 +1,83 @@
+//! What callers are answered, and when they are told to come back.
+
+use std::time::Duration;
+
+use http::HeaderName;
+use http::HeaderValue;
+use http::header;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use super::node::RelayNode;
+use crate::connection::WholeAnswer;
+use crate::request::Refusal;
+use crate::request::Verdict;
+
+/// Part of the time that a caller has left which it may be told to wait, below the third up to
+/// which callers follow.
+const RETRY_AFTER_PART: f64 = 0.3;
+/// Bounds between which the wait is drawn when a refusal names none.
+const RETRY_AFTER_MS: std::ops::Range<f64> = 50.0..400.0;
+/// Name of the header that tells how long an idle connection may be used.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Time for which callers may use an idle connection, in seconds: idle connections of callers that
+/// come back on new ones would fill the memory.
+const KEEP_ALIVE_VALUE: &str = "timeout=3";
+/// Time after which an idle connection is closed, long enough that no request crosses the close.
+/// It also bounds the time for the headers of a request.
+pub(super) const IDLE_TIMEOUT_MS: u64 = 5_000;
+
+/// Makes the response that passes a backend server's answer on.
+pub(super) fn answer_response(answer: WholeAnswer) -> Response {
+    let mut response = Response::new(Body::from(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
+
+/// Makes the answer to a request that the system refuses.
+pub(super) fn refusal_response(
+    node: &RelayNode,
+    refusal: &Refusal,
+    request_id: Option<HeaderValue>,
+    left: Duration,
+) -> Response {
+    let mut response = Response::new(Body::from(refusal.reason.code()));
+    *response.status_mut() = refusal.reason.status();
+    let headers = response.headers_mut();
+    if let Some(request_id) = request_id {
+        headers.insert(node.protocol.headers.request_id.clone(), request_id);
+    }
+    let comes_back =
+        refusal.verdict == Verdict::NotRun && matches!(response.status().as_u16(), 429 | 503);
+    if comes_back {
+        let retry_after_s = retry_after(refusal, left).as_secs_f64();
+        if let Ok(value) = HeaderValue::try_from(format!("{retry_after_s:.3}")) {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Returns when a caller shall come back: as the refusal says, within the time it has.
+fn retry_after(refusal: &Refusal, left: Duration) -> Duration {
+    let wanted_ms = match refusal.retry_after_ms {
+        Some(wanted_ms) => wanted_ms as f64,
+        None => rand::random_range(RETRY_AFTER_MS),
+    };
+    let limit = match left {
+        Duration::MAX => Duration::from_secs(1),
+        left => left.mul_f64(RETRY_AFTER_PART),
+    };
+    Duration::from_secs_f64(wanted_ms / 1e3).min(limit)
+}
+
+/// Tells the caller how long its connection may be used: no more if the node is stopping.
+pub(super) fn with_connection_headers(node: &RelayNode, mut response: Response) -> Response {
+    let (name, value) = match node.is_stopping() {
+        true => (header::CONNECTION, HeaderValue::from_static("close")),
+        false => (KEEP_ALIVE, HeaderValue::from_static(KEEP_ALIVE_VALUE)),
+    };
+    response.headers_mut().insert(name, value);
+    response
+}
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -6,14 +6,17 @@
 
 use http::HeaderMap;
 use http::HeaderName;
-use http::HeaderValue;
 use http::header;
-use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
+use super::admission::Admitted;
+use super::admission::admit;
 use super::allowance::AllowanceDecision;
 use super::borrow::borrow_tokens;
+use super::caller_answers::answer_response;
+use super::caller_answers::refusal_response;
+use super::caller_answers::with_connection_headers;
 use super::forward::Outbound;
 use super::forward::forward;
 use super::frame::RequestTerms;
@@ -31,38 +34,10 @@
 use crate::values::MonotonicTime;
 use crate::values::OrganisationId;
 use crate::values::RequestId;
-use crate::version::CallerKey;
 use crate::version::OrganisationTerms;
 use crate::version::PlannedRoute;
 use crate::version::TrafficPlan;
 
-/// Age of a confirmation beyond which a key or route is not called unknown before the store was
-/// asked again, as a part of the time in which a configuration must be in force.
-const DENIAL_AGE_PART: f64 = 0.5;
-/// Longest wait for the store's answer to that question.
-const DENIAL_WAIT: Duration = Duration::from_millis(600);
-/// Part of the time that a caller has left which it may be told to wait, below the third up to
-/// which callers follow.
-const RETRY_AFTER_PART: f64 = 0.3;
-/// Bounds between which the wait is drawn when a refusal names none.
-const RETRY_AFTER_MS: std::ops::Range<f64> = 50.0..400.0;
-
-/// Name of the header that tells how long an idle connection may be used.
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-/// Time for which callers may use an idle connection, in seconds: idle connections of callers that
-/// come back on new ones would fill the memory.
-const KEEP_ALIVE_VALUE: &str = "timeout=3";
-/// Time after which an idle connection is closed, long enough that no request crosses the close.
-/// It also bounds the time for the headers of a request.
-pub(super) const IDLE_TIMEOUT_MS: u64 = 5_000;
-
-/// What is known of a caller's request before it is forwarded.
-struct Admitted {
-    plan: Arc<TrafficPlan>,
-    route: Arc<PlannedRoute>,
-    organisation: Option<Arc<OrganisationTerms>>,
-}
-
 /// Answers a request of a caller.
 pub(super) async fn handle_caller(node: &Arc<RelayNode>, request: Request) -> Response {
     let arrived_at = node.clock.now();
@@ -224,83 +199,6 @@
 /// The organisation from whose allowance a token was taken.
 struct TakenToken(Option<OrganisationId>);
 
-/// Finds the route and the organisation of a request.
-async fn admit(node: &Arc<RelayNode>, request: &Request) -> Result<Admitted, Refusal> {
-    match try_admit(node, request) {
-        Err(refusal) if is_denial(refusal.reason) && !is_fresh(node) => {
-            if !ask_store(node).await {
-                return Err(Refusal::not_run(RefusalReason::Unconfirmed));
-            }
-            try_admit(node, request)
-        }
-        result => result,
-    }
-}
-
-fn is_denial(reason: RefusalReason) -> bool {
-    matches!(
-        reason,
-        RefusalReason::NoRoute | RefusalReason::KeyInvalid | RefusalReason::KeyMissing
-    )
-}
-
-/// Returns whether the configuration is fresh enough to call a route or key unknown.
-fn is_fresh(node: &RelayNode) -> bool {
-    let apply = node.bounds().configuration_apply();
-    node.confirmation_age()
-        .is_some_and(|age| age < apply.mul_f64(DENIAL_AGE_PART))
-}
-
-/// Waits until the store was asked for the newest configuration. Returns whether it answered.
-async fn ask_store(node: &Arc<RelayNode>) -> bool {
-    let asked = super::tasks::read_configuration(node);
-    matches!(tokio::time::timeout(DENIAL_WAIT, asked).await, Ok(true))
-}
-
-fn try_admit(node: &Arc<RelayNode>, request: &Request) -> Result<Admitted, Refusal> {
-    let plan = node
-        .plan()
-        .ok_or_else(|| Refusal::not_run(RefusalReason::NotReady))?;
-    let route = plan
-        .route_of(host_of(request), request.uri().path())
-        .ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute))?;
-    let organisation = match route.is_open || !plan.needs_keys() {
-        true => None,
-        false => Some(organisation_of(node, &plan, request.headers())?),
-    };
-    Ok(Admitted {
-        route: Arc::clone(route),
-        organisation,
-        plan,
-    })
-}
-
-fn organisation_of(
-    node: &RelayNode,
-    plan: &TrafficPlan,
-    headers: &HeaderMap,
-) -> Result<Arc<OrganisationTerms>, Refusal> {
-    let key = key_of(node, headers).ok_or_else(|| Refusal::not_run(RefusalReason::KeyMissing))?;
-    if !node.accepts_keys() {
-        return Err(Refusal::not_run(RefusalReason::Unconfirmed));
-    }
-    plan.organisation_of(&key)
-        .cloned()
-        .ok_or_else(|| Refusal::not_run(RefusalReason::KeyInvalid))
-}
-
-fn key_of(node: &RelayNode, headers: &HeaderMap) -> Option<CallerKey> {
-    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
-    let (scheme, key) = value.split_once(' ')?;
-    let is_known = scheme.eq_ignore_ascii_case(node.protocol.key_scheme);
-    is_known.then(|| CallerKey::new(key.trim()))
-}
-
-fn host_of(request: &Request) -> &str {
-    let host = request.headers().get(header::HOST);
-    host.and_then(|host| host.to_str().ok()).unwrap_or_default()
-}
-
 /// Returns how long the caller waits; a caller that says nothing waits as long as its route allows.
 fn remaining_of(node: &RelayNode, headers: &HeaderMap) -> Duration {
     headers
@@ -384,60 +282,6 @@
     Err(Refusal::not_run(RefusalReason::RateExceeded).retry_after_ms(retry_after_ms))
 }
 
-fn answer_response(answer: WholeAnswer) -> Response {
-    let mut response = Response::new(Body::from(answer.body));
-    *response.status_mut() = answer.status;
-    *response.headers_mut() = answer.headers;
-    response
-}
-
-/// Makes the answer to a request that the system refuses.
-fn refusal_response(
-    node: &RelayNode,
-    refusal: &Refusal,
-    request_id: Option<HeaderValue>,
-    left: Duration,
-) -> Response {
-    let mut response = Response::new(Body::from(refusal.reason.code()));
-    *response.status_mut() = refusal.reason.status();
-    let headers = response.headers_mut();
-    if let Some(request_id) = request_id {
-        headers.insert(node.protocol.headers.request_id.clone(), request_id);
-    }
-    let comes_back =
-        refusal.verdict == Verdict::NotRun && matches!(response.status().as_u16(), 429 | 503);
-    if comes_back {
-        let retry_after_s = retry_after(refusal, left).as_secs_f64();
-        if let Ok(value) = HeaderValue::try_from(format!("{retry_after_s:.3}")) {
-            response.headers_mut().insert(header::RETRY_AFTER, value);
-        }
-    }
-    response
-}
-
-/// Returns when a caller shall come back: as the refusal says, within the time it has.
-fn retry_after(refusal: &Refusal, left: Duration) -> Duration {
-    let wanted_ms = match refusal.retry_after_ms {
-        Some(wanted_ms) => wanted_ms as f64,
-        None => rand::random_range(RETRY_AFTER_MS),
-    };
-    let limit = match left {
-        Duration::MAX => Duration::from_secs(1),
-        left => left.mul_f64(RETRY_AFTER_PART),
-    };
-    Duration::from_secs_f64(wanted_ms / 1e3).min(limit)
-}
-
-/// Tells the caller how long its connection may be used: no more if the node is stopping.
-fn with_connection_headers(node: &RelayNode, mut response: Response) -> Response {
-    let (name, value) = match node.is_stopping() {
-        true => (header::CONNECTION, HeaderValue::from_static("close")),
-        false => (KEEP_ALIVE, HeaderValue::from_static(KEEP_ALIVE_VALUE)),
-    };
-    response.headers_mut().insert(name, value);
-    response
-}
-
 /// Counts a request in flight, and notes a caller that leaves before its answer.
 struct InFlightGuard<'a> {
     node: &'a RelayNode,
--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -12,7 +12,7 @@
 use volo_http::body::Body;
 use volo_http::response::Response;
 
-use super::callers::IDLE_TIMEOUT_MS;
+use super::caller_answers::IDLE_TIMEOUT_MS;
 use super::callers::handle_caller;
 use super::entry::keep_entry;
 use super::node::RelayNode;
--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -1,7 +1,6 @@
-//! Connections to other nodes: one for each, shared by all exchanges.
+//! A connection to one other node, shared by all exchanges with it.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +16,6 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
 
 use super::confirmation::Voucher;
 use super::frame::ExchangeId;
@@ -35,11 +33,6 @@
 use crate::values::NodeId;
 use crate::values::TokenCount;
 
-/// Longest time to open a connection: several round trips between zones, and short enough for
-/// another attempt within the shortest deadlines.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Pause between two attempts to reach a node that could not be reached.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(400);
 /// Silence after which a node with open exchanges is asked for a sign of life.
 const SILENCE_BEFORE_PING: Duration = Duration::from_millis(150);
 /// Silence after which new requests go to other nodes: a ping and its answer take a few
@@ -114,7 +107,7 @@
     ///
     /// Another node may have the address by now. It closes the connection at the greeting, and no
     /// request may have been sent by then: a lost one would count as one that may have run.
-    async fn open(
+    pub(super) async fn open(
         from: NodeId,
         peer: NodeId,
         address: SocketAddr,
@@ -257,14 +250,25 @@
         }
     }
 
+    /// Returns the node that the connection leads to.
+    pub(super) fn peer(&self) -> &NodeId {
+        &self.peer
+    }
+
+    /// Returns when something was heard last.
+    pub(super) fn heard_at(&self) -> MonotonicTime {
+        self.state.lock().heard_at
+    }
+
     /// Returns whether the node has been silent for longer than it should be.
-    fn is_suspect(&self) -> bool {
+    pub(super) fn is_suspect(&self) -> bool {
         let state = self.state.lock();
         let silence = self.clock.now().since(state.heard_at);
         !state.pending.is_empty() && silence > SILENCE_SUSPECT
     }
 
-    fn is_closed(&self) -> bool {
+    /// Returns whether the connection has ended.
+    pub(super) fn is_closed(&self) -> bool {
         self.state.lock().is_closed
     }
 
@@ -402,131 +406,3 @@
         }
     }
 }
-
-/// What is known of the connection to one node.
-#[derive(Debug)]
-enum LinkSlot {
-    Open(Arc<Link>),
-    /// The node could not be reached, and a task tries again.
-    Unreachable,
-}
-
-/// The connections to other nodes.
-///
-/// Requests never wait for a node that could not be reached: they go to others until a task of its
-/// own has reached it again.
-#[derive(Debug)]
-pub(super) struct Links {
-    me: NodeId,
-    clock: Clock,
-    slots: Mutex<HashMap<SocketAddr, LinkSlot>>,
-    opening: Mutex<HashMap<SocketAddr, Arc<tokio::sync::Mutex<()>>>>,
-}
-
-impl Links {
-    pub(super) fn new(me: NodeId, clock: Clock) -> Self {
-        Self {
-            me,
-            clock,
-            slots: Mutex::default(),
-            opening: Mutex::default(),
-        }
-    }
-
-    /// Returns the connection to a node, and opens it if there is none.
-    pub(super) async fn get(
-        self: &Arc<Self>,
-        peer: &NodeId,
-        address: SocketAddr,
-    ) -> Result<Arc<Link>, LinkFailure> {
-        if let Some(known) = self.known(peer, address) {
-            return known;
-        }
-        let opening = Arc::clone(self.opening.lock().entry(address).or_default());
-        let _turn = opening.lock().await;
-        if let Some(known) = self.known(peer, address) {
-            return known;
-        }
-        if let Some(link) = self.open(peer, address).await {
-            return Ok(link);
-        }
-        self.slots.lock().insert(address, LinkSlot::Unreachable);
-        let links = Arc::downgrade(self);
-        let peer = peer.clone();
-        tokio::spawn(async move {
-            loop {
-                tokio::time::sleep(RECONNECT_PAUSE).await;
-                // A node that left the fleet is forgotten by then.
-                match links.upgrade() {
-                    Some(links) if links.is_unreachable(address) => {
-                        if links.open(&peer, address).await.is_some() {
-                            return;
-                        }
-                    }
-                    Some(_) | None => return,
-                }
-            }
-        });
-        Err(LinkFailure::NotSent)
-    }
-
-    async fn open(&self, peer: &NodeId, address: SocketAddr) -> Option<Arc<Link>> {
-        let opened = Link::open(self.me.clone(), peer.clone(), address, self.clock);
-        let reason = match timeout(CONNECT_TIMEOUT, opened).await {
-            Ok(Ok(link)) => {
-                let slot = LinkSlot::Open(Arc::clone(&link));
-                self.slots.lock().insert(address, slot);
-                return Some(link);
-            }
-            Ok(Err(error)) => error.to_string(),
-            Err(_) => "timed out".to_owned(),
-        };
-        events::LINK_NOT_OPENED.log(format_args!("peer={peer} reason=\"{reason}\""));
-        None
-    }
-
-    fn known(&self, peer: &NodeId, address: SocketAddr) -> Option<Result<Arc<Link>, LinkFailure>> {
-        match self.slots.lock().get(&address)? {
-            LinkSlot::Open(link) if !link.is_closed() && link.peer == *peer => {
-                Some(Ok(Arc::clone(link)))
-            }
-            LinkSlot::Unreachable => Some(Err(LinkFailure::NotSent)),
-            LinkSlot::Open(_) => None,
-        }
-    }
-
-    fn is_unreachable(&self, address: SocketAddr) -> bool {
-        let slots = self.slots.lock();
-        matches!(slots.get(&address), Some(LinkSlot::Unreachable))
-    }
-
-    /// Returns whether requests should go to other nodes than this one.
-    pub(super) fn is_doubtful(&self, address: SocketAddr) -> bool {
-        match self.slots.lock().get(&address) {
-            Some(LinkSlot::Unreachable) => true,
-            Some(LinkSlot::Open(link)) => link.is_suspect(),
-            None => false,
-        }
-    }
-
-    /// Returns the open connection on which something was heard last, if there is one.
-    pub(super) fn any_open(&self) -> Option<Arc<Link>> {
-        let slots = self.slots.lock();
-        let open = slots.values().filter_map(|slot| match slot {
-            LinkSlot::Open(link) if !link.is_closed() => Some(link),
-            LinkSlot::Open(_) | LinkSlot::Unreachable => None,
-        });
-        open.max_by_key(|link| link.state.lock().heard_at).cloned()
-    }
-
-    /// Forgets closed connections, and nodes at other addresses than `known`.
-    pub(super) fn forget_ended(&self, known: &HashSet<SocketAddr>) {
-        self.slots.lock().retain(|address, slot| match slot {
-            LinkSlot::Open(link) => !link.is_closed(),
-            LinkSlot::Unreachable => known.contains(address),
-        });
-        self.opening
-            .lock()
-            .retain(|_, opening| Arc::strong_count(opening) > 1);
-    }
-}
--- a/lib/src/process/relay/mod.rs
+++ b/lib/src/process/relay/mod.rs
@@ -3,9 +3,11 @@
 //! It forwards requests of callers on its instance, and of the backend server beside it, to the
 //! nodes of other backend servers, and admits their requests to its own.
 
+mod admission;
 mod allowance;
 mod backend;
 mod borrow;
+mod caller_answers;
 mod callers;
 mod confirmation;
 mod daemon;
@@ -14,6 +16,7 @@
 mod forward;
 mod frame;
 mod link;
+mod links;
 mod metrics;
 mod node;
 mod peers;
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -18,7 +18,7 @@
 use super::confirmation::VoucherUse;
 use super::fleet::Fleet;
 use super::frame::RequestTerms;
-use super::link::Links;
+use super::links::Links;
 use super::metrics::RelayMetrics;
 use super::protocol::Protocol;
 use super::registration::Registration;
@@ -29,7 +29,6 @@
 use super::split::SplitState;
 use super::store::SharedStore;
 use crate::process::events::relay as events;
-use crate::process::gate::Admission;
 use crate::process::gate::FloorNotice;
 use crate::process::gate::LearntFloors;
 use crate::process::membership::MemberTable;
@@ -39,7 +38,6 @@
 use crate::process::membership::ServerRecord;
 use crate::process::routing::Router;
 use crate::request::Refusal;
-use crate::request::RefusalReason;
 use crate::request::RetryRatio;
 use crate::values::Clock;
 use crate::values::ConnectionCount;
@@ -322,7 +320,7 @@
             terms.root,
             self.clock.now(),
         );
-        admitted(admission)
+        admission.into_result()
     }
 
     /// Refuses a request of a caller that the services below would refuse.
@@ -334,7 +332,7 @@
             terms.root,
             self.clock.now(),
         );
-        admitted(admission)
+        admission.into_result()
     }
 
     /// Counts a request for `service` that is a repeat because its parent is one.
@@ -362,13 +360,3 @@
         step(retries.entry(service.clone()).or_default())
     }
 }
-
-fn admitted(admission: Admission) -> Result<(), Refusal> {
-    match admission {
-        Admission::Admit | Admission::Probe => Ok(()),
-        Admission::Refuse { retry_after_ms } => {
-            let refusal = Refusal::not_run(RefusalReason::Overloaded);
-            Err(refusal.retry_after_ms(retry_after_ms))
-        }
-    }
-}
