--- a/lib/src/process/relay/fleet.rs
+++ b/lib/src/process/relay/fleet.rs
@@ -21,7 +21,7 @@
 ///
 /// A lapsed lease is weak evidence: an outage of the store ends leases of nodes that live. An
 /// entry that goes missing is kept for [`Fleet::GRACE`], in which a living node writes it again. A
-/// node that leaves as planned says so in its entry before it removes it.
+/// node that leaves as planned says so in its entry, which then lapses.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     entries: BTreeMap<NodeId, FleetEntry>,
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -1,5 +1,6 @@
 //! The state that all requests of a relay share.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -44,6 +45,7 @@
 use crate::values::Incarnation;
 use crate::values::MonotonicTime;
 use crate::values::ServiceId;
+use crate::values::ZoneId;
 use crate::version::TrafficPlan;
 use crate::version::ZoneRecord;
 
@@ -92,7 +94,7 @@
     pub(super) entry_changed: Notify,
     pub(super) in_flight: AtomicU64,
     /// The zones of the fleet with their regions.
-    pub(super) zones: std::collections::BTreeMap<crate::values::ZoneId, ZoneRecord>,
+    pub(super) zones: BTreeMap<ZoneId, ZoneRecord>,
     started_ms: u64,
     plan: RwLock<Option<Arc<TrafficPlan>>>,
     members: RwLock<Arc<MemberTable>>,
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -370,3 +370,21 @@
     }
     assert_eq!(fleet.sides[2].server.seen().len(), 0);
 }
+
+#[tokio::test]
+async fn run_is_cancelled_when_its_caller_leaves() {
+    let fleet = RelayFleet::start(&plan(1), &["front", "stock"]).await;
+    let slow = Behaviour::Slow(Duration::from_secs(60));
+    fleet.sides[1].server.behave(slow);
+    let address = fleet.sides[0].daemon.node().settings.raw.listen.callers;
+    let raw = format!("GET /stock/x HTTP/1.1\r\nhost: shop\r\nauthorization: Key {KEY}\r\n\r\n");
+    let caller =
+        tokio::spawn(async move { send_raw(address, raw.as_bytes(), AfterSend::KeepOpen).await });
+    fleet
+        .wait_until(|fleet| !fleet.sides[1].server.seen().is_empty())
+        .await;
+    caller.abort();
+    fleet
+        .wait_until(|fleet| fleet.sides[1].server.abandoned() == 1)
+        .await;
+}
--- a/testutils/src/relay/server.rs
+++ b/testutils/src/relay/server.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use balsamfold::connection::ConnectionPool;
@@ -57,6 +59,21 @@
     behaviour: Mutex<Behaviour>,
     seen: Mutex<Vec<SeenRequest>>,
     onward: Mutex<Option<SocketAddr>>,
+    abandoned: AtomicUsize,
+}
+
+/// Counts a request whose connection closed before its answer.
+struct AbandonGuard<'a> {
+    shared: &'a Shared,
+    is_answered: bool,
+}
+
+impl Drop for AbandonGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.shared.abandoned.fetch_add(1, Ordering::Relaxed);
+        }
+    }
 }
 
 /// A stand-in of a backend server beside a relay.
@@ -76,6 +93,7 @@
             behaviour: Mutex::new(Behaviour::Answer),
             seen: Mutex::default(),
             onward: Mutex::default(),
+            abandoned: AtomicUsize::new(0),
         });
         let limits = ListenerLimits {
             connections_max: 256,
@@ -105,6 +123,11 @@
         *self.shared.onward.lock() = Some(address);
     }
 
+    /// Returns how many requests lost their connection before they were answered.
+    pub fn abandoned(&self) -> usize {
+        self.shared.abandoned.load(Ordering::Relaxed)
+    }
+
     /// Returns the requests that were seen.
     pub fn seen(&self) -> Vec<SeenRequest> {
         self.shared.seen.lock().clone()
@@ -116,6 +139,10 @@
         headers: request.headers().clone(),
         uri: request.uri().to_string(),
     });
+    let mut guard = AbandonGuard {
+        shared,
+        is_answered: false,
+    };
     let names = relay_protocol().headers;
     let id = request.headers().get(&names.request_id).cloned();
     let behaviour = shared.behaviour.lock().clone();
@@ -140,6 +167,7 @@
     if let Some(id) = echoed {
         response.headers_mut().insert(names.request_id, id);
     }
+    guard.is_answered = true;
     response
 }
 
