request: measure the wait for onward calls in one place

The node and the relay each had the same guard; it now stands beside the time that it measures. No change of behaviour.

--- a/lib/src/process/node/exit.rs
+++ b/lib/src/process/node/exit.rs
@@ -24,6 +24,7 @@
 use crate::request::CallHash;
 use crate::request::Handle;
 use crate::request::InFlight;
+use crate::request::OnwardWait;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 
@@ -62,7 +63,7 @@
         extra_attempts: &parent.extra_attempts,
         origin: Origin::Parent(&parent),
     };
-    let _waiting = OnwardWait::start(node, &parent);
+    let _waiting = OnwardWait::start(node.clock, &parent.onward);
     let outcome = forward(node, outbound).await;
     let end = match &outcome {
         Ok(_) => CallEnd::Answered,
@@ -75,25 +76,6 @@
     outcome
 }
 
-/// Measures the time in which a request waits for an onward call, until it is dropped.
-struct OnwardWait<'a> {
-    node: &'a Node,
-    parent: &'a InFlight,
-}
-
-impl<'a> OnwardWait<'a> {
-    fn start(node: &'a Node, parent: &'a InFlight) -> Self {
-        parent.onward.lock().started(node.clock.now());
-        Self { node, parent }
-    }
-}
-
-impl Drop for OnwardWait<'_> {
-    fn drop(&mut self) {
-        self.parent.onward.lock().ended(self.node.clock.now());
-    }
-}
-
 /// Admits an onward call; one that repeats a failed or running call is an extra attempt.
 fn begin_onward(parent: &InFlight, request: &WholeRequest) -> Result<CallHash, Refusal> {
     let uri = request.uri.to_string();
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -28,6 +28,7 @@
 use crate::connection::read_body;
 use crate::connection::strip_connection_headers;
 use crate::process::events::relay as events;
+use crate::request::OnwardWait;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::request::Verdict;
@@ -114,7 +115,7 @@
     let _waiting = outbound
         .parent
         .as_deref()
-        .map(|parent| OnwardWait::start(node, parent));
+        .map(|parent| OnwardWait::start(node.clock, &parent.onward));
     let result = forward(node, &outbound).await;
     let is_failure = match &result {
         Ok(answer) => answer.status.is_server_error(),
@@ -177,25 +178,6 @@
     RequestId(u128::from_be_bytes(first))
 }
 
-/// Measures the time in which a request waits for one of its calls, until it is dropped.
-struct OnwardWait<'a> {
-    node: &'a RelayNode,
-    parent: &'a RunningRequest,
-}
-
-impl<'a> OnwardWait<'a> {
-    fn start(node: &'a RelayNode, parent: &'a RunningRequest) -> Self {
-        parent.onward.lock().started(node.clock.now());
-        Self { node, parent }
-    }
-}
-
-impl Drop for OnwardWait<'_> {
-    fn drop(&mut self) {
-        self.parent.onward.lock().ended(self.node.clock.now());
-    }
-}
-
 /// The organisation from whose allowance a token was taken.
 struct TakenToken(Option<OrganisationId>);
 
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -30,6 +30,7 @@
 pub use self::in_flight::InFlightGuard;
 pub use self::in_flight::InFlightTable;
 pub use self::onward::OnwardTime;
+pub use self::onward::OnwardWait;
 pub use self::problem::Problem;
 pub use self::problem::refusal_of;
 pub use self::problem::refusal_response;
--- a/lib/src/request/onward.rs
+++ b/lib/src/request/onward.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use parking_lot::Mutex;
+
+use crate::values::Clock;
 use crate::values::MonotonicTime;
 
 /// The time in which a request waited for one or more onward calls.
@@ -45,3 +48,23 @@
         self.failed
     }
 }
+
+/// Measures the time in which a request waits for one of its calls, until it is dropped.
+pub struct OnwardWait<'a> {
+    clock: Clock,
+    onward: &'a Mutex<OnwardTime>,
+}
+
+impl<'a> OnwardWait<'a> {
+    /// Notes the start of the call.
+    pub fn start(clock: Clock, onward: &'a Mutex<OnwardTime>) -> Self {
+        onward.lock().started(clock.now());
+        Self { clock, onward }
+    }
+}
+
+impl Drop for OnwardWait<'_> {
+    fn drop(&mut self) {
+        self.onward.lock().ended(self.clock.now());
+    }
+}
