suspects: send a suspect to the node that may run it, and notice slow crashes

Excluded: lost news (the nodes knew the entry), waiting for Retry-After (an earlier trial).

Change: the probe must stay open for 100 ms; a refusal names the node that may run the request and is followed there; a node that cannot connect passes its trials on; these visit all nodes in the order of hashes before one is named again.

--- a/lib/src/connection/headers.rs
+++ b/lib/src/connection/headers.rs
@@ -20,6 +20,8 @@
 pub const UNSPENT_HEADER: HeaderName = HeaderName::from_static("balsamfold-unspent");
 /// The admission floor that an answer between nodes reports.
 pub const FLOOR_HEADER: HeaderName = HeaderName::from_static("balsamfold-floor");
+/// Names the only node that may run a refused request, between nodes.
+pub const ONLY_ON_HEADER: HeaderName = HeaderName::from_static("balsamfold-only-on");
 /// Names a request that must run at most once, over all its resends.
 pub const IDEMPOTENCY_KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
 
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -18,6 +18,7 @@
 pub use self::headers::HANDLE_HEADER;
 pub use self::headers::IDEMPOTENCY_KEY_HEADER;
 pub use self::headers::MAC_HEADER;
+pub use self::headers::ONLY_ON_HEADER;
 pub use self::headers::UNSPENT_HEADER;
 pub use self::headers::VERDICT_HEADER;
 pub use self::headers::strip_connection_headers;
--- a/lib/src/process/node/answer.rs
+++ b/lib/src/process/node/answer.rs
@@ -1,5 +1,6 @@
 //! Answers between the steps of a request, and as HTTP responses.
 
+use http::HeaderName;
 use http::HeaderValue;
 use http::header;
 use volo_http::body::Body;
@@ -8,6 +9,7 @@
 use super::Node;
 use crate::connection::ATTEMPT_HEADER;
 use crate::connection::FLOOR_HEADER;
+use crate::connection::ONLY_ON_HEADER;
 use crate::connection::UNSPENT_HEADER;
 use crate::connection::WholeAnswer;
 use crate::process::gate::FloorNotice;
@@ -15,21 +17,25 @@
 use crate::request::Refusal;
 use crate::request::refusal_response;
 
+/// Headers of answers between nodes that no caller sees.
+const NODE_HEADERS: [HeaderName; 4] =
+    [ATTEMPT_HEADER, FLOOR_HEADER, ONLY_ON_HEADER, UNSPENT_HEADER];
+
 /// An answer of a backend server, or the refusal of a node below, with what it gives back.
 #[derive(Debug)]
 pub(super) struct NodeAnswer {
     /// The answer or refusal.
     pub(super) outcome: Result<WholeAnswer, Refusal>,
-    /// Extra attempts that the request below did not use.
     /// The admission floor of the node and those below it; none if no node of the service answered.
     pub(super) floor: Option<FloorNotice>,
+    /// Extra attempts that the request below did not use.
     pub(super) unspent_attempts: AttemptCount,
 }
 
 /// Makes the response for a caller or for the backend server beside this node.
 pub(super) fn response(node: &Node, outcome: Result<WholeAnswer, Refusal>) -> Response {
     let mut answer = outcome.unwrap_or_else(|refusal| refusal_response(&refusal));
-    for name in [ATTEMPT_HEADER, FLOOR_HEADER, UNSPENT_HEADER] {
+    for name in NODE_HEADERS {
         answer.headers.remove(name);
     }
     plain_response(node, answer)
--- a/lib/src/process/node/forward.rs
+++ b/lib/src/process/node/forward.rs
@@ -40,6 +40,10 @@
 use crate::version::Repeatability;
 use crate::version::Route;
 
+/// How often a request goes to a node that a refusal named without counting as a retry: once, and
+/// once more if that node has just lost its backend server.
+const REDIRECTS_MAX: u32 = 2;
+
 /// A request on its way to a service.
 pub(super) struct Outbound<'a> {
     /// The route that the request matched.
@@ -75,7 +79,9 @@
 
 /// Passes a request to a node of its service, without a record of its key.
 ///
-/// When no further node is left to try, the refusal is that of the last one tried.
+/// When no further node is left to try, the refusal is that of the last one tried. A refusal that
+/// names the only node that may run the request is followed there without a retry being counted:
+/// the request has not run.
 pub(super) async fn forward_unkeyed(
     node: &Arc<Node>,
     outbound: Outbound<'_>,
@@ -84,10 +90,12 @@
     let mut tried: Vec<NodeId> = Vec::new();
     let mut verdict = Verdict::NotRun;
     let mut earlier: Option<Refusal> = None;
+    let mut redirects = 0;
     node.retries.on_first_attempt(service);
     loop {
         let tried_before = tried.len();
-        let refusal = match attempt(node, &outbound, &mut tried).await {
+        let only_on = earlier.as_ref().and_then(|refusal| refusal.only_on.clone());
+        let refusal = match attempt(node, &outbound, &mut tried, only_on).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
@@ -100,6 +108,10 @@
         if tried.len() == tried_before || !another_may_help(refusal.reason) {
             return Err(refusal);
         }
+        if verdict == Verdict::NotRun && refusal.only_on.is_some() && redirects < REDIRECTS_MAX {
+            redirects += 1;
+            continue;
+        }
         let failed = FailedAttempt {
             verdict,
             repeatability: outbound.route.repeatability,
@@ -121,12 +133,32 @@
     node: &Arc<Node>,
     outbound: &Outbound<'_>,
     tried: &mut Vec<NodeId>,
+    only_on: Option<NodeId>,
 ) -> Result<WholeAnswer, Refusal> {
-    let destination = choose(node, outbound, tried)?;
+    let destination = match only_on {
+        Some(only_on) => named_node(node, outbound, tried, &only_on)?,
+        None => choose(node, outbound, tried)?,
+    };
     tried.push(destination.id.clone());
     attempt_at(node, outbound, &destination, None).await
 }
 
+/// Returns the record of a node that a refusal named, unless it was tried or does not serve.
+fn named_node(
+    node: &Node,
+    outbound: &Outbound<'_>,
+    tried: &[NodeId],
+    named: &NodeId,
+) -> Result<NodeRecord, Refusal> {
+    let members = node.members();
+    let serving = members.serving(&outbound.route.service);
+    serving
+        .iter()
+        .find(|record| record.id == *named && !tried.contains(named))
+        .cloned()
+        .ok_or_else(|| Refusal::not_run(RefusalReason::NoServer))
+}
+
 /// Makes one attempt at the node `destination`.
 pub(super) async fn attempt_at(
     node: &Arc<Node>,
@@ -191,6 +223,7 @@
                 reason: RefusalReason::NoServer,
                 verdict: error.verdict(),
                 retry_after_ms: None,
+                only_on: None,
             };
             let unspent = match refusal.verdict {
                 Verdict::NotRun => lent_attempts,
--- a/lib/src/process/node/once/home.rs
+++ b/lib/src/process/node/once/home.rs
@@ -172,6 +172,7 @@
             reason: RefusalReason::OutcomeUnknown,
             verdict: Verdict::Ran,
             retry_after_ms: None,
+            only_on: None,
         }),
         Begin::MayHaveRun | Begin::Run { .. } | Begin::Join(_) => {
             Err(Refusal::may_have_run(RefusalReason::OutcomeUnknown))
--- a/lib/src/process/node/serve.rs
+++ b/lib/src/process/node/serve.rs
@@ -111,9 +111,10 @@
     arrived: &Arc<InFlight>,
     request: WholeRequest,
 ) -> Result<WholeAnswer, Refusal> {
-    let server = node
-        .server()
-        .ok_or_else(|| Refusal::not_run(RefusalReason::NoServer))?;
+    let Some(server) = node.server() else {
+        suspects::pass_trials_on(node).await;
+        return Err(Refusal::not_run(RefusalReason::NoServer));
+    };
     node.load.check_onward(arrived, node.clock.now())?;
     let permit = server.gate.enter(enter_request(node, arrived)).await?;
     let organisation = arrived.context.organisation.as_ref();
@@ -134,11 +135,14 @@
             let verdict = error.verdict();
             if matches!(error, ExchangeError::Sent | ExchangeError::BrokenAnswer) {
                 run.failed(&server).await;
+            } else if matches!(error, ExchangeError::NotConnected) {
+                suspects::pass_trials_on(node).await;
             }
             Err(Refusal {
                 reason: RefusalReason::BadAnswer,
                 verdict,
                 retry_after_ms: None,
+                only_on: None,
             })
         }
     }
--- a/lib/src/process/node/suspects.rs
+++ b/lib/src/process/node/suspects.rs
@@ -6,6 +6,7 @@
 
 use futures::future::join_all;
 use parking_lot::Mutex;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedRwLockReadGuard;
 use tokio::sync::OwnedRwLockWriteGuard;
@@ -38,6 +39,9 @@
 const NEWS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time for a connection that shows whether the backend server still listens.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long such a connection must stay open. The sockets of a process that ends are closed one
+/// after the other; half of `PROBE_TIMEOUT` covers that on a busy machine.
+const PROBE_SETTLE: Duration = Duration::from_millis(100);
 
 number_type! {
     /// Tells the runs on the backend server beside a node apart.
@@ -108,9 +112,8 @@
     let company = match admission {
         SuspectAdmission::Run => beside_others(node)?,
         SuspectAdmission::RunAlone => alone(node, fingerprint).await?,
-        SuspectAdmission::TrialRunning | SuspectAdmission::OnlyOn(_) => {
-            return Err(busy_with_trial());
-        }
+        SuspectAdmission::TrialRunning => return Err(busy_with_trial()),
+        SuspectAdmission::OnlyOn(other) => return Err(busy_with_trial().only_on(other)),
         SuspectAdmission::Quarantined => {
             return Err(Refusal::not_run(RefusalReason::Quarantined));
         }
@@ -206,10 +209,23 @@
     }
 }
 
-/// Returns whether the backend server still accepts connections.
+/// Returns whether the backend server still accepts connections, and keeps them.
 async fn listens(server: &LocalServer) -> bool {
     let probe = TcpStream::connect(server.announcement.address);
-    matches!(timeout(PROBE_TIMEOUT, probe).await, Ok(Ok(_)))
+    let Ok(Ok(mut probe)) = timeout(PROBE_TIMEOUT, probe).await else {
+        return false;
+    };
+    // Nothing was asked, so that any end of the read is that of the connection.
+    timeout(PROBE_SETTLE, probe.read_u8()).await.is_err()
+}
+
+/// Names other nodes for the trials that were to take place here, and tells them.
+///
+/// To be called when no backend server stands beside this node.
+pub(super) async fn pass_trials_on(node: &Arc<Node>) {
+    let others = others(node);
+    let moved = node.suspects.table.lock().pass_trials_on(&others);
+    tell(node, moved).await;
 }
 
 /// Returns the other nodes of the service.
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -297,6 +297,7 @@
         reason,
         verdict,
         retry_after_ms: None,
+        only_on: None,
     })
 }
 
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -176,6 +176,7 @@
                 reason: RefusalReason::BadAnswer,
                 verdict: Verdict::Ran,
                 retry_after_ms: None,
+                only_on: None,
             }
         }
         Err(refusal) => {
--- a/lib/src/process/suspects/table.rs
+++ b/lib/src/process/suspects/table.rs
@@ -91,7 +91,7 @@
             .values_mut()
             .filter(|entry| entry.standing() == Standing::Suspected && entry.is_tried_by(&me))
             .filter_map(|entry| {
-                entry.pass_trial_to(trial_node(entry.fingerprint, &me, others)?);
+                entry.pass_trial_to(next_trial_node(entry.fingerprint, &me, others)?);
                 Some(entry.clone())
             })
             .collect()
@@ -206,6 +206,22 @@
         .map(|node| node.id.clone())
 }
 
+/// Chooses the node after `me` in the order of the hashes, and the first one after the last.
+///
+/// Several nodes may have lost their backend servers: a trial that is passed on visits all nodes
+/// before it comes back.
+fn next_trial_node(fingerprint: Fingerprint, me: &NodeId, others: &[NodeRecord]) -> Option<NodeId> {
+    let mine = trial_score(fingerprint, me);
+    others
+        .iter()
+        .filter(|node| node.id != *me && node.takes_work())
+        .max_by_key(|node| {
+            let score = trial_score(fingerprint, &node.id);
+            (score < mine, score)
+        })
+        .map(|node| node.id.clone())
+}
+
 fn trial_score(fingerprint: Fingerprint, node: &NodeId) -> [u8; 16] {
     digest_of(&[&fingerprint.bits().to_be_bytes(), node.as_str().as_bytes()])
 }
--- a/lib/src/request/problem.rs
+++ b/lib/src/request/problem.rs
@@ -8,8 +8,10 @@
 use super::Refusal;
 use super::RefusalReason;
 use super::Verdict;
+use crate::connection::ONLY_ON_HEADER;
 use crate::connection::VERDICT_HEADER;
 use crate::connection::WholeAnswer;
+use crate::values::NodeId;
 
 /// The media type of problem bodies, as in RFC 9457.
 const PROBLEM_TYPE: HeaderValue = HeaderValue::from_static("application/problem+json");
@@ -61,6 +63,13 @@
         let retry_after_s = retry_after_ms.div_ceil(MS_PER_S);
         headers.insert(header::RETRY_AFTER, HeaderValue::from(retry_after_s));
     }
+    let only_on = refusal
+        .only_on
+        .as_ref()
+        .and_then(|node| HeaderValue::from_str(node.as_str()).ok());
+    if let Some(only_on) = only_on {
+        headers.insert(ONLY_ON_HEADER, only_on);
+    }
     if refusal.reason.status() == http::StatusCode::UNAUTHORIZED {
         headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
     }
@@ -84,5 +93,11 @@
         reason: problem.code,
         verdict: problem.verdict,
         retry_after_ms: problem.retry_after_ms,
+        only_on: only_on(answer),
     })
 }
+
+fn only_on(answer: &WholeAnswer) -> Option<NodeId> {
+    let header = answer.headers.get(ONLY_ON_HEADER)?;
+    header.to_str().ok()?.parse().ok()
+}
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -7,6 +7,7 @@
 use super::Verdict;
 use crate::process::events::Event;
 use crate::process::events::request as events;
+use crate::values::NodeId;
 
 plain_value! {
     /// Why the system answered a request itself.
@@ -174,6 +175,8 @@
         pub verdict: Verdict,
         /// When the caller may try again, if trying again can help.
         pub retry_after_ms: Option<u64>,
+        /// The only node that may run the request, if the refusing node knows one.
+        pub only_on: Option<NodeId>,
     }
 }
 
@@ -184,6 +187,7 @@
             reason,
             verdict: Verdict::NotRun,
             retry_after_ms: None,
+            only_on: None,
         }
     }
 
@@ -193,6 +197,7 @@
             reason,
             verdict: Verdict::MayHaveRun,
             retry_after_ms: None,
+            only_on: None,
         }
     }
 
@@ -203,4 +208,12 @@
             ..self
         }
     }
+
+    /// Names the only node that may run the request.
+    pub fn only_on(self, node: NodeId) -> Self {
+        Self {
+            only_on: Some(node),
+            ..self
+        }
+    }
 }
--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -300,3 +300,27 @@
     assert_eq!(table.entries().count(), Suspects::ENTRIES_MAX);
     assert_eq!(table.admit(fingerprint(0)), SuspectAdmission::Quarantined);
 }
+
+#[test]
+fn a_trial_that_is_passed_on_visits_all_nodes_before_it_comes_back() {
+    let nodes: Vec<_> = (0..SERVERS).map(record).collect();
+    let mut tables: Vec<_> = nodes
+        .iter()
+        .map(|node| Suspects::new(node.id.clone()))
+        .collect();
+    for body in 0..50 {
+        let mut news = tables[0].on_crash([fingerprint(body)], &nodes, WALL);
+        let mut visited = BTreeSet::new();
+        for _ in 0..SERVERS {
+            for table in &mut tables {
+                table.merge(&news, WALL);
+            }
+            let named = news[0].trial.clone().unwrap().node;
+            let holder = nodes.iter().position(|node| node.id == named).unwrap();
+            visited.insert(named);
+            news = tables[holder].pass_trials_on(&nodes);
+            news.retain(|entry| entry.fingerprint == fingerprint(body));
+        }
+        assert_eq!(visited.len(), SERVERS, "{visited:?}");
+    }
+}
--- a/testutils/src/backend_server/behaviour.rs
+++ b/testutils/src/backend_server/behaviour.rs
@@ -37,6 +37,9 @@
     pub fault: Fault,
     /// A request whose body contains this text ends the process.
     pub crash_on: Option<String>,
+    /// Time for which a crashing process listens after the connection of its request is closed.
+    #[serde(default)]
+    pub crash_delay_ms: u64,
 }
 
 impl Default for Behaviour {
@@ -47,6 +50,7 @@
             padding_bytes: 64,
             fault: Fault::None,
             crash_on: None,
+            crash_delay_ms: 0,
         }
     }
 }
--- a/testutils/src/backend_server/server.rs
+++ b/testutils/src/backend_server/server.rs
@@ -224,6 +224,11 @@
         change(&mut self.shared.behaviour.lock());
     }
 
+    /// Ends the stand-in as a request that crashes it does.
+    pub fn crash(&self) {
+        (self.shared.crash)();
+    }
+
     /// Returns the number of open connections.
     pub fn open_connections(&self) -> usize {
         self.serving.open_connections()
@@ -254,7 +259,7 @@
     }
 }
 
-async fn handle(shared: &Shared, request: Request) -> Response {
+async fn handle(shared: &Arc<Shared>, request: Request) -> Response {
     let (parts, body) = request.into_parts();
     let Ok(body) = read_body(body, BODY_BYTES_MAX, BODY_TIMEOUT).await else {
         return respond(StatusCode::BAD_REQUEST, Bytes::new());
@@ -279,7 +284,7 @@
     }
 }
 
-async fn run(shared: &Shared, path: &str, headers: &HeaderMap, body: Bytes) -> Response {
+async fn run(shared: &Arc<Shared>, path: &str, headers: &HeaderMap, body: Bytes) -> Response {
     let behaviour = shared.behaviour.lock().clone();
     if behaviour.fault == Fault::Shed {
         return with_handle(
@@ -289,8 +294,7 @@
     }
     shared.recorder.note(path, headers, &body);
     if behaviour.crashes_on(&body) {
-        (shared.crash)();
-        std::future::pending::<()>().await;
+        return crash(shared, behaviour.crash_delay_ms).await;
     }
     let service_time = behaviour.service_time(&mut shared.random.lock());
     {
@@ -317,6 +321,20 @@
     with_handle(headers, response)
 }
 
+/// Ends the process, at once or a while after the connection of the request is closed.
+async fn crash(shared: &Arc<Shared>, delay_ms: u64) -> Response {
+    if delay_ms == 0 {
+        (shared.crash)();
+        return std::future::pending().await;
+    }
+    let crashing = Arc::clone(shared);
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        (crashing.crash)();
+    });
+    broken_response(&Bytes::new(), 0)
+}
+
 /// Calls onward through the node; returns the answer to pass on if the call failed.
 async fn call_onward(
     shared: &Shared,
