--- a/lib/src/process/control/client.rs
+++ b/lib/src/process/control/client.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use jsonrpsee::core::ClientError;
-use jsonrpsee::http_client::HttpClient;
-use jsonrpsee::http_client::HttpClientBuilder;
-use jsonrpsee::http_client::RpcService;
-use jsonrpsee::http_client::transport::HttpBackend;
+use jsonrpsee_http_client::HttpClient;
+use jsonrpsee_http_client::HttpClientBuilder;
+use jsonrpsee_http_client::RpcService;
+use jsonrpsee_http_client::transport::HttpBackend;
 
 use super::signature::CONTROL_BYTES_MAX;
 use super::signature::SignLayer;
@@ -17,7 +17,7 @@
 
 /// A client of one node's control channel.
 pub type ControlCaller =
-    HttpClient<jsonrpsee::http_client::RpcLogger<RpcService<SignService<HttpBackend>>>>;
+    HttpClient<jsonrpsee_http_client::RpcLogger<RpcService<SignService<HttpBackend>>>>;
 
 /// Makes a client of the control channel at `address`; it connects with the first call.
 pub fn connect(
