relay: a request in flight holds neither read buffers nor room for past steps

The header values and the path kept the caller's read buffer (8 KB) alive, an empty body of another node's request kept the 16 KB read at once, and the future of a request had room for all its steps (16 KB, of which 7 KB for forwarding). Excluded: idle connections alone (18 KB each, at most 480).

Change: the request is copied into one allocation of its own size, short bodies are copied out of what was read, and past steps and a run on the own server are boxed.

--- a/lib/src/connection/exchange.rs
+++ b/lib/src/connection/exchange.rs
@@ -1,10 +1,14 @@
 //! One request and its whole answer on one connection.
 
+use bytes::BufMut;
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
 use http::Uri;
+use http::uri::PathAndQuery;
 use snafu::Snafu;
 
 use crate::request::ExchangeProgress;
@@ -25,6 +29,41 @@
     pub body: Bytes,
 }
 
+impl WholeRequest {
+    /// Copies the path and the headers into one allocation of their own size.
+    ///
+    /// A request that was read from a connection holds the whole buffer into which it was read.
+    pub fn into_compact(self) -> Self {
+        let path = self.uri.path_and_query().map(PathAndQuery::as_str);
+        let value_bytes: usize = self.headers.values().map(HeaderValue::len).sum();
+        let path_bytes = path.map_or(0, str::len);
+        let mut copied = BytesMut::with_capacity(path_bytes + value_bytes);
+        copied.put_slice(path.unwrap_or_default().as_bytes());
+        for value in self.headers.values() {
+            copied.put_slice(value.as_bytes());
+        }
+        let mut copied = copied.freeze();
+        let path = copied.split_to(path_bytes);
+        let uri = match path.is_empty() {
+            true => self.uri,
+            // A path that was a path before still is one.
+            false => Uri::from_maybe_shared(path).unwrap_or(self.uri),
+        };
+        let mut headers = self.headers;
+        for value in headers.values_mut() {
+            let bytes = copied.split_to(value.len());
+            if let Ok(compact) = HeaderValue::from_maybe_shared(bytes) {
+                *value = compact;
+            }
+        }
+        Self {
+            uri,
+            headers,
+            ..self
+        }
+    }
+}
+
 /// An answer whose body arrived whole.
 #[derive(Clone, Debug)]
 pub struct WholeAnswer {
--- a/lib/src/process/relay/caller_answers.rs
+++ b/lib/src/process/relay/caller_answers.rs
@@ -39,13 +39,13 @@
 pub(super) fn refusal_response(
     node: &RelayNode,
     refusal: &Refusal,
-    request_id: Option<HeaderValue>,
+    request_id: &str,
     left: Duration,
 ) -> Response {
     let mut response = Response::new(Body::from(refusal.reason.code()));
     *response.status_mut() = refusal.reason.status();
     let headers = response.headers_mut();
-    if let Some(request_id) = request_id {
+    if let (false, Ok(request_id)) = (request_id.is_empty(), HeaderValue::from_str(request_id)) {
         headers.insert(node.protocol.headers.request_id.clone(), request_id);
     }
     let comes_back =
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -42,12 +42,9 @@
 /// Answers a request of a caller.
 pub(super) async fn handle_caller(node: &Arc<RelayNode>, request: Request) -> Response {
     let arrived_at = node.clock.now();
-    let request_id = request
+    let id_text = request
         .headers()
         .get(&node.protocol.headers.request_id)
-        .cloned();
-    let id_text = request_id
-        .as_ref()
         .and_then(|id| id.to_str().ok())
         .unwrap_or_default()
         .to_owned();
@@ -59,7 +56,7 @@
         Ok(answer) => answer_response(answer),
         Err(refusal) => {
             let left = client_left.saturating_sub(node.clock.now().since(arrived_at));
-            refusal_response(node, &refusal, request_id, left)
+            refusal_response(node, &refusal, &id_text, left)
         }
     };
     with_connection_headers(node, response)
@@ -72,6 +69,37 @@
     arrived_at: MonotonicTime,
     client_left: Duration,
 ) -> Result<WholeAnswer, Refusal> {
+    // Boxed, so that a request in flight does not hold room for the steps before.
+    let preparing = Box::pin(prepare(node, request, request_id, arrived_at, client_left));
+    let (outbound, taken) = preparing.await?;
+    let _waiting = outbound
+        .parent
+        .as_deref()
+        .map(|parent| OnwardWait::start(node.clock, &parent.onward));
+    let result = forward(node, &outbound).await;
+    let is_failure = match &result {
+        Ok(answer) => answer.status.is_server_error(),
+        Err(_) => true,
+    };
+    if let (true, Some(parent)) = (is_failure, &outbound.parent) {
+        parent.call_failed();
+    }
+    if let (Err(refusal), Some(organisation)) = (&result, &taken.0)
+        && refusal.verdict == Verdict::NotRun
+    {
+        node.allowances.lock().give_back(organisation);
+    }
+    result
+}
+
+/// Decides whether and how a request is passed on, and reads it whole.
+async fn prepare(
+    node: &Arc<RelayNode>,
+    request: Request,
+    request_id: &str,
+    arrived_at: MonotonicTime,
+    client_left: Duration,
+) -> Result<(Outbound, TakenToken), Refusal> {
     let Admitted {
         plan,
         route,
@@ -105,31 +133,14 @@
         .choose(&route)
         .ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute))?;
     let outbound = Outbound {
-        route: &route,
+        route,
         service,
         request,
         terms,
         deadline,
         parent,
     };
-    let _waiting = outbound
-        .parent
-        .as_deref()
-        .map(|parent| OnwardWait::start(node.clock, &parent.onward));
-    let result = forward(node, &outbound).await;
-    let is_failure = match &result {
-        Ok(answer) => answer.status.is_server_error(),
-        Err(_) => true,
-    };
-    if let (true, Some(parent)) = (is_failure, &outbound.parent) {
-        parent.call_failed();
-    }
-    if let (Err(refusal), Some(organisation)) = (&result, &taken.0)
-        && refusal.verdict == Verdict::NotRun
-    {
-        node.allowances.lock().give_back(organisation);
-    }
-    result
+    Ok((outbound, taken))
 }
 
 /// Decides how a request is treated. A call of the backend server counts as a part of the request
@@ -214,12 +225,13 @@
         Some(path_and_query) => path_and_query.clone().into(),
         None => return Err(Refusal::not_run(RefusalReason::BadRequest)),
     };
-    Ok(WholeRequest {
+    let request = WholeRequest {
         method: parts.method,
         uri,
         headers: parts.headers,
         body,
-    })
+    };
+    Ok(request.into_compact())
 }
 
 /// Returns the headers that only the node beside the backend server sets.
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -46,9 +46,9 @@
 const ATTEMPT_USEFUL_MIN: Duration = Duration::from_millis(5);
 
 /// A request on its way to a service.
-pub(super) struct Outbound<'a> {
+pub(super) struct Outbound {
     /// The route that the request matched.
-    pub(super) route: &'a PlannedRoute,
+    pub(super) route: Arc<PlannedRoute>,
     /// The service that the split chose.
     pub(super) service: ServiceId,
     /// The request without the headers that the system sets.
@@ -86,7 +86,7 @@
 /// Passes a request to nodes of its service until one gives a final answer.
 pub(super) async fn forward(
     node: &Arc<RelayNode>,
-    outbound: &Outbound<'_>,
+    outbound: &Outbound,
 ) -> Result<WholeAnswer, Refusal> {
     match outbound.terms.is_repeat {
         true => node.count_repeat(&outbound.service),
@@ -99,7 +99,7 @@
             is_repeat: progress.arrivals > 0,
             is_last_resort: false,
         };
-        let outcome = attempt(node, outbound, &destination, kind).await;
+        let outcome = Box::pin(attempt(node, outbound, &destination, kind)).await;
         learn_floor(node, outbound, &destination, &outcome.load);
         match judge(node, outbound, &destination, &mut progress, outcome) {
             NextStep::Answer(answer) => return Ok(answer),
@@ -114,7 +114,7 @@
             is_repeat: false,
             is_last_resort: true,
         };
-        let outcome = attempt(node, outbound, &destination, kind).await;
+        let outcome = Box::pin(attempt(node, outbound, &destination, kind)).await;
         if let NextStep::Answer(answer) =
             judge(node, outbound, &destination, &mut progress, outcome)
         {
@@ -159,14 +159,14 @@
 /// Decides what follows an attempt.
 fn judge(
     node: &RelayNode,
-    outbound: &Outbound<'_>,
+    outbound: &Outbound,
     destination: &NodeRecord,
     progress: &mut Progress,
     outcome: RunOutcome,
 ) -> NextStep {
     let RunOutcome { result, load } = outcome;
     let refusal = match result {
-        Ok(answer) if is_final(outbound.route, &answer, &load) => {
+        Ok(answer) if is_final(&outbound.route, &answer, &load) => {
             return NextStep::Answer(answer);
         }
         Ok(answer) => {
@@ -211,7 +211,7 @@
 
 fn next_step(
     node: &RelayNode,
-    outbound: &Outbound<'_>,
+    outbound: &Outbound,
     progress: &Progress,
     refusal: &Refusal,
 ) -> NextStep {
@@ -241,12 +241,7 @@
 }
 
 /// Learns the admission floor that came with an answer.
-fn learn_floor(
-    node: &RelayNode,
-    outbound: &Outbound<'_>,
-    destination: &NodeRecord,
-    load: &LoadNotice,
-) {
+fn learn_floor(node: &RelayNode, outbound: &Outbound, destination: &NodeRecord, load: &LoadNotice) {
     let (floors, route) = match &outbound.parent {
         Some(parent) => (&node.onward_floors, &parent.terms.route),
         None => (&node.entry_floors, &outbound.terms.route),
@@ -259,7 +254,7 @@
 }
 
 /// Chooses a node of the service that was not tried yet.
-fn choose(node: &RelayNode, outbound: &Outbound<'_>, tried: &[NodeId]) -> Option<NodeRecord> {
+fn choose(node: &RelayNode, outbound: &Outbound, tried: &[NodeId]) -> Option<NodeRecord> {
     let members = node.members();
     let unreachable = members
         .serving(&outbound.service)
@@ -271,7 +266,7 @@
         members: &members,
         zones: &node.zones,
         excluded: &excluded,
-        zone_trip: zone_trip(outbound.route),
+        zone_trip: zone_trip(&outbound.route),
         now: node.clock.now(),
     };
     node.router.lock().choose(&outbound.service, &context)
@@ -286,7 +281,7 @@
 
 async fn attempt(
     node: &Arc<RelayNode>,
-    outbound: &Outbound<'_>,
+    outbound: &Outbound,
     destination: &NodeRecord,
     kind: AttemptKind,
 ) -> RunOutcome {
@@ -304,7 +299,8 @@
     };
     let exchange = async {
         match destination.id == node.settings.raw.node {
-            true => run(node, &terms, outbound.request.clone()).await,
+            // Boxed, so that a request at another node does not hold room for a run at this one.
+            true => Box::pin(run(node, &terms, outbound.request.clone())).await,
             false => match send(node, outbound, destination, &terms).await {
                 Ok(outcome) => outcome,
                 Err(refusal) => without_load(Err(refusal)),
@@ -328,7 +324,7 @@
 
 async fn send(
     node: &Arc<RelayNode>,
-    outbound: &Outbound<'_>,
+    outbound: &Outbound,
     destination: &NodeRecord,
     terms: &RequestTerms,
 ) -> Result<RunOutcome, Refusal> {
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -15,6 +15,7 @@
 use snafu::Snafu;
 
 use super::confirmation::Voucher;
+use super::link::READ_BYTES;
 use crate::process::gate::FloorNotice;
 use crate::request::Refusal;
 use crate::values::Importance;
@@ -184,6 +185,9 @@
 
 /// Longest frame: the largest body that a configuration may allow, with headers.
 const FRAME_BYTES_MAX: usize = 80 * 1_024 * 1_024;
+/// Longest body that is copied out of the bytes read from a connection, a quarter of what is read
+/// at once: a request in flight with a shorter one would hold all of them.
+const SHARED_BODY_BYTES_MIN: usize = READ_BYTES / 4;
 /// Bytes of the two lengths before the head.
 const LENGTHS_BYTES: usize = 8;
 
@@ -221,7 +225,10 @@
         let mut frame = received.split_to(rest_bytes + 4);
         frame.advance(LENGTHS_BYTES);
         let head = frame.split_to(head_bytes).freeze();
-        let body = frame.freeze();
+        let body = match frame.len() > SHARED_BODY_BYTES_MIN {
+            true => frame.freeze(),
+            false => Bytes::copy_from_slice(&frame),
+        };
         Ok(Some(Self { head, body }))
     }
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -42,6 +42,7 @@
 mod test_rates_whole;
 mod test_relay_decisions;
 mod test_relay_fleet;
+mod test_relay_memory;
 mod test_routing;
 mod test_secret;
 mod test_strangers;
