relay: close idle connections of callers after two seconds, apart from slow headers

The limit for idle connections was that for headers, so that it could not fall without cutting slow writers off.

Change: the listener closes a connection some time after its last answer, apart from the time for headers. Callers are told one second, the close comes after two.

--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -16,11 +16,13 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use parking_lot::Mutex;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use volo_http::body::Body;
@@ -37,6 +39,8 @@
         pub connections_max: u32,
         /// Longest time that a client may take for the headers of a request.
         pub header_timeout_ms: u64,
+        /// A connection without a request for this time after an answer is closed.
+        pub idle_timeout_ms: u64,
         /// Most bytes in the headers of a request.
         pub header_bytes_max: usize,
     }
@@ -149,6 +153,27 @@
     Some((stream, permit))
 }
 
+/// When the last request of a connection was answered; none while one is in flight, and before the
+/// first one.
+#[derive(Default)]
+struct IdleSince(Mutex<Option<Instant>>);
+
+impl IdleSince {
+    /// Returns once the connection has been without a request for `limit` after an answer.
+    async fn wait_for(&self, limit: Duration) {
+        let mut wait = limit;
+        loop {
+            tokio::time::sleep(wait).await;
+            let idle = self.0.lock().map(|since| since.elapsed());
+            wait = match idle {
+                None => limit,
+                Some(idle) if idle < limit => limit - idle,
+                Some(_) => return,
+            };
+        }
+    }
+}
+
 async fn serve_connection<H, F>(
     stream: TcpStream,
     limits: ListenerLimits,
@@ -158,9 +183,17 @@
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
+    let idle_since = Arc::new(IdleSince::default());
+    let answered = Arc::clone(&idle_since);
     let service = service_fn(move |request: http::Request<Incoming>| {
+        *answered.0.lock() = None;
         let answer = handler(request.map(Body::from_incoming));
-        async move { Ok::<_, Infallible>(answer.await) }
+        let answered = Arc::clone(&answered);
+        async move {
+            let answer = answer.await;
+            *answered.0.lock() = Some(Instant::now());
+            Ok::<_, Infallible>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -172,6 +205,9 @@
     tokio::select! {
         _ = connection.as_mut() => return,
         () = stopping.cancelled() => connection.as_mut().graceful_shutdown(),
+        () = idle_since.wait_for(Duration::from_millis(limits.idle_timeout_ms)) => {
+            connection.as_mut().graceful_shutdown();
+        }
     }
     let _ = connection.await;
 }
--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -242,6 +242,7 @@
     ListenerLimits {
         connections_max: INNER_CONNECTIONS_MAX,
         header_timeout_ms: INNER_HEADER_TIMEOUT_MS,
+        idle_timeout_ms: INNER_HEADER_TIMEOUT_MS,
         header_bytes_max: HEADER_BYTES_MAX,
     }
 }
@@ -250,6 +251,7 @@
     let limits = ListenerLimits {
         connections_max,
         header_timeout_ms: node.settings.client_timeout_ms,
+        idle_timeout_ms: node.settings.client_timeout_ms,
         ..inner_limits()
     };
     let node = Arc::clone(node);
--- a/lib/src/process/relay/caller_answers.rs
+++ b/lib/src/process/relay/caller_answers.rs
@@ -20,12 +20,14 @@
 const RETRY_AFTER_MS: std::ops::Range<f64> = 50.0..400.0;
 /// Name of the header that tells how long an idle connection may be used.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-/// Time for which callers may use an idle connection, in seconds: idle connections of callers that
-/// come back on new ones would fill the memory.
-const KEEP_ALIVE_VALUE: &str = "timeout=3";
-/// Time after which an idle connection is closed, long enough that no request crosses the close.
-/// It also bounds the time for the headers of a request.
-pub(super) const IDLE_TIMEOUT_MS: u64 = 5_000;
+/// Time for which callers may use an idle connection, in seconds, the least that the header can
+/// say: idle connections of callers that come back on new ones would fill the memory.
+const KEEP_ALIVE_VALUE: &str = "timeout=1";
+/// Time after which an idle connection is closed: twice what callers are told, so that no request
+/// crosses the close.
+pub(super) const IDLE_TIMEOUT_MS: u64 = 2_000;
+/// Longest time for the headers of a request, or until the first one.
+pub(super) const HEADER_TIMEOUT_MS: u64 = 5_000;
 
 /// Makes the response that passes a backend server's answer on.
 pub(super) fn answer_response(answer: WholeAnswer) -> Response {
--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -12,6 +12,7 @@
 use volo_http::body::Body;
 use volo_http::response::Response;
 
+use super::caller_answers::HEADER_TIMEOUT_MS;
 use super::caller_answers::IDLE_TIMEOUT_MS;
 use super::callers::handle_caller;
 use super::entry::keep_entry;
@@ -173,7 +174,8 @@
     let defaults = CallerLimits::default();
     let limits = ListenerLimits {
         connections_max: CALLER_CONNECTIONS_MAX,
-        header_timeout_ms: IDLE_TIMEOUT_MS,
+        header_timeout_ms: HEADER_TIMEOUT_MS,
+        idle_timeout_ms: IDLE_TIMEOUT_MS,
         header_bytes_max: defaults.header_bytes_max,
     };
     let node = Arc::clone(node);
@@ -188,6 +190,7 @@
     ListenerLimits {
         connections_max: SMALL_CONNECTIONS_MAX,
         header_timeout_ms: SMALL_IDLE_TIMEOUT_MS,
+        idle_timeout_ms: SMALL_IDLE_TIMEOUT_MS,
         header_bytes_max: CallerLimits::default().header_bytes_max,
     }
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -14,6 +14,7 @@
 mod test_gate_queue;
 mod test_http_input;
 mod test_keys;
+mod test_listener;
 mod test_load_control;
 mod test_membership_cuts;
 mod test_membership_datagrams;
--- /dev/null
+++ b/lib/tests/test_listener.rs
@@ -0,0 +1,69 @@
+//! Connections that a listener keeps or closes.
+
+use std::time::Duration;
+
+use balsamfold::connection::Listener;
+use balsamfold::connection::ListenerLimits;
+use balsamfold::connection::Serving;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+const IDLE_TIMEOUT: Duration = Duration::from_millis(50);
+const LONGER_THAN_IDLE: Duration = Duration::from_millis(200);
+
+/// Serves requests that take `duration` each.
+async fn serve(duration: Duration) -> (Serving, TcpStream) {
+    let listener = Listener::bind("127.0.0.1:0".parse().unwrap())
+        .await
+        .unwrap();
+    let address = listener.address();
+    let limits = ListenerLimits {
+        connections_max: 10,
+        header_timeout_ms: 60_000,
+        idle_timeout_ms: IDLE_TIMEOUT.as_millis() as u64,
+        header_bytes_max: 64 * 1_024,
+    };
+    let serving = listener.serve(limits, move |_| async move {
+        tokio::time::sleep(duration).await;
+        Response::new(Body::from("whole"))
+    });
+    (serving, TcpStream::connect(address).await.unwrap())
+}
+
+#[tokio::test]
+async fn a_connection_is_closed_some_time_after_its_last_answer() {
+    let (_serving, mut stream) = serve(Duration::ZERO).await;
+    stream.write_all(REQUEST).await.unwrap();
+    let mut received = String::new();
+    stream.read_to_string(&mut received).await.unwrap();
+    assert!(received.starts_with("HTTP/1.1 200 OK"), "{received}");
+    assert!(received.ends_with("whole"), "{received}");
+}
+
+#[tokio::test]
+async fn a_request_that_takes_longer_than_the_idle_timeout_is_answered() {
+    let (_serving, mut stream) = serve(LONGER_THAN_IDLE).await;
+    for _ in 0..2 {
+        stream.write_all(REQUEST).await.unwrap();
+        let mut received = vec![0; 1_024];
+        let bytes = stream.read(&mut received).await.unwrap();
+        let received = String::from_utf8_lossy(&received[..bytes]);
+        assert!(received.ends_with("whole"), "{received}");
+    }
+}
+
+#[tokio::test]
+async fn the_first_request_may_take_longer_than_the_idle_timeout() {
+    let (_serving, mut stream) = serve(Duration::ZERO).await;
+    let (first, second) = REQUEST.split_at(10);
+    stream.write_all(first).await.unwrap();
+    tokio::time::sleep(LONGER_THAN_IDLE).await;
+    stream.write_all(second).await.unwrap();
+    let mut received = String::new();
+    stream.read_to_string(&mut received).await.unwrap();
+    assert!(received.ends_with("whole"), "{received}");
+}
--- a/testutils/src/backend_server/server.rs
+++ b/testutils/src/backend_server/server.rs
@@ -172,6 +172,7 @@
         let limits = ListenerLimits {
             connections_max: plan.connections,
             header_timeout_ms: BODY_TIMEOUT.as_millis() as u64,
+            idle_timeout_ms: BODY_TIMEOUT.as_millis() as u64,
             header_bytes_max: 64 * 1_024,
         };
         let shared = Arc::new(Shared {
--- a/testutils/src/relay/server.rs
+++ b/testutils/src/relay/server.rs
@@ -98,6 +98,7 @@
         let limits = ListenerLimits {
             connections_max: 256,
             header_timeout_ms: 30_000,
+            idle_timeout_ms: 30_000,
             header_bytes_max: 65_536,
         };
         let address = listener.address();
