relay: nodes without a server no longer open the gates of the others

Cause of a part of it: from 24 to 30 s one of three delivery-slot servers was left. Requests were refused by its gate, tried at a node that had lost its server, and the floor of that node was learnt as open; the lower median over nodes was open, so entries took all requests, and the chain above ran them in vain (769 failed in two seconds, 74 refused). Excluded: lost notices (the overloaded node's floor came), the budget of retries.

Change: a refusal by a node without a server that takes work tells no floor. The log names why a request is not tried elsewhere (next=none-...).

--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -1,5 +1,6 @@
 //! Passes a request to a node of its service, and tries others where that is allowed.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -80,7 +81,37 @@
 enum NextStep {
     Answer(WholeAnswer),
     TryAnother,
-    GiveUp,
+    GiveUp(GiveUpReason),
+}
+
+/// Why a request is not tried at another node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum GiveUpReason {
+    /// It may have run, and may run once only.
+    MayHaveRun,
+    /// Too little time is left.
+    Time,
+    /// As many nodes were tried as may be.
+    Nodes,
+    /// As many nodes refused it as may be asked under overload.
+    Overload,
+    /// As many servers were tried as its route allows.
+    Attempts,
+    /// The retries that its service may get are used up.
+    RetryBudget,
+}
+
+impl fmt::Display for GiveUpReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::MayHaveRun => "none-may-have-run",
+            Self::Time => "none-time",
+            Self::Nodes => "none-nodes",
+            Self::Overload => "none-overload",
+            Self::Attempts => "none-attempts",
+            Self::RetryBudget => "none-retry-budget",
+        })
+    }
 }
 
 /// Passes a request to nodes of its service until one gives a final answer.
@@ -100,11 +131,11 @@
             is_last_resort: false,
         };
         let outcome = Box::pin(attempt(node, outbound, &destination, kind)).await;
-        learn_floor(node, outbound, &destination, &outcome.load);
+        learn_floor(node, outbound, &destination, &outcome);
         match judge(node, outbound, &destination, &mut progress, outcome) {
             NextStep::Answer(answer) => return Ok(answer),
             NextStep::TryAnother => {}
-            NextStep::GiveUp => break,
+            NextStep::GiveUp(_) => break,
         }
     }
     if progress.arrivals == 0
@@ -200,9 +231,9 @@
         refusal.reason,
         refusal.verdict,
         progress.tried.len(),
-        match step {
-            NextStep::TryAnother => "another",
-            NextStep::Answer(_) | NextStep::GiveUp => "none",
+        match &step {
+            NextStep::GiveUp(reason) => reason.to_string(),
+            NextStep::TryAnother | NextStep::Answer(_) => "another".to_owned(),
         }
     ));
     progress.last_refusal = Some(refusal);
@@ -218,18 +249,20 @@
     let remaining = outbound.deadline.since(node.clock.now());
     let may_repeat = outbound.route.repeatability == Repeatability::Idempotent
         || progress.verdict == Some(Verdict::NotRun);
-    match refusal.reason {
-        _ if !may_repeat || remaining < ATTEMPT_USEFUL_MIN => NextStep::GiveUp,
-        _ if progress.tried.len() >= TRIED_NODES_MAX => NextStep::GiveUp,
-        RefusalReason::DeadlineExceeded => NextStep::GiveUp,
+    let reason = match refusal.reason {
+        _ if !may_repeat => GiveUpReason::MayHaveRun,
+        RefusalReason::DeadlineExceeded => GiveUpReason::Time,
+        _ if remaining < ATTEMPT_USEFUL_MIN => GiveUpReason::Time,
+        _ if progress.tried.len() >= TRIED_NODES_MAX => GiveUpReason::Nodes,
         RefusalReason::Overloaded if progress.refusing_nodes >= REFUSING_NODES_MAX => {
-            NextStep::GiveUp
+            GiveUpReason::Overload
         }
-        _ if progress.arrivals == 0 => NextStep::TryAnother,
-        _ if progress.arrivals >= outbound.route.attempts_max => NextStep::GiveUp,
-        _ if !node.try_retry(&outbound.service) => NextStep::GiveUp,
-        _ => NextStep::TryAnother,
-    }
+        _ if progress.arrivals == 0 => return NextStep::TryAnother,
+        _ if progress.arrivals >= outbound.route.attempts_max => GiveUpReason::Attempts,
+        _ if !node.try_retry(&outbound.service) => GiveUpReason::RetryBudget,
+        _ => return NextStep::TryAnother,
+    };
+    NextStep::GiveUp(reason)
 }
 
 /// Returns whether an answer goes to the caller without another attempt.
@@ -241,12 +274,20 @@
 }
 
 /// Learns the admission floor that came with an answer.
-fn learn_floor(node: &RelayNode, outbound: &Outbound, destination: &NodeRecord, load: &LoadNotice) {
+fn learn_floor(
+    node: &RelayNode,
+    outbound: &Outbound,
+    destination: &NodeRecord,
+    outcome: &RunOutcome,
+) {
+    let refused = outcome.result.as_ref().err().map(|refusal| refusal.reason);
+    let Some(notice) = outcome.load.heard_floor(refused) else {
+        return;
+    };
     let (floors, route) = match &outbound.parent {
         Some(parent) => (&node.onward_floors, &parent.terms.route),
         None => (&node.entry_floors, &outbound.terms.route),
     };
-    let notice = load.floor.clone().unwrap_or_default();
     let now = node.clock.now();
     floors
         .lock()
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -18,6 +18,7 @@
 use super::link::READ_BYTES;
 use crate::process::gate::FloorNotice;
 use crate::request::Refusal;
+use crate::request::RefusalReason;
 use crate::values::Importance;
 use crate::values::NodeId;
 use crate::values::OrganisationId;
@@ -104,6 +105,25 @@
     }
 }
 
+impl LoadNotice {
+    /// Returns the floor that an answer, or a refusal for a reason, tells of its node.
+    ///
+    /// A node without a server that takes work tells none. It must not be taken for one whose gate
+    /// is open: the floors of the nodes that are left would not count.
+    pub fn heard_floor(&self, refused: Option<RefusalReason>) -> Option<FloorNotice> {
+        let serves = !matches!(
+            refused,
+            Some(
+                RefusalReason::NoServer
+                    | RefusalReason::Draining
+                    | RefusalReason::ServerFailing
+                    | RefusalReason::DeadlineExceeded
+            )
+        );
+        self.floor.clone().or(serves.then(FloorNotice::default))
+    }
+}
+
 /// The head of a message between nodes.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Head<'a> {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -43,6 +43,7 @@
 mod test_rates_whole;
 mod test_relay_decisions;
 mod test_relay_fleet;
+mod test_relay_floors;
 mod test_relay_memory;
 mod test_routing;
 mod test_secret;
