--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -54,7 +54,7 @@
 const RETRY_BURST: u64 = 2;
 /// Part of the operators' retry ratio that a node uses: calls that a repeated run makes count as
 /// repeats, too.
-const RETRY_RATIO_USED: f64 = 0.7;
+const RETRY_RATIO_USED: f64 = 0.4;
 
 /// The state that all requests of a relay share.
 ///
