tests: late writes of the store, and what callers are told of idle connections

The adapter sends a write without an answer once and leaves its connection; the relay writes its entry again when an older write replaced it late.

--- a/testutils/src/relay/store.rs
+++ b/testutils/src/relay/store.rs
@@ -108,6 +108,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns the value stored under `key`.
+    pub fn value(&self, key: &str) -> Option<Bytes> {
+        let content = self.content.lock();
+        content.items.get(key).map(|(item, _)| item.value.clone())
+    }
+
     /// Returns the keys that begin with `prefix`.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let content = self.content.lock();
