--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -4,3 +4,4 @@
 mod test_configuration;
 mod test_keys;
 mod test_nodes;
+mod test_relay_settings;
--- /dev/null
+++ b/cli/tests/test_relay_settings.rs
@@ -0,0 +1,86 @@
+//! Checking a relay's settings without any call.
+
+use insta::assert_snapshot;
+
+use crate::desk::Desk;
+use crate::desk::run;
+
+const GOOD: &str = r#"
+node = "side-1"
+zone = "bello"
+service = "stock"
+server_address = "127.0.0.1:8080"
+store_address = "127.0.0.1:2379"
+
+[listen]
+callers = "127.0.0.1:1"
+peers = "127.0.0.1:2"
+ready = "127.0.0.1:3"
+reports = "127.0.0.1:4"
+
+[zones]
+bello = "antioquia"
+
+[bounds]
+configuration_apply_ms = 2000
+key_withdrawal_ms = 5000
+key_withdrawal_is_strict = true
+stop_grace_s = 6
+retry_ratio = 0.2
+"#;
+
+async fn check(name: &str, text: &str) -> String {
+    let desk = Desk::new(name).await;
+    let folder = desk.write("settings", "relay.toml", text);
+    let file = format!("{folder}/relay.toml");
+    run(&["check", "--relay", &file]).await.text()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn good_settings_are_described() {
+    assert_snapshot!(check("relay-good", GOOD).await, @r#"
+    exit 0
+    the settings are good: node side-1 beside a server of stock in bello
+    "#);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_values_that_do_not_fit_are_named_at_once() {
+    let wrong = GOOD
+        .replace("zone = \"bello\"", "zone = \"itagui\"")
+        .replace("stop_grace_s = 6", "stop_grace_s = 0.5")
+        .replace("retry_ratio = 0.2", "retry_ratio = 2");
+    assert_snapshot!(check("relay-values", &wrong).await, @r#"
+    exit 2
+    error: the settings have 3 problem(s)
+      relay.toml: zone: "itagui" is none of `zones`
+      relay.toml: bounds.stop_grace_s: must be at least 1
+      relay.toml: bounds.retry_ratio: must be from 0 to 1
+    hint: correct the named settings; docs/relay-settings.md lists what is allowed
+    "#);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_settings_are_named_with_their_line() {
+    let wrong = GOOD.replace("stop_grace_s", "stop_grace");
+    assert_snapshot!(check("relay-syntax", &wrong).await, @r#"
+    exit 2
+    error: the settings have 1 problem(s)
+      relay.toml: TOML parse error at line 21, column 1
+       |
+    21 | stop_grace = 6
+       | ^^^^^^^^^^
+    unknown field `stop_grace`, expected one of `configuration_apply_ms`, `key_withdrawal_ms`, `key_withdrawal_is_strict`, `stop_grace_s`, `retry_ratio`
+    hint: correct the named settings; docs/relay-settings.md lists what is allowed
+    "#);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_missing_file_is_named() {
+    let ended = run(&["check", "--relay", "/nonexistent/relay.toml"]).await;
+    assert_snapshot!(ended.text(), @r#"
+    exit 2
+    error: /nonexistent/relay.toml: No such file or directory (os error 2)
+    hint: give the path of a relay's settings file
+    "#);
+}
--- /dev/null
+++ b/lib/tests/test_relay_limits.rs
@@ -0,0 +1,39 @@
+//! Limits of concurrency and of retries.
+
+use std::time::Duration;
+
+use balsamfold::process::gate::AdaptiveLimit;
+use balsamfold::process::gate::Completion;
+use balsamfold::process::gate::Outcome;
+use balsamfold::request::RetryRatio;
+use balsamfold::values::MonotonicTime;
+use balsamfold::values::SlotCount;
+
+fn at_ms(ms: u64) -> MonotonicTime {
+    MonotonicTime(ms * 1_000)
+}
+
+#[test]
+fn fixed_limit_stays_at_what_was_announced() {
+    let mut limit = AdaptiveLimit::fixed(SlotCount(10), at_ms(0));
+    for step in 0..200 {
+        let refused = Completion {
+            outcome: Outcome::ServerRefused,
+            held: Duration::from_millis(50),
+            onward: Duration::ZERO,
+        };
+        limit.finished(&refused, at_ms(step * 20));
+    }
+    assert_eq!(limit.slots(), 10);
+    limit.announce(SlotCount(20));
+    assert_eq!(limit.slots(), 20);
+}
+
+#[test]
+fn repeats_made_anyway_use_up_the_retries() {
+    let mut ratio = RetryRatio::new(100, 2);
+    ratio.take_anyway();
+    ratio.take_anyway();
+    ratio.take_anyway();
+    assert!(!ratio.try_retry());
+}
--- /dev/null
+++ b/lib/tests/test_relay_registration.rs
@@ -0,0 +1,81 @@
+//! Reports of the backend server beside a node, in any order.
+
+use balsamfold::process::relay::Registration;
+use balsamfold::process::relay::ReportEffect;
+use balsamfold::process::relay::ServerReport;
+use balsamfold::values::SlotCount;
+use balsamfold::values::WallTime;
+
+fn report(id: &str, born_ms: u64, sequence: u64, is_draining: bool) -> ServerReport {
+    ServerReport {
+        server_id: id.to_owned(),
+        born_ms,
+        sequence,
+        service: "stock".parse().expect("valid name"),
+        address: "127.0.0.1:1".parse().expect("valid address"),
+        slots: SlotCount(8),
+        is_draining,
+    }
+}
+
+#[test]
+fn late_report_does_not_undo_draining() {
+    let mut registration = Registration::default();
+    assert_eq!(
+        registration.report(&report("a", 1, 1, false)),
+        ReportEffect::NewLife
+    );
+    assert_eq!(
+        registration.report(&report("a", 1, 3, true)),
+        ReportEffect::BeganDraining
+    );
+    assert_eq!(
+        registration.report(&report("a", 1, 2, false)),
+        ReportEffect::Outdated
+    );
+}
+
+#[test]
+fn report_of_a_former_life_changes_nothing() {
+    let mut registration = Registration::default();
+    registration.report(&report("b", 20, 1, false));
+    assert_eq!(
+        registration.report(&report("a", 10, 9, false)),
+        ReportEffect::Outdated
+    );
+}
+
+#[test]
+fn same_id_born_again_is_a_new_life() {
+    let mut registration = Registration::default();
+    registration.report(&report("a", 10, 9, true));
+    assert_eq!(
+        registration.report(&report("a", 20, 1, false)),
+        ReportEffect::NewLife
+    );
+}
+
+#[test]
+fn server_that_left_does_not_come_back_by_a_late_report() {
+    let mut registration = Registration::default();
+    registration.report(&report("a", 10, 1, false));
+    assert!(registration.leave("a", WallTime(15)));
+    assert_eq!(
+        registration.report(&report("a", 10, 2, false)),
+        ReportEffect::Outdated
+    );
+}
+
+#[test]
+fn departure_is_remembered_though_no_report_came_before_it() {
+    let mut registration = Registration::default();
+    assert!(!registration.leave("a", WallTime(15)));
+    assert_eq!(
+        registration.report(&report("a", 10, 2, false)),
+        ReportEffect::Outdated
+    );
+    assert_eq!(
+        registration.report(&report("a", 20, 1, false)),
+        ReportEffect::NewLife
+    );
+}
--- /dev/null
+++ b/lib/tests/test_relay_traffic.rs
@@ -0,0 +1,101 @@
+//! Splits, routes and ranks of a traffic plan.
+
+use balsamfold::process::relay::SplitState;
+use balsamfold::values::ConfigVersion;
+use balsamfold::values::OrganisationId;
+use balsamfold::values::RatePerSecond;
+use balsamfold::values::TokenCount;
+use balsamfold::version::HostRoutes;
+use balsamfold::version::OrganisationTerms;
+use balsamfold::version::PlannedRoute;
+use balsamfold::version::Priority;
+use balsamfold::version::Repeatability;
+use balsamfold::version::TrafficPlan;
+use balsamfold::version::WeightedService;
+
+fn organisation() -> OrganisationId {
+    "org-a".parse().expect("valid name")
+}
+
+fn terms(rate: u32, burst: u64) -> OrganisationTerms {
+    OrganisationTerms {
+        id: organisation(),
+        rate_per_s: Some(RatePerSecond(rate)),
+        burst: TokenCount(burst),
+        priority: Priority(1),
+    }
+}
+
+fn route(name: &str, targets: &[(&str, u32)]) -> PlannedRoute {
+    let targets = targets.iter().map(|(service, weight)| WeightedService {
+        service: service.parse().expect("valid name"),
+        weight: *weight,
+    });
+    PlannedRoute {
+        name: name.to_owned(),
+        targets: targets.collect(),
+        repeatability: Repeatability::Idempotent,
+        timeout_ms: 1_000,
+        latency_objective_ms: 100,
+        attempts_max: 2,
+        priority: Priority(2),
+        is_open: false,
+    }
+}
+
+#[test]
+fn split_follows_its_weights_exactly() {
+    let route = route("r", &[("a", 90), ("b", 10)]);
+    let mut split = SplitState::default();
+    let chosen: Vec<_> = (0..200).filter_map(|_| split.choose(&route)).collect();
+    let of_b = chosen.iter().filter(|service| service.as_str() == "b");
+    let count = of_b.count();
+    assert!((19..=21).contains(&count), "{count} of 200");
+}
+
+#[test]
+fn split_follows_changed_weights_at_once() {
+    let mut split = SplitState::default();
+    split.choose(&route("r", &[("a", 90), ("b", 10)]));
+    let changed = route("r", &[("b", 1)]);
+    let chosen = split.choose(&changed);
+    assert_eq!(chosen.map(|service| service.to_string()), Some("b".into()));
+}
+
+#[test]
+fn longest_prefix_that_begins_the_path_wins() {
+    let mut plan = TrafficPlan::new(ConfigVersion(1));
+    let routes = [
+        ("/a/".to_owned(), route("short", &[("s", 1)])),
+        ("/a/b/".to_owned(), route("long", &[("s", 1)])),
+    ];
+    plan.hosts
+        .insert("shop".to_owned(), HostRoutes::new(routes));
+    let name = |path| plan.route_of("shop", path).map(|route| route.name.clone());
+    assert_eq!(name("/a/x"), Some("short".to_owned()));
+    assert_eq!(name("/a/b/c/d"), Some("long".to_owned()));
+    assert_eq!(name("/a/bc"), Some("short".to_owned()));
+    assert_eq!(name("/a"), None);
+    assert_eq!(name("/"), None);
+    assert!(plan.route_of("other", "/a/x").is_none());
+}
+
+#[test]
+fn rank_of_the_organisation_goes_before_that_of_the_route() {
+    let urgent = PlannedRoute {
+        priority: Priority(0),
+        ..route("urgent", &[("s", 1)])
+    };
+    let common = route("common", &[("s", 1)]);
+    let low = terms(1, 1);
+    let high = OrganisationTerms {
+        priority: Priority(0),
+        ..terms(1, 1)
+    };
+    assert!(urgent.importance_for(Some(&low)) > common.importance_for(Some(&low)));
+    assert!(common.importance_for(Some(&high)) > urgent.importance_for(Some(&low)));
+    assert_eq!(
+        common.importance_for(None),
+        common.importance_for(Some(&high))
+    );
+}
