--- /dev/null
+++ b/node/tests/runner.rs
@@ -0,0 +1,3 @@
+//! The one test binary of the programs beside backend servers.
+
+mod test_slow_log_reader;
--- /dev/null
+++ b/node/tests/test_slow_log_reader.rs
@@ -0,0 +1,108 @@
+//! A relay whose log nobody reads.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::PipeReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use rustix::pipe::fcntl_setpipe_size;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+
+/// The least that the operating system allows: some 25 lines of the log.
+const PIPE_BYTES: usize = 4_096;
+/// Refused requests, each of which is worth a line: more than the pipe holds.
+const REQUESTS: usize = 300;
+
+/// Nothing listens at the store's address, so that the relay has no configuration.
+const SETTINGS: &str = r#"
+node = "side-1"
+zone = "bello"
+service = "stock"
+server_address = "127.0.0.1:1"
+store_address = "127.0.0.1:1"
+
+[listen]
+callers = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+ready = "127.0.0.1:0"
+reports = "127.0.0.1:0"
+
+[zones]
+bello = "antioquia"
+
+[bounds]
+configuration_apply_ms = 2000
+key_withdrawal_ms = 5000
+key_withdrawal_is_strict = true
+stop_grace_s = 1
+retry_ratio = 0.2
+"#;
+
+/// A relay that is killed when the test ends.
+struct Relay(Child);
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn start() -> (Relay, BufReader<PipeReader>) {
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("slow-log-reader.toml");
+    std::fs::write(&file, SETTINGS).unwrap();
+    let (reader, writer) = std::io::pipe().unwrap();
+    fcntl_setpipe_size(&writer, PIPE_BYTES).unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_balsamfold-relay"))
+        .arg("--settings")
+        .arg(&file)
+        .stdout(Stdio::from(writer))
+        .spawn()
+        .unwrap();
+    (Relay(child), BufReader::new(reader))
+}
+
+/// Reads the log up to the line that names the callers' address.
+fn callers_address(log: &mut BufReader<PipeReader>) -> SocketAddr {
+    let mut line = String::new();
+    while log.read_line(&mut line).unwrap() > 0 {
+        if let Some((_, rest)) = line.split_once("callers=") {
+            let address = rest.split(['"', ' ']).next().unwrap();
+            return address.parse().unwrap();
+        }
+        line.clear();
+    }
+    panic!("the log ended before the relay had started");
+}
+
+fn ask(address: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    let request = b"GET /a/ HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    stream.write_all(request).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+#[test]
+fn requests_are_answered_and_the_relay_stops_while_nobody_reads_its_log() {
+    let (mut relay, mut log) = start();
+    let address = callers_address(&mut log);
+    for _ in 0..REQUESTS {
+        let answer = ask(address);
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    }
+    let id = Pid::from_child(&relay.0);
+    kill_process(id, Signal::TERM).unwrap();
+    assert!(relay.0.wait().unwrap().success());
+}
