--- a/lib/src/process/relay/caller_answers.rs
+++ b/lib/src/process/relay/caller_answers.rs
@@ -20,8 +20,8 @@
 const RETRY_AFTER_MS: std::ops::Range<f64> = 50.0..400.0;
 /// Name of the header that tells how long an idle connection may be used.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-/// Time for which callers may use an idle connection, in seconds, the least that the header can
-/// say: idle connections of callers that come back on new ones would fill the memory.
+/// Time for which callers may use an idle connection, in whole seconds: the shortest that lets them
+/// use it again. Idle connections of callers that come back on new ones would fill the memory.
 const KEEP_ALIVE_VALUE: &str = "timeout=1";
 /// Time after which an idle connection is closed: twice what callers are told, so that no request
 /// crosses the close.
