--- a/cli/tests/test_relay_settings.rs
+++ b/cli/tests/test_relay_settings.rs
@@ -1,34 +1,11 @@
 //! Checking a relay's settings without any call.
 
 use insta::assert_snapshot;
+use testutils::relay::SAMPLE_SETTINGS;
 
 use crate::desk::Desk;
 use crate::desk::run;
 
-const GOOD: &str = r#"
-node = "side-1"
-zone = "bello"
-service = "stock"
-server_address = "127.0.0.1:8080"
-store_address = "127.0.0.1:2379"
-
-[listen]
-callers = "127.0.0.1:1"
-peers = "127.0.0.1:2"
-ready = "127.0.0.1:3"
-reports = "127.0.0.1:4"
-
-[zones]
-bello = "antioquia"
-
-[bounds]
-configuration_apply_ms = 2000
-key_withdrawal_ms = 5000
-key_withdrawal_is_strict = true
-stop_grace_s = 6
-retry_ratio = 0.2
-"#;
-
 async fn check(name: &str, text: &str) -> String {
     let desk = Desk::new(name).await;
     let folder = desk.write("settings", "relay.toml", text);
@@ -38,22 +15,22 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn good_settings_are_described() {
-    assert_snapshot!(check("relay-good", GOOD).await, @r#"
+    assert_snapshot!(check("relay-good", SAMPLE_SETTINGS).await, @r#"
     exit 0
-    the settings are good: node side-1 beside a server of stock in bello
+    the settings are good: node node-1 beside a server of stock in zone-a
     "#);
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn all_values_that_do_not_fit_are_named_at_once() {
-    let wrong = GOOD
-        .replace("zone = \"bello\"", "zone = \"itagui\"")
+    let wrong = SAMPLE_SETTINGS
+        .replace("zone = \"zone-a\"", "zone = \"zone-b\"")
         .replace("stop_grace_s = 6", "stop_grace_s = 0.5")
         .replace("retry_ratio = 0.2", "retry_ratio = 2");
     assert_snapshot!(check("relay-values", &wrong).await, @r#"
     exit 2
     error: the settings have 3 problem(s)
-      relay.toml: zone: "itagui" is none of `zones`
+      relay.toml: zone: "zone-b" is none of `zones`
       relay.toml: bounds.stop_grace_s: must be at least 1
       relay.toml: bounds.retry_ratio: must be from 0 to 1
     hint: correct the named settings; docs/relay-settings.md lists what is allowed
@@ -62,7 +39,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_settings_are_named_with_their_line() {
-    let wrong = GOOD.replace("stop_grace_s", "stop_grace");
+    let wrong = SAMPLE_SETTINGS.replace("stop_grace_s", "stop_grace");
     assert_snapshot!(check("relay-syntax", &wrong).await, @r#"
     exit 2
     error: the settings have 1 problem(s)
--- a/lib/tests/test_relay_allowances.rs
+++ b/lib/tests/test_relay_allowances.rs
@@ -4,31 +4,14 @@
 use balsamfold::process::relay::Allowances;
 use balsamfold::values::ConfigVersion;
 use balsamfold::values::MonotonicTime;
-use balsamfold::values::OrganisationId;
-use balsamfold::values::RatePerSecond;
 use balsamfold::values::TokenCount;
 use balsamfold::version::CallerKey;
 use balsamfold::version::OrganisationTerms;
-use balsamfold::version::Priority;
 use balsamfold::version::TrafficPlan;
 use proptest::prelude::*;
-
-fn at_ms(ms: u64) -> MonotonicTime {
-    MonotonicTime(ms * 1_000)
-}
-
-fn organisation() -> OrganisationId {
-    "org-a".parse().expect("valid name")
-}
-
-fn terms(rate: u32, burst: u64) -> OrganisationTerms {
-    OrganisationTerms {
-        id: organisation(),
-        rate_per_s: Some(RatePerSecond(rate)),
-        burst: TokenCount(burst),
-        priority: Priority(1),
-    }
-}
+use testutils::relay::at_ms;
+use testutils::relay::organisation_terms;
+use testutils::relay::sample_organisation;
 
 fn plan_with(terms: OrganisationTerms) -> TrafficPlan {
     let mut plan = TrafficPlan::new(ConfigVersion(1));
@@ -37,12 +20,12 @@
 }
 
 fn granted(allowances: &mut Allowances, now: MonotonicTime) -> bool {
-    allowances.take(&organisation(), now) == AllowanceDecision::Granted
+    allowances.take(&sample_organisation(), now) == AllowanceDecision::Granted
 }
 
 #[test]
 fn shares_of_all_nodes_stay_within_the_allowance() {
-    let plan = plan_with(terms(100, 50));
+    let plan = plan_with(organisation_terms(100, 50));
     let mut nodes: Vec<Allowances> = (0..5).map(|_| Allowances::default()).collect();
     for node in &mut nodes {
         node.set_plan(&plan, 5, at_ms(0));
@@ -59,12 +42,12 @@
 #[test]
 fn node_starts_without_tokens_and_without_limit_every_request_runs() {
     let mut limited = Allowances::default();
-    limited.set_plan(&plan_with(terms(100, 50)), 5, at_ms(0));
+    limited.set_plan(&plan_with(organisation_terms(100, 50)), 5, at_ms(0));
     assert!(!granted(&mut limited, at_ms(0)));
     let mut unlimited = Allowances::default();
     let no_limit = OrganisationTerms {
         rate_per_s: None,
-        ..terms(0, 0)
+        ..organisation_terms(0, 0)
     };
     unlimited.set_plan(&plan_with(no_limit), 5, at_ms(0));
     assert!(granted(&mut unlimited, at_ms(0)));
@@ -73,8 +56,8 @@
 #[test]
 fn lowered_limit_takes_away_what_was_saved() {
     let mut allowances = Allowances::default();
-    allowances.set_plan(&plan_with(terms(100, 100)), 1, at_ms(0));
-    allowances.set_plan(&plan_with(terms(5, 5)), 1, at_ms(5_000));
+    allowances.set_plan(&plan_with(organisation_terms(100, 100)), 1, at_ms(0));
+    allowances.set_plan(&plan_with(organisation_terms(5, 5)), 1, at_ms(5_000));
     let run = (0..100)
         .filter(|_| granted(&mut allowances, at_ms(5_000)))
         .count();
@@ -84,27 +67,27 @@
 #[test]
 fn borrowing_pauses_after_nothing_was_lent() {
     let mut allowances = Allowances::default();
-    allowances.set_plan(&plan_with(terms(10, 10)), 5, at_ms(0));
-    assert!(allowances.begin_borrowing(&organisation(), at_ms(0)));
-    assert!(!allowances.begin_borrowing(&organisation(), at_ms(1)));
-    allowances.end_borrowing(&organisation(), TokenCount(0), at_ms(2));
-    assert!(!allowances.begin_borrowing(&organisation(), at_ms(3)));
-    assert!(allowances.begin_borrowing(&organisation(), at_ms(400)));
+    allowances.set_plan(&plan_with(organisation_terms(10, 10)), 5, at_ms(0));
+    assert!(allowances.begin_borrowing(&sample_organisation(), at_ms(0)));
+    assert!(!allowances.begin_borrowing(&sample_organisation(), at_ms(1)));
+    allowances.end_borrowing(&sample_organisation(), TokenCount(0), at_ms(2));
+    assert!(!allowances.begin_borrowing(&sample_organisation(), at_ms(3)));
+    assert!(allowances.begin_borrowing(&sample_organisation(), at_ms(400)));
 }
 
 proptest! {
     #[test]
     fn lending_makes_no_tokens(steps in prop::collection::vec((0_usize..4, 0_usize..4), 1..60)) {
-        let plan = plan_with(terms(40, 40));
+        let plan = plan_with(organisation_terms(40, 40));
         let mut nodes: Vec<Allowances> = (0..4).map(|_| Allowances::default()).collect();
         for node in &mut nodes {
             node.set_plan(&plan, 4, at_ms(0));
         }
         let now = at_ms(60_000);
         for (borrower, lender) in steps {
-            if borrower != lender && nodes[borrower].begin_borrowing(&organisation(), now) {
-                let lent = nodes[lender].lend(&organisation(), now);
-                nodes[borrower].end_borrowing(&organisation(), lent, now);
+            if borrower != lender && nodes[borrower].begin_borrowing(&sample_organisation(), now) {
+                let lent = nodes[lender].lend(&sample_organisation(), now);
+                nodes[borrower].end_borrowing(&sample_organisation(), lent, now);
             }
         }
         let run = nodes
--- a/lib/tests/test_relay_confirmation.rs
+++ b/lib/tests/test_relay_confirmation.rs
@@ -6,11 +6,7 @@
 use balsamfold::process::relay::Voucher;
 use balsamfold::process::relay::VoucherUse;
 use balsamfold::values::ConfigVersion;
-use balsamfold::values::MonotonicTime;
-
-fn at_ms(ms: u64) -> MonotonicTime {
-    MonotonicTime(ms * 1_000)
-}
+use testutils::relay::at_ms;
 
 #[test]
 fn confirmation_counts_from_the_question_not_from_the_answer() {
--- a/lib/tests/test_relay_fleet_view.rs
+++ b/lib/tests/test_relay_fleet_view.rs
@@ -6,12 +6,8 @@
 use balsamfold::process::relay::Fleet;
 use balsamfold::process::relay::StoreRevision;
 use balsamfold::values::Incarnation;
-use balsamfold::values::MonotonicTime;
 use balsamfold::values::NodeId;
-
-fn at_ms(ms: u64) -> MonotonicTime {
-    MonotonicTime(ms * 1_000)
-}
+use testutils::relay::at_ms;
 
 fn record(name: &str, condition: NodeCondition) -> NodeRecord {
     let unused = "127.0.0.1:0".parse().expect("valid address");
--- a/lib/tests/test_relay_limits.rs
+++ b/lib/tests/test_relay_limits.rs
@@ -6,12 +6,8 @@
 use balsamfold::process::gate::Completion;
 use balsamfold::process::gate::Outcome;
 use balsamfold::request::RetryRatio;
-use balsamfold::values::MonotonicTime;
 use balsamfold::values::SlotCount;
-
-fn at_ms(ms: u64) -> MonotonicTime {
-    MonotonicTime(ms * 1_000)
-}
+use testutils::relay::at_ms;
 
 #[test]
 fn fixed_limit_stays_at_what_was_announced() {
--- a/lib/tests/test_relay_settings.rs
+++ b/lib/tests/test_relay_settings.rs
@@ -3,34 +3,11 @@
 use std::time::Duration;
 
 use balsamfold::process::relay::RelaySettings;
-
-const SETTINGS: &str = r#"
-node = "node-1"
-zone = "zone-a"
-service = "stock"
-server_address = "127.0.0.1:1"
-store_address = "127.0.0.1:2"
-
-[listen]
-callers = "127.0.0.1:0"
-peers = "127.0.0.1:0"
-ready = "127.0.0.1:0"
-reports = "127.0.0.1:0"
-
-[zones]
-zone-a = "north"
-
-[bounds]
-configuration_apply_ms = 2000
-key_withdrawal_ms = 5000
-key_withdrawal_is_strict = true
-stop_grace_s = 6
-retry_ratio = 0.2
-"#;
+use testutils::relay::SAMPLE_SETTINGS;
 
 #[test]
 fn settings_are_read() {
-    let settings = RelaySettings::parse(SETTINGS).expect("valid settings");
+    let settings = RelaySettings::parse(SAMPLE_SETTINGS).expect("valid settings");
     assert_eq!(
         settings.raw.bounds.key_confirmation_max(),
         Some(Duration::from_secs(5))
@@ -39,7 +16,7 @@
 
 #[test]
 fn all_faults_of_the_settings_are_reported_at_once() {
-    let text = SETTINGS
+    let text = SAMPLE_SETTINGS
         .replace("zone = \"zone-a\"", "zone = \"zone-b\"")
         .replace("retry_ratio = 0.2", "retry_ratio = 2.0")
         .replace("stop_grace_s = 6", "stop_grace_s = 0.1");
@@ -49,6 +26,6 @@
 
 #[test]
 fn unknown_setting_is_a_fault() {
-    let text = format!("{SETTINGS}unknown = 1\n");
+    let text = format!("{SAMPLE_SETTINGS}unknown = 1\n");
     assert!(RelaySettings::parse(&text).is_err());
 }
--- a/lib/tests/test_relay_traffic.rs
+++ b/lib/tests/test_relay_traffic.rs
@@ -2,9 +2,6 @@
 
 use balsamfold::process::relay::SplitState;
 use balsamfold::values::ConfigVersion;
-use balsamfold::values::OrganisationId;
-use balsamfold::values::RatePerSecond;
-use balsamfold::values::TokenCount;
 use balsamfold::version::HostRoutes;
 use balsamfold::version::OrganisationTerms;
 use balsamfold::version::PlannedRoute;
@@ -12,19 +9,7 @@
 use balsamfold::version::Repeatability;
 use balsamfold::version::TrafficPlan;
 use balsamfold::version::WeightedService;
-
-fn organisation() -> OrganisationId {
-    "org-a".parse().expect("valid name")
-}
-
-fn terms(rate: u32, burst: u64) -> OrganisationTerms {
-    OrganisationTerms {
-        id: organisation(),
-        rate_per_s: Some(RatePerSecond(rate)),
-        burst: TokenCount(burst),
-        priority: Priority(1),
-    }
-}
+use testutils::relay::organisation_terms;
 
 fn route(name: &str, targets: &[(&str, u32)]) -> PlannedRoute {
     let targets = targets.iter().map(|(service, weight)| WeightedService {
@@ -87,10 +72,10 @@
         ..route("urgent", &[("s", 1)])
     };
     let common = route("common", &[("s", 1)]);
-    let low = terms(1, 1);
+    let low = organisation_terms(1, 1);
     let high = OrganisationTerms {
         priority: Priority(0),
-        ..terms(1, 1)
+        ..organisation_terms(1, 1)
     };
     assert!(urgent.importance_for(Some(&low)) > common.importance_for(Some(&low)));
     assert!(common.importance_for(Some(&high)) > urgent.importance_for(Some(&low)));
--- a/node/tests/test_slow_log_reader.rs
+++ b/node/tests/test_slow_log_reader.rs
@@ -16,37 +16,13 @@
 use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::kill_process;
+use testutils::relay::SAMPLE_SETTINGS;
 
 /// The least that the operating system allows: some 25 lines of the log.
 const PIPE_BYTES: usize = 4_096;
 /// Refused requests, each of which is worth a line: more than the pipe holds.
 const REQUESTS: usize = 300;
 
-/// Nothing listens at the store's address, so that the relay has no configuration.
-const SETTINGS: &str = r#"
-node = "side-1"
-zone = "bello"
-service = "stock"
-server_address = "127.0.0.1:1"
-store_address = "127.0.0.1:1"
-
-[listen]
-callers = "127.0.0.1:0"
-peers = "127.0.0.1:0"
-ready = "127.0.0.1:0"
-reports = "127.0.0.1:0"
-
-[zones]
-bello = "antioquia"
-
-[bounds]
-configuration_apply_ms = 2000
-key_withdrawal_ms = 5000
-key_withdrawal_is_strict = true
-stop_grace_s = 1
-retry_ratio = 0.2
-"#;
-
 /// A relay that is killed when the test ends.
 struct Relay(Child);
 
@@ -60,7 +36,7 @@
 
 fn start() -> (Relay, BufReader<PipeReader>) {
     let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("slow-log-reader.toml");
-    std::fs::write(&file, SETTINGS).unwrap();
+    std::fs::write(&file, SAMPLE_SETTINGS).unwrap();
     let (reader, writer) = std::io::pipe().unwrap();
     fcntl_setpipe_size(&writer, PIPE_BYTES).unwrap();
     let child = Command::new(env!("CARGO_BIN_EXE_balsamfold-relay"))
--- a/testutils/src/relay/mod.rs
+++ b/testutils/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Relays in one process, with stand-ins of their store and backend servers.
 
 mod fleet;
+mod samples;
 mod server;
 mod store;
 
@@ -8,6 +9,10 @@
 pub use self::fleet::RelayFleet;
 pub use self::fleet::StoredPlan;
 pub use self::fleet::relay_protocol;
+pub use self::samples::SAMPLE_SETTINGS;
+pub use self::samples::at_ms;
+pub use self::samples::organisation_terms;
+pub use self::samples::sample_organisation;
 pub use self::server::Behaviour;
 pub use self::server::RelayServer;
 pub use self::store::MemoryStore;
--- /dev/null
+++ b/testutils/src/relay/samples.rs
@@ -0,0 +1,53 @@
+//! Values that several tests of relays start from.
+
+use balsamfold::values::MonotonicTime;
+use balsamfold::values::OrganisationId;
+use balsamfold::values::RatePerSecond;
+use balsamfold::values::TokenCount;
+use balsamfold::version::OrganisationTerms;
+use balsamfold::version::Priority;
+
+/// Good settings of a relay; nothing listens at the addresses of its server and store.
+pub const SAMPLE_SETTINGS: &str = r#"
+node = "node-1"
+zone = "zone-a"
+service = "stock"
+server_address = "127.0.0.1:1"
+store_address = "127.0.0.1:2"
+
+[listen]
+callers = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+ready = "127.0.0.1:0"
+reports = "127.0.0.1:0"
+
+[zones]
+zone-a = "north"
+
+[bounds]
+configuration_apply_ms = 2000
+key_withdrawal_ms = 5000
+key_withdrawal_is_strict = true
+stop_grace_s = 6
+retry_ratio = 0.2
+"#;
+
+/// Returns a point of monotonic time.
+pub fn at_ms(ms: u64) -> MonotonicTime {
+    MonotonicTime(ms * 1_000)
+}
+
+/// Returns the organisation `org-a`.
+pub fn sample_organisation() -> OrganisationId {
+    "org-a".parse().expect("valid name")
+}
+
+/// Returns the terms of `org-a` with a rate and a burst.
+pub fn organisation_terms(rate_per_s: u32, burst: u64) -> OrganisationTerms {
+    OrganisationTerms {
+        id: sample_organisation(),
+        rate_per_s: Some(RatePerSecond(rate_per_s)),
+        burst: TokenCount(burst),
+        priority: Priority(1),
+    }
+}
