--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -315,24 +315,27 @@
 
     /// Refuses a request to the backend server whose calls would be refused.
     pub(super) fn check_onward(&self, terms: &RequestTerms) -> Result<(), Refusal> {
-        let admission = self.onward_floors.lock().check(
-            &terms.route,
-            terms.importance,
-            terms.organisation.as_ref(),
-            terms.root,
-            self.clock.now(),
-        );
-        admission.into_result()
+        self.check_floors(&self.onward_floors, terms)
     }
 
     /// Refuses a request of a caller that the services below would refuse.
     pub(super) fn check_entry(&self, terms: &RequestTerms) -> Result<(), Refusal> {
-        let admission = self.entry_floors.lock().check(
+        self.check_floors(&self.entry_floors, terms)
+    }
+
+    fn check_floors(
+        &self,
+        floors: &Mutex<LearntFloors>,
+        terms: &RequestTerms,
+    ) -> Result<(), Refusal> {
+        let organisation = terms.organisation.as_ref();
+        let now = self.clock.now();
+        let admission = floors.lock().check(
             &terms.route,
             terms.importance,
-            terms.organisation.as_ref(),
+            organisation,
             terms.root,
-            self.clock.now(),
+            now,
         );
         admission.into_result()
     }
