--- a/lib/src/process/events/relay.rs
+++ b/lib/src/process/events/relay.rs
@@ -31,5 +31,6 @@
     ATTEMPT_FAILED = 8102, Info, "relay.attempt-failed", "An attempt at a request got no usable response; the line has the next step.";
     RUN_FAILED = 8103, Info, "relay.run-failed", "The backend server returned no usable response to a request.";
     CALLER_LEFT = 8104, Debug, "relay.caller-left", "A caller disconnected before the response; the request is cancelled.";
+    RATE_REFUSED = 8105, Info, "relay.rate-refused", "An organisation's allowance refused a request; the line has the organisation and the tokens that were known.";
     LINES_LEFT_OUT = 8199, Info, "relay.lines-left-out", "Log lines of one kind were omitted because there were too many.";
 }
--- a/lib/src/process/relay/allowance.rs
+++ b/lib/src/process/relay/allowance.rs
@@ -41,6 +41,17 @@
     }
 }
 
+/// The state of one organisation's allowance on a node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AllowanceDump {
+    /// Tokens on this node.
+    pub level_tokens: f64,
+    /// The node's share of the rate.
+    pub rate_per_s: f64,
+    /// The node's share of the burst.
+    pub burst_tokens: f64,
+}
+
 /// Whether an organisation's allowance admits a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AllowanceDecision {
@@ -178,8 +189,17 @@
 
     /// Returns the tokens that an organisation has on this node.
     pub fn level(&self, organisation: &OrganisationId) -> Option<f64> {
-        self.accounts
-            .get(organisation)
+        self.account(organisation)
             .map(|account| account.level_tokens)
     }
+
+    /// Returns this node's account of an organisation that has a limit.
+    pub fn account(&self, organisation: &OrganisationId) -> Option<AllowanceDump> {
+        let account = self.accounts.get(organisation)?;
+        Some(AllowanceDump {
+            level_tokens: account.level_tokens,
+            rate_per_s: account.rate_per_s,
+            burst_tokens: account.burst_tokens,
+        })
+    }
 }
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -130,7 +130,7 @@
     };
     let request = buffered_request(node, &plan, request, limit).await?;
     let taken = match &organisation {
-        Some(limits) => take_token(node, &limits.id).await?,
+        Some(limits) => take_token(node, &limits.id, request_id).await?,
         None => TakenToken(None),
     };
     let service = node
@@ -259,6 +259,7 @@
 async fn take_token(
     node: &Arc<RelayNode>,
     organisation: &OrganisationId,
+    request_id: &str,
 ) -> Result<TakenToken, Refusal> {
     let now = node.clock.now();
     let first = node.allowances.lock().take(organisation, now);
@@ -282,10 +283,22 @@
             return Ok(TakenToken(Some(organisation.clone())));
         }
     }
+    log_rate_refusal(node, organisation, request_id);
     let retry_after_ms = next_token_in.as_millis() as u64 + 1;
     Err(Refusal::not_run(RefusalReason::RateExceeded).retry_after_ms(retry_after_ms))
 }
 
+fn log_rate_refusal(node: &RelayNode, organisation: &OrganisationId, request_id: &str) {
+    let account = node.allowances.lock().account(organisation);
+    if let Some(account) = account {
+        events::RATE_REFUSED.log(format_args!(
+            "request={request_id} organisation={organisation} level_tokens={:.3} rate_per_s={:.3} \
+             burst_tokens={:.3}",
+            account.level_tokens, account.rate_per_s, account.burst_tokens
+        ));
+    }
+}
+
 /// Counts a request in flight, and records a caller that disconnects before its response.
 struct InFlightGuard<'a> {
     node: &'a RelayNode,
--- a/lib/src/process/relay/mod.rs
+++ b/lib/src/process/relay/mod.rs
@@ -32,6 +32,7 @@
 mod tasks;
 
 pub use self::allowance::AllowanceDecision;
+pub use self::allowance::AllowanceDump;
 pub use self::allowance::Allowances;
 pub use self::confirmation::Confirmation;
 pub use self::confirmation::ConfirmationReport;
