rates: a failing test of an organisation with fewer tokens than nodes

The second request at a relay is refused as rate-exceeded forty times, each time sent again after its Retry-After.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -49,6 +49,7 @@
 mod test_relay_frames;
 mod test_relay_limits;
 mod test_relay_memory;
+mod test_relay_rates;
 mod test_relay_registration;
 mod test_relay_settings;
 mod test_relay_traffic;
