rates: one set of tasks for holders, whatever carries the messages

A relay has no control channel and no platform service of the node's kind, so it could not use the holders of zones. FleetRates finds holders, keeps the lease and answers other nodes over a RateTransport; a node implements it with its control channel. Behaviour of nodes is the same but for two points: a candidate that does not hold the role may read an older record, which can only delay a takeover, and a planned stop waits for the release of the lease, which was cut off when its task was aborted.

--- a/lib/src/process/node/daemon.rs
+++ b/lib/src/process/node/daemon.rs
@@ -23,7 +23,7 @@
 use super::once::RenewalRequest;
 use super::once::transfer_all;
 use super::once::wait_for_runs;
-use super::rates::RateTasks;
+use super::rates::configure_rates;
 use super::seed_lists::maintain_seed_lists;
 use super::serve::handle_peer;
 use super::shared::IDLE_TIMEOUT_MS;
@@ -46,6 +46,7 @@
 use crate::process::once::RecordHandover;
 use crate::process::once::SlotHandover;
 use crate::process::rates::PeerStatus;
+use crate::process::rates::RateTasks;
 use crate::process::rates::SettlementReport;
 use crate::process::rates::TokenReply;
 use crate::process::rates::TokenRequest;
@@ -122,6 +123,7 @@
     _seed_lists: AbortOnDropHandle<()>,
     _configuration: ConfigurationTasks,
     _once: OnceTasks,
+    _rate_plans: AbortOnDropHandle<()>,
     rate_tasks: RateTasks,
 }
 
@@ -171,7 +173,8 @@
         let seed_lists = tokio::spawn(maintain_seed_lists(Arc::clone(&node)));
         let configuration = ConfigurationTasks::start(&node);
         let once = OnceTasks::start(&node);
-        let rate_tasks = RateTasks::start(&node);
+        let rate_plans = tokio::spawn(configure_rates(Arc::clone(&node)));
+        let rate_tasks = node.rates().start();
         events::STARTED.log(format_args!("callers on {caller_address}"));
         Ok(Self {
             callers: serve_callers(callers, &node, connections_max),
@@ -186,6 +189,7 @@
             _seed_lists: AbortOnDropHandle::new(seed_lists),
             _configuration: configuration,
             _once: once,
+            _rate_plans: AbortOnDropHandle::new(rate_plans),
             rate_tasks,
         })
     }
@@ -234,7 +238,7 @@
         tokio::join!(self.callers.stop(), self.peers.stop());
         wait_for_runs(&self.node).await;
         self.local.stop().await;
-        self.rate_tasks.stop(&self.node).await;
+        self.rate_tasks.stop().await;
         self.control.stop();
         events::STOPPED.log(&self.node.settings.node);
     }
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -13,7 +13,6 @@
 mod members;
 mod once;
 mod peer_message;
-mod rate_lease;
 mod rates;
 mod response;
 mod retries;
--- a/lib/src/process/node/rates.rs
+++ b/lib/src/process/node/rates.rs
@@ -1,245 +1,227 @@
-//! Rates of organisations on a node: finds the holders of zones and sends messages to them.
+//! Rates of organisations on a node: messages over the control channel, records in the platform's
+//! service.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Weak;
 use std::time::Duration;
 
 use futures::FutureExt;
+use futures::future::BoxFuture;
 use parking_lot::Mutex;
-use tokio_util::task::AbortOnDropHandle;
 
 use super::Node;
-use super::rate_lease::HolderLeaseTask;
 use crate::process::control;
 use crate::process::control::ControlClient;
 use crate::process::control::ControlHttpClient;
-use crate::process::rates::HolderCalls;
-use crate::process::rates::HolderService;
-use crate::process::rates::LenderCalls;
-use crate::process::rates::RateClient;
+use crate::process::membership::MemberTable;
+use crate::process::membership::NodeRecord;
+use crate::process::platform::PlatformClient;
+use crate::process::platform::PlatformError;
+use crate::process::platform::PlatformKey;
+use crate::process::platform::PlatformSettings;
+use crate::process::platform::PlatformValue;
+use crate::process::platform::Revision;
+use crate::process::platform::StoredValue;
+use crate::process::platform::SwapReply;
+use crate::process::rates::FleetRates;
+use crate::process::rates::HolderRecord;
+use crate::process::rates::PeerStatus;
+use crate::process::rates::RateNode;
+use crate::process::rates::RatePlan;
+use crate::process::rates::RateTransport;
+use crate::process::rates::RecordAge;
+use crate::process::rates::RecordCallError;
+use crate::process::rates::RecordSwap;
 use crate::process::rates::SettlementReport;
+use crate::process::rates::StoredHolderRecord;
 use crate::process::rates::TokenReply;
 use crate::process::rates::TokenRequest;
-use crate::process::rates::holder_candidates;
 use crate::values::Incarnation;
-use crate::values::NodeId;
 use crate::values::ZoneId;
 
 /// Timeout of a control call about rates.
 const CALL_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Maximum number of nodes of a zone that are tried to find its holder.
-const TRIES_MAX: usize = 5;
-
-/// Interval between reports of the holder, and between checks for a new configuration.
-const TICK: Duration = Duration::from_millis(20);
-
-/// The rate client and the holder service of a node.
-///
-/// Each lock is held for one short operation only, and never while another lock is acquired.
-#[derive(Debug)]
-pub(super) struct NodeRates {
-    /// Admits requests of callers by the rates of their organisations.
-    pub client: Arc<RateClient>,
-    /// Serves other nodes while this node holds the rates of its zone.
-    pub service: Arc<HolderService>,
-    holders: Mutex<BTreeMap<ZoneId, NodeId>>,
-    control_clients: Mutex<HashMap<SocketAddr, ControlHttpClient>>,
-}
+/// Timeout of a call to the platform's service, in milliseconds.
+const PLATFORM_CALL_TIMEOUT_MS: u64 = 500;
+
+/// Maximum rate of calls to the platform's service, per second.
+const PLATFORM_CALLS_PER_S: u32 = 20;
 
-/// The background tasks of a node for rates. Dropping this stops them.
-pub(super) struct RateTasks {
-    _reports: AbortOnDropHandle<()>,
-    _ticks: AbortOnDropHandle<()>,
-    holder_lease: AbortOnDropHandle<()>,
+/// Interval between checks for a new configuration.
+const CONFIGURE_PERIOD: Duration = Duration::from_millis(20);
+
+/// Creates the rates of a node, which has no tokens and is not the holder of its zone.
+pub(super) fn new_rates(node: &Arc<Node>) -> FleetRates {
+    let settings = &node.settings;
+    let own = RateNode {
+        node: settings.node.clone(),
+        incarnation: Incarnation(node.clock.wall().0),
+        zone: settings.zone.clone(),
+    };
+    let platform = PlatformSettings {
+        zone: Some(settings.zone.clone()),
+        call_timeout_ms: PLATFORM_CALL_TIMEOUT_MS,
+        calls_per_s: PLATFORM_CALLS_PER_S,
+        ..PlatformSettings::new(settings.platform)
+    };
+    let transport = ControlTransport {
+        node: Arc::downgrade(node),
+        platform: Arc::new(PlatformClient::new(&platform)),
+        clients: Mutex::default(),
+    };
+    FleetRates::new(&own, node.clock, Arc::new(transport))
 }
 
-impl NodeRates {
-    /// Creates the state of a node without tokens, which is not the holder of its zone.
-    pub fn new(node: &Arc<Node>) -> Self {
-        let settings = &node.settings;
-        let incarnation = Incarnation(node.clock.wall().0);
-        let client = RateClient::new(
-            settings.node.clone(),
-            incarnation,
-            settings.zone.clone(),
-            node.clock,
-            holder_calls(Arc::downgrade(node)),
-        );
-        let service = HolderService::new(
-            settings.node.clone(),
-            incarnation,
-            settings.zone.clone(),
-            node.clock,
-            lender_calls(Arc::downgrade(node)),
-        );
-        Self {
-            client: Arc::new(client),
-            service: Arc::new(service),
-            holders: Mutex::default(),
-            control_clients: Mutex::default(),
+/// Puts the limits of newer configurations in force, until the future is dropped.
+pub(super) async fn configure_rates(node: Arc<Node>) {
+    let mut period = tokio::time::interval(CONFIGURE_PERIOD);
+    let mut version = None;
+    loop {
+        period.tick().await;
+        match node.configuration() {
+            Ok(configuration) if Some(configuration.version) > version => {
+                version = Some(configuration.version);
+                let plan = RatePlan::from(configuration.as_ref());
+                node.rates().configure(&Arc::new(plan));
+            }
+            _ => {}
         }
     }
+}
+
+/// Sends messages about rates over the control channel.
+struct ControlTransport {
+    node: Weak<Node>,
+    platform: Arc<PlatformClient>,
+    clients: Mutex<HashMap<SocketAddr, ControlHttpClient>>,
+}
 
-    /// Returns a cached client of the control channel at `address`; none if it cannot be created.
-    pub fn control_client(&self, node: &Node, address: SocketAddr) -> Option<ControlHttpClient> {
-        let mut control_clients = self.control_clients.lock();
-        if let Some(client) = control_clients.get(&address) {
+impl ControlTransport {
+    /// Returns a cached client of a node's control channel; none if it cannot be created.
+    fn client(&self, record: &NodeRecord) -> Option<ControlHttpClient> {
+        let address = record.addresses.control;
+        let mut clients = self.clients.lock();
+        if let Some(client) = clients.get(&address) {
             return Some(client.clone());
         }
+        let node = self.node.upgrade()?;
         let client = control::connect(address, &node.settings.fleet_secret, CALL_TIMEOUT).ok()?;
-        control_clients.insert(address, client.clone());
+        clients.insert(address, client.clone());
         Some(client)
     }
+}
 
-    fn likely_holders(&self, node: &Node, zone: &ZoneId) -> VecDeque<NodeId> {
-        let known = self.holders.lock().get(zone).cloned();
-        let candidates = holder_candidates(zone, &node.members());
-        let others = candidates
-            .into_iter()
-            .filter(|id| Some(id) != known.as_ref());
-        known.iter().cloned().chain(others).collect()
+impl RateTransport for ControlTransport {
+    fn members(&self) -> Arc<MemberTable> {
+        let node = self.node.upgrade();
+        node.map_or_else(Arc::default, |node| node.members())
     }
-}
 
-impl RateTasks {
-    pub fn start(node: &Arc<Node>) -> Self {
-        let client = Arc::clone(&node.rates().client);
-        let holder_lease = HolderLeaseTask::new(Arc::clone(node));
-        Self {
-            _reports: AbortOnDropHandle::new(tokio::spawn(client.run())),
-            _ticks: AbortOnDropHandle::new(tokio::spawn(tick(Arc::clone(node)))),
-            holder_lease: AbortOnDropHandle::new(tokio::spawn(holder_lease.run())),
-        }
+    fn is_leaving(&self) -> bool {
+        self.node.upgrade().is_none_or(|node| node.is_draining())
     }
 
-    /// Stops the lease task, and returns tokens and loans at the end of a planned stop.
-    pub async fn stop(self, node: &Arc<Node>) {
-        self.holder_lease.abort();
-        let rates = node.rates();
-        rates.client.return_tokens().await;
-        rates.service.return_loans().await;
+    fn request_tokens(
+        &self,
+        holder: &NodeRecord,
+        request: TokenRequest,
+    ) -> BoxFuture<'static, Option<TokenReply>> {
+        let client = self.client(holder);
+        async move { client?.ask_tokens(request).await.ok() }.boxed()
     }
-}
 
-async fn tick(node: Arc<Node>) {
-    let mut period = tokio::time::interval(TICK);
-    let mut version = None;
-    loop {
-        period.tick().await;
-        let rates = node.rates();
-        match node.configuration() {
-            Ok(configuration) if Some(configuration.version) > version => {
-                version = Some(configuration.version);
-                rates.client.configure(&configuration);
-                rates.service.configure(&configuration);
+    fn report_tokens(
+        &self,
+        holder: &NodeRecord,
+        report: SettlementReport,
+    ) -> BoxFuture<'static, ()> {
+        let client = self.client(holder);
+        async move {
+            if let Some(client) = client {
+                // A lost report can only lose tokens, never create them.
+                let _ = client.report_tokens(report).await;
             }
-            _ => {}
         }
-        rates.service.tick();
+        .boxed()
     }
-}
 
-fn holder_calls(node: Weak<Node>) -> HolderCalls {
-    let reporter = node.clone();
-    HolderCalls {
-        request: Box::new(move |target| {
-            let node = node.clone();
-            async move { request_from_holder(node.upgrade()?, &target.zone, target.request).await }
-                .boxed()
-        }),
-        report: Box::new(move |target| {
-            let node = reporter.clone();
-            async move { report_to_holder(node.upgrade(), &target.zone, target.report).await }
-                .boxed()
-        }),
+    fn request_status(&self, node: &NodeRecord) -> BoxFuture<'static, Option<PeerStatus>> {
+        let client = self.client(node);
+        async move { client?.rate_holder_standing().await.ok() }.boxed()
     }
-}
 
-fn lender_calls(node: Weak<Node>) -> LenderCalls {
-    let reporter = node.clone();
-    LenderCalls {
-        request: Box::new(move |loan| {
-            let node = node.clone();
-            async move { request_from_holder(node.upgrade()?, &loan.lender, loan.request).await }
-                .boxed()
-        }),
-        report: Box::new(move |target| {
-            let node = reporter.clone();
-            async move { report_to_holder(node.upgrade(), &target.lender, target.report).await }
-                .boxed()
-        }),
+    fn notify_release(&self, node: &NodeRecord) -> BoxFuture<'static, ()> {
+        let client = self.client(node);
+        async move {
+            if let Some(client) = client {
+                // A candidate that does not receive this learns of it with its next read.
+                let _ = client.rate_holder_released().await;
+            }
+        }
+        .boxed()
     }
-}
 
-/// Sends `request` to the nodes that may hold the rates of `zone`, one after another, until one
-/// does; none if no tried node does.
-async fn request_from_holder(
-    node: Arc<Node>,
-    zone: &ZoneId,
-    request: TokenRequest,
-) -> Option<TokenReply> {
-    let rates = node.rates();
-    let mut likely = rates.likely_holders(&node, zone);
-    let mut tried = Vec::new();
-    while let Some(id) = likely.pop_front().filter(|_| tried.len() < TRIES_MAX) {
-        if tried.contains(&id) {
-            continue;
+    fn read_record(
+        &self,
+        zone: &ZoneId,
+        _age: RecordAge,
+    ) -> BoxFuture<'static, Result<Option<StoredHolderRecord>, RecordCallError>> {
+        let platform = Arc::clone(&self.platform);
+        let key = PlatformKey::RateHolder(zone.clone());
+        async move {
+            match platform.get(&key).await {
+                Ok(None) => Ok(None),
+                Ok(Some(stored)) => decode_record(&stored).map(Some),
+                Err(error) => Err(call_error(&error)),
+            }
         }
-        tried.push(id.clone());
-        match request_from_node(&node, &id, request.clone()).await {
-            Some(TokenReply::NotHolder(Some(hint))) => likely.push_front(hint),
-            Some(TokenReply::NotHolder(None)) | None => {}
-            Some(reply) => {
-                rates.holders.lock().insert(zone.clone(), id);
-                return Some(reply);
+        .boxed()
+    }
+
+    fn swap_record(
+        &self,
+        zone: &ZoneId,
+        expected: Option<u64>,
+        record: &HolderRecord,
+    ) -> BoxFuture<'static, Result<RecordSwap, RecordCallError>> {
+        let platform = Arc::clone(&self.platform);
+        let key = PlatformKey::RateHolder(zone.clone());
+        let value = encode_record(record);
+        async move {
+            let value = value.ok_or(RecordCallError::NotRun)?;
+            let expected = expected.map(Revision);
+            match platform
+                .compare_and_swap(&key, expected, &value, None)
+                .await
+            {
+                Ok(SwapReply::Done(revision)) => Ok(RecordSwap::Done(revision.0)),
+                Ok(SwapReply::Conflict(_)) => Ok(RecordSwap::Conflict),
+                Err(error) => Err(call_error(&error)),
             }
         }
+        .boxed()
     }
-    rates.holders.lock().remove(zone);
-    None
 }
 
-async fn request_from_node(
-    node: &Arc<Node>,
-    id: &NodeId,
-    request: TokenRequest,
-) -> Option<TokenReply> {
-    let rates = node.rates();
-    if *id == node.settings.node {
-        return Some(rates.service.handle_request(request).await);
+fn call_error(error: &PlatformError) -> RecordCallError {
+    match error.may_have_run() {
+        true => RecordCallError::MayHaveRun,
+        false => RecordCallError::NotRun,
     }
-    let address = node.members().node(id)?.addresses.control;
-    rates
-        .control_client(node, address)?
-        .ask_tokens(request)
-        .await
-        .ok()
 }
 
-async fn report_to_holder(node: Option<Arc<Node>>, zone: &ZoneId, report: SettlementReport) {
-    let Some(node) = node else {
-        return;
-    };
-    let rates = node.rates();
-    let holder = rates.holders.lock().get(zone).cloned();
-    match holder {
-        Some(id) if id == node.settings.node => rates.service.apply_report(&report),
-        Some(id) => {
-            let address = node
-                .members()
-                .node(&id)
-                .map(|record| record.addresses.control);
-            let client = address.and_then(|address| rates.control_client(&node, address));
-            if let Some(client) = client {
-                // A lost report can only lose tokens, never create them.
-                let _ = client.report_tokens(report).await;
-            }
-        }
-        None => {}
-    }
+fn decode_record(stored: &StoredValue) -> Result<StoredHolderRecord, RecordCallError> {
+    let record = serde_json::from_str(stored.value.as_str());
+    Ok(StoredHolderRecord {
+        record: record.map_err(|_| RecordCallError::NotRun)?,
+        revision: stored.revision.0,
+    })
+}
+
+fn encode_record(record: &HolderRecord) -> Option<PlatformValue> {
+    let text = serde_json::to_string(record).ok()?;
+    PlatformValue::try_from(text).ok()
 }
--- a/lib/src/process/node/shared.rs
+++ b/lib/src/process/node/shared.rs
@@ -15,7 +15,7 @@
 use super::load_control::LoadControl;
 use super::local_server::LocalServer;
 use super::once::OnceState;
-use super::rates::NodeRates;
+use super::rates::new_rates;
 use super::retries::Retries;
 use super::suspects::SuspectState;
 use crate::connection::ConnectionPool;
@@ -27,6 +27,7 @@
 use crate::process::platform::PlatformClient;
 use crate::process::platform::PlatformSettings;
 use crate::process::rates::BucketDump;
+use crate::process::rates::FleetRates;
 use crate::process::secret::DerivedKey;
 use crate::process::secret::KeyPurpose;
 use crate::process::settings::NodeSettings;
@@ -74,7 +75,7 @@
     server: RwLock<Option<Arc<LocalServer>>>,
     peer_pools: Mutex<HashMap<SocketAddr, Arc<ConnectionPool>>>,
     draining: AtomicBool,
-    rates: OnceLock<NodeRates>,
+    rates: OnceLock<FleetRates>,
 }
 
 impl Node {
@@ -145,8 +146,8 @@
     }
 
     /// Returns this node's rate client and holder service; creates them on first use.
-    pub(super) fn rates(self: &Arc<Self>) -> &NodeRates {
-        self.rates.get_or_init(|| NodeRates::new(self))
+    pub(super) fn rates(self: &Arc<Self>) -> &FleetRates {
+        self.rates.get_or_init(|| new_rates(self))
     }
 
     /// Returns whether this node currently holds the rates of its zone.
--- a/lib/src/process/rates/client.rs
+++ b/lib/src/process/rates/client.rs
@@ -10,6 +10,8 @@
 use tokio::sync::Notify;
 
 use super::LocalTokens;
+use super::LocalTokensDump;
+use super::RatePlan;
 use super::SettlementReportTarget;
 use super::Spend;
 use super::TOKEN_REQUEST_TIMEOUT;
@@ -24,7 +26,6 @@
 use crate::values::OrganisationId;
 use crate::values::TokenCount;
 use crate::values::ZoneId;
-use crate::version::Configuration;
 
 /// Interval between rounds of reports.
 const TICK: Duration = Duration::from_millis(20);
@@ -104,11 +105,11 @@
     }
 
     /// Applies the zones and organisations of a configuration.
-    pub fn configure(&self, configuration: &Configuration) {
-        let others = configuration.zones.keys();
+    pub fn configure(&self, plan: &RatePlan) {
+        let others = plan.layout.weights.keys();
         let others = others.filter(|zone| **zone != self.zone).cloned();
         let zones = std::iter::once(self.zone.clone()).chain(others).collect();
-        let organisations = &configuration.organisations;
+        let organisations = &plan.organisations;
         let mut state = self.state.lock();
         state.tokens.set_zones(zones);
         state.tokens.retain(|id| organisations.contains_key(id));
@@ -146,6 +147,18 @@
         }
     }
 
+    /// Takes back the token of a request that did not run, if that is still possible.
+    pub fn give_back(&self, organisation: &OrganisationId) -> bool {
+        let now = self.clock.now();
+        self.state.lock().tokens.give_back(organisation, now)
+    }
+
+    /// Returns what this node knows about the tokens of `organisation`, if it knows anything.
+    pub fn dump(&self, organisation: &OrganisationId) -> Option<LocalTokensDump> {
+        let now = self.clock.now();
+        self.state.lock().tokens.dump(organisation, now)
+    }
+
     /// Sends the reports that are due, until the future is dropped.
     pub async fn run(self: Arc<Self>) {
         let mut period = tokio::time::interval(TICK);
--- a/lib/src/process/rates/lease.rs
+++ b/lib/src/process/rates/lease.rs
@@ -164,6 +164,11 @@
         self.seen.as_ref()?.record.as_ref()
     }
 
+    /// Returns whether the outcome of a write is unknown.
+    pub fn has_pending_write(&self) -> bool {
+        self.pending.is_some()
+    }
+
     /// Returns the call to send to the platform now. A node takes over only if `is_candidate`.
     pub fn next_action(&mut self, is_candidate: bool, now: MonotonicTime) -> LeaseAction {
         let is_holder = self.held.is_some();
--- a/lib/src/process/rates/local.rs
+++ b/lib/src/process/rates/local.rs
@@ -52,6 +52,18 @@
     Unreachable,
 }
 
+/// What a node knows about one organisation's tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LocalTokensDump {
+    /// Tokens that the node may spend.
+    pub available_tokens: TokenCount,
+    /// Time since a holder last replied that its bucket is empty, or none if it did not since the
+    /// last grant.
+    pub empty_reply_age: Option<Duration>,
+    /// Time until the next token by that reply.
+    pub next_token_in: Option<Duration>,
+}
+
 /// A token request and the zone whose holder gets it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TokenRequestTarget {
@@ -135,6 +147,27 @@
         }
     }
 
+    /// Takes back a token that was spent on a request that did not run, if its batch still permits.
+    pub fn give_back(&mut self, organisation: &OrganisationId, now: MonotonicTime) -> bool {
+        let account = self.accounts.get_mut(organisation);
+        account.is_some_and(|account| account.batches.give_back(now))
+    }
+
+    /// Returns what this node knows about the tokens of `organisation`, if it knows anything.
+    pub fn dump(
+        &self,
+        organisation: &OrganisationId,
+        now: MonotonicTime,
+    ) -> Option<LocalTokensDump> {
+        let account = self.accounts.get(organisation)?;
+        let period = account.empty_period;
+        Some(LocalTokensDump {
+            available_tokens: account.batches.available(now),
+            empty_reply_age: period.map(|period| now.since(period.received_at)),
+            next_token_in: period.map(|period| period.next_token.since(now)),
+        })
+    }
+
     /// Starts a token request for `waiting` requests and for expected demand, and returns it for
     /// sending. Returns none if no tokens are needed, no zone is reachable or a request is pending.
     pub fn begin_request(
@@ -277,6 +310,7 @@
     ) {
         let account = self.account(organisation, now);
         account.empty_period = Some(EmptyPeriod {
+            received_at: now,
             valid_until: now.after(Duration::from_micros(empty.valid_us)),
             next_token: now.after(Duration::from_micros(empty.next_token_us)),
         });
--- a/lib/src/process/rates/local_account.rs
+++ b/lib/src/process/rates/local_account.rs
@@ -37,6 +37,7 @@
 /// Time in which a holder's reply that its bucket is empty is valid.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct EmptyPeriod {
+    pub received_at: MonotonicTime,
     pub valid_until: MonotonicTime,
     pub next_token: MonotonicTime,
 }
--- a/lib/src/process/rates/local_batch.rs
+++ b/lib/src/process/rates/local_batch.rs
@@ -26,6 +26,8 @@
     epoch: Epoch,
     batch: BatchId,
     unspent_tokens: u64,
+    /// Unspent tokens by the last report to the holder.
+    reported_tokens: u64,
     returned_tokens: u64,
     return_at: MonotonicTime,
     ends: MonotonicTime,
@@ -51,6 +53,7 @@
             epoch: grant.epoch,
             batch: grant.batch,
             unspent_tokens: grant.tokens.0,
+            reported_tokens: grant.tokens.0,
             returned_tokens: 0,
             return_at: requested_at.after(lifetime.saturating_sub(return_margin)),
             ends: requested_at.after(lifetime),
@@ -76,6 +79,23 @@
         }
     }
 
+    /// Takes back a token that was spent on a request that did not run. Returns whether it did.
+    ///
+    /// A token that was reported as spent is lost, because the holder has minted another since.
+    pub fn give_back(&mut self, now: MonotonicTime) -> bool {
+        let is_unreported = |batch: &&mut LocalBatch| {
+            let spent = batch.reported_tokens - batch.unspent_tokens;
+            batch.ends > now && batch.returned_tokens == 0 && spent > 0
+        };
+        match self.batches.iter_mut().find(is_unreported) {
+            Some(batch) => {
+                batch.unspent_tokens += 1;
+                true
+            }
+            None => false,
+        }
+    }
+
     /// Returns the number of tokens that can be spent.
     pub fn available(&self, now: MonotonicTime) -> TokenCount {
         let live = self.batches.iter().filter(|batch| batch.ends > now);
@@ -137,6 +157,7 @@
 
     fn settlement(&mut self) -> Settlement {
         self.is_unreported = false;
+        self.reported_tokens = self.unspent_tokens;
         Settlement {
             epoch: self.epoch,
             batch: self.batch,
--- a/lib/src/process/rates/messages.rs
+++ b/lib/src/process/rates/messages.rs
@@ -90,7 +90,7 @@
         #[serde(rename = "f")]
         pub prefetch_tokens: TokenCount,
         /// Reports on earlier batches of the same zone.
-        #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+        #[serde(rename = "s", default)]
         pub settlements: Vec<Settlement>,
     }
 }
--- a/lib/src/process/rates/service.rs
+++ b/lib/src/process/rates/service.rs
@@ -19,11 +19,11 @@
 use super::LeaseAction;
 use super::LoanRequest;
 use super::PeerStatus;
+use super::RatePlan;
 use super::RecordWrite;
 use super::SettlementReport;
 use super::TokenReply;
 use super::TokenRequest;
-use super::ZoneLayout;
 use crate::process::events::rates as events;
 use crate::values::Clock;
 use crate::values::Incarnation;
@@ -31,7 +31,6 @@
 use crate::values::NodeId;
 use crate::values::OrganisationId;
 use crate::values::ZoneId;
-use crate::version::Configuration;
 
 /// Longest time that a token request waits for loans.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(30);
@@ -55,7 +54,7 @@
 struct ServiceState {
     lease: HolderLease,
     holder: Option<Holder>,
-    configuration: Option<Arc<Configuration>>,
+    plan: Option<Arc<RatePlan>>,
 }
 
 /// Handles token requests on a node for as long as the node is the holder of its zone.
@@ -82,7 +81,7 @@
             state: Mutex::new(ServiceState {
                 lease: HolderLease::new(node.clone(), incarnation),
                 holder: None,
-                configuration: None,
+                plan: None,
             }),
             zone,
             node,
@@ -93,11 +92,11 @@
     }
 
     /// Puts the shares of a configuration in force. This creates no tokens.
-    pub fn configure(&self, configuration: &Arc<Configuration>) {
+    pub fn configure(&self, plan: &Arc<RatePlan>) {
         let now = self.clock.now();
         let mut state = self.state.lock();
-        state.configuration = Some(Arc::clone(configuration));
-        state.lease.set_layout(ZoneLayout::of(configuration), now);
+        state.plan = Some(Arc::clone(plan));
+        state.lease.set_layout(plan.layout.clone(), now);
         self.apply_shares(&mut state, now);
     }
 
@@ -302,14 +301,14 @@
 
     /// Sets the holder's shares from the configuration in force.
     fn apply_shares(&self, state: &mut ServiceState, now: MonotonicTime) {
-        let (Some(holder), Some(configuration)) = (&mut state.holder, &state.configuration) else {
+        let (Some(holder), Some(plan)) = (&mut state.holder, &state.plan) else {
             return;
         };
-        let organisations = &configuration.organisations;
+        let organisations = &plan.organisations;
         holder.retain(|id| organisations.contains_key(id), now);
         for organisation in organisations.values() {
             let share = state.lease.layouts().share(organisation, &self.zone);
-            let others = configuration.zones.keys();
+            let others = plan.layout.weights.keys();
             let lenders = others.filter(|id| **id != self.zone).cloned();
             holder.set_share(&organisation.id, share, lenders, now);
         }
