relay: holders of zones grant an organisation's tokens

What callers saw: on sites of 78 and 89 nodes two thirds of all requests were refused as rate-exceeded, at any load.

Cause: each relay got rate and burst divided by the number of relays, and spent and lent whole tokens only. Below one token a share can neither be spent nor lent, so an organisation whose burst is smaller than the number of nodes got nothing; up to a few tokens, uneven load was refused although other nodes had tokens. In addition a relay that had just started and knew only itself took the whole rate for its own, so that a fleet started with a token a node whatever the burst.

Fix: the holders of process/rates, which nodes already use: a zone owns a part of each limit in whole tokens, one node of the zone grants them, zones lend to each other. Messages go over the links, the holders' records into the shared store. The shares of relays and their loans are removed.

Tests of the removed module: that shares stay within the allowance and that lending creates no tokens are test_rates_bound (over schedules of faults, with the exact bound) and relays_together_admit_no_more_than_the_burst; that a node starts without tokens and that a lowered limit discards tokens are test_rates; backing off from a lender without tokens is test_rates as well; the count of nodes, with its test, has no use any more.

--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -12,8 +12,6 @@
 
 use super::admission::Admitted;
 use super::admission::admit;
-use super::allowance::AllowanceDecision;
-use super::borrow::borrow_tokens;
 use super::caller_responses::forwarded_response;
 use super::caller_responses::refusal_response;
 use super::caller_responses::with_connection_headers;
@@ -33,12 +31,17 @@
 use crate::request::RefusalReason;
 use crate::request::Verdict;
 use crate::values::MonotonicTime;
+use crate::values::NodeId;
 use crate::values::OrganisationId;
 use crate::values::RequestId;
 use crate::version::OrganisationLimits;
 use crate::version::PlannedRoute;
 use crate::version::TrafficPlan;
 
+/// Fraction of a request's time for which it may wait for a token. The rest is needed to run it, or to
+/// try again after a refusal.
+const TOKEN_WAIT_FRACTION: f64 = 0.25;
+
 /// Handles a request of a caller. A refusal becomes a response with its code and status.
 pub(super) async fn handle_caller(node: &Arc<RelayNode>, request: Request) -> Response {
     let arrived_at = node.clock.now();
@@ -93,7 +96,7 @@
     if let (Err(refusal), Some(organisation)) = (&result, &taken.0)
         && refusal.verdict == Verdict::NotRun
     {
-        node.allowances.lock().give_back(organisation);
+        node.rates.client.give_back(organisation);
     }
     result
 }
@@ -130,8 +133,11 @@
     };
     let request = buffered_request(node, &plan, request, limit).await?;
     let taken = match &organisation {
-        Some(limits) => take_token(node, &limits.id, request_id).await?,
-        None => TakenToken(None),
+        Some(limits) if limits.rate_per_s.is_some() => {
+            let wait_max = limit.mul_f64(TOKEN_WAIT_FRACTION);
+            take_token(node, &limits.id, request_id, wait_max).await?
+        }
+        Some(_) | None => TakenToken(None),
     };
     let service = node
         .splits
@@ -253,50 +259,45 @@
     ]
 }
 
-/// Takes a token of the organisation's allowance, borrowed from another node if needed.
-///
-/// If borrowing is due but a token is left, it runs in the background.
+/// Spends a token of the organisation's rate. Waits at most `wait_max` for the holder's reply.
 async fn take_token(
     node: &Arc<RelayNode>,
     organisation: &OrganisationId,
     request_id: &str,
+    wait_max: Duration,
 ) -> Result<TakenToken, Refusal> {
-    let now = node.clock.now();
-    let first = node.allowances.lock().take(organisation, now);
-    let should_borrow = node.allowances.lock().begin_borrowing(organisation, now);
-    let next_token_in = match first {
-        AllowanceDecision::Granted => {
-            if should_borrow {
-                let node = Arc::clone(node);
-                let organisation = organisation.clone();
-                tokio::spawn(async move { borrow_tokens(&node, &organisation).await });
-            }
-            return Ok(TakenToken(Some(organisation.clone())));
-        }
-        AllowanceDecision::Exhausted { next_token_in } => next_token_in,
+    let admitted = node.rates.client.admit(organisation);
+    let result = match tokio::time::timeout(wait_max, admitted).await {
+        Ok(result) => result,
+        Err(_) => Err(Refusal::not_run(RefusalReason::RateHolderUnreachable)),
     };
-    if should_borrow {
-        borrow_tokens(node, organisation).await;
-        let now = node.clock.now();
-        let second = node.allowances.lock().take(organisation, now);
-        if second == AllowanceDecision::Granted {
-            return Ok(TakenToken(Some(organisation.clone())));
+    match result {
+        Ok(()) => Ok(TakenToken(Some(organisation.clone()))),
+        Err(refusal) => {
+            log_rate_refusal(node, organisation, request_id, &refusal);
+            Err(refusal)
         }
     }
-    log_rate_refusal(node, organisation, request_id);
-    let retry_after_ms = next_token_in.as_millis() as u64 + 1;
-    Err(Refusal::not_run(RefusalReason::RateExceeded).retry_after_ms(retry_after_ms))
 }
 
-fn log_rate_refusal(node: &RelayNode, organisation: &OrganisationId, request_id: &str) {
-    let account = node.allowances.lock().account(organisation);
-    if let Some(account) = account {
-        events::RATE_REFUSED.log(format_args!(
-            "request={request_id} organisation={organisation} level_tokens={:.3} rate_per_s={:.3} \
-             burst_tokens={:.3}",
-            account.level_tokens, account.rate_per_s, account.burst_tokens
-        ));
-    }
+fn log_rate_refusal(
+    node: &RelayNode,
+    organisation: &OrganisationId,
+    request_id: &str,
+    refusal: &Refusal,
+) {
+    let known = node.rates.client.dump(organisation);
+    let millis = |time: Option<Duration>| time.map_or(-1, |time| time.as_millis() as i64);
+    let holder = node.rates.known_holder();
+    events::RATE_REFUSED.log(format_args!(
+        "request={request_id} organisation={organisation} reason={} holder={} tokens={} \
+         empty_reply_age_ms={} next_token_ms={}",
+        refusal.reason,
+        holder.as_ref().map_or("unknown", NodeId::as_str),
+        known.map_or(0, |known| known.available_tokens.0),
+        millis(known.and_then(|known| known.empty_reply_age)),
+        millis(known.and_then(|known| known.next_token_in)),
+    ));
 }
 
 /// Counts a request in flight, and records a caller that disconnects before its response.
--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -34,6 +34,7 @@
 use crate::connection::ListenerHandle;
 use crate::connection::ListenerLimits;
 use crate::process::events::relay as events;
+use crate::process::rates::RateTasks;
 use crate::version::CallerLimits;
 
 /// Maximum number of concurrent connections of callers.
@@ -71,6 +72,7 @@
     callers: ListenerHandle,
     _auxiliary: Vec<ListenerHandle>,
     tasks: Vec<AbortOnDropHandle<()>>,
+    rate_tasks: RateTasks,
 }
 
 impl RelayDaemon {
@@ -98,7 +100,7 @@
             reports: reports.address(),
             metrics: metrics.as_ref().map(Listener::address),
         };
-        let node = Arc::new(RelayNode::new(settings, protocol, store));
+        let node = RelayNode::new(settings, protocol, store);
         events::STARTED.log(format_args!(
             "node={} zone={} service={} callers={}",
             node.settings.raw.node,
@@ -120,6 +122,7 @@
         Ok(Self {
             callers: serve_callers(callers, &node),
             _auxiliary: auxiliary,
+            rate_tasks: node.rates.start(),
             node,
             tasks,
         })
@@ -150,6 +153,7 @@
             }
             tokio::time::sleep(STOP_POLL_PERIOD).await;
         }
+        self.rate_tasks.stop().await;
         events::STOPPED.log(format_args!(
             "in_flight={}",
             self.node.in_flight.load(Ordering::Relaxed)
--- a/lib/src/process/relay/fleet.rs
+++ b/lib/src/process/relay/fleet.rs
@@ -26,18 +26,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     entries: BTreeMap<NodeId, FleetEntry>,
-    node_counts: Vec<(MonotonicTime, usize)>,
 }
 
 impl Fleet {
     /// Time in which a running node writes its lapsed entry again.
     pub const MISSING_GRACE: Duration = Duration::from_millis(2_500);
 
-    /// Time for which the largest number of nodes counts. It is longer than a lease and a key
-    /// withdrawal bound together, so that nodes cut off from the store have stopped using their
-    /// shares.
-    pub const COUNT_WINDOW: Duration = Duration::from_secs(15);
-
     /// Applies a written entry. An entry older than the known one is ignored. Returns whether the
     /// node's record changed.
     pub fn apply_write(&mut self, record: NodeRecord, revision: StoreRevision) -> bool {
@@ -100,28 +94,6 @@
         self.entries.len() != count_before
     }
 
-    /// Returns the largest number of nodes within [`Fleet::COUNT_WINDOW`], at least one.
-    pub fn recent_max_count(&mut self, now: MonotonicTime) -> usize {
-        self.node_counts
-            .retain(|(at, _)| now.since(*at) < Self::COUNT_WINDOW);
-        let count = self.entries.len();
-        if self
-            .node_counts
-            .last()
-            .is_none_or(|(_, last)| *last != count)
-        {
-            self.node_counts.push((now, count));
-        } else if let Some(last) = self.node_counts.last_mut() {
-            last.0 = now;
-        }
-        self.node_counts
-            .iter()
-            .map(|(_, count)| *count)
-            .max()
-            .unwrap_or_default()
-            .max(1)
-    }
-
     /// Returns a table of the nodes for choosing among them.
     pub fn table(&self) -> MemberTable {
         MemberTable::new(self.entries.values().map(|entry| entry.record.clone()))
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -397,7 +397,7 @@
     let result = match link_reply.reply {
         PeerReply::Response(response) => Ok(response),
         PeerReply::Refused(refusal) => Err(refusal),
-        PeerReply::Pong | PeerReply::Lent(_) => {
+        PeerReply::Pong | PeerReply::Tokens(_) | PeerReply::RateStatus(_) => {
             Err(Refusal::may_have_run(RefusalReason::BadAnswer))
         }
     };
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -17,6 +17,10 @@
 use super::confirmation::ConfirmationReport;
 use super::link::READ_BYTES;
 use crate::process::gate::FloorNotice;
+use crate::process::rates::PeerStatus;
+use crate::process::rates::SettlementReport;
+use crate::process::rates::TokenReply;
+use crate::process::rates::TokenRequest;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::values::Importance;
@@ -177,7 +181,7 @@
         #[serde(rename = "voucher")]
         confirmation: ConfirmationReport,
     },
-    /// Requests tokens of an organisation.
+    /// Requests tokens of an organisation. Only nodes of earlier versions send it.
     Borrow {
         /// The exchange.
         exchange: ExchangeId,
@@ -191,6 +195,39 @@
         /// Tokens that now belong to the receiver.
         tokens: TokenCount,
     },
+    /// Requests tokens from the holder of a zone.
+    TokenRequest {
+        /// The exchange.
+        exchange: ExchangeId,
+        /// The request.
+        request: TokenRequest,
+    },
+    /// The reply to a token request.
+    TokenReply {
+        /// The exchange.
+        exchange: ExchangeId,
+        /// The reply.
+        reply: TokenReply,
+    },
+    /// Reports the use of tokens to the holder of a zone. It gets no reply.
+    TokenReport {
+        /// The report.
+        report: SettlementReport,
+    },
+    /// Requests the status of a node for the holder of its zone.
+    RateStatusRequest {
+        /// The exchange.
+        exchange: ExchangeId,
+    },
+    /// The reply to a status request.
+    RateStatus {
+        /// The exchange.
+        exchange: ExchangeId,
+        /// The status, which may include a promise.
+        status: PeerStatus,
+    },
+    /// Notifies a node that the holder of its zone has released its role.
+    RateHolderReleased,
 }
 
 /// A frame that cannot be encoded or decoded.
--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -26,12 +26,13 @@
 use super::frame::header_map;
 use crate::connection::BufferedResponse;
 use crate::process::events::relay as events;
+use crate::process::rates::PeerStatus;
+use crate::process::rates::TokenReply;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::values::Clock;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
-use crate::values::TokenCount;
 
 /// Time without received bytes after which a node with open exchanges is pinged.
 const PING_AFTER: Duration = Duration::from_millis(150);
@@ -61,8 +62,10 @@
     Refused(Refusal),
     /// The reply to a ping.
     Pong,
-    /// Tokens that now belong to this node.
-    Lent(TokenCount),
+    /// The reply of a holder to a token request.
+    Tokens(TokenReply),
+    /// The status for the holder of the node's zone.
+    RateStatus(PeerStatus),
 }
 
 /// A reply with the confirmation report and the load notice that came with it.
@@ -142,7 +145,7 @@
     }
 
     /// Queues a frame for writing. Fails if the connection is closed or its queue is full.
-    fn queue(&self, head: &Head<'_>, body: &[u8]) -> Result<(), LinkFailure> {
+    pub(super) fn queue(&self, head: &Head<'_>, body: &[u8]) -> Result<(), LinkFailure> {
         let frame = encode_frame(head, body).map_err(|_| LinkFailure::NotSent)?;
         let mut state = self.state.lock();
         if state.is_closed || state.queued_bytes + frame.len() > QUEUED_BYTES_MAX {
@@ -233,15 +236,24 @@
                 let load = LoadNotice::default();
                 (exchange, PeerReply::Pong, Some(confirmation), load)
             }
-            Head::Lent { exchange, tokens } => {
+            Head::TokenReply { exchange, reply } => {
                 let load = LoadNotice::default();
-                (exchange, PeerReply::Lent(tokens), None, load)
+                (exchange, PeerReply::Tokens(reply), None, load)
+            }
+            Head::RateStatus { exchange, status } => {
+                let load = LoadNotice::default();
+                (exchange, PeerReply::RateStatus(status), None, load)
             }
             Head::Hello { .. }
             | Head::Request(_)
             | Head::Cancel { .. }
             | Head::Ping { .. }
-            | Head::Borrow { .. } => return Ok(()),
+            | Head::Borrow { .. }
+            | Head::Lent { .. }
+            | Head::TokenRequest { .. }
+            | Head::TokenReport { .. }
+            | Head::RateStatusRequest { .. }
+            | Head::RateHolderReleased => return Ok(()),
         };
         let sender = self.state.lock().pending.remove(&exchange);
         if let Some(sender) = sender {
--- a/lib/src/process/relay/mod.rs
+++ b/lib/src/process/relay/mod.rs
@@ -4,9 +4,7 @@
 //! the nodes of other backend servers. It admits requests from other nodes to its own server.
 
 mod admission;
-mod allowance;
 mod backend;
-mod borrow;
 mod caller_responses;
 mod callers;
 mod confirmation;
@@ -20,6 +18,7 @@
 mod node;
 mod peers;
 mod protocol;
+mod rates;
 mod registration;
 mod registration_store;
 mod reports;
@@ -31,9 +30,6 @@
 mod store_entry;
 mod tasks;
 
-pub use self::allowance::AllowanceDecision;
-pub use self::allowance::AllowanceDump;
-pub use self::allowance::Allowances;
 pub use self::confirmation::Confirmation;
 pub use self::confirmation::ConfirmationReport;
 pub use self::confirmation::ConfirmationUse;
@@ -56,6 +52,7 @@
 pub use self::protocol::ProtocolHeaders;
 pub use self::protocol::ServerCall;
 pub use self::protocol::ServerReport;
+pub use self::rates::rate_plan;
 pub use self::registration::Registration;
 pub use self::registration::ReportEffect;
 pub use self::server_health::ServerHealth;
@@ -73,3 +70,4 @@
 pub use self::store::StoreItem;
 pub use self::store::StoreResult;
 pub use self::store::StoreRevision;
+pub use self::store::StoreSwap;
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::Weak;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -12,7 +13,6 @@
 use parking_lot::RwLock;
 use tokio::sync::Notify;
 
-use super::allowance::Allowances;
 use super::backend::Backend;
 use super::confirmation::Confirmation;
 use super::confirmation::ConfirmationReport;
@@ -22,6 +22,8 @@
 use super::links::Links;
 use super::metrics::RelayMetrics;
 use super::protocol::Protocol;
+use super::rates::new_rates;
+use super::rates::rate_plan;
 use super::registration::Registration;
 use super::runs::RunTable;
 use super::settings::BoundSettings;
@@ -37,6 +39,7 @@
 use crate::process::membership::NodeCondition;
 use crate::process::membership::NodeRecord;
 use crate::process::membership::ServerRecord;
+use crate::process::rates::FleetRates;
 use crate::process::routing::Router;
 use crate::request::Refusal;
 use crate::request::RetryRatio;
@@ -75,7 +78,8 @@
     pub metrics: RelayMetrics,
     /// Connections to other nodes.
     pub(super) links: Arc<Links>,
-    pub(super) allowances: Mutex<Allowances>,
+    /// Rates of organisations over the fleet.
+    pub(super) rates: FleetRates,
     pub(super) fleet: Mutex<Fleet>,
     pub(super) registration: Mutex<Registration>,
     /// Whether the registration that an earlier process stored was read.
@@ -106,7 +110,20 @@
 
 impl RelayNode {
     /// Creates a node without a configuration or a backend server.
-    pub fn new(settings: RelaySettings, protocol: Protocol, store: Arc<dyn SharedStore>) -> Self {
+    pub fn new(
+        settings: RelaySettings,
+        protocol: Protocol,
+        store: Arc<dyn SharedStore>,
+    ) -> Arc<Self> {
+        Arc::new_cyclic(|node| Self::new_in(node, settings, protocol, store))
+    }
+
+    fn new_in(
+        node: &Weak<Self>,
+        settings: RelaySettings,
+        protocol: Protocol,
+        store: Arc<dyn SharedStore>,
+    ) -> Self {
         let clock = Clock::start();
         let zones = settings.raw.zones.iter().map(|(zone, region)| {
             let record = ZoneRecord {
@@ -119,6 +136,7 @@
         let started_ms = clock.wall().0;
         Self {
             zones: zones.collect(),
+            rates: new_rates(node, &settings.raw, clock, Arc::clone(&store)),
             links: Arc::new(Links::new(settings.raw.node.clone(), clock)),
             router: Mutex::new(Router::new(
                 settings.raw.zone.clone(),
@@ -133,7 +151,6 @@
             runs: RunTable::default(),
             ingress_floors: Mutex::default(),
             onward_floors: Mutex::default(),
-            allowances: Mutex::default(),
             fleet: Mutex::default(),
             registration: Mutex::default(),
             is_registration_read: AtomicBool::new(false),
@@ -189,18 +206,12 @@
         *current = Some(Arc::clone(&plan));
         drop(current);
         self.confirmation.lock().adopt(version);
-        self.share_allowances(&plan);
+        let rate_plan = rate_plan(&plan, self.zones.keys());
+        self.rates.configure(&Arc::new(rate_plan));
         events::CONFIGURATION_IN_FORCE.log(format_args!("version={version}"));
         true
     }
 
-    /// Divides the limits of organisations among the known nodes.
-    pub(super) fn share_allowances(&self, plan: &TrafficPlan) {
-        let now = self.clock.now();
-        let nodes = self.fleet.lock().recent_max_count(now);
-        self.allowances.lock().set_plan(plan, nodes, now);
-    }
-
     /// Records that the configuration in force was the newest at `requested_at`.
     pub(super) fn confirm(&self, requested_at: MonotonicTime) {
         if let Some(plan) = self.plan() {
@@ -244,15 +255,12 @@
         Arc::clone(&self.members.read())
     }
 
-    /// Publishes the current view of the fleet, and divides the limits of organisations anew.
+    /// Publishes the current view of the fleet.
     pub(super) fn publish_fleet(&self) {
         let table = self.fleet.lock().table();
         let count = table.nodes().count();
         *self.members.write() = Arc::new(table);
         events::FLEET_CHANGED.log(format_args!("nodes={count}"));
-        if let Some(plan) = self.plan() {
-            self.share_allowances(&plan);
-        }
     }
 
     pub(super) fn backend(&self) -> Option<Arc<Backend>> {
--- a/lib/src/process/relay/peers.rs
+++ b/lib/src/process/relay/peers.rs
@@ -34,6 +34,7 @@
 use crate::process::events::relay as events;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
+use crate::values::TokenCount;
 
 /// Delay after a failed accept, for example when the process has no free file descriptor.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -156,15 +157,34 @@
                 &[],
             );
         }
-        Head::Borrow {
-            exchange,
-            organisation,
-        } => {
-            let now = node.clock.now();
-            let tokens = node.allowances.lock().lend(&organisation, now);
+        // A node of an earlier version keeps a share of its own. Tokens are granted by holders only.
+        Head::Borrow { exchange, .. } => {
+            let tokens = TokenCount(0);
             send_reply(replies, &Head::Lent { exchange, tokens }, &[]);
         }
-        Head::Response(_) | Head::Refused { .. } | Head::Pong { .. } | Head::Lent { .. } => {}
+        Head::TokenRequest { exchange, request } => {
+            let service = Arc::clone(&node.rates.service);
+            let replies = replies.clone();
+            tokio::spawn(async move {
+                let reply = service.handle_request(request).await;
+                send_reply(&replies, &Head::TokenReply { exchange, reply }, &[]);
+            });
+        }
+        Head::TokenReport { report } => node.rates.service.apply_report(&report),
+        Head::RateStatusRequest { exchange } => {
+            let status = node.rates.service.peer_status();
+            send_reply(replies, &Head::RateStatus { exchange, status }, &[]);
+        }
+        Head::RateHolderReleased => {
+            let service = &node.rates.service;
+            service.with_lease(|lease, now| lease.release_received(now));
+        }
+        Head::Response(_)
+        | Head::Refused { .. }
+        | Head::Pong { .. }
+        | Head::Lent { .. }
+        | Head::TokenReply { .. }
+        | Head::RateStatus { .. } => {}
     }
     Ok(())
 }
--- /dev/null
+++ b/lib/src/process/relay/rates.rs
@@ -0,0 +1,261 @@
+//! Rates of organisations on a relay: messages over the links, records in the shared store.
+
+use std::sync::Arc;
+use std::sync::Weak;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+
+use super::frame::ExchangeId;
+use super::frame::Head;
+use super::frame::encode_frame;
+use super::link::LinkFailure;
+use super::link::PeerReply;
+use super::node::RelayNode;
+use super::settings::RawRelaySettings;
+use super::store::SharedStore;
+use super::store::StoreError;
+use super::store::StoreItem;
+use super::store::StoreRevision;
+use super::store::StoreSwap;
+use crate::process::events::relay as events;
+use crate::process::membership::MemberTable;
+use crate::process::membership::NodeRecord;
+use crate::process::rates::FleetRates;
+use crate::process::rates::HolderRecord;
+use crate::process::rates::PeerStatus;
+use crate::process::rates::RateNode;
+use crate::process::rates::RatePlan;
+use crate::process::rates::RateTransport;
+use crate::process::rates::RecordAge;
+use crate::process::rates::RecordCallError;
+use crate::process::rates::RecordSwap;
+use crate::process::rates::SettlementReport;
+use crate::process::rates::StoredHolderRecord;
+use crate::process::rates::TokenReply;
+use crate::process::rates::TokenRequest;
+use crate::process::rates::ZoneLayout;
+use crate::values::Clock;
+use crate::values::Incarnation;
+use crate::values::TokenCount;
+use crate::values::ZoneId;
+use crate::version::Organisation;
+use crate::version::TrafficPlan;
+
+/// Prefix of the zones' holder records in the store.
+const RECORD_PREFIX: &str = "rates/";
+/// Timeout for the status of another node, several round trips between zones.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Creates the rates of a node, which has no tokens and is not the holder of its zone.
+pub(super) fn new_rates(
+    node: &Weak<RelayNode>,
+    settings: &RawRelaySettings,
+    clock: Clock,
+    store: Arc<dyn SharedStore>,
+) -> FleetRates {
+    let own = RateNode {
+        node: settings.node.clone(),
+        incarnation: Incarnation(clock.wall().0),
+        zone: settings.zone.clone(),
+    };
+    let transport = LinkTransport {
+        node: Weak::clone(node),
+        store,
+    };
+    FleetRates::new(&own, clock, Arc::new(transport))
+}
+
+/// Returns the limits of a configuration, shared equally by `zones`.
+///
+/// A bucket must have room for one token, so a limit without a burst gets a burst of one.
+pub fn rate_plan<'a>(plan: &TrafficPlan, zones: impl Iterator<Item = &'a ZoneId>) -> RatePlan {
+    let organisations = plan.organisations.values().filter_map(|limits| {
+        let organisation = Organisation {
+            id: limits.id.clone(),
+            rate_per_s: limits.rate_per_s?,
+            burst_tokens: limits.burst.max(TokenCount(1)),
+        };
+        Some((limits.id.clone(), organisation))
+    });
+    RatePlan {
+        layout: ZoneLayout {
+            weights: zones.map(|zone| (zone.clone(), 1)).collect(),
+        },
+        organisations: organisations.collect(),
+    }
+}
+
+/// Sends messages about rates over the connections to other nodes.
+struct LinkTransport {
+    node: Weak<RelayNode>,
+    store: Arc<dyn SharedStore>,
+}
+
+impl LinkTransport {
+    /// Sends the message that `head` returns to a node, and waits for its reply.
+    fn exchange(
+        &self,
+        record: &NodeRecord,
+        head: impl FnOnce(ExchangeId) -> Head<'static> + Send + 'static,
+    ) -> BoxFuture<'static, Option<PeerReply>> {
+        let node = self.node.upgrade();
+        let record = record.clone();
+        async move {
+            let node = node?;
+            if node.links.is_unresponsive(record.addresses.peer) {
+                return None;
+            }
+            let link = node.links.get(&record.id, record.addresses.peer).await;
+            let encode =
+                |exchange| encode_frame(&head(exchange), &[]).map_err(|_| LinkFailure::NotSent);
+            let reply = link.ok()?.exchange(encode).await;
+            Some(reply.ok()?.reply)
+        }
+        .boxed()
+    }
+
+    /// Sends a message that gets no reply. It may be lost.
+    fn notify(&self, record: &NodeRecord, head: Head<'static>) -> BoxFuture<'static, ()> {
+        let node = self.node.upgrade();
+        let record = record.clone();
+        async move {
+            let Some(node) = node else {
+                return;
+            };
+            let link = node.links.get(&record.id, record.addresses.peer).await;
+            if let Ok(link) = link {
+                // A lost report loses tokens and creates none; a lost notice only delays a takeover.
+                let _ = link.queue(&head, &[]);
+            }
+        }
+        .boxed()
+    }
+
+    fn record_call<T>(&self, result: &Result<T, StoreError>) {
+        if let Some(node) = self.node.upgrade() {
+            node.metrics.record_store_call(result.is_ok());
+            if let Err(error) = result {
+                node.metrics.record_store_error(error);
+            }
+        }
+    }
+}
+
+impl Clone for LinkTransport {
+    fn clone(&self) -> Self {
+        Self {
+            node: Weak::clone(&self.node),
+            store: Arc::clone(&self.store),
+        }
+    }
+}
+
+impl RateTransport for LinkTransport {
+    fn members(&self) -> Arc<MemberTable> {
+        let node = self.node.upgrade();
+        node.map_or_else(Arc::default, |node| node.members())
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.node.upgrade().is_none_or(|node| node.is_stopping())
+    }
+
+    fn request_tokens(
+        &self,
+        holder: &NodeRecord,
+        request: TokenRequest,
+    ) -> BoxFuture<'static, Option<TokenReply>> {
+        let reply = self.exchange(holder, |exchange| Head::TokenRequest { exchange, request });
+        async move {
+            match reply.await? {
+                PeerReply::Tokens(reply) => Some(reply),
+                _ => None,
+            }
+        }
+        .boxed()
+    }
+
+    fn report_tokens(
+        &self,
+        holder: &NodeRecord,
+        report: SettlementReport,
+    ) -> BoxFuture<'static, ()> {
+        self.notify(holder, Head::TokenReport { report })
+    }
+
+    fn request_status(&self, node: &NodeRecord) -> BoxFuture<'static, Option<PeerStatus>> {
+        let reply = self.exchange(node, |exchange| Head::RateStatusRequest { exchange });
+        async move {
+            match tokio::time::timeout(STATUS_TIMEOUT, reply).await {
+                Ok(Some(PeerReply::RateStatus(status))) => Some(status),
+                Ok(_) | Err(_) => None,
+            }
+        }
+        .boxed()
+    }
+
+    fn notify_release(&self, node: &NodeRecord) -> BoxFuture<'static, ()> {
+        self.notify(node, Head::RateHolderReleased)
+    }
+
+    fn read_record(
+        &self,
+        zone: &ZoneId,
+        age: RecordAge,
+    ) -> BoxFuture<'static, Result<Option<StoredHolderRecord>, RecordCallError>> {
+        let key = format!("{RECORD_PREFIX}{zone}");
+        let transport = self.clone();
+        async move {
+            let read = match age {
+                RecordAge::Newest => transport.store.get(&key).await,
+                RecordAge::Recent => transport.store.get_recent(&key).await,
+            };
+            transport.record_call(&read);
+            let found = read.map_err(|_| RecordCallError::NotRun)?;
+            found.content.as_ref().map(decode_record).transpose()
+        }
+        .boxed()
+    }
+
+    fn swap_record(
+        &self,
+        zone: &ZoneId,
+        expected: Option<u64>,
+        record: &HolderRecord,
+    ) -> BoxFuture<'static, Result<RecordSwap, RecordCallError>> {
+        let key = format!("{RECORD_PREFIX}{zone}");
+        let value = serde_json::to_vec(record);
+        let transport = self.clone();
+        async move {
+            let value = value.map_err(|_| RecordCallError::NotRun)?;
+            let expected = expected.map(StoreRevision);
+            let swap = transport
+                .store
+                .swap(&key, expected, Bytes::from(value))
+                .await;
+            transport.record_call(&swap);
+            match swap {
+                Ok(StoreSwap::Done(revision)) => Ok(RecordSwap::Done(revision.0)),
+                Ok(StoreSwap::Conflict) => Ok(RecordSwap::Conflict),
+                Err(StoreError::NotDone { .. }) => Err(RecordCallError::NotRun),
+                Err(_) => Err(RecordCallError::MayHaveRun),
+            }
+        }
+        .boxed()
+    }
+}
+
+fn decode_record(item: &StoreItem) -> Result<StoredHolderRecord, RecordCallError> {
+    let decoded = serde_json::from_slice(&item.value);
+    let record = decoded.map_err(|error| {
+        events::STORED_UNREADABLE.log(format_args!("key={} reason=\"{error}\"", item.key));
+        RecordCallError::NotRun
+    })?;
+    Ok(StoredHolderRecord {
+        record,
+        revision: item.revision.0,
+    })
+}
--- a/lib/src/process/relay/store.rs
+++ b/lib/src/process/relay/store.rs
@@ -50,6 +50,15 @@
     pub revision: StoreRevision,
 }
 
+/// The outcome of a compare-and-swap.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreSwap {
+    /// The item was written, at this revision.
+    Done(StoreRevision),
+    /// The item has another revision than the expected one.
+    Conflict,
+}
+
 /// The reason why a call of the store failed.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum StoreError {
@@ -89,6 +98,9 @@
     /// Reads one item.
     fn get(&self, key: &str) -> StoreResult<AsOf<Option<StoreItem>>>;
 
+    /// Reads one item as of some time in the last seconds, which costs the store less.
+    fn get_recent(&self, key: &str) -> StoreResult<AsOf<Option<StoreItem>>>;
+
     /// Reads all items whose keys begin with `prefix`. The pages are not a snapshot; the revision
     /// is that of the first page.
     fn list(&self, prefix: &str) -> StoreResult<AsOf<Vec<StoreItem>>>;
@@ -104,6 +116,15 @@
     /// Writes an item that is removed when its lease ends.
     fn put(&self, key: &str, value: Bytes, lease: LeaseId) -> StoreResult<StoreRevision>;
 
+    /// Writes an item without a lease if its revision is `expected`, or if there is none and
+    /// `expected` is `None`.
+    fn swap(
+        &self,
+        key: &str,
+        expected: Option<StoreRevision>,
+        value: Bytes,
+    ) -> StoreResult<StoreSwap>;
+
     /// Grants a lease for `ttl`.
     fn grant_lease(&self, ttl: Duration) -> StoreResult<LeaseId>;
 
--- a/lib/src/process/relay/tasks.rs
+++ b/lib/src/process/relay/tasks.rs
@@ -331,8 +331,6 @@
         let changed = node.fleet.lock().evict_missing(now);
         if changed {
             node.publish_fleet();
-        } else if let Some(plan) = node.plan() {
-            node.share_allowances(&plan);
         }
         let members = node.members();
         let known = members.nodes().map(|record| record.addresses.peer);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -41,7 +41,6 @@
 mod test_rates_fleet;
 mod test_rates_lease;
 mod test_rates_outage;
-mod test_relay_allowances;
 mod test_relay_confirmation;
 mod test_relay_fleet;
 mod test_relay_fleet_view;
--- a/lib/tests/test_rates.rs
+++ b/lib/tests/test_rates.rs
@@ -291,3 +291,21 @@
     let bucket = holder.bucket(&workshop(), at(0));
     assert_eq!(bucket.map(|bucket| bucket.tokens), Some(TokenCount(2)));
 }
+
+#[test]
+fn token_of_a_request_that_did_not_run_is_spent_again_unless_it_was_reported() {
+    let mut tokens = node_tokens(1);
+    let target = tokens.begin_request(&workshop(), TokenCount(1), at(0));
+    let id = target.expect("a request").request.id;
+    tokens.handle_reply(&workshop(), id, &grant(2, SECOND), at(1));
+    assert_eq!(tokens.try_admit(&workshop(), at(2)), Spend::Admitted);
+    assert!(tokens.give_back(&workshop(), at(3)));
+    assert!(!tokens.give_back(&workshop(), at(3)));
+    for ms in [4, 5] {
+        assert_eq!(tokens.try_admit(&workshop(), at(ms)), Spend::Admitted);
+    }
+    let request = tokens.begin_request(&workshop(), TokenCount(1), at(6));
+    let settlements = request.expect("a request").request.settlements;
+    assert_eq!(settlements[0].unspent_tokens, TokenCount(0));
+    assert!(!tokens.give_back(&workshop(), at(7)));
+}
--- a/lib/tests/test_relay_fleet_view.rs
+++ b/lib/tests/test_relay_fleet_view.rs
@@ -64,16 +64,3 @@
             .is_some_and(NodeRecord::accepts_work)
     );
 }
-
-#[test]
-fn node_count_falls_only_after_the_count_window() {
-    let mut fleet = Fleet::default();
-    for name in ["a", "b", "c"] {
-        fleet.apply_write(record(name, NodeCondition::Alive), StoreRevision(1));
-    }
-    assert_eq!(fleet.recent_max_count(at_ms(0)), 3);
-    fleet.apply_removal(&node("a"), StoreRevision(2), at_ms(0));
-    fleet.evict_missing(at_ms(3_000));
-    assert_eq!(fleet.recent_max_count(at_ms(3_000)), 3);
-    assert_eq!(fleet.recent_max_count(at_ms(20_000)), 2);
-}
--- a/lib/tests/test_relay_rates.rs
+++ b/lib/tests/test_relay_rates.rs
@@ -2,23 +2,29 @@
 
 use std::time::Duration;
 
+use balsamfold::process::relay::rate_plan;
+use balsamfold::values::ConfigVersion;
 use balsamfold::values::RatePerSecond;
 use balsamfold::values::TokenCount;
+use balsamfold::values::ZoneId;
 use balsamfold::version::OrganisationLimits;
 use balsamfold::version::PlannedRoute;
 use balsamfold::version::Priority;
 use balsamfold::version::Repeatability;
+use balsamfold::version::TrafficPlan;
 use balsamfold::version::WeightedService;
 use http::StatusCode;
 use http::header;
 use testutils::relay::RelayFleet;
 use testutils::relay::StoredPlan;
+use testutils::relay::organisation_limits;
+use testutils::relay::sample_organisation;
 
 const KEY: &str = "key-of-a";
 /// Attempts at one request, each after the retry delay of the refusal before it.
 const ATTEMPTS_MAX: usize = 40;
 
-fn plan(rate_per_s: u32, burst_tokens: u64) -> StoredPlan {
+fn plan(version: u64, rate_per_s: Option<u32>, burst_tokens: u64) -> StoredPlan {
     let route = PlannedRoute {
         name: "stock".to_owned(),
         targets: vec![WeightedService {
@@ -34,12 +40,12 @@
     };
     let organisation = OrganisationLimits {
         id: "org-a".parse().expect("valid name"),
-        rate_per_s: Some(RatePerSecond(rate_per_s)),
+        rate_per_s: rate_per_s.map(RatePerSecond),
         burst: TokenCount(burst_tokens),
         priority: Priority(1),
     };
     StoredPlan {
-        version: 1,
+        version,
         routes: vec![("shop".to_owned(), "/stock/".to_owned(), route)],
         organisations: vec![(organisation, vec![KEY.to_owned()])],
     }
@@ -68,10 +74,77 @@
 #[tokio::test]
 async fn organisation_with_fewer_tokens_than_nodes_is_served() {
     let services = ["front", "front", "front", "front", "front", "stock"];
-    let fleet = RelayFleet::start(&plan(20, 2), &services).await;
+    let fleet = RelayFleet::start(&plan(1, Some(20), 2), &services).await;
     for request in 0..6 {
         let id = format!("request-{request}");
         let status = call_until_admitted(&fleet, request % 2, &id).await;
         assert_eq!(status, StatusCode::OK, "{id}");
     }
 }
+
+#[tokio::test]
+async fn organisation_without_a_limit_needs_no_tokens() {
+    let fleet = RelayFleet::start(&plan(1, None, 0), &["front", "stock"]).await;
+    for request in 0..20 {
+        let id = format!("request-{request}");
+        let response = fleet.call(0, &id, "/stock/x", Some(KEY)).await;
+        assert_eq!(response.status, StatusCode::OK, "{id}");
+    }
+}
+
+#[tokio::test]
+async fn relays_together_admit_no_more_than_the_burst() {
+    const BURST_TOKENS: u64 = 6;
+    let services = ["front", "front", "front", "stock"];
+    let minting = plan(1, Some(10_000), BURST_TOKENS);
+    let fleet = RelayFleet::start(&minting, &services).await;
+    let status = call_until_admitted(&fleet, 0, "first").await;
+    assert_eq!(status, StatusCode::OK);
+    fleet.publish(&plan(2, Some(0), BURST_TOKENS));
+    fleet
+        .wait_until(|fleet| {
+            let plans = fleet.relays.iter().map(|relay| relay.daemon.node().plan());
+            plans.flatten().all(|plan| plan.version == ConfigVersion(2))
+        })
+        .await;
+    let mut admitted = 0;
+    for request in 0..30 {
+        let id = format!("request-{request}");
+        let index = request % services.len();
+        let response = fleet.call(index, &id, "/stock/x", Some(KEY)).await;
+        match response.status {
+            StatusCode::OK => admitted += 1,
+            status => {
+                assert_eq!(status, StatusCode::TOO_MANY_REQUESTS, "{id}");
+                assert!(response.headers.contains_key(header::RETRY_AFTER), "{id}");
+            }
+        }
+    }
+    assert!(
+        admitted <= BURST_TOKENS,
+        "{admitted} requests were admitted"
+    );
+}
+
+#[test]
+fn zones_share_limits_equally_and_every_limit_has_room_for_a_token() {
+    let mut plan = TrafficPlan::new(ConfigVersion(1));
+    plan.add_organisation(organisation_limits(40, 0), []);
+    let unlimited = OrganisationLimits {
+        id: "unlimited".parse().expect("valid name"),
+        rate_per_s: None,
+        ..organisation_limits(0, 0)
+    };
+    plan.add_organisation(unlimited, []);
+    let zones: Vec<ZoneId> = ["zone-a", "zone-b"]
+        .iter()
+        .map(|zone| zone.parse().expect("valid name"))
+        .collect();
+    let rates = rate_plan(&plan, zones.iter());
+    assert_eq!(rates.layout.weights.values().collect::<Vec<_>>(), [&1, &1]);
+    let limits: Vec<_> = rates.organisations.values().collect();
+    assert_eq!(limits.len(), 1);
+    assert_eq!(limits[0].id, sample_organisation());
+    assert_eq!(limits[0].rate_per_s, RatePerSecond(40));
+    assert_eq!(limits[0].burst_tokens, TokenCount(1));
+}
--- a/testutils/src/relay/store.rs
+++ b/testutils/src/relay/store.rs
@@ -13,6 +13,7 @@
 use balsamfold::process::relay::StoreItem;
 use balsamfold::process::relay::StoreResult;
 use balsamfold::process::relay::StoreRevision;
+use balsamfold::process::relay::StoreSwap;
 use bytes::Bytes;
 use futures::FutureExt;
 use parking_lot::Mutex;
@@ -139,6 +140,10 @@
         std::future::ready(result).boxed()
     }
 
+    fn get_recent(&self, key: &str) -> StoreResult<AsOf<Option<StoreItem>>> {
+        self.get(key)
+    }
+
     fn list(&self, prefix: &str) -> StoreResult<AsOf<Vec<StoreItem>>> {
         let mut content = self.content.lock();
         let result = content.begin_call().map(|()| AsOf {
@@ -205,6 +210,25 @@
         std::future::ready(result).boxed()
     }
 
+    fn swap(
+        &self,
+        key: &str,
+        expected: Option<StoreRevision>,
+        value: Bytes,
+    ) -> StoreResult<StoreSwap> {
+        let mut content = self.content.lock();
+        let result = content.begin_call().map(|()| {
+            let stored = content.items.get(key).map(|(item, _)| item.revision);
+            match stored == expected {
+                true => StoreSwap::Done(content.write(key, value, LeaseId(0))),
+                false => StoreSwap::Conflict,
+            }
+        });
+        drop(content);
+        self.changed.notify_waiters();
+        std::future::ready(result).boxed()
+    }
+
     fn grant_lease(&self, _ttl: Duration) -> StoreResult<LeaseId> {
         let mut content = self.content.lock();
         let result = content.begin_call().map(|()| {
