rates: small buckets get the report of each token at once, large ones later

What callers saw: organisations with a burst of a few tokens were refused within their rate, and under overload organisations were refused for requests that had been shed and never ran.

Cause: a holder mints nothing in place of a token until its use is reported. That came with the next token request, or after a quarter of the batch's lifetime, 50 ms at least, in which a bucket of one to five tokens stands still. The other way round, a token that was reported cannot be spent again, so a report with the next request left no time to take back the token of a request that was shed.

Fix: a grant says how long the use of its tokens may be kept back: nothing for a share of fewer than eight tokens, else a quarter of the time that fills the burst or of the lifetime. A holder passes on reports on loans at once.

--- a/lib/src/process/rates/client.rs
+++ b/lib/src/process/rates/client.rs
@@ -134,6 +134,7 @@
             self.state.lock().last_admitted = Some(self.clock.now());
         }
         self.request_tokens_if_needed(organisation);
+        self.send_due_reports(organisation);
         match outcome {
             Spend::Admitted => Ok(()),
             Spend::Refused { retry_after } => Err(refusal(
@@ -188,6 +189,14 @@
         admitted.is_some_and(|admitted| now.since(admitted) < HOLDER_CHANGE_MAX)
     }
 
+    fn send_due_reports(&self, organisation: &OrganisationId) {
+        let now = self.clock.now();
+        let reports = self.state.lock().tokens.due_reports(organisation, now);
+        for report in reports {
+            tokio::spawn((self.calls.report)(report));
+        }
+    }
+
     async fn wait_for_token(self: &Arc<Self>, organisation: &OrganisationId) -> Spend {
         let waiting = WaitingGuard::start(self, organisation);
         let spent = self.spend_when_notified(organisation, &waiting.wake);
--- a/lib/src/process/rates/holder.rs
+++ b/lib/src/process/rates/holder.rs
@@ -214,6 +214,12 @@
         }
     }
 
+    /// Returns the reports of one organisation that are due to other zones.
+    pub fn due_reports(&mut self, organisation: &OrganisationId) -> Vec<HolderReport> {
+        let account = self.accounts.get_mut(organisation);
+        account.map_or_else(Vec::new, |account| account.reports(organisation))
+    }
+
     /// Returns the reports that are due to other zones. Must be called several times per second.
     pub fn tick(&mut self, now: MonotonicTime) -> Vec<HolderReport> {
         let mut reports = Vec::new();
@@ -296,6 +302,7 @@
                 batch: id,
                 tokens: part.tokens,
                 lifetime_us: part.lifetime.as_micros() as u64,
+                report_delay_us: account.bucket.share().report_delay().as_micros() as u64,
             })),
             None if request.waiting_tokens.0 == 0 => Some(TokenReply::NoPrefetch),
             None if request.purpose == TokenRequestPurpose::Spend
--- a/lib/src/process/rates/local.rs
+++ b/lib/src/process/rates/local.rs
@@ -188,7 +188,7 @@
             zone: zone.clone(),
             sent: now,
         });
-        let settlements = account.batches.settlements(&zone);
+        let settlements = account.batches.settlements(&zone, now);
         self.last_request = id;
         let request = TokenRequest {
             id,
@@ -247,6 +247,17 @@
         }
     }
 
+    /// Returns the reports of one organisation that are due to holders. The holder of a small bucket
+    /// mints no token until it has the report of the one before.
+    pub fn due_reports(
+        &mut self,
+        organisation: &OrganisationId,
+        now: MonotonicTime,
+    ) -> Vec<SettlementReportTarget> {
+        let account = self.accounts.get_mut(organisation);
+        account.map_or_else(Vec::new, |account| account.reports(organisation, now))
+    }
+
     /// Returns the reports that are due to holders. Must be called several times per second.
     pub fn tick(&mut self, now: MonotonicTime) -> Vec<SettlementReportTarget> {
         let mut reports = Vec::new();
--- a/lib/src/process/rates/local_account.rs
+++ b/lib/src/process/rates/local_account.rs
@@ -102,7 +102,7 @@
             .map(|zone| SettlementReportTarget {
                 report: SettlementReport {
                     organisation: organisation.clone(),
-                    settlements: self.batches.settlements(&zone),
+                    settlements: self.batches.settlements(&zone, now),
                 },
                 zone,
             })
--- a/lib/src/process/rates/local_batch.rs
+++ b/lib/src/process/rates/local_batch.rs
@@ -15,10 +15,6 @@
 /// Shortest time before the end of a batch at which its unspent tokens are returned.
 const MIN_RETURN_MARGIN: Duration = Duration::from_millis(10);
 
-/// Spent tokens are reported without a token request after the lifetime of their batch divided by
-/// this number.
-const REPORTS_PER_LIFETIME: u32 = 4;
-
 /// A batch that the node may spend until it ends.
 #[derive(Clone, Debug)]
 struct LocalBatch {
@@ -33,7 +29,7 @@
     ends: MonotonicTime,
     /// Whether there are changes that were not reported to the holder.
     is_unreported: bool,
-    /// When changes are reported without a token request.
+    /// When changes are reported.
     report_at: MonotonicTime,
 }
 
@@ -58,7 +54,7 @@
             return_at: requested_at.after(lifetime.saturating_sub(return_margin)),
             ends: requested_at.after(lifetime),
             is_unreported: false,
-            report_at: requested_at.after(lifetime / REPORTS_PER_LIFETIME),
+            report_at: requested_at.after(grant.report_delay()),
         });
     }
 
@@ -124,18 +120,15 @@
 
     /// Returns the zones to which reports on their batches are due.
     pub fn zones_to_report(&self, now: MonotonicTime) -> BTreeSet<ZoneId> {
-        let is_due = |batch: &&LocalBatch| batch.is_unreported && batch.report_at <= now;
-        let unreported = self.batches.iter().filter(is_due);
-        unreported.map(|batch| batch.zone.clone()).collect()
+        let due = self.batches.iter().filter(|batch| batch.is_due(now));
+        due.map(|batch| batch.zone.clone()).collect()
     }
 
-    /// Returns the unreported changes for `zone` and marks them as reported.
-    pub fn settlements(&mut self, zone: &ZoneId) -> Vec<Settlement> {
-        let unreported = self
-            .batches
-            .iter_mut()
-            .filter(|batch| batch.is_unreported && batch.zone == *zone);
-        unreported.map(LocalBatch::settlement).collect()
+    /// Returns the changes that are due to be reported to `zone`, and marks them as reported.
+    pub fn settlements(&mut self, zone: &ZoneId, now: MonotonicTime) -> Vec<Settlement> {
+        let is_due = |batch: &&mut LocalBatch| batch.is_due(now) && batch.zone == *zone;
+        let due = self.batches.iter_mut().filter(is_due);
+        due.map(LocalBatch::settlement).collect()
     }
 
     fn remove_ended(&mut self, now: MonotonicTime) {
@@ -146,6 +139,10 @@
 }
 
 impl LocalBatch {
+    fn is_due(&self, now: MonotonicTime) -> bool {
+        self.is_unreported && self.report_at <= now
+    }
+
     fn return_tokens(&mut self, now: MonotonicTime) {
         if self.unspent_tokens > 0 {
             self.is_unreported = true;
--- a/lib/src/process/rates/messages.rs
+++ b/lib/src/process/rates/messages.rs
@@ -127,6 +127,11 @@
         /// How long the batch may be spent, in microseconds from the sending of the request.
         #[serde(rename = "l")]
         pub lifetime_us: u64,
+        /// How long the requester may keep the use of tokens to itself, in microseconds from the
+        /// sending of the request. Until the report, the token of a request that did not run can be
+        /// spent again.
+        #[serde(rename = "a", default)]
+        pub report_delay_us: u64,
     }
 }
 
@@ -135,6 +140,11 @@
     pub fn lifetime(&self) -> Duration {
         Duration::from_micros(self.lifetime_us)
     }
+
+    /// Returns the time from when the request was sent until spent tokens are reported.
+    pub fn report_delay(&self) -> Duration {
+        Duration::from_micros(self.report_delay_us)
+    }
 }
 
 plain_data! {
--- a/lib/src/process/rates/service.rs
+++ b/lib/src/process/rates/service.rs
@@ -145,8 +145,19 @@
     /// Applies a report on batches.
     pub fn apply_report(&self, report: &SettlementReport) {
         let now = self.clock.now();
-        if let Some(holder) = &mut self.state.lock().holder {
-            holder.apply_settlements(&report.organisation, &report.settlements, now);
+        let reports = match &mut self.state.lock().holder {
+            Some(holder) => {
+                holder.apply_settlements(&report.organisation, &report.settlements, now);
+                holder.due_reports(&report.organisation)
+            }
+            None => Vec::new(),
+        };
+        self.send_reports(reports);
+    }
+
+    fn send_reports(&self, reports: Vec<HolderReport>) {
+        for report in reports {
+            tokio::spawn((self.calls.report)(report));
         }
     }
 
@@ -188,9 +199,7 @@
                 None => Vec::new(),
             }
         };
-        for report in reports {
-            tokio::spawn((self.calls.report)(report));
-        }
+        self.send_reports(reports);
     }
 
     /// Gives all borrowed tokens back to their lenders before a planned stop.
--- a/lib/src/process/rates/share.rs
+++ b/lib/src/process/rates/share.rs
@@ -17,6 +17,15 @@
 /// The longest lifetime of a batch.
 pub const MAX_BATCH_LIFETIME: Duration = Duration::from_secs(1);
 
+/// Spent tokens are reported after the lifetime of their batch divided by this number.
+const REPORTS_PER_LIFETIME: u32 = 4;
+
+/// Buckets of fewer tokens than this need the report of each token at once.
+const MIN_BURST_FOR_REPORT_DELAY: TokenCount = TokenCount(8);
+
+/// Microseconds in a second.
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
 /// Number of batch lifetimes in the time in which the rate fills the burst.
 const LIFETIMES_PER_BURST: u64 = 2;
 
@@ -50,6 +59,22 @@
         Duration::from_micros(self.batch_lifetime_us)
     }
 
+    /// Returns how long requesters may keep the use of tokens to themselves.
+    ///
+    /// The bucket mints no tokens in place of unreported ones. So the delay is a small part of the time
+    /// in which the rate fills the burst, and none for a bucket of a few tokens.
+    pub fn report_delay(&self) -> Duration {
+        let fill_us = self
+            .burst_tokens
+            .0
+            .saturating_mul(MICROS_PER_SECOND * MICROS_PER_TOKEN)
+            / self.rate_micro_per_s.0.max(1);
+        match self.burst_tokens {
+            few if few < MIN_BURST_FOR_REPORT_DELAY => Duration::ZERO,
+            _ => Duration::from_micros(fill_us).min(self.batch_lifetime()) / REPORTS_PER_LIFETIME,
+        }
+    }
+
     /// Returns the field-wise minimum of two shares.
     pub fn smaller_of(&self, other: &Self) -> Self {
         Self {
--- a/lib/tests/test_rates.rs
+++ b/lib/tests/test_rates.rs
@@ -96,6 +96,7 @@
         batch: BatchId(0),
         tokens: TokenCount(tokens),
         lifetime_us: lifetime.as_micros() as u64,
+        report_delay_us: 0,
     })
 }
 
@@ -260,6 +261,7 @@
         batch: BatchId(7),
         tokens: TokenCount(1),
         lifetime_us: 500_000,
+        report_delay_us: 0,
     });
     let loan = all.loan_requests.first().or(decision.loan_requests.first());
     let loan = loan.expect("a loan is requested from the lender");
--- a/testutils/src/rate_fleet/fleet.rs
+++ b/testutils/src/rate_fleet/fleet.rs
@@ -5,9 +5,11 @@
 
 use balsamfold::process::rates::HolderDecision;
 use balsamfold::process::rates::HolderRecord;
+use balsamfold::process::rates::HolderReport;
 use balsamfold::process::rates::LeaseAction;
 use balsamfold::process::rates::LoanRequest;
 use balsamfold::process::rates::RecordWrite;
+use balsamfold::process::rates::SettlementReportTarget;
 use balsamfold::process::rates::Spend;
 use balsamfold::process::rates::TOKEN_REQUEST_TIMEOUT;
 use balsamfold::process::rates::TokenReply;
@@ -341,6 +343,24 @@
             }
         }
         self.request_tokens_if_needed(node, &organisation);
+        let reports = self.nodes[node].local.due_reports(&organisation, now);
+        self.send_reports(node, reports);
+    }
+
+    fn send_reports(&mut self, node: NodeIndex, reports: Vec<SettlementReportTarget>) {
+        for target in reports {
+            if let Some(holder) = self.choose_holder(&target.zone) {
+                self.send(node, holder, Message::Report(target.report));
+            }
+        }
+    }
+
+    fn send_holder_reports(&mut self, node: NodeIndex, reports: Vec<HolderReport>) {
+        for target in reports {
+            if let Some(holder) = self.choose_holder(&target.lender) {
+                self.send(node, holder, Message::Report(target.report));
+            }
+        }
     }
 
     fn request_tokens_if_needed(&mut self, node: NodeIndex, organisation: &OrganisationId) {
@@ -378,6 +398,8 @@
             }
         }
         self.request_tokens_if_needed(node, organisation);
+        let reports = self.nodes[node].local.due_reports(organisation, now);
+        self.send_reports(node, reports);
     }
 
     fn time_out_request(&mut self, node: NodeIndex, id: u64) {
@@ -476,6 +498,8 @@
             Message::Report(report) => {
                 if let Some(holder) = &mut self.nodes[node].holder {
                     holder.apply_settlements(&report.organisation, &report.settlements, now);
+                    let reports = holder.due_reports(&report.organisation);
+                    self.send_holder_reports(node, reports);
                 }
             }
             Message::PeerStatusRequest(requested_at) => {
@@ -599,20 +623,13 @@
     fn tick(&mut self, node: NodeIndex) {
         let now = self.clock(node);
         self.schedule(self.now_us + 20_000, Event::Tick(node));
-        for target in self.nodes[node].local.tick(now) {
-            if let Some(holder) = self.choose_holder(&target.zone) {
-                self.send(node, holder, Message::Report(target.report));
-            }
-        }
+        let reports = self.nodes[node].local.tick(now);
+        self.send_reports(node, reports);
         let reports = match &mut self.nodes[node].holder {
             Some(holder) => holder.tick(now),
             None => Vec::new(),
         };
-        for target in reports {
-            if let Some(holder) = self.choose_holder(&target.lender) {
-                self.send(node, holder, Message::Report(target.report));
-            }
-        }
+        self.send_holder_reports(node, reports);
         self.request_promises(node, now);
         let is_candidate = self.is_candidate(node);
         match self.nodes[node].lease.next_action(is_candidate, now) {
