rates: a process takes over from the ended process of its node at once

What callers saw: after all processes of a site were killed at the same moment, requests with keys were refused for 4 to 5 s in every zone.

Cause: the lease on the rates of a zone is a record that others must see unchanged for 4 s. A process that starts again waited for its own predecessor like any other node; it also read the record only if it was a candidate, which a node chosen from few known nodes at the first start need not be later; and reads were 1 s apart although the role was free.

The new test of the lease fails before, as a lease knew no address.

Fix: the record names the address that the holder's process has bound. A process of the same node that has bound the same address knows that the other has ended, and takes the role at once, whether it is a candidate or not. Batches of the ended process had ended one lifetime after the bind.

--- a/lib/src/process/node/rates.rs
+++ b/lib/src/process/node/rates.rs
@@ -60,6 +60,7 @@
         node: settings.node.clone(),
         incarnation: Incarnation(node.clock.wall().0),
         zone: settings.zone.clone(),
+        address: node.addresses.peer,
     };
     let platform = PlatformSettings {
         zone: Some(settings.zone.clone()),
--- a/lib/src/process/rates/fleet_rates.rs
+++ b/lib/src/process/rates/fleet_rates.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::sync::Weak;
@@ -13,6 +14,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::HolderCalls;
+use super::HolderLease;
 use super::HolderService;
 use super::LenderCalls;
 use super::RateClient;
@@ -43,6 +45,8 @@
     pub incarnation: Incarnation,
     /// The zone.
     pub zone: ZoneId,
+    /// The address that the process has bound for as long as it runs.
+    pub address: SocketAddr,
 }
 
 /// Rates of organisations on a node: its own tokens, and the buckets of its zone while it holds
@@ -70,7 +74,8 @@
         let calls = holder_calls(&finder);
         let client = RateClient::new(node.clone(), own.incarnation, zone.clone(), clock, calls);
         let calls = lender_calls(&finder);
-        let service = HolderService::new(node, own.incarnation, zone, clock, calls);
+        let lease = HolderLease::new(node, own.incarnation).bound_to(own.address, clock.now());
+        let service = HolderService::new(lease, zone, clock, calls);
         let service = Arc::new(service);
         finder.service.get_or_init(|| Arc::downgrade(&service));
         Self {
--- a/lib/src/process/rates/holder.rs
+++ b/lib/src/process/rates/holder.rs
@@ -50,7 +50,7 @@
         Self {
             previous_grants_end: match settings.epoch {
                 FIRST_EPOCH => now,
-                _ => now.after(MAX_BATCH_LIFETIME),
+                _ => settings.previous_grants_end,
             },
             accounts: BTreeMap::new(),
             next_batch: BatchId(0),
--- a/lib/src/process/rates/holder_decision.rs
+++ b/lib/src/process/rates/holder_decision.rs
@@ -5,6 +5,7 @@
 use super::SettlementReport;
 use super::TokenReply;
 use crate::values::Epoch;
+use crate::values::MonotonicTime;
 use crate::values::NodeId;
 use crate::values::TokenCount;
 use crate::values::ZoneId;
@@ -18,6 +19,8 @@
     pub node: NodeId,
     /// The epoch of the role.
     pub epoch: Epoch,
+    /// When the batches of the previous holder have ended.
+    pub previous_grants_end: MonotonicTime,
 }
 
 /// What the holder does about a token request.
--- a/lib/src/process/rates/lease.rs
+++ b/lib/src/process/rates/lease.rs
@@ -4,7 +4,8 @@
 //! compare-and-swap only, and every renewal changes it. The holder counts its lease from when it
 //! *sent* the last renewal that took effect. Another node takes over only after it has *observed*
 //! the record unchanged for [`LEASE_TAKEOVER`], which is longer than [`LEASE_HOLD`]. So two leases
-//! never overlap, whatever is delayed. Each node uses only its own monotonic clock, and no clocks
+//! never overlap, whatever is delayed. A process that has bound the address of an earlier process of
+//! its node takes over from that one at once. Each node uses only its own monotonic clock, and no clocks
 //! are compared.
 //!
 //! While the platform is down for all nodes of the zone, no node can take over. The holder then
@@ -13,11 +14,13 @@
 //! [`LEASE_HOLD`].
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::BucketHandover;
 use super::HolderRecord;
 use super::LayoutSet;
+use super::MAX_BATCH_LIFETIME;
 use super::PeerStatus;
 use super::PlatformReachability;
 use super::RecordWrite;
@@ -70,6 +73,8 @@
     record: HolderRecord,
     /// Handovers in the record that the write replaces.
     handovers: Vec<BucketHandover>,
+    /// Whether the replaced record is of an earlier process of this node.
+    replaces_ended_process: bool,
     sent: MonotonicTime,
 }
 
@@ -78,8 +83,12 @@
 pub struct HolderLease {
     node: NodeId,
     incarnation: Incarnation,
+    /// The address that this process has bound, if it is known, and since when.
+    bound: Option<(SocketAddr, MonotonicTime)>,
     seen: Option<SeenRecord>,
     pending: Option<PendingWrite>,
+    /// Whether the last write met another record than the one read before.
+    has_conflicted: bool,
     held: Option<HeldLease>,
     no_takeover_before: MonotonicTime,
     next_call: MonotonicTime,
@@ -89,6 +98,9 @@
     highest_epoch: Epoch,
     /// Handovers of the previous holder, until they are applied.
     handovers: Vec<BucketHandover>,
+    /// Whether the previous holder was an earlier process of this node, which had ended before this
+    /// one bound its address.
+    replaces_ended_process: bool,
     /// The layout of the configuration in force on this node.
     configured_layout: Option<ZoneLayout>,
     layouts: LayoutSet,
@@ -107,20 +119,37 @@
         Self {
             node,
             incarnation,
+            bound: None,
             seen: None,
             pending: None,
+            has_conflicted: false,
             held: None,
             no_takeover_before: MonotonicTime::default(),
             next_call: MonotonicTime::default(),
             platform: PlatformReachability::Unreachable,
             last_platform_response: None,
             handovers: Vec::new(),
+            replaces_ended_process: false,
             highest_epoch: Epoch::default(),
             configured_layout: None,
             layouts: LayoutSet::default(),
         }
     }
 
+    /// Returns the node.
+    pub fn node(&self) -> &NodeId {
+        &self.node
+    }
+
+    /// Names the address that this process has bound since `now` or earlier, by which a later
+    /// process of the node knows that this one has ended.
+    pub fn bound_to(self, address: SocketAddr, now: MonotonicTime) -> Self {
+        Self {
+            bound: Some((address, now)),
+            ..self
+        }
+    }
+
     /// Returns the epoch in which this node may grant tokens now.
     pub fn held_epoch(&self, now: MonotonicTime) -> Option<Epoch> {
         match self.held {
@@ -164,15 +193,19 @@
         self.seen.as_ref()?.record.as_ref()
     }
 
-    /// Returns whether the outcome of a write is unknown.
-    pub fn has_pending_write(&self) -> bool {
-        self.pending.is_some()
+    /// Returns whether the next read must return the newest record.
+    ///
+    /// A takeover succeeds only if the record is unchanged, so an outdated one can only delay it. The
+    /// outcome of a write, and the record that it conflicted with, show in the newest one alone.
+    pub fn needs_newest_record(&self) -> bool {
+        self.pending.is_some() || self.held.is_some() || self.has_conflicted
     }
 
-    /// Returns the call to send to the platform now. A node takes over only if `is_candidate`.
+    /// Returns the call to send to the platform now. A node takes over only if `is_candidate`, or from
+    /// an earlier process of its own.
     pub fn next_action(&mut self, is_candidate: bool, now: MonotonicTime) -> LeaseAction {
         let is_holder = self.held.is_some();
-        if now < self.next_call || !(is_candidate || is_holder) {
+        if now < self.next_call || !(is_candidate || is_holder || self.may_succeed_itself()) {
             return LeaseAction::Wait;
         }
         self.next_call = now.after(LEASE_RENEWAL);
@@ -189,6 +222,7 @@
     /// Handles the record read from the platform.
     pub fn record_read(&mut self, record: Option<HolderRecord>, now: MonotonicTime) {
         self.platform_responded(now);
+        self.has_conflicted = false;
         let epoch = record.as_ref().map_or(Epoch(0), |record| record.epoch);
         self.highest_epoch = self.highest_epoch.max(epoch);
         match self.pending.take() {
@@ -199,13 +233,17 @@
         if !is_ours {
             self.held = None;
         }
-        if record.is_none() {
-            self.next_call = now;
-        }
         match &self.seen {
             Some(seen) if seen.record == record => {}
             _ => self.seen = Some(SeenRecord { record, since: now }),
         }
+        if self
+            .seen
+            .as_ref()
+            .is_some_and(|seen| self.may_take_over(seen, now))
+        {
+            self.next_call = now;
+        }
     }
 
     /// Releases the role for a planned stop. Returns the record to write, or none if this node does
@@ -235,6 +273,14 @@
         })
     }
 
+    /// Returns when the batches of the previous holder have ended, for a role taken over at `now`.
+    pub fn previous_grants_end(&self, now: MonotonicTime) -> MonotonicTime {
+        match (self.bound, self.replaces_ended_process) {
+            (Some((_, bound_at)), true) => bound_at.after(MAX_BATCH_LIFETIME),
+            _ => now.after(MAX_BATCH_LIFETIME),
+        }
+    }
+
     /// Takes the handovers of the previous holder. They are returned only once.
     pub fn take_handovers(&mut self) -> Vec<BucketHandover> {
         std::mem::take(&mut self.handovers)
@@ -264,6 +310,7 @@
     pub fn write_conflicted(&mut self, now: MonotonicTime) {
         self.platform_responded(now);
         self.pending = None;
+        self.has_conflicted = true;
         self.seen = None;
         self.next_call = now;
     }
@@ -344,6 +391,10 @@
                 .as_ref()
                 .map(|record| record.handovers.clone())
                 .unwrap_or_default(),
+            replaces_ended_process: write
+                .expected
+                .as_ref()
+                .is_some_and(|record| self.has_ended(record)),
             sent: now,
         });
         LeaseAction::Write(write)
@@ -379,6 +430,7 @@
             record: HolderRecord {
                 holder: self.node.clone(),
                 incarnation: self.incarnation,
+                address: self.address(),
                 epoch,
                 renewals,
                 released: false,
@@ -392,7 +444,11 @@
         let is_vacant = seen.record.is_none();
         let is_expired = now.since(seen.since) >= LEASE_TAKEOVER;
         let is_released = seen.record.as_ref().is_some_and(|record| record.released);
-        let is_free = is_vacant || is_released || is_expired;
+        let has_ended = seen
+            .record
+            .as_ref()
+            .is_some_and(|record| self.has_ended(record));
+        let is_free = is_vacant || is_released || is_expired || has_ended;
         self.configured_layout.is_some() && now >= self.no_takeover_before && is_free
     }
 
@@ -400,6 +456,26 @@
         record.holder == self.node && record.incarnation == self.incarnation
     }
 
+    /// Returns whether the holder was an earlier process of this node, which has ended because this
+    /// one could bind its address.
+    fn has_ended(&self, record: &HolderRecord) -> bool {
+        record.holder == self.node
+            && record.incarnation != self.incarnation
+            && record.address.is_some()
+            && record.address == self.address()
+    }
+
+    /// Returns whether an earlier process of this node may be the holder: it is, or no record was read.
+    fn may_succeed_itself(&self) -> bool {
+        let record = self.known_holder();
+        let is_unknown = self.bound.is_some() && self.seen.is_none();
+        is_unknown || record.is_some_and(|record| self.has_ended(record))
+    }
+
+    fn address(&self) -> Option<SocketAddr> {
+        self.bound.map(|(address, _)| address)
+    }
+
     /// Starts or extends the lease, counted from when the write was sent.
     fn apply_write(&mut self, pending: &PendingWrite) {
         let valid_until = pending.sent.after(LEASE_HOLD);
@@ -412,6 +488,7 @@
             _ => {
                 self.layouts = LayoutSet::inherited(&pending.record.layouts, pending.sent);
                 self.handovers = pending.handovers.clone();
+                self.replaces_ended_process = pending.replaces_ended_process;
                 Some(HeldLease { epoch, valid_until })
             }
         };
--- a/lib/src/process/rates/lease_record.rs
+++ b/lib/src/process/rates/lease_record.rs
@@ -1,5 +1,7 @@
 //! The stored record of a zone's holder, and the status that nodes of the zone report to it.
 
+use std::net::SocketAddr;
+
 use super::ZoneLayout;
 use crate::values::Epoch;
 use crate::values::Incarnation;
@@ -28,6 +30,9 @@
         pub holder: NodeId,
         /// The incarnation of that node.
         pub incarnation: Incarnation,
+        /// The address that the process of that node has bound, if it is known.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub address: Option<SocketAddr>,
         /// Rises by one with each change of the holder.
         pub epoch: Epoch,
         /// Rises by one with each renewal.
--- a/lib/src/process/rates/lease_task.rs
+++ b/lib/src/process/rates/lease_task.rs
@@ -97,11 +97,8 @@
     }
 
     async fn read(&mut self) {
-        // A takeover succeeds only if the record is unchanged, so an outdated one can only delay
-        // it. The holder needs the newest one: it shows the outcome of a write.
-        let needs_newest =
-            |lease: &HolderLease| lease.held_until().is_some() || lease.has_pending_write();
-        let age = match self.service.with_lease(|lease, _| needs_newest(lease)) {
+        let needs_newest = |lease: &mut HolderLease, _| lease.needs_newest_record();
+        let age = match self.service.with_lease(needs_newest) {
             true => RecordAge::Newest,
             false => RecordAge::Recent,
         };
--- a/lib/src/process/rates/service.rs
+++ b/lib/src/process/rates/service.rs
@@ -26,7 +26,6 @@
 use super::TokenRequest;
 use crate::process::events::rates as events;
 use crate::values::Clock;
-use crate::values::Incarnation;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
 use crate::values::OrganisationId;
@@ -70,21 +69,15 @@
 
 impl HolderService {
     /// Creates a service without the role.
-    pub fn new(
-        node: NodeId,
-        incarnation: Incarnation,
-        zone: ZoneId,
-        clock: Clock,
-        calls: LenderCalls,
-    ) -> Self {
+    pub fn new(lease: HolderLease, zone: ZoneId, clock: Clock, calls: LenderCalls) -> Self {
         Self {
+            node: lease.node().clone(),
             state: Mutex::new(ServiceState {
-                lease: HolderLease::new(node.clone(), incarnation),
+                lease,
                 holder: None,
                 plan: None,
             }),
             zone,
-            node,
             clock,
             calls,
             loan_reply_received: Notify::new(),
@@ -269,6 +262,7 @@
                 zone: self.zone.clone(),
                 node: self.node.clone(),
                 epoch,
+                previous_grants_end: state.lease.previous_grants_end(now),
             };
             events::HOLDER_TAKEN.log(format_args!("zone {}, epoch {epoch}", self.zone));
             state.holder = Some(Holder::new(settings, now));
--- a/lib/src/process/relay/rates.rs
+++ b/lib/src/process/relay/rates.rs
@@ -60,6 +60,7 @@
         node: settings.node.clone(),
         incarnation: Incarnation(clock.wall().0),
         zone: settings.zone.clone(),
+        address: settings.listen.peers,
     };
     let transport = LinkTransport {
         node: Weak::clone(node),
--- a/lib/tests/test_rates.rs
+++ b/lib/tests/test_rates.rs
@@ -111,6 +111,7 @@
         zone: zone("z0"),
         node: "n0".parse().expect("the name is valid"),
         epoch: Epoch(1),
+        previous_grants_end: MonotonicTime(0),
     };
     let mut holder = Holder::new(settings, MonotonicTime(0));
     holder.set_share(&workshop(), share, [zone("z1")], MonotonicTime(0));
--- a/lib/tests/test_rates_lease.rs
+++ b/lib/tests/test_rates_lease.rs
@@ -7,6 +7,7 @@
 use balsamfold::process::rates::LEASE_HOLD;
 use balsamfold::process::rates::LEASE_TAKEOVER;
 use balsamfold::process::rates::LeaseAction;
+use balsamfold::process::rates::MAX_BATCH_LIFETIME;
 use balsamfold::process::rates::MicroRate;
 use balsamfold::process::rates::PeerStatus;
 use balsamfold::process::rates::PlatformReachability;
@@ -127,6 +128,36 @@
     assert_eq!(restarted.next_action(true, at(1_600)), LeaseAction::Read);
 }
 
+/// Guards against seconds without a holder in every zone after all processes were killed at once and
+/// started again: each waited for the lease of its own earlier process.
+#[test]
+fn a_process_that_bound_the_address_of_an_ended_holder_takes_over_at_once() {
+    let address = "127.0.0.1:7000".parse().expect("valid address");
+    let other_address = "127.0.0.1:7001".parse().expect("valid address");
+    let mut first = lease("n1").bound_to(address, at(0));
+    let record = acquire(&mut first, 0);
+    let next = |node: &str, address| {
+        let node = node.parse().expect("the name is valid");
+        let mut next = HolderLease::new(node, Incarnation(2)).bound_to(address, at(300));
+        next.set_layout(layout(1), at(400));
+        assert_eq!(next.next_action(false, at(400)), LeaseAction::Read);
+        next.record_read(Some(record.clone()), at(500));
+        let action = next.next_action(false, at(500));
+        (next, action)
+    };
+    let (mut next_process, action) = next("n1", address);
+    let write = write_of(action);
+    assert_eq!(write.record.epoch, Epoch(2));
+    assert_eq!(write.expected, Some(record.clone()));
+    next_process.write_succeeded(at(600));
+    assert_eq!(next_process.held_epoch(at(600)), Some(Epoch(2)));
+    // The earlier process granted its last batch before this one bound the address.
+    let ended_at = at(300).after(MAX_BATCH_LIFETIME);
+    assert_eq!(next_process.previous_grants_end(at(600)), ended_at);
+    assert_eq!(next("n1", other_address).1, LeaseAction::Wait);
+    assert_eq!(next("n2", address).1, LeaseAction::Wait);
+}
+
 #[test]
 fn the_holder_keeps_its_lease_in_an_outage_with_the_promises_of_all_nodes() {
     let mut first = lease("n1");
@@ -206,6 +237,7 @@
     Some(HolderRecord {
         holder: "n9".parse().expect("the name is valid"),
         incarnation: Incarnation(1),
+        address: None,
         epoch: Epoch(1),
         renewals: 0,
         released: false,
--- a/testutils/src/rate_fleet/bound.rs
+++ b/testutils/src/rate_fleet/bound.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 
+use balsamfold::process::rates::MAX_BATCH_LIFETIME;
+
 /// Billionths of a token in a token.
 ///
 /// Levels are in thousandths of these, which is the product of a rate per second, a speed in
@@ -10,7 +12,7 @@
 
 /// Time for which a burst still counts after it was lowered, because batches that were granted
 /// before may still be spent.
-const BURST_HOLD_US: u64 = 1_000_000;
+const BURST_HOLD_US: u64 = MAX_BATCH_LIFETIME.as_micros() as u64;
 
 /// The largest rate and burst that any node has in force, from a time on.
 #[derive(Clone, Copy, Debug)]
--- a/testutils/src/rate_fleet/node.rs
+++ b/testutils/src/rate_fleet/node.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 
 use balsamfold::process::rates::Holder;
 use balsamfold::process::rates::HolderLease;
@@ -128,7 +129,8 @@
             paused_until_us: 0,
             is_up: true,
             local: LocalTokens::new(id.clone(), incarnation, zones),
-            lease: HolderLease::new(id.clone(), incarnation),
+            lease: HolderLease::new(id.clone(), incarnation)
+                .bound_to(Self::address(&id), clock.read(0)),
             holder: None,
             organisations: Vec::new(),
             layout: ZoneLayout::empty(),
@@ -149,10 +151,19 @@
         self.organisations = organisations;
         self.local = LocalTokens::new(self.id.clone(), incarnation, zones);
         self.incarnation = incarnation;
-        self.lease = HolderLease::new(self.id.clone(), incarnation);
+        self.lease =
+            HolderLease::new(self.id.clone(), incarnation).bound_to(Self::address(&self.id), now);
         self.set_layout(layout, now);
     }
 
+    /// Returns the address that all processes of a node bind, one after the other.
+    fn address(node: &NodeId) -> SocketAddr {
+        let hash = node.as_str().bytes().fold(0_u16, |hash, byte| {
+            hash.wrapping_mul(31).wrapping_add(u16::from(byte))
+        });
+        SocketAddr::from(([127, 0, 0, 1], hash))
+    }
+
     /// Applies the layout of a new configuration.
     pub fn set_layout(&mut self, layout: ZoneLayout, now: MonotonicTime) {
         self.lease.set_layout(layout.clone(), now);
@@ -178,6 +189,10 @@
                 zone: self.zone.clone(),
                 node: self.id.clone(),
                 epoch,
+                previous_grants_end: match new_holder {
+                    NewHolder::Empty => self.lease.previous_grants_end(now),
+                    NewHolder::Full => MonotonicTime::default(),
+                },
             };
             let started = match new_holder {
                 NewHolder::Empty => now,
