--- a/lib/src/process/rates/lease.rs
+++ b/lib/src/process/rates/lease.rs
@@ -57,7 +57,7 @@
     /// Read the record.
     Read,
     /// Write the record.
-    Write(RecordWrite),
+    Write(Box<RecordWrite>),
 }
 
 /// A record as last read from the platform or written to it.
@@ -397,7 +397,7 @@
                 .is_some_and(|record| self.has_ended(record)),
             sent: now,
         });
-        LeaseAction::Write(write)
+        LeaseAction::Write(Box::new(write))
     }
 
     fn renewal(&self, seen: &SeenRecord, now: MonotonicTime) -> RecordWrite {
--- a/lib/src/process/rates/lease_task.rs
+++ b/lib/src/process/rates/lease_task.rs
@@ -61,7 +61,7 @@
             match self.service.next_lease_action(self.is_candidate()) {
                 LeaseAction::Wait => {}
                 LeaseAction::Read => self.read().await,
-                LeaseAction::Write(write) => self.write(write).await,
+                LeaseAction::Write(write) => self.write(*write).await,
             }
         }
     }
--- a/lib/tests/test_rates_lease.rs
+++ b/lib/tests/test_rates_lease.rs
@@ -46,7 +46,7 @@
 
 fn write_of(action: LeaseAction) -> RecordWrite {
     match action {
-        LeaseAction::Write(write) => write,
+        LeaseAction::Write(write) => *write,
         other => panic!("expected a write, got {other:?}"),
     }
 }
--- a/testutils/src/rate_fleet/fleet.rs
+++ b/testutils/src/rate_fleet/fleet.rs
@@ -700,7 +700,7 @@
         let message = match call {
             _ if is_cut || !self.platform_is_up => Message::PlatformUnreachable,
             PlatformCall::Read => Message::Record(self.platform.get(&zone).cloned()),
-            PlatformCall::Write(write) => Message::Written(self.swap(&zone, write)),
+            PlatformCall::Write(write) => Message::Written(self.swap(&zone, *write)),
             PlatformCall::ReadOthers(zones) => {
                 let records = zones.iter().map(|zone| self.platform.get(zone).cloned());
                 Message::OtherRecords(records.collect())
--- a/testutils/src/rate_fleet/message.rs
+++ b/testutils/src/rate_fleet/message.rs
@@ -94,7 +94,7 @@
     /// Reads the record of the node's zone.
     Read,
     /// Writes the record of the node's zone.
-    Write(RecordWrite),
+    Write(Box<RecordWrite>),
     /// Reads the records of other zones.
     ReadOthers(BTreeSet<ZoneId>),
 }
