rates: a leaving holder keeps its role while the store is unreachable

Cause: the holder of that zone began a planned stop 0.3 s after the cut. It gave its role up before it wrote the release, the write was lost, and no other node of the zone could take over without the store.

The new test fails before.

Fix: a leaving holder reads the record first, and releases only if that works. Until then it goes on with the promises of its zone as any holder does, for as long as its process runs. The wait for the release at the end of a stop is half a second, so that a process that cannot release still exits in time.

--- a/lib/src/process/rates/fleet_rates.rs
+++ b/lib/src/process/rates/fleet_rates.rs
@@ -126,8 +126,9 @@
 }
 
 impl RateTasks {
-    /// Longest wait for the release of the lease: two calls to the store.
-    const RELEASE_TIMEOUT: Duration = Duration::from_millis(2_000);
+    /// Longest wait for the release of the lease, which usually ended long before the last request
+    /// in flight. A process must exit soon after that.
+    const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
     /// Waits for the release of the lease, which a planned stop begins, and returns tokens and
     /// loans.
--- a/lib/src/process/rates/lease_task.rs
+++ b/lib/src/process/rates/lease_task.rs
@@ -21,6 +21,10 @@
 /// Interval between checks of the lease.
 const PERIOD: Duration = Duration::from_millis(100);
 
+/// Timeout for the read by which a leaving holder finds out whether the store is reachable: many times
+/// the usual response time, and short beside the lease, which promises extend meanwhile.
+const REACHABILITY_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Acquires, renews and releases the lease on the rates of a node's zone.
 pub(super) struct HolderLeaseTask {
     service: Arc<HolderService>,
@@ -49,12 +53,15 @@
     }
 
     /// Acquires, renews and watches the lease. Releases it and returns when the node is leaving.
+    ///
+    /// A leaving holder keeps the role while the store is unreachable: no other node could take it
+    /// over.
     pub(super) async fn run(mut self) {
         let mut period = tokio::time::interval(PERIOD);
         period.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             period.tick().await;
-            if self.transport.is_leaving() {
+            if self.transport.is_leaving() && self.can_release().await {
                 return self.release().await;
             }
             self.request_promises().await;
@@ -71,6 +78,18 @@
         candidates.contains(&self.node)
     }
 
+    /// Returns whether a release can be written now, or there is nothing to release.
+    ///
+    /// A release that may have been written cannot be taken back, so the store is tried first.
+    async fn can_release(&self) -> bool {
+        if !self.service.is_holder() {
+            return true;
+        }
+        let read = self.transport.read_record(&self.zone, RecordAge::Newest);
+        let read = tokio::time::timeout(REACHABILITY_TIMEOUT, read).await;
+        matches!(read, Ok(Ok(_)))
+    }
+
     /// Releases the lease, so that another node can acquire it immediately.
     async fn release(&self) {
         let Some(write) = self.service.release() else {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -41,6 +41,7 @@
 mod test_rates_fleet;
 mod test_rates_lease;
 mod test_rates_outage;
+mod test_rates_release;
 mod test_rates_scale;
 mod test_relay_confirmation;
 mod test_relay_fleet;
