testutils: backend servers of relays can crash and start again

The stand-in runs on a runtime of its own, as the one for nodes does, so that a crash closes all its sockets at once. One builder of sample routes serves the tests of relays.

--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -8,7 +8,6 @@
 use balsamfold::version::PlannedRoute;
 use balsamfold::version::Priority;
 use balsamfold::version::Repeatability;
-use balsamfold::version::WeightedService;
 use http::StatusCode;
 use testutils::fleet::AfterSend;
 use testutils::fleet::send_raw;
@@ -16,40 +15,28 @@
 use testutils::relay::RelayFleet;
 use testutils::relay::StoredPlan;
 use testutils::relay::relay_protocol;
+use testutils::relay::sample_route;
 
 const KEY: &str = "key-of-a";
 
-fn route(name: &str, service: &str, repeatability: Repeatability) -> PlannedRoute {
-    PlannedRoute {
-        name: name.to_owned(),
-        targets: vec![WeightedService {
-            service: service.parse().expect("valid name"),
-            weight: 1,
-        }],
-        repeatability,
-        timeout_ms: 5_000,
-        latency_objective_ms: 100,
-        attempts_max: 3,
-        priority: Priority(1),
-        is_open: false,
-    }
-}
-
 fn plan(version: u64) -> StoredPlan {
     let inner = PlannedRoute {
         is_open: true,
-        ..route("inner", "stock", Repeatability::Idempotent)
+        ..sample_route("inner", "stock", Repeatability::Idempotent)
     };
     let routes = [
         (
             "/stock/",
-            route("stock", "stock", Repeatability::Idempotent),
+            sample_route("stock", "stock", Repeatability::Idempotent),
         ),
         (
             "/order/",
-            route("order", "stock", Repeatability::AtMostOnce),
+            sample_route("order", "stock", Repeatability::AtMostOnce),
+        ),
+        (
+            "/shop/",
+            sample_route("shop", "front", Repeatability::Idempotent),
         ),
-        ("/shop/", route("shop", "front", Repeatability::Idempotent)),
         ("/inner/", inner),
     ];
     let routes = routes.map(|(prefix, route)| ("shop".to_owned(), prefix.to_owned(), route));
--- a/testutils/src/backend_server/server.rs
+++ b/testutils/src/backend_server/server.rs
@@ -27,8 +27,6 @@
 use rand::rngs::StdRng;
 use serde::Deserialize;
 use serde::Serialize;
-use tokio::runtime::Builder;
-use tokio::runtime::Runtime;
 use tokio::sync::Semaphore;
 use tokio_util::task::AbortOnDropHandle;
 use volo_http::body::Body;
@@ -38,6 +36,7 @@
 use super::Behaviour;
 use super::Fault;
 use super::Recorder;
+use crate::own_runtime::OwnRuntime;
 
 const BODY_BYTES_MAX: usize = 16 * 1_024 * 1_024;
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -94,19 +93,6 @@
     own_runtime: OwnRuntime,
 }
 
-/// The runtime of an isolated stand-in; none if the stand-in uses the runtime of the test.
-#[derive(Clone, Default)]
-struct OwnRuntime(Arc<Mutex<Option<Runtime>>>);
-
-impl OwnRuntime {
-    /// Closes all sockets of the stand-in at once, as the crash of a process does.
-    fn shut_down(&self) {
-        if let Some(runtime) = self.0.lock().take() {
-            runtime.shutdown_background();
-        }
-    }
-}
-
 impl Drop for BackendServer {
     fn drop(&mut self) {
         self.own_runtime.shut_down();
@@ -143,15 +129,10 @@
         behaviour: Behaviour,
         upstream: Upstream,
     ) -> std::io::Result<Self> {
-        let runtime = Builder::new_multi_thread()
-            .worker_threads(1)
-            .enable_all()
-            .build()?;
         let own_runtime = OwnRuntime::default();
         let crashing = own_runtime.clone();
         let crash = Box::new(move || crashing.shut_down());
-        let starting = runtime.spawn(Self::start_with(plan, behaviour, upstream, crash));
-        *own_runtime.0.lock() = Some(runtime);
+        let starting = own_runtime.start(Self::start_with(plan, behaviour, upstream, crash))?;
         let server = starting.await.map_err(std::io::Error::other)?;
         server.map(|mut server| {
             server.own_runtime = own_runtime;
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod load;
 pub mod mesh;
 pub mod overload;
+mod own_runtime;
 pub mod platform;
 pub mod rate_fleet;
 pub mod relay;
--- a/testutils/src/relay/mod.rs
+++ b/testutils/src/relay/mod.rs
@@ -13,6 +13,8 @@
 pub use self::samples::at_ms;
 pub use self::samples::organisation_limits;
 pub use self::samples::sample_organisation;
+pub use self::samples::sample_route;
 pub use self::server::Behaviour;
+pub use self::server::ReceivedRequest;
 pub use self::server::RelayServer;
 pub use self::store::MemoryStore;
--- a/testutils/src/relay/samples.rs
+++ b/testutils/src/relay/samples.rs
@@ -5,7 +5,10 @@
 use balsamfold::values::RatePerSecond;
 use balsamfold::values::TokenCount;
 use balsamfold::version::OrganisationLimits;
+use balsamfold::version::PlannedRoute;
 use balsamfold::version::Priority;
+use balsamfold::version::Repeatability;
+use balsamfold::version::WeightedService;
 
 /// Valid settings of a relay; nothing listens at the addresses of its server and store.
 pub const SAMPLE_SETTINGS: &str = r#"
@@ -51,3 +54,20 @@
         priority: Priority(1),
     }
 }
+
+/// Returns a route with three attempts to one service.
+pub fn sample_route(name: &str, service: &str, repeatability: Repeatability) -> PlannedRoute {
+    PlannedRoute {
+        name: name.to_owned(),
+        targets: vec![WeightedService {
+            service: service.parse().expect("valid name"),
+            weight: 1,
+        }],
+        repeatability,
+        timeout_ms: 5_000,
+        latency_objective_ms: 100,
+        attempts_max: 3,
+        priority: Priority(1),
+        is_open: false,
+    }
+}
--- a/testutils/src/relay/server.rs
+++ b/testutils/src/relay/server.rs
@@ -9,7 +9,6 @@
 use balsamfold::connection::BufferedRequest;
 use balsamfold::connection::ConnectionPool;
 use balsamfold::connection::Listener;
-use balsamfold::connection::ListenerHandle;
 use balsamfold::connection::ListenerLimits;
 use balsamfold::connection::PoolLimits;
 use bytes::Bytes;
@@ -23,6 +22,12 @@
 use volo_http::response::Response;
 
 use super::fleet::relay_protocol;
+use crate::own_runtime::OwnRuntime;
+
+/// Attempts to bind the address of a crashed stand-in until its sockets are closed.
+const BIND_ATTEMPTS_MAX: usize = 200;
+/// Time between two such attempts.
+const BIND_RETRY_DELAY: Duration = Duration::from_millis(10);
 
 /// How a stand-in treats the requests that it receives.
 #[derive(Clone, Debug)]
@@ -37,6 +42,8 @@
     Fail,
     /// Responds with the id of another request.
     WrongRequestId,
+    /// Crashes when the path contains this text, and responds at once to any other request.
+    CrashOn(&'static str),
     /// Makes an onward call, and responds with 500 if that fails.
     CallOnward {
         /// The host of the call.
@@ -60,6 +67,7 @@
     received: Mutex<Vec<ReceivedRequest>>,
     onward: Mutex<Option<SocketAddr>>,
     abandoned: AtomicUsize,
+    runtime: OwnRuntime,
 }
 
 /// Counts a request whose connection closed before the response was ready.
@@ -81,37 +89,42 @@
     /// The address on which it listens.
     pub address: SocketAddr,
     shared: Arc<Shared>,
-    _serving: ListenerHandle,
+}
+
+impl Drop for RelayServer {
+    fn drop(&mut self) {
+        self.crash();
+    }
 }
 
 impl RelayServer {
     /// Starts a server that responds at once.
     pub async fn start() -> Self {
-        let any = "127.0.0.1:0".parse().expect("valid address");
-        let listener = Listener::bind(any).await.expect("address is free");
         let shared = Arc::new(Shared {
             behaviour: Mutex::new(Behaviour::Respond),
             received: Mutex::default(),
             onward: Mutex::default(),
             abandoned: AtomicUsize::new(0),
+            runtime: OwnRuntime::default(),
         });
-        let limits = ListenerLimits {
-            connections_max: 256,
-            header_timeout_ms: 30_000,
-            idle_timeout_ms: 30_000,
-            header_bytes_max: 65_536,
-        };
-        let address = listener.address();
-        let state = Arc::clone(&shared);
-        let serving = listener.serve(limits, move |request| {
-            let state = Arc::clone(&state);
-            async move { handle(&state, request).await }
-        });
-        Self {
-            address,
-            shared,
-            _serving: serving,
-        }
+        let any = "127.0.0.1:0".parse().expect("valid address");
+        let address = listen(&shared, any).await;
+        Self { address, shared }
+    }
+
+    /// Closes all sockets of the server at once, as the crash of a process does.
+    pub fn crash(&self) {
+        self.shared.runtime.shut_down();
+    }
+
+    /// Returns whether the server has crashed and was not started again.
+    pub fn is_crashed(&self) -> bool {
+        !self.shared.runtime.is_running()
+    }
+
+    /// Starts the server again at its address after a crash.
+    pub async fn start_again(&self) {
+        listen(&self.shared, self.address).await;
     }
 
     /// Replaces the behaviour for later requests.
@@ -135,6 +148,38 @@
     }
 }
 
+/// Serves requests at `address` on a runtime of the server's own. Returns the bound address.
+async fn listen(shared: &Arc<Shared>, address: SocketAddr) -> SocketAddr {
+    let limits = ListenerLimits {
+        connections_max: 256,
+        header_timeout_ms: 30_000,
+        idle_timeout_ms: 30_000,
+        header_bytes_max: 65_536,
+    };
+    let state = Arc::clone(shared);
+    let starting = shared.runtime.start(async move {
+        let listener = bind(address).await;
+        let address = listener.address();
+        listener.serve(limits, move |request| {
+            let state = Arc::clone(&state);
+            async move { handle(&state, request).await }
+        });
+        address
+    });
+    let starting = starting.expect("a runtime can be started");
+    starting.await.expect("the server listens")
+}
+
+async fn bind(address: SocketAddr) -> Listener {
+    for _ in 1..BIND_ATTEMPTS_MAX {
+        if let Ok(listener) = Listener::bind(address).await {
+            return listener;
+        }
+        tokio::time::sleep(BIND_RETRY_DELAY).await;
+    }
+    Listener::bind(address).await.expect("address is free")
+}
+
 async fn handle(shared: &Shared, request: Request) -> Response {
     shared.received.lock().push(ReceivedRequest {
         headers: request.headers().clone(),
@@ -159,6 +204,11 @@
         }
         Behaviour::Fail => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
         Behaviour::WrongRequestId => returned_id = Some(HeaderValue::from_static("other")),
+        Behaviour::CrashOn(text) if request.uri().path().contains(text) => {
+            shared.runtime.shut_down();
+            return std::future::pending().await;
+        }
+        Behaviour::CrashOn(_) => {}
         Behaviour::CallOnward { host, path } => {
             if !call(shared, id.as_ref(), host, path).await {
                 *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
