relay: log line of a failed run names the content of its request

Event 8103 named only the id of the caller's attempt, which is new whenever a caller sends the request again. It could not be seen whether several servers failed under the same request. No logic changes.

--- a/lib/src/process/node/suspects.rs
+++ b/lib/src/process/node/suspects.rs
@@ -20,7 +20,6 @@
 use crate::process::control::ControlClient;
 use crate::process::events::once as events;
 use crate::process::membership::NodeRecord;
-use crate::process::once::ContentDigest;
 use crate::process::suspects::Fingerprint;
 use crate::process::suspects::SuspectAdmission;
 use crate::process::suspects::SuspectEntry;
@@ -106,9 +105,7 @@
     organisation: Option<&OrganisationId>,
     request: &BufferedRequest,
 ) -> Result<SuspectRun, Refusal> {
-    let uri = request.uri.to_string();
-    let content = ContentDigest::of(request.method.as_str(), &uri, &request.body);
-    let fingerprint = Fingerprint::of(organisation, content);
+    let fingerprint = Fingerprint::of_request(organisation, request);
     let admission = node.suspects.table.lock().admit(fingerprint);
     let guard = match admission {
         SuspectAdmission::Run => lock_shared(node)?,
--- a/lib/src/process/once/key.rs
+++ b/lib/src/process/once/key.rs
@@ -118,6 +118,12 @@
     }
 }
 
+impl fmt::Display for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", u128::from_be_bytes(self.0))
+    }
+}
+
 plain_value! {
     /// Identifies the content of a request, to detect a key that is reused for another request.
     pub struct ContentDigest([u8; DIGEST_BYTES]);
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -29,6 +29,7 @@
 use crate::process::gate::CompletionOutcome;
 use crate::process::gate::Gate;
 use crate::process::gate::GateState;
+use crate::process::suspects::Fingerprint;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::request::Verdict;
@@ -286,8 +287,9 @@
         backend.record_connection_failure();
     }
     let verdict = failure.verdict();
+    let content = Fingerprint::of_request(metadata.organisation.as_ref(), &request);
     events::RUN_FAILED.log(format_args!(
-        "request={} server={} reason=\"{failure}\" verdict={verdict}",
+        "request={} content={content} server={} reason=\"{failure}\" verdict={verdict}",
         metadata.request_id, backend.server_id
     ));
     let reason = match (&failure, verdict) {
--- a/lib/src/process/suspects/entry.rs
+++ b/lib/src/process/suspects/entry.rs
@@ -1,7 +1,9 @@
 //! Entries about requests that were in flight when a backend server crashed.
 
 use std::collections::BTreeSet;
+use std::fmt;
 
+use crate::connection::BufferedRequest;
 use crate::process::once::ContentDigest;
 use crate::process::once::KeyDigest;
 use crate::values::NodeId;
@@ -14,6 +16,13 @@
 }
 
 impl Fingerprint {
+    /// Returns the fingerprint of a buffered request.
+    pub fn of_request(organisation: Option<&OrganisationId>, request: &BufferedRequest) -> Self {
+        let uri = request.uri.to_string();
+        let content = ContentDigest::of(request.method.as_str(), &uri, &request.body);
+        Self::of(organisation, content)
+    }
+
     /// Returns the fingerprint of a request; requests on open routes have no organisation.
     pub fn of(organisation: Option<&OrganisationId>, content: ContentDigest) -> Self {
         Self(KeyDigest::of_content(organisation, content))
@@ -25,6 +34,12 @@
     }
 }
 
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 plain_data! {
     /// One crash of a backend server during which a request was in flight.
     #[derive(Eq, PartialOrd, Ord)]
