suspects: probe of a crash and table of runs serve more than nodes

Moved out of the node's module without a change of behaviour. A table can reassign the trials of a node that left the fleet without doing so itself.

--- a/lib/src/process/node/suspects.rs
+++ b/lib/src/process/node/suspects.rs
@@ -1,13 +1,10 @@
 //! Handles requests that may crash backend servers, on the path to the local backend server.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::join_all;
 use parking_lot::Mutex;
-use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
 use tokio::sync::OwnedRwLockReadGuard;
 use tokio::sync::OwnedRwLockWriteGuard;
 use tokio::sync::RwLock;
@@ -21,10 +18,13 @@
 use crate::process::events::once as events;
 use crate::process::membership::NodeRecord;
 use crate::process::suspects::Fingerprint;
+use crate::process::suspects::RunId;
+use crate::process::suspects::Runs;
 use crate::process::suspects::SuspectAdmission;
 use crate::process::suspects::SuspectEntry;
 use crate::process::suspects::SuspectStatus;
 use crate::process::suspects::Suspects;
+use crate::process::suspects::is_listening;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::values::NodeId;
@@ -37,16 +37,6 @@
 const EXCLUSIVE_WAIT_MAX: Duration = Duration::from_millis(500);
 /// Timeout for a notification of other nodes, which precedes the responses to the failed requests.
 const NOTIFY_TIMEOUT: Duration = Duration::from_millis(300);
-/// Timeout for the connection that checks whether the backend server still listens.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time for which such a connection must stay open. The sockets of an exiting process are closed
-/// one after another; half of `PROBE_TIMEOUT` covers that on a busy machine.
-const PROBE_SETTLE: Duration = Duration::from_millis(100);
-
-number_type! {
-    /// Identifies a run on the local backend server.
-    RunId(u64)
-}
 
 /// The state of a node for requests that may crash backend servers.
 ///
@@ -60,12 +50,6 @@
     reporting: tokio::sync::Mutex<()>,
 }
 
-#[derive(Debug, Default)]
-struct Runs {
-    last: RunId,
-    fingerprints: HashMap<RunId, Fingerprint>,
-}
-
 /// A run's lock on the backend server: a trial excludes all other runs until this is dropped.
 #[derive(Debug)]
 enum RunGuard {
@@ -116,10 +100,7 @@
             return Err(Refusal::not_run(RefusalReason::Quarantined));
         }
     };
-    let mut runs = node.suspects.runs.lock();
-    let id = RunId(runs.last.0 + 1);
-    runs.last = id;
-    runs.fingerprints.insert(id, fingerprint);
+    let id = node.suspects.runs.lock().add(fingerprint);
     Ok(SuspectRun {
         node: Arc::clone(node),
         id,
@@ -173,50 +154,35 @@
     pub(super) async fn fail(self, server: &LocalServer) {
         let _reporting = self.node.suspects.reporting.lock().await;
         let is_reported = !self.is_registered();
-        if is_reported || is_listening(server).await {
+        if is_reported || is_listening(server.announcement.address).await {
             return;
         }
-        let in_flight = std::mem::take(&mut self.node.suspects.runs.lock().fingerprints);
+        let in_flight = self.node.suspects.runs.lock().take();
         let others = other_nodes(&self.node);
         let wall = self.node.clock.wall();
-        let updates =
-            self.node
-                .suspects
-                .table
-                .lock()
-                .on_crash(in_flight.into_values(), &others, wall);
+        let updates = self
+            .node
+            .suspects
+            .table
+            .lock()
+            .on_crash(in_flight, &others, wall);
         events::SERVER_CRASHED.log(format_args!("{} suspects", updates.len()));
         log_quarantined(&updates);
         notify(&self.node, updates).await;
     }
 
     fn is_registered(&self) -> bool {
-        self.node
-            .suspects
-            .runs
-            .lock()
-            .fingerprints
-            .contains_key(&self.id)
+        self.node.suspects.runs.lock().contains(self.id)
     }
 }
 
 impl Drop for SuspectRun {
     fn drop(&mut self) {
         self.node.suspects.table.lock().on_not_run(self.fingerprint);
-        self.node.suspects.runs.lock().fingerprints.remove(&self.id);
+        self.node.suspects.runs.lock().remove(self.id);
     }
 }
 
-/// Returns whether the backend server still accepts connections and keeps them open.
-async fn is_listening(server: &LocalServer) -> bool {
-    let probe = TcpStream::connect(server.announcement.address);
-    let Ok(Ok(mut probe)) = timeout(PROBE_TIMEOUT, probe).await else {
-        return false;
-    };
-    // No request was sent, so the read can only end because the connection ends.
-    timeout(PROBE_SETTLE, probe.read_u8()).await.is_err()
-}
-
 /// Assigns the trials of this node to other nodes, and notifies them.
 ///
 /// To be called when this node has no backend server.
--- a/lib/src/process/suspects/mod.rs
+++ b/lib/src/process/suspects/mod.rs
@@ -1,10 +1,12 @@
 //! Requests that crash the backend servers that run them.
 //!
 //! When a backend server crashes, its requests in flight become suspects. A suspect runs on only
-//! one other node, with no other request on the backend server. If it finishes, it is cleared; if
-//! that backend server crashes too, it is quarantined. See `docs/design/crash-suspects.md`.
+//! one other node, on trial. If it finishes, it is cleared; if that backend server crashes too, it is
+//! quarantined. See `docs/design/crash-suspects.md`.
 
 mod entry;
+mod probe;
+mod runs;
 mod table;
 
 pub use self::entry::CrashSite;
@@ -12,5 +14,8 @@
 pub use self::entry::SuspectEntry;
 pub use self::entry::SuspectStatus;
 pub use self::entry::Trial;
+pub(crate) use self::probe::is_listening;
+pub(crate) use self::runs::RunId;
+pub(crate) use self::runs::Runs;
 pub use self::table::SuspectAdmission;
 pub use self::table::Suspects;
--- a/lib/src/process/suspects/table.rs
+++ b/lib/src/process/suspects/table.rs
@@ -19,7 +19,8 @@
 pub enum SuspectAdmission {
     /// Run it like any other.
     Run,
-    /// Run it while no other request runs on the backend server, then report its outcome.
+    /// Run it on trial, and report its outcome. A node runs no other request beside it on the
+    /// backend server, a relay no other suspect.
     RunAlone,
     /// Not run: a trial of the same request already runs on this node.
     TrialRunning,
@@ -89,13 +90,23 @@
     /// to the other nodes of the service.
     pub fn reassign_trials(&mut self, others: &[NodeRecord]) -> Vec<SuspectEntry> {
         let local_node = self.local_node.clone();
+        self.reassign_trials_of(&local_node, others)
+    }
+
+    /// Reassigns the trials of `node` to some of `others`, which may include this node.
+    ///
+    /// To be called when `node` has left the fleet without reassigning them. Returns the entries to
+    /// be sent to the other nodes of the service.
+    pub fn reassign_trials_of(
+        &mut self,
+        node: &NodeId,
+        others: &[NodeRecord],
+    ) -> Vec<SuspectEntry> {
         self.entries
             .values_mut()
-            .filter(|entry| {
-                entry.status() == SuspectStatus::Suspected && entry.is_trial_node(&local_node)
-            })
+            .filter(|entry| entry.status() == SuspectStatus::Suspected && entry.is_trial_node(node))
             .filter_map(|entry| {
-                entry.assign_trial(next_trial_node(entry.fingerprint, &local_node, others)?);
+                entry.assign_trial(next_trial_node(entry.fingerprint, node, others)?);
                 Some(entry.clone())
             })
             .collect()
@@ -216,22 +227,22 @@
         .map(|node| node.id.clone())
 }
 
-/// Selects the node that follows `local_node` in descending order of the hashes, cyclically.
+/// Selects the node that follows `from` in descending order of the hashes, cyclically.
 ///
 /// Several nodes may have lost their backend servers. A trial that is reassigned repeatedly visits
 /// all nodes before a node gets it again.
 fn next_trial_node(
     fingerprint: Fingerprint,
-    local_node: &NodeId,
+    from: &NodeId,
     others: &[NodeRecord],
 ) -> Option<NodeId> {
-    let own_score = trial_score(fingerprint, local_node);
+    let from_score = trial_score(fingerprint, from);
     others
         .iter()
-        .filter(|node| node.id != *local_node && node.accepts_work())
+        .filter(|node| node.id != *from && node.accepts_work())
         .max_by_key(|node| {
             let score = trial_score(fingerprint, &node.id);
-            (score < own_score, score)
+            (score < from_score, score)
         })
         .map(|node| node.id.clone())
 }
