relay: refuse a request that crashed two servers, on all relays

Cause: relays kept no memory of the requests in flight when a server crashed. Each resend was a new request, and each attempt went to another server.

Evidence: the new test resends such a request 15 times to five servers that come back. Excluded: retry budgets that add up, as one request alone shows the fault.

Why this works: the node of a server that crashes tells all nodes before it answers the requests that failed, so a resend meets nodes that know. A suspect runs on one node only; a second crash puts it in quarantine, which the store keeps for processes that start later.

--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -18,6 +18,7 @@
 use super::protocol::ServerReport;
 use super::runs::RunningRequest;
 use super::server_health::ServerHealth;
+use super::suspects;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
 use crate::connection::ConnectionPool;
@@ -168,7 +169,10 @@
     let deadline = running.deadline;
     let backend = match node.backend() {
         Some(backend) if backend.accepts_work() => backend,
-        Some(_) | None => return Err(Refusal::not_run(RefusalReason::NoServer)),
+        Some(_) | None => {
+            suspects::reassign_trials(node).await;
+            return Err(Refusal::not_run(RefusalReason::NoServer));
+        }
     };
     let admission_request = AdmissionRequest {
         importance: metadata.importance,
@@ -181,11 +185,13 @@
     if !metadata.is_last_resort && backend.health.lock().should_divert(now) {
         return Err(Refusal::not_run(RefusalReason::ServerFailing));
     }
+    let suspect_permit = suspects::admit(node, metadata.organisation.as_ref(), &request).await?;
     node.check_onward(metadata)?;
     let permit = backend.gate.acquire(admission_request).await?;
     if !backend.accepts_work() {
         return Err(Refusal::not_run(RefusalReason::Draining));
     }
+    let suspect_run = suspect_permit.start()?;
     let remaining = deadline.since(node.clock.now());
     set_headers(node, &backend, metadata, &mut request, remaining);
     let _guard = node.runs.add(Arc::clone(running));
@@ -193,6 +199,17 @@
     record_health(node, &backend, running, &result);
     let waited = running.onward.lock().waited();
     permit.finish(gate_outcome(&result), waited);
+    match &result {
+        Ok(_) => suspect_run.finish(),
+        Err(refusal) if refusal.reason == RefusalReason::BadAnswer => {
+            suspect_run.fail(backend.pool.address()).await;
+        }
+        Err(refusal) if refusal.reason == RefusalReason::NoServer => {
+            drop(suspect_run);
+            suspects::reassign_trials(node).await;
+        }
+        Err(_) => {}
+    }
     result
 }
 
--- a/lib/src/process/relay/caller_responses.rs
+++ b/lib/src/process/relay/caller_responses.rs
@@ -4,6 +4,7 @@
 
 use http::HeaderName;
 use http::HeaderValue;
+use http::StatusCode;
 use http::header;
 use volo_http::body::Body;
 use volo_http::response::Response;
@@ -11,6 +12,7 @@
 use super::node::RelayNode;
 use crate::connection::BufferedResponse;
 use crate::request::Refusal;
+use crate::request::RefusalReason;
 use crate::request::Verdict;
 
 /// Maximum retry delay as a fraction of the caller's remaining time. It is below the third up to
@@ -48,7 +50,7 @@
     remaining: Duration,
 ) -> Response {
     let mut response = Response::new(Body::from(refusal.reason.code()));
-    *response.status_mut() = refusal.reason.status();
+    *response.status_mut() = status_of(refusal);
     let headers = response.headers_mut();
     if let (false, Ok(request_id)) = (request_id.is_empty(), HeaderValue::from_str(request_id)) {
         headers.insert(node.protocol.headers.request_id.clone(), request_id);
@@ -64,13 +66,24 @@
     response
 }
 
-/// Returns the retry delay: that of the refusal or a random one, limited by the remaining time.
+/// Returns the status of a refusal. Callers know that a request has not run by 429 and 503 only, so a
+/// quarantined one is refused with 503.
+fn status_of(refusal: &Refusal) -> StatusCode {
+    match refusal.reason {
+        RefusalReason::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
+        reason => reason.status(),
+    }
+}
+
+/// Returns the retry delay: that of the refusal or a random one, limited by the remaining time unless
+/// the request is quarantined for longer.
 fn retry_after(refusal: &Refusal, remaining: Duration) -> Duration {
     let delay_ms = match refusal.retry_after_ms {
         Some(delay_ms) => delay_ms as f64,
         None => rand::random_range(RETRY_AFTER_MS),
     };
     let delay_max = match remaining {
+        _ if refusal.reason == RefusalReason::Quarantined => Duration::MAX,
         Duration::MAX => Duration::from_secs(1),
         remaining => remaining.mul_f64(RETRY_AFTER_RATIO),
     };
--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -18,6 +18,7 @@
 use super::node::RelayNode;
 use super::peers::serve_peers;
 use super::protocol::Protocol;
+use super::quarantine::watch_quarantines;
 use super::registration_store::read_registration;
 use super::reports::handle_ready;
 use super::reports::handle_report;
@@ -116,6 +117,7 @@
             spawn(maintain_confirmation(Arc::clone(&node))),
             spawn(watch_fleet(Arc::clone(&node))),
             spawn(clean_up_fleet(Arc::clone(&node))),
+            spawn(watch_quarantines(Arc::clone(&node))),
             spawn(maintain_store_entry(Arc::clone(&node))),
             spawn(read_registration(Arc::clone(&node))),
         ];
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -69,6 +69,8 @@
     /// Attempts that reached a backend server.
     server_attempts: u32,
     refusing_nodes: usize,
+    /// The only node that may run the request, named by the latest refusal.
+    only_on: Option<NodeId>,
     /// The first node that refused the request because its server fails often.
     skipped_node: Option<NodeRecord>,
     verdict: Option<Verdict>,
@@ -99,6 +101,8 @@
     Attempts,
     /// The retry budget of its service is exhausted.
     RetryBudget,
+    /// It crashed several backend servers.
+    Quarantined,
 }
 
 impl fmt::Display for GiveUpReason {
@@ -110,6 +114,7 @@
             Self::Overload => "none-overload",
             Self::Attempts => "none-attempts",
             Self::RetryBudget => "none-retry-budget",
+            Self::Quarantined => "none-quarantined",
         })
     }
 }
@@ -127,7 +132,7 @@
         false => node.count_first_attempt(&outbound.service),
     }
     let mut progress = Progress::default();
-    while let Some(destination) = choose(node, outbound, &progress.tried) {
+    while let Some(destination) = next_destination(node, outbound, &mut progress) {
         progress.tried.push(destination.id.clone());
         let kind = AttemptKind {
             is_repeat: progress.server_attempts > 0,
@@ -224,7 +229,9 @@
     if refusal.reason == RefusalReason::ServerFailing {
         progress.skipped_node.get_or_insert(destination.clone());
     }
-    progress.refusing_nodes += usize::from(refusal.reason == RefusalReason::Overloaded);
+    progress.only_on.clone_from(&refusal.only_on);
+    let is_overloaded = refusal.reason == RefusalReason::Overloaded && refusal.only_on.is_none();
+    progress.refusing_nodes += usize::from(is_overloaded);
     let step = next_step(node, outbound, progress, &refusal);
     events::ATTEMPT_FAILED.log(format_args!(
         "request={} route={} peer={} reason={} verdict={} attempt={} next={}",
@@ -255,11 +262,14 @@
     let reason = match refusal.reason {
         _ if !may_repeat => GiveUpReason::MayHaveRun,
         RefusalReason::DeadlineExceeded => GiveUpReason::Time,
+        RefusalReason::Quarantined => GiveUpReason::Quarantined,
         _ if remaining < ATTEMPT_TIME_MIN => GiveUpReason::Time,
         _ if progress.tried.len() >= TRIED_NODES_MAX => GiveUpReason::Nodes,
         RefusalReason::Overloaded if progress.refusing_nodes >= REFUSING_NODES_MAX => {
             GiveUpReason::Overload
         }
+        // The request did not reach a server this time, so the redirect is no retry.
+        _ if refusal.only_on.is_some() => return NextStep::TryAnother,
         _ if progress.server_attempts == 0 => return NextStep::TryAnother,
         _ if progress.server_attempts >= outbound.route.attempts_max => GiveUpReason::Attempts,
         _ if !node.try_retry(&outbound.service) => GiveUpReason::RetryBudget,
@@ -298,6 +308,24 @@
         .learn(route, &outbound.service, &destination.id, notice, now);
 }
 
+/// Returns the node for the next attempt: the only one that may run the request, or one that was not
+/// tried yet.
+fn next_destination(
+    node: &RelayNode,
+    outbound: &Outbound,
+    progress: &mut Progress,
+) -> Option<NodeRecord> {
+    let Some(only_on) = progress.only_on.take() else {
+        return choose(node, outbound, &progress.tried);
+    };
+    let members = node.members();
+    let serving = members.serving(&outbound.service).iter();
+    serving
+        .filter(|record| !node.links.is_unresponsive(record.addresses.peer))
+        .find(|record| record.id == only_on)
+        .cloned()
+}
+
 /// Chooses a responsive node of the service that was not tried yet.
 fn choose(node: &RelayNode, outbound: &Outbound, tried: &[NodeId]) -> Option<NodeRecord> {
     let members = node.members();
@@ -397,9 +425,10 @@
     let result = match link_reply.reply {
         PeerReply::Response(response) => Ok(response),
         PeerReply::Refused(refusal) => Err(refusal),
-        PeerReply::Pong | PeerReply::Tokens(_) | PeerReply::RateStatus(_) => {
-            Err(Refusal::may_have_run(RefusalReason::BadAnswer))
-        }
+        PeerReply::Pong
+        | PeerReply::Tokens(_)
+        | PeerReply::RateStatus(_)
+        | PeerReply::SuspectsCleared(_) => Err(Refusal::may_have_run(RefusalReason::BadAnswer)),
     };
     Ok(RunOutcome {
         result,
@@ -430,7 +459,9 @@
             CallOutcome::Failed
         }
         Ok(_) => CallOutcome::Answered,
+        Err(refusal) if refusal.only_on.is_some() => CallOutcome::Cancelled,
         Err(refusal) => match refusal.reason {
+            RefusalReason::Quarantined => CallOutcome::Cancelled,
             RefusalReason::Overloaded | RefusalReason::Draining | RefusalReason::ServerFailing => {
                 CallOutcome::Refused
             }
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -21,6 +21,7 @@
 use crate::process::rates::SettlementReport;
 use crate::process::rates::TokenReply;
 use crate::process::rates::TokenRequest;
+use crate::process::suspects::SuspectEntry;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::values::Importance;
@@ -228,6 +229,20 @@
     },
     /// Notifies a node that the holder of its zone has released its role.
     RateHolderReleased,
+    /// Notifies a node of requests that may crash backend servers.
+    SuspectUpdates {
+        /// The exchange.
+        exchange: ExchangeId,
+        /// The entries that have changed.
+        entries: Vec<SuspectEntry>,
+    },
+    /// The reply to a notification of suspects.
+    SuspectsCleared {
+        /// The exchange.
+        exchange: ExchangeId,
+        /// The entries that the node cleared.
+        entries: Vec<SuspectEntry>,
+    },
 }
 
 /// A frame that cannot be encoded or decoded.
--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -28,6 +28,7 @@
 use crate::process::events::relay as events;
 use crate::process::rates::PeerStatus;
 use crate::process::rates::TokenReply;
+use crate::process::suspects::SuspectEntry;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::values::Clock;
@@ -66,6 +67,8 @@
     Tokens(TokenReply),
     /// The status for the holder of the node's zone.
     RateStatus(PeerStatus),
+    /// The suspects that the node cleared.
+    SuspectsCleared(Vec<SuspectEntry>),
 }
 
 /// A reply with the confirmation report and the load notice that came with it.
@@ -244,6 +247,10 @@
                 let load = LoadNotice::default();
                 (exchange, PeerReply::RateStatus(status), None, load)
             }
+            Head::SuspectsCleared { exchange, entries } => {
+                let load = LoadNotice::default();
+                (exchange, PeerReply::SuspectsCleared(entries), None, load)
+            }
             Head::Hello { .. }
             | Head::Request(_)
             | Head::Cancel { .. }
@@ -253,7 +260,8 @@
             | Head::TokenRequest { .. }
             | Head::TokenReport { .. }
             | Head::RateStatusRequest { .. }
-            | Head::RateHolderReleased => return Ok(()),
+            | Head::RateHolderReleased
+            | Head::SuspectUpdates { .. } => return Ok(()),
         };
         let sender = self.state.lock().pending.remove(&exchange);
         if let Some(sender) = sender {
--- a/lib/src/process/relay/mod.rs
+++ b/lib/src/process/relay/mod.rs
@@ -18,6 +18,7 @@
 mod node;
 mod peers;
 mod protocol;
+mod quarantine;
 mod rates;
 mod registration;
 mod registration_store;
@@ -28,6 +29,7 @@
 mod split;
 mod store;
 mod store_entry;
+mod suspects;
 mod tasks;
 
 pub use self::confirmation::Confirmation;
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -31,6 +31,7 @@
 use super::settings::RelaySettings;
 use super::split::SplitState;
 use super::store::SharedStore;
+use super::suspects::SuspectState;
 use crate::process::events::relay as events;
 use crate::process::gate::DownstreamFloors;
 use crate::process::gate::FloorNotice;
@@ -88,6 +89,8 @@
     pub(super) router: Mutex<Router>,
     /// Requests that run on the local backend server.
     pub(super) runs: RunTable,
+    /// Requests that may crash backend servers.
+    pub(super) suspects: SuspectState,
     /// Admission floors for requests of callers.
     pub(super) ingress_floors: Mutex<DownstreamFloors>,
     /// Admission floors for the onward calls of the local backend server.
@@ -138,6 +141,7 @@
             zones: zones.collect(),
             rates: new_rates(node, &settings.raw, clock, Arc::clone(&store)),
             links: Arc::new(Links::new(settings.raw.node.clone(), clock)),
+            suspects: SuspectState::new(settings.raw.node.clone()),
             router: Mutex::new(Router::new(
                 settings.raw.zone.clone(),
                 rand::random(),
--- a/lib/src/process/relay/peers.rs
+++ b/lib/src/process/relay/peers.rs
@@ -179,12 +179,17 @@
             let service = &node.rates.service;
             service.with_lease(|lease, now| lease.release_received(now));
         }
+        Head::SuspectUpdates { exchange, entries } => {
+            let entries = node.merge_suspects(&entries);
+            send_reply(replies, &Head::SuspectsCleared { exchange, entries }, &[]);
+        }
         Head::Response(_)
         | Head::Refused { .. }
         | Head::Pong { .. }
         | Head::Lent { .. }
         | Head::TokenReply { .. }
-        | Head::RateStatus { .. } => {}
+        | Head::RateStatus { .. }
+        | Head::SuspectsCleared { .. } => {}
     }
     Ok(())
 }
--- /dev/null
+++ b/lib/src/process/relay/suspects.rs
@@ -0,0 +1,334 @@
+//! Handles requests that may crash backend servers, on the path to the local backend server.
+//!
+//! A suspect runs on trial beside other requests, but one at a time. A crash under load has many
+//! suspects, and emptying the server for each would cost callers more than a second crash.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use parking_lot::Mutex;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+
+use super::frame::ExchangeId;
+use super::frame::Head;
+use super::frame::encode_frame;
+use super::link::LinkFailure;
+use super::link::PeerReply;
+use super::node::RelayNode;
+use super::quarantine::store_quarantine;
+use crate::connection::BufferedRequest;
+use crate::process::events::once as events;
+use crate::process::membership::NodeRecord;
+use crate::process::suspects::Fingerprint;
+use crate::process::suspects::RunId;
+use crate::process::suspects::Runs;
+use crate::process::suspects::SuspectAdmission;
+use crate::process::suspects::SuspectEntry;
+use crate::process::suspects::SuspectStatus;
+use crate::process::suspects::Suspects;
+use crate::process::suspects::is_listening;
+use crate::request::Refusal;
+use crate::request::RefusalReason;
+use crate::values::MonotonicTime;
+use crate::values::NodeId;
+use crate::values::OrganisationId;
+
+/// Delay in milliseconds after which a caller may retry a request that was refused because of a
+/// trial.
+const TRIAL_RETRY_MS: u64 = 200;
+/// Maximum time for which a suspect waits for the trial before it.
+const TRIAL_WAIT_MAX: Duration = Duration::from_millis(500);
+/// Timeout for a notification of other nodes, which precedes the responses to the failed requests.
+const NOTIFY_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The state of a node for requests that may crash backend servers.
+///
+/// Neither the table nor the runs is held across an await, or while the other one is acquired.
+#[derive(Debug)]
+pub(super) struct SuspectState {
+    table: Mutex<Suspects>,
+    runs: Mutex<Runs>,
+    trial: Arc<Semaphore>,
+    /// When the last probe began that found the backend server listening. Held while a crash is
+    /// detected and reported, so that each crash is reported once, before any response to its
+    /// requests.
+    found_listening: tokio::sync::Mutex<Option<MonotonicTime>>,
+}
+
+impl SuspectState {
+    /// Creates the state without suspects.
+    pub(super) fn new(own_id: NodeId) -> Self {
+        Self {
+            table: Mutex::new(Suspects::new(own_id)),
+            runs: Mutex::default(),
+            trial: Arc::new(Semaphore::new(1)),
+            found_listening: tokio::sync::Mutex::default(),
+        }
+    }
+}
+
+/// A request that may go to the backend server in view of earlier crashes.
+pub(super) struct SuspectPermit {
+    node: Arc<RelayNode>,
+    fingerprint: Fingerprint,
+    is_trial: bool,
+    trial_lock: Option<OwnedSemaphorePermit>,
+}
+
+/// A request on its way to the backend server; dropping it ends the run.
+pub(super) struct SuspectRun {
+    permit: SuspectPermit,
+    id: RunId,
+}
+
+/// Admits a request, or refuses it because it is suspected of crashes. Waits while another suspect
+/// is on trial.
+pub(super) async fn admit(
+    node: &Arc<RelayNode>,
+    organisation: Option<&OrganisationId>,
+    request: &BufferedRequest,
+) -> Result<SuspectPermit, Refusal> {
+    let fingerprint = Fingerprint::of_request(organisation, request);
+    let admission = node.suspects.table.lock().admit(fingerprint);
+    let admission = match admission {
+        SuspectAdmission::OnlyOn(trial_node) if !node.is_serving(&trial_node) => {
+            replace_trial_node(node, &trial_node);
+            node.suspects.table.lock().admit(fingerprint)
+        }
+        admission => admission,
+    };
+    let mut permit = SuspectPermit {
+        node: Arc::clone(node),
+        fingerprint,
+        is_trial: admission == SuspectAdmission::RunAlone,
+        trial_lock: None,
+    };
+    match admission {
+        SuspectAdmission::Run => {}
+        SuspectAdmission::RunAlone => permit.trial_lock = Some(acquire_trial(node).await?),
+        refused => return Err(refusal_of(refused)),
+    }
+    Ok(permit)
+}
+
+async fn acquire_trial(node: &RelayNode) -> Result<OwnedSemaphorePermit, Refusal> {
+    let acquiring = Arc::clone(&node.suspects.trial).acquire_owned();
+    match timeout(TRIAL_WAIT_MAX, acquiring).await {
+        Ok(Ok(permit)) => Ok(permit),
+        Ok(Err(_)) | Err(_) => Err(busy_with_trial()),
+    }
+}
+
+fn refusal_of(admission: SuspectAdmission) -> Refusal {
+    match admission {
+        SuspectAdmission::OnlyOn(node) => busy_with_trial().only_on(node),
+        SuspectAdmission::Quarantined => {
+            let quarantine_ms = Suspects::QUARANTINE.as_millis() as u64;
+            Refusal::not_run(RefusalReason::Quarantined).retry_after_ms(quarantine_ms)
+        }
+        SuspectAdmission::Run | SuspectAdmission::RunAlone | SuspectAdmission::TrialRunning => {
+            busy_with_trial()
+        }
+    }
+}
+
+fn busy_with_trial() -> Refusal {
+    Refusal::not_run(RefusalReason::Overloaded).retry_after_ms(TRIAL_RETRY_MS)
+}
+
+/// Reassigns the trials of a node that has left the fleet, and notifies the other nodes.
+fn replace_trial_node(node: &Arc<RelayNode>, left: &NodeId) {
+    let serving = node.serving_nodes();
+    let moved = node
+        .suspects
+        .table
+        .lock()
+        .reassign_trials_of(left, &serving);
+    spawn_notification(node, moved);
+}
+
+impl SuspectPermit {
+    /// Starts the run, unless the request became a suspect while it waited for a slot.
+    pub(super) fn start(self) -> Result<SuspectRun, Refusal> {
+        if !self.is_trial {
+            let mut table = self.node.suspects.table.lock();
+            match table.admit(self.fingerprint) {
+                SuspectAdmission::Run => {}
+                SuspectAdmission::RunAlone => {
+                    table.on_not_run(self.fingerprint);
+                    return Err(busy_with_trial());
+                }
+                refused => return Err(refusal_of(refused)),
+            }
+        }
+        let id = self.node.suspects.runs.lock().add(self.fingerprint);
+        Ok(SuspectRun { permit: self, id })
+    }
+}
+
+impl Drop for SuspectPermit {
+    fn drop(&mut self) {
+        if self.is_trial {
+            self.node.suspects.table.lock().on_not_run(self.fingerprint);
+        }
+    }
+}
+
+impl SuspectRun {
+    /// Records that the backend server responded; notifies other nodes if that clears a suspect.
+    pub(super) fn finish(self) {
+        let node = &self.permit.node;
+        let cleared = node
+            .suspects
+            .table
+            .lock()
+            .on_finished(self.permit.fingerprint);
+        spawn_notification(node, cleared.into_iter().collect());
+    }
+
+    /// Records that the connection failed after a part of the request was sent.
+    ///
+    /// If the backend server crashed, this returns only after the other nodes were notified, so
+    /// that a resent request does not reach a node that does not know the suspects.
+    pub(super) async fn fail(self, server_address: SocketAddr) {
+        let node = &self.permit.node;
+        let failed_at = node.clock.now();
+        let mut found_listening = node.suspects.found_listening.lock().await;
+        let is_reported = !node.suspects.runs.lock().contains(self.id);
+        if is_reported || found_listening.is_some_and(|probed_at| probed_at >= failed_at) {
+            return;
+        }
+        let probed_at = node.clock.now();
+        if is_listening(server_address).await {
+            *found_listening = Some(probed_at);
+            return;
+        }
+        report_crash(node, server_address).await;
+    }
+}
+
+impl Drop for SuspectRun {
+    fn drop(&mut self) {
+        self.permit.node.suspects.runs.lock().remove(self.id);
+    }
+}
+
+async fn report_crash(node: &Arc<RelayNode>, server_address: SocketAddr) {
+    let in_flight = node.suspects.runs.lock().take();
+    let others = node.serving_nodes();
+    let wall = node.clock.wall();
+    let updates = node
+        .suspects
+        .table
+        .lock()
+        .on_crash(in_flight, &others, wall);
+    events::SERVER_CRASHED.log(format_args!(
+        "server_address={server_address} suspects={}",
+        updates.len()
+    ));
+    for entry in &updates {
+        if entry.status() == SuspectStatus::Quarantined {
+            events::SUSPECT_QUARANTINED.log(format_args!(
+                "content={} crashes={}",
+                entry.fingerprint,
+                entry.crashes.len()
+            ));
+            tokio::spawn(store_quarantine(Arc::clone(node), entry.clone()));
+        }
+    }
+    notify(node, updates).await;
+}
+
+/// Assigns the trials of this node to other nodes, and notifies them.
+///
+/// To be called when this node has no backend server that accepts work.
+pub(super) async fn reassign_trials(node: &Arc<RelayNode>) {
+    let others = node.serving_nodes();
+    let moved = node.suspects.table.lock().reassign_trials(&others);
+    notify(node, moved).await;
+}
+
+fn spawn_notification(node: &Arc<RelayNode>, updates: Vec<SuspectEntry>) {
+    if !updates.is_empty() {
+        let node = Arc::clone(node);
+        tokio::spawn(async move { notify(&node, updates).await });
+    }
+}
+
+/// Notifies the other nodes, and sends them the entries that any of them cleared.
+///
+/// All nodes are notified, because one whose backend server is down at the moment may get it back.
+async fn notify(node: &Arc<RelayNode>, updates: Vec<SuspectEntry>) {
+    if updates.is_empty() {
+        return;
+    }
+    let cleared = notify_all(node, &updates).await;
+    if !cleared.is_empty() {
+        node.merge_suspects(&cleared);
+        notify_all(node, &cleared).await;
+    }
+}
+
+async fn notify_all(node: &RelayNode, updates: &[SuspectEntry]) -> Vec<SuspectEntry> {
+    let members = node.members();
+    let others = members
+        .nodes()
+        .filter(|record| record.id != node.settings.raw.node);
+    let calls = others.map(|other| notify_one(node, other, updates));
+    join_all(calls).await.into_iter().flatten().collect()
+}
+
+/// Notifies one node. Returns the entries that it cleared.
+async fn notify_one(
+    node: &RelayNode,
+    other: &NodeRecord,
+    updates: &[SuspectEntry],
+) -> Vec<SuspectEntry> {
+    let exchange = async {
+        let link = node.links.get(&other.id, other.addresses.peer).await?;
+        link.exchange(|exchange| updates_frame(exchange, updates))
+            .await
+    };
+    match timeout(NOTIFY_TIMEOUT, exchange).await {
+        Ok(Ok(reply)) => match reply.reply {
+            PeerReply::SuspectsCleared(cleared) => cleared,
+            _ => Vec::new(),
+        },
+        // Links log why a node cannot be reached. It learns of a quarantine from the store.
+        Ok(Err(_)) | Err(_) => Vec::new(),
+    }
+}
+
+fn updates_frame(
+    exchange: ExchangeId,
+    updates: &[SuspectEntry],
+) -> Result<bytes::Bytes, LinkFailure> {
+    let head = Head::SuspectUpdates {
+        exchange,
+        entries: updates.to_vec(),
+    };
+    encode_frame(&head, &[]).map_err(|_| LinkFailure::NotSent)
+}
+
+impl RelayNode {
+    /// Merges suspects known to another node; returns the entries that this node can clear.
+    pub fn merge_suspects(&self, updates: &[SuspectEntry]) -> Vec<SuspectEntry> {
+        let wall = self.clock.wall();
+        self.suspects.table.lock().merge(updates, wall)
+    }
+
+    /// Returns the nodes with a backend server of this node's service.
+    fn serving_nodes(&self) -> Vec<NodeRecord> {
+        self.members().serving(&self.settings.raw.service).to_vec()
+    }
+
+    fn is_serving(&self, node: &NodeId) -> bool {
+        let members = self.members();
+        let serving = members.serving(&self.settings.raw.service);
+        serving.iter().any(|record| record.id == *node)
+    }
+}
--- a/lib/src/process/relay/tasks.rs
+++ b/lib/src/process/relay/tasks.rs
@@ -36,9 +36,9 @@
 const STORE_REQUEST_AGE_FRACTIONS: std::ops::Range<f64> = 0.6..1.1;
 /// Timeout for another node's confirmation report.
 const CONFIRMATION_REPORT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Delay after a change of the fleet, so that changes close together cost one call. Other nodes
-/// refuse a request for a server that has left, so an outdated view costs only another attempt.
-const FLEET_CHANGE_DELAY: Duration = Duration::from_millis(200);
+/// Delay after changes, so that changes close together cost one call. Other nodes refuse a request for
+/// a server that has left, so an outdated view of the fleet costs only another attempt.
+const CHANGE_DELAY: Duration = Duration::from_millis(200);
 /// Time between two checks for entries that stayed missing.
 const CLEAN_UP_PERIOD: Duration = Duration::from_millis(500);
 
@@ -82,7 +82,7 @@
     }
 }
 
-fn new_backoff() -> Backoff {
+pub(super) fn new_backoff() -> Backoff {
     Backoff::new(FIRST_PAUSE, LONGEST_PAUSE, rand::random())
 }
 
@@ -210,15 +210,32 @@
 
 /// Watches the store entries of the fleet's nodes.
 pub(super) async fn watch_fleet(node: Arc<RelayNode>) {
+    watch_items(
+        &node,
+        STORE_ENTRY_PREFIX,
+        |items, revision| apply_listing(&node, items, revision),
+        |changes| apply_changes(&node, changes),
+    )
+    .await;
+}
+
+/// Reads all items below `prefix`, and then follows their changes. After a failure or a loss of
+/// history, it starts again.
+pub(super) async fn watch_items(
+    node: &RelayNode,
+    prefix: &str,
+    apply_listing: impl Fn(&[StoreItem], StoreRevision),
+    apply_changes: impl Fn(&[StoreEvent]),
+) {
     let mut backoff = new_backoff();
     loop {
-        let listed = node.store.list(STORE_ENTRY_PREFIX).await;
+        let listed = node.store.list(prefix).await;
         node.metrics.record_store_call(listed.is_ok());
         let error = match listed {
             Ok(listed) => {
                 backoff.reset();
-                apply_listing(&node, &listed.content, listed.revision);
-                follow_fleet(&node, listed.revision).await
+                apply_listing(&listed.content, listed.revision);
+                follow_items(node, prefix, listed.revision, &apply_changes).await
             }
             Err(error) => error,
         };
@@ -229,6 +246,30 @@
     }
 }
 
+async fn follow_items(
+    node: &RelayNode,
+    prefix: &str,
+    mut after: StoreRevision,
+    apply_changes: impl Fn(&[StoreEvent]),
+) -> StoreError {
+    loop {
+        match node.store.watch(prefix, after, WATCH_TIMEOUT).await {
+            Ok(changes) => {
+                node.metrics.record_store_call(true);
+                apply_changes(&changes.content);
+                after = after.max(changes.revision);
+                if !changes.content.is_empty() {
+                    sleep(CHANGE_DELAY).await;
+                }
+            }
+            Err(error) => {
+                node.metrics.record_store_call(false);
+                return error;
+            }
+        }
+    }
+}
+
 fn apply_listing(node: &RelayNode, items: &[StoreItem], revision: StoreRevision) {
     let now = node.clock.now();
     let mut listed: Vec<NodeId> = Vec::new();
@@ -268,29 +309,6 @@
     key.strip_prefix(STORE_ENTRY_PREFIX)?.parse().ok()
 }
 
-async fn follow_fleet(node: &Arc<RelayNode>, mut after: StoreRevision) -> StoreError {
-    loop {
-        match node
-            .store
-            .watch(STORE_ENTRY_PREFIX, after, WATCH_TIMEOUT)
-            .await
-        {
-            Ok(changes) => {
-                node.metrics.record_store_call(true);
-                apply_changes(node, &changes.content);
-                after = after.max(changes.revision);
-                if !changes.content.is_empty() {
-                    sleep(FLEET_CHANGE_DELAY).await;
-                }
-            }
-            Err(error) => {
-                node.metrics.record_store_call(false);
-                return error;
-            }
-        }
-    }
-}
-
 fn apply_changes(node: &RelayNode, changes: &[StoreEvent]) {
     let now = node.clock.now();
     let mut changed = false;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -53,6 +53,7 @@
 mod test_relay_rates;
 mod test_relay_registration;
 mod test_relay_settings;
+mod test_relay_suspects;
 mod test_relay_traffic;
 mod test_routing;
 mod test_secret;
--- /dev/null
+++ b/lib/tests/test_relay_suspects.rs
@@ -0,0 +1,202 @@
+//! Requests that crash backend servers, on running relays.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use balsamfold::process::once::ContentDigest;
+use balsamfold::process::suspects::CrashSite;
+use balsamfold::process::suspects::Fingerprint;
+use balsamfold::process::suspects::SuspectEntry;
+use balsamfold::values::Clock;
+use balsamfold::version::PlannedRoute;
+use balsamfold::version::Repeatability;
+use futures::future::join_all;
+use http::StatusCode;
+use http::header;
+use testutils::relay::Behaviour;
+use testutils::relay::ReceivedRequest;
+use testutils::relay::RelayFleet;
+use testutils::relay::StoredPlan;
+use testutils::relay::relay_protocol;
+use testutils::relay::sample_route;
+
+const SERVERS: usize = 5;
+/// Attempts that the route allows.
+const ATTEMPTS_MAX: usize = 3;
+const CRASHING: &str = "/stock/crashing";
+
+fn plan() -> StoredPlan {
+    let route = PlannedRoute {
+        is_open: true,
+        ..sample_route("stock", "stock", Repeatability::Idempotent)
+    };
+    StoredPlan {
+        version: 1,
+        routes: vec![("shop".to_owned(), "/stock/".to_owned(), route)],
+        organisations: Vec::new(),
+    }
+}
+
+async fn crashing_fleet() -> RelayFleet {
+    let fleet = RelayFleet::start(&plan(), &["stock"; SERVERS]).await;
+    for relay in &fleet.relays {
+        relay.server.set_behaviour(Behaviour::CrashOn(CRASHING));
+    }
+    fleet
+}
+
+/// Returns how many times a backend server began to run the crashing request.
+fn crashes(fleet: &RelayFleet) -> usize {
+    let received = fleet.relays.iter().map(|relay| relay.server.received());
+    let is_crashing = |request: &ReceivedRequest| request.uri == CRASHING;
+    received
+        .map(|requests| requests.into_iter().filter(is_crashing).count())
+        .sum()
+}
+
+/// Returns the largest number of servers that one attempt of a caller reached.
+fn servers_per_attempt(fleet: &RelayFleet) -> usize {
+    let name = relay_protocol().headers.request_id;
+    let mut counts = BTreeMap::new();
+    for relay in &fleet.relays {
+        for request in relay.server.received() {
+            *counts
+                .entry(request.headers[&name].as_bytes().to_vec())
+                .or_insert(0) += 1;
+        }
+    }
+    counts.into_values().max().unwrap_or_default()
+}
+
+/// Starts the servers that crashed since the last call, and reports them to their relays.
+async fn start_crashed_servers_again(fleet: &RelayFleet, sequence: u64) {
+    for (index, relay) in fleet.relays.iter().enumerate() {
+        if relay.server.is_crashed() {
+            relay.server.start_again().await;
+        }
+        fleet.report(index, sequence, false).await;
+    }
+    fleet.wait_until_ready().await;
+}
+
+// Guards against a request that goes on to be sent to servers after it has crashed several of them (BUDGET).
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn crashing_request_resent_to_returning_servers_crashes_at_most_two() {
+    let fleet = crashing_fleet().await;
+    for resend in 0..3 * SERVERS {
+        let id = format!("r{resend}");
+        let response = fleet.call(resend % SERVERS, &id, CRASHING, None).await;
+        assert!(response.status.is_server_error());
+        start_crashed_servers_again(&fleet, 2 + resend as u64).await;
+    }
+    assert!(servers_per_attempt(&fleet) <= ATTEMPTS_MAX);
+    assert_eq!(crashes(&fleet), 2);
+}
+
+/// Resends the crashing request until it is quarantined; the servers that crashed are back.
+async fn quarantine_request(fleet: &RelayFleet) {
+    for resend in 0..SERVERS {
+        fleet.call(resend, "r0", CRASHING, None).await;
+        start_crashed_servers_again(fleet, 2 + resend as u64).await;
+    }
+    assert_eq!(crashes(fleet), 2);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn quarantined_request_is_refused_as_not_run_with_a_long_retry_delay() {
+    let fleet = crashing_fleet().await;
+    quarantine_request(&fleet).await;
+    let response = fleet.call(0, "r1", CRASHING, None).await;
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(response.body, "quarantined");
+    assert_eq!(response.headers[header::RETRY_AFTER], "600.000");
+    let healthy = fleet.call(0, "r2", "/stock/healthy", None).await;
+    assert_eq!(healthy.status, StatusCode::OK);
+}
+
+// Guards against a quarantine that ends with the processes that knew of it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn quarantine_outlives_the_processes_of_all_relays() {
+    let mut fleet = crashing_fleet().await;
+    quarantine_request(&fleet).await;
+    fleet
+        .wait_until(|fleet| !fleet.store.keys("suspects/").is_empty())
+        .await;
+    for index in 0..SERVERS {
+        fleet.restart(index).await;
+        fleet.report(index, 100, false).await;
+    }
+    fleet.wait_until_ready().await;
+    for resend in 0..SERVERS {
+        let response = fleet.call(resend, "r1", CRASHING, None).await;
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    assert_eq!(crashes(&fleet), 2);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn quarantine_during_an_outage_is_stored_afterwards() {
+    let fleet = crashing_fleet().await;
+    fleet.store.set_down(true);
+    for resend in 0..SERVERS {
+        fleet.call(resend, "r0", CRASHING, None).await;
+    }
+    assert_eq!(crashes(&fleet), 2);
+    assert!(fleet.store.keys("suspects/").is_empty());
+    fleet.store.set_down(false);
+    fleet
+        .wait_until(|fleet| !fleet.store.keys("suspects/").is_empty())
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_beside_a_crashing_one_are_answered_by_another_server() {
+    let fleet = crashing_fleet().await;
+    for relay in &fleet.relays {
+        let slow = Behaviour::SlowAndCrashOn(Duration::from_millis(100), CRASHING);
+        relay.server.set_behaviour(slow);
+    }
+    let bystanders = (0..8).map(|number| {
+        let fleet = &fleet;
+        async move {
+            let (id, path) = (format!("b{number}"), format!("/stock/{number}"));
+            fleet.call(0, &id, &path, None).await.status
+        }
+    });
+    let crashing = async {
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        fleet.call(0, "r0", CRASHING, None).await
+    };
+    let (statuses, _) = tokio::join!(join_all(bystanders), crashing);
+    // Requests in flight at a crash are repeated within the retry budget only.
+    let expected = [
+        StatusCode::OK,
+        StatusCode::BAD_GATEWAY,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    assert!(statuses.iter().all(|status| expected.contains(status)));
+    assert!(crashes(&fleet) <= 2);
+    for number in 0..8 {
+        let path = format!("/stock/{number}");
+        let response = fleet.call(1, &format!("c{number}"), &path, None).await;
+        assert_eq!(response.status, StatusCode::OK);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn trial_of_a_node_that_left_the_fleet_moves_to_another_node() {
+    let fleet = crashing_fleet().await;
+    let content = ContentDigest::of("GET", "/stock/suspect", b"");
+    let mut entry = SuspectEntry::new(Fingerprint::of(None, content));
+    entry.crashes.insert(CrashSite {
+        node: "node-0".parse().expect("valid name"),
+        at: Clock::start().wall(),
+    });
+    entry.assign_trial("node-that-left".parse().expect("valid name"));
+    for relay in &fleet.relays {
+        let updates = std::slice::from_ref(&entry);
+        relay.daemon.node().merge_suspects(updates);
+    }
+    let response = fleet.call(0, "r1", "/stock/suspect", None).await;
+    assert_eq!(response.status, StatusCode::OK);
+}
--- a/testutils/src/relay/server.rs
+++ b/testutils/src/relay/server.rs
@@ -44,6 +44,8 @@
     WrongRequestId,
     /// Crashes when the path contains this text, and responds at once to any other request.
     CrashOn(&'static str),
+    /// Crashes when the path contains this text, and responds to any other request after a delay.
+    SlowAndCrashOn(Duration, &'static str),
     /// Makes an onward call, and responds with 500 if that fails.
     CallOnward {
         /// The host of the call.
@@ -195,8 +197,16 @@
     let mut response = Response::new(Body::from("done"));
     let mut returned_id = id.clone();
     match behaviour {
+        Behaviour::CrashOn(text) | Behaviour::SlowAndCrashOn(_, text)
+            if request.uri().path().contains(text) =>
+        {
+            shared.runtime.shut_down();
+            return std::future::pending().await;
+        }
         Behaviour::Respond => {}
-        Behaviour::Slow(time) => tokio::time::sleep(time).await,
+        Behaviour::Slow(time) | Behaviour::SlowAndCrashOn(time, _) => {
+            tokio::time::sleep(time).await;
+        }
         Behaviour::Shed => {
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             let marker = HeaderValue::from_static("1");
@@ -204,10 +214,6 @@
         }
         Behaviour::Fail => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
         Behaviour::WrongRequestId => returned_id = Some(HeaderValue::from_static("other")),
-        Behaviour::CrashOn(text) if request.uri().path().contains(text) => {
-            shared.runtime.shut_down();
-            return std::future::pending().await;
-        }
         Behaviour::CrashOn(_) => {}
         Behaviour::CallOnward { host, path } => {
             if !call(shared, id.as_ref(), host, path).await {
