relay: report a crash also when the deadline of its request ends first

Callers would have seen a request with a short deadline crash server after server, where a server listens a moment longer than its connections: the relay still probed the server when the deadline ended, and dropped the report with the request.

--- a/lib/src/process/relay/suspects.rs
+++ b/lib/src/process/relay/suspects.rs
@@ -193,10 +193,17 @@
     /// Records that the connection failed after a part of the request was sent.
     ///
     /// If the backend server crashed, this returns only after the other nodes were notified, so
-    /// that a resent request does not reach a node that does not know the suspects.
+    /// that a resent request does not reach a node that does not know the suspects. They are also
+    /// notified if the future is dropped, because the deadline of the request may end first.
     pub(super) async fn fail(self, server_address: SocketAddr) {
+        let failed_at = self.permit.node.clock.now();
+        let reporting = tokio::spawn(self.check_crash(server_address, failed_at));
+        // The task only fails if the process is stopping.
+        let _ = reporting.await;
+    }
+
+    async fn check_crash(self, server_address: SocketAddr, failed_at: MonotonicTime) {
         let node = &self.permit.node;
-        let failed_at = node.clock.now();
         let mut found_listening = node.suspects.found_listening.lock().await;
         let is_reported = !node.suspects.runs.lock().contains(self.id);
         if is_reported || found_listening.is_some_and(|probed_at| probed_at >= failed_at) {
--- a/lib/tests/test_relay_suspects.rs
+++ b/lib/tests/test_relay_suspects.rs
@@ -93,6 +93,27 @@
     assert_eq!(crashes(&fleet), 2);
 }
 
+// Guards against a crash that nobody reports because the time of the crashing request ends first.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn crash_is_reported_after_the_deadline_of_the_request() {
+    let fleet = RelayFleet::start(&plan(), &["stock"; SERVERS]).await;
+    for relay in &fleet.relays {
+        let late = Behaviour::CrashLate(Duration::from_millis(60), CRASHING);
+        relay.server.set_behaviour(late);
+    }
+    for resend in 0..2 * SERVERS {
+        let id = format!("r{resend}");
+        let wait = Duration::from_millis(30);
+        fleet
+            .call_within(resend % SERVERS, &id, CRASHING, wait)
+            .await;
+        // The crash is detected when the listener is closed.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        start_crashed_servers_again(&fleet, 2 + resend as u64).await;
+    }
+    assert!(crashes(&fleet) <= 2, "{} crashes", crashes(&fleet));
+}
+
 /// Resends the crashing request until it is quarantined; the servers that crashed are back.
 async fn quarantine_request(fleet: &RelayFleet) {
     for resend in 0..SERVERS {
--- a/testutils/src/backend_server/mod.rs
+++ b/testutils/src/backend_server/mod.rs
@@ -13,3 +13,4 @@
 pub use self::server::Upstream;
 pub use self::server::is_complete_body;
 pub use self::server::response_body;
+pub(crate) use self::server::truncated_response;
--- a/testutils/src/backend_server/server.rs
+++ b/testutils/src/backend_server/server.rs
@@ -366,7 +366,7 @@
     hash.to_be_bytes()
 }
 
-fn truncated_response(body: &Bytes, sent_bytes: usize) -> Response {
+pub(crate) fn truncated_response(body: &Bytes, sent_bytes: usize) -> Response {
     let part = Ok(Frame::data(body.slice(..sent_bytes)));
     let failure = Err(std::io::Error::other("stand-in truncated the response").into());
     Response::new(Body::from_stream(futures::stream::iter([part, failure])))
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -296,12 +296,35 @@
         key: Option<&str>,
     ) -> BufferedResponse {
         let mut headers = HeaderMap::new();
-        let value = |text: &str| HeaderValue::try_from(text).expect("valid header");
-        headers.insert(header::HOST, value("shop"));
-        headers.insert(relay_protocol().headers.request_id, value(id));
         if let Some(key) = key {
-            headers.insert(header::AUTHORIZATION, value(&format!("Key {key}")));
+            headers.insert(header::AUTHORIZATION, header_value(&format!("Key {key}")));
         }
+        self.call_with(index, id, path, headers).await
+    }
+
+    /// Sends the request of a caller that waits for `wait`, and waits for the response.
+    pub async fn call_within(
+        &self,
+        index: usize,
+        id: &str,
+        path: &str,
+        wait: Duration,
+    ) -> BufferedResponse {
+        let mut headers = HeaderMap::new();
+        let wait_ms = header_value(&wait.as_millis().to_string());
+        headers.insert(relay_protocol().headers.deadline_ms, wait_ms);
+        self.call_with(index, id, path, headers).await
+    }
+
+    async fn call_with(
+        &self,
+        index: usize,
+        id: &str,
+        path: &str,
+        mut headers: HeaderMap,
+    ) -> BufferedResponse {
+        headers.insert(header::HOST, header_value("shop"));
+        headers.insert(relay_protocol().headers.request_id, header_value(id));
         let request = BufferedRequest {
             method: Method::GET,
             uri: path.parse().expect("valid path"),
@@ -313,6 +336,10 @@
     }
 }
 
+fn header_value(text: &str) -> HeaderValue {
+    HeaderValue::try_from(text).expect("valid header")
+}
+
 async fn exchange(address: SocketAddr, request: BufferedRequest) -> BufferedResponse {
     let limits = PoolLimits {
         connections_max: 1,
--- a/testutils/src/relay/server.rs
+++ b/testutils/src/relay/server.rs
@@ -22,6 +22,7 @@
 use volo_http::response::Response;
 
 use super::fleet::relay_protocol;
+use crate::backend_server::truncated_response;
 use crate::own_runtime::OwnRuntime;
 
 /// Attempts to bind the address of a crashed stand-in until its sockets are closed.
@@ -44,6 +45,8 @@
     WrongRequestId,
     /// Crashes when the path contains this text, and responds at once to any other request.
     CrashOn(&'static str),
+    /// Breaks off the response when the path contains this text, and crashes after a delay.
+    CrashLate(Duration, &'static str),
     /// Crashes when the path contains this text, and responds to any other request after a delay.
     SlowAndCrashOn(Duration, &'static str),
     /// Makes an onward call, and responds with 500 if that fails.
@@ -203,7 +206,15 @@
             shared.runtime.shut_down();
             return std::future::pending().await;
         }
-        Behaviour::Respond => {}
+        Behaviour::CrashLate(delay, text) if request.uri().path().contains(text) => {
+            let runtime = shared.runtime.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                runtime.shut_down();
+            });
+            return truncated_response(&Bytes::from_static(b"cut"), 1);
+        }
+        Behaviour::Respond | Behaviour::CrashLate(..) => {}
         Behaviour::Slow(time) | Behaviour::SlowAndCrashOn(time, _) => {
             tokio::time::sleep(time).await;
         }
