--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -54,6 +54,7 @@
 mod test_relay_registration;
 mod test_relay_settings;
 mod test_relay_suspects;
+mod test_relay_suspects_soak;
 mod test_relay_traffic;
 mod test_retry_budget;
 mod test_routing;
--- a/testutils/src/relay/store.rs
+++ b/testutils/src/relay/store.rs
@@ -92,6 +92,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns whether all calls fail.
+    pub fn is_down(&self) -> bool {
+        self.content.lock().is_down
+    }
+
     /// Makes all calls fail, or ends that outage.
     pub fn set_down(&self, is_down: bool) {
         self.content.lock().is_down = is_down;
