--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -52,6 +52,7 @@
 mod test_relay_memory;
 mod test_relay_rates;
 mod test_relay_registration;
+mod test_relay_server_limit;
 mod test_relay_settings;
 mod test_relay_suspects;
 mod test_relay_suspects_soak;
--- /dev/null
+++ b/lib/tests/test_relay_server_limit.rs
@@ -0,0 +1,72 @@
+//! Backend servers that name the requests per second that they take, on running relays.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use balsamfold::version::PlannedRoute;
+use balsamfold::version::Repeatability;
+use futures::future::join_all;
+use testutils::relay::Behaviour;
+use testutils::relay::RelayFleet;
+use testutils::relay::StoredPlan;
+use testutils::relay::sample_route;
+
+const LIMIT_PER_S: f64 = 10.0;
+/// Windows in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time after the first answer from which on requests are counted.
+const LEARNING: Duration = Duration::from_millis(500);
+/// Time for which callers send.
+const LOAD: Duration = Duration::from_millis(5_500);
+
+fn plan() -> StoredPlan {
+    let route = PlannedRoute {
+        is_open: true,
+        ..sample_route("stock", "stock", Repeatability::Idempotent)
+    };
+    StoredPlan {
+        version: 1,
+        routes: vec![("shop".to_owned(), "/stock/".to_owned(), route)],
+        organisations: Vec::new(),
+    }
+}
+
+/// Sends one request after another to a relay for [`LOAD`].
+async fn send_load(fleet: &RelayFleet, index: usize) {
+    let started_at = Instant::now();
+    let mut number = 0;
+    while started_at.elapsed() < LOAD {
+        number += 1;
+        let id = format!("r{index}-{number}");
+        fleet.call(index, &id, "/stock/x", None).await;
+        tokio::time::sleep(Duration::from_millis(3)).await;
+    }
+}
+
+/// Returns the most requests that a server received in any [`WINDOW`] once relays knew its limit.
+fn most_in_a_window(fleet: &RelayFleet, index: usize) -> usize {
+    let received = fleet.relays[index].server.received();
+    let times: Vec<Instant> = received.iter().map(|request| request.received_at).collect();
+    let counted: Vec<Instant> = times
+        .iter()
+        .filter(|time| **time > times[0] + LEARNING)
+        .copied()
+        .collect();
+    let in_window = |start: &Instant| {
+        let in_window = |time: &&Instant| **time >= *start && **time < *start + WINDOW;
+        counted.iter().filter(in_window).count()
+    };
+    counted.iter().map(in_window).max().unwrap_or_default()
+}
+
+// Guards against a server that gets more requests from all relays than the limit that it named (LIMIT).
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn server_that_names_a_limit_gets_no_more_from_all_relays_together() {
+    let fleet = RelayFleet::start(&plan(), &["stock", "front", "front"]).await;
+    let limited = Behaviour::Limited(LIMIT_PER_S);
+    fleet.relays[0].server.set_behaviour(limited);
+    join_all((0..3).map(|index| send_load(&fleet, index))).await;
+    let allowed = 1.5 * LIMIT_PER_S * WINDOW.as_secs_f64() + 5.0;
+    let most = most_in_a_window(&fleet, 0);
+    assert!(most as f64 <= allowed, "{most} requests, allowed {allowed}");
+}
--- a/testutils/src/relay/server.rs
+++ b/testutils/src/relay/server.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use balsamfold::connection::BufferedRequest;
 use balsamfold::connection::ConnectionPool;
@@ -13,6 +14,7 @@
 use balsamfold::connection::PoolLimits;
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderName;
 use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
@@ -25,6 +27,8 @@
 use crate::backend_server::truncated_response;
 use crate::own_runtime::OwnRuntime;
 
+/// Header in which a server names the requests per second that it takes.
+pub const RATE_LIMIT_HEADER: HeaderName = HeaderName::from_static("takes-per-s");
 /// Attempts to bind the address of a crashed stand-in until its sockets are closed.
 const BIND_ATTEMPTS_MAX: usize = 200;
 /// Time between two such attempts.
@@ -41,6 +45,8 @@
     Shed,
     /// Runs the request and responds with 500.
     Fail,
+    /// Responds at once, and names the requests per second that the server takes.
+    Limited(f64),
     /// Responds with the id of another request.
     WrongRequestId,
     /// Crashes when the path contains this text, and responds at once to any other request.
@@ -65,6 +71,8 @@
     pub headers: HeaderMap,
     /// Path and query.
     pub uri: String,
+    /// When it arrived.
+    pub received_at: Instant,
 }
 
 struct Shared {
@@ -189,6 +197,7 @@
     shared.received.lock().push(ReceivedRequest {
         headers: request.headers().clone(),
         uri: request.uri().to_string(),
+        received_at: Instant::now(),
     });
     let mut guard = AbandonGuard {
         shared,
@@ -223,6 +232,10 @@
             let marker = HeaderValue::from_static("1");
             response.headers_mut().insert(names.not_run, marker);
         }
+        Behaviour::Limited(per_s) => {
+            let value = HeaderValue::try_from(per_s.to_string()).expect("valid header");
+            response.headers_mut().insert(RATE_LIMIT_HEADER, value);
+        }
         Behaviour::Fail => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
         Behaviour::WrongRequestId => returned_id = Some(HeaderValue::from_static("other")),
         Behaviour::CrashOn(_) => {}
