relay: a server gets no more requests than the limit that it names

Cause: no code read the limit. Relays bounded the requests that a server runs at a time, not those that it gets in a second.

Why this works: all work of a server passes the gate of the node beside it. That gate now has one token bucket with the rate that the server names, so the bound holds whatever other relays know.

--- a/lib/src/process/events/relay.rs
+++ b/lib/src/process/events/relay.rs
@@ -26,6 +26,7 @@
     SERVER_REPORTED = 8050, Info, "relay.server-reported", "The backend server reported a new incarnation or state.";
     SERVER_REPORT_REFUSED = 8051, Warn, "relay.server-report-refused", "A report about a backend server is invalid, outdated or for another address.";
     SERVER_LOST = 8052, Warn, "relay.server-lost", "The backend server accepts no connections; it gets no requests until it reports again.";
+    SERVER_THROTTLED = 8053, Info, "relay.server-throttled", "The backend server named the requests per second that it takes, or no longer does; others go to other servers.";
     REQUEST_ANSWERED = 8100, Debug, "relay.request-answered", "A backend server returned a response to a request.";
     REQUEST_REFUSED = 8101, Info, "relay.request-refused", "A request was refused; the line has the reason and the state behind it.";
     ATTEMPT_FAILED = 8102, Info, "relay.attempt-failed", "An attempt at a request got no usable response; the line has the next step.";
--- a/lib/src/process/gate/demand.rs
+++ b/lib/src/process/gate/demand.rs
@@ -112,6 +112,13 @@
             .admits(request.importance, organisation, request.root)
     }
 
+    /// Returns the fraction of the requests of this importance and organisation that pass the
+    /// current floor.
+    pub fn kept_fraction(&self, request: &AdmissionRequest) -> f64 {
+        let floor = self.notice.floor_for(request.organisation.as_ref());
+        floor.kept_fraction(request.importance)
+    }
+
     /// Counts a request that reached the gate, if it is above the highest recent floor.
     pub fn record_arrival(&mut self, request: &AdmissionRequest) {
         let reference = highest_recent_floor(&self.recent, request.organisation.as_ref());
--- a/lib/src/process/gate/gate_state.rs
+++ b/lib/src/process/gate/gate_state.rs
@@ -10,6 +10,7 @@
 use super::DemandMeter;
 use super::DroppedRequest;
 use super::FloorNotice;
+use super::Pace;
 use super::QueueEntry;
 use super::RetryAfter;
 use super::ServiceTime;
@@ -25,6 +26,7 @@
 use crate::values::OrganisationId;
 use crate::values::RatePerSecond;
 use crate::values::RequestId;
+use crate::values::ServerRate;
 use crate::values::SlotCount;
 
 /// The decision logic of a gate, without locks and timers.
@@ -37,6 +39,8 @@
     service_time: ServiceTime,
     demand: DemandMeter,
     retry_after: RetryAfter,
+    /// The rate that the server named, if it takes fewer requests than its slots allow.
+    pace: Option<Pace>,
 }
 
 impl GateState {
@@ -59,6 +63,7 @@
             service_time: ServiceTime::default(),
             demand: DemandMeter::new(now),
             retry_after: RetryAfter::default(),
+            pace: None,
         }
     }
 
@@ -93,6 +98,24 @@
         self.limit.set_announced_slots(slots);
     }
 
+    /// Applies the rate that the server named, or its end. Returns the waiting requests, which go to
+    /// other servers: a server with a rate gets no queue, which would start all at once.
+    pub fn set_rate(
+        &mut self,
+        rate: Option<ServerRate>,
+        now: MonotonicTime,
+    ) -> Vec<DroppedRequest> {
+        match (rate, &mut self.pace) {
+            (Some(rate), Some(pace)) => pace.set_rate(rate, now),
+            (Some(rate), None) => self.pace = Some(Pace::new(rate, now)),
+            (None, _) => self.pace = None,
+        }
+        match self.pace {
+            Some(_) => self.drop_waiting(RefusalReason::ServerThrottled, now),
+            None => Vec::new(),
+        }
+    }
+
     /// Decides on a request for a slot, and returns the waiting request that it displaces, if any.
     pub fn acquire(
         &mut self,
@@ -108,6 +131,9 @@
                 None,
             );
         }
+        if self.pace.is_some() {
+            return (self.acquire_paced(request, now), None);
+        }
         if self.in_flight < self.limit.slots() && self.queue.is_empty() {
             self.start(&request.organisation, request.rate, now);
             return (AdmissionDecision::Started, None);
@@ -122,6 +148,30 @@
         self.enqueue(request, now)
     }
 
+    /// Decides on a request to a server with a rate: it starts at once, or goes to another server.
+    fn acquire_paced(
+        &mut self,
+        request: &AdmissionRequest,
+        now: MonotonicTime,
+    ) -> AdmissionDecision {
+        let kept_fraction = self.demand.kept_fraction(request);
+        let has_slot = self.in_flight < self.limit.slots();
+        let mut take_token = || {
+            let pace = self.pace.as_mut();
+            pace.is_none_or(|pace| pace.try_take(kept_fraction, now))
+        };
+        match has_slot && take_token() {
+            true => {
+                self.start(&request.organisation, request.rate, now);
+                AdmissionDecision::Started
+            }
+            false => {
+                self.demand.record_shed();
+                self.refuse(request, RefusalReason::ServerThrottled, now)
+            }
+        }
+    }
+
     /// Adds a request to the queue. If the queue exceeds its bound, drops the request ranked last.
     fn enqueue(
         &mut self,
@@ -294,9 +344,12 @@
     }
 
     fn drain_per_s(&self) -> f64 {
-        self.service_time
+        let drain_per_s = self
+            .service_time
             .drain_per_s(self.limit.slots())
-            .unwrap_or(Self::DEFAULT_DRAIN_PER_S)
+            .unwrap_or(Self::DEFAULT_DRAIN_PER_S);
+        self.pace
+            .map_or(drain_per_s, |pace| pace.per_s().min(drain_per_s))
     }
 
     fn queue_bound(&self) -> usize {
--- a/lib/src/process/gate/permit.rs
+++ b/lib/src/process/gate/permit.rs
@@ -24,6 +24,7 @@
 use crate::values::Clock;
 use crate::values::MonotonicTime;
 use crate::values::RequestId;
+use crate::values::ServerRate;
 use crate::values::SlotCount;
 
 type WaitResult = Result<(), Refusal>;
@@ -115,6 +116,15 @@
         self.shared.lock().state.retry_after_ms(root, now)
     }
 
+    /// Applies the rate that the server named, or its end.
+    pub fn set_rate(&self, rate: Option<ServerRate>) {
+        let now = self.clock.now();
+        let mut shared = self.shared.lock();
+        for dropped in shared.state.set_rate(rate, now) {
+            shared.refuse(dropped);
+        }
+    }
+
     /// Refuses all waiting requests because the server stops or is lost.
     pub fn drop_waiting(&self, reason: RefusalReason) {
         let now = self.clock.now();
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -16,6 +16,8 @@
 use super::frame::RequestMetadata;
 use super::node::RelayNode;
 use super::protocol::ServerReport;
+use super::rate_notice::RateChange;
+use super::rate_notice::RateNotice;
 use super::runs::RunningRequest;
 use super::server_health::ServerHealth;
 use super::suspects;
@@ -36,6 +38,8 @@
 use crate::request::Verdict;
 use crate::values::Clock;
 use crate::values::Incarnation;
+use crate::values::MonotonicTime;
+use crate::values::ServerRate;
 use crate::values::SlotCount;
 
 /// Timeout for opening a connection to the server on the same instance.
@@ -69,6 +73,7 @@
     is_draining: AtomicBool,
     failed_connections: AtomicU32,
     health: Mutex<ServerHealth>,
+    rate_notice: Mutex<RateNotice>,
 }
 
 impl Backend {
@@ -96,6 +101,7 @@
             is_draining: AtomicBool::new(report.is_draining),
             failed_connections: AtomicU32::new(0),
             health: Mutex::default(),
+            rate_notice: Mutex::default(),
         }
     }
 
@@ -122,6 +128,23 @@
         self.failed_connections.store(0, Ordering::Relaxed);
     }
 
+    /// Applies the limit that the server names in a response, if any.
+    fn apply_rate_notice(&self, named: Option<ServerRate>, now: MonotonicTime) {
+        match self.rate_notice.lock().observe(named, now) {
+            Some(RateChange::Named(rate)) => {
+                self.gate.set_rate(Some(rate));
+                events::SERVER_THROTTLED
+                    .log(format_args!("server={} per_s={rate}", self.server_id));
+            }
+            Some(RateChange::Ended) => {
+                self.gate.set_rate(None);
+                events::SERVER_THROTTLED
+                    .log(format_args!("server={} per_s=unlimited", self.server_id));
+            }
+            None => {}
+        }
+    }
+
     fn record_connection_failure(&self) {
         let failed = self.failed_connections.fetch_add(1, Ordering::Relaxed) + 1;
         if failed == FAILED_CONNECTIONS_MAX {
@@ -291,6 +314,7 @@
         match sent {
             Ok(response) => {
                 backend.mark_reachable();
+                read_notices(node, backend, &response.headers);
                 return check_response(node, backend, metadata, response);
             }
             Err(ExchangeError::NotSent) => {}
@@ -322,6 +346,24 @@
     })
 }
 
+/// Applies what the server says about itself in the headers of a response.
+fn read_notices(node: &RelayNode, backend: &Backend, headers: &HeaderMap) {
+    let named = match headers.get(&node.protocol.headers.rate_limit) {
+        None => None,
+        Some(value) => match value.to_str().unwrap_or_default().parse::<ServerRate>() {
+            Ok(rate) => Some(rate),
+            Err(error) => {
+                events::SERVER_REPORT_REFUSED.log(format_args!(
+                    "server={} reason=\"{error}\"",
+                    backend.server_id
+                ));
+                return;
+            }
+        },
+    };
+    backend.apply_rate_notice(named, node.clock.now());
+}
+
 /// Returns the response, or a refusal if the response shows that the request did not run.
 fn check_response(
     node: &RelayNode,
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -462,9 +462,10 @@
         Err(refusal) if refusal.only_on.is_some() => CallOutcome::Cancelled,
         Err(refusal) => match refusal.reason {
             RefusalReason::Quarantined => CallOutcome::Cancelled,
-            RefusalReason::Overloaded | RefusalReason::Draining | RefusalReason::ServerFailing => {
-                CallOutcome::Refused
-            }
+            RefusalReason::Overloaded
+            | RefusalReason::Draining
+            | RefusalReason::ServerFailing
+            | RefusalReason::ServerThrottled => CallOutcome::Refused,
             RefusalReason::DeadlineExceeded => CallOutcome::Cancelled,
             _ => CallOutcome::Failed,
         },
--- a/lib/src/process/relay/protocol.rs
+++ b/lib/src/process/relay/protocol.rs
@@ -26,6 +26,9 @@
     pub not_run: HeaderName,
     /// Names the service that sent the request.
     pub caller_service: HeaderName,
+    /// Names, in a response of a backend server, the requests per second that it takes from all
+    /// callers together.
+    pub rate_limit: HeaderName,
 }
 
 /// A report of a backend server about itself.
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -65,6 +65,8 @@
         OutcomeUnknown,
         /// The sender of a message between nodes does not know the fleet secret.
         NotAPeer,
+        /// The backend server takes fewer requests at present than arrive for it.
+        ServerThrottled,
     }
 }
 
@@ -98,6 +100,7 @@
             Self::BadAnswer => "bad-answer",
             Self::OutcomeUnknown => "outcome-unknown",
             Self::NotAPeer => "not-a-peer",
+            Self::ServerThrottled => "server-throttled",
         }
     }
 
@@ -117,6 +120,7 @@
             Self::Overloaded
             | Self::RefusedByServer
             | Self::ServerFailing
+            | Self::ServerThrottled
             | Self::Unconfirmed
             | Self::Draining
             | Self::NoServer
@@ -156,6 +160,7 @@
             Self::BadAnswer => events::BAD_ANSWER,
             Self::OutcomeUnknown => events::OUTCOME_UNKNOWN,
             Self::NotAPeer => events::NOT_A_PEER,
+            Self::ServerThrottled => events::SERVER_THROTTLED,
         }
     }
 }
--- a/lib/src/values/mod.rs
+++ b/lib/src/values/mod.rs
@@ -3,6 +3,7 @@
 mod clock;
 mod names;
 mod numbers;
+mod server_rate;
 
 pub use self::clock::Clock;
 pub use self::clock::MonotonicTime;
@@ -26,3 +27,5 @@
 pub use self::numbers::RequestId;
 pub use self::numbers::SlotCount;
 pub use self::numbers::TokenCount;
+pub use self::server_rate::InvalidServerRateError;
+pub use self::server_rate::ServerRate;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -11,6 +11,7 @@
 mod test_gate;
 mod test_gate_floor;
 mod test_gate_limit;
+mod test_gate_pace;
 mod test_gate_queue;
 mod test_http_input;
 mod test_keys;
--- /dev/null
+++ b/lib/tests/test_gate_pace.rs
@@ -0,0 +1,209 @@
+//! A gate whose server takes a limited number of requests per second.
+
+use std::time::Duration;
+
+use balsamfold::process::gate::AdaptiveLimit;
+use balsamfold::process::gate::AdmissionDecision;
+use balsamfold::process::gate::AdmissionRequest;
+use balsamfold::process::gate::Completion;
+use balsamfold::process::gate::CompletionOutcome;
+use balsamfold::process::gate::GateState;
+use balsamfold::request::RefusalReason;
+use balsamfold::values::Importance;
+use balsamfold::values::MonotonicTime;
+use balsamfold::values::RatePerSecond;
+use balsamfold::values::RequestId;
+use balsamfold::values::ServerRate;
+use balsamfold::values::SlotCount;
+use proptest::prelude::*;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use testutils::relay::at_ms;
+
+const SLOTS: u32 = 100;
+const HELD: Duration = Duration::from_millis(60);
+const WINDOW_MS: u64 = 4_000;
+
+fn rate(per_s: f64) -> ServerRate {
+    ServerRate::try_from(per_s).expect("valid rate")
+}
+
+/// A server that answers each request after [`HELD`], behind its gate.
+struct Server {
+    gate: GateState,
+    rng: StdRng,
+    ends_at: Vec<u64>,
+    /// Times and importance of the requests that started.
+    started: Vec<(u64, u8)>,
+}
+
+impl Server {
+    fn new(seed: u64) -> Self {
+        let limit = AdaptiveLimit::fixed(SlotCount(SLOTS), at_ms(0));
+        Self {
+            gate: GateState::new(limit, at_ms(0)),
+            rng: StdRng::seed_from_u64(seed),
+            ends_at: Vec::new(),
+            started: Vec::new(),
+        }
+    }
+
+    fn set_rate(&mut self, per_s: Option<f64>, now_ms: u64) {
+        self.gate.set_rate(per_s.map(rate), at_ms(now_ms));
+    }
+
+    fn finish(&mut self, now_ms: u64) {
+        let ended = self.ends_at.iter().filter(|end| **end <= now_ms).count();
+        self.ends_at.retain(|end| *end > now_ms);
+        for _ in 0..ended {
+            let completion = Completion {
+                outcome: CompletionOutcome::Answered,
+                held: HELD,
+                onward: Duration::ZERO,
+            };
+            let wakeups = self.gate.release(&completion, at_ms(now_ms));
+            for _ in wakeups.started {
+                self.start(now_ms, 0);
+            }
+        }
+    }
+
+    fn start(&mut self, now_ms: u64, importance: u8) {
+        self.ends_at.push(now_ms + HELD.as_millis() as u64);
+        self.started.push((now_ms, importance));
+    }
+
+    fn offer(&mut self, importance: u8, now_ms: u64) -> AdmissionDecision {
+        let request = AdmissionRequest {
+            importance: Importance(importance),
+            organisation: None,
+            rate: RatePerSecond(1),
+            root: RequestId(self.rng.random()),
+            remaining: Duration::from_secs(5),
+        };
+        let (decision, _) = self.gate.acquire(&request, at_ms(now_ms));
+        if decision == AdmissionDecision::Started {
+            self.start(now_ms, importance);
+        }
+        decision
+    }
+
+    /// Offers `per_s` requests a second in `times_ms`, of the importance that `choose` returns.
+    fn offer_load(
+        &mut self,
+        per_s: f64,
+        times_ms: std::ops::Range<u64>,
+        choose: impl Fn(&mut StdRng) -> u8,
+    ) {
+        for now_ms in times_ms {
+            self.finish(now_ms);
+            if self.rng.random_bool(per_s / 1e3) {
+                let importance = choose(&mut self.rng);
+                self.offer(importance, now_ms);
+            }
+        }
+    }
+
+    fn started_in(&self, times_ms: std::ops::Range<u64>) -> usize {
+        let times = self.started.iter().map(|(time_ms, _)| time_ms);
+        times.filter(|time_ms| times_ms.contains(time_ms)).count()
+    }
+
+    fn most_in_a_window(&self, from_ms: u64) -> usize {
+        let starts = self.started.iter().map(|(time_ms, _)| *time_ms);
+        let counted = starts.filter(|time_ms| *time_ms >= from_ms);
+        counted
+            .map(|start_ms| self.started_in(start_ms..start_ms + WINDOW_MS))
+            .max()
+            .unwrap_or_default()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(32))]
+
+    #[test]
+    fn no_window_has_more_requests_than_the_rate_allows(
+        seed: u64,
+        per_s in 0.0..60.0,
+        offered in 0.1..400.0,
+        pause_ms in 0u64..5_000,
+    ) {
+        let mut server = Server::new(seed);
+        server.offer_load(offered, 0..2_000, |_| 1);
+        server.set_rate(Some(per_s), 2_000);
+        server.offer_load(offered, 2_000..8_000, |_| 1);
+        let resumed_ms = 8_000 + pause_ms;
+        server.offer_load(offered, resumed_ms..resumed_ms + 8_000, |_| 1);
+        let allowed = 1.5 * per_s * 4.0 + 5.0;
+        prop_assert!(server.most_in_a_window(5_000) as f64 <= allowed);
+    }
+
+    #[test]
+    fn rate_is_used_up_under_load(seed: u64, per_s in 2.0..60.0) {
+        let mut server = Server::new(seed);
+        server.set_rate(Some(per_s), 0);
+        server.offer_load(2.0 * per_s + 5.0, 0..20_000, |_| 1);
+        let started = server.started.len() as f64;
+        prop_assert!(started >= 0.95 * per_s * 20.0 - 1.0, "{started} started");
+    }
+}
+
+#[test]
+fn important_requests_start_first_under_a_rate() {
+    let mut server = Server::new(1);
+    server.set_rate(Some(20.0), 0);
+    // 15 important requests a second, and 45 others.
+    server.offer_load(60.0, 0..20_000, |rng| u8::from(rng.random_bool(0.25)));
+    let started = server
+        .started
+        .iter()
+        .filter(|(time_ms, _)| *time_ms >= 2_000);
+    let important = started.filter(|(_, importance)| *importance == 1).count();
+    assert!(
+        important as f64 >= 0.85 * 15.0 * 18.0,
+        "{important} of about 270"
+    );
+}
+
+#[test]
+fn requests_wait_again_after_the_rate_has_ended() {
+    let mut server = Server::new(1);
+    server.set_rate(Some(1.0), 0);
+    let refused = server.offer(1, 0);
+    let AdmissionDecision::Refused(refusal) = refused else {
+        panic!("{refused:?}");
+    };
+    assert_eq!(refusal.reason, RefusalReason::ServerThrottled);
+    assert!(refusal.retry_after_ms.is_some());
+    server.set_rate(None, 1_000);
+    assert_eq!(server.offer(1, 1_000), AdmissionDecision::Started);
+}
+
+#[test]
+fn waiting_requests_go_to_other_servers_when_a_rate_is_named() {
+    let mut server = Server::new(1);
+    for _ in 0..SLOTS + 5 {
+        server.offer(1, 0);
+    }
+    let dropped = server.gate.set_rate(Some(rate(10.0)), at_ms(1));
+    assert_eq!(dropped.len(), 5);
+    let reasons = dropped.iter().map(|dropped| dropped.refusal.reason);
+    assert!(
+        reasons
+            .into_iter()
+            .all(|reason| reason == RefusalReason::ServerThrottled)
+    );
+}
+
+#[test]
+fn server_that_takes_nothing_gets_a_request_from_time_to_time() {
+    let mut server = Server::new(1);
+    server.set_rate(Some(0.0), 0);
+    server.offer_load(100.0, 0..20_000, |_| 1);
+    assert!((5..=10).contains(&server.started.len()));
+    let times: Vec<MonotonicTime> = server.started.iter().map(|(ms, _)| at_ms(*ms)).collect();
+    let closest = times.windows(2).map(|pair| pair[1].since(pair[0])).min();
+    assert!(closest >= Some(Duration::from_millis(1_000)));
+}
--- a/lib/tests/test_relay_server_limit.rs
+++ b/lib/tests/test_relay_server_limit.rs
@@ -3,12 +3,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use balsamfold::process::relay::RateChange;
+use balsamfold::process::relay::RateNotice;
+use balsamfold::values::ServerRate;
 use balsamfold::version::PlannedRoute;
 use balsamfold::version::Repeatability;
 use futures::future::join_all;
 use testutils::relay::Behaviour;
 use testutils::relay::RelayFleet;
 use testutils::relay::StoredPlan;
+use testutils::relay::at_ms;
 use testutils::relay::sample_route;
 
 const LIMIT_PER_S: f64 = 10.0;
@@ -70,3 +74,28 @@
     let most = most_in_a_window(&fleet, 0);
     assert!(most as f64 <= allowed, "{most} requests, allowed {allowed}");
 }
+
+#[test]
+fn named_limit_ends_only_some_time_after_it_was_last_named() {
+    let limit: ServerRate = "12.5".parse().expect("valid rate");
+    let mut notice = RateNotice::default();
+    assert_eq!(notice.observe(None, at_ms(0)), None);
+    let named = notice.observe(Some(limit), at_ms(1_000));
+    assert_eq!(named, Some(RateChange::Named(limit)));
+    assert_eq!(notice.observe(Some(limit), at_ms(1_200)), None);
+    // A response that was sent before the limit was named.
+    assert_eq!(notice.observe(None, at_ms(1_300)), None);
+    assert_eq!(notice.observe(None, at_ms(1_700)), Some(RateChange::Ended));
+    assert_eq!(notice.observe(None, at_ms(1_800)), None);
+}
+
+#[test]
+fn limits_that_are_no_rates_are_rejected() {
+    for text in ["", "many", "-1", "NaN", "inf", "1e400"] {
+        assert!(text.parse::<ServerRate>().is_err(), "{text}");
+    }
+    assert_eq!(
+        " 9.7 ".parse::<ServerRate>().map(ServerRate::per_s),
+        Ok(9.7)
+    );
+}
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -34,6 +34,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::server::RATE_LIMIT_HEADER;
 use super::server::RelayServer;
 use super::store::MemoryStore;
 
@@ -67,6 +68,7 @@
             expected_server: HeaderName::from_static("for-server"),
             not_run: HeaderName::from_static("not-run"),
             caller_service: HeaderName::from_static("from-service"),
+            rate_limit: RATE_LIMIT_HEADER,
         },
         key_scheme: "Key",
         ready_path: "/ready",
