relay: a server that says in a response that it leaves gets no new requests

Servers saw: requests after their responses had said that they leave, where their reports did not say so (DRAIN). Not reported yet; found while other notices of servers were looked for that nobody reads.

Cause: as with limits, no code read the notice.

Why this works: the node beside the server sees all its responses and all its work. It stops new work with the first such response, and stores that it did, as it does for reports.

--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -18,6 +18,7 @@
 use super::protocol::ServerReport;
 use super::rate_notice::RateChange;
 use super::rate_notice::RateNotice;
+use super::registration_store::store_registration_until_done;
 use super::runs::RunningRequest;
 use super::server_health::ServerHealth;
 use super::suspects;
@@ -55,6 +56,8 @@
 const FAILED_CONNECTIONS_MAX: u32 = 3;
 /// Attempts to send a request while none of its bytes was written.
 const SEND_ATTEMPTS: u32 = 3;
+/// Value of the header with which a server says that it leaves.
+const LEAVING_VALUE: &str = "1";
 /// Fraction of the slots that is used, because servers slow down when nearly all slots are taken.
 const USED_SLOTS_RATIO: f64 = 0.95;
 
@@ -288,7 +291,7 @@
 
 /// Sends a request, and retries while none of its bytes was written.
 async fn send(
-    node: &RelayNode,
+    node: &Arc<RelayNode>,
     backend: &Backend,
     metadata: &RequestMetadata,
     request: BufferedRequest,
@@ -314,7 +317,7 @@
         match sent {
             Ok(response) => {
                 backend.mark_reachable();
-                read_notices(node, backend, &response.headers);
+                apply_notices(node, backend, &response.headers);
                 return check_response(node, backend, metadata, response);
             }
             Err(ExchangeError::NotSent) => {}
@@ -347,7 +350,11 @@
 }
 
 /// Applies what the server says about itself in the headers of a response.
-fn read_notices(node: &RelayNode, backend: &Backend, headers: &HeaderMap) {
+fn apply_notices(node: &Arc<RelayNode>, backend: &Backend, headers: &HeaderMap) {
+    let leaving = headers.get(&node.protocol.headers.leaving);
+    if leaving.is_some_and(|value| value == LEAVING_VALUE) {
+        apply_leaving(node, backend);
+    }
     let named = match headers.get(&node.protocol.headers.rate_limit) {
         None => None,
         Some(value) => match value.to_str().unwrap_or_default().parse::<ServerRate>() {
@@ -364,6 +371,23 @@
     backend.apply_rate_notice(named, node.clock.now());
 }
 
+/// Stops new requests to a server that said that it leaves, also for later processes of this node.
+fn apply_leaving(node: &Arc<RelayNode>, backend: &Backend) {
+    let is_new = node
+        .registration
+        .lock()
+        .announce_leaving(&backend.server_id);
+    if is_new {
+        backend.drain();
+        events::SERVER_REPORTED.log(format_args!(
+            "server={} effect=AnnouncedLeaving",
+            backend.server_id
+        ));
+        node.store_entry_changed.notify_one();
+        tokio::spawn(store_registration_until_done(Arc::clone(node)));
+    }
+}
+
 /// Returns the response, or a refusal if the response shows that the request did not run.
 fn check_response(
     node: &RelayNode,
--- a/lib/src/process/relay/protocol.rs
+++ b/lib/src/process/relay/protocol.rs
@@ -26,6 +26,8 @@
     pub not_run: HeaderName,
     /// Names the service that sent the request.
     pub caller_service: HeaderName,
+    /// Says, with the value `1` in a response of a backend server, that the server leaves.
+    pub leaving: HeaderName,
     /// Names, in a response of a backend server, the requests per second that it takes from all
     /// callers together.
     pub rate_limit: HeaderName,
--- a/lib/src/process/relay/registration.rs
+++ b/lib/src/process/relay/registration.rs
@@ -46,7 +46,11 @@
     #[derive(Default, Eq)]
     pub struct Registration {
         latest: Option<ReportStamp>,
+        /// Whether the latest report says that the server wants no new work.
         is_draining: bool,
+        /// Whether the server said in a response that it leaves. Its reports may not say so.
+        #[serde(default)]
+        announced_leaving: bool,
         departed: Option<Departure>,
     }
 }
@@ -74,11 +78,30 @@
             }
             Some(_) | None => ReportEffect::NewLife,
         };
+        if matches!(effect, ReportEffect::NewLife | ReportEffect::WantsWork) {
+            self.announced_leaving = false;
+        }
         self.latest = Some(stamp);
         self.is_draining = report.is_draining;
         effect
     }
 
+    /// Records that the server said in a response that it leaves. Returns whether that is new.
+    pub fn announce_leaving(&mut self, server_id: &str) -> bool {
+        let is_known = self
+            .latest
+            .as_ref()
+            .is_some_and(|known| known.server_id == server_id);
+        let is_new = is_known && !self.announced_leaving;
+        self.announced_leaving |= is_known;
+        is_new
+    }
+
+    /// Returns whether the known incarnation gets no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.is_draining || self.announced_leaving
+    }
+
     /// Returns whether a report is of an incarnation that departed, which is one that started
     /// before the departure.
     fn has_departed(&self, report: &ServerReport) -> bool {
--- a/lib/src/process/relay/registration_store.rs
+++ b/lib/src/process/relay/registration_store.rs
@@ -17,9 +17,9 @@
 const KEY_PREFIX: &str = "departures/";
 /// Time for which a registration is stored: far longer than a report can be late.
 const REGISTRATION_TTL: Duration = Duration::from_secs(120);
-/// First pause after a failed read.
+/// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause after a failed read, well below the time between two reports.
+/// Longest pause after a failed call, well below the time between two reports.
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
 fn key_of(node: &RelayNode) -> String {
@@ -41,6 +41,15 @@
     written.map(|_| ())
 }
 
+/// Stores the registration, and retries until the write succeeds.
+pub(super) async fn store_registration_until_done(node: Arc<RelayNode>) {
+    let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE, rand::random());
+    while let Err(error) = store_registration(&node).await {
+        node.metrics.record_store_error(&error);
+        sleep(backoff.next_delay()).await;
+    }
+}
+
 /// Restores the registration that an earlier process of this node stored, and retries until the
 /// read succeeds.
 pub(super) async fn read_registration(node: Arc<RelayNode>) {
--- a/lib/src/process/relay/reports.rs
+++ b/lib/src/process/relay/reports.rs
@@ -98,6 +98,10 @@
             log_report(report, effect);
             let incarnation = Incarnation(node.clock.wall().0);
             let backend = Backend::new(report, incarnation, node.clock);
+            // It may have said so to an earlier process of this node.
+            if node.registration.lock().is_leaving() {
+                backend.drain();
+            }
             node.set_backend(Some(Arc::new(backend)));
             if report.is_draining {
                 return acknowledge_leaving(node).await;
--- /dev/null
+++ b/lib/tests/test_relay_leaving.rs
@@ -0,0 +1,73 @@
+//! Backend servers that say in their responses that they leave, on running relays.
+
+use balsamfold::version::PlannedRoute;
+use balsamfold::version::Repeatability;
+use http::StatusCode;
+use testutils::relay::Behaviour;
+use testutils::relay::RelayFleet;
+use testutils::relay::StoredPlan;
+use testutils::relay::sample_route;
+
+const REQUESTS: usize = 20;
+
+fn plan() -> StoredPlan {
+    let route = PlannedRoute {
+        is_open: true,
+        ..sample_route("stock", "stock", Repeatability::Idempotent)
+    };
+    StoredPlan {
+        version: 1,
+        routes: vec![("shop".to_owned(), "/stock/".to_owned(), route)],
+        organisations: Vec::new(),
+    }
+}
+
+/// Sends requests through all relays, one after another. Returns how many the first server received.
+async fn send_requests(fleet: &RelayFleet, round: usize) -> usize {
+    let before = fleet.relays[0].server.received().len();
+    for number in 0..REQUESTS {
+        let id = format!("r{round}-{number}");
+        let response = fleet.call(number % 2, &id, "/stock/x", None).await;
+        assert_eq!(response.status, StatusCode::OK);
+    }
+    fleet.relays[0].server.received().len() - before
+}
+
+// Guards against a server that gets new requests after it said in a response that it leaves (DRAIN).
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn server_that_says_it_leaves_gets_no_more_requests() {
+    let fleet = RelayFleet::start(&plan(), &["stock", "stock"]).await;
+    fleet.relays[0].server.set_behaviour(Behaviour::Leaving);
+    assert!(send_requests(&fleet, 0).await <= 1);
+    // The server goes on reporting that it is ready.
+    fleet.report(0, 2, false).await;
+    assert_eq!(send_requests(&fleet, 1).await, 0);
+}
+
+// Guards against a relay that forgets with its process that its server leaves (DRAIN).
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn server_that_left_gets_no_requests_after_a_restart_of_its_relay() {
+    let mut fleet = RelayFleet::start(&plan(), &["stock", "stock"]).await;
+    fleet.relays[0].server.set_behaviour(Behaviour::Leaving);
+    assert!(send_requests(&fleet, 0).await <= 1);
+    fleet
+        .wait_until(|fleet| !fleet.store.keys("departures/node-0").is_empty())
+        .await;
+    fleet.restart(0).await;
+    fleet.report(0, 3, false).await;
+    fleet.wait_until_ready_with_servers(1).await;
+    assert_eq!(send_requests(&fleet, 1).await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn server_that_wants_work_again_gets_requests() {
+    let fleet = RelayFleet::start(&plan(), &["stock", "stock"]).await;
+    fleet.relays[0].server.set_behaviour(Behaviour::Leaving);
+    send_requests(&fleet, 0).await;
+    fleet.relays[0].server.set_behaviour(Behaviour::Respond);
+    fleet.report(0, 2, true).await;
+    assert_eq!(send_requests(&fleet, 1).await, 0);
+    fleet.report(0, 3, false).await;
+    fleet.wait_until_ready_with_servers(2).await;
+    assert!(send_requests(&fleet, 2).await > 0);
+}
--- a/lib/tests/test_relay_registration.rs
+++ b/lib/tests/test_relay_registration.rs
@@ -79,3 +79,21 @@
         ReportEffect::NewLife
     );
 }
+
+#[test]
+fn announced_leaving_lasts_until_the_server_wants_work_again() {
+    let mut registration = Registration::default();
+    registration.apply_report(&report("a", 1, 1, false));
+    assert!(!registration.announce_leaving("b"));
+    assert!(registration.announce_leaving("a"));
+    assert!(!registration.announce_leaving("a"));
+    registration.apply_report(&report("a", 1, 2, false));
+    assert!(registration.is_leaving());
+    registration.apply_report(&report("a", 1, 3, true));
+    let effect = registration.apply_report(&report("a", 1, 4, false));
+    assert_eq!(effect, ReportEffect::WantsWork);
+    assert!(!registration.is_leaving());
+    registration.announce_leaving("a");
+    registration.apply_report(&report("b", 2, 1, false));
+    assert!(!registration.is_leaving());
+}
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -34,6 +34,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::server::LEAVING_HEADER;
 use super::server::RATE_LIMIT_HEADER;
 use super::server::RelayServer;
 use super::store::MemoryStore;
@@ -68,6 +69,7 @@
             expected_server: HeaderName::from_static("for-server"),
             not_run: HeaderName::from_static("not-run"),
             caller_service: HeaderName::from_static("from-service"),
+            leaving: LEAVING_HEADER,
             rate_limit: RATE_LIMIT_HEADER,
         },
         key_scheme: "Key",
@@ -265,7 +267,11 @@
 
     /// Waits until every relay lists every server and has a confirmed configuration.
     pub async fn wait_until_ready(&self) {
-        let count = self.relays.len();
+        self.wait_until_ready_with_servers(self.relays.len()).await;
+    }
+
+    /// Waits until every relay lists `count` servers and has a confirmed configuration.
+    pub async fn wait_until_ready_with_servers(&self, count: usize) {
         self.wait_until(|fleet| {
             fleet.relays.iter().all(|relay| {
                 let node = relay.daemon.node();
--- a/testutils/src/relay/server.rs
+++ b/testutils/src/relay/server.rs
@@ -29,6 +29,8 @@
 
 /// Header in which a server names the requests per second that it takes.
 pub const RATE_LIMIT_HEADER: HeaderName = HeaderName::from_static("takes-per-s");
+/// Header in which a server says that it leaves.
+pub const LEAVING_HEADER: HeaderName = HeaderName::from_static("goes-away");
 /// Attempts to bind the address of a crashed stand-in until its sockets are closed.
 const BIND_ATTEMPTS_MAX: usize = 200;
 /// Time between two such attempts.
@@ -51,6 +53,8 @@
     WrongRequestId,
     /// Crashes when the path contains this text, and responds at once to any other request.
     CrashOn(&'static str),
+    /// Responds at once, and says that the server leaves.
+    Leaving,
     /// Breaks off the response when the path contains this text, and crashes after a delay.
     CrashLate(Duration, &'static str),
     /// Crashes when the path contains this text, and responds to any other request after a delay.
@@ -236,6 +240,10 @@
             let value = HeaderValue::try_from(per_s.to_string()).expect("valid header");
             response.headers_mut().insert(RATE_LIMIT_HEADER, value);
         }
+        Behaviour::Leaving => {
+            let marker = HeaderValue::from_static("1");
+            response.headers_mut().insert(LEAVING_HEADER, marker);
+        }
         Behaviour::Fail => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
         Behaviour::WrongRequestId => returned_id = Some(HeaderValue::from_static("other")),
         Behaviour::CrashOn(_) => {}
