gate: few requests run until the first response of a server

Servers would have seen far more requests than the limit that they named (LIMIT) when the relay beside them restarts while they are slow: the new process learns the limit from the first response, and until then admits a request for each slot. Found by asking what a restart forgets; not reported.

The model test failed before (requests of 0.6 s at 300 a second, limit 7.8: all slots were filled within the first response time), and passes now with four requests at a time until the first response. Storing the limit was weighed: a write for each change of a limit, and nothing gained in an outage.

--- a/lib/src/process/gate/gate_state.rs
+++ b/lib/src/process/gate/gate_state.rs
@@ -41,6 +41,7 @@
     retry_after: RetryAfter,
     /// The rate that the server named, if it takes fewer requests than its slots allow.
     pace: Option<Pace>,
+    has_response: bool,
 }
 
 impl GateState {
@@ -50,6 +51,9 @@
     /// Lower limit of the queue bound.
     const QUEUE_MIN: usize = 4;
 
+    /// Requests that run at the same time until the first response of a server.
+    const FIRST_REQUESTS: u32 = 4;
+
     /// Drain rate assumed before the first request has finished, in requests per second.
     const DEFAULT_DRAIN_PER_S: f64 = 100.0;
 
@@ -64,12 +68,27 @@
             demand: DemandMeter::new(now),
             retry_after: RetryAfter::default(),
             pace: None,
+            has_response: true,
+        }
+    }
+
+    /// Creates the gate state of a server from which this process has had no response yet.
+    ///
+    /// The server may have named a limit to an earlier process, so few requests run until its first
+    /// response.
+    pub fn unproven(limit: AdaptiveLimit, now: MonotonicTime) -> Self {
+        Self {
+            has_response: false,
+            ..Self::new(limit, now)
         }
     }
 
     /// Returns how many requests may run at the same time.
     pub fn slots(&self) -> u32 {
-        self.limit.slots()
+        match self.has_response {
+            true => self.limit.slots(),
+            false => self.limit.slots().min(Self::FIRST_REQUESTS),
+        }
     }
 
     /// Returns how many requests hold a slot.
@@ -134,7 +153,7 @@
         if self.pace.is_some() {
             return (self.acquire_paced(request, now), None);
         }
-        if self.in_flight < self.limit.slots() && self.queue.is_empty() {
+        if self.in_flight < self.slots() && self.queue.is_empty() {
             self.start(&request.organisation, request.rate, now);
             return (AdmissionDecision::Started, None);
         }
@@ -155,7 +174,7 @@
         now: MonotonicTime,
     ) -> AdmissionDecision {
         let kept_fraction = self.demand.kept_fraction(request);
-        let has_slot = self.in_flight < self.limit.slots();
+        let has_slot = self.in_flight < self.slots();
         let mut take_token = || {
             let pace = self.pace.as_mut();
             pace.is_none_or(|pace| pace.try_take(kept_fraction, now))
@@ -207,6 +226,7 @@
     /// Releases the slot of a request that ended, and starts waiting requests.
     pub fn release(&mut self, completion: &Completion, now: MonotonicTime) -> Wakeups {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.has_response |= completion.outcome != CompletionOutcome::Cancelled;
         self.limit.record_end(completion, now);
         self.observe_service_time(completion);
         self.close_window(now);
@@ -272,7 +292,7 @@
 
     fn fill_slots(&mut self, now: MonotonicTime) -> Wakeups {
         let mut wakeups = Wakeups::default();
-        while self.in_flight < self.limit.slots() {
+        while self.in_flight < self.slots() {
             let Some(ticket) = self.queue.first(&self.usage, now) else {
                 break;
             };
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -86,7 +86,7 @@
             .floor()
             .max(1.0) as u32;
         let limit = AdaptiveLimit::fixed(SlotCount(used_slots), clock.now());
-        let state = GateState::new(limit, clock.now());
+        let state = GateState::unproven(limit, clock.now());
         Self {
             server_id: report.server_id.clone(),
             incarnation,
--- a/lib/tests/test_gate_pace.rs
+++ b/lib/tests/test_gate_pace.rs
@@ -22,17 +22,21 @@
 use testutils::relay::at_ms;
 
 const SLOTS: u32 = 100;
-const HELD: Duration = Duration::from_millis(60);
+/// Time in which the server answers a request.
+const HELD_MS: u64 = 60;
 const WINDOW_MS: u64 = 4_000;
 
 fn rate(per_s: f64) -> ServerRate {
     ServerRate::try_from(per_s).expect("valid rate")
 }
 
-/// A server that answers each request after [`HELD`], behind its gate.
+/// A server behind its gate.
 struct Server {
     gate: GateState,
     rng: StdRng,
+    held_ms: u64,
+    /// The rate that the server names in its responses.
+    named: Option<ServerRate>,
     ends_at: Vec<u64>,
     /// Times and importance of the requests that started.
     started: Vec<(u64, u8)>,
@@ -44,6 +48,8 @@
         Self {
             gate: GateState::new(limit, at_ms(0)),
             rng: StdRng::seed_from_u64(seed),
+            held_ms: HELD_MS,
+            named: None,
             ends_at: Vec::new(),
             started: Vec::new(),
         }
@@ -57,9 +63,12 @@
         let ended = self.ends_at.iter().filter(|end| **end <= now_ms).count();
         self.ends_at.retain(|end| *end > now_ms);
         for _ in 0..ended {
+            if self.named.is_some() {
+                self.gate.set_rate(self.named, at_ms(now_ms));
+            }
             let completion = Completion {
                 outcome: CompletionOutcome::Answered,
-                held: HELD,
+                held: Duration::from_millis(self.held_ms),
                 onward: Duration::ZERO,
             };
             let wakeups = self.gate.release(&completion, at_ms(now_ms));
@@ -70,7 +79,7 @@
     }
 
     fn start(&mut self, now_ms: u64, importance: u8) {
-        self.ends_at.push(now_ms + HELD.as_millis() as u64);
+        self.ends_at.push(now_ms + self.held_ms);
         self.started.push((now_ms, importance));
     }
 
@@ -207,3 +216,27 @@
     let closest = times.windows(2).map(|pair| pair[1].since(pair[0])).min();
     assert!(closest >= Some(Duration::from_millis(1_000)));
 }
+
+// Guards against a gate that sends a slow server far more than its limit before the first response names it
+// (LIMIT).
+#[test]
+fn gate_of_a_new_process_learns_the_limit_from_few_requests() {
+    let mut server = Server::new(1);
+    server.gate = GateState::unproven(AdaptiveLimit::fixed(SlotCount(SLOTS), at_ms(0)), at_ms(0));
+    server.held_ms = 600;
+    server.named = Some(rate(7.8));
+    server.offer_load(300.0, 0..10_000, |_| 1);
+    assert!(server.most_in_a_window(0) as f64 <= 1.5 * 7.8 * 4.0 + 5.0);
+}
+
+#[test]
+fn gate_of_a_new_process_uses_all_slots_after_the_first_response() {
+    let mut server = Server::new(1);
+    server.gate = GateState::unproven(AdaptiveLimit::fixed(SlotCount(SLOTS), at_ms(0)), at_ms(0));
+    for _ in 0..20 {
+        server.offer(1, 0);
+    }
+    assert_eq!(server.started.len(), 4);
+    server.finish(HELD_MS);
+    assert_eq!(server.started.len(), 20);
+}
