connection: a server cannot send interim responses without end

Bytes that are no response may come without end, in a head or a body, until the caller closes. Heads, header lines, trailers, chunks and bodies were bounded; interim responses were not: the test waited for the whole timeout of 60 s, reading all the time. Now the bytes before the end of a head are bounded, and the connection is closed.

--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod exchange;
+mod head_limit;
 mod headers;
 mod listener;
 mod pool;
--- a/lib/src/connection/pool.rs
+++ b/lib/src/connection/pool.rs
@@ -26,6 +26,8 @@
 use super::BufferedRequest;
 use super::BufferedResponse;
 use super::ExchangeError;
+use super::head_limit::HeadLimit;
+use super::head_limit::HeadLimited;
 use super::read_body;
 use super::strip_connection_headers;
 
@@ -63,6 +65,7 @@
     driver: JoinHandle<()>,
     idle_since: Instant,
     idle_limit: Option<Duration>,
+    head_limit: HeadLimit,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -143,6 +146,7 @@
         let deadline = Instant::now() + timeout;
         let mut connection = self.connection(timeout).await?;
         let method = request.method.clone();
+        connection.head_limit.begin_head();
         let sent = connection.sender.try_send_request(http_request(request));
         let response = match tokio::time::timeout_at(deadline, sent).await {
             Ok(Ok(response)) => response,
@@ -150,6 +154,7 @@
             Ok(Err(_)) => return Err(ExchangeError::Sent),
             Err(_) => return Err(ExchangeError::TimedOut),
         };
+        connection.head_limit.end_head();
         if !is_matching_response(response.status(), response.headers()) {
             return Err(ExchangeError::InvalidResponse);
         }
@@ -219,7 +224,12 @@
 ) -> Result<PooledConnection, Box<dyn std::error::Error + Send + Sync>> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let head_limit = HeadLimit::unlimited();
+    let limited = HeadLimited {
+        stream,
+        limit: head_limit.clone(),
+    };
+    let (sender, connection) = http1::handshake(TokioIo::new(limited)).await?;
     let driver = tokio::spawn(async move {
         // An error here also fails the exchange, which returns it.
         let _ = connection.await;
@@ -229,6 +239,7 @@
         driver,
         idle_since: Instant::now(),
         idle_limit: None,
+        head_limit,
         _permit: permit,
     })
 }
