connection: bodies that are read at the same time hold no more than one body

A body without end is cut at 64 MB, but dozens may come at a time: a relay has 160 MB or more. Beyond the first 64 KB of each, all bodies of one pool together now hold as many bytes as the largest one may.

--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -7,8 +7,10 @@
 mod listener;
 mod pool;
 
+pub use self::body::BodyBudget;
 pub use self::body::BodyError;
 pub use self::body::read_body;
+pub use self::body::read_budgeted_body;
 pub use self::exchange::BufferedRequest;
 pub use self::exchange::BufferedResponse;
 pub use self::exchange::ExchangeError;
--- a/lib/src/connection/pool.rs
+++ b/lib/src/connection/pool.rs
@@ -23,12 +23,13 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use super::BodyBudget;
 use super::BufferedRequest;
 use super::BufferedResponse;
 use super::ExchangeError;
 use super::head_limit::HeadLimit;
 use super::head_limit::HeadLimited;
-use super::read_body;
+use super::read_budgeted_body;
 use super::strip_connection_headers;
 
 plain_value! {
@@ -55,6 +56,8 @@
     address: SocketAddr,
     limits: PoolLimits,
     permits: Arc<Semaphore>,
+    /// The bodies of all responses together may hold as many bytes as the largest one.
+    body_budget: BodyBudget,
     idle: Mutex<Vec<PooledConnection>>,
 }
 
@@ -110,6 +113,7 @@
             address,
             limits,
             permits: Arc::new(Semaphore::new(limits.connections_max as usize)),
+            body_budget: BodyBudget::new(limits.response_bytes_max),
             idle: Mutex::default(),
         }
     }
@@ -172,7 +176,9 @@
     ) -> Result<BufferedResponse, ExchangeError> {
         let (mut parts, body) = response.into_parts();
         let timeout = deadline.saturating_duration_since(Instant::now());
-        let body = match read_body(body, self.limits.response_bytes_max, timeout).await {
+        let limit_bytes = self.limits.response_bytes_max;
+        let reading = read_budgeted_body(body, limit_bytes, timeout, &self.body_budget);
+        let body = match reading.await {
             Ok(body) => body,
             Err(super::BodyError::TimedOut { .. }) => return Err(ExchangeError::TimedOut),
             Err(_) => return Err(ExchangeError::InvalidResponse),
--- a/lib/tests/test_endless_responses.rs
+++ b/lib/tests/test_endless_responses.rs
@@ -1,20 +1,28 @@
 //! Backend servers that send bytes without end, in the head or the body of a response.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use balsamfold::connection::BodyBudget;
 use balsamfold::connection::BufferedRequest;
 use balsamfold::connection::ConnectionPool;
 use balsamfold::connection::ExchangeError;
 use balsamfold::connection::PoolLimits;
+use balsamfold::connection::read_budgeted_body;
 use bytes::Bytes;
+use futures::future::join_all;
 use http::HeaderMap;
 use http::Method;
+use http_body::Frame;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use volo_http::body::Body;
 
 /// Longer than any of these exchanges may take.
 const TIMEOUT: Duration = Duration::from_secs(60);
@@ -152,3 +160,68 @@
         assert_eq!(response.expect("a response").body.len(), BODY_BYTES);
     }
 }
+
+/// Counts the bytes that all bodies without end hold, and the most that they held at a time.
+#[derive(Default)]
+struct Held {
+    bytes: AtomicUsize,
+    bytes_max: AtomicUsize,
+}
+
+/// The blocks that were taken from one body; dropped with the body.
+struct TakenBlocks {
+    held: Arc<Held>,
+    bytes: usize,
+}
+
+impl TakenBlocks {
+    fn take(&mut self) -> Bytes {
+        self.bytes += BLOCK_BYTES;
+        let held = self.held.bytes.fetch_add(BLOCK_BYTES, Ordering::Relaxed) + BLOCK_BYTES;
+        self.held.bytes_max.fetch_max(held, Ordering::Relaxed);
+        Bytes::from_static(&[b'z'; BLOCK_BYTES])
+    }
+}
+
+impl Drop for TakenBlocks {
+    fn drop(&mut self) {
+        self.held.bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// Returns a body without end that lets others go on after each block.
+fn endless_body(held: &Arc<Held>) -> Body {
+    let taken = TakenBlocks {
+        held: Arc::clone(held),
+        bytes: 0,
+    };
+    let blocks = futures::stream::unfold(taken, |mut taken| async move {
+        tokio::task::yield_now().await;
+        let block = Frame::data(taken.take());
+        Some((Ok(block), taken))
+    });
+    Body::from_stream(blocks)
+}
+
+// Guards against bodies without end that fill the memory together, each of them below the limit of one.
+#[tokio::test]
+async fn bodies_without_end_hold_no_more_than_one_body_together() {
+    const LIMIT_BYTES: usize = 8 * 1_024 * 1_024;
+    const BODIES: usize = 50;
+    let budget = BodyBudget::new(LIMIT_BYTES);
+    let held = Arc::new(Held::default());
+    let bodies =
+        (0..BODIES).map(|_| read_budgeted_body(endless_body(&held), LIMIT_BYTES, TIMEOUT, &budget));
+    let results = join_all(bodies).await;
+    assert!(results.iter().all(Result::is_err));
+    let uncounted = BODIES * (BodyBudget::UNCOUNTED_BYTES + BLOCK_BYTES);
+    assert!(held.bytes_max.load(Ordering::Relaxed) <= LIMIT_BYTES + uncounted);
+}
+
+#[tokio::test]
+async fn small_bodies_arrive_beside_bodies_without_end() {
+    let budget = BodyBudget::new(0);
+    let small = Body::from("small");
+    let read = read_budgeted_body(small, 1_024, TIMEOUT, &budget).await;
+    assert_eq!(read.expect("a body"), "small");
+}
