--- a/lib/tests/test_gate_pace.rs
+++ b/lib/tests/test_gate_pace.rs
@@ -240,3 +240,29 @@
     server.finish(HELD_MS);
     assert_eq!(server.started.len(), 20);
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(32))]
+
+    // Guards against a limit that is forgotten with the process that knew it (LIMIT).
+    #[test]
+    fn limit_holds_across_a_restart_of_the_relay(
+        seed: u64,
+        per_s in 1.0..60.0,
+        offered in 10.0..400.0,
+        held_ms in 20u64..1_500,
+        restart_ms in 4_000u64..8_000,
+    ) {
+        let mut server = Server::new(seed);
+        server.held_ms = held_ms;
+        server.named = Some(rate(per_s));
+        server.offer_load(offered, 0..restart_ms, |_| 1);
+        let limit = AdaptiveLimit::fixed(SlotCount(SLOTS), at_ms(restart_ms));
+        server.gate = GateState::unproven(limit, at_ms(restart_ms));
+        server.ends_at.clear();
+        server.offer_load(offered, restart_ms..restart_ms + 6_000, |_| 1);
+        let allowed = 1.5 * per_s * 4.0 + 5.0;
+        let most = server.most_in_a_window(3_000);
+        prop_assert!(most as f64 <= allowed, "{most} of {allowed}");
+    }
+}
