--- a/lib/tests/test_endless_responses.rs
+++ b/lib/tests/test_endless_responses.rs
@@ -128,18 +128,25 @@
     expect_early_failure(head, "x: y\r\n").await;
 }
 
+/// Answers each request of a connection with a body of this size.
+async fn send_bodies(mut stream: TcpStream, body_bytes: usize) {
+    let mut request = [0; 1_024];
+    while stream.read(&mut request).await.is_ok_and(|read| read > 0) {
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {body_bytes}\r\n\r\n");
+        let response = [head.into_bytes(), vec![b'z'; body_bytes]].concat();
+        stream.write_all(&response).await.expect("the caller reads");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn body_that_is_larger_than_any_head_arrives_whole() {
     const BODY_BYTES: usize = 8 * 1_024 * 1_024;
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
     let address = listener.local_addr().expect("bound");
     tokio::spawn(async move {
-        let (mut stream, _) = listener.accept().await.expect("a connection");
-        let mut request = [0; 1_024];
-        while stream.read(&mut request).await.is_ok_and(|read| read > 0) {
-            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {BODY_BYTES}\r\n\r\n");
-            let response = [head.into_bytes(), vec![b'z'; BODY_BYTES]].concat();
-            stream.write_all(&response).await.expect("the caller reads");
+        // The pool opens another connection if the last one is not ready again yet.
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(send_bodies(stream, BODY_BYTES));
         }
     });
     let limits = PoolLimits {
