--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -19,12 +19,13 @@
 use super::link::LinkFailure;
 use super::link::PeerReply;
 use super::node::RelayNode;
+use super::observed_call::ObservedCall;
+use super::observed_call::call_outcome;
 use super::runs::RunningRequest;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
 use crate::process::events::relay as events;
 use crate::process::membership::NodeRecord;
-use crate::process::routing::CallOutcome;
 use crate::process::routing::ChooseContext;
 use crate::process::routing::Router;
 use crate::request::Refusal;
@@ -451,60 +452,3 @@
     });
     encode_frame(&head, &request.body).map_err(|_| LinkFailure::NotSent)
 }
-
-fn call_outcome(outcome: &RunOutcome) -> CallOutcome {
-    let is_own_failure = !outcome.load.call_failed;
-    match &outcome.result {
-        Ok(response) if response.status == StatusCode::INTERNAL_SERVER_ERROR && is_own_failure => {
-            CallOutcome::Failed
-        }
-        Ok(_) => CallOutcome::Answered,
-        Err(refusal) if refusal.only_on.is_some() => CallOutcome::Cancelled,
-        Err(refusal) => match refusal.reason {
-            RefusalReason::Quarantined => CallOutcome::Cancelled,
-            RefusalReason::Overloaded
-            | RefusalReason::Draining
-            | RefusalReason::ServerFailing
-            | RefusalReason::ServerThrottled => CallOutcome::Refused,
-            RefusalReason::DeadlineExceeded => CallOutcome::Cancelled,
-            _ => CallOutcome::Failed,
-        },
-    }
-}
-
-/// Records an attempt with the router. If it is dropped before the outcome, the attempt counts as
-/// cancelled.
-struct ObservedCall<'a> {
-    node: &'a RelayNode,
-    destination: NodeId,
-    started_at: MonotonicTime,
-    is_finished: bool,
-}
-
-impl<'a> ObservedCall<'a> {
-    fn start(node: &'a RelayNode, destination: &NodeId, started_at: MonotonicTime) -> Self {
-        node.router.lock().record_start(destination);
-        Self {
-            node,
-            destination: destination.clone(),
-            started_at,
-            is_finished: false,
-        }
-    }
-
-    fn finish(&mut self, outcome: CallOutcome) {
-        self.is_finished = true;
-        let now = self.node.clock.now();
-        let latency = now.since(self.started_at);
-        let mut router = self.node.router.lock();
-        router.record_end(&self.destination, outcome, latency, now);
-    }
-}
-
-impl Drop for ObservedCall<'_> {
-    fn drop(&mut self) {
-        if !self.is_finished {
-            self.finish(CallOutcome::Cancelled);
-        }
-    }
-}
--- a/lib/src/process/relay/mod.rs
+++ b/lib/src/process/relay/mod.rs
@@ -16,6 +16,7 @@
 mod links;
 mod metrics;
 mod node;
+mod observed_call;
 mod peers;
 mod protocol;
 mod quarantine;
