relay: suspects that a node missed are learnt from other nodes, and every quarantine is stored

A request that had crashed two servers could be sent to a third. A relay that restarts after the first crash has forgotten the suspect and reports the second crash as a first one; the others merge both into a quarantine, but only the node of a crash stored one, and it knew of one crash.

A notification is now answered with what the receiver knows beyond it; a starting relay asks three others for their suspects before a request runs on its server; a notification that a node misses is retried for three seconds, while the responses wait 300 ms at most; and whoever knows of a quarantine that the store lacks writes it, the nodes of the crashes at once and the others in turn.

Both new tests failed before (quarantine_that_other_nodes_form_by_merging_is_stored, restarted_relay_learns_suspects_from_other_nodes_before_it_serves).

--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -18,6 +18,7 @@
 use super::node::RelayNode;
 use super::peers::serve_peers;
 use super::protocol::Protocol;
+use super::quarantine::store_quarantines;
 use super::quarantine::watch_quarantines;
 use super::registration_store::read_registration;
 use super::reports::handle_ready;
@@ -26,6 +27,7 @@
 use super::settings::RelaySettings;
 use super::store::SharedStore;
 use super::store_entry::maintain_store_entry;
+use super::suspects::learn_suspects;
 use super::tasks::clean_up_fleet;
 use super::tasks::maintain_confirmation;
 use super::tasks::watch_configuration;
@@ -118,6 +120,8 @@
             spawn(watch_fleet(Arc::clone(&node))),
             spawn(clean_up_fleet(Arc::clone(&node))),
             spawn(watch_quarantines(Arc::clone(&node))),
+            spawn(store_quarantines(Arc::clone(&node))),
+            spawn(learn_suspects(Arc::clone(&node))),
             spawn(maintain_store_entry(Arc::clone(&node))),
             spawn(read_registration(Arc::clone(&node))),
         ];
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -429,7 +429,7 @@
         PeerReply::Pong
         | PeerReply::Tokens(_)
         | PeerReply::RateStatus(_)
-        | PeerReply::SuspectsCleared(_) => Err(Refusal::may_have_run(RefusalReason::BadAnswer)),
+        | PeerReply::KnownSuspects(_) => Err(Refusal::may_have_run(RefusalReason::BadAnswer)),
     };
     Ok(RunOutcome {
         result,
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -236,13 +236,19 @@
         /// The entries that have changed.
         entries: Vec<SuspectEntry>,
     },
-    /// The reply to a notification of suspects.
-    SuspectsCleared {
+    /// The reply to a notification of suspects, or to a request for all of them.
+    #[serde(rename = "SuspectsCleared")]
+    KnownSuspects {
         /// The exchange.
         exchange: ExchangeId,
-        /// The entries that the node cleared.
+        /// The entries of which the node knows more than the sender of the notification, or all.
         entries: Vec<SuspectEntry>,
     },
+    /// Requests all suspects that a node knows.
+    SuspectsRequest {
+        /// The exchange.
+        exchange: ExchangeId,
+    },
 }
 
 /// A frame that cannot be encoded or decoded.
--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -67,8 +67,8 @@
     Tokens(TokenReply),
     /// The status for the holder of the node's zone.
     RateStatus(PeerStatus),
-    /// The suspects that the node cleared.
-    SuspectsCleared(Vec<SuspectEntry>),
+    /// The suspects of which the node knows more, or all that it knows.
+    KnownSuspects(Vec<SuspectEntry>),
 }
 
 /// A reply with the confirmation report and the load notice that came with it.
@@ -247,9 +247,9 @@
                 let load = LoadNotice::default();
                 (exchange, PeerReply::RateStatus(status), None, load)
             }
-            Head::SuspectsCleared { exchange, entries } => {
+            Head::KnownSuspects { exchange, entries } => {
                 let load = LoadNotice::default();
-                (exchange, PeerReply::SuspectsCleared(entries), None, load)
+                (exchange, PeerReply::KnownSuspects(entries), None, load)
             }
             Head::Hello { .. }
             | Head::Request(_)
@@ -261,7 +261,8 @@
             | Head::TokenReport { .. }
             | Head::RateStatusRequest { .. }
             | Head::RateHolderReleased
-            | Head::SuspectUpdates { .. } => return Ok(()),
+            | Head::SuspectUpdates { .. }
+            | Head::SuspectsRequest { .. } => return Ok(()),
         };
         let sender = self.state.lock().pending.remove(&exchange);
         if let Some(sender) = sender {
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Weak;
 use std::sync::atomic::AtomicBool;
@@ -12,6 +13,7 @@
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use super::backend::Backend;
 use super::confirmation::Confirmation;
@@ -42,6 +44,7 @@
 use crate::process::membership::ServerRecord;
 use crate::process::rates::FleetRates;
 use crate::process::routing::Router;
+use crate::process::suspects::Fingerprint;
 use crate::request::FleetRetryBudget;
 use crate::request::Refusal;
 use crate::values::Clock;
@@ -75,6 +78,8 @@
     /// Rates of organisations over the fleet.
     pub(super) rates: FleetRates,
     pub(super) fleet: Mutex<Fleet>,
+    /// Whether the view of the fleet was read from the store since the start.
+    pub(super) is_fleet_listed: watch::Sender<bool>,
     pub(super) registration: Mutex<Registration>,
     /// Whether the registration that an earlier process stored was read.
     pub(super) is_registration_read: AtomicBool,
@@ -84,6 +89,8 @@
     pub(super) runs: RunTable,
     /// Requests that may crash backend servers.
     pub(super) suspects: SuspectState,
+    /// Quarantined requests that the store is known to hold.
+    pub(super) stored_quarantines: Mutex<HashSet<Fingerprint>>,
     /// Admission floors for requests of callers.
     pub(super) ingress_floors: Mutex<DownstreamFloors>,
     /// Admission floors for the onward calls of the local backend server.
@@ -135,6 +142,8 @@
             rates: new_rates(node, &settings.raw, clock, Arc::clone(&store)),
             links: Arc::new(Links::new(settings.raw.node.clone(), clock)),
             suspects: SuspectState::new(settings.raw.node.clone()),
+            stored_quarantines: Mutex::default(),
+            is_fleet_listed: watch::Sender::new(false),
             router: Mutex::new(Router::new(
                 settings.raw.zone.clone(),
                 rand::random(),
@@ -251,6 +260,13 @@
         Arc::clone(&self.members.read())
     }
 
+    /// Waits until the view of the fleet was read once.
+    pub(super) async fn wait_until_fleet_is_listed(&self) {
+        let mut is_listed = self.is_fleet_listed.subscribe();
+        // The sender lives as long as this node.
+        let _ = is_listed.wait_for(|listed| *listed).await;
+    }
+
     /// Publishes the current view of the fleet.
     pub(super) fn publish_fleet(&self) {
         let table = self.fleet.lock().table();
--- a/lib/src/process/relay/peers.rs
+++ b/lib/src/process/relay/peers.rs
@@ -181,7 +181,11 @@
         }
         Head::SuspectUpdates { exchange, entries } => {
             let entries = node.merge_suspects(&entries);
-            send_reply(replies, &Head::SuspectsCleared { exchange, entries }, &[]);
+            send_reply(replies, &Head::KnownSuspects { exchange, entries }, &[]);
+        }
+        Head::SuspectsRequest { exchange } => {
+            let entries = node.suspects.entries();
+            send_reply(replies, &Head::KnownSuspects { exchange, entries }, &[]);
         }
         Head::Response(_)
         | Head::Refused { .. }
@@ -189,7 +193,7 @@
         | Head::Lent { .. }
         | Head::TokenReply { .. }
         | Head::RateStatus { .. }
-        | Head::SuspectsCleared { .. } => {}
+        | Head::KnownSuspects { .. } => {}
     }
     Ok(())
 }
--- a/lib/src/process/relay/quarantine.rs
+++ b/lib/src/process/relay/quarantine.rs
@@ -4,8 +4,10 @@
 //! later, also after all processes have ended, and for nodes that could not be reached.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use tokio::time::sleep;
 
 use super::node::RelayNode;
 use super::store::StoreError;
@@ -20,19 +22,57 @@
 /// Prefix of the stored quarantines.
 const QUARANTINE_PREFIX: &str = "suspects/";
 
-/// Writes a quarantine to the store, and retries until the quarantine is over.
-pub(super) async fn store_quarantine(node: Arc<RelayNode>, entry: SuspectEntry) {
-    let started_at = node.clock.now();
+/// Time that a node leaves to each node before it, in order of their names, to store a quarantine:
+/// several round trips of the store and of the watch that reports it.
+const TURN: Duration = Duration::from_millis(200);
+
+/// Stores quarantines that the store lacks.
+///
+/// The nodes of the crashed servers write at once, and the others in turn, because the processes of
+/// those nodes may have ended, or may each know of one crash only.
+pub(super) async fn store_quarantines(node: Arc<RelayNode>) {
     let mut backoff = new_backoff();
-    while node.clock.now().since(started_at) < Suspects::QUARANTINE {
-        match write_quarantine(&node, &entry).await {
-            Ok(()) => return,
-            Err(error) => node.metrics.record_store_error(&error),
+    loop {
+        let missing = missing_quarantines(&node);
+        if missing.is_empty() {
+            backoff.reset();
+            node.suspects.quarantine_formed.notified().await;
+            continue;
+        }
+        sleep(turn(&node, &missing)).await;
+        for entry in missing_quarantines(&node) {
+            match write_quarantine(&node, &entry).await {
+                Ok(()) => node.stored_quarantines.lock().insert(entry.fingerprint),
+                Err(error) => {
+                    node.metrics.record_store_error(&error);
+                    sleep(backoff.next_delay()).await;
+                    break;
+                }
+            };
         }
-        tokio::time::sleep(backoff.next_delay()).await;
     }
 }
 
+fn missing_quarantines(node: &RelayNode) -> Vec<SuspectEntry> {
+    let quarantined = node.suspects.quarantined();
+    let stored = node.stored_quarantines.lock();
+    let missing = quarantined
+        .into_iter()
+        .filter(|entry| !stored.contains(&entry.fingerprint));
+    missing.collect()
+}
+
+fn turn(node: &RelayNode, missing: &[SuspectEntry]) -> Duration {
+    let own_id = &node.settings.raw.node;
+    let mut sites = missing.iter().flat_map(|entry| &entry.crashes);
+    if sites.any(|site| site.node == *own_id) {
+        return Duration::ZERO;
+    }
+    let members = node.members();
+    let before = members.nodes().filter(|record| record.id < *own_id).count();
+    TURN * (1 + before as u32)
+}
+
 async fn write_quarantine(node: &RelayNode, entry: &SuspectEntry) -> Result<(), StoreError> {
     let value = serde_json::to_vec(entry).map_err(|error| StoreError::Unreadable {
         reason: error.to_string(),
@@ -51,9 +91,12 @@
         &node,
         QUARANTINE_PREFIX,
         |items, _| {
+            // The store may have lost some, for example with their leases during an outage.
+            node.stored_quarantines.lock().clear();
             for item in items {
                 apply_item(&node, item);
             }
+            node.suspects.quarantine_formed.notify_one();
         },
         |changes| {
             for change in changes {
@@ -69,8 +112,11 @@
 
 fn apply_item(node: &RelayNode, item: &StoreItem) {
     match serde_json::from_slice::<SuspectEntry>(&item.value) {
-        // Entries that this node can clear are not quarantined elsewhere for that.
-        Ok(entry) => drop(node.merge_suspects(&[entry])),
+        Ok(entry) => {
+            node.stored_quarantines.lock().insert(entry.fingerprint);
+            // Entries that this node can clear are not quarantined elsewhere for that.
+            node.merge_suspects(&[entry]);
+        }
         Err(error) => {
             events::STORED_UNREADABLE.log(format_args!("key={} reason=\"{error}\"", item.key));
         }
--- a/lib/src/process/relay/suspects.rs
+++ b/lib/src/process/relay/suspects.rs
@@ -7,10 +7,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
+use futures::StreamExt;
+use futures::future::BoxFuture;
 use futures::future::join_all;
+use futures::stream::FuturesUnordered;
 use parking_lot::Mutex;
+use rand::seq::IndexedRandom;
+use tokio::sync::Notify;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use super::frame::ExchangeId;
@@ -19,7 +27,6 @@
 use super::link::LinkFailure;
 use super::link::PeerReply;
 use super::node::RelayNode;
-use super::quarantine::store_quarantine;
 use crate::connection::BufferedRequest;
 use crate::process::events::once as events;
 use crate::process::membership::NodeRecord;
@@ -42,8 +49,15 @@
 const TRIAL_RETRY_MS: u64 = 200;
 /// Maximum time for which a suspect waits for the trial before it.
 const TRIAL_WAIT_MAX: Duration = Duration::from_millis(500);
-/// Timeout for a notification of other nodes, which precedes the responses to the failed requests.
+/// Longest delay of the responses to failed requests until the other nodes are notified.
 const NOTIFY_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time in which the notification of a node is retried: an instance that stands still for a moment
+/// gets it afterwards.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(3);
+/// Delay between attempts to notify a node.
+const DELIVERY_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Number of nodes that a starting node asks for suspects. One of them may have missed some.
+const LEARN_NODES: usize = 3;
 
 /// The state of a node for requests that may crash backend servers.
 ///
@@ -53,6 +67,10 @@
     table: Mutex<Suspects>,
     runs: Mutex<Runs>,
     trial: Arc<Semaphore>,
+    /// Whether a starting node has asked other nodes for the suspects that they know.
+    is_learned: watch::Sender<bool>,
+    /// Wakes the task that stores quarantines.
+    pub(super) quarantine_formed: Notify,
     /// When the last probe began that found the backend server listening. Held while a crash is
     /// detected and reported, so that each crash is reported once, before any response to its
     /// requests.
@@ -66,9 +84,59 @@
             table: Mutex::new(Suspects::new(own_id)),
             runs: Mutex::default(),
             trial: Arc::new(Semaphore::new(1)),
+            is_learned: watch::Sender::new(false),
+            quarantine_formed: Notify::new(),
             found_listening: tokio::sync::Mutex::default(),
         }
     }
+
+    /// Returns all entries.
+    pub(super) fn entries(&self) -> Vec<SuspectEntry> {
+        self.table.lock().entries().cloned().collect()
+    }
+
+    /// Returns the entries of quarantined requests.
+    pub(super) fn quarantined(&self) -> Vec<SuspectEntry> {
+        let table = self.table.lock();
+        let entries = table.entries();
+        let quarantined = entries.filter(|entry| entry.status() == SuspectStatus::Quarantined);
+        quarantined.cloned().collect()
+    }
+
+    async fn wait_until_learned(&self) -> Result<(), Refusal> {
+        if *self.is_learned.borrow() {
+            return Ok(());
+        }
+        let mut is_learned = self.is_learned.subscribe();
+        let learned = timeout(TRIAL_WAIT_MAX, is_learned.wait_for(|learned| *learned)).await;
+        match learned {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(busy_with_trial()),
+        }
+    }
+}
+
+/// Asks other nodes for the suspects that they know, of which an earlier process of this node may
+/// have known. Until then, no request runs on the local backend server.
+pub(super) async fn learn_suspects(node: Arc<RelayNode>) {
+    node.wait_until_fleet_is_listed().await;
+    let members = node.members();
+    let others: Vec<_> = members
+        .nodes()
+        .filter(|record| record.id != node.settings.raw.node && record.accepts_work())
+        .collect();
+    let asked = others.choose_multiple(&mut rand::rng(), LEARN_NODES);
+    let replies = asked.map(|other| {
+        let request = |exchange| suspects_frame(&Head::SuspectsRequest { exchange });
+        timeout(NOTIFY_TIMEOUT, ask_for_suspects(&node, other, request))
+    });
+    for reply in join_all(replies).await {
+        // Links log why a node cannot be reached.
+        if let Ok(Some(entries)) = reply {
+            node.merge_suspects(&entries);
+        }
+    }
+    node.suspects.is_learned.send_replace(true);
 }
 
 /// A request that may go to the backend server in view of earlier crashes.
@@ -92,6 +160,7 @@
     organisation: Option<&OrganisationId>,
     request: &BufferedRequest,
 ) -> Result<SuspectPermit, Refusal> {
+    node.suspects.wait_until_learned().await?;
     let fingerprint = Fingerprint::of_request(organisation, request);
     let admission = node.suspects.table.lock().admit(fingerprint);
     let admission = match admission {
@@ -244,7 +313,7 @@
                 entry.fingerprint,
                 entry.crashes.len()
             ));
-            tokio::spawn(store_quarantine(Arc::clone(node), entry.clone()));
+            node.suspects.quarantine_formed.notify_one();
         }
     }
     notify(node, updates).await;
@@ -266,66 +335,79 @@
     }
 }
 
-/// Notifies the other nodes, and sends them the entries that any of them cleared.
+/// Notifies the other nodes, and again of what any of them knows beyond that. Waits a limited time
+/// for nodes that do not respond; they are notified later.
 ///
 /// All nodes are notified, because one whose backend server is down at the moment may get it back.
 async fn notify(node: &Arc<RelayNode>, updates: Vec<SuspectEntry>) {
-    if updates.is_empty() {
-        return;
-    }
-    let cleared = notify_all(node, &updates).await;
-    if !cleared.is_empty() {
-        node.merge_suspects(&cleared);
-        notify_all(node, &cleared).await;
-    }
+    let delivery = tokio::spawn(deliver(Arc::clone(node), updates));
+    // The task goes on after the timeout.
+    let _ = timeout(NOTIFY_TIMEOUT, delivery).await;
 }
 
-async fn notify_all(node: &RelayNode, updates: &[SuspectEntry]) -> Vec<SuspectEntry> {
-    let members = node.members();
-    let others = members
-        .nodes()
-        .filter(|record| record.id != node.settings.raw.node);
-    let calls = others.map(|other| notify_one(node, other, updates));
-    join_all(calls).await.into_iter().flatten().collect()
+fn deliver(node: Arc<RelayNode>, updates: Vec<SuspectEntry>) -> BoxFuture<'static, ()> {
+    async move {
+        let members = node.members();
+        let others = members
+            .nodes()
+            .filter(|record| record.id != node.settings.raw.node);
+        let calls = others.map(|other| deliver_to(&node, other, &updates));
+        let mut replies: FuturesUnordered<_> = calls.collect();
+        while let Some(known) = replies.next().await {
+            if !known.is_empty() {
+                node.merge_suspects(&known);
+                let current = node.suspects.table.lock().current(&known);
+                deliver(Arc::clone(&node), current).await;
+            }
+        }
+    }
+    .boxed()
 }
 
-/// Notifies one node. Returns the entries that it cleared.
-async fn notify_one(
+/// Notifies one node. Returns the entries of which it knows more.
+async fn deliver_to(
     node: &RelayNode,
     other: &NodeRecord,
     updates: &[SuspectEntry],
 ) -> Vec<SuspectEntry> {
-    let exchange = async {
-        let link = node.links.get(&other.id, other.addresses.peer).await?;
-        link.exchange(|exchange| updates_frame(exchange, updates))
-            .await
-    };
-    match timeout(NOTIFY_TIMEOUT, exchange).await {
-        Ok(Ok(reply)) => match reply.reply {
-            PeerReply::SuspectsCleared(cleared) => cleared,
-            _ => Vec::new(),
-        },
-        // Links log why a node cannot be reached. It learns of a quarantine from the store.
-        Ok(Err(_)) | Err(_) => Vec::new(),
+    let started_at = node.clock.now();
+    while !updates.is_empty() && node.clock.now().since(started_at) < DELIVERY_TIMEOUT {
+        let notification = |exchange| {
+            let entries = updates.to_vec();
+            suspects_frame(&Head::SuspectUpdates { exchange, entries })
+        };
+        if let Some(known) = ask_for_suspects(node, other, notification).await {
+            return known;
+        }
+        sleep(DELIVERY_RETRY_DELAY).await;
     }
+    // Links log why a node cannot be reached. It learns of a quarantine from the store.
+    Vec::new()
 }
 
-fn updates_frame(
-    exchange: ExchangeId,
-    updates: &[SuspectEntry],
-) -> Result<bytes::Bytes, LinkFailure> {
-    let head = Head::SuspectUpdates {
-        exchange,
-        entries: updates.to_vec(),
-    };
-    encode_frame(&head, &[]).map_err(|_| LinkFailure::NotSent)
+async fn ask_for_suspects(
+    node: &RelayNode,
+    other: &NodeRecord,
+    frame: impl FnOnce(ExchangeId) -> Result<bytes::Bytes, LinkFailure>,
+) -> Option<Vec<SuspectEntry>> {
+    let link = node.links.get(&other.id, other.addresses.peer).await.ok()?;
+    match link.exchange(frame).await.ok()?.reply {
+        PeerReply::KnownSuspects(entries) => Some(entries),
+        _ => None,
+    }
+}
+
+fn suspects_frame(head: &Head<'_>) -> Result<bytes::Bytes, LinkFailure> {
+    encode_frame(head, &[]).map_err(|_| LinkFailure::NotSent)
 }
 
 impl RelayNode {
-    /// Merges suspects known to another node; returns the entries that this node can clear.
+    /// Merges suspects known to another node; returns the entries of which this node knows more.
     pub fn merge_suspects(&self, updates: &[SuspectEntry]) -> Vec<SuspectEntry> {
         let wall = self.clock.wall();
-        self.suspects.table.lock().merge(updates, wall)
+        let unknown_to_sender = self.suspects.table.lock().merge(updates, wall);
+        self.suspects.quarantine_formed.notify_one();
+        unknown_to_sender
     }
 
     /// Returns the nodes with a backend server of this node's service.
--- a/lib/src/process/relay/tasks.rs
+++ b/lib/src/process/relay/tasks.rs
@@ -284,6 +284,7 @@
     if changed {
         node.publish_fleet();
     }
+    node.is_fleet_listed.send_replace(true);
 }
 
 /// Decodes a store entry. An entry that another writer corrupted is logged and skipped.
--- a/lib/src/process/suspects/table.rs
+++ b/lib/src/process/suspects/table.rs
@@ -1,6 +1,7 @@
 //! One node's table of requests that may crash backend servers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -174,21 +175,32 @@
 
     /// Merges the entries of another node.
     ///
-    /// Returns the entries that this node clears at once because its backend server responded to
-    /// such requests recently. They must be sent to the other nodes of the service.
+    /// Returns the entries of which this node knows more than the other one: crashes that the other
+    /// one missed, and clearances of requests to which the local backend server responded recently.
+    /// They must be sent to the other nodes of the service.
     pub fn merge(&mut self, updates: &[SuspectEntry], wall: WallTime) -> Vec<SuspectEntry> {
-        let mut clearances = Vec::new();
+        let mut unknown_to_sender = Vec::new();
         for other in updates {
             let finished = self.finished.contains(&other.fingerprint);
             let local_node = self.local_node.clone();
             let entry = self.entry(other.fingerprint);
             entry.merge(other);
-            if finished && entry.clear_after_finish(&local_node) {
-                clearances.push(entry.clone());
+            if finished {
+                entry.clear_after_finish(&local_node);
+            }
+            if entry != other {
+                unknown_to_sender.push(entry.clone());
             }
         }
         self.expire(wall);
-        clearances
+        unknown_to_sender
+    }
+
+    /// Returns the current entries of the fingerprints of `entries`.
+    pub fn current(&self, entries: &[SuspectEntry]) -> Vec<SuspectEntry> {
+        let fingerprints: BTreeSet<_> = entries.iter().map(|entry| entry.fingerprint).collect();
+        let known = fingerprints.iter().filter_map(|key| self.entries.get(key));
+        known.cloned().collect()
     }
 
     /// Returns all entries, for an exchange with a node that may have missed some.
--- a/lib/tests/test_relay_suspects.rs
+++ b/lib/tests/test_relay_suspects.rs
@@ -206,3 +206,55 @@
     let response = fleet.call(0, "r1", "/stock/suspect", None).await;
     assert_eq!(response.status, StatusCode::OK);
 }
+
+/// Returns the entry of the crashing request after a crash at node-0, on trial at `trial_node`.
+fn suspected_on(path: &str, trial_node: &str) -> SuspectEntry {
+    let content = ContentDigest::of("GET", path, b"");
+    let mut entry = SuspectEntry::new(Fingerprint::of(None, content));
+    entry.crashes.insert(CrashSite {
+        node: "node-0".parse().expect("valid name"),
+        at: Clock::start().wall(),
+    });
+    entry.assign_trial(trial_node.parse().expect("valid name"));
+    entry
+}
+
+// Guards against a quarantine that no node stores, because none of the nodes whose servers crashed knows
+// of both crashes (BUDGET).
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn quarantine_that_other_nodes_form_by_merging_is_stored() {
+    let fleet = crashing_fleet().await;
+    let entry = suspected_on(CRASHING, "node-1");
+    // Node 1 does not know of the crash at node 0, like one that has restarted since.
+    for index in [0, 2, 3, 4] {
+        let node = fleet.relays[index].daemon.node();
+        node.merge_suspects(std::slice::from_ref(&entry));
+    }
+    fleet.call(0, "r0", CRASHING, None).await;
+    assert_eq!(crashes(&fleet), 1);
+    fleet
+        .wait_until(|fleet| !fleet.store.keys("suspects/").is_empty())
+        .await;
+}
+
+// Guards against suspects that a relay forgets when it restarts, and sends to its own server again (BUDGET).
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn restarted_relay_learns_suspects_from_other_nodes_before_it_serves() {
+    let mut fleet = crashing_fleet().await;
+    let paths: Vec<String> = (0..20).map(|number| format!("/stock/{number}")).collect();
+    let entries: Vec<SuspectEntry> = paths
+        .iter()
+        .map(|path| suspected_on(path, "node-2"))
+        .collect();
+    for relay in &fleet.relays {
+        relay.daemon.node().merge_suspects(&entries);
+    }
+    fleet.restart(1).await;
+    fleet.report(1, 2, false).await;
+    fleet.wait_until_ready().await;
+    for (number, path) in paths.iter().enumerate() {
+        fleet.call(1, &format!("r{number}"), path, None).await;
+    }
+    let elsewhere = [0, 1, 3, 4].map(|index| fleet.relays[index].server.received().len());
+    assert_eq!(elsewhere, [0; 4]);
+}
