relay: the ingress node applies what it knows of suspects

The ingress node now sends a suspect to its trial node only, and refuses a quarantined request; notifications are retried at the node's current address, and a starting node asks again after a second. New test fails before: request_known_as_quarantined_is_not_sent_to_a_node_that_does_not_know.

--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -22,6 +22,7 @@
 use super::observed_call::ObservedCall;
 use super::observed_call::call_outcome;
 use super::runs::RunningRequest;
+use super::suspects::trial_node_of;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
 use crate::process::events::relay as events;
@@ -316,7 +317,15 @@
     outbound: &Outbound,
     progress: &mut Progress,
 ) -> Option<NodeRecord> {
-    let Some(only_on) = progress.only_on.take() else {
+    let organisation = outbound.metadata.organisation.as_ref();
+    let known = match trial_node_of(node, &outbound.service, organisation, &outbound.request) {
+        Ok(known) => known,
+        Err(refusal) => {
+            progress.last_refusal = Some(refusal);
+            return None;
+        }
+    };
+    let Some(only_on) = progress.only_on.take().or(known) else {
         return choose(node, outbound, &progress.tried);
     };
     let members = node.members();
--- a/lib/src/process/relay/suspects.rs
+++ b/lib/src/process/relay/suspects.rs
@@ -43,6 +43,7 @@
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
 use crate::values::OrganisationId;
+use crate::values::ServiceId;
 
 /// Delay in milliseconds after which a caller may retry a request that was refused because of a
 /// trial.
@@ -56,6 +57,9 @@
 const DELIVERY_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay between attempts to notify a node.
 const DELIVERY_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Delay after which a starting node asks again: by then the others know its new address and notify
+/// it of crashes.
+const LEARN_AGAIN_DELAY: Duration = Duration::from_secs(1);
 /// Number of nodes that a starting node asks for suspects. One of them may have missed some.
 const LEARN_NODES: usize = 3;
 
@@ -120,6 +124,13 @@
 /// have known. Until then, no request runs on the local backend server.
 pub(super) async fn learn_suspects(node: Arc<RelayNode>) {
     node.wait_until_fleet_is_listed().await;
+    ask_others(&node).await;
+    node.suspects.is_learned.send_replace(true);
+    sleep(LEARN_AGAIN_DELAY).await;
+    ask_others(&node).await;
+}
+
+async fn ask_others(node: &Arc<RelayNode>) {
     let members = node.members();
     let others: Vec<_> = members
         .nodes()
@@ -128,7 +139,7 @@
     let asked = others.choose_multiple(&mut rand::rng(), LEARN_NODES);
     let replies = asked.map(|other| {
         let request = |exchange| suspects_frame(&Head::SuspectsRequest { exchange });
-        timeout(NOTIFY_TIMEOUT, ask_for_suspects(&node, other, request))
+        timeout(NOTIFY_TIMEOUT, ask_for_suspects(node, other, request))
     });
     for reply in join_all(replies).await {
         // Links log why a node cannot be reached.
@@ -136,7 +147,33 @@
             node.merge_suspects(&entries);
         }
     }
-    node.suspects.is_learned.send_replace(true);
+}
+
+/// Returns the only node that may run a request, as far as this node knows, or a refusal if none
+/// may. Any node may run a request that is not suspected.
+///
+/// The node of the backend server decides itself, but may have missed a notification.
+pub(super) fn trial_node_of(
+    node: &RelayNode,
+    service: &ServiceId,
+    organisation: Option<&OrganisationId>,
+    request: &BufferedRequest,
+) -> Result<Option<NodeId>, Refusal> {
+    if node.suspects.table.lock().is_empty() {
+        return Ok(None);
+    }
+    let fingerprint = Fingerprint::of_request(organisation, request);
+    let restriction = node.suspects.table.lock().restriction(fingerprint);
+    match restriction {
+        // The node that gets the request assigns the trial of a node without a server to another one.
+        Some(SuspectAdmission::OnlyOn(trial)) => {
+            let members = node.members();
+            let mut serving = members.serving(service).iter();
+            Ok(serving.any(|record| record.id == trial).then_some(trial))
+        }
+        Some(SuspectAdmission::Quarantined) => Err(refusal_of(SuspectAdmission::Quarantined)),
+        Some(_) | None => Ok(None),
+    }
 }
 
 /// A request that may go to the backend server in view of earlier crashes.
@@ -351,7 +388,7 @@
         let others = members
             .nodes()
             .filter(|record| record.id != node.settings.raw.node);
-        let calls = others.map(|other| deliver_to(&node, other, &updates));
+        let calls = others.map(|other| deliver_to(&node, &other.id, &updates));
         let mut replies: FuturesUnordered<_> = calls.collect();
         while let Some(known) = replies.next().await {
             if !known.is_empty() {
@@ -367,7 +404,7 @@
 /// Notifies one node. Returns the entries of which it knows more.
 async fn deliver_to(
     node: &RelayNode,
-    other: &NodeRecord,
+    other: &NodeId,
     updates: &[SuspectEntry],
 ) -> Vec<SuspectEntry> {
     let started_at = node.clock.now();
@@ -376,7 +413,12 @@
             let entries = updates.to_vec();
             suspects_frame(&Head::SuspectUpdates { exchange, entries })
         };
-        if let Some(known) = ask_for_suspects(node, other, notification).await {
+        // Its address changes when it is replaced or restarted.
+        let members = node.members();
+        let Some(record) = members.node(other) else {
+            break;
+        };
+        if let Some(known) = ask_for_suspects(node, record, notification).await {
             return known;
         }
         sleep(DELIVERY_RETRY_DELAY).await;
--- a/lib/src/process/suspects/table.rs
+++ b/lib/src/process/suspects/table.rs
@@ -156,6 +156,24 @@
         }
     }
 
+    /// Returns what is known of a request that another node would run: that only one node may run
+    /// it, or that it is quarantined.
+    pub fn restriction(&self, fingerprint: Fingerprint) -> Option<SuspectAdmission> {
+        let entry = self.entries.get(&fingerprint)?;
+        match (entry.status(), &entry.trial) {
+            (SuspectStatus::Quarantined, _) => Some(SuspectAdmission::Quarantined),
+            (SuspectStatus::Suspected, Some(trial)) => {
+                Some(SuspectAdmission::OnlyOn(trial.node.clone()))
+            }
+            (SuspectStatus::Suspected, None) | (SuspectStatus::Cleared, _) => None,
+        }
+    }
+
+    /// Returns whether there are no entries.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Records that an admitted request was not sent to the backend server.
     pub fn on_not_run(&mut self, fingerprint: Fingerprint) {
         self.on_trial.remove(&fingerprint);
--- a/lib/tests/test_relay_suspects.rs
+++ b/lib/tests/test_relay_suspects.rs
@@ -258,3 +258,32 @@
     let elsewhere = [0, 1, 3, 4].map(|index| fleet.relays[index].server.received().len());
     assert_eq!(elsewhere, [0; 4]);
 }
+
+// Guards against a request that its ingress node knows as quarantined, and that still reaches the server of
+// a node that missed the notifications (BUDGET).
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn request_known_as_quarantined_is_not_sent_to_a_node_that_does_not_know() {
+    let fleet = crashing_fleet().await;
+    let paths: Vec<String> = (0..20).map(|number| format!("/stock/{number}")).collect();
+    let entries = paths.iter().map(|path| {
+        let mut entry = suspected_on(path, "node-1");
+        let mut second = entry.crashes.first().expect("a crash").clone();
+        second.node = "node-1".parse().expect("valid name");
+        entry.crashes.insert(second);
+        entry
+    });
+    let entries: Vec<SuspectEntry> = entries.collect();
+    fleet.relays[0].daemon.node().merge_suspects(&entries);
+    // Without a server of its own, the ingress node sends all requests to other nodes.
+    fleet.report_departure(0).await;
+    fleet.wait_until_ready_with_servers(SERVERS - 1).await;
+    for (number, path) in paths.iter().enumerate() {
+        let response = fleet.call(0, &format!("r{number}"), path, None).await;
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let received = fleet
+        .relays
+        .iter()
+        .map(|relay| relay.server.received().len());
+    assert_eq!(received.sum::<usize>(), 0);
+}
