--- a/testutils/src/relay/server.rs
+++ b/testutils/src/relay/server.rs
@@ -1,7 +1,10 @@
 //! A stand-in for the backend server of a relay.
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -124,8 +127,7 @@
             abandoned: AtomicUsize::new(0),
             runtime: OwnRuntime::default(),
         });
-        let any = "127.0.0.1:0".parse().expect("valid address");
-        let address = listen(&shared, any).await;
+        let address = listen(&shared, SocketAddr::new(own_loopback_ip(), 0)).await;
         Self { address, shared }
     }
 
@@ -165,6 +167,17 @@
     }
 }
 
+/// Returns a loopback address that no other server has, so that the port of a crashed server stays
+/// free until it starts again.
+fn own_loopback_ip() -> IpAddr {
+    static SERVERS: AtomicU32 = AtomicU32::new(1);
+    let server = SERVERS.fetch_add(1, Ordering::Relaxed) & 0x3ff;
+    let process = (std::process::id() & 0x1fff) << 10;
+    let loopback = u32::from(Ipv4Addr::LOCALHOST) & 0xff00_0000;
+    // Bit 23 keeps away from 127.0.0.1.
+    IpAddr::V4(Ipv4Addr::from(loopback | 1 << 23 | process | server))
+}
+
 /// Serves requests at `address` on a runtime of the server's own. Returns the bound address.
 async fn listen(shared: &Arc<Shared>, address: SocketAddr) -> SocketAddr {
     let limits = ListenerLimits {
