relay: one node of each zone watches the store, and the others learn from it

Calls grew as nodes x changes.

Change: the views of the store (entries, quarantines, configuration) are mirrors with positions, an era and recent changes. The first node of each zone watches the store; the others ask it four times in the time in which a configuration must be in force, and at once when it announces a change. A node that nobody keeps up to date asks the first nodes of other zones and then watches the store itself, in turn by rank. A newer version is fetched from the node that named it. Reads for requests share one call.

The era of the store (Store-Era) is part of each position, so that entries written after a return of the store are seen.

Fleet::apply_listing is gone: the mirror compares listings. The test fleet waits for a holder of rates, as relays are now ready before there is one.

--- a/lib/src/process/events/relay.rs
+++ b/lib/src/process/events/relay.rs
@@ -15,6 +15,7 @@
     LINK_NOT_OPENED = 8011, Info, "relay.link-not-opened", "A connection to another node could not be opened; check the network and the node.";
     STORE_LOST = 8020, Warn, "relay.store-lost", "The store does not respond; requests with keys are refused once the configuration cannot be confirmed.";
     STORE_BACK = 8021, Info, "relay.store-back", "The store responds again.";
+    STORE_WATCHED = 8023, Info, "relay.store-watched", "The node watches the store itself: it is the first of its zone, or no other node is up to date.";
     STORED_UNREADABLE = 8022, Warn, "relay.stored-unreadable", "An item of the store cannot be decoded and is skipped.";
     CONFIGURATION_IN_FORCE = 8030, Info, "relay.configuration-in-force", "A newer configuration is in force.";
     CONFIGURATION_REFUSED = 8031, Warn, "relay.configuration-refused", "A stored configuration cannot be decoded; the previous one stays in force.";
--- a/lib/src/process/relay/admission.rs
+++ b/lib/src/process/relay/admission.rs
@@ -8,6 +8,7 @@
 use volo_http::request::Request;
 
 use super::node::RelayNode;
+use super::views::refresh;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::version::CallerKey;
@@ -60,9 +61,8 @@
 
 /// Reads the newest configuration from the store. Returns whether the store responded in time.
 async fn refresh_configuration(node: &Arc<RelayNode>) -> bool {
-    let read = super::tasks::read_configuration(node);
     matches!(
-        tokio::time::timeout(DENIAL_READ_TIMEOUT, read).await,
+        tokio::time::timeout(DENIAL_READ_TIMEOUT, refresh(node)).await,
         Ok(true)
     )
 }
--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -19,7 +19,6 @@
 use super::peers::serve_peers;
 use super::protocol::Protocol;
 use super::quarantine::store_quarantines;
-use super::quarantine::watch_quarantines;
 use super::registration_store::read_registration;
 use super::reports::handle_ready;
 use super::reports::handle_report;
@@ -30,8 +29,7 @@
 use super::suspects::learn_suspects;
 use super::tasks::clean_up_fleet;
 use super::tasks::maintain_confirmation;
-use super::tasks::watch_configuration;
-use super::tasks::watch_fleet;
+use super::views::follow_views;
 use crate::connection::ListenError;
 use crate::connection::Listener;
 use crate::connection::ListenerHandle;
@@ -115,11 +113,9 @@
         auxiliary.extend(metrics.map(|listener| serve_metrics(listener, &node)));
         let tasks = vec![
             spawn(serve_peers(Arc::clone(&node), peers)),
-            spawn(watch_configuration(Arc::clone(&node))),
+            spawn(follow_views(Arc::clone(&node))),
             spawn(maintain_confirmation(Arc::clone(&node))),
-            spawn(watch_fleet(Arc::clone(&node))),
             spawn(clean_up_fleet(Arc::clone(&node))),
-            spawn(watch_quarantines(Arc::clone(&node))),
             spawn(store_quarantines(Arc::clone(&node))),
             spawn(learn_suspects(Arc::clone(&node))),
             spawn(maintain_store_entry(Arc::clone(&node))),
--- a/lib/src/process/relay/fleet.rs
+++ b/lib/src/process/relay/fleet.rs
@@ -65,18 +65,11 @@
         }
     }
 
-    /// Applies a full listing of the store at `revision`: entries that are not listed and were not
-    /// written later are missing.
-    pub fn apply_listing(
-        &mut self,
-        listed: &[NodeId],
-        revision: StoreRevision,
-        now: MonotonicTime,
-    ) {
-        for (node, entry) in &mut self.entries {
-            if entry.revision <= revision && !listed.contains(node) {
-                entry.missing_since.get_or_insert(now);
-            }
+    /// Records that the store went back to an earlier copy: revisions known so far are older than
+    /// those that follow.
+    pub fn begin_era(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.revision = StoreRevision(0);
         }
     }
 
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -430,7 +430,7 @@
         Err(LinkFailure::Lost) => return Err(Refusal::may_have_run(RefusalReason::NoServer)),
     };
     if let Some(report) = link_reply.confirmation {
-        node.apply_confirmation_report(report, sent_at);
+        node.apply_confirmation_report(report, sent_at, &destination.id);
     }
     let result = match link_reply.reply {
         PeerReply::Response(response) => Ok(response),
@@ -438,6 +438,7 @@
         PeerReply::Pong
         | PeerReply::Tokens(_)
         | PeerReply::RateStatus(_)
+        | PeerReply::Views(_)
         | PeerReply::KnownSuspects(_) => Err(Refusal::may_have_run(RefusalReason::BadAnswer)),
     };
     Ok(RunOutcome {
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -16,6 +16,8 @@
 
 use super::confirmation::ConfirmationReport;
 use super::link::READ_BYTES;
+use super::views::ViewPositions;
+use super::views::ViewUpdate;
 use crate::process::gate::FloorNotice;
 use crate::process::rates::PeerStatus;
 use crate::process::rates::SettlementReport;
@@ -244,6 +246,24 @@
         /// The entries of which the node knows more than the sender of the notification, or all.
         entries: Vec<SuspectEntry>,
     },
+    /// Requests what the sender lacks of the store's views, and to be told of later changes.
+    ViewRequest {
+        /// The exchange.
+        exchange: ExchangeId,
+        /// The positions up to which the sender knows the views.
+        known: ViewPositions,
+    },
+    /// The reply to a request for views.
+    ViewReply {
+        /// The exchange.
+        exchange: ExchangeId,
+        /// Configuration version of the replying node, and the age of its confirmation.
+        confirmation: ConfirmationReport,
+        /// What the sender of the request lacks.
+        updates: Vec<ViewUpdate>,
+    },
+    /// Tells a node that requested views that there are news.
+    ViewsChanged,
     /// Requests all suspects that a node knows.
     SuspectsRequest {
         /// The exchange.
--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -24,6 +25,7 @@
 use super::frame::LoadNotice;
 use super::frame::encode_frame;
 use super::frame::header_map;
+use super::views::ViewUpdate;
 use crate::connection::BufferedResponse;
 use crate::process::events::relay as events;
 use crate::process::rates::PeerStatus;
@@ -67,6 +69,8 @@
     Tokens(TokenReply),
     /// The status for the holder of the node's zone.
     RateStatus(PeerStatus),
+    /// What this node lacked of the store's views.
+    Views(Vec<ViewUpdate>),
     /// The suspects of which the node knows more, or all that it knows.
     KnownSuspects(Vec<SuspectEntry>),
 }
@@ -107,6 +111,8 @@
     clock: Clock,
     state: Mutex<LinkState>,
     outgoing: mpsc::UnboundedSender<Bytes>,
+    /// Notified when the other node tells that the store has changed.
+    has_news: Arc<Notify>,
 }
 
 impl Link {
@@ -120,6 +126,7 @@
         peer: NodeId,
         address: SocketAddr,
         clock: Clock,
+        has_news: Arc<Notify>,
     ) -> std::io::Result<Arc<Self>> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
@@ -138,6 +145,7 @@
                 is_closed: false,
             }),
             outgoing,
+            has_news,
         });
         link.queue(&Head::Hello { from, to: peer }, &[])
             .map_err(|_| std::io::Error::other("hello frame was not queued"))?;
@@ -251,6 +259,19 @@
                 let load = LoadNotice::default();
                 (exchange, PeerReply::KnownSuspects(entries), None, load)
             }
+            Head::ViewReply {
+                exchange,
+                confirmation,
+                updates,
+            } => {
+                let load = LoadNotice::default();
+                let reply = PeerReply::Views(updates);
+                (exchange, reply, Some(confirmation), load)
+            }
+            Head::ViewsChanged => {
+                self.has_news.notify_one();
+                return Ok(());
+            }
             Head::Hello { .. }
             | Head::Request(_)
             | Head::Cancel { .. }
@@ -262,6 +283,7 @@
             | Head::RateStatusRequest { .. }
             | Head::RateHolderReleased
             | Head::SuspectUpdates { .. }
+            | Head::ViewRequest { .. }
             | Head::SuspectsRequest { .. } => return Ok(()),
         };
         let sender = self.state.lock().pending.remove(&exchange);
--- a/lib/src/process/relay/links.rs
+++ b/lib/src/process/relay/links.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use super::link::Link;
@@ -37,15 +38,18 @@
 pub(super) struct Links {
     local_node: NodeId,
     clock: Clock,
+    /// Notified when another node tells that the store has changed.
+    has_news: Arc<Notify>,
     slots: Mutex<HashMap<SocketAddr, LinkSlot>>,
     opening: Mutex<HashMap<SocketAddr, Arc<tokio::sync::Mutex<()>>>>,
 }
 
 impl Links {
-    pub(super) fn new(local_node: NodeId, clock: Clock) -> Self {
+    pub(super) fn new(local_node: NodeId, clock: Clock, has_news: Arc<Notify>) -> Self {
         Self {
             local_node,
             clock,
+            has_news,
             slots: Mutex::default(),
             opening: Mutex::default(),
         }
@@ -91,7 +95,9 @@
     }
 
     async fn open(&self, peer: &NodeId, address: SocketAddr) -> Option<Arc<Link>> {
-        let opened = Link::open(self.local_node.clone(), peer.clone(), address, self.clock);
+        let has_news = Arc::clone(&self.has_news);
+        let local_node = self.local_node.clone();
+        let opened = Link::open(local_node, peer.clone(), address, self.clock, has_news);
         let reason = match timeout(CONNECT_TIMEOUT, opened).await {
             Ok(Ok(link)) => {
                 let slot = LinkSlot::Open(Arc::clone(&link));
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -34,6 +34,7 @@
 use super::split::SplitState;
 use super::store::SharedStore;
 use super::suspects::SuspectState;
+use super::views::ViewState;
 use crate::process::events::relay as events;
 use crate::process::gate::DownstreamFloors;
 use crate::process::gate::FloorNotice;
@@ -51,6 +52,7 @@
 use crate::values::ConnectionCount;
 use crate::values::Incarnation;
 use crate::values::MonotonicTime;
+use crate::values::NodeId;
 use crate::values::ServiceId;
 use crate::values::ZoneId;
 use crate::version::TrafficPlan;
@@ -95,8 +97,8 @@
     pub(super) ingress_floors: Mutex<DownstreamFloors>,
     /// Admission floors for the onward calls of the local backend server.
     pub(super) onward_floors: Mutex<DownstreamFloors>,
-    /// Wakes the task that reads the configuration.
-    pub(super) configuration_refresh: Notify,
+    /// What this node knows of the store.
+    pub(super) views: ViewState,
     /// Wakes the task that maintains the node's store entry.
     pub(super) store_entry_changed: Notify,
     pub(super) in_flight: AtomicU64,
@@ -137,10 +139,16 @@
             (zone.clone(), record)
         });
         let started_ms = clock.wall().0;
+        let views = ViewState::default();
         Self {
             zones: zones.collect(),
             rates: new_rates(node, &settings.raw, clock, Arc::clone(&store)),
-            links: Arc::new(Links::new(settings.raw.node.clone(), clock)),
+            links: Arc::new(Links::new(
+                settings.raw.node.clone(),
+                clock,
+                Arc::clone(&views.has_news),
+            )),
+            views,
             suspects: SuspectState::new(settings.raw.node.clone()),
             stored_quarantines: Mutex::default(),
             is_fleet_listed: watch::Sender::new(false),
@@ -161,7 +169,6 @@
             registration: Mutex::default(),
             is_registration_read: AtomicBool::new(false),
             splits: Mutex::default(),
-            configuration_refresh: Notify::new(),
             store_entry_changed: Notify::new(),
             in_flight: AtomicU64::new(0),
             started_ms,
@@ -224,16 +231,18 @@
         }
     }
 
-    /// Applies the report that another node sent for a request of `requested_at`. If it names a
-    /// newer version, the configuration is read again.
+    /// Applies the report that node `from` sent for a request of `requested_at`. If it names a newer
+    /// version, that node is asked for it.
     pub(super) fn apply_confirmation_report(
         &self,
         report: ConfirmationReport,
         requested_at: MonotonicTime,
+        from: &NodeId,
     ) {
         let used = self.confirmation.lock().apply_report(report, requested_at);
         if used == ConfirmationUse::NewerVersion {
-            self.configuration_refresh.notify_one();
+            *self.views.newer_at.lock() = Some(from.clone());
+            self.views.has_news.notify_one();
         }
     }
 
--- a/lib/src/process/relay/peers.rs
+++ b/lib/src/process/relay/peers.rs
@@ -29,6 +29,7 @@
 use super::link::READ_BYTES;
 use super::link::write_frames;
 use super::node::RelayNode;
+use super::views::serve_views;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
 use crate::process::events::relay as events;
@@ -183,6 +184,10 @@
             let entries = node.merge_suspects(&entries);
             send_reply(replies, &Head::KnownSuspects { exchange, entries }, &[]);
         }
+        Head::ViewRequest { exchange, known } => {
+            let reply = serve_views(node, exchange, &known, replies);
+            send_reply(replies, &reply, &[]);
+        }
         Head::SuspectsRequest { exchange } => {
             let entries = node.suspects.entries();
             send_reply(replies, &Head::KnownSuspects { exchange, entries }, &[]);
@@ -193,6 +198,8 @@
         | Head::Lent { .. }
         | Head::TokenReply { .. }
         | Head::RateStatus { .. }
+        | Head::ViewReply { .. }
+        | Head::ViewsChanged
         | Head::KnownSuspects { .. } => {}
     }
     Ok(())
--- a/lib/src/process/relay/quarantine.rs
+++ b/lib/src/process/relay/quarantine.rs
@@ -14,13 +14,13 @@
 use super::store::StoreEvent;
 use super::store::StoreItem;
 use super::tasks::new_backoff;
-use super::tasks::watch_items;
 use crate::process::events::relay as events;
+use crate::process::suspects::Fingerprint;
 use crate::process::suspects::SuspectEntry;
 use crate::process::suspects::Suspects;
 
 /// Prefix of the stored quarantines.
-const QUARANTINE_PREFIX: &str = "suspects/";
+pub(super) const QUARANTINE_PREFIX: &str = "suspects/";
 
 /// Time that a node leaves to each node before it, in order of their names, to store a quarantine:
 /// several round trips of the store and of the watch that reports it.
@@ -79,35 +79,30 @@
     })?;
     let granted = node.store.grant_lease(Suspects::QUARANTINE).await;
     node.metrics.record_store_call(granted.is_ok());
-    let key = format!("{QUARANTINE_PREFIX}{}", entry.fingerprint);
+    let key = key_of(entry.fingerprint);
     let written = node.store.put(&key, Bytes::from(value), granted?).await;
     node.metrics.record_store_call(written.is_ok());
     written.map(|_| ())
 }
 
-/// Watches the stored quarantines.
-pub(super) async fn watch_quarantines(node: Arc<RelayNode>) {
-    watch_items(
-        &node,
-        QUARANTINE_PREFIX,
-        |items, _| {
-            // The store may have lost some, for example with their leases during an outage.
-            node.stored_quarantines.lock().clear();
-            for item in items {
-                apply_item(&node, item);
+/// Applies changes of the stored quarantines.
+pub(super) fn apply_changes(node: &RelayNode, changes: &[StoreEvent]) {
+    for change in changes {
+        match change {
+            StoreEvent::Written(item) => apply_item(node, item),
+            // An entry ends by its age. If its item is removed earlier, it is written again.
+            StoreEvent::Removed { key, .. } => {
+                let mut stored = node.stored_quarantines.lock();
+                stored.retain(|fingerprint| key_of(*fingerprint) != *key);
+                drop(stored);
+                node.suspects.quarantine_formed.notify_one();
             }
-            node.suspects.quarantine_formed.notify_one();
-        },
-        |changes| {
-            for change in changes {
-                // An entry ends by its age, not by its removal.
-                if let StoreEvent::Written(item) = change {
-                    apply_item(&node, item);
-                }
-            }
-        },
-    )
-    .await;
+        }
+    }
+}
+
+fn key_of(fingerprint: Fingerprint) -> String {
+    format!("{QUARANTINE_PREFIX}{fingerprint}")
 }
 
 fn apply_item(node: &RelayNode, item: &StoreItem) {
--- a/lib/src/process/relay/store.rs
+++ b/lib/src/process/relay/store.rs
@@ -16,29 +16,59 @@
     LeaseId(u64)
 }
 
-/// An item of the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoreItem {
-    /// The key.
-    pub key: String,
-    /// The value.
-    pub value: Bytes,
-    /// The revision of the last change.
-    pub revision: StoreRevision,
+number_type! {
+    /// Counts how often the store went back to an earlier copy of its content. Revisions are given
+    /// out again then, so a revision identifies a change only together with its era.
+    StoreEra(u64)
 }
 
-/// A change that a watch returned.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum StoreEvent {
-    /// An item was written.
-    Written(StoreItem),
-    /// An item was removed.
-    Removed {
+plain_value! {
+    /// A point in the history of the store.
+    pub struct StorePosition {
+        /// The era.
+        pub era: StoreEra,
+        /// The revision in that era.
+        pub revision: StoreRevision,
+    }
+}
+
+plain_data! {
+    /// An item of the store.
+    #[derive(Eq)]
+    pub struct StoreItem {
         /// The key.
-        key: String,
-        /// The revision of the removal.
-        revision: StoreRevision,
-    },
+        pub key: String,
+        /// The value.
+        pub value: Bytes,
+        /// The revision of the last change.
+        pub revision: StoreRevision,
+    }
+}
+
+plain_data! {
+    /// A change of the store.
+    #[derive(Eq)]
+    pub enum StoreEvent {
+        /// An item was written.
+        Written(StoreItem),
+        /// An item was removed.
+        Removed {
+            /// The key.
+            key: String,
+            /// The revision of the removal.
+            revision: StoreRevision,
+        },
+    }
+}
+
+impl StoreEvent {
+    /// Returns the revision of the change.
+    pub fn revision(&self) -> StoreRevision {
+        match self {
+            Self::Written(item) => item.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
 }
 
 /// Items or events, with the store's revision at the time of the response.
@@ -48,6 +78,18 @@
     pub content: T,
     /// The store's revision.
     pub revision: StoreRevision,
+    /// The era of the revision.
+    pub era: StoreEra,
+}
+
+impl<T> AsOf<T> {
+    /// Returns the position of the store at the time of the response.
+    pub fn position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
 }
 
 /// The outcome of a compare-and-swap.
--- /dev/null
+++ b/lib/src/process/relay/views/apply.rs
@@ -0,0 +1,123 @@
+//! Applies changes of the store to what the node believes.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use super::messages::MirrorUpdate;
+use super::messages::View;
+use super::mirror::MirrorChange;
+use crate::process::events::relay as events;
+use crate::process::membership::NodeRecord;
+use crate::process::relay::node::RelayNode;
+use crate::process::relay::quarantine;
+use crate::process::relay::store::StoreEvent;
+use crate::process::relay::store::StoreItem;
+use crate::process::relay::tasks::STORE_ENTRY_PREFIX;
+use crate::values::NodeId;
+
+/// Applies an update of a view. Returns false if changes are missing before it.
+pub(super) fn apply_update(node: &Arc<RelayNode>, view: View, update: MirrorUpdate) -> bool {
+    let (events, is_new_era) = match node.views.apply(view, update) {
+        MirrorChange::None => return true,
+        MirrorChange::Gap => return false,
+        MirrorChange::Changed { events, is_new_era } => (events, is_new_era),
+    };
+    match view {
+        View::Entries => apply_entries(node, &events, is_new_era),
+        View::Quarantines => quarantine::apply_changes(node, &events),
+        View::Configuration => apply_configuration(node, &events),
+    }
+    if !events.is_empty() {
+        node.views.notify_followers(node.clock.now());
+    }
+    true
+}
+
+fn apply_entries(node: &RelayNode, events: &[StoreEvent], is_new_era: bool) {
+    let now = node.clock.now();
+    if is_new_era {
+        node.fleet.lock().begin_era();
+    }
+    let mut changed = false;
+    for event in events {
+        match event {
+            StoreEvent::Written(item) => {
+                if let Some(record) = decode_store_entry(item) {
+                    // An entry of this node that differs from its current record comes from a
+                    // delayed write.
+                    let is_own = record.id == node.settings.raw.node;
+                    if is_own && record != node.own_record() {
+                        node.store_entry_changed.notify_one();
+                    }
+                    changed |= node.fleet.lock().apply_write(record, item.revision);
+                }
+            }
+            StoreEvent::Removed { key, revision } => {
+                if let Some(id) = node_of(key) {
+                    // The lease of this node ended while the node is running.
+                    if id == node.settings.raw.node {
+                        node.store_entry_changed.notify_one();
+                    }
+                    node.fleet.lock().apply_removal(&id, *revision, now);
+                }
+            }
+        }
+    }
+    if changed {
+        node.publish_fleet();
+    }
+    node.is_fleet_listed.send_replace(true);
+}
+
+/// Decodes a store entry. An entry that another writer corrupted is logged and skipped.
+fn decode_store_entry(item: &StoreItem) -> Option<NodeRecord> {
+    let node = node_of(&item.key)?;
+    match serde_json::from_slice::<NodeRecord>(&item.value) {
+        Ok(record) if record.id == node => Some(record),
+        Ok(record) => {
+            events::STORED_UNREADABLE.log(format_args!(
+                "key={} reason=\"entry names node {}\"",
+                item.key, record.id
+            ));
+            None
+        }
+        Err(error) => {
+            events::STORED_UNREADABLE.log(format_args!("key={} reason=\"{error}\"", item.key));
+            None
+        }
+    }
+}
+
+fn node_of(key: &str) -> Option<NodeId> {
+    key.strip_prefix(STORE_ENTRY_PREFIX)?.parse().ok()
+}
+
+fn apply_configuration(node: &RelayNode, events: &[StoreEvent]) {
+    for event in events {
+        match event {
+            StoreEvent::Written(item) if item.key == node.protocol.configuration_key => {
+                let is_decoded = offer_configuration(node, item);
+                let is_refused = &node.views.is_configuration_refused;
+                is_refused.store(!is_decoded, Ordering::Relaxed);
+            }
+            StoreEvent::Written(_) | StoreEvent::Removed { .. } => {}
+        }
+    }
+}
+
+/// Puts a stored configuration in force. Returns whether it could be decoded.
+fn offer_configuration(node: &RelayNode, item: &StoreItem) -> bool {
+    match (node.protocol.decode_configuration)(&item.value) {
+        Ok(plan) => {
+            node.offer_plan(plan);
+            true
+        }
+        Err(reason) => {
+            events::CONFIGURATION_REFUSED.log(format_args!(
+                "key={} revision={} reason=\"{reason}\"",
+                item.key, item.revision
+            ));
+            false
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/process/relay/views/follow.rs
@@ -0,0 +1,200 @@
+//! Keeps the views of a node up to date, through other nodes or the store.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::time::sleep;
+use tokio::time::timeout;
+use tokio_util::task::AbortOnDropHandle;
+
+use super::apply::apply_update;
+use super::messages::View;
+use super::sources::SourcePlan;
+use super::sources::plan_sources;
+use super::store_watch::await_change;
+use super::store_watch::read_view;
+use super::store_watch::watch_store;
+use crate::process::events::relay as events;
+use crate::process::membership::NodeRecord;
+use crate::process::relay::frame::ExchangeId;
+use crate::process::relay::frame::Head;
+use crate::process::relay::frame::encode_frame;
+use crate::process::relay::link::LinkFailure;
+use crate::process::relay::link::PeerReply;
+use crate::process::relay::node::RelayNode;
+use crate::process::relay::tasks::new_backoff;
+use crate::values::MonotonicTime;
+
+/// Time between two questions for news, as a fraction of the time in which a configuration must be
+/// in force. Changes are announced in between.
+const POLL_PERIOD_FRACTION: f64 = 0.25;
+/// The same time while the node has no configuration.
+const STARTING_POLL_PERIOD: Duration = Duration::from_millis(100);
+/// Shortest time between two questions, so that announcements close together cost one.
+const POLL_PAUSE: Duration = Duration::from_millis(20);
+/// Timeout for the reply of another node.
+const POLL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Confirmation age from which a node asks further nodes, as a fraction of the time in which a
+/// configuration must be in force.
+const FRESH_FRACTION: f64 = 0.8;
+/// The same for the first node of a zone, which asks the first nodes of other zones before it reads
+/// the store.
+const FIRST_FRESH_FRACTION: f64 = 0.25;
+/// Time that a node leaves to each node of its zone before it, in order of their ids, to watch the
+/// store when no other node is up to date.
+const TURN: Duration = Duration::from_millis(100);
+/// Longest time that a node leaves to others.
+const TURN_MAX: Duration = Duration::from_secs(1);
+/// Time for which a node that knows no other one waits for one to register before it watches the
+/// whole store.
+const FIRST_START_WAIT: Duration = Duration::from_secs(1);
+
+/// Keeps the views up to date until the future is dropped.
+pub(in crate::process::relay) async fn follow_views(node: Arc<RelayNode>) {
+    find_nodes(&node).await;
+    let mut watch: Option<AbortOnDropHandle<()>> = None;
+    let mut stale_since: Option<MonotonicTime> = None;
+    let mut turn = rand::random::<u8>() as usize;
+    loop {
+        turn = turn.wrapping_add(1);
+        let raw = &node.settings.raw;
+        let plan = plan_sources(&node.members(), &raw.node, &raw.zone, turn);
+        node.views.is_first.store(plan.rank == 0, Ordering::Relaxed);
+        let is_fresh = ask_sources(&node, &plan).await;
+        let now = node.clock.now();
+        stale_since = match is_fresh {
+            true => None,
+            false => stale_since.or(Some(now)),
+        };
+        let own_turn = (TURN * plan.rank as u32).min(TURN_MAX);
+        let is_due = stale_since.is_some_and(|since| now.since(since) >= own_turn);
+        watch = match (plan.rank == 0 || is_due, watch) {
+            (true, Some(watch)) => Some(watch),
+            (true, None) => Some(start_watch(&node)),
+            (false, watch) if !is_fresh => watch,
+            (false, _) => None,
+        };
+        let _ = timeout(poll_period(&node), node.views.has_news.notified()).await;
+        sleep(POLL_PAUSE).await;
+    }
+}
+
+fn start_watch(node: &Arc<RelayNode>) -> AbortOnDropHandle<()> {
+    events::STORE_WATCHED.log(format_args!("zone={}", node.settings.raw.zone));
+    AbortOnDropHandle::new(tokio::spawn(watch_store(Arc::clone(node))))
+}
+
+/// Reads the entries of the fleet. If there is no other node, waits for one for a time.
+async fn find_nodes(node: &Arc<RelayNode>) {
+    let mut backoff = new_backoff();
+    while let Err(error) = read_view(node, View::Entries).await {
+        node.metrics.record_store_error(&error);
+        sleep(backoff.next_delay()).await;
+    }
+    let own_id = &node.settings.raw.node;
+    let is_alone = || node.members().nodes().all(|record| record.id == *own_id);
+    let started_at = node.clock.now();
+    while is_alone() && node.clock.now().since(started_at) < FIRST_START_WAIT {
+        if await_change(node, View::Entries, FIRST_START_WAIT)
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+fn poll_period(node: &RelayNode) -> Duration {
+    let apply = node.bounds().configuration_apply();
+    match node.plan() {
+        Some(_) => apply.mul_f64(POLL_PERIOD_FRACTION),
+        None => STARTING_POLL_PERIOD,
+    }
+}
+
+/// Asks other nodes for news until one is up to date. Returns whether this node is up to date.
+async fn ask_sources(node: &Arc<RelayNode>, plan: &SourcePlan) -> bool {
+    let named = node.views.newer_at.lock().take();
+    let members = node.members();
+    if let Some(record) = named.and_then(|id| members.node(&id)) {
+        ask(node, record).await;
+    }
+    let apply = node.bounds().configuration_apply();
+    let fresh_age = match plan.rank {
+        0 => apply.mul_f64(FIRST_FRESH_FRACTION),
+        _ => apply.mul_f64(FRESH_FRACTION),
+    };
+    if plan.rank == 0 && is_younger(node, fresh_age) {
+        return true;
+    }
+    for source in &plan.sources {
+        if node.links.is_unresponsive(source.addresses.peer) {
+            continue;
+        }
+        if ask(node, source).await && is_younger(node, fresh_age) {
+            return true;
+        }
+    }
+    // A node that was confirmed by its requests lately may still lack an entry.
+    plan.rank == 0 && is_younger(node, apply.mul_f64(FRESH_FRACTION))
+}
+
+fn is_younger(node: &RelayNode, age: Duration) -> bool {
+    node.plan().is_some() && node.confirmation_age().is_some_and(|known| known < age)
+}
+
+/// Asks a node for news and applies them. Returns whether it replied.
+async fn ask(node: &Arc<RelayNode>, source: &NodeRecord) -> bool {
+    matches!(
+        timeout(POLL_TIMEOUT, poll_node(node, source)).await,
+        Ok(Some(()))
+    )
+}
+
+async fn poll_node(node: &Arc<RelayNode>, source: &NodeRecord) -> Option<()> {
+    let link = node
+        .links
+        .get(&source.id, source.addresses.peer)
+        .await
+        .ok()?;
+    let requested_at = node.clock.now();
+    let known = node.views.positions();
+    let request = |exchange: ExchangeId| {
+        let head = Head::ViewRequest { exchange, known };
+        encode_frame(&head, &[]).map_err(|_| LinkFailure::NotSent)
+    };
+    let reply = link.exchange(request).await.ok()?;
+    let PeerReply::Views(updates) = reply.reply else {
+        return None;
+    };
+    for news in updates {
+        apply_update(node, news.view, news.update);
+    }
+    if let Some(report) = reply.confirmation {
+        node.apply_confirmation_report(report, requested_at, &source.id);
+    }
+    Some(())
+}
+
+/// Brings the configuration up to date for a request, through the usual source of news or else the
+/// store. Requests at the same time share one read. Returns whether that succeeded.
+pub(in crate::process::relay) async fn refresh(node: &Arc<RelayNode>) -> bool {
+    let requested_at = node.clock.now();
+    let _refreshing = node.views.refreshing.lock().await;
+    let is_confirmed = || {
+        let now = node.clock.now();
+        let age = node.confirmation_age();
+        age.is_some_and(|age| age <= now.since(requested_at))
+    };
+    if is_confirmed() {
+        return true;
+    }
+    match read_view(node, View::Configuration).await {
+        Ok(()) => true,
+        Err(error) => {
+            node.metrics.record_store_error(&error);
+            false
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/process/relay/views/state.rs
@@ -0,0 +1,106 @@
+//! The mirrors of a node and the nodes that follow them.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::messages::MirrorUpdate;
+use super::messages::View;
+use super::messages::ViewPositions;
+use super::messages::ViewUpdate;
+use super::mirror::Mirror;
+use super::mirror::MirrorChange;
+use crate::process::relay::frame::Head;
+use crate::process::relay::frame::encode_frame;
+use crate::values::MonotonicTime;
+use crate::values::NodeId;
+
+/// Time for which a node that asked for news is told that there are some: several periods in which
+/// nodes ask.
+const FOLLOWER_TTL: Duration = Duration::from_secs(3);
+
+/// A connection of another node that asked for news.
+#[derive(Debug)]
+struct Follower {
+    frames: UnboundedSender<Bytes>,
+    asked_at: MonotonicTime,
+}
+
+/// The mirrors of a node and the nodes that follow them.
+///
+/// The locks are never held together.
+#[derive(Debug, Default)]
+pub(in crate::process::relay) struct ViewState {
+    mirrors: Mutex<[Mirror; View::ALL.len()]>,
+    followers: Mutex<Vec<Follower>>,
+    /// Wakes the task that asks other nodes for news.
+    pub(in crate::process::relay) has_news: Arc<Notify>,
+    /// A node that named a newer configuration than this node has.
+    pub(in crate::process::relay) newer_at: Mutex<Option<NodeId>>,
+    /// Whether this node is the first of its zone, which reads the store for the others.
+    pub(in crate::process::relay) is_first: AtomicBool,
+    /// Whether the stored configuration could not be decoded.
+    pub(super) is_configuration_refused: AtomicBool,
+    /// Held while the store is read for requests, which share one read.
+    pub(super) refreshing: tokio::sync::Mutex<()>,
+}
+
+impl ViewState {
+    /// Applies an update to the mirror of a view.
+    pub(super) fn apply(&self, view: View, update: MirrorUpdate) -> MirrorChange {
+        self.mirrors.lock()[view as usize].apply(update)
+    }
+
+    /// Returns the positions up to which the mirrors are complete.
+    pub(super) fn positions(&self) -> ViewPositions {
+        let mirrors = self.mirrors.lock();
+        View::ALL.map(|view| mirrors[view as usize].position())
+    }
+
+    /// Returns what a node lacks that knows the views up to `known`.
+    pub(super) fn updates_since(&self, known: &ViewPositions) -> Vec<ViewUpdate> {
+        let mirrors = self.mirrors.lock();
+        let updates = View::ALL.into_iter().filter_map(|view| {
+            let update = mirrors[view as usize].update_since(known[view as usize])?;
+            Some(ViewUpdate { view, update })
+        });
+        updates.collect()
+    }
+
+    /// Records that a node asked for news on a connection.
+    pub(super) fn add_follower(&self, frames: &UnboundedSender<Bytes>, now: MonotonicTime) {
+        let mut followers = self.followers.lock();
+        followers.retain(|follower| is_following(follower, now));
+        let known = followers
+            .iter_mut()
+            .find(|follower| follower.frames.same_channel(frames));
+        match known {
+            Some(follower) => follower.asked_at = now,
+            None => followers.push(Follower {
+                frames: frames.clone(),
+                asked_at: now,
+            }),
+        }
+    }
+
+    /// Tells the nodes that asked lately that there are news.
+    pub(super) fn notify_followers(&self, now: MonotonicTime) {
+        let Ok(frame) = encode_frame(&Head::ViewsChanged, &[]) else {
+            return;
+        };
+        let followers = self.followers.lock();
+        for follower in followers.iter().filter(|known| is_following(known, now)) {
+            // Sending fails if the connection has ended.
+            let _ = follower.frames.send(frame.clone());
+        }
+    }
+}
+
+fn is_following(follower: &Follower, now: MonotonicTime) -> bool {
+    !follower.frames.is_closed() && now.since(follower.asked_at) < FOLLOWER_TTL
+}
--- /dev/null
+++ b/lib/src/process/relay/views/store_watch.rs
@@ -0,0 +1,132 @@
+//! Reads views from the store and watches them.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures::future::join_all;
+use tokio::time::sleep;
+
+use super::apply::apply_update;
+use super::messages::MirrorUpdate;
+use super::messages::View;
+use crate::process::events::relay as events;
+use crate::process::relay::node::RelayNode;
+use crate::process::relay::quarantine::QUARANTINE_PREFIX;
+use crate::process::relay::store::StoreError;
+use crate::process::relay::store::StorePosition;
+use crate::process::relay::tasks::STORE_ENTRY_PREFIX;
+use crate::process::relay::tasks::new_backoff;
+
+/// Longest wait of one watch. A connection that goes silent hides changes from a zone this long.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(8);
+/// Delay after changes, so that changes close together cost one call. Other nodes refuse a request
+/// for a server that has left, so an outdated view of the fleet costs only another attempt.
+const CHANGE_DELAY: Duration = Duration::from_millis(200);
+
+fn prefix_of(node: &RelayNode, view: View) -> &'static str {
+    match view {
+        View::Entries => STORE_ENTRY_PREFIX,
+        View::Quarantines => QUARANTINE_PREFIX,
+        View::Configuration => node.protocol.configuration_key,
+    }
+}
+
+/// Reads a view from the store.
+pub(super) async fn read_view(node: &Arc<RelayNode>, view: View) -> Result<(), StoreError> {
+    let requested_at = node.clock.now();
+    let prefix = prefix_of(node, view);
+    let (items, position) = match view {
+        View::Entries | View::Quarantines => {
+            let listed = node.store.list(prefix).await;
+            node.metrics.record_store_call(listed.is_ok());
+            let listed = listed?;
+            let position = listed.position();
+            (listed.content, position)
+        }
+        View::Configuration => {
+            let read = node.store.get(prefix).await;
+            node.metrics.record_store_call(read.is_ok());
+            let read = read?;
+            let position = read.position();
+            (read.content.into_iter().collect(), position)
+        }
+    };
+    let is_found = !items.is_empty();
+    apply_update(node, view, MirrorUpdate::Listing { items, position });
+    let is_refused = node.views.is_configuration_refused.load(Ordering::Relaxed);
+    if view == View::Configuration && is_found && !is_refused {
+        node.confirm(requested_at);
+    }
+    Ok(())
+}
+
+/// Reads all views from the store and watches them until the future is dropped.
+pub(super) async fn watch_store(node: Arc<RelayNode>) {
+    join_all(View::ALL.map(|view| watch_view(&node, view))).await;
+}
+
+async fn watch_view(node: &Arc<RelayNode>, view: View) {
+    let mut backoff = new_backoff();
+    loop {
+        let error = match read_view(node, view).await {
+            Ok(()) => {
+                backoff.reset();
+                log_reachability(node, true, "read");
+                follow_view(node, view).await
+            }
+            Err(error) => error,
+        };
+        if error != StoreError::HistoryLost {
+            node.metrics.record_store_error(&error);
+            log_reachability(node, false, &error.to_string());
+            sleep(backoff.next_delay()).await;
+        }
+    }
+}
+
+async fn follow_view(node: &Arc<RelayNode>, view: View) -> StoreError {
+    loop {
+        match await_change(node, view, WATCH_TIMEOUT).await {
+            Ok(true) if view != View::Configuration => sleep(CHANGE_DELAY).await,
+            Ok(_) => {}
+            Err(error) => return error,
+        }
+    }
+}
+
+/// Waits for changes of a view in the store and applies them. Returns whether there were any.
+pub(super) async fn await_change(
+    node: &Arc<RelayNode>,
+    view: View,
+    wait: Duration,
+) -> Result<bool, StoreError> {
+    let after = node.views.positions()[view as usize].ok_or(StoreError::HistoryLost)?;
+    let prefix = prefix_of(node, view);
+    let changes = node.store.watch(prefix, after.revision, wait).await;
+    node.metrics.record_store_call(changes.is_ok());
+    let changes = changes?;
+    let position = changes.position();
+    let has_changes = !changes.content.is_empty();
+    let update = MirrorUpdate::Changes {
+        events: changes.content,
+        after: after.revision,
+        position: StorePosition {
+            revision: position.revision.max(after.revision),
+            ..position
+        },
+    };
+    // After a return to an earlier copy, changes do not follow what is known.
+    match position.era == after.era && apply_update(node, view, update) {
+        true => Ok(has_changes),
+        false => Err(StoreError::HistoryLost),
+    }
+}
+
+fn log_reachability(node: &RelayNode, is_reachable: bool, detail: &str) {
+    match (node.metrics.set_store_reachable(is_reachable), is_reachable) {
+        (true, true) => events::STORE_BACK.log(detail),
+        (true, false) => events::STORE_LOST.log(detail),
+        (false, _) => {}
+    }
+}
--- a/lib/tests/test_relay_fleet_view.rs
+++ b/lib/tests/test_relay_fleet_view.rs
@@ -54,7 +54,6 @@
     let mut fleet = Fleet::default();
     fleet.apply_write(record("a", NodeCondition::Alive), StoreRevision(5));
     fleet.apply_removal(&node("a"), StoreRevision(4), at_ms(0));
-    fleet.apply_listing(&[], StoreRevision(4), at_ms(0));
     assert!(!fleet.evict_missing(at_ms(10_000)));
     assert!(!fleet.apply_write(record("a", NodeCondition::Leaving), StoreRevision(4)));
     assert!(
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -130,6 +130,8 @@
     pub server: RelayServer,
     /// The service of the server.
     pub service: &'static str,
+    /// The relay's client of the store.
+    pub store: MemoryStore,
 }
 
 /// Relays in one process, each with a stand-in for its backend server.
@@ -163,8 +165,8 @@
         for (index, service) in services.iter().enumerate() {
             let server = RelayServer::start().await;
             let settings = settings(&format!("node-{index}"), service, server.address);
-            let store = Arc::new(fleet.store.clone());
-            let daemon = RelayDaemon::start(settings, relay_protocol(), store)
+            let store = fleet.store.for_client();
+            let daemon = RelayDaemon::start(settings, relay_protocol(), Arc::new(store.clone()))
                 .await
                 .expect("ports are free");
             server.set_onward_address(daemon.node().settings.raw.listen.callers);
@@ -172,6 +174,7 @@
                 daemon,
                 server,
                 service,
+                store,
             });
             fleet.report(index, 1, false).await;
         }
@@ -188,7 +191,7 @@
             relay.server.address,
         );
         drop(relay.daemon);
-        let store = Arc::new(self.store.clone());
+        let store = Arc::new(relay.store.clone());
         let daemon = RelayDaemon::start(settings, relay_protocol(), store)
             .await
             .expect("ports are free");
@@ -273,12 +276,15 @@
     /// Waits until every relay lists `count` servers and has a confirmed configuration.
     pub async fn wait_until_ready_with_servers(&self, count: usize) {
         self.wait_until(|fleet| {
-            fleet.relays.iter().all(|relay| {
-                let node = relay.daemon.node();
-                let members = node.members();
-                let serving = members.nodes().filter(|record| record.server.is_some());
-                serving.count() == count && node.is_ready()
-            })
+            // Requests with keys are refused until the zone has a holder of its rates.
+            let has_holder = !fleet.store.keys("rates/").is_empty();
+            has_holder
+                && fleet.relays.iter().all(|relay| {
+                    let node = relay.daemon.node();
+                    let members = node.members();
+                    let serving = members.nodes().filter(|record| record.server.is_some());
+                    serving.count() == count && node.is_ready()
+                })
         })
         .await;
     }
--- a/testutils/src/relay/store.rs
+++ b/testutils/src/relay/store.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeMap;
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use balsamfold::process::relay::AsOf;
 use balsamfold::process::relay::LeaseId;
 use balsamfold::process::relay::SharedStore;
+use balsamfold::process::relay::StoreEra;
 use balsamfold::process::relay::StoreError;
 use balsamfold::process::relay::StoreEvent;
 use balsamfold::process::relay::StoreItem;
@@ -19,11 +22,12 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Content {
     items: BTreeMap<String, (StoreItem, LeaseId)>,
     history: Vec<StoreEvent>,
     revision: u64,
+    era: u64,
     leases: HashSet<LeaseId>,
     next_lease: u64,
     is_down: bool,
@@ -31,13 +35,11 @@
 }
 
 impl Content {
-    fn begin_call(&mut self) -> Result<(), StoreError> {
-        self.calls += 1;
-        match self.is_down {
-            true => Err(StoreError::NotDone {
-                reason: "down".to_owned(),
-            }),
-            false => Ok(()),
+    fn as_of<T>(&self, content: T) -> AsOf<T> {
+        AsOf {
+            content,
+            revision: StoreRevision(self.revision),
+            era: StoreEra(self.era),
         }
     }
 
@@ -78,14 +80,64 @@
     }
 }
 
+/// An earlier content of a store.
+pub struct StoreCopy(Content);
+
 /// A shared store in memory. Clones share the same content.
 #[derive(Clone, Default)]
 pub struct MemoryStore {
     content: Arc<Mutex<Content>>,
     changed: Arc<Notify>,
+    watches: Arc<Mutex<Vec<String>>>,
+    is_turned_away: Arc<AtomicBool>,
+}
+
+/// Counts a watch while it waits.
+struct WaitingWatch {
+    watches: Arc<Mutex<Vec<String>>>,
+    prefix: String,
+}
+
+impl Drop for WaitingWatch {
+    fn drop(&mut self) {
+        let mut watches = self.watches.lock();
+        if let Some(index) = watches.iter().position(|prefix| *prefix == self.prefix) {
+            watches.remove(index);
+        }
+    }
 }
 
 impl MemoryStore {
+    /// Returns a client of the same store that can be turned away by itself.
+    pub fn for_client(&self) -> Self {
+        Self {
+            is_turned_away: Arc::default(),
+            ..self.clone()
+        }
+    }
+
+    /// Makes all calls of this client fail while the store serves the others, or ends that.
+    pub fn set_turned_away(&self, is_turned_away: bool) {
+        self.is_turned_away.store(is_turned_away, Ordering::Relaxed);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns how many watches of `prefix` wait for changes.
+    pub fn waiting_watches(&self, prefix: &str) -> usize {
+        let watches = self.watches.lock();
+        watches.iter().filter(|waiting| *waiting == prefix).count()
+    }
+
+    fn begin_call(&self, content: &mut Content) -> Result<(), StoreError> {
+        content.calls += 1;
+        match content.is_down || self.is_turned_away.load(Ordering::Relaxed) {
+            true => Err(StoreError::NotDone {
+                reason: "down".to_owned(),
+            }),
+            false => Ok(()),
+        }
+    }
+
     /// Writes an item without a lease, as operators do.
     pub fn write(&self, key: &str, value: Bytes) {
         self.content.lock().write(key, value, LeaseId(0));
@@ -114,6 +166,26 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns a copy of the present content, to which the store can go back.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.content.lock().clone())
+    }
+
+    /// Replaces the content by an earlier copy. Revisions are given out again, and all leases that
+    /// were granted since are gone.
+    pub fn go_back_to(&self, copy: &StoreCopy) {
+        let mut content = self.content.lock();
+        *content = Content {
+            era: content.era + 1,
+            calls: content.calls,
+            next_lease: content.next_lease,
+            is_down: content.is_down,
+            ..copy.0.clone()
+        };
+        drop(content);
+        self.changed.notify_waiters();
+    }
+
     /// Returns the value stored under `key`.
     pub fn value(&self, key: &str) -> Option<Bytes> {
         let content = self.content.lock();
@@ -138,9 +210,9 @@
 impl SharedStore for MemoryStore {
     fn get(&self, key: &str) -> StoreResult<AsOf<Option<StoreItem>>> {
         let mut content = self.content.lock();
-        let result = content.begin_call().map(|()| AsOf {
-            content: content.items.get(key).map(|(item, _)| item.clone()),
-            revision: StoreRevision(content.revision),
+        let result = self.begin_call(&mut content).map(|()| {
+            let item = content.items.get(key);
+            content.as_of(item.map(|(item, _)| item.clone()))
         });
         std::future::ready(result).boxed()
     }
@@ -151,14 +223,10 @@
 
     fn list(&self, prefix: &str) -> StoreResult<AsOf<Vec<StoreItem>>> {
         let mut content = self.content.lock();
-        let result = content.begin_call().map(|()| AsOf {
-            content: content
-                .items
-                .values()
-                .filter(|(item, _)| item.key.starts_with(prefix))
-                .map(|(item, _)| item.clone())
-                .collect(),
-            revision: StoreRevision(content.revision),
+        let result = self.begin_call(&mut content).map(|()| {
+            let items = content.items.values();
+            let items = items.filter(|(item, _)| item.key.starts_with(prefix));
+            content.as_of(items.map(|(item, _)| item.clone()).collect())
         });
         std::future::ready(result).boxed()
     }
@@ -174,28 +242,30 @@
         async move {
             let deadline = tokio::time::Instant::now() + wait;
             store.content.lock().calls += 1;
+            store.watches.lock().push(prefix.clone());
+            let _waiting = WaitingWatch {
+                watches: Arc::clone(&store.watches),
+                prefix: prefix.clone(),
+            };
             loop {
                 let changed = store.changed.notified();
                 {
                     let content = store.content.lock();
-                    if content.is_down {
+                    if content.is_down || store.is_turned_away.load(Ordering::Relaxed) {
                         return Err(StoreError::Unknown {
                             reason: "cut".to_owned(),
                         });
                     }
+                    if after.0 > content.revision {
+                        return Err(StoreError::HistoryLost);
+                    }
                     let events = content.events_after(&prefix, after);
                     if !events.is_empty() {
-                        return Ok(AsOf {
-                            content: events,
-                            revision: StoreRevision(content.revision),
-                        });
+                        return Ok(content.as_of(events));
                     }
                 }
                 if tokio::time::timeout_at(deadline, changed).await.is_err() {
-                    return Ok(AsOf {
-                        content: Vec::new(),
-                        revision: StoreRevision(store.content.lock().revision),
-                    });
+                    return Ok(store.content.lock().as_of(Vec::new()));
                 }
             }
         }
@@ -204,7 +274,7 @@
 
     fn put(&self, key: &str, value: Bytes, lease: LeaseId) -> StoreResult<StoreRevision> {
         let mut content = self.content.lock();
-        let result = content.begin_call().and_then(|()| {
+        let result = self.begin_call(&mut content).and_then(|()| {
             if !content.leases.contains(&lease) {
                 return Err(StoreError::LeaseEnded);
             }
@@ -222,7 +292,7 @@
         value: Bytes,
     ) -> StoreResult<StoreSwap> {
         let mut content = self.content.lock();
-        let result = content.begin_call().map(|()| {
+        let result = self.begin_call(&mut content).map(|()| {
             let stored = content.items.get(key).map(|(item, _)| item.revision);
             match stored == expected {
                 true => StoreSwap::Done(content.write(key, value, LeaseId(0))),
@@ -236,7 +306,7 @@
 
     fn grant_lease(&self, _ttl: Duration) -> StoreResult<LeaseId> {
         let mut content = self.content.lock();
-        let result = content.begin_call().map(|()| {
+        let result = self.begin_call(&mut content).map(|()| {
             content.next_lease += 1;
             let lease = LeaseId(content.next_lease);
             content.leases.insert(lease);
@@ -247,18 +317,20 @@
 
     fn renew_lease(&self, lease: LeaseId) -> StoreResult<()> {
         let mut content = self.content.lock();
-        let result = content
-            .begin_call()
-            .and_then(|()| match content.leases.contains(&lease) {
-                true => Ok(()),
-                false => Err(StoreError::LeaseEnded),
-            });
+        let result =
+            self.begin_call(&mut content)
+                .and_then(|()| match content.leases.contains(&lease) {
+                    true => Ok(()),
+                    false => Err(StoreError::LeaseEnded),
+                });
         std::future::ready(result).boxed()
     }
 
     fn end_lease(&self, lease: LeaseId) -> StoreResult<()> {
         let mut content = self.content.lock();
-        let result = content.begin_call().map(|()| content.end_lease(lease));
+        let result = self
+            .begin_call(&mut content)
+            .map(|()| content.end_lease(lease));
         drop(content);
         self.changed.notify_waiters();
         std::future::ready(result).boxed()
