connection: a connection with a response that names no request is not used again

Operators of similar systems saw late copies of answers on connections that were in use again. Here an answer's id is checked, but a rejection may come without one: its late copy was taken for the answer to the next request on the connection, which then counted as not run while the server ran it. A request that may run once could run twice.

copy_of_a_rejection_without_an_id_does_not_refuse_the_next_request fails before (503, and the request runs); copy_of_an_answer_does_not_reach_the_next_caller passes before too.

--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -32,3 +32,4 @@
 pub use self::listener::ListenerLimits;
 pub use self::pool::ConnectionPool;
 pub use self::pool::PoolLimits;
+pub use self::pool::ResponseMatch;
--- a/lib/src/connection/pool.rs
+++ b/lib/src/connection/pool.rs
@@ -47,6 +47,18 @@
     }
 }
 
+plain_value! {
+    /// Whether the head of a response belongs to the request that waits for one.
+    pub enum ResponseMatch {
+        /// It names the request.
+        Own,
+        /// It names no request. The server may send it again later, so its connection is closed.
+        Unidentified,
+        /// It belongs to another request.
+        Foreign,
+    }
+}
+
 /// Persistent connections to one address.
 ///
 /// The pool never sends a request twice: a connection that fails returns an error, and a connection
@@ -134,18 +146,20 @@
         request: BufferedRequest,
         timeout: Duration,
     ) -> Result<BufferedResponse, ExchangeError> {
-        self.exchange_checked(request, timeout, |_, _| true).await
+        self.exchange_checked(request, timeout, |_, _| ResponseMatch::Own)
+            .await
     }
 
-    /// Sends `request` once and returns the complete response if `is_matching_response` accepts
-    /// its head.
+    /// Sends `request` once and returns the complete response, unless `match_response` finds that its
+    /// head belongs to another request.
     ///
-    /// A response that is not accepted belongs to another request: its connection is closed.
+    /// Only a connection whose responses all named their requests is used again. A late copy of any
+    /// of them is recognised then.
     pub async fn exchange_checked(
         &self,
         request: BufferedRequest,
         timeout: Duration,
-        is_matching_response: impl Fn(StatusCode, &HeaderMap) -> bool,
+        match_response: impl Fn(StatusCode, &HeaderMap) -> ResponseMatch,
     ) -> Result<BufferedResponse, ExchangeError> {
         let deadline = Instant::now() + timeout;
         let mut connection = self.connection(timeout).await?;
@@ -159,12 +173,15 @@
             Err(_) => return Err(ExchangeError::TimedOut),
         };
         connection.head_limit.end_head();
-        if !is_matching_response(response.status(), response.headers()) {
+        let matched = match_response(response.status(), response.headers());
+        if matched == ResponseMatch::Foreign {
             return Err(ExchangeError::InvalidResponse);
         }
         connection.limit_idle_time(response.headers());
         let buffered = self.buffered_response(&method, response, deadline).await?;
-        self.keep(connection);
+        if matched == ResponseMatch::Own {
+            self.keep(connection);
+        }
         Ok(buffered)
     }
 
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -27,6 +27,7 @@
 use crate::connection::ConnectionPool;
 use crate::connection::ExchangeError;
 use crate::connection::PoolLimits;
+use crate::connection::ResponseMatch;
 use crate::process::events::relay as events;
 use crate::process::gate::AdaptiveLimit;
 use crate::process::gate::AdmissionRequest;
@@ -299,21 +300,22 @@
     remaining: Duration,
 ) -> Result<BufferedResponse, Refusal> {
     let names = &node.protocol.headers;
-    let is_own_response = |status: StatusCode, headers: &HeaderMap| {
+    let match_response = |status: StatusCode, headers: &HeaderMap| {
         let echoed = headers.get(&names.request_id).map(HeaderValue::as_bytes);
+        let is_rejection =
+            status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&names.not_run);
         match echoed {
-            Some(echoed) => echoed == metadata.request_id.as_bytes(),
+            Some(echoed) if echoed == metadata.request_id.as_bytes() => ResponseMatch::Own,
             // Servers that reject a request without reading it do not echo its id.
-            None => {
-                status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&names.not_run)
-            }
+            None if is_rejection => ResponseMatch::Unidentified,
+            Some(_) | None => ResponseMatch::Foreign,
         }
     };
     let mut failure = ExchangeError::NotSent;
     for _ in 0..SEND_ATTEMPTS {
         let sent = backend
             .pool
-            .exchange_checked(request.clone(), remaining, is_own_response)
+            .exchange_checked(request.clone(), remaining, match_response)
             .await;
         match sent {
             Ok(response) => {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -16,6 +16,7 @@
 mod test_gate_queue;
 mod test_http_input;
 mod test_keys;
+mod test_late_responses;
 mod test_listener;
 mod test_load_control;
 mod test_membership_cuts;
--- /dev/null
+++ b/lib/tests/test_late_responses.rs
@@ -0,0 +1,121 @@
+//! Servers that send a response again, late, on a connection that is in use again.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use http::StatusCode;
+use testutils::relay::RelayFleet;
+use testutils::relay::sample_open_plan;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+/// Returns the text of the next request, or none when the connection ends.
+async fn next_request(stream: &mut TcpStream) -> Option<String> {
+    let mut text = String::new();
+    let mut buffer = [0; 4_096];
+    while !text.contains("\r\n\r\n") {
+        let count = stream.read(&mut buffer).await.ok()?;
+        if count == 0 {
+            return None;
+        }
+        text.push_str(&String::from_utf8_lossy(&buffer[..count]));
+    }
+    Some(text)
+}
+
+fn response(status: &str, id: Option<&str>, headers: &str, body: &str) -> String {
+    let id = id.map_or(String::new(), |id| format!("request-id: {id}\r\n"));
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\n{id}{headers}content-length: {length}\r\n\r\n{body}")
+}
+
+fn id_of(request: &str) -> String {
+    let mut lines = request.lines();
+    let id = lines.find_map(|line| line.strip_prefix("request-id: "));
+    id.expect("an id").to_owned()
+}
+
+/// Takes the place of the server at `address`. The first response on each connection is
+/// `first(id)`; a second request there runs, and gets a copy of that response before its own.
+async fn serve_copies(
+    address: SocketAddr,
+    first: impl Fn(usize, &str) -> String + Send + Sync + 'static,
+) -> Arc<AtomicUsize> {
+    // The sockets of the crashed server are closed in the background.
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            Err(_) => tokio::task::yield_now().await,
+        }
+    };
+    let runs = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&runs);
+    let first = Arc::new(first);
+    tokio::spawn(async move {
+        let mut connections = 0;
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (first, runs) = (Arc::clone(&first), Arc::clone(&counted));
+            let connection = connections;
+            connections += 1;
+            tokio::spawn(async move {
+                let request = next_request(&mut stream).await?;
+                let copy = first(connection, &id_of(&request));
+                stream.write_all(copy.as_bytes()).await.ok()?;
+                let second = next_request(&mut stream).await?;
+                runs.fetch_add(1, Ordering::Relaxed);
+                let own = response("200 OK", Some(&id_of(&second)), "", "own");
+                let both = format!("{copy}{own}");
+                stream.write_all(both.as_bytes()).await.ok()
+            });
+        }
+    });
+    runs
+}
+
+async fn fleet_with_copies(
+    first: impl Fn(usize, &str) -> String + Send + Sync + 'static,
+) -> (RelayFleet, Arc<AtomicUsize>) {
+    let fleet = RelayFleet::start(&sample_open_plan(), &["stock"]).await;
+    let server = &fleet.relays[0].server;
+    server.crash();
+    let runs = serve_copies(server.address, first).await;
+    (fleet, runs)
+}
+
+// Guards against a refusal without an id that is taken for the answer to the next request, which runs.
+#[tokio::test]
+async fn copy_of_a_rejection_without_an_id_does_not_refuse_the_next_request() {
+    let (fleet, runs) = fleet_with_copies(|connection, id| match connection {
+        0 => response("503 Service Unavailable", None, "not-run: 1\r\n", ""),
+        _ => response("200 OK", Some(id), "", "own"),
+    })
+    .await;
+    fleet.call(0, "r1", "/stock/1", None).await;
+    let response = fleet.call(0, "r2", "/stock/2", None).await;
+    assert_eq!(
+        (response.status, &response.body[..]),
+        (StatusCode::OK, &b"own"[..])
+    );
+    assert_eq!(runs.load(Ordering::Relaxed), 0);
+}
+
+#[tokio::test]
+async fn copy_of_an_answer_does_not_reach_the_next_caller() {
+    let (fleet, runs) =
+        fleet_with_copies(|_, id| response("200 OK", Some(id), "", &format!("of {id}"))).await;
+    let first = fleet.call(0, "r1", "/stock/1", None).await;
+    assert_eq!(first.body, "of r1");
+    let second = fleet.call(0, "r2", "/stock/2", None).await;
+    assert_eq!(runs.load(Ordering::Relaxed), 1);
+    assert_ne!(second.body, "of r1");
+    // The connection with the copy is not used again.
+    let third = fleet.call(0, "r3", "/stock/3", None).await;
+    assert_eq!(
+        (third.status, &third.body[..]),
+        (StatusCode::OK, &b"of r3"[..])
+    );
+}
