connection: a stop answers requests that the kernel or the socket already holds

A listener that stopped closed its socket at once, which resets connections that the kernel had accepted, and closed connections whose request had arrived but was not read. It now accepts until none came for 10 ms, and reads for 200 ms before it closes connections without a request.

requests_on_connections_not_yet_accepted_are_answered_at_a_stop fails before (connection reset); request_whose_head_is_half_read_is_answered_at_a_stop passes before too.

--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -32,6 +32,11 @@
 
 /// Delay after a failed accept, for example when the process has no free file descriptor.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time without a new connection after which a stopping listener closes its socket. Connections that
+/// the kernel has accepted would be reset with it.
+const STOP_ACCEPT_WAIT: Duration = Duration::from_millis(10);
+/// Time in which a stopping listener reads requests that are on their way on open connections.
+const STOP_READ_WAIT: Duration = Duration::from_millis(200);
 
 plain_value! {
     /// Bounds on the connections that a listener accepts.
@@ -102,7 +107,8 @@
 }
 
 impl ListenerHandle {
-    /// Stops accepting connections and waits until each open one has finished its request.
+    /// Stops accepting connections, except those that the kernel has accepted already, and waits until
+    /// each open one has finished its request.
     ///
     /// There is no time limit. To limit the time, drop the future.
     pub async fn stop(&self) {
@@ -127,9 +133,12 @@
 {
     let permits = Arc::new(Semaphore::new(limits.connections_max as usize));
     loop {
+        let is_stopping = handle.stopping.is_cancelled();
         let accepted = tokio::select! {
+            biased;
             accepted = accept_one(&socket, &permits) => accepted,
-            () = handle.stopping.cancelled() => return,
+            () = tokio::time::sleep(STOP_ACCEPT_WAIT), if is_stopping => return,
+            () = handle.stopping.cancelled(), if !is_stopping => continue,
         };
         let Some((stream, permit)) = accepted else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -206,7 +215,13 @@
     // already responded.
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = stopping.cancelled() => connection.as_mut().graceful_shutdown(),
+        () = stopping.cancelled() => {
+            // A connection without a request is closed at once, even if one arrived and was not read.
+            if tokio::time::timeout(STOP_READ_WAIT, connection.as_mut()).await.is_ok() {
+                return;
+            }
+            connection.as_mut().graceful_shutdown();
+        }
         () = idle_since.wait_for(Duration::from_millis(limits.idle_timeout_ms)) => {
             connection.as_mut().graceful_shutdown();
         }
--- a/lib/tests/test_listener.rs
+++ b/lib/tests/test_listener.rs
@@ -1,4 +1,4 @@
-//! Idle timeout of the connections of a listener.
+//! Idle timeout of the connections of a listener, and its stop.
 
 use std::time::Duration;
 
@@ -67,3 +67,43 @@
     stream.read_to_string(&mut received).await.unwrap();
     assert!(received.ends_with("whole"), "{received}");
 }
+
+// Guards against a stop that resets connections which the kernel has accepted and the process has not.
+#[tokio::test]
+async fn requests_on_connections_not_yet_accepted_are_answered_at_a_stop() {
+    let (serving, first) = serve(Duration::ZERO).await;
+    let address = first.peer_addr().unwrap();
+    drop(first);
+    // The runtime has one thread, so that nothing is accepted meanwhile.
+    let clients: Vec<_> = (0..8)
+        .map(|_| {
+            let mut client = std::net::TcpStream::connect(address).unwrap();
+            std::io::Write::write_all(&mut client, REQUEST).unwrap();
+            client.set_nonblocking(true).unwrap();
+            TcpStream::from_std(client).unwrap()
+        })
+        .collect();
+    serving.stop().await;
+    for mut client in clients {
+        let mut received = String::new();
+        client.read_to_string(&mut received).await.unwrap();
+        assert!(received.ends_with("whole"), "{received}");
+    }
+}
+
+#[tokio::test]
+async fn request_whose_head_is_half_read_is_answered_at_a_stop() {
+    let (serving, mut stream) = serve(Duration::ZERO).await;
+    let (first, second) = REQUEST.split_at(10);
+    stream.write_all(first).await.unwrap();
+    while serving.open_connections() == 0 {
+        tokio::task::yield_now().await;
+    }
+    let stopping = tokio::spawn(async move { serving.stop().await });
+    tokio::task::yield_now().await;
+    stream.write_all(second).await.unwrap();
+    let mut received = String::new();
+    stream.read_to_string(&mut received).await.unwrap();
+    assert!(received.ends_with("whole"), "{received}");
+    stopping.await.unwrap();
+}
