relay: a panic ends the work in which it occurred, and no more

Each task that keeps a relay up to date ran once: a panic in it ended it for good while the process went on, blind. A panic in a request or a report closed its connection without a response. Tasks are now started again, with event 8005; a request is answered with 502, which promises nothing, and a report with 500. A decoder of the configuration that panics counts as one that refuses, so that the changes after it are applied.

relays_go_on_after_a_stored_configuration_on_which_the_decoder_panics fails without the guard around the decoder (with supervision alone, a later configuration in the same update is lost).

--- a/lib/src/process/events/relay.rs
+++ b/lib/src/process/events/relay.rs
@@ -11,6 +11,7 @@
     STOPPED = 8002, Info, "relay.stopped", "The relay stopped as planned.";
     SETTINGS_RELOADED = 8003, Info, "relay.settings-reloaded", "The settings were reloaded; the line says whether changes remain that need a restart.";
     SETTINGS_REFUSED = 8004, Warn, "relay.settings-refused", "The changed settings are invalid and not used; correct them.";
+    PANICKED = 8005, Error, "relay.panicked", "An unexpected error ended a task or a request; a task is started again, a request is answered as failed. Report it with the line.";
     LINK_LOST = 8010, Info, "relay.link-lost", "A connection to another node ended; its open exchanges get no reply.";
     LINK_NOT_OPENED = 8011, Info, "relay.link-not-opened", "A connection to another node could not be opened; check the network and the node.";
     STORE_LOST = 8020, Warn, "relay.store-lost", "The store does not respond; requests with keys are refused once the configuration cannot be confirmed.";
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -167,6 +167,16 @@
     pub(super) load: LoadNotice,
 }
 
+impl RunOutcome {
+    /// Returns the outcome of a request whose run ended without one. It may have run.
+    pub(super) fn unknown() -> Self {
+        Self {
+            result: Err(Refusal::may_have_run(RefusalReason::BadAnswer)),
+            load: LoadNotice::default(),
+        }
+    }
+}
+
 /// Runs a request on the local backend server.
 pub(super) async fn run_request(
     node: &Arc<RelayNode>,
--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -26,6 +26,8 @@
 use super::settings::RelaySettings;
 use super::store::SharedStore;
 use super::store_entry::maintain_store_entry;
+use super::supervision::catch_panic;
+use super::supervision::supervise;
 use super::suspects::learn_suspects;
 use super::tasks::clean_up_fleet;
 use super::tasks::maintain_confirmation;
@@ -112,14 +114,14 @@
         let mut auxiliary = vec![serve_ready(ready, &node), serve_reports(reports, &node)];
         auxiliary.extend(metrics.map(|listener| serve_metrics(listener, &node)));
         let tasks = vec![
-            spawn(serve_peers(Arc::clone(&node), peers)),
-            spawn(follow_views(Arc::clone(&node))),
-            spawn(maintain_confirmation(Arc::clone(&node))),
-            spawn(clean_up_fleet(Arc::clone(&node))),
-            spawn(store_quarantines(Arc::clone(&node))),
-            spawn(learn_suspects(Arc::clone(&node))),
-            spawn(maintain_store_entry(Arc::clone(&node))),
-            spawn(read_registration(Arc::clone(&node))),
+            AbortOnDropHandle::new(tokio::spawn(serve_peers(Arc::clone(&node), peers))),
+            spawn("follow_views", &node, follow_views),
+            spawn("maintain_confirmation", &node, maintain_confirmation),
+            spawn("clean_up_fleet", &node, clean_up_fleet),
+            spawn("store_quarantines", &node, store_quarantines),
+            spawn("learn_suspects", &node, learn_suspects),
+            spawn("maintain_store_entry", &node, maintain_store_entry),
+            spawn("read_registration", &node, read_registration),
         ];
         Ok(Self {
             callers: serve_callers(callers, &node),
@@ -173,8 +175,18 @@
     }
 }
 
-fn spawn(task: impl Future<Output = ()> + Send + 'static) -> AbortOnDropHandle<()> {
-    AbortOnDropHandle::new(tokio::spawn(task))
+/// Starts a task that is started again if it panics.
+fn spawn<F>(
+    name: &'static str,
+    node: &Arc<RelayNode>,
+    task: impl Fn(Arc<RelayNode>) -> F + Send + Sync + 'static,
+) -> AbortOnDropHandle<()>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let node = Arc::clone(node);
+    let supervised = async move { supervise(name, || task(Arc::clone(&node))).await };
+    AbortOnDropHandle::new(tokio::spawn(supervised))
 }
 
 fn serve_callers(listener: Listener, node: &Arc<RelayNode>) -> ListenerHandle {
@@ -189,10 +201,19 @@
     listener.serve(limits, move |request| {
         let node = Arc::clone(&node);
         // Boxed, so that idle connections do not hold memory for a request.
-        Box::pin(async move { handle_caller(&node, request).await })
+        Box::pin(async move {
+            let response = catch_panic("request", handle_caller(&node, request)).await;
+            response.unwrap_or_else(|| status_only(StatusCode::BAD_GATEWAY))
+        })
     })
 }
 
+fn status_only(status: StatusCode) -> Response {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
+
 fn auxiliary_limits() -> ListenerLimits {
     ListenerLimits {
         connections_max: AUXILIARY_CONNECTIONS_MAX,
@@ -214,7 +235,10 @@
     let node = Arc::clone(node);
     listener.serve(auxiliary_limits(), move |request| {
         let node = Arc::clone(&node);
-        async move { handle_report(&node, request).await }
+        async move {
+            let response = catch_panic("report", handle_report(&node, request)).await;
+            response.unwrap_or_else(|| status_only(StatusCode::INTERNAL_SERVER_ERROR))
+        }
     })
 }
 
--- a/lib/src/process/relay/mod.rs
+++ b/lib/src/process/relay/mod.rs
@@ -31,6 +31,7 @@
 mod split;
 mod store;
 mod store_entry;
+mod supervision;
 mod suspects;
 mod tasks;
 mod views;
--- a/lib/src/process/relay/peers.rs
+++ b/lib/src/process/relay/peers.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
+use super::backend::RunOutcome;
 use super::backend::run_request;
 use super::frame::ExchangeId;
 use super::frame::Frame;
@@ -29,6 +30,7 @@
 use super::link::READ_BYTES;
 use super::link::write_frames;
 use super::node::RelayNode;
+use super::supervision::catch_panic;
 use super::views::serve_views;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
@@ -232,7 +234,9 @@
     let weak_running = Arc::downgrade(running);
     let mut tasks = running.tasks.lock();
     let task = tokio::spawn(async move {
-        let outcome = run_request(&node, &metadata, request).await;
+        let running_request = run_request(&node, &metadata, request);
+        let outcome = catch_panic("run", running_request).await;
+        let outcome = outcome.unwrap_or_else(RunOutcome::unknown);
         if let Some(running) = weak_running.upgrade() {
             running.tasks.lock().remove(&exchange);
         }
--- a/lib/src/process/relay/views/apply.rs
+++ b/lib/src/process/relay/views/apply.rs
@@ -1,5 +1,7 @@
 //! Applies changes of the store to what the node believes.
 
+use std::panic::AssertUnwindSafe;
+use std::panic::catch_unwind;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -107,7 +109,10 @@
 
 /// Puts a stored configuration in force. Returns whether it could be decoded.
 fn offer_configuration(node: &RelayNode, item: &StoreItem) -> bool {
-    match (node.protocol.decode_configuration)(&item.value) {
+    let decode = || (node.protocol.decode_configuration)(&item.value);
+    // A panic here would also skip the changes after this one.
+    let decoded = catch_unwind(AssertUnwindSafe(decode));
+    match decoded.unwrap_or_else(|_| Err("the decoder panicked".to_owned())) {
         Ok(plan) => {
             node.offer_plan(plan);
             true
--- a/lib/src/process/relay/views/follow.rs
+++ b/lib/src/process/relay/views/follow.rs
@@ -22,6 +22,7 @@
 use crate::process::relay::link::LinkFailure;
 use crate::process::relay::link::PeerReply;
 use crate::process::relay::node::RelayNode;
+use crate::process::relay::supervision::supervise;
 use crate::process::relay::tasks::new_backoff;
 use crate::values::MonotonicTime;
 
@@ -87,7 +88,9 @@
 
 fn start_watch(node: &Arc<RelayNode>) -> AbortOnDropHandle<()> {
     events::STORE_WATCHED.log(format_args!("zone={}", node.settings.raw.zone));
-    AbortOnDropHandle::new(tokio::spawn(watch_store(Arc::clone(node))))
+    let node = Arc::clone(node);
+    let watching = async move { supervise("watch_store", || watch_store(Arc::clone(&node))).await };
+    AbortOnDropHandle::new(tokio::spawn(watching))
 }
 
 /// Reads the entries of the fleet, and again after a time if there was no other node.
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -80,7 +80,11 @@
     }
 }
 
+/// Stored bytes, or the body of a report, on which the decoders of the tests panic.
+pub const PANIC_BYTES: &[u8] = b"unexpected";
+
 fn decode_configuration(stored: &[u8]) -> Result<TrafficPlan, String> {
+    assert_ne!(stored, PANIC_BYTES, "a decoder with a fault");
     let stored: StoredPlan = serde_json::from_slice(stored).map_err(|error| error.to_string())?;
     let mut plan = TrafficPlan::new(ConfigVersion(stored.version));
     for (host, _, _) in &stored.routes {
@@ -106,6 +110,7 @@
 }
 
 fn decode_call(method: &Method, path: &str, body: &Bytes) -> Result<ServerCall, String> {
+    assert_ne!(body, PANIC_BYTES, "a decoder with a fault");
     let server_id = path.trim_start_matches('/').to_owned();
     if *method == Method::DELETE {
         return Ok(ServerCall::Leave { server_id });
@@ -233,6 +238,18 @@
         exchange(address, request).await.status
     }
 
+    /// Sends the body of a report that is not one. Returns the status of the response.
+    pub async fn report_bytes(&self, index: usize, body: &'static [u8]) -> StatusCode {
+        let request = BufferedRequest {
+            method: Method::PUT,
+            uri: "/server-x".parse().expect("valid path"),
+            headers: HeaderMap::new(),
+            body: Bytes::from_static(body),
+        };
+        let address = self.relays[index].daemon.node().settings.raw.listen.reports;
+        exchange(address, request).await.status
+    }
+
     /// Reports the server of a relay, and repeats the report while the relay responds with 503.
     /// Returns the last status.
     pub async fn report(&self, index: usize, sequence: u64, is_draining: bool) -> StatusCode {
--- a/testutils/src/relay/mod.rs
+++ b/testutils/src/relay/mod.rs
@@ -6,6 +6,7 @@
 mod store;
 
 pub use self::fleet::CONFIGURATION_KEY;
+pub use self::fleet::PANIC_BYTES;
 pub use self::fleet::RelayFleet;
 pub use self::fleet::StoredPlan;
 pub use self::fleet::relay_protocol;
