relay: a departure is stored again after the store went back to an earlier copy

The record of a departure could go with the store's return; a relay that restarted then took a late report of the server that had left for a new one and used it again. Each relay that knows of a departure now writes it again when it sees a new era. departure_is_stored_again_after_the_store_went_back fails before.

Tests that passed at once: a withdrawn key after a restart during an outage, and answers that break off in the head, by length, in chunks or by a reset.

--- a/lib/src/process/relay/registration.rs
+++ b/lib/src/process/relay/registration.rs
@@ -102,6 +102,12 @@
         self.is_draining || self.announced_leaving
     }
 
+    /// Returns whether a later process of the node must know what was reported, because it could use
+    /// a server otherwise that leaves or has left.
+    pub fn must_be_stored(&self) -> bool {
+        self.is_leaving() || self.departed.is_some()
+    }
+
     /// Returns whether a report is of an incarnation that departed, which is one that started
     /// before the departure.
     fn has_departed(&self, report: &ServerReport) -> bool {
--- a/lib/src/process/relay/views/apply.rs
+++ b/lib/src/process/relay/views/apply.rs
@@ -12,6 +12,7 @@
 use crate::process::membership::NodeRecord;
 use crate::process::relay::node::RelayNode;
 use crate::process::relay::quarantine;
+use crate::process::relay::registration_store::store_registration_until_done;
 use crate::process::relay::store::StoreEvent;
 use crate::process::relay::store::StoreItem;
 use crate::process::relay::tasks::STORE_ENTRY_PREFIX;
@@ -35,10 +36,14 @@
     true
 }
 
-fn apply_entries(node: &RelayNode, events: &[StoreEvent], is_new_era: bool) {
+fn apply_entries(node: &Arc<RelayNode>, events: &[StoreEvent], is_new_era: bool) {
     let now = node.clock.now();
     if is_new_era {
         node.fleet.lock().begin_era();
+        // What this node wrote may be gone, too.
+        if node.registration.lock().must_be_stored() {
+            tokio::spawn(store_registration_until_done(Arc::clone(node)));
+        }
     }
     let mut changed = false;
     for event in events {
--- a/lib/tests/test_late_responses.rs
+++ b/lib/tests/test_late_responses.rs
@@ -1,4 +1,4 @@
-//! Servers that send a response again, late, on a connection that is in use again.
+//! Servers that send a response again, late, on a connection that is in use again, or break one off.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -119,3 +119,59 @@
         (StatusCode::OK, &b"of r3"[..])
     );
 }
+
+/// Takes the place of the server at `address`, sends `partial` to each request and ends the connection.
+async fn serve_broken(address: SocketAddr, partial: &'static str, is_reset: bool) {
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            Err(_) => tokio::task::yield_now().await,
+        }
+    };
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let request = next_request(&mut stream).await?;
+                let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {}\r\n", id_of(&request));
+                stream.write_all(head.as_bytes()).await.ok()?;
+                stream.write_all(partial.as_bytes()).await.ok()?;
+                if is_reset {
+                    // The bytes are on their way before the reset.
+                    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                    stream.set_zero_linger().ok()?;
+                }
+                Some(())
+            });
+        }
+    });
+}
+
+async fn expect_no_success(partial: &'static str, is_reset: bool) {
+    let fleet = RelayFleet::start(&sample_open_plan(), &["stock"]).await;
+    let server = &fleet.relays[0].server;
+    server.crash();
+    serve_broken(server.address, partial, is_reset).await;
+    let response = fleet.call(0, "r1", "/stock/1", None).await;
+    assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{partial:?}");
+}
+
+// Guards against an answer that broke off halfway and reaches the caller as a complete success.
+#[tokio::test]
+async fn answer_that_is_shorter_than_its_length_is_no_success() {
+    expect_no_success("content-length: 10\r\n\r\nhalf", false).await;
+}
+
+#[tokio::test]
+async fn chunked_answer_without_its_end_is_no_success() {
+    expect_no_success("transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n", false).await;
+}
+
+#[tokio::test]
+async fn answer_without_a_length_that_is_reset_is_no_success() {
+    expect_no_success("connection: close\r\n\r\nhalf", true).await;
+}
+
+#[tokio::test]
+async fn answer_that_breaks_off_in_its_head_is_no_success() {
+    expect_no_success("content-len", false).await;
+}
--- a/lib/tests/test_relay_views.rs
+++ b/lib/tests/test_relay_views.rs
@@ -3,9 +3,13 @@
 use balsamfold::process::relay::RelayNode;
 use balsamfold::values::ConfigVersion;
 use balsamfold::values::NodeId;
+use balsamfold::version::Repeatability;
+use http::StatusCode;
 use testutils::relay::RelayFleet;
 use testutils::relay::StoredPlan;
+use testutils::relay::organisation_limits;
 use testutils::relay::sample_open_plan;
+use testutils::relay::sample_route;
 
 const SERVERS: usize = 5;
 
@@ -121,3 +125,43 @@
     let mut nodes = fleet.relays.iter().map(|relay| relay.daemon.node());
     assert!(nodes.all(|node| has_version(node, 99)));
 }
+
+// Guards against a server that left and is in use again: the record of its departure went with the store's
+// return to an earlier copy, and then its relay restarts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn departure_is_stored_again_after_the_store_went_back() {
+    let fleet = settled_fleet().await;
+    let copy = fleet.store.copy();
+    fleet.report_departure(2).await;
+    fleet.store.go_back_to(&copy);
+    fleet
+        .wait_until(|fleet| !fleet.store.keys("departures/node-2").is_empty())
+        .await;
+}
+
+// Guards against a withdrawn key that a restarted relay accepts while it cannot read the store.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn withdrawn_key_is_refused_after_a_restart_during_an_outage() {
+    let keyed = |version, keys: &[&str]| {
+        let route = sample_route("stock", "stock", Repeatability::Idempotent);
+        let keys = keys.iter().map(|key| (*key).to_owned());
+        StoredPlan {
+            version,
+            routes: vec![("shop".to_owned(), "/stock/".to_owned(), route)],
+            organisations: vec![(organisation_limits(10_000, 10_000), keys.collect())],
+        }
+    };
+    let mut fleet = RelayFleet::start(&keyed(1, &["k1", "k2"]), &["stock"; 3]).await;
+    fleet.publish(&keyed(2, &["k2"]));
+    wait_for_version(&fleet, 2).await;
+    fleet.store.set_down(true);
+    fleet.restart(1).await;
+    let during = fleet.call(1, "r1", "/stock/1", Some("k1")).await;
+    assert_eq!(during.status, StatusCode::SERVICE_UNAVAILABLE);
+    fleet.store.set_down(false);
+    fleet
+        .wait_until(|fleet| fleet.relays[1].daemon.node().is_ready())
+        .await;
+    let afterwards = fleet.call(1, "r2", "/stock/1", Some("k1")).await;
+    assert_eq!(afterwards.status, StatusCode::UNAUTHORIZED);
+}
