relay: the answer to an at-most-once request is awaited while its node stands still

A connection between nodes counted as lost after a second without a byte, and all its open exchanges with it. An at-most-once request at a node that stood still for longer was answered with 502 although its server finished it, and nobody could repeat it. Such exchanges now wait as long as their callers; the others are given up after a second as before and tried elsewhere, and cancelled at the node in case it returns.

answer_to_an_at_most_once_request_is_delivered_after_its_node_stood_still fails before (502); requests_go_to_another_node_while_one_stands_still passes before too.

--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -17,6 +17,7 @@
 use super::frame::encode_frame;
 use super::frame::header_list;
 use super::link::LinkFailure;
+use super::link::Patience;
 use super::link::PeerReply;
 use super::node::RelayNode;
 use super::observed_call::ObservedCall;
@@ -421,9 +422,12 @@
         .await
         .map_err(|_| not_sent())?;
     let sent_at = node.clock.now();
-    let reply = link
-        .exchange(|exchange| request_frame(exchange, &outbound.request, metadata))
-        .await;
+    let patience = match outbound.route.repeatability {
+        Repeatability::Idempotent => Patience::Short,
+        Repeatability::AtMostOnce => Patience::Caller,
+    };
+    let frame = |exchange| request_frame(exchange, &outbound.request, metadata);
+    let reply = link.exchange_with(patience, frame).await;
     let link_reply = match reply {
         Ok(link_reply) => link_reply,
         Err(LinkFailure::NotSent) => return Err(not_sent()),
--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -42,8 +42,12 @@
 /// Time without received bytes after which new requests go to other nodes. A ping and its reply
 /// take a few milliseconds; a node short of CPU time takes a few hundred.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(400);
-/// Time without received bytes after which a connection with open exchanges counts as lost.
+/// Time without received bytes after which open exchanges count as lost, and the connection too unless
+/// an exchange waits longer.
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time without received bytes after which the connection counts as lost in any case. An instance that
+/// stood still for a moment has sent its replies by then.
+const SILENCE_MAX: Duration = Duration::from_secs(20);
 /// Time since the start of the last exchange after which a connection without open exchanges is
 /// closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -94,9 +98,24 @@
 
 type ReplySender = oneshot::Sender<Result<LinkReply, LinkFailure>>;
 
+/// How long an exchange waits for the reply of a node that has gone silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Patience {
+    /// [`RECEIVE_TIMEOUT`], because it can be repeated elsewhere.
+    Short,
+    /// As long as its caller: it must not be repeated, and the reply may come late.
+    Caller,
+}
+
+#[derive(Debug)]
+struct PendingExchange {
+    sender: ReplySender,
+    patience: Patience,
+}
+
 #[derive(Debug)]
 struct LinkState {
-    pending: HashMap<ExchangeId, ReplySender>,
+    pending: HashMap<ExchangeId, PendingExchange>,
     next_exchange: u64,
     last_received_at: MonotonicTime,
     last_used_at: MonotonicTime,
@@ -173,6 +192,15 @@
     pub(super) async fn exchange(
         self: &Arc<Self>,
         head: impl FnOnce(ExchangeId) -> Result<Bytes, LinkFailure>,
+    ) -> Result<LinkReply, LinkFailure> {
+        self.exchange_with(Patience::Short, head).await
+    }
+
+    /// Does the same, and waits for a node that has gone silent as `patience` says.
+    pub(super) async fn exchange_with(
+        self: &Arc<Self>,
+        patience: Patience,
+        head: impl FnOnce(ExchangeId) -> Result<Bytes, LinkFailure>,
     ) -> Result<LinkReply, LinkFailure> {
         let (sender, receiver) = oneshot::channel();
         let exchange = {
@@ -192,7 +220,8 @@
             state.next_exchange += 1;
             state.last_used_at = now;
             state.queued_bytes += frame.len();
-            state.pending.insert(exchange, sender);
+            let pending = PendingExchange { sender, patience };
+            state.pending.insert(exchange, pending);
             if self.outgoing.send(frame).is_err() {
                 state.pending.remove(&exchange);
                 return Err(LinkFailure::NotSent);
@@ -286,10 +315,10 @@
             | Head::ViewRequest { .. }
             | Head::SuspectsRequest { .. } => return Ok(()),
         };
-        let sender = self.state.lock().pending.remove(&exchange);
-        if let Some(sender) = sender {
+        let pending = self.state.lock().pending.remove(&exchange);
+        if let Some(pending) = pending {
             // Sending fails if the exchange was cancelled.
-            let _ = sender.send(Ok(LinkReply {
+            let _ = pending.sender.send(Ok(LinkReply {
                 reply,
                 confirmation,
                 load,
@@ -303,9 +332,26 @@
         state.is_closed = true;
         let pending = std::mem::take(&mut state.pending);
         drop(state);
-        for sender in pending.into_values() {
+        for exchange in pending.into_values() {
             // Sending fails if the exchange was cancelled.
-            let _ = sender.send(Err(LinkFailure::Lost));
+            let _ = exchange.sender.send(Err(LinkFailure::Lost));
+        }
+    }
+
+    /// Gives up the exchanges that do not wait for a silent node, and cancels them there in case it
+    /// returns.
+    fn give_up_impatient(&self) {
+        let given_up: Vec<_> = {
+            let mut state = self.state.lock();
+            let impatient =
+                |_: &ExchangeId, pending: &mut PendingExchange| pending.patience == Patience::Short;
+            state.pending.extract_if(impatient).collect()
+        };
+        for (exchange, pending) in given_up {
+            // Sending fails if the exchange was cancelled.
+            let _ = pending.sender.send(Err(LinkFailure::Lost));
+            // A connection that cannot take the frame is closed later.
+            let _ = self.queue(&Head::Cancel { exchange }, &[]);
         }
     }
 
@@ -335,9 +381,13 @@
         let now = self.clock.now();
         let state = self.state.lock();
         let since_received = now.since(state.last_received_at);
+        let mut pending = state.pending.values();
+        let is_awaited = pending.any(|exchange| exchange.patience == Patience::Caller);
         match state.pending.is_empty() {
             true if now.since(state.last_used_at) > IDLE_TIMEOUT => LivenessAction::Close,
             true => LivenessAction::None,
+            false if since_received > SILENCE_MAX => LivenessAction::Close,
+            false if since_received > RECEIVE_TIMEOUT && is_awaited => LivenessAction::GiveUp,
             false if since_received > RECEIVE_TIMEOUT => LivenessAction::Close,
             false if since_received > PING_AFTER => LivenessAction::Ping,
             false => LivenessAction::None,
@@ -349,6 +399,8 @@
 enum LivenessAction {
     None,
     Ping,
+    /// Give up the exchanges that do not wait longer, and ping.
+    GiveUp,
     Close,
 }
 
@@ -454,7 +506,10 @@
         match link.check_liveness() {
             LivenessAction::None => {}
             LivenessAction::Close => return "silent",
-            LivenessAction::Ping => {
+            action @ (LivenessAction::Ping | LivenessAction::GiveUp) => {
+                if action == LivenessAction::GiveUp {
+                    link.give_up_impatient();
+                }
                 // Any received byte shows that the node is alive: no exchange waits for this reply.
                 let exchange = ExchangeId(u64::MAX);
                 if link.queue(&Head::Ping { exchange }, &[]).is_err() {
--- /dev/null
+++ b/lib/tests/test_relay_silence.rs
@@ -0,0 +1,105 @@
+//! Relays that stand still for a moment while they run requests.
+
+use std::time::Duration;
+
+use balsamfold::version::PlannedRoute;
+use balsamfold::version::Repeatability;
+use http::StatusCode;
+use testutils::relay::Behaviour;
+use testutils::relay::RelayFleet;
+use testutils::relay::StoredPlan;
+use testutils::relay::sample_open_plan;
+use testutils::relay::sample_route;
+use tokio::runtime::Runtime;
+
+/// Longer than the silence after which a connection to another node counts as lost.
+const STANDSTILL: Duration = Duration::from_millis(2_500);
+const SERVICE_TIME: Duration = Duration::from_millis(400);
+
+fn plan(repeatability: Repeatability) -> StoredPlan {
+    let route = PlannedRoute {
+        is_open: true,
+        timeout_ms: 10_000,
+        ..sample_route("stock", "stock", repeatability)
+    };
+    StoredPlan {
+        routes: vec![("shop".to_owned(), "/stock/".to_owned(), route)],
+        ..sample_open_plan()
+    }
+}
+
+fn runtime() -> Runtime {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    let built = builder.worker_threads(1).enable_all().build();
+    built.expect("a runtime can be started")
+}
+
+/// Returns a fleet whose node 0 is an ingress only, and whose node 1 runs on `apart`.
+async fn fleet_with(
+    services: &[&'static str],
+    repeatability: Repeatability,
+    apart: &Runtime,
+) -> RelayFleet {
+    let mut fleet = RelayFleet::start(&plan(repeatability), services).await;
+    fleet.restart_on(1, apart.handle()).await;
+    fleet.report(1, 2, false).await;
+    let address = fleet.relays[1].daemon.node().settings.raw.listen.peers;
+    fleet
+        .wait_until(|fleet| {
+            let members = fleet.relays[0].daemon.node().members();
+            let mut nodes = members.nodes();
+            nodes.any(|record| record.addresses.peer == address)
+        })
+        .await;
+    fleet.wait_until_ready().await;
+    fleet
+}
+
+/// Lets the relay stand still once its server received a request.
+async fn stand_still_during_a_run(fleet: &RelayFleet, apart: &Runtime) {
+    fleet
+        .wait_until(|fleet| !fleet.relays[1].server.received().is_empty())
+        .await;
+    // Blocks the only thread of the relay, like a suspended instance.
+    apart.spawn(async { std::thread::sleep(STANDSTILL) });
+}
+
+// Guards against a request that is given up because its node was silent for a moment, although its server
+// finishes it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answer_to_an_at_most_once_request_is_delivered_after_its_node_stood_still() {
+    let apart = runtime();
+    let fleet = fleet_with(&["front", "stock"], Repeatability::AtMostOnce, &apart).await;
+    let slow = Behaviour::Slow(SERVICE_TIME);
+    fleet.relays[1].server.set_behaviour(slow);
+    let (response, ()) = tokio::join!(
+        fleet.call(0, "r1", "/stock/1", None),
+        stand_still_during_a_run(&fleet, &apart)
+    );
+    assert_eq!(response.status, StatusCode::OK, "{response:?}");
+    assert_eq!(fleet.relays[1].server.received().len(), 1);
+    apart.shutdown_background();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_go_to_another_node_while_one_stands_still() {
+    let apart = runtime();
+    let services = ["front", "stock", "stock"];
+    let fleet = fleet_with(&services, Repeatability::Idempotent, &apart).await;
+    for relay in &fleet.relays {
+        relay.server.set_behaviour(Behaviour::Slow(SERVICE_TIME));
+    }
+    let calls = (0..6).map(|number| {
+        let fleet = &fleet;
+        async move {
+            let id = format!("r{number}");
+            fleet.call(0, &id, "/stock/1", None).await.status
+        }
+    });
+    let (statuses, ()) = tokio::join!(
+        futures::future::join_all(calls),
+        stand_still_during_a_run(&fleet, &apart)
+    );
+    assert!(statuses.iter().all(|status| *status == StatusCode::OK));
+    apart.shutdown_background();
+}
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -205,6 +205,19 @@
         self.relays.insert(index, TestRelay { daemon, ..relay });
     }
 
+    /// Restarts the relay at `index` on another runtime, which may stand still.
+    pub async fn restart_on(&mut self, index: usize, runtime: &tokio::runtime::Handle) {
+        let relay = self.relays.remove(index);
+        let name = format!("node-{index}");
+        let settings = settings(&name, relay.service, relay.server.address);
+        drop(relay.daemon);
+        let store = Arc::new(relay.store.clone());
+        let starting = runtime.spawn(RelayDaemon::start(settings, relay_protocol(), store));
+        let started = starting.await.expect("the runtime runs");
+        let daemon = started.expect("ports are free");
+        self.relays.insert(index, TestRelay { daemon, ..relay });
+    }
+
     /// Writes the store entry of a former node whose address the relay at `index` now has.
     pub fn write_stale_entry(&self, name: &str, service: &str, index: usize) {
         let node = self.relays[index].daemon.node();
