--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -15,7 +15,7 @@
 use snafu::Snafu;
 
 use super::confirmation::ConfirmationReport;
-use super::link::READ_BYTES;
+use super::frame_io::READ_BYTES;
 use super::views::ViewPositions;
 use super::views::ViewUpdate;
 use crate::process::gate::FloorNotice;
--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -10,7 +10,6 @@
 use http::StatusCode;
 use parking_lot::Mutex;
 use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -25,6 +24,8 @@
 use super::frame::LoadNotice;
 use super::frame::encode_frame;
 use super::frame::header_map;
+use super::frame_io::READ_BYTES;
+use super::frame_io::write_frames;
 use super::views::ViewUpdate;
 use crate::connection::BufferedResponse;
 use crate::process::events::relay as events;
@@ -55,10 +56,6 @@
 const LIVENESS_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Maximum bytes queued for one node. A node with more queued bytes has stopped reading.
 const QUEUED_BYTES_MAX: usize = 16 * 1_024 * 1_024;
-/// Size up to which queued frames are joined into one write.
-const WRITE_BYTES: usize = 64 * 1_024;
-/// Buffer space reserved before each read.
-pub(super) const READ_BYTES: usize = 16 * 1_024;
 
 /// The reply of another node to an exchange.
 #[derive(Debug)]
@@ -472,34 +469,6 @@
     }
 }
 
-/// Writes queued frames, several in one write, and calls `on_written` with the bytes of each write.
-pub(super) async fn write_frames(
-    mut writer: OwnedWriteHalf,
-    mut frames: mpsc::UnboundedReceiver<Bytes>,
-    on_written: impl Fn(usize),
-) -> std::io::Result<()> {
-    while let Some(first) = frames.recv().await {
-        match frames.try_recv() {
-            Err(_) => {
-                writer.write_all(&first).await?;
-                on_written(first.len());
-            }
-            Ok(second) => {
-                let mut joined = BytesMut::from(&first[..]);
-                joined.extend_from_slice(&second);
-                while joined.len() < WRITE_BYTES
-                    && let Ok(next) = frames.try_recv()
-                {
-                    joined.extend_from_slice(&next);
-                }
-                writer.write_all(&joined).await?;
-                on_written(joined.len());
-            }
-        }
-    }
-    Ok(())
-}
-
 async fn monitor_liveness(link: &Link) -> &'static str {
     loop {
         tokio::time::sleep(LIVENESS_CHECK_PERIOD).await;
--- a/lib/src/process/relay/mod.rs
+++ b/lib/src/process/relay/mod.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod forward;
 mod frame;
+mod frame_io;
 mod link;
 mod links;
 mod metrics;
--- a/lib/tests/test_relay_fleet_view.rs
+++ b/lib/tests/test_relay_fleet_view.rs
@@ -1,28 +1,15 @@
 //! The view of the fleet from its store entries.
 
-use balsamfold::process::membership::NodeAddresses;
 use balsamfold::process::membership::NodeCondition;
 use balsamfold::process::membership::NodeRecord;
 use balsamfold::process::relay::Fleet;
 use balsamfold::process::relay::StoreRevision;
-use balsamfold::values::Incarnation;
 use balsamfold::values::NodeId;
 use testutils::relay::at_ms;
+use testutils::relay::sample_node_record;
 
 fn record(name: &str, condition: NodeCondition) -> NodeRecord {
-    let unused = "127.0.0.1:0".parse().expect("valid address");
-    NodeRecord {
-        id: name.parse().expect("valid name"),
-        zone: "zone-a".parse().expect("valid name"),
-        addresses: NodeAddresses {
-            peer: unused,
-            control: unused,
-            probe: unused,
-        },
-        incarnation: Incarnation(1),
-        condition,
-        server: None,
-    }
+    sample_node_record(name, "zone-a", condition)
 }
 
 fn node(name: &str) -> NodeId {
--- a/lib/tests/test_relay_sources.rs
+++ b/lib/tests/test_relay_sources.rs
@@ -1,32 +1,15 @@
 //! Which nodes a node asks for changes of the store.
 
 use balsamfold::process::membership::MemberTable;
-use balsamfold::process::membership::NodeAddresses;
 use balsamfold::process::membership::NodeCondition;
 use balsamfold::process::membership::NodeRecord;
 use balsamfold::process::relay::SourcePlan;
 use balsamfold::process::relay::plan_sources;
-use balsamfold::values::Incarnation;
-
-fn record(name: &str, zone: &str, condition: NodeCondition) -> NodeRecord {
-    let unused = "127.0.0.1:0".parse().expect("valid address");
-    NodeRecord {
-        id: name.parse().expect("valid name"),
-        zone: zone.parse().expect("valid name"),
-        addresses: NodeAddresses {
-            peer: unused,
-            control: unused,
-            probe: unused,
-        },
-        incarnation: Incarnation(1),
-        condition,
-        server: None,
-    }
-}
+use testutils::relay::sample_node_record;
 
 fn fleet() -> Vec<NodeRecord> {
     let names = ["a-1", "a-2", "a-3", "a-4", "b-1", "b-2", "c-1", "c-2"];
-    let alive = |name: &&str| record(name, &name[..1], NodeCondition::Alive);
+    let alive = |name: &&str| sample_node_record(name, &name[..1], NodeCondition::Alive);
     names.iter().map(alive).collect()
 }
 
--- a/testutils/src/relay/mod.rs
+++ b/testutils/src/relay/mod.rs
@@ -13,6 +13,7 @@
 pub use self::samples::SAMPLE_SETTINGS;
 pub use self::samples::at_ms;
 pub use self::samples::organisation_limits;
+pub use self::samples::sample_node_record;
 pub use self::samples::sample_open_plan;
 pub use self::samples::sample_organisation;
 pub use self::samples::sample_route;
--- a/testutils/src/relay/samples.rs
+++ b/testutils/src/relay/samples.rs
@@ -1,5 +1,9 @@
 //! Sample values for tests of relays.
 
+use balsamfold::process::membership::NodeAddresses;
+use balsamfold::process::membership::NodeCondition;
+use balsamfold::process::membership::NodeRecord;
+use balsamfold::values::Incarnation;
 use balsamfold::values::MonotonicTime;
 use balsamfold::values::OrganisationId;
 use balsamfold::values::RatePerSecond;
@@ -88,3 +92,20 @@
         is_open: false,
     }
 }
+
+/// Returns the record of a node without a backend server.
+pub fn sample_node_record(name: &str, zone: &str, condition: NodeCondition) -> NodeRecord {
+    let unused = "127.0.0.1:0".parse().expect("valid address");
+    NodeRecord {
+        id: name.parse().expect("valid name"),
+        zone: zone.parse().expect("valid name"),
+        addresses: NodeAddresses {
+            peer: unused,
+            control: unused,
+            probe: unused,
+        },
+        incarnation: Incarnation(1),
+        condition,
+        server: None,
+    }
+}
