testutils: a fleet with keys is ready once a node grants tokens

The fleet counted as ready when the record of the zone's holder was stored, but a holder begins to grant tokens after that. It waits for that now.

--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -345,6 +345,11 @@
         !self.is_stopping() && self.plan().is_some() && self.accepts_keys()
     }
 
+    /// Returns whether this node grants the tokens of its zone.
+    pub fn holds_rates(&self) -> bool {
+        self.rates.service.is_holder()
+    }
+
     /// Returns the highest floor of this node's gate and the downstream nodes.
     pub(super) fn floor(&self, route: &str) -> Option<FloorNotice> {
         let backend = self.backend()?;
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -307,7 +307,12 @@
     pub async fn wait_until_ready_with_servers(&self, count: usize) {
         self.wait_until(|fleet| {
             // Requests with keys are refused until the zone has a holder of its rates.
-            let has_holder = !fleet.store.keys("rates/").is_empty();
+            let mut nodes = fleet.relays.iter().map(|relay| relay.daemon.node());
+            let needs_holder = nodes.clone().any(|node| {
+                let plan = node.plan();
+                plan.is_some_and(|plan| plan.needs_keys())
+            });
+            let has_holder = !needs_holder || nodes.any(|node| node.holds_rates());
             has_holder
                 && fleet.relays.iter().all(|relay| {
                     let node = relay.daemon.node();
