--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -246,7 +246,7 @@
         /// The entries of which the node knows more than the sender of the notification, or all.
         entries: Vec<SuspectEntry>,
     },
-    /// Requests what the sender lacks of the store's views, and to be told of later changes.
+    /// Requests what the sender lacks of the store's views, and notices of later changes.
     ViewRequest {
         /// The exchange.
         exchange: ExchangeId,
@@ -262,7 +262,7 @@
         /// What the sender of the request lacks.
         updates: Vec<ViewUpdate>,
     },
-    /// Tells a node that requested views that there are news.
+    /// Notifies a node that requested views of changes.
     ViewsChanged,
     /// Requests all suspects that a node knows.
     SuspectsRequest {
--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -128,7 +128,7 @@
     state: Mutex<LinkState>,
     outgoing: mpsc::UnboundedSender<Bytes>,
     /// Notified when the other node tells that the store has changed.
-    has_news: Arc<Notify>,
+    update_notice: Arc<Notify>,
 }
 
 impl Link {
@@ -142,7 +142,7 @@
         peer: NodeId,
         address: SocketAddr,
         clock: Clock,
-        has_news: Arc<Notify>,
+        update_notice: Arc<Notify>,
     ) -> std::io::Result<Arc<Self>> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
@@ -161,7 +161,7 @@
                 is_closed: false,
             }),
             outgoing,
-            has_news,
+            update_notice,
         });
         link.queue(&Head::Hello { from, to: peer }, &[])
             .map_err(|_| std::io::Error::other("hello frame was not queued"))?;
@@ -295,7 +295,7 @@
                 (exchange, reply, Some(confirmation), load)
             }
             Head::ViewsChanged => {
-                self.has_news.notify_one();
+                self.update_notice.notify_one();
                 return Ok(());
             }
             Head::Hello { .. }
--- a/lib/src/process/relay/links.rs
+++ b/lib/src/process/relay/links.rs
@@ -39,17 +39,17 @@
     local_node: NodeId,
     clock: Clock,
     /// Notified when another node tells that the store has changed.
-    has_news: Arc<Notify>,
+    update_notice: Arc<Notify>,
     slots: Mutex<HashMap<SocketAddr, LinkSlot>>,
     opening: Mutex<HashMap<SocketAddr, Arc<tokio::sync::Mutex<()>>>>,
 }
 
 impl Links {
-    pub(super) fn new(local_node: NodeId, clock: Clock, has_news: Arc<Notify>) -> Self {
+    pub(super) fn new(local_node: NodeId, clock: Clock, update_notice: Arc<Notify>) -> Self {
         Self {
             local_node,
             clock,
-            has_news,
+            update_notice,
             slots: Mutex::default(),
             opening: Mutex::default(),
         }
@@ -95,9 +95,9 @@
     }
 
     async fn open(&self, peer: &NodeId, address: SocketAddr) -> Option<Arc<Link>> {
-        let has_news = Arc::clone(&self.has_news);
+        let update_notice = Arc::clone(&self.update_notice);
         let local_node = self.local_node.clone();
-        let opened = Link::open(local_node, peer.clone(), address, self.clock, has_news);
+        let opened = Link::open(local_node, peer.clone(), address, self.clock, update_notice);
         let reason = match timeout(CONNECT_TIMEOUT, opened).await {
             Ok(Ok(link)) => {
                 let slot = LinkSlot::Open(Arc::clone(&link));
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -147,7 +147,7 @@
             links: Arc::new(Links::new(
                 settings.raw.node.clone(),
                 clock,
-                Arc::clone(&views.has_news),
+                Arc::clone(&views.update_notice),
             )),
             views,
             suspects: SuspectState::new(settings.raw.node.clone()),
@@ -244,7 +244,7 @@
         let used = self.confirmation.lock().apply_report(report, requested_at);
         if used == ConfirmationUse::NewerVersion {
             *self.views.newer_at.lock() = Some(from.clone());
-            self.views.has_news.notify_one();
+            self.views.update_notice.notify_one();
         }
     }
 
--- a/lib/src/process/relay/tasks.rs
+++ b/lib/src/process/relay/tasks.rs
@@ -23,7 +23,7 @@
 /// Time between two checks of the confirmation's age.
 const CONFIRM_PERIOD: Duration = Duration::from_millis(100);
 /// Confirmation age at which a connected node's report is requested, as a fraction of the time in
-/// which a configuration must be in force. The usual source of news did not help then.
+/// which a configuration must be in force. The usual source of updates did not help then.
 const PEER_REQUEST_AGE_FRACTION: f64 = 0.7;
 /// Range of the confirmation age at which the first node of a zone reads the store, as fractions of
 /// the same time. Each draws its own age, so that one reads and the others learn from it.
--- a/lib/src/process/relay/views/follow.rs
+++ b/lib/src/process/relay/views/follow.rs
@@ -26,14 +26,14 @@
 use crate::process::relay::tasks::new_backoff;
 use crate::values::MonotonicTime;
 
-/// Time between two questions for news, as a fraction of the time in which a configuration must be
-/// in force. Changes are announced in between.
+/// Time between two polls of another node, as a fraction of the time in which a configuration must be
+/// in force. Notices of changes come in between.
 const POLL_PERIOD_FRACTION: f64 = 0.25;
 /// The same for the first nodes of zones, which share the reads of the store among them.
 const FIRST_POLL_PERIOD_FRACTION: f64 = 0.1;
 /// The same time while the node has no configuration.
 const STARTING_POLL_PERIOD: Duration = Duration::from_millis(100);
-/// Shortest time between two questions, so that announcements close together cost one.
+/// Shortest time between two polls, so that notices close together cost one.
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 /// Timeout for the reply of another node.
 const POLL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -81,7 +81,7 @@
         };
         let is_watching = &node.views.is_watching;
         is_watching.store(watch.is_some(), Ordering::Relaxed);
-        let _ = timeout(poll_period(&node), node.views.has_news.notified()).await;
+        let _ = timeout(poll_period(&node), node.views.update_notice.notified()).await;
         sleep(POLL_PAUSE).await;
     }
 }
@@ -122,7 +122,7 @@
     }
 }
 
-/// Asks other nodes for news until one is up to date. Returns whether this node is up to date.
+/// Polls other nodes until one is up to date. Returns whether this node is up to date.
 async fn ask_sources(node: &Arc<RelayNode>, plan: &SourcePlan) -> bool {
     let named = node.views.newer_at.lock().take();
     let members = node.members();
@@ -160,7 +160,7 @@
     node.plan().is_some() && node.confirmation_age().is_some_and(|known| known < age)
 }
 
-/// Asks a node for news and applies them. Returns whether it replied.
+/// Polls a node and applies the updates. Returns whether it replied.
 async fn ask(node: &Arc<RelayNode>, source: &NodeRecord) -> bool {
     matches!(
         timeout(POLL_TIMEOUT, poll_node(node, source)).await,
@@ -184,8 +184,8 @@
     let PeerReply::Views(updates) = reply.reply else {
         return None;
     };
-    for news in updates {
-        apply_update(node, news.view, news.update);
+    for update in updates {
+        apply_update(node, update.view, update.update);
     }
     if let Some(report) = reply.confirmation {
         node.apply_confirmation_report(report, requested_at, &source.id);
@@ -193,7 +193,7 @@
     Some(())
 }
 
-/// Brings the configuration up to date for a request, through the usual source of news or else the
+/// Brings the configuration up to date for a request, through the usual source of updates or else the
 /// store. Requests at the same time share one read. Returns whether that succeeded.
 pub(in crate::process::relay) async fn refresh(node: &Arc<RelayNode>) -> bool {
     let requested_at = node.clock.now();
--- a/lib/src/process/relay/views/messages.rs
+++ b/lib/src/process/relay/views/messages.rs
@@ -26,7 +26,7 @@
 pub type ViewPositions = [Option<StorePosition>; View::ALL.len()];
 
 plain_data! {
-    /// News about a view.
+    /// An update of a view.
     #[derive(Eq)]
     pub enum MirrorUpdate {
         /// All items.
@@ -49,12 +49,12 @@
 }
 
 plain_data! {
-    /// News about one view.
+    /// An update of one view, with its name.
     #[derive(Eq)]
     pub struct ViewUpdate {
         /// The view.
         pub view: View,
-        /// The news.
+        /// The update.
         pub update: MirrorUpdate,
     }
 }
--- a/lib/src/process/relay/views/serve.rs
+++ b/lib/src/process/relay/views/serve.rs
@@ -1,4 +1,4 @@
-//! Answers nodes that ask for news.
+//! Replies to nodes that poll this one.
 
 use std::sync::Arc;
 
--- a/lib/src/process/relay/views/state.rs
+++ b/lib/src/process/relay/views/state.rs
@@ -20,15 +20,15 @@
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
 
-/// Time for which a node that asked for news is told that there are some: several periods in which
-/// nodes ask.
+/// Time for which a node that polled is notified of changes: several periods in which
+/// nodes poll.
 const FOLLOWER_TTL: Duration = Duration::from_secs(3);
 
-/// A connection of another node that asked for news.
+/// A connection of another node that polls this one.
 #[derive(Debug)]
 struct Follower {
     frames: UnboundedSender<Bytes>,
-    asked_at: MonotonicTime,
+    polled_at: MonotonicTime,
 }
 
 /// The mirrors of a node and the nodes that follow them.
@@ -38,8 +38,8 @@
 pub(in crate::process::relay) struct ViewState {
     mirrors: Mutex<[Mirror; View::ALL.len()]>,
     followers: Mutex<Vec<Follower>>,
-    /// Wakes the task that asks other nodes for news.
-    pub(in crate::process::relay) has_news: Arc<Notify>,
+    /// Wakes the task that polls other nodes.
+    pub(in crate::process::relay) update_notice: Arc<Notify>,
     /// A node that named a newer configuration than this node has.
     pub(in crate::process::relay) newer_at: Mutex<Option<NodeId>>,
     /// Whether this node is the first of its zone, which reads the store for the others.
@@ -74,7 +74,7 @@
         updates.collect()
     }
 
-    /// Records that a node asked for news on a connection.
+    /// Records that a node polled on a connection.
     pub(super) fn add_follower(&self, frames: &UnboundedSender<Bytes>, now: MonotonicTime) {
         let mut followers = self.followers.lock();
         followers.retain(|follower| is_following(follower, now));
@@ -82,15 +82,15 @@
             .iter_mut()
             .find(|follower| follower.frames.same_channel(frames));
         match known {
-            Some(follower) => follower.asked_at = now,
+            Some(follower) => follower.polled_at = now,
             None => followers.push(Follower {
                 frames: frames.clone(),
-                asked_at: now,
+                polled_at: now,
             }),
         }
     }
 
-    /// Tells the nodes that asked lately that there are news.
+    /// Notifies the nodes that polled lately of changes.
     pub(super) fn notify_followers(&self, now: MonotonicTime) {
         let Ok(frame) = encode_frame(&Head::ViewsChanged, &[]) else {
             return;
@@ -104,5 +104,5 @@
 }
 
 fn is_following(follower: &Follower, now: MonotonicTime) -> bool {
-    !follower.frames.is_closed() && now.since(follower.asked_at) < FOLLOWER_TTL
+    !follower.frames.is_closed() && now.since(follower.polled_at) < FOLLOWER_TTL
 }
