relay: entry of a former node no longer makes the node at its address unreachable

Callers got 503 (no-server, rate-holder-unreachable) for seconds: links were kept by address, so an attempt to reach the former node replaced the open link to the node that has its address now by 'unreachable', and the task that retries asked for the former node for ever. Links are kept by node.

The new test of both nodes under one service failed in each run before.

--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -332,7 +332,7 @@
     let members = node.members();
     let serving = members.serving(&outbound.service).iter();
     serving
-        .filter(|record| !node.links.is_unresponsive(record.addresses.peer))
+        .filter(|record| !node.links.is_unresponsive(record))
         .find(|record| record.id == only_on)
         .cloned()
 }
@@ -343,7 +343,7 @@
     let unresponsive = members
         .serving(&outbound.service)
         .iter()
-        .filter(|record| node.links.is_unresponsive(record.addresses.peer))
+        .filter(|record| node.links.is_unresponsive(record))
         .map(|record| record.id.clone());
     let excluded: Vec<NodeId> = tried.iter().cloned().chain(unresponsive).collect();
     let context = ChooseContext {
@@ -414,13 +414,8 @@
     destination: &NodeRecord,
     metadata: &RequestMetadata,
 ) -> Result<RunOutcome, Refusal> {
-    let address = destination.addresses.peer;
     let not_sent = || Refusal::not_run(RefusalReason::NoServer);
-    let link = node
-        .links
-        .get(&destination.id, address)
-        .await
-        .map_err(|_| not_sent())?;
+    let link = node.links.get(destination).await.map_err(|_| not_sent())?;
     let sent_at = node.clock.now();
     let patience = match outbound.route.repeatability {
         Repeatability::Idempotent => Patience::Short,
--- a/lib/src/process/relay/links.rs
+++ b/lib/src/process/relay/links.rs
@@ -1,7 +1,6 @@
 //! The connections to all other nodes.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +12,8 @@
 use super::link::Link;
 use super::link::LinkFailure;
 use crate::process::events::relay as events;
+use crate::process::membership::MemberTable;
+use crate::process::membership::NodeRecord;
 use crate::values::Clock;
 use crate::values::NodeId;
 
@@ -22,14 +23,21 @@
 /// Delay between attempts to connect to an unreachable node.
 const RECONNECT_DELAY: Duration = Duration::from_millis(400);
 
-/// State of the connection to one address.
+/// State of the connection to one node.
 #[derive(Debug)]
-enum LinkSlot {
+enum SlotState {
     Open(Arc<Link>),
     /// Connecting failed, and a task retries.
     Unreachable,
 }
 
+/// The connection to one node, with the address that the node had then.
+#[derive(Debug)]
+struct LinkSlot {
+    address: SocketAddr,
+    state: SlotState,
+}
+
 /// The connections to other nodes.
 ///
 /// Requests never wait for an unreachable node. They go to other nodes until a background task has
@@ -40,8 +48,10 @@
     clock: Clock,
     /// Notified when another node tells that the store has changed.
     update_notice: Arc<Notify>,
-    slots: Mutex<HashMap<SocketAddr, LinkSlot>>,
-    opening: Mutex<HashMap<SocketAddr, Arc<tokio::sync::Mutex<()>>>>,
+    /// By node and not by address, because the entry of a former node may name an address that
+    /// another node has by now.
+    slots: Mutex<HashMap<NodeId, LinkSlot>>,
+    opening: Mutex<HashMap<NodeId, Arc<tokio::sync::Mutex<()>>>>,
 }
 
 impl Links {
@@ -57,16 +67,16 @@
 
     /// Returns the connection to a node, opened if there is none.
     ///
-    /// Concurrent calls for one address share one attempt. Fails at once while a task retries.
+    /// Concurrent calls for one node share one attempt. Fails at once while a task retries.
     pub(super) async fn get(
         self: &Arc<Self>,
-        peer: &NodeId,
-        address: SocketAddr,
+        record: &NodeRecord,
     ) -> Result<Arc<Link>, LinkFailure> {
+        let (peer, address) = (&record.id, record.addresses.peer);
         if let Some(result) = self.lookup(peer, address) {
             return result;
         }
-        let opening = Arc::clone(self.opening.lock().entry(address).or_default());
+        let opening = Arc::clone(self.opening.lock().entry(peer.clone()).or_default());
         let _guard = opening.lock().await;
         if let Some(result) = self.lookup(peer, address) {
             return result;
@@ -74,15 +84,15 @@
         if let Some(link) = self.open(peer, address).await {
             return Ok(link);
         }
-        self.slots.lock().insert(address, LinkSlot::Unreachable);
+        self.store(peer, address, SlotState::Unreachable);
         let links = Arc::downgrade(self);
         let peer = peer.clone();
         tokio::spawn(async move {
             loop {
                 tokio::time::sleep(RECONNECT_DELAY).await;
-                // `remove_closed` drops the entry of a node that left the fleet.
+                // `remove_closed` drops the slot of a node that left the fleet.
                 match links.upgrade() {
-                    Some(links) if links.is_unreachable(address) => {
+                    Some(links) if links.is_unreachable(&peer, address) => {
                         if links.open(&peer, address).await.is_some() {
                             return;
                         }
@@ -100,8 +110,7 @@
         let opened = Link::open(local_node, peer.clone(), address, self.clock, update_notice);
         let reason = match timeout(CONNECT_TIMEOUT, opened).await {
             Ok(Ok(link)) => {
-                let slot = LinkSlot::Open(Arc::clone(&link));
-                self.slots.lock().insert(address, slot);
+                self.store(peer, address, SlotState::Open(Arc::clone(&link)));
                 return Some(link);
             }
             Ok(Err(error)) => error.to_string(),
@@ -111,26 +120,34 @@
         None
     }
 
+    fn store(&self, peer: &NodeId, address: SocketAddr, state: SlotState) {
+        let slot = LinkSlot { address, state };
+        self.slots.lock().insert(peer.clone(), slot);
+    }
+
     fn lookup(&self, peer: &NodeId, address: SocketAddr) -> Option<Result<Arc<Link>, LinkFailure>> {
-        match self.slots.lock().get(&address)? {
-            LinkSlot::Open(link) if !link.is_closed() && *link.peer() == *peer => {
-                Some(Ok(Arc::clone(link)))
-            }
-            LinkSlot::Unreachable => Some(Err(LinkFailure::NotSent)),
-            LinkSlot::Open(_) => None,
+        let slots = self.slots.lock();
+        let slot = slots.get(peer).filter(|slot| slot.address == address)?;
+        match &slot.state {
+            SlotState::Open(link) if !link.is_closed() => Some(Ok(Arc::clone(link))),
+            SlotState::Unreachable => Some(Err(LinkFailure::NotSent)),
+            SlotState::Open(_) => None,
         }
     }
 
-    fn is_unreachable(&self, address: SocketAddr) -> bool {
-        let slots = self.slots.lock();
-        matches!(slots.get(&address), Some(LinkSlot::Unreachable))
+    fn is_unreachable(&self, peer: &NodeId, address: SocketAddr) -> bool {
+        matches!(self.lookup(peer, address), Some(Err(_)))
     }
 
-    /// Returns whether new requests should avoid the node at this address.
-    pub(super) fn is_unresponsive(&self, address: SocketAddr) -> bool {
-        match self.slots.lock().get(&address) {
-            Some(LinkSlot::Unreachable) => true,
-            Some(LinkSlot::Open(link)) => link.is_unresponsive(),
+    /// Returns whether new requests should avoid a node.
+    pub(super) fn is_unresponsive(&self, record: &NodeRecord) -> bool {
+        let slots = self.slots.lock();
+        let slot = slots.get(&record.id);
+        match slot.filter(|slot| slot.address == record.addresses.peer) {
+            Some(slot) => match &slot.state {
+                SlotState::Unreachable => true,
+                SlotState::Open(link) => link.is_unresponsive(),
+            },
             None => false,
         }
     }
@@ -138,18 +155,21 @@
     /// Returns the open connection with the most recently received bytes.
     pub(super) fn any_open(&self) -> Option<Arc<Link>> {
         let slots = self.slots.lock();
-        let open = slots.values().filter_map(|slot| match slot {
-            LinkSlot::Open(link) if !link.is_closed() => Some(link),
-            LinkSlot::Open(_) | LinkSlot::Unreachable => None,
+        let open = slots.values().filter_map(|slot| match &slot.state {
+            SlotState::Open(link) if !link.is_closed() => Some(link),
+            SlotState::Open(_) | SlotState::Unreachable => None,
         });
         open.max_by_key(|link| link.last_received_at()).cloned()
     }
 
-    /// Removes closed connections, and unreachable nodes whose address is not in `known`.
-    pub(super) fn remove_closed(&self, known: &HashSet<SocketAddr>) {
-        self.slots.lock().retain(|address, slot| match slot {
-            LinkSlot::Open(link) => !link.is_closed(),
-            LinkSlot::Unreachable => known.contains(address),
+    /// Removes closed connections, and unreachable nodes that are not in `members` with that address.
+    pub(super) fn remove_closed(&self, members: &MemberTable) {
+        self.slots.lock().retain(|peer, slot| match &slot.state {
+            SlotState::Open(link) => !link.is_closed(),
+            SlotState::Unreachable => {
+                let record = members.node(peer);
+                record.is_some_and(|record| record.addresses.peer == slot.address)
+            }
         });
         self.opening
             .lock()
--- a/lib/src/process/relay/rates.rs
+++ b/lib/src/process/relay/rates.rs
@@ -106,10 +106,10 @@
         let record = record.clone();
         async move {
             let node = node?;
-            if node.links.is_unresponsive(record.addresses.peer) {
+            if node.links.is_unresponsive(&record) {
                 return None;
             }
-            let link = node.links.get(&record.id, record.addresses.peer).await;
+            let link = node.links.get(&record).await;
             let encode =
                 |exchange| encode_frame(&head(exchange), &[]).map_err(|_| LinkFailure::NotSent);
             let reply = link.ok()?.exchange(encode).await;
@@ -126,7 +126,7 @@
             let Some(node) = node else {
                 return;
             };
-            let link = node.links.get(&record.id, record.addresses.peer).await;
+            let link = node.links.get(&record).await;
             if let Ok(link) = link {
                 // A lost report loses tokens and creates none; a lost notice only delays a takeover.
                 let _ = link.queue(&head, &[]);
--- a/lib/src/process/relay/suspects.rs
+++ b/lib/src/process/relay/suspects.rs
@@ -432,7 +432,7 @@
     other: &NodeRecord,
     frame: impl FnOnce(ExchangeId) -> Result<bytes::Bytes, LinkFailure>,
 ) -> Option<Vec<SuspectEntry>> {
-    let link = node.links.get(&other.id, other.addresses.peer).await.ok()?;
+    let link = node.links.get(other).await.ok()?;
     match link.exchange(frame).await.ok()?.reply {
         PeerReply::KnownSuspects(entries) => Some(entries),
         _ => None,
--- a/lib/src/process/relay/tasks.rs
+++ b/lib/src/process/relay/tasks.rs
@@ -113,7 +113,6 @@
             node.publish_fleet();
         }
         let members = node.members();
-        let known = members.nodes().map(|record| record.addresses.peer);
-        node.links.remove_closed(&known.collect());
+        node.links.remove_closed(&members);
     }
 }
--- a/lib/src/process/relay/views/follow.rs
+++ b/lib/src/process/relay/views/follow.rs
@@ -138,7 +138,7 @@
         return true;
     }
     for source in &plan.sources {
-        if node.links.is_unresponsive(source.addresses.peer) {
+        if node.links.is_unresponsive(source) {
             continue;
         }
         if ask(node, source).await && (is_younger(node, fresh_age) || awaits_first_plan(node)) {
@@ -169,11 +169,7 @@
 }
 
 async fn poll_node(node: &Arc<RelayNode>, source: &NodeRecord) -> Option<()> {
-    let link = node
-        .links
-        .get(&source.id, source.addresses.peer)
-        .await
-        .ok()?;
+    let link = node.links.get(source).await.ok()?;
     let requested_at = node.clock.now();
     let known = node.views.positions();
     let request = |exchange: ExchangeId| {
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -382,6 +382,26 @@
     assert_eq!(fleet.relays[2].server.received().len(), 0);
 }
 
+// Guards against a failure where the entry of a former node made the node that now has its address
+// unreachable for all others.
+#[tokio::test]
+async fn node_at_a_reused_address_is_reached_beside_the_entry_of_the_former_node() {
+    let fleet = RelayFleet::start(&plan(1), &["front", "front", "stock"]).await;
+    fleet.write_stale_entry("gone", "stock", 2);
+    fleet
+        .wait_until(|fleet| {
+            let members = fleet.relays[0].daemon.node().members();
+            members.nodes().count() == 4
+        })
+        .await;
+    for number in 0..30 {
+        let id = format!("r{number}");
+        let response = fleet.call(0, &id, "/stock/x", Some(KEY)).await;
+        assert_eq!(response.status, StatusCode::OK, "{id} {response:?}");
+        assert_eq!(request_count(&fleet, &id), 1, "{id}");
+    }
+}
+
 #[tokio::test]
 async fn run_is_cancelled_when_its_caller_disconnects() {
     let fleet = RelayFleet::start(&plan(1), &["front", "stock"]).await;
