rates: a slow lender that replied before is waited for 75 ms

Callers within their rate got 429 while another zone had tokens: the holder answered 'empty' if a lender had not replied within 25 ms, also if it was only short of processor time. A trace of test_rates_fleet::one_node_gets_the_tokens_of_all_zones showed no lost token, but refusals by such replies. A lender that did not reply to its last request is still waited for 25 ms only.

--- a/lib/src/process/rates/lender.rs
+++ b/lib/src/process/rates/lender.rs
@@ -6,8 +6,12 @@
 use super::TokenRequestId;
 use crate::values::MonotonicTime;
 
-/// How long token requests wait for a lender's reply.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(25);
+/// How long token requests wait for the reply of a lender that replied to its last request. With the
+/// way to the requester it stays below the timeout of a token request.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(75);
+
+/// How long token requests wait for the reply of a lender that did not reply to its last request.
+const SILENT_REPLY_TIMEOUT: Duration = Duration::from_millis(25);
 
 /// How long no loan request goes to a lender that did not reply or did not lend.
 const UNRESPONSIVE_BACKOFF: Duration = Duration::from_millis(200);
@@ -17,6 +21,7 @@
 struct PendingLoanRequest {
     id: TokenRequestId,
     sent: MonotonicTime,
+    timeout: Duration,
 }
 
 /// Another zone that may lend tokens of one organisation.
@@ -32,7 +37,7 @@
     pub fn can_request(&self, now: MonotonicTime) -> bool {
         match &self.pending {
             _ if now < self.not_before => false,
-            Some(pending) => now >= pending.sent.after(REPLY_TIMEOUT + UNRESPONSIVE_BACKOFF),
+            Some(pending) => now >= pending.sent.after(pending.timeout + UNRESPONSIVE_BACKOFF),
             None => true,
         }
     }
@@ -40,14 +45,22 @@
     /// Returns whether token requests wait for the lender's reply.
     pub fn is_pending(&self, now: MonotonicTime) -> bool {
         match &self.pending {
-            Some(pending) => now < pending.sent.after(REPLY_TIMEOUT),
+            Some(pending) => now < pending.sent.after(pending.timeout),
             None => false,
         }
     }
 
     /// Records that the loan request `id` was sent.
     pub fn record_request(&mut self, id: TokenRequestId, now: MonotonicTime) {
-        self.pending = Some(PendingLoanRequest { id, sent: now });
+        let timeout = match self.pending {
+            Some(_) => SILENT_REPLY_TIMEOUT,
+            None => REPLY_TIMEOUT,
+        };
+        self.pending = Some(PendingLoanRequest {
+            id,
+            sent: now,
+            timeout,
+        });
     }
 
     /// Completes the request `id`. Returns when it was sent, or none if it is not the pending one.
--- a/lib/src/process/rates/service.rs
+++ b/lib/src/process/rates/service.rs
@@ -8,6 +8,7 @@
 use futures::future::BoxFuture;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use super::BucketDump;
 use super::Holder;
@@ -31,8 +32,9 @@
 use crate::values::OrganisationId;
 use crate::values::ZoneId;
 
-/// Longest time that a token request waits for loans.
-const LOAN_TIMEOUT: Duration = Duration::from_millis(30);
+/// Times after which a token request no longer waits for loans from lenders that did not reply
+/// before, and from any lender. They are a little longer than the lenders' timeouts.
+const LOAN_TIMEOUTS: [Duration; 2] = [Duration::from_millis(30), Duration::from_millis(80)];
 
 /// Sends messages to the holders of other zones.
 pub struct LenderCalls {
@@ -126,7 +128,8 @@
         self.state.lock().lease.known_holder().cloned()
     }
 
-    /// Handles a token request. The reply waits for loans for at most `LOAN_TIMEOUT`.
+    /// Handles a token request. The reply waits for loans for at most the last of
+    /// `LOAN_TIMEOUTS`.
     pub async fn handle_request(self: &Arc<Self>, request: TokenRequest) -> TokenReply {
         let first = self.decide(&request, Holder::handle_request);
         match self.carry_out(first, &request) {
@@ -209,24 +212,28 @@
     }
 
     async fn reply_after_loans(self: &Arc<Self>, request: &TokenRequest) -> TokenReply {
-        let retry = async {
-            loop {
-                let received = self.loan_reply_received.notified();
-                tokio::pin!(received);
-                received.as_mut().enable();
-                let decision = self.decide(request, Holder::retry);
-                match self.carry_out(decision, request) {
-                    Some(reply) => return reply,
-                    None => received.await,
-                }
+        let started = Instant::now();
+        for timeout in LOAN_TIMEOUTS {
+            let reply = self.reply_when_notified(request);
+            if let Ok(reply) = tokio::time::timeout_at(started + timeout, reply).await {
+                return reply;
             }
-        };
-        match tokio::time::timeout(LOAN_TIMEOUT, retry).await {
-            Ok(reply) => reply,
-            Err(_) => {
-                let decision = self.decide(request, Holder::final_retry);
-                let reply = self.carry_out(decision, request);
-                reply.unwrap_or(TokenReply::NoPrefetch)
+        }
+        let decision = self.decide(request, Holder::final_retry);
+        let reply = self.carry_out(decision, request);
+        reply.unwrap_or(TokenReply::NoPrefetch)
+    }
+
+    /// Decides on a token request now and after each reply of a lender, until there is a decision.
+    async fn reply_when_notified(self: &Arc<Self>, request: &TokenRequest) -> TokenReply {
+        loop {
+            let received = self.loan_reply_received.notified();
+            tokio::pin!(received);
+            received.as_mut().enable();
+            let decision = self.decide(request, Holder::retry);
+            match self.carry_out(decision, request) {
+                Some(reply) => return reply,
+                None => received.await,
             }
         }
     }
--- a/lib/tests/test_rates.rs
+++ b/lib/tests/test_rates.rs
@@ -274,6 +274,29 @@
     }
 }
 
+// Guards against refusals within the rate while the holder of another zone is slow to reply.
+#[test]
+fn a_holder_refuses_nothing_while_a_slow_lender_may_still_reply() {
+    let share = shares(&organisation(0, 20), &[1, 1])[0];
+    let mut holder = holder(share);
+    holder.handle_request(&token_request(1, TokenRequestPurpose::Spend, 10), at(0));
+    let request = token_request(2, TokenRequestPurpose::Spend, 1);
+    assert_eq!(holder.handle_request(&request, at(1)).reply, None);
+    assert_eq!(holder.retry(&request, at(70)).reply, None);
+}
+
+#[test]
+fn a_holder_waits_briefly_for_a_lender_that_did_not_reply_before() {
+    let share = shares(&organisation(0, 20), &[1, 1])[0];
+    let mut holder = holder(share);
+    holder.handle_request(&token_request(1, TokenRequestPurpose::Spend, 10), at(0));
+    let request = token_request(2, TokenRequestPurpose::Spend, 1);
+    let asked = holder.handle_request(&request, at(400));
+    assert_eq!(asked.loan_requests.len(), 1);
+    let reply = holder.retry(&request, at(430)).reply;
+    assert!(matches!(reply, Some(TokenReply::Empty(_))), "{reply:?}");
+}
+
 #[test]
 fn a_holder_that_observes_a_higher_epoch_grants_nothing() {
     let share = shares(&organisation(10, 20), &[1])[0];
