relay: servers of a service that fail alike are not avoided for each other

After two such refusals, or if most nodes refused so within the last second, the request goes to the server and is retried like any other. The test of a retry failed before (1 send, 3 expected).

--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -42,6 +42,9 @@
 /// Maximum number of nodes that refuse a request as overloaded, before it reaches a server, until
 /// the request is refused. Under overload, each attempt costs CPU time that responses need.
 const REFUSING_NODES_MAX: usize = 2;
+/// Number of nodes that refuse a request because their servers fail often, from which on it goes to
+/// such a server all the same.
+const FAILING_NODES_MAX: usize = 2;
 /// Maximum number of nodes tried for a request.
 const TRIED_NODES_MAX: usize = 6;
 /// Fraction of the latency objective by which a node in another zone must be faster to be chosen.
@@ -72,6 +75,8 @@
     /// Attempts that reached a backend server.
     server_attempts: u32,
     refusing_nodes: usize,
+    /// Nodes that refused the request because their servers fail often.
+    failing_nodes: usize,
     /// The only node that may run the request, named by the latest refusal.
     only_on: Option<NodeId>,
     /// The first node that refused the request because its server fails often.
@@ -139,9 +144,11 @@
         progress.tried.push(destination.id.clone());
         let kind = AttemptKind {
             is_repeat: progress.server_attempts > 0,
-            is_last_resort: false,
+            is_last_resort: progress.failing_nodes >= FAILING_NODES_MAX
+                || servers_fail_alike(node, outbound),
         };
         let outcome = Box::pin(attempt(node, outbound, &destination, kind)).await;
+        observe_failing_server(node, &destination, &outcome);
         learn_floor(node, outbound, &destination, &outcome);
         match evaluate_outcome(node, outbound, &destination, &mut progress, outcome) {
             NextStep::Respond(response) => return Ok(response),
@@ -230,6 +237,7 @@
     };
     progress.verdict = progress.verdict.max(Some(refusal.verdict));
     if refusal.reason == RefusalReason::ServerFailing {
+        progress.failing_nodes += 1;
         progress.skipped_node.get_or_insert(destination.clone());
     }
     progress.only_on.clone_from(&refusal.only_on);
@@ -311,6 +319,27 @@
         .learn(route, &outbound.service, &destination.id, notice, now);
 }
 
+/// Returns whether most servers of the service fail, so that no other one would be better.
+fn servers_fail_alike(node: &RelayNode, outbound: &Outbound) -> bool {
+    let members = node.members();
+    let serving = members.serving(&outbound.service).iter();
+    let ids = serving.map(|record| &record.id);
+    let now = node.clock.now();
+    node.failing_servers.lock().are_most(ids, now)
+}
+
+fn observe_failing_server(node: &RelayNode, destination: &NodeRecord, outcome: &RunOutcome) {
+    let now = node.clock.now();
+    let mut failing = node.failing_servers.lock();
+    match outcome.result.as_ref().err().map(|refusal| refusal.reason) {
+        Some(RefusalReason::ServerFailing) => failing.record_refusal(&destination.id, now),
+        Some(RefusalReason::RefusedByServer | RefusalReason::BadAnswer) => {
+            failing.record_failure(&destination.id, now);
+        }
+        Some(_) | None => {}
+    }
+}
+
 /// Returns the node for the next attempt: the only one that may run the request, or one that was
 /// not tried yet.
 fn next_destination(
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -19,6 +19,7 @@
 use super::confirmation::Confirmation;
 use super::confirmation::ConfirmationReport;
 use super::confirmation::ConfirmationUse;
+use super::failing_servers::FailingServers;
 use super::fleet::Fleet;
 use super::frame::RequestMetadata;
 use super::links::Links;
@@ -95,6 +96,8 @@
     pub(super) stored_quarantines: Mutex<HashSet<Fingerprint>>,
     /// Admission floors for requests of callers.
     pub(super) ingress_floors: Mutex<DownstreamFloors>,
+    /// Nodes that refused requests because their servers fail often.
+    pub(super) failing_servers: Mutex<FailingServers>,
     /// Admission floors for the onward calls of the local backend server.
     pub(super) onward_floors: Mutex<DownstreamFloors>,
     /// What this node knows of the store.
@@ -165,6 +168,7 @@
             metrics: RelayMetrics::new(),
             runs: RunTable::default(),
             ingress_floors: Mutex::default(),
+            failing_servers: Mutex::default(),
             onward_floors: Mutex::default(),
             fleet: Mutex::default(),
             registration: Mutex::default(),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -47,6 +47,7 @@
 mod test_rates_release;
 mod test_rates_scale;
 mod test_relay_confirmation;
+mod test_relay_failing_servers;
 mod test_relay_fleet;
 mod test_relay_fleet_view;
 mod test_relay_floors;
