--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -42,6 +42,8 @@
 /// Maximum number of nodes that refuse a request as overloaded, before it reaches a server, until
 /// the request is refused. Under overload, each attempt costs CPU time that responses need.
 const REFUSING_NODES_MAX: usize = 2;
+/// The same for a call that a backend server makes: without it, the work on its request was in vain.
+const REFUSING_NODES_OF_CALL_MAX: usize = 4;
 /// Number of nodes that refuse a request because their servers fail often, from which on it goes to
 /// such a server all the same.
 const FAILING_NODES_MAX: usize = 2;
@@ -276,7 +278,7 @@
         RefusalReason::Quarantined => GiveUpReason::Quarantined,
         _ if remaining < ATTEMPT_TIME_MIN => GiveUpReason::Time,
         _ if progress.tried.len() >= TRIED_NODES_MAX => GiveUpReason::Nodes,
-        RefusalReason::Overloaded if progress.refusing_nodes >= REFUSING_NODES_MAX => {
+        RefusalReason::Overloaded if progress.refusing_nodes >= refusing_nodes_max(outbound) => {
             GiveUpReason::Overload
         }
         // The request did not reach a server this time, so the redirect is no retry.
@@ -289,6 +291,13 @@
     NextStep::GiveUp(reason)
 }
 
+fn refusing_nodes_max(outbound: &Outbound) -> usize {
+    match outbound.parent {
+        Some(_) => REFUSING_NODES_OF_CALL_MAX,
+        None => REFUSING_NODES_MAX,
+    }
+}
+
 /// Returns whether a response goes to the caller without another attempt.
 ///
 /// An error response caused by a failed onward call is final, because a retry would fail again.
