relay: servers of stopping nodes work until shortly before callers are no longer served

It now takes work until four of its mean run times, 0.5 s at least, before callers are no longer served; then the entry names no server and requests are refused as not run. Its test failed before.

--- a/lib/src/process/gate/permit.rs
+++ b/lib/src/process/gate/permit.rs
@@ -104,6 +104,11 @@
         self.shared.lock().state.waiting()
     }
 
+    /// Returns the mean time for which a request holds a slot.
+    pub fn service_time(&self) -> Duration {
+        self.shared.lock().state.service_time()
+    }
+
     /// Returns the current admission floor.
     pub fn floor(&self) -> FloorNotice {
         let now = self.clock.now();
--- a/lib/src/process/membership/table.rs
+++ b/lib/src/process/membership/table.rs
@@ -15,14 +15,23 @@
 }
 
 impl MemberTable {
-    /// Creates a view of `records`.
+    /// Creates a view of `records`. Nodes that leave accept no new work.
     pub fn new(records: impl IntoIterator<Item = NodeRecord>) -> Self {
+        Self::with_serving(records, NodeRecord::accepts_work)
+    }
+
+    /// Creates a view of `records` in which the nodes with a server for which `accepts_work` holds
+    /// accept new work for it.
+    pub fn with_serving(
+        records: impl IntoIterator<Item = NodeRecord>,
+        accepts_work: impl Fn(&NodeRecord) -> bool,
+    ) -> Self {
         let nodes: BTreeMap<_, _> = records
             .into_iter()
             .map(|record| (record.id.clone(), record))
             .collect();
         let mut serving: HashMap<ServiceId, Vec<NodeRecord>> = HashMap::new();
-        for record in nodes.values().filter(|record| record.accepts_work()) {
+        for record in nodes.values().filter(|record| accepts_work(record)) {
             if let Some(server) = &record.server {
                 let records = serving.entry(server.service.clone()).or_default();
                 records.push(record.clone());
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -212,6 +212,9 @@
             return Err(Refusal::not_run(RefusalReason::NoServer));
         }
     };
+    if !node.offers_server() {
+        return Err(Refusal::not_run(RefusalReason::Draining));
+    }
     let admission_request = AdmissionRequest {
         importance: metadata.importance,
         organisation: metadata.organisation.clone(),
@@ -226,7 +229,7 @@
     let suspect_permit = suspects::admit(node, metadata.organisation.as_ref(), &request).await?;
     node.check_onward(metadata)?;
     let permit = backend.gate.acquire(admission_request).await?;
-    if !backend.accepts_work() {
+    if !backend.accepts_work() || !node.offers_server() {
         return Err(Refusal::not_run(RefusalReason::Draining));
     }
     let suspect_run = suspect_permit.start()?;
--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -51,6 +51,11 @@
 /// Fraction of a planned stop in which new requests are still served, so that callers and other
 /// nodes learn of the stop first.
 const STOP_SERVING_FRACTION: f64 = 0.45;
+/// Time by which the backend server is withdrawn before callers are no longer served, in mean times
+/// for which a request runs. The calls of the last runs are served like those of callers.
+const WITHDRAWAL_LEAD_RUNS: u32 = 4;
+/// Least such time: other nodes learn of the withdrawal first.
+const WITHDRAWAL_LEAD_MIN: Duration = Duration::from_millis(500);
 
 /// A relay could not be started.
 #[derive(Debug, Snafu)]
@@ -148,7 +153,11 @@
             self.node.in_flight.load(Ordering::Relaxed),
             limit.as_millis()
         ));
-        tokio::time::sleep(limit.mul_f64(STOP_SERVING_FRACTION)).await;
+        let serving = limit.mul_f64(STOP_SERVING_FRACTION);
+        let lead = self.node.withdrawal_lead().min(serving);
+        tokio::time::sleep(serving - lead).await;
+        self.node.withdraw_server();
+        tokio::time::sleep(lead).await;
         let callers = self.callers.clone();
         let closing = tokio::spawn(async move { callers.stop().await });
         while self.node.clock.now().since(started_at) < limit {
@@ -167,6 +176,14 @@
 }
 
 impl RelayNode {
+    /// Returns how long before the end of service to callers the backend server is withdrawn.
+    fn withdrawal_lead(&self) -> Duration {
+        let backend = self.backend();
+        let run_time = backend.map(|backend| backend.gate.service_time());
+        let runs = run_time.unwrap_or_default() * WITHDRAWAL_LEAD_RUNS;
+        runs.max(WITHDRAWAL_LEAD_MIN)
+    }
+
     /// Returns whether no request of a caller or of another node is in flight here.
     fn is_idle(&self) -> bool {
         let backend = self.backend();
--- a/lib/src/process/relay/fleet.rs
+++ b/lib/src/process/relay/fleet.rs
@@ -89,6 +89,8 @@
 
     /// Returns a table of the nodes for choosing among them.
     pub fn table(&self) -> MemberTable {
-        MemberTable::new(self.entries.values().map(|entry| entry.record.clone()))
+        // A leaving node's server works until its record names none.
+        let records = self.entries.values().map(|entry| entry.record.clone());
+        MemberTable::with_serving(records, |record| record.server.is_some())
     }
 }
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -49,6 +49,7 @@
 use crate::process::suspects::Fingerprint;
 use crate::request::FleetRetryBudget;
 use crate::request::Refusal;
+use crate::request::RefusalReason;
 use crate::values::Clock;
 use crate::values::ConnectionCount;
 use crate::values::Incarnation;
@@ -115,6 +116,9 @@
     confirmation: Mutex<Confirmation>,
     retries: Mutex<HashMap<ServiceId, FleetRetryBudget>>,
     is_stopping: AtomicBool,
+    /// Whether a planned stop has reached the point from which on no new request runs on the local
+    /// backend server.
+    is_withdrawn: AtomicBool,
 }
 
 impl RelayNode {
@@ -184,6 +188,7 @@
             confirmation: Mutex::default(),
             retries: Mutex::default(),
             is_stopping: AtomicBool::new(false),
+            is_withdrawn: AtomicBool::new(false),
             clock,
         }
     }
@@ -313,7 +318,9 @@
             true => NodeCondition::Leaving,
             false => NodeCondition::Alive,
         };
-        let serving = backend.as_ref().filter(|backend| backend.accepts_work());
+        let serving = backend
+            .as_ref()
+            .filter(|backend| backend.accepts_work() && self.offers_server());
         NodeRecord {
             id: raw.node.clone(),
             zone: raw.zone.clone(),
@@ -344,6 +351,20 @@
         self.store_entry_changed.notify_one();
     }
 
+    /// Returns whether new requests may run on the local backend server, as far as this node decides.
+    pub(super) fn offers_server(&self) -> bool {
+        !self.is_withdrawn.load(Ordering::Relaxed)
+    }
+
+    /// Withdraws the local backend server from the fleet, and refuses the requests that wait for it.
+    pub(super) fn withdraw_server(&self) {
+        self.is_withdrawn.store(true, Ordering::Relaxed);
+        if let Some(backend) = self.backend() {
+            backend.gate.drop_waiting(RefusalReason::Draining);
+        }
+        self.store_entry_changed.notify_one();
+    }
+
     /// Returns whether callers should send requests to this node.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.plan().is_some() && self.accepts_keys()
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -295,6 +295,36 @@
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
 }
 
+// Guards against servers that stood idle for seconds while their nodes were restarted.
+#[tokio::test]
+async fn server_of_a_stopping_node_works_until_it_is_withdrawn() {
+    let mut fleet = RelayFleet::start(&plan(1), &["front", "stock"]).await;
+    let stopping = fleet.relays.remove(1);
+    let id = stopping.daemon.node().settings.raw.node.clone();
+    let stop = tokio::spawn(stopping.daemon.stop());
+    let record = |fleet: &RelayFleet| {
+        let members = fleet.relays[0].daemon.node().members();
+        members.node(&id).cloned()
+    };
+    fleet
+        .wait_until(|fleet| record(fleet).is_none_or(|record| !record.accepts_work()))
+        .await;
+    let mut answered = 0;
+    while record(&fleet).is_some_and(|record| record.server.is_some()) {
+        let response = fleet
+            .call(0, &format!("r{answered}"), "/order/x", Some(KEY))
+            .await;
+        match response.status {
+            StatusCode::OK => answered += 1,
+            status => assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{response:?}"),
+        }
+    }
+    assert_ne!(answered, 0);
+    let response = fleet.call(0, "late", "/order/x", Some(KEY)).await;
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    stop.await.expect("the stop ends");
+}
+
 #[tokio::test]
 async fn late_report_of_a_server_that_left_is_refused_after_a_restart_of_the_node() {
     let mut fleet = RelayFleet::start(&plan(1), &["front", "stock", "stock"]).await;
