--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -115,6 +115,8 @@
     backend: RwLock<Option<Arc<Backend>>>,
     confirmation: Mutex<Confirmation>,
     retries: Mutex<HashMap<ServiceId, FleetRetryBudget>>,
+    /// Whether this process has written its store entry.
+    pub(super) is_entry_written: AtomicBool,
     is_stopping: AtomicBool,
     /// Whether a planned stop has reached the point from which on no new request runs on the local
     /// backend server.
@@ -187,6 +189,7 @@
             backend: RwLock::default(),
             confirmation: Mutex::default(),
             retries: Mutex::default(),
+            is_entry_written: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             is_withdrawn: AtomicBool::new(false),
             clock,
--- a/lib/src/process/relay/store_entry.rs
+++ b/lib/src/process/relay/store_entry.rs
@@ -1,6 +1,7 @@
 //! Maintains the node's leased entry in the store.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -106,5 +107,6 @@
         record.server.is_some()
     ));
     stored.written = Some(record);
+    node.is_entry_written.store(true, Ordering::Relaxed);
     Ok(())
 }
--- a/lib/src/process/relay/views/apply.rs
+++ b/lib/src/process/relay/views/apply.rs
@@ -51,8 +51,10 @@
             StoreEvent::Written(item) => {
                 if let Some(record) = decode_store_entry(item) {
                     // An entry of this node that differs from its current record comes from a
-                    // delayed write.
-                    let is_own = record.id == node.settings.raw.node;
+                    // delayed write. Until this process has written one, it is the entry of an
+                    // earlier process.
+                    let is_own = record.id == node.settings.raw.node
+                        && node.is_entry_written.load(Ordering::Relaxed);
                     if is_own && record != node.own_record() {
                         node.store_entry_changed.notify_one();
                     }
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -153,6 +153,23 @@
     fleet.wait_until(differs).await;
 }
 
+// Guards against a second write of the entry by each node after a power loss of all.
+#[tokio::test]
+async fn restarted_node_writes_its_entry_once() {
+    let mut fleet = RelayFleet::start(&plan(1), &["front", "stock", "stock"]).await;
+    let key = "nodes/node-2";
+    let writes = fleet.store.writes_of(key);
+    fleet.restart(2).await;
+    fleet
+        .wait_until(|fleet| fleet.relays[2].daemon.node().members().nodes().count() == 3)
+        .await;
+    assert_eq!(fleet.report(2, 2, false).await, StatusCode::OK);
+    let has_written = |fleet: &RelayFleet| fleet.store.writes_of(key) > writes;
+    fleet.wait_until(has_written).await;
+    fleet.wait_until_ready().await;
+    assert_eq!(fleet.store.writes_of(key), writes + 1);
+}
+
 #[tokio::test]
 async fn draining_server_gets_no_requests_after_its_report_is_acknowledged() {
     let fleet = RelayFleet::start(&plan(1), &["front", "stock", "stock"]).await;
--- a/testutils/src/relay/store.rs
+++ b/testutils/src/relay/store.rs
@@ -201,6 +201,16 @@
             .collect()
     }
 
+    /// Returns how often `key` was written.
+    pub fn writes_of(&self, key: &str) -> usize {
+        let content = self.content.lock();
+        let is_write = |event: &&StoreEvent| match event {
+            StoreEvent::Written(item) => item.key == key,
+            StoreEvent::Removed { .. } => false,
+        };
+        content.history.iter().filter(is_write).count()
+    }
+
     /// Returns the number of calls so far, including those that failed.
     pub fn calls(&self) -> u64 {
         self.content.lock().calls
