relay: limits of attempts in their own module, with a model of a chain over a half full service

The model needs no network; with two refusing nodes for a call it fails (7 of 8 calls of a page), with four every call finds a server while half of them have room.

--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -7,6 +7,9 @@
 use bytes::Bytes;
 use http::StatusCode;
 
+use super::attempt_limits::FAILING_NODES_MAX;
+use super::attempt_limits::TRIED_NODES_MAX;
+use super::attempt_limits::refusing_nodes_max;
 use super::backend::RunOutcome;
 use super::backend::run_request;
 use super::frame::ExchangeId;
@@ -39,16 +42,6 @@
 use crate::version::PlannedRoute;
 use crate::version::Repeatability;
 
-/// Maximum number of nodes that refuse a request as overloaded, before it reaches a server, until
-/// the request is refused. Under overload, each attempt costs CPU time that responses need.
-const REFUSING_NODES_MAX: usize = 2;
-/// The same for a call that a backend server makes: without it, the work on its request was in vain.
-const REFUSING_NODES_OF_CALL_MAX: usize = 4;
-/// Number of nodes that refuse a request because their servers fail often, from which on it goes to
-/// such a server all the same.
-const FAILING_NODES_MAX: usize = 2;
-/// Maximum number of nodes tried for a request.
-const TRIED_NODES_MAX: usize = 6;
 /// Fraction of the latency objective by which a node in another zone must be faster to be chosen.
 const CROSS_ZONE_COST_RATIO: f64 = 0.05;
 /// Minimum remaining time for an attempt. An attempt with less time is not worth its cost.
@@ -272,13 +265,14 @@
     let remaining = outbound.deadline.since(node.clock.now());
     let may_repeat = outbound.route.repeatability == Repeatability::Idempotent
         || progress.verdict == Some(Verdict::NotRun);
+    let refusing_nodes_max = refusing_nodes_max(outbound.parent.is_some());
     let reason = match refusal.reason {
         _ if !may_repeat => GiveUpReason::MayHaveRun,
         RefusalReason::DeadlineExceeded => GiveUpReason::Time,
         RefusalReason::Quarantined => GiveUpReason::Quarantined,
         _ if remaining < ATTEMPT_TIME_MIN => GiveUpReason::Time,
         _ if progress.tried.len() >= TRIED_NODES_MAX => GiveUpReason::Nodes,
-        RefusalReason::Overloaded if progress.refusing_nodes >= refusing_nodes_max(outbound) => {
+        RefusalReason::Overloaded if progress.refusing_nodes >= refusing_nodes_max => {
             GiveUpReason::Overload
         }
         // The request did not reach a server this time, so the redirect is no retry.
@@ -291,13 +285,6 @@
     NextStep::GiveUp(reason)
 }
 
-fn refusing_nodes_max(outbound: &Outbound) -> usize {
-    match outbound.parent {
-        Some(_) => REFUSING_NODES_OF_CALL_MAX,
-        None => REFUSING_NODES_MAX,
-    }
-}
-
 /// Returns whether a response goes to the caller without another attempt.
 ///
 /// An error response caused by a failed onward call is final, because a retry would fail again.
--- a/lib/src/process/relay/mod.rs
+++ b/lib/src/process/relay/mod.rs
@@ -4,6 +4,7 @@
 //! the nodes of other backend servers. It admits requests from other nodes to its own server.
 
 mod admission;
+mod attempt_limits;
 mod backend;
 mod caller_responses;
 mod callers;
@@ -38,6 +39,7 @@
 mod tasks;
 mod views;
 
+pub use self::attempt_limits::refusing_nodes_max;
 pub use self::confirmation::Confirmation;
 pub use self::confirmation::ConfirmationReport;
 pub use self::confirmation::ConfirmationUse;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -46,6 +46,7 @@
 mod test_rates_outage;
 mod test_rates_release;
 mod test_rates_scale;
+mod test_relay_attempt_limits;
 mod test_relay_confirmation;
 mod test_relay_failing_servers;
 mod test_relay_fleet;
