routing: tests of a zone without a server, and of a slow server that keeps its health, which is red

The second fails for a fault found here: the two nodes that are compared are drawn with replacement, so a slow one of four gets one call in 16, one of two one call in four.

--- a/lib/tests/test_routing.rs
+++ b/lib/tests/test_routing.rs
@@ -235,3 +235,27 @@
         prop_assert!(calls.len() >= count - count / 3);
     }
 }
+
+// A zone whose only server of a service is lost: its calls must not gather at one other server.
+#[test]
+fn calls_of_a_zone_without_a_server_spread_over_the_others() {
+    let others = ["b1", "b2", "b3", "b4", "b5"];
+    let nodes: Vec<_> = others.iter().map(|name| (*name, "b")).collect();
+    let mut harness = Harness::new(&nodes);
+    let calls = harness.run(1000, |_| (CallOutcome::Answered, 5));
+    for name in others {
+        let count = calls_of(&calls, name);
+        assert!((100..=300).contains(&count), "{calls:?}");
+    }
+}
+
+// A slow server that keeps its health: its polls succeed, and no call to it fails.
+#[test]
+fn slow_server_that_keeps_its_health_gets_few_calls() {
+    let mut harness = Harness::new(&[("a1", "a"), ("a2", "a"), ("a3", "a"), ("a4", "a")]);
+    harness.run(400, |_| (CallOutcome::Answered, 10));
+    let slow = |name: &str| (CallOutcome::Answered, if name == "a1" { 200 } else { 10 });
+    harness.run(200, slow);
+    let calls = harness.run(1000, slow);
+    assert!(calls_of(&calls, "a1") < 50, "{calls:?}");
+}
