--- a/lib/tests/test_relay_attempt_limits.rs
+++ b/lib/tests/test_relay_attempt_limits.rs
@@ -10,7 +10,6 @@
 use balsamfold::process::gate::CompletionOutcome;
 use balsamfold::process::gate::GateState;
 use balsamfold::process::membership::MemberTable;
-use balsamfold::process::membership::NodeAddresses;
 use balsamfold::process::membership::NodeCondition;
 use balsamfold::process::membership::NodeRecord;
 use balsamfold::process::membership::ServerRecord;
@@ -20,13 +19,13 @@
 use balsamfold::process::routing::Router;
 use balsamfold::values::ConnectionCount;
 use balsamfold::values::Importance;
-use balsamfold::values::Incarnation;
 use balsamfold::values::MonotonicTime;
 use balsamfold::values::NodeId;
 use balsamfold::values::RatePerSecond;
 use balsamfold::values::RequestId;
 use balsamfold::values::ServiceId;
 use balsamfold::values::SlotCount;
+use testutils::relay::sample_node_record;
 
 const SERVERS: usize = 6;
 const SLOTS: u32 = 4;
@@ -38,22 +37,14 @@
 }
 
 fn record(index: usize) -> NodeRecord {
-    let unused = "127.0.0.1:0".parse().expect("valid address");
+    let (name, zone) = (format!("n{index}"), format!("z{index}"));
     NodeRecord {
-        id: format!("n{index}").parse().expect("valid name"),
-        zone: format!("z{index}").parse().expect("valid name"),
-        addresses: NodeAddresses {
-            peer: unused,
-            control: unused,
-            probe: unused,
-        },
-        incarnation: Incarnation(1),
-        condition: NodeCondition::Alive,
         server: Some(ServerRecord {
             service: service(),
             slots: SlotCount(SLOTS),
             connections: ConnectionCount(100),
         }),
+        ..sample_node_record(&name, &zone, NodeCondition::Alive)
     }
 }
 
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -411,9 +411,9 @@
     assert_eq!(response.status, StatusCode::OK);
 }
 
-#[tokio::test]
-async fn node_at_a_reused_address_gets_no_requests_for_the_former_node() {
-    let fleet = RelayFleet::start(&plan(1), &["front", "stock", "other"]).await;
+/// Starts a fleet whose third relay has the address of a former node of the service `stock`.
+async fn fleet_with_a_former_node(services: &[&'static str; 3]) -> RelayFleet {
+    let fleet = RelayFleet::start(&plan(1), services).await;
     fleet.write_stale_entry("gone", "stock", 2);
     fleet
         .wait_until(|fleet| {
@@ -421,6 +421,12 @@
             members.nodes().count() == 4
         })
         .await;
+    fleet
+}
+
+#[tokio::test]
+async fn node_at_a_reused_address_gets_no_requests_for_the_former_node() {
+    let fleet = fleet_with_a_former_node(&["front", "stock", "other"]).await;
     for number in 0..30 {
         let id = format!("r{number}");
         let response = fleet.call(0, &id, "/order/x", Some(KEY)).await;
@@ -433,14 +439,7 @@
 // unreachable for all others.
 #[tokio::test]
 async fn node_at_a_reused_address_is_reached_beside_the_entry_of_the_former_node() {
-    let fleet = RelayFleet::start(&plan(1), &["front", "front", "stock"]).await;
-    fleet.write_stale_entry("gone", "stock", 2);
-    fleet
-        .wait_until(|fleet| {
-            let members = fleet.relays[0].daemon.node().members();
-            members.nodes().count() == 4
-        })
-        .await;
+    let fleet = fleet_with_a_former_node(&["front", "front", "stock"]).await;
     for number in 0..30 {
         let id = format!("r{number}");
         let response = fleet.call(0, &id, "/stock/x", Some(KEY)).await;
