routing: two different nodes are compared in a choice

They are drawn without replacement now. One draw in eight, or in as many as there are nodes, is still of a single node, so that a node that was slow or failed is seen again: without these the property test of the ejected fraction failed (2 nodes, 1 failing; 10, 4).

--- a/lib/src/process/routing/router.rs
+++ b/lib/src/process/routing/router.rs
@@ -56,7 +56,7 @@
 
 /// Chooses among the nodes of a service by this node's observations of them.
 ///
-/// Two random nodes of the own zone and two of the other zones of the region are compared, and the
+/// Two different random nodes of the own zone and two of the other zones of the region are compared, and the
 /// one with the lowest cost is chosen; the cost of a node in another zone includes the cross-zone
 /// cost. Nodes of other regions are chosen only if there are no others.
 #[derive(Clone, Debug)]
@@ -85,6 +85,9 @@
     /// Number of draws after which a new node is chosen despite its slow start.
     const DRAWS_MAX: usize = 4;
 
+    /// At most one draw in this many is of a single node.
+    const ALONE_ONE_IN_MIN: usize = 8;
+
     /// Minimum number of entries at which entries of unknown nodes are removed.
     const PRUNE_MIN: usize = 64;
 
@@ -114,10 +117,7 @@
         let mut best: Option<(f64, Candidate)> = None;
         for distance in distances {
             let near: Vec<_> = at_distance(&candidates, *distance);
-            for _ in 0..2 {
-                let Some(candidate) = self.draw(&near, context.now) else {
-                    break;
-                };
+            for candidate in self.draw_two(&near, context.now) {
                 let cost_us = self.cost_us(&candidate, mean_latency_us, context);
                 if best.is_none_or(|(best_us, _)| cost_us < best_us) {
                     best = Some((cost_us, candidate));
@@ -240,6 +240,32 @@
         }
     }
 
+    /// Draws two different random nodes, or as many as there are.
+    ///
+    /// The second is left out in one draw in [`Self::ALONE_ONE_IN_MIN`], or as many as there are nodes, so
+    /// that a node that was slow or failed is tried again. It is also left out by chance if it is in its
+    /// slow start and the first is not: among two nodes it would otherwise be compared in each choice.
+    fn draw_two<'a>(
+        &mut self,
+        near: &[Candidate<'a>],
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = Candidate<'a>> + use<'a> {
+        let first = self.draw(near, now);
+        let others: Vec<_> = near
+            .iter()
+            .filter(|other| first.is_some_and(|first| first.destination != other.destination))
+            .copied()
+            .collect();
+        let second = self.draw(&others, now);
+        let weight = |drawn: &Candidate| self.destinations[drawn.destination].start_weight(now);
+        let first_weight = first.as_ref().map_or(1.0, weight);
+        let alone_one_in = near.len().max(Self::ALONE_ONE_IN_MIN);
+        let kept_fraction = second.as_ref().map_or(0.0, weight) / first_weight;
+        let is_kept = self.random.random_range(0..alone_one_in) > 0
+            && self.random.random::<f64>() < kept_fraction;
+        first.into_iter().chain(second.filter(|_| is_kept))
+    }
+
     /// Draws a random node; nodes in their slow start are drawn less often.
     fn draw<'a>(&mut self, near: &[Candidate<'a>], now: MonotonicTime) -> Option<Candidate<'a>> {
         if near.is_empty() {
