rates: small bursts are pooled in one zone, which borrows the shares of the others

Callers of organisations with a small burst were refused with 429 although their organisation was within its limit. Cause: a burst of a few tokens was split over the zones, one or two tokens each. A zone that is full mints nothing, so most of the rate was lost while one zone was short, and no single token can be moved to mend that.

Now the zone of the pool, chosen by rendezvous hashing, borrows the shares of the other zones for a second at a time, once it is short of tokens. A lender mints nothing meanwhile, and after the lease counts what it had lent as granted for the longest lifetime of a batch. A zone that is cut off has its own share again after that. A holder that takes over counts its shares as lent for one lease. Layouts are published one lease later, which the two tests of the times of publishing now ask for.

The model of the fleet ends the wait of a token request after 80 ms, as the relay does; it could multiply its wake-ups without end.

--- a/lib/src/process/rates/account.rs
+++ b/lib/src/process/rates/account.rs
@@ -7,19 +7,25 @@
 use super::Bucket;
 use super::Demand;
 use super::HolderReport;
+use super::HomeHolder;
 use super::Loans;
 use super::MAX_BATCH_LIFETIME;
+use super::MicroTokens;
 use super::SettlementReport;
+use super::ShareLoan;
 use super::TakenTokens;
 use super::TokenRequest;
+use super::TokenRequestId;
 use super::TokenRequestPurpose;
 use super::ZoneShare;
 use super::lender::Lender;
+use super::pool::Pool;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
 use crate::values::OrganisationId;
 use crate::values::TokenCount;
 use crate::values::ZoneId;
+use crate::version::Organisation;
 
 /// Span of expected demand for which tokens are borrowed in advance.
 const BORROW_AHEAD: Duration = Duration::from_millis(100);
@@ -52,6 +58,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Account {
     pub bucket: Bucket,
+    pub pool: Pool,
     pub loans: Loans,
     pub demand: Demand,
     pub lenders: BTreeMap<ZoneId, Lender>,
@@ -62,6 +69,7 @@
     pub fn new(share: ZoneShare, now: MonotonicTime, previous_grants_end: MonotonicTime) -> Self {
         Self {
             bucket: Bucket::empty(share, now, previous_grants_end),
+            pool: Pool::new(share),
             loans: Loans::default(),
             demand: Demand::new(now),
             lenders: BTreeMap::new(),
@@ -70,10 +78,71 @@
     }
 
     pub fn advance(&mut self, now: MonotonicTime) {
+        while let Some(ends) = self.pool.next_end().filter(|ends| *ends <= now) {
+            self.bucket.advance(ends);
+            if let Some(returned) = self.pool.end(ends) {
+                let grants_end = returned.at.after(MAX_BATCH_LIFETIME);
+                self.bucket
+                    .count_unknown_grants(returned.burst_tokens, grants_end);
+            }
+            self.bucket.set_share(self.pool.share_in_force(), ends);
+        }
         self.bucket.advance(now);
         self.loans.advance(now);
     }
 
+    /// Sets the configured share of the zone.
+    pub fn set_own_share(&mut self, share: ZoneShare, now: MonotonicTime) {
+        self.advance(now);
+        self.pool.set_own_share(share);
+        self.bucket.set_share(self.pool.share_in_force(), now);
+    }
+
+    /// Sets the zone of the pool. See [`Pool::set_zone`].
+    pub fn set_pool_zone(
+        &mut self,
+        organisation: &Organisation,
+        zone: Option<ZoneId>,
+        lent_until: Option<MonotonicTime>,
+        now: MonotonicTime,
+    ) {
+        self.pool.set_zone(organisation, zone, lent_until);
+        self.advance(now);
+        self.bucket.set_share(self.pool.share_in_force(), now);
+    }
+
+    /// Lends the zone's share with the tokens of the bucket to the zone of the pool.
+    pub fn lend_share(
+        &mut self,
+        home: &HomeHolder,
+        now: MonotonicTime,
+    ) -> Option<(ZoneShare, MicroTokens)> {
+        let unknown_tokens = self.pool.may_lend(home)?;
+        let grants_end = now.after(MAX_BATCH_LIFETIME);
+        self.bucket.count_unknown_grants(unknown_tokens, grants_end);
+        let level = self.bucket.take_level();
+        let share = self.pool.lend(home, self.bucket.outstanding(), now);
+        self.bucket.set_share(self.pool.share_in_force(), now);
+        Some((share, level))
+    }
+
+    /// Completes a request for the share of `lender`. Returns whether `id` was one.
+    pub fn accept_share(
+        &mut self,
+        lender: &ZoneId,
+        id: TokenRequestId,
+        loan: Option<&ShareLoan>,
+        now: MonotonicTime,
+    ) -> bool {
+        let is_share_request = self.pool.accept(lender, id, loan, now);
+        if is_share_request {
+            self.bucket.set_share(self.pool.share_in_force(), now);
+            self.bucket
+                .add_level(loan.map_or(MicroTokens(0), |loan| loan.level));
+        }
+        is_share_request
+    }
+
     /// Removes nodes that sent no request for `REQUESTER_TIMEOUT`.
     pub fn expire_requesters(&mut self, now: MonotonicTime) {
         self.requesters
@@ -151,26 +220,38 @@
         rotation: u64,
         now: MonotonicTime,
     ) -> Vec<ZoneId> {
+        let borrower = self.pool.borrower();
         let lenders = self.lenders.iter();
         let mut zones: Vec<_> = lenders
+            .filter(|(zone, _)| borrower.is_none_or(|borrower| borrower == *zone))
             .filter(|(_, lender)| lender.can_request(now))
             .map(|(zone, _)| zone.clone())
             .collect();
         let first = rotation as usize % zones.len().max(1);
         zones.rotate_left(first);
+        // The pool is the most likely to have tokens.
+        zones.sort_by_key(|zone| Some(zone) != self.pool.zone());
         zones.truncate(usize::try_from(wanted_tokens).unwrap_or(usize::MAX));
         zones
     }
 
+    /// Returns whether the organisation's tokens are pooled in this zone, which is no lender of its own.
+    pub fn has_pool(&self) -> bool {
+        let zone = self.pool.zone();
+        zone.is_some_and(|zone| !self.lenders.contains_key(zone))
+    }
+
     pub fn is_awaiting_loan(&self, now: MonotonicTime) -> bool {
-        self.lenders.values().any(|lender| lender.is_pending(now))
+        self.pool.is_awaiting_share(now)
+            || self.lenders.values().any(|lender| lender.is_pending(now))
     }
 
     /// Returns how long a reply that the bucket is empty is valid.
     ///
     /// For a node, this is the time in which the rates of all zones mint one token for each
     /// requester, and for another zone's holder the time until this zone's next token. Both have a
-    /// lower and an upper bound.
+    /// lower and an upper bound. Tokens of a pool are all in one place, so that none is due before its
+    /// next one.
     pub fn empty_validity(&self, purpose: TokenRequestPurpose, now: MonotonicTime) -> Duration {
         let is_active = |last: &&MonotonicTime| now.since(**last) < REQUESTER_TIMEOUT;
         let requesters = self.requesters.values().filter(is_active).count() as u64;
@@ -180,18 +261,29 @@
         let micros = requesters.saturating_mul(1_000_000_000_000) / fleet_rate;
         let next_own = self.bucket.until_next_token().unwrap_or(MAX_EMPTY_VALIDITY);
         match purpose {
+            _ if self.pool.zone().is_some() => {
+                let due = self.until_next_token(now);
+                due.clamp(MIN_EMPTY_VALIDITY, MAX_EMPTY_VALIDITY)
+            }
             TokenRequestPurpose::Spend => {
                 Duration::from_micros(micros).clamp(MIN_EMPTY_VALIDITY, MAX_EMPTY_VALIDITY)
             }
-            TokenRequestPurpose::Lend => {
+            TokenRequestPurpose::Lend | TokenRequestPurpose::LendShare => {
                 next_own.clamp(MIN_LENDER_EMPTY_VALIDITY, MAX_EMPTY_VALIDITY)
             }
         }
     }
 
     pub fn until_next_token(&self, now: MonotonicTime) -> Duration {
-        let lenders = self.lenders.values();
-        let soonest = lenders.map(|lender| lender.until_next_token(now)).min();
+        let borrower = self.pool.borrower();
+        let has_tokens = |zone: &ZoneId| match self.pool.zone() {
+            Some(pool_zone) => borrower.is_none_or(|_| zone == pool_zone) && !self.has_pool(),
+            None => true,
+        };
+        let lenders = self.lenders.iter().filter(|(zone, _)| has_tokens(zone));
+        let soonest = lenders
+            .map(|(_, lender)| lender.until_next_token(now))
+            .min();
         let own = self.bucket.until_next_token();
         own.into_iter()
             .chain(soonest)
--- a/lib/src/process/rates/bucket.rs
+++ b/lib/src/process/rates/bucket.rs
@@ -6,6 +6,7 @@
 use super::BatchId;
 use super::BucketHandover;
 use super::MAX_BATCH_LIFETIME;
+use super::MicroTokens;
 use super::Settlement;
 use super::ZoneShare;
 use crate::values::MonotonicTime;
@@ -15,6 +16,9 @@
 /// trillionth in a microsecond.
 const PICOS_PER_TOKEN: u128 = 1_000_000_000_000;
 
+/// Trillionths of a token in a millionth.
+const PICOS_PER_MICRO_TOKEN: u128 = 1_000_000;
+
 /// Tokens of a batch that may still be spent.
 #[derive(Clone, Debug)]
 struct Outstanding {
@@ -33,7 +37,8 @@
     share: ZoneShare,
     level_picos: u128,
     updated: MonotonicTime,
-    previous_grants: Option<Outstanding>,
+    /// Grants of earlier holders and of borrowers of the share, which are not reported here.
+    unknown_grants: Vec<Outstanding>,
     batches: BTreeMap<BatchId, Outstanding>,
     outstanding_tokens: u64,
 }
@@ -54,7 +59,7 @@
             level_picos: 0,
             updated: now,
             outstanding_tokens: previous_grants.unspent_tokens,
-            previous_grants: Some(previous_grants),
+            unknown_grants: vec![previous_grants],
             batches: BTreeMap::new(),
         }
     }
@@ -74,7 +79,7 @@
             level_picos: u128::from(handover.level_tokens.0) * PICOS_PER_TOKEN,
             updated: now,
             outstanding_tokens: previous_grants.unspent_tokens,
-            previous_grants: Some(previous_grants),
+            unknown_grants: vec![previous_grants],
             batches: BTreeMap::new(),
         };
         bucket.level_picos = bucket.level_picos.min(bucket.room_picos());
@@ -130,6 +135,33 @@
         true
     }
 
+    /// Counts `tokens` that others granted of this bucket as outstanding until `ends`.
+    pub fn count_unknown_grants(&mut self, tokens: TokenCount, ends: MonotonicTime) {
+        if tokens == TokenCount(0) || ends <= self.updated {
+            return;
+        }
+        self.outstanding_tokens += tokens.0;
+        self.unknown_grants.push(Outstanding {
+            unspent_tokens: tokens.0,
+            returned_tokens: 0,
+            ends,
+        });
+        self.level_picos = self.level_picos.min(self.room_picos());
+    }
+
+    /// Takes all tokens out, for a bucket that gets the share of this one.
+    pub fn take_level(&mut self) -> MicroTokens {
+        let level = self.level_picos / PICOS_PER_MICRO_TOKEN;
+        self.level_picos = 0;
+        MicroTokens(level as u64)
+    }
+
+    /// Adds tokens of a bucket whose share this one got, as far as they fit.
+    pub fn add_level(&mut self, level: MicroTokens) {
+        self.level_picos += u128::from(level.0) * PICOS_PER_MICRO_TOKEN;
+        self.level_picos = self.level_picos.min(self.room_picos());
+    }
+
     /// Applies a report on the spent and returned tokens of a batch that has not ended.
     ///
     /// Duplicate, late and reordered reports have no effect.
@@ -181,20 +213,16 @@
     }
 
     fn next_end(&self) -> Option<MonotonicTime> {
-        let batches = self.batches.values().chain(&self.previous_grants);
+        let batches = self.batches.values().chain(&self.unknown_grants);
         batches.map(|batch| batch.ends).min()
     }
 
     fn remove_ended(&mut self, now: MonotonicTime) {
         let has_ended = |batch: &Outstanding| batch.ends <= now;
-        if let Some(previous_grants) = self
-            .previous_grants
-            .take_if(|previous_grants| has_ended(previous_grants))
-        {
-            self.outstanding_tokens -= previous_grants.unspent_tokens;
-        }
-        for (_, batch) in self.batches.extract_if(.., |_, batch| has_ended(batch)) {
-            self.outstanding_tokens -= batch.unspent_tokens;
+        let unknown = self.unknown_grants.extract_if(.., |batch| has_ended(batch));
+        let batches = self.batches.extract_if(.., |_, batch| has_ended(batch));
+        for ended in unknown.chain(batches.map(|(_, batch)| batch)) {
+            self.outstanding_tokens -= ended.unspent_tokens;
         }
     }
 }
--- a/lib/src/process/rates/candidates.rs
+++ b/lib/src/process/rates/candidates.rs
@@ -13,17 +13,21 @@
         .nodes()
         .filter(|record| record.zone == *zone && record.accepts_work());
     let mut ranked: Vec<_> = in_zone
-        .map(|record| (rendezvous_rank(zone, &record.id), record.id.clone()))
+        .map(|record| {
+            let rank = rendezvous_rank(zone.as_str(), record.id.as_str());
+            (rank, record.id.clone())
+        })
         .collect();
     ranked.sort();
     ranked.truncate(CANDIDATES_PER_ZONE);
     ranked.into_iter().map(|(_, id)| id).collect()
 }
 
-fn rendezvous_rank(zone: &ZoneId, node: &NodeId) -> [u8; 32] {
+/// Returns the rank of `candidate` for `key` in rendezvous hashing.
+pub(super) fn rendezvous_rank(key: &str, candidate: &str) -> [u8; 32] {
     let mut hasher = blake3::Hasher::new();
-    hasher.update(zone.as_str().as_bytes());
+    hasher.update(key.as_bytes());
     hasher.update(&[0]);
-    hasher.update(node.as_str().as_bytes());
+    hasher.update(candidate.as_bytes());
     hasher.finalize().into()
 }
--- a/lib/src/process/rates/holder.rs
+++ b/lib/src/process/rates/holder.rs
@@ -10,9 +10,12 @@
 use super::HolderDecision;
 use super::HolderReport;
 use super::HolderSettings;
+use super::HomeHolder;
 use super::LoanRequest;
 use super::MAX_BATCH_LIFETIME;
+use super::SHARE_LEASE;
 use super::Settlement;
+use super::ShareLoan;
 use super::TakenTokens;
 use super::TokenGrant;
 use super::TokenReply;
@@ -28,6 +31,7 @@
 use crate::values::OrganisationId;
 use crate::values::TokenCount;
 use crate::values::ZoneId;
+use crate::version::Organisation;
 
 /// Keeps the buckets of all organisations in one zone.
 ///
@@ -40,6 +44,8 @@
     last_request: TokenRequestId,
     lender_epochs: BTreeMap<ZoneId, Epoch>,
     previous_grants_end: MonotonicTime,
+    /// Until when the holder before may have lent shares of this zone.
+    lent_until: Option<MonotonicTime>,
 }
 
 impl Holder {
@@ -52,6 +58,10 @@
                 FIRST_EPOCH => now,
                 _ => settings.previous_grants_end,
             },
+            lent_until: match settings.epoch {
+                FIRST_EPOCH => None,
+                _ => Some(now.after(SHARE_LEASE)),
+            },
             accounts: BTreeMap::new(),
             next_batch: BatchId(0),
             last_request: TokenRequestId::start_of_incarnation(settings.epoch.0),
@@ -80,7 +90,7 @@
             .accounts
             .entry(organisation.clone())
             .or_insert_with(|| Account::new(share, now, previous_grants_end));
-        account.bucket.set_share(share, now);
+        account.set_own_share(share, now);
         let mut known = std::mem::take(&mut account.lenders);
         let lenders = lenders.into_iter();
         account.lenders = lenders
@@ -91,14 +101,31 @@
             .collect();
     }
 
+    /// Sets the zone where the tokens of `organisation` are pooled, or none if they are not. The share
+    /// of the organisation must be set.
+    pub fn set_pool_zone(
+        &mut self,
+        organisation: &Organisation,
+        zone: Option<ZoneId>,
+        now: MonotonicTime,
+    ) {
+        let is_elsewhere = zone.as_ref() != Some(&self.settings.zone);
+        let lent_until = self.lent_until.filter(|until| is_elsewhere && *until > now);
+        if let Some(account) = self.accounts.get_mut(&organisation.id) {
+            account.set_pool_zone(organisation, zone, lent_until, now);
+        }
+    }
+
     /// Stops minting for organisations for which `keep` returns false, and removes them when none
     /// of their tokens is outstanding.
     pub fn retain(&mut self, keep: impl Fn(&OrganisationId) -> bool, now: MonotonicTime) {
         for (_, account) in self.accounts.iter_mut().filter(|(id, _)| !keep(id)) {
-            account.bucket.set_share(ZoneShare::NONE, now);
+            account.set_own_share(ZoneShare::NONE, now);
         }
         let is_needed = |id: &OrganisationId, account: &Account| {
-            keep(id) || account.bucket.outstanding() > TokenCount(0)
+            keep(id)
+                || account.bucket.outstanding() > TokenCount(0)
+                || account.pool.borrower().is_some()
         };
         self.accounts.retain(|id, account| is_needed(id, account));
     }
@@ -106,7 +133,10 @@
     /// Applies the handover of the previous holder. The shares of the organisations must be set.
     pub fn apply_handover(&mut self, handovers: &[BucketHandover], now: MonotonicTime) {
         for bucket in handovers {
-            if let Some(account) = self.accounts.get_mut(&bucket.organisation) {
+            // What the holder before had of a lent share is not known, so that all of it counts as granted.
+            let accounts = &mut self.accounts;
+            let account = accounts.get_mut(&bucket.organisation);
+            if let Some(account) = account.filter(|account| account.pool.borrower().is_none()) {
                 account.bucket = Bucket::from_handover(account.bucket.share(), bucket, now);
             }
         }
@@ -194,6 +224,14 @@
         let Some(account) = self.accounts.get_mut(organisation) else {
             return;
         };
+        account.advance(now);
+        let share = match reply {
+            TokenReply::Share(share) if share.zone == *lender => Some(share),
+            _ => None,
+        };
+        if account.accept_share(lender, id, share, now) {
+            return;
+        }
         let Some(record) = account.lenders.get_mut(lender) else {
             return;
         };
@@ -276,10 +314,18 @@
         let taken = match request.purpose {
             TokenRequestPurpose::Spend => account.take_for_node(id, request, now),
             TokenRequestPurpose::Lend => account.take_for_zone(id, request, now),
+            TokenRequestPurpose::LendShare => {
+                return HolderDecision::reply_only(self.lend_share(request, now));
+            }
         };
+        let granted = taken.map_or(TokenCount(0), |part| part.tokens);
+        let is_short = granted < request.waiting_tokens;
+        account
+            .pool
+            .record_request(is_short && account.has_pool(), now);
         let loan_requests = match request.purpose {
             TokenRequestPurpose::Spend => self.borrow(request, taken, now),
-            TokenRequestPurpose::Lend => Vec::new(),
+            _ => self.share_requests_of(&request.organisation, now),
         };
         HolderDecision {
             reply: self.reply(id, request, taken, now),
@@ -334,6 +380,74 @@
         }))
     }
 
+    /// Lends the share of the zone to the holder that requests it.
+    fn lend_share(&mut self, request: &TokenRequest, now: MonotonicTime) -> TokenReply {
+        let (zone, epoch) = (self.settings.zone.clone(), self.settings.epoch);
+        let account = self.accounts.get_mut(&request.organisation);
+        let lent = account
+            .zip(request.home.as_ref())
+            .and_then(|(account, home)| account.lend_share(home, now));
+        match lent {
+            Some((share, level)) => TokenReply::Share(ShareLoan {
+                zone,
+                epoch,
+                rate_micro_per_s: share.rate_micro_per_s,
+                burst_tokens: share.burst_tokens,
+                level,
+                lifetime_us: SHARE_LEASE.as_micros() as u64,
+            }),
+            None => TokenReply::NoPrefetch,
+        }
+    }
+
+    /// Returns the requests for shares of other zones that are due. Must be called several times per
+    /// second.
+    pub fn share_requests(&mut self, now: MonotonicTime) -> Vec<LoanRequest> {
+        let pooled = self
+            .accounts
+            .iter()
+            .filter(|(_, account)| account.has_pool());
+        let organisations: Vec<_> = pooled.map(|(id, _)| id.clone()).collect();
+        let requests = organisations
+            .iter()
+            .flat_map(|organisation| self.share_requests_of(organisation, now));
+        requests.collect()
+    }
+
+    fn share_requests_of(
+        &mut self,
+        organisation: &OrganisationId,
+        now: MonotonicTime,
+    ) -> Vec<LoanRequest> {
+        let account = self.accounts.get_mut(organisation);
+        let Some(account) = account.filter(|account| account.has_pool()) else {
+            return Vec::new();
+        };
+        let lenders = account.pool.shares_to_request(account.lenders.keys(), now);
+        let mut requests = Vec::new();
+        for lender in lenders {
+            let id = self.last_request.next();
+            self.last_request = id;
+            account.pool.record_share_request(&lender, id, now);
+            let request = TokenRequest {
+                id,
+                requester: self.settings.node.clone(),
+                organisation: organisation.clone(),
+                purpose: TokenRequestPurpose::LendShare,
+                epoch: self.lender_epochs.get(&lender).copied().unwrap_or_default(),
+                waiting_tokens: TokenCount(0),
+                prefetch_tokens: TokenCount(0),
+                settlements: Vec::new(),
+                home: Some(HomeHolder {
+                    zone: self.settings.zone.clone(),
+                    epoch: self.settings.epoch,
+                }),
+            };
+            requests.push(LoanRequest { lender, request });
+        }
+        requests
+    }
+
     fn borrow(
         &mut self,
         request: &TokenRequest,
@@ -343,6 +457,9 @@
         let Some(account) = self.accounts.get_mut(&request.organisation) else {
             return Vec::new();
         };
+        if account.has_pool() {
+            return self.share_requests_of(&request.organisation, now);
+        }
         let granted = taken.map_or(0, |part| part.tokens.0);
         let missing = request.waiting_tokens.0.saturating_sub(granted);
         let wanted = account.tokens_to_borrow(missing, now);
@@ -367,6 +484,7 @@
                 waiting_tokens: TokenCount(each),
                 prefetch_tokens: TokenCount(0),
                 settlements: account.loans.settlements(&lender),
+                home: None,
             };
             requests.push(LoanRequest { lender, request });
         }
--- a/lib/src/process/rates/layout.rs
+++ b/lib/src/process/rates/layout.rs
@@ -12,6 +12,7 @@
 
 use super::HolderRecord;
 use super::MAX_BATCH_LIFETIME;
+use super::SHARE_LEASE;
 use super::ZoneShare;
 use super::split_over_zones;
 use crate::values::MonotonicTime;
@@ -84,7 +85,7 @@
     ///
     /// A layout is published after the batches granted before its adoption have ended.
     pub fn to_publish(&self, now: MonotonicTime) -> Vec<ZoneLayout> {
-        let may_publish_newest = now >= self.adopted.after(MAX_BATCH_LIFETIME);
+        let may_publish_newest = now >= self.adopted.after(SHARE_LEASE + MAX_BATCH_LIFETIME);
         let still_binds = |layout: &&ZoneLayout| self.layouts.contains(layout);
         match may_publish_newest {
             true => self.layouts.clone(),
@@ -125,6 +126,11 @@
         self.published.last() == self.layouts.last()
     }
 
+    /// Returns the newest layout, if there is one.
+    pub fn newest(&self) -> Option<&ZoneLayout> {
+        self.layouts.last()
+    }
+
     /// Returns the zone's smallest share of an organisation in the layouts that bind it.
     pub fn share(&self, organisation: &Organisation, zone: &ZoneId) -> ZoneShare {
         let shares = self
--- a/lib/src/process/rates/local.rs
+++ b/lib/src/process/rates/local.rs
@@ -199,6 +199,7 @@
             waiting_tokens: waiting,
             prefetch_tokens,
             settlements,
+            home: None,
         };
         Some(TokenRequestTarget { zone, request })
     }
--- a/lib/src/process/rates/messages.rs
+++ b/lib/src/process/rates/messages.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::MicroRate;
 use crate::values::Epoch;
 use crate::values::NodeId;
 use crate::values::OrganisationId;
@@ -13,6 +14,11 @@
     BatchId(u64)
 }
 
+number_type! {
+    /// Millionths of a token.
+    MicroTokens(u64)
+}
+
 number_type! {
     /// Numbers the token requests of one node. A reply applies only to the pending request.
     TokenRequestId(u64)
@@ -42,6 +48,8 @@
         Spend,
         /// The holder of another zone grants the tokens in its own zone.
         Lend,
+        /// The holder of the zone of a pool uses the share of the addressed zone for a while.
+        LendShare,
     }
 }
 
@@ -92,6 +100,22 @@
         /// Reports on earlier batches of the same zone.
         #[serde(rename = "s", default)]
         pub settlements: Vec<Settlement>,
+        /// The holder that requests the share of the addressed zone.
+        #[serde(rename = "h", default)]
+        pub home: Option<HomeHolder>,
+    }
+}
+
+plain_data! {
+    /// The holder of the zone where an organisation's tokens are pooled.
+    #[derive(Eq)]
+    pub struct HomeHolder {
+        /// The zone.
+        #[serde(rename = "z")]
+        pub zone: ZoneId,
+        /// The epoch of the holder.
+        #[serde(rename = "e")]
+        pub epoch: Epoch,
     }
 }
 
@@ -166,6 +190,38 @@
     }
 }
 
+plain_data! {
+    /// The share of a zone, lent to the zone of the pool.
+    #[derive(Eq)]
+    pub struct ShareLoan {
+        /// The lending zone.
+        #[serde(rename = "z")]
+        pub zone: ZoneId,
+        /// The epoch of its holder.
+        #[serde(rename = "e")]
+        pub epoch: Epoch,
+        /// The rate.
+        #[serde(rename = "m")]
+        pub rate_micro_per_s: MicroRate,
+        /// The burst.
+        #[serde(rename = "b")]
+        pub burst_tokens: TokenCount,
+        /// What the bucket had.
+        #[serde(rename = "t")]
+        pub level: MicroTokens,
+        /// How long the share may be used, in microseconds from the sending of the request.
+        #[serde(rename = "l")]
+        pub lifetime_us: u64,
+    }
+}
+
+impl ShareLoan {
+    /// Returns how long the share may be used, counted from when the request was sent.
+    pub fn lifetime(&self) -> Duration {
+        Duration::from_micros(self.lifetime_us)
+    }
+}
+
 plain_data! {
     /// The reply of a holder to a token request.
     #[derive(Eq)]
@@ -181,6 +237,8 @@
         NoPrefetch,
         /// The node is not the holder of the zone. It names the holder if it knows one.
         NotHolder(Option<NodeId>),
+        /// The share of the zone.
+        Share(ShareLoan),
     }
 }
 
--- a/lib/src/process/rates/service.rs
+++ b/lib/src/process/rates/service.rs
@@ -25,6 +25,7 @@
 use super::SettlementReport;
 use super::TokenReply;
 use super::TokenRequest;
+use super::pool_zone;
 use crate::process::events::rates as events;
 use crate::values::Clock;
 use crate::values::MonotonicTime;
@@ -132,7 +133,7 @@
     /// `LOAN_TIMEOUTS`.
     pub async fn handle_request(self: &Arc<Self>, request: TokenRequest) -> TokenReply {
         let first = self.decide(&request, Holder::handle_request);
-        match self.carry_out(first, &request) {
+        match self.carry_out(first) {
             Some(reply) => reply,
             None => self.reply_after_loans(&request).await,
         }
@@ -185,17 +186,18 @@
         self.with_lease(|lease, now| lease.next_action(is_candidate, now))
     }
 
-    /// Starts a newly acquired role, and sends the reports that are due to other zones.
-    pub fn tick(&self) {
-        let reports = {
+    /// Starts a newly acquired role, and sends the reports and requests that are due to other zones.
+    pub fn tick(self: &Arc<Self>) {
+        let (reports, requests) = {
             let mut state = self.state.lock();
             let now = self.clock.now();
             match self.acting_holder(&mut state, now) {
-                Some(holder) => holder.tick(now),
-                None => Vec::new(),
+                Some(holder) => (holder.tick(now), holder.share_requests(now)),
+                None => (Vec::new(), Vec::new()),
             }
         };
         self.send_reports(reports);
+        self.send_loan_requests(requests);
     }
 
     /// Gives all borrowed tokens back to their lenders before a planned stop.
@@ -220,7 +222,7 @@
             }
         }
         let decision = self.decide(request, Holder::final_retry);
-        let reply = self.carry_out(decision, request);
+        let reply = self.carry_out(decision);
         reply.unwrap_or(TokenReply::NoPrefetch)
     }
 
@@ -231,7 +233,7 @@
             tokio::pin!(received);
             received.as_mut().enable();
             let decision = self.decide(request, Holder::retry);
-            match self.carry_out(decision, request) {
+            match self.carry_out(decision) {
                 Some(reply) => return reply,
                 None => received.await,
             }
@@ -287,14 +289,15 @@
         (record.holder != self.node).then(|| record.holder.clone())
     }
 
-    fn carry_out(
-        self: &Arc<Self>,
-        decision: HolderDecision,
-        request: &TokenRequest,
-    ) -> Option<TokenReply> {
-        for loan in decision.loan_requests {
+    fn carry_out(self: &Arc<Self>, decision: HolderDecision) -> Option<TokenReply> {
+        self.send_loan_requests(decision.loan_requests);
+        decision.reply
+    }
+
+    fn send_loan_requests(self: &Arc<Self>, requests: Vec<LoanRequest>) {
+        for loan in requests {
             let service = Arc::clone(self);
-            let organisation = request.organisation.clone();
+            let organisation = loan.request.organisation.clone();
             tokio::spawn(async move {
                 let (lender, id) = (loan.lender.clone(), loan.request.id);
                 let reply = (service.calls.request)(loan).await;
@@ -306,7 +309,6 @@
                 service.loan_reply_received.notify_waiters();
             });
         }
-        decision.reply
     }
 
     /// Sets the holder's shares from the configuration in force.
@@ -321,6 +323,8 @@
             let others = plan.layout.weights.keys();
             let lenders = others.filter(|id| **id != self.zone).cloned();
             holder.set_share(&organisation.id, share, lenders, now);
+            let pool_zone = pool_zone(organisation, &plan.layout);
+            holder.set_pool_zone(organisation, pool_zone, now);
         }
     }
 }
--- a/lib/tests/test_rates_bound.rs
+++ b/lib/tests/test_rates_bound.rs
@@ -53,20 +53,40 @@
     },
 ];
 
+/// Organisations with few tokens a zone, whose tokens are pooled in one zone at least for a part of the
+/// changes of rates.
+const POOLED_LIMITS: [Limits; 3] = [
+    Limits {
+        name: "tiny",
+        rate_per_s: 10,
+        burst_tokens: 4,
+    },
+    Limits {
+        name: "few",
+        rate_per_s: 60,
+        burst_tokens: 6,
+    },
+    Limits {
+        name: "edge",
+        rate_per_s: 20,
+        burst_tokens: 11,
+    },
+];
+
 fn id(name: &str) -> OrganisationId {
     name.parse().expect("the name is valid")
 }
 
-fn scaled(percent: u64) -> Vec<Organisation> {
+fn scaled(limits: &[Limits], percent: u64) -> Vec<Organisation> {
     let organisation = |limits: &Limits| Organisation {
         id: id(limits.name),
         rate_per_s: RatePerSecond((u64::from(limits.rate_per_s) * percent / 100) as u32),
         burst_tokens: TokenCount((limits.burst_tokens * percent / 100).max(ZONES as u64)),
     };
-    INITIAL_LIMITS.iter().map(organisation).collect()
+    limits.iter().map(organisation).collect()
 }
 
-fn settings(seed: u64, new_holder: NewHolder, link: Link) -> FleetSettings {
+fn settings(limits: &[Limits], seed: u64, new_holder: NewHolder, link: Link) -> FleetSettings {
     FleetSettings {
         seed,
         zone_count: ZONES,
@@ -76,14 +96,14 @@
         counting: Counting::Messages,
         new_holder,
         lending: Lending::On,
-        organisations: scaled(100),
+        organisations: scaled(limits, 100),
     }
 }
 
 /// Plans five times the rate, at nodes that change every half second. Buckets fill up before that.
-fn plan_load(fleet: &mut RateFleet, rng: &mut StdRng, until_us: u64) {
+fn plan_load(fleet: &mut RateFleet, limits: &[Limits], rng: &mut StdRng, until_us: u64) {
     let most_nodes = [4, fleet.node_count()][rng.random_range(0..2)];
-    for limits in &INITIAL_LIMITS {
+    for limits in limits {
         let mut at_us = rng.random_range(0..LOAD_STARTS_BEFORE_US);
         let mut nodes = vec![0];
         let mut next_shift_us = 0;
@@ -134,6 +154,7 @@
 /// Plans changes of all rates and layouts, which reach the nodes at different times.
 fn plan_changes(
     fleet: &mut RateFleet,
+    limits: &[Limits],
     rng: &mut StdRng,
     until_us: u64,
     bounds: &mut [Vec<(u64, u64, u64)>],
@@ -149,12 +170,12 @@
             let delay_us = rng.random_range(0..4 * SECOND_US);
             fleet.plan_fault(
                 at_us + delay_us,
-                Fault::Configure(node, scaled(next), layout.clone()),
+                Fault::Configure(node, scaled(limits, next), layout.clone()),
             );
         }
         for (index, bound) in bounds.iter_mut().enumerate() {
-            let larger = &scaled(percent.max(next))[index];
-            let latest = &scaled(next)[index];
+            let larger = &scaled(limits, percent.max(next))[index];
+            let latest = &scaled(limits, next)[index];
             for (from_us, limits) in [(at_us, larger), (at_us + 4 * SECOND_US, latest)] {
                 let rate_per_s = u64::from(limits.rate_per_s.0);
                 bound.push((from_us, rate_per_s, limits.burst_tokens.0));
@@ -165,7 +186,7 @@
 }
 
 /// Returns by how many tokens a fleet exceeded the bound, and how many requests it admitted.
-fn overshoot(seed: u64, new_holder: NewHolder) -> (f64, usize) {
+fn overshoot(limits: &[Limits], seed: u64, new_holder: NewHolder) -> (f64, usize) {
     let faulty = Link {
         lost_permille: 20,
         duplicated_permille: 50,
@@ -174,16 +195,16 @@
     let link = [Link::default(), faulty][(seed / 2 % 2) as usize];
     let until_us = 30 * SECOND_US;
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut fleet = RateFleet::new(settings(seed, new_holder, link));
-    let mut changes = vec![Vec::new(); INITIAL_LIMITS.len()];
-    plan_load(&mut fleet, &mut rng, until_us);
+    let mut fleet = RateFleet::new(settings(limits, seed, new_holder, link));
+    let mut changes = vec![Vec::new(); limits.len()];
+    plan_load(&mut fleet, limits, &mut rng, until_us);
     plan_faults(&mut fleet, &mut rng, until_us);
     if seed % 2 == 1 {
-        plan_changes(&mut fleet, &mut rng, until_us, &mut changes);
+        plan_changes(&mut fleet, limits, &mut rng, until_us, &mut changes);
     }
     fleet.run_until(until_us);
     let mut total = (0.0, 0);
-    for (limits, changes) in INITIAL_LIMITS.iter().zip(changes) {
+    for (limits, changes) in limits.iter().zip(changes) {
         let (rate, burst) = (u64::from(limits.rate_per_s), limits.burst_tokens);
         let mut bound = Bound::new(rate, burst, DRIFT_PPM as u64);
         let mut changes = changes.into_iter().peekable();
@@ -207,7 +228,7 @@
 /// Checks that no schedule exceeds the bound, and that each admits more than 2,000 requests.
 fn check_bound(seeds: Range<u64>) {
     for seed in seeds {
-        let (overshoot_tokens, admitted) = overshoot(seed, NewHolder::Empty);
+        let (overshoot_tokens, admitted) = overshoot(&INITIAL_LIMITS, seed, NewHolder::Empty);
         assert_eq!(overshoot_tokens, 0.0, "seed {seed}");
         assert!(admitted > 2_000, "seed {seed}: {admitted}");
     }
@@ -243,8 +264,29 @@
     check_bound(25..30);
 }
 
+/// Checks that no schedule exceeds the bound of pooled tokens, and that each admits more than 200 requests.
+fn check_pooled_bound(seeds: Range<u64>) {
+    for seed in seeds {
+        let (overshoot_tokens, admitted) = overshoot(&POOLED_LIMITS, seed, NewHolder::Empty);
+        assert_eq!(overshoot_tokens, 0.0, "seed {seed}");
+        assert!(admitted > 200, "seed {seed}: {admitted}");
+    }
+}
+
+// Guards against a share that is in force in two zones at a time: lent, and after a cut, a crash of lender
+// or borrower, or a lost or late reply, used by its owner again.
+#[test]
+fn faults_do_not_exceed_the_bound_of_pooled_tokens_seeds_0_to_20() {
+    check_pooled_bound(0..20);
+}
+
+#[test]
+fn faults_do_not_exceed_the_bound_of_pooled_tokens_seeds_20_to_40() {
+    check_pooled_bound(20..40);
+}
+
 #[test]
 fn the_bound_detects_a_new_holder_that_starts_full() {
-    let exceeds = |seed| overshoot(seed, NewHolder::Full).0 > 0.0;
+    let exceeds = |seed| overshoot(&INITIAL_LIMITS, seed, NewHolder::Full).0 > 0.0;
     assert!((0..20).any(exceeds));
 }
--- a/lib/tests/test_rates_lease.rs
+++ b/lib/tests/test_rates_lease.rs
@@ -300,7 +300,8 @@
     first.set_layout(layout(3), at(10));
     assert_eq!(share_tokens(&first), 40);
     assert_eq!(renew(&mut first, 1_000).layouts.len(), 1);
-    assert_eq!(renew(&mut first, 2_000).layouts.len(), 2);
+    assert_eq!(renew(&mut first, 2_000).layouts.len(), 1);
+    assert_eq!(renew(&mut first, 3_000).layouts.len(), 2);
     first.zones_read(&[record_of_other_zone(&[1])]);
     assert_eq!(share_tokens(&first), 40);
     first.zones_read(&[record_of_other_zone(&[1, 3])]);
@@ -312,14 +313,16 @@
     let mut first = lease("n1");
     acquire(&mut first, 0);
     first.set_layout(layout(3), at(10));
-    renew(&mut first, 1_100);
+    renew(&mut first, 1_050);
+    renew(&mut first, 2_100);
     first.zones_read(&[record_of_other_zone(&[1, 3])]);
     assert_eq!(share_tokens(&first), 60);
-    first.set_layout(layout(1), at(1_200));
+    first.set_layout(layout(1), at(2_200));
     assert_eq!(share_tokens(&first), 40);
     let newest = |record: HolderRecord| record.layouts.last().cloned();
-    assert_eq!(newest(renew(&mut first, 2_150)), Some(layout(3)));
-    assert_eq!(newest(renew(&mut first, 3_200)), Some(layout(1)));
+    assert_eq!(newest(renew(&mut first, 3_150)), Some(layout(3)));
+    assert_eq!(newest(renew(&mut first, 4_180)), Some(layout(3)));
+    assert_eq!(newest(renew(&mut first, 5_200)), Some(layout(1)));
 }
 
 #[test]
--- a/lib/tests/test_rates_scale.rs
+++ b/lib/tests/test_rates_scale.rs
@@ -116,6 +116,15 @@
     }
 }
 
+/// Guards against small bursts of which each zone keeps a token or two, so that most zones are full and mint
+/// nothing while one is short: load at the rate got 0.82 to 0.87 of what is owed.
+#[test]
+fn bursts_of_a_few_tokens_are_pooled() {
+    for limits in [(4, 4), (5, 5), (10, 10), (40, 5)] {
+        check_shares(limits);
+    }
+}
+
 /// Guards against tokens that are lost at full buckets of one or two tokens in each zone, while other
 /// zones are short.
 #[test]
--- a/testutils/src/rate_fleet/fleet.rs
+++ b/testutils/src/rate_fleet/fleet.rs
@@ -15,6 +15,7 @@
 use balsamfold::process::rates::TokenReply;
 use balsamfold::process::rates::TokenRequest;
 use balsamfold::process::rates::TokenRequestId;
+use balsamfold::process::rates::TokenRequestPurpose;
 use balsamfold::process::rates::ZoneLayout;
 use balsamfold::values::MonotonicTime;
 use balsamfold::values::OrganisationId;
@@ -38,8 +39,9 @@
 use super::node::WaitingRequest;
 use super::node::WaitingTokenRequest;
 
-/// Time after which the holder decides again on a token request that waits for loans.
-const LOAN_TIMEOUT_US: u64 = 25_100;
+/// Times after which the holder decides again, and for the last time, on a token request that waits for
+/// loans.
+const LOAN_TIMEOUTS_US: [u64; 2] = [25_100, 80_000];
 
 /// Shares of messages that are lost, duplicated or delayed, in parts of 1,000.
 #[derive(Clone, Copy, Debug, Default)]
@@ -558,28 +560,33 @@
         let decision = holder
             .expect("node holds the role")
             .handle_request(&request, now);
-        self.apply_decision(node, from, request, decision);
+        let waits_until_us = self.now_us + LOAN_TIMEOUTS_US[1];
+        if decision.reply.is_none() {
+            for timeout_us in LOAN_TIMEOUTS_US {
+                let retry_us = self.now_us + timeout_us;
+                self.schedule(retry_us, Event::RetryTokenRequests(node));
+            }
+        }
+        let waiting = WaitingTokenRequest {
+            from,
+            request,
+            waits_until_us,
+        };
+        self.apply_decision(node, waiting, decision);
     }
 
     fn apply_decision(
         &mut self,
         node: NodeIndex,
-        from: NodeIndex,
-        request: TokenRequest,
+        waiting: WaitingTokenRequest,
         decision: HolderDecision,
     ) {
         for loan in decision.loan_requests {
             self.send_loan_request(node, loan);
         }
         match decision.reply {
-            Some(reply) => self.reply(node, from, &request, reply),
-            None => {
-                self.nodes[node]
-                    .waiting_token_requests
-                    .push(WaitingTokenRequest { from, request });
-                let retry_us = self.now_us + LOAN_TIMEOUT_US;
-                self.schedule(retry_us, Event::RetryTokenRequests(node));
-            }
+            Some(reply) => self.reply(node, waiting.from, &waiting.request, reply),
+            None => self.nodes[node].waiting_token_requests.push(waiting),
         }
     }
 
@@ -591,7 +598,7 @@
 
     fn reply(&mut self, node: NodeIndex, to: NodeIndex, request: &TokenRequest, reply: TokenReply) {
         let organisation = request.organisation.clone();
-        let is_loan = request.purpose == balsamfold::process::rates::TokenRequestPurpose::Lend;
+        let is_loan = request.purpose != TokenRequestPurpose::Spend;
         let message = match is_loan {
             true => Message::LoanReply(
                 organisation,
@@ -607,14 +614,19 @@
     fn retry_token_requests(&mut self, node: NodeIndex) {
         let now = self.clock(node);
         let waiting = std::mem::take(&mut self.nodes[node].waiting_token_requests);
-        for WaitingTokenRequest { from, request } in waiting {
+        for waiting in waiting {
+            let request = &waiting.request;
             if !self.become_holder(node) {
-                self.reply(node, from, &request, TokenReply::NotHolder(None));
+                self.reply(node, waiting.from, request, TokenReply::NotHolder(None));
                 continue;
             }
             let holder = self.nodes[node].holder.as_mut();
-            let decision = holder.expect("node holds the role").retry(&request, now);
-            self.apply_decision(node, from, request, decision);
+            let holder = holder.expect("node holds the role");
+            let decision = match self.now_us < waiting.waits_until_us {
+                true => holder.retry(request, now),
+                false => holder.final_retry(request, now),
+            };
+            self.apply_decision(node, waiting, decision);
         }
     }
 
@@ -625,11 +637,14 @@
         self.schedule(self.now_us + 20_000, Event::Tick(node));
         let reports = self.nodes[node].local.tick(now);
         self.send_reports(node, reports);
-        let reports = match &mut self.nodes[node].holder {
-            Some(holder) => holder.tick(now),
-            None => Vec::new(),
-        };
-        self.send_holder_reports(node, reports);
+        if let Some(holder) = &mut self.nodes[node].holder {
+            let reports = holder.tick(now);
+            let requests = holder.share_requests(now);
+            self.send_holder_reports(node, reports);
+            for request in requests {
+                self.send_loan_request(node, request);
+            }
+        }
         self.request_promises(node, now);
         let is_candidate = self.is_candidate(node);
         match self.nodes[node].lease.next_action(is_candidate, now) {
--- a/testutils/src/rate_fleet/node.rs
+++ b/testutils/src/rate_fleet/node.rs
@@ -11,6 +11,7 @@
 use balsamfold::process::rates::PeerStatus;
 use balsamfold::process::rates::TokenRequest;
 use balsamfold::process::rates::ZoneLayout;
+use balsamfold::process::rates::pool_zone;
 use balsamfold::values::Incarnation;
 use balsamfold::values::MonotonicTime;
 use balsamfold::values::NodeId;
@@ -72,6 +73,8 @@
     pub from: NodeIndex,
     /// The request as the holder received it.
     pub request: TokenRequest,
+    /// When it no longer waits, in microseconds of the schedule.
+    pub waits_until_us: u64,
 }
 
 /// A round of status requests of the holder to all other running nodes of its zone.
@@ -220,6 +223,10 @@
                 .keys()
                 .filter(|zone| **zone != self.zone && lending == Lending::On);
             holder.set_share(&organisation.id, share, others.cloned(), now);
+            let layout = self.lease.layouts().newest();
+            let layout = layout.filter(|_| lending == Lending::On);
+            let pool_zone = layout.and_then(|layout| pool_zone(organisation, layout));
+            holder.set_pool_zone(organisation, pool_zone, now);
         }
     }
 
