--- a/lib/src/process/routing/destination.rs
+++ b/lib/src/process/routing/destination.rs
@@ -189,19 +189,15 @@
 
     /// Returns the expected cost of one more call in microseconds.
     ///
-    /// A node without latency samples counts as fast, so that it is tried, but only until calls to it are
-    /// in flight. `mean_latency_us` is the mean latency of the service, by which these, refusals and
-    /// failures are weighted.
+    /// A node without latency samples counts as fast, so that it is tried. `mean_latency_us` is the
+    /// mean latency of the service, by which refusals and failures are weighted.
     pub fn cost_us(&self, slots: u32, mean_latency_us: f64, now: MonotonicTime) -> f64 {
+        let latency_us = self.latency_us(now).unwrap_or_default();
         let load = f64::from(self.in_flight) / f64::from(slots.max(1));
-        let response_us = match self.latency_us(now) {
-            Some(latency_us) => latency_us * (1.0 + load),
-            None => mean_latency_us * load,
-        };
         let refused = self.refused.at(now, Self::HALF_LIFE);
         let failed = self.failed.at(now, Self::HALF_LIFE);
         let calls = refused + failed + self.answered.at(now, Self::HALF_LIFE);
         let bad_fraction = (refused + failed) / (calls + 1.0);
-        response_us + mean_latency_us * Self::REFUSED_COST * bad_fraction
+        latency_us * (1.0 + load) + mean_latency_us * Self::REFUSED_COST * bad_fraction
     }
 }
