--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -44,6 +44,7 @@
 mod test_rates_fleet;
 mod test_rates_lease;
 mod test_rates_outage;
+mod test_rates_pool;
 mod test_rates_release;
 mod test_rates_scale;
 mod test_relay_attempt_limits;
