--- a/lib/src/process/rates/account.rs
+++ b/lib/src/process/rates/account.rs
@@ -7,10 +7,10 @@
 use super::Bucket;
 use super::Demand;
 use super::HolderReport;
-use super::HomeHolder;
 use super::Loans;
 use super::MAX_BATCH_LIFETIME;
 use super::MicroTokens;
+use super::PoolHolder;
 use super::SettlementReport;
 use super::ShareLoan;
 use super::TakenTokens;
@@ -114,14 +114,14 @@
     /// Lends the zone's share with the tokens of the bucket to the zone of the pool.
     pub fn lend_share(
         &mut self,
-        home: &HomeHolder,
+        borrower: &PoolHolder,
         now: MonotonicTime,
     ) -> Option<(ZoneShare, MicroTokens)> {
-        let unknown_tokens = self.pool.may_lend(home)?;
+        let unknown_tokens = self.pool.may_lend(borrower)?;
         let grants_end = now.after(MAX_BATCH_LIFETIME);
         self.bucket.count_unknown_grants(unknown_tokens, grants_end);
         let level = self.bucket.take_level();
-        let share = self.pool.lend(home, self.bucket.outstanding(), now);
+        let share = self.pool.lend(borrower, self.bucket.outstanding(), now);
         self.bucket.set_share(self.pool.share_in_force(), now);
         Some((share, level))
     }
@@ -220,10 +220,9 @@
         rotation: u64,
         now: MonotonicTime,
     ) -> Vec<ZoneId> {
-        let borrower = self.pool.borrower();
         let lenders = self.lenders.iter();
         let mut zones: Vec<_> = lenders
-            .filter(|(zone, _)| borrower.is_none_or(|borrower| borrower == *zone))
+            .filter(|(zone, _)| self.may_lend_tokens(zone))
             .filter(|(_, lender)| lender.can_request(now))
             .map(|(zone, _)| zone.clone())
             .collect();
@@ -235,6 +234,13 @@
         zones
     }
 
+    /// Returns whether tokens are requested from `zone`: none if the pool is here, and only from the pool
+    /// while this zone's share is there.
+    fn may_lend_tokens(&self, zone: &ZoneId) -> bool {
+        let borrower = self.pool.borrower();
+        !self.has_pool() && borrower.is_none_or(|borrower| borrower == zone)
+    }
+
     /// Returns whether the organisation's tokens are pooled in this zone, which is no lender of its own.
     pub fn has_pool(&self) -> bool {
         let zone = self.pool.zone();
@@ -275,12 +281,8 @@
     }
 
     pub fn until_next_token(&self, now: MonotonicTime) -> Duration {
-        let borrower = self.pool.borrower();
-        let has_tokens = |zone: &ZoneId| match self.pool.zone() {
-            Some(pool_zone) => borrower.is_none_or(|_| zone == pool_zone) && !self.has_pool(),
-            None => true,
-        };
-        let lenders = self.lenders.iter().filter(|(zone, _)| has_tokens(zone));
+        let lenders = self.lenders.iter();
+        let lenders = lenders.filter(|(zone, _)| self.may_lend_tokens(zone));
         let soonest = lenders
             .map(|(_, lender)| lender.until_next_token(now))
             .min();
--- a/lib/src/process/rates/holder.rs
+++ b/lib/src/process/rates/holder.rs
@@ -10,9 +10,9 @@
 use super::HolderDecision;
 use super::HolderReport;
 use super::HolderSettings;
-use super::HomeHolder;
 use super::LoanRequest;
 use super::MAX_BATCH_LIFETIME;
+use super::PoolHolder;
 use super::SHARE_LEASE;
 use super::Settlement;
 use super::ShareLoan;
@@ -134,8 +134,7 @@
     pub fn apply_handover(&mut self, handovers: &[BucketHandover], now: MonotonicTime) {
         for bucket in handovers {
             // What the holder before had of a lent share is not known, so that all of it counts as granted.
-            let accounts = &mut self.accounts;
-            let account = accounts.get_mut(&bucket.organisation);
+            let account = self.accounts.get_mut(&bucket.organisation);
             if let Some(account) = account.filter(|account| account.pool.borrower().is_none()) {
                 account.bucket = Bucket::from_handover(account.bucket.share(), bucket, now);
             }
@@ -325,7 +324,9 @@
             .record_request(is_short && account.has_pool(), now);
         let loan_requests = match request.purpose {
             TokenRequestPurpose::Spend => self.borrow(request, taken, now),
-            _ => self.share_requests_of(&request.organisation, now),
+            TokenRequestPurpose::Lend | TokenRequestPurpose::LendShare => {
+                self.share_requests_of(&request.organisation, now)
+            }
         };
         HolderDecision {
             reply: self.reply(id, request, taken, now),
@@ -385,8 +386,8 @@
         let (zone, epoch) = (self.settings.zone.clone(), self.settings.epoch);
         let account = self.accounts.get_mut(&request.organisation);
         let lent = account
-            .zip(request.home.as_ref())
-            .and_then(|(account, home)| account.lend_share(home, now));
+            .zip(request.pool_holder.as_ref())
+            .and_then(|(account, borrower)| account.lend_share(borrower, now));
         match lent {
             Some((share, level)) => TokenReply::Share(ShareLoan {
                 zone,
@@ -438,7 +439,7 @@
                 waiting_tokens: TokenCount(0),
                 prefetch_tokens: TokenCount(0),
                 settlements: Vec::new(),
-                home: Some(HomeHolder {
+                pool_holder: Some(PoolHolder {
                     zone: self.settings.zone.clone(),
                     epoch: self.settings.epoch,
                 }),
@@ -484,7 +485,7 @@
                 waiting_tokens: TokenCount(each),
                 prefetch_tokens: TokenCount(0),
                 settlements: account.loans.settlements(&lender),
-                home: None,
+                pool_holder: None,
             };
             requests.push(LoanRequest { lender, request });
         }
--- a/lib/src/process/rates/local.rs
+++ b/lib/src/process/rates/local.rs
@@ -199,7 +199,7 @@
             waiting_tokens: waiting,
             prefetch_tokens,
             settlements,
-            home: None,
+            pool_holder: None,
         };
         Some(TokenRequestTarget { zone, request })
     }
--- a/lib/src/process/rates/messages.rs
+++ b/lib/src/process/rates/messages.rs
@@ -102,14 +102,14 @@
         pub settlements: Vec<Settlement>,
         /// The holder that requests the share of the addressed zone.
         #[serde(rename = "h", default)]
-        pub home: Option<HomeHolder>,
+        pub pool_holder: Option<PoolHolder>,
     }
 }
 
 plain_data! {
     /// The holder of the zone where an organisation's tokens are pooled.
     #[derive(Eq)]
-    pub struct HomeHolder {
+    pub struct PoolHolder {
         /// The zone.
         #[serde(rename = "z")]
         pub zone: ZoneId,
--- a/lib/src/process/rates/pool.rs
+++ b/lib/src/process/rates/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::HomeHolder;
+use super::PoolHolder;
 use super::ShareLoan;
 use super::TokenRequestId;
 use super::ZoneLayout;
@@ -185,13 +185,13 @@
         })
     }
 
-    /// Returns whether the share may be lent to `home`, and what its holder before may still have
+    /// Returns whether the share may be lent to `borrower`, and what its holder before may still have
     /// granted of it.
-    pub fn may_lend(&self, home: &HomeHolder) -> Option<TokenCount> {
+    pub fn may_lend(&self, borrower: &PoolHolder) -> Option<TokenCount> {
         match &self.lent {
-            _ if self.zone.as_ref() != Some(&home.zone) => None,
-            Some(lent) if lent.zone != home.zone || lent.epoch > home.epoch => None,
-            Some(lent) if lent.epoch < home.epoch => Some(lent.burst_tokens),
+            _ if self.zone.as_ref() != Some(&borrower.zone) => None,
+            Some(lent) if lent.zone != borrower.zone || lent.epoch > borrower.epoch => None,
+            Some(lent) if lent.epoch < borrower.epoch => Some(lent.burst_tokens),
             Some(_) | None => Some(TokenCount(0)),
         }
     }
@@ -199,15 +199,15 @@
     /// Lends the share, apart from the tokens that are outstanding here.
     pub fn lend(
         &mut self,
-        home: &HomeHolder,
+        borrower: &PoolHolder,
         outstanding: TokenCount,
         now: MonotonicTime,
     ) -> ZoneShare {
         let burst_tokens = self.own.burst_tokens.0.saturating_sub(outstanding.0);
         let burst_tokens = TokenCount(burst_tokens);
         self.lent = Some(LentShare {
-            zone: home.zone.clone(),
-            epoch: home.epoch,
+            zone: borrower.zone.clone(),
+            epoch: borrower.epoch,
             burst_tokens,
             until: now.after(SHARE_LEASE),
         });
--- a/lib/tests/test_rates.rs
+++ b/lib/tests/test_rates.rs
@@ -86,7 +86,7 @@
         waiting_tokens: TokenCount(waiting_tokens),
         prefetch_tokens: TokenCount(0),
         settlements: Vec::new(),
-        home: None,
+        pool_holder: None,
     }
 }
 
