rates: a share that arrives after its lease brings no tokens

Found in reading the change. The reply to a request for a share carries what the lender's bucket had. If it came later than the lease, the share was left alone but the tokens were added, while the lender has a full share again: one burst too many. A relay whose peer stands still for a second can see such a reply.

--- a/lib/src/process/rates/account.rs
+++ b/lib/src/process/rates/account.rs
@@ -134,13 +134,12 @@
         loan: Option<&ShareLoan>,
         now: MonotonicTime,
     ) -> bool {
-        let is_share_request = self.pool.accept(lender, id, loan, now);
-        if is_share_request {
-            self.bucket.set_share(self.pool.share_in_force(), now);
-            self.bucket
-                .add_level(loan.map_or(MicroTokens(0), |loan| loan.level));
-        }
-        is_share_request
+        let Some(level) = self.pool.accept(lender, id, loan, now) else {
+            return false;
+        };
+        self.bucket.set_share(self.pool.share_in_force(), now);
+        self.bucket.add_level(level);
+        true
     }
 
     /// Removes nodes that sent no request for `REQUESTER_TIMEOUT`.
--- a/lib/src/process/rates/pool.rs
+++ b/lib/src/process/rates/pool.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::MicroTokens;
 use super::PoolHolder;
 use super::ShareLoan;
 use super::TokenRequestId;
@@ -217,32 +218,32 @@
         }
     }
 
-    /// Completes the request `id` for the share of `lender`. Returns whether it was pending.
+    /// Completes the request `id` for the share of `lender`. Returns the tokens that come with the share,
+    /// or none if the request was not pending. A share whose lease has ended brings no tokens.
     pub fn accept(
         &mut self,
         lender: &ZoneId,
         id: TokenRequestId,
         loan: Option<&ShareLoan>,
         now: MonotonicTime,
-    ) -> bool {
+    ) -> Option<MicroTokens> {
         let is_this = |request: &&mut ShareRequest| request.id == id && request.is_pending;
-        let Some(request) = self.requests.get_mut(lender).filter(is_this) else {
-            return false;
-        };
+        let request = self.requests.get_mut(lender).filter(is_this)?;
         request.is_pending = false;
         let until = |loan: &ShareLoan| request.sent.after(usable_lifetime(loan.lifetime()));
-        if let Some((loan, until)) = loan.map(|loan| (loan, until(loan)))
-            && until > now
-        {
-            let share = ZoneShare {
-                rate_micro_per_s: loan.rate_micro_per_s,
-                burst_tokens: loan.burst_tokens,
-                ..self.own
-            };
-            let borrowed = BorrowedShare { share, until };
-            self.borrowed.insert(lender.clone(), borrowed);
+        match loan.map(|loan| (loan, until(loan))) {
+            Some((loan, until)) if until > now => {
+                let share = ZoneShare {
+                    rate_micro_per_s: loan.rate_micro_per_s,
+                    burst_tokens: loan.burst_tokens,
+                    ..self.own
+                };
+                let borrowed = BorrowedShare { share, until };
+                self.borrowed.insert(lender.clone(), borrowed);
+                Some(loan.level)
+            }
+            Some(_) | None => Some(MicroTokens(0)),
         }
-        true
     }
 
     /// Records that this zone has the pool and got a request, which was short of tokens or not.
--- a/lib/tests/test_rates.rs
+++ b/lib/tests/test_rates.rs
@@ -7,7 +7,10 @@
 use balsamfold::process::rates::Holder;
 use balsamfold::process::rates::HolderSettings;
 use balsamfold::process::rates::LocalTokens;
+use balsamfold::process::rates::MicroRate;
+use balsamfold::process::rates::MicroTokens;
 use balsamfold::process::rates::Settlement;
+use balsamfold::process::rates::ShareLoan;
 use balsamfold::process::rates::Spend;
 use balsamfold::process::rates::TokenGrant;
 use balsamfold::process::rates::TokenReply;
@@ -336,3 +339,26 @@
     assert_eq!(settlements[0].unspent_tokens, TokenCount(0));
     assert!(!tokens.give_back(&workshop(), at(7)));
 }
+
+// A reply that was held up until the share is in force at its owner again: its tokens would be there twice.
+#[test]
+fn a_share_that_arrives_after_its_lease_brings_no_tokens() {
+    let organisation = organisation(1, 4);
+    let mut holder = holder(shares(&organisation, &[1, 1])[0]);
+    holder.set_pool_zone(&organisation, Some(zone("z0")), at(0));
+    holder.handle_request(&token_request(1, TokenRequestPurpose::Spend, 2), at(0));
+    let decision = holder.handle_request(&token_request(2, TokenRequestPurpose::Spend, 1), at(1));
+    let request = decision.loan_requests.first();
+    let request = &request.expect("the share of z1 is requested").request;
+    let lent = TokenReply::Share(ShareLoan {
+        zone: zone("z1"),
+        epoch: Epoch(1),
+        rate_micro_per_s: MicroRate(500_000),
+        burst_tokens: TokenCount(2),
+        level: MicroTokens(1_000_000),
+        lifetime_us: 1_000_000,
+    });
+    holder.handle_loan_reply(&workshop(), &zone("z1"), request.id, &lent, at(2_000));
+    let bucket = holder.bucket(&workshop(), at(2_000));
+    assert_eq!(bucket.map(|bucket| bucket.tokens), Some(TokenCount(0)));
+}
