--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -241,7 +241,7 @@
     let waited = running.onward.lock().waited();
     permit.finish(gate_outcome(&result), waited);
     match &result {
-        Ok(_) => suspect_run.finish(),
+        Ok(response) => suspect_run.finish(response.status),
         Err(refusal) if refusal.reason == RefusalReason::BadAnswer => {
             suspect_run.fail(backend.pool.address()).await;
         }
--- a/lib/src/process/relay/suspects.rs
+++ b/lib/src/process/relay/suspects.rs
@@ -12,6 +12,7 @@
 use futures::future::BoxFuture;
 use futures::future::join_all;
 use futures::stream::FuturesUnordered;
+use http::StatusCode;
 use parking_lot::Mutex;
 use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
@@ -286,13 +287,21 @@
 
 impl SuspectRun {
     /// Records that the backend server responded; notifies other nodes if that clears a suspect.
-    pub(super) fn finish(self) {
+    pub(super) fn finish(self, status: StatusCode) {
         let node = &self.permit.node;
         let cleared = node
             .suspects
             .table
             .lock()
             .on_finished(self.permit.fingerprint);
+        if let Some(entry) = &cleared {
+            events::SUSPECT_CLEARED.log(format_args!(
+                "content={} status={} crashes={}",
+                entry.fingerprint,
+                status.as_u16(),
+                entry.cleared.len()
+            ));
+        }
         spawn_notification(node, cleared.into_iter().collect());
     }
 
