suspects: a crash on trial quarantines a request, also on the server of the first crash

Callers of a service with one server, or with one that is up, saw it crash at each resend of one request: 15 times in 15 resends. A quarantine needed crashes of two different servers. A crash site now says whether the request was on trial; such a crash makes a quarantine by itself, because a trial follows a crash.

--- a/lib/src/process/suspects/entry.rs
+++ b/lib/src/process/suspects/entry.rs
@@ -40,6 +40,18 @@
     }
 }
 
+plain_value! {
+    /// How a request ran that was in flight when a backend server crashed.
+    #[derive(Default)]
+    pub enum CrashedRun {
+        /// Like any other.
+        #[default]
+        Ordinary,
+        /// On trial, as the only suspect on the server.
+        Trial,
+    }
+}
+
 plain_data! {
     /// One crash of a backend server during which a request was in flight.
     #[derive(Eq, PartialOrd, Ord)]
@@ -48,6 +60,9 @@
         pub node: NodeId,
         /// When the node detected the crash.
         pub at: WallTime,
+        /// How the request ran.
+        #[serde(default)]
+        pub run: CrashedRun,
     }
 }
 
@@ -69,7 +84,8 @@
         Cleared,
         /// It was in flight during a crash. It runs on only one node, alone.
         Suspected,
-        /// It was in flight during crashes of two backend servers. It is refused.
+        /// It crashed a backend server on trial, or was in flight during crashes of two of them. It
+        /// is refused.
         Quarantined,
     }
 }
@@ -120,9 +136,10 @@
     /// Returns how the request is treated.
     pub fn status(&self) -> SuspectStatus {
         let servers: BTreeSet<_> = self.uncleared().map(|site| &site.node).collect();
+        let failed_trial = self.uncleared().any(|site| site.run == CrashedRun::Trial);
         match servers.len() {
             0 => SuspectStatus::Cleared,
-            count if count < Self::QUARANTINE_SERVERS => SuspectStatus::Suspected,
+            count if count < Self::QUARANTINE_SERVERS && !failed_trial => SuspectStatus::Suspected,
             _ => SuspectStatus::Quarantined,
         }
     }
--- a/lib/src/process/suspects/mod.rs
+++ b/lib/src/process/suspects/mod.rs
@@ -10,6 +10,7 @@
 mod table;
 
 pub use self::entry::CrashSite;
+pub use self::entry::CrashedRun;
 pub use self::entry::Fingerprint;
 pub use self::entry::SuspectEntry;
 pub use self::entry::SuspectStatus;
--- a/lib/src/process/suspects/table.rs
+++ b/lib/src/process/suspects/table.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::CrashSite;
+use super::CrashedRun;
 use super::Fingerprint;
 use super::SuspectEntry;
 use super::SuspectStatus;
@@ -27,7 +28,7 @@
     TrialRunning,
     /// Not run here: only the given node may run it.
     OnlyOn(NodeId),
-    /// Not run: it was in flight during crashes of two backend servers.
+    /// Not run: it crashed a backend server on trial, or was in flight during crashes of two.
     Quarantined,
 }
 
@@ -75,9 +76,12 @@
     ) -> Vec<SuspectEntry> {
         let mut updates = Vec::new();
         for fingerprint in in_flight {
-            let was_on_trial = self.on_trial.remove(&fingerprint);
-            if was_on_trial || !self.finished.contains(&fingerprint) {
-                updates.push(self.add_crash(fingerprint, others, wall));
+            let run = match self.on_trial.remove(&fingerprint) {
+                true => CrashedRun::Trial,
+                false => CrashedRun::Ordinary,
+            };
+            if run == CrashedRun::Trial || !self.finished.contains(&fingerprint) {
+                updates.push(self.add_crash(fingerprint, run, others, wall));
             }
         }
         updates.extend(self.reassign_trials(others));
@@ -116,12 +120,14 @@
     fn add_crash(
         &mut self,
         fingerprint: Fingerprint,
+        run: CrashedRun,
         others: &[NodeRecord],
         wall: WallTime,
     ) -> SuspectEntry {
         let site = CrashSite {
             node: self.local_node.clone(),
             at: wall,
+            run,
         };
         let local_node = self.local_node.clone();
         let entry = self.entry(fingerprint);
--- a/lib/tests/test_node_suspects.rs
+++ b/lib/tests/test_node_suspects.rs
@@ -3,6 +3,7 @@
 use balsamfold::connection::BufferedResponse;
 use balsamfold::process::once::ContentDigest;
 use balsamfold::process::suspects::CrashSite;
+use balsamfold::process::suspects::CrashedRun;
 use balsamfold::process::suspects::Fingerprint;
 use balsamfold::process::suspects::SuspectEntry;
 use balsamfold::request::RefusalReason;
@@ -84,6 +85,7 @@
     entry.crashes.insert(CrashSite {
         node: "node-0".parse().unwrap(),
         at: Clock::start().wall(),
+        run: CrashedRun::Ordinary,
     });
     entry.assign_trial(format!("node-{}", SERVERS - 1).parse().unwrap());
     for member in &fleet.nodes {
--- a/lib/tests/test_relay_suspects.rs
+++ b/lib/tests/test_relay_suspects.rs
@@ -5,6 +5,7 @@
 
 use balsamfold::process::once::ContentDigest;
 use balsamfold::process::suspects::CrashSite;
+use balsamfold::process::suspects::CrashedRun;
 use balsamfold::process::suspects::Fingerprint;
 use balsamfold::process::suspects::SuspectEntry;
 use balsamfold::values::Clock;
@@ -197,6 +198,7 @@
     entry.crashes.insert(CrashSite {
         node: "node-0".parse().expect("valid name"),
         at: Clock::start().wall(),
+        run: CrashedRun::Ordinary,
     });
     entry.assign_trial("node-that-left".parse().expect("valid name"));
     for relay in &fleet.relays {
@@ -214,6 +216,7 @@
     entry.crashes.insert(CrashSite {
         node: "node-0".parse().expect("valid name"),
         at: Clock::start().wall(),
+        run: CrashedRun::Ordinary,
     });
     entry.assign_trial(trial_node.parse().expect("valid name"));
     entry
--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -273,6 +273,17 @@
     assert_eq!(table.admit(fingerprint(1)), SuspectAdmission::RunAlone);
 }
 
+// Guards against crashes of one server that never add up to a quarantine (BUDGET).
+#[test]
+fn a_request_that_crashes_the_only_server_on_trial_is_quarantined() {
+    let mut table = Suspects::new(record(0).id);
+    assert_eq!(table.admit(fingerprint(1)), SuspectAdmission::Run);
+    table.on_crash([fingerprint(1)], &[], WALL);
+    assert_eq!(table.admit(fingerprint(1)), SuspectAdmission::RunAlone);
+    table.on_crash([fingerprint(1)], &[], WallTime(WALL.0 + 2_000));
+    assert_eq!(table.admit(fingerprint(1)), SuspectAdmission::Quarantined);
+}
+
 #[test]
 fn a_quarantine_expires() {
     let mut table = Suspects::new(record(2).id);
