suspects: only a response from after a crash, and no error, clears a request of it

Any response counted as finished, and a node that had ever answered an equal request cleared it of all crashes, also of a stored quarantine. Evidence from before a crash now only marks the crash: such requests are suspects too, but crashes beside ordinary runs do not add up to a quarantine for them, and their trials run beside each other, so that popular requests are cleared by the first response after the crash. Errors of the server clear nothing.

--- a/lib/src/process/node/serve.rs
+++ b/lib/src/process/node/serve.rs
@@ -133,7 +133,7 @@
     permit.finish(gate_outcome(&result, &onward), onward.waited());
     match result {
         Ok(response) => {
-            run.finish();
+            run.finish(response.status);
             checked_response(response, &handle)
         }
         Err(error) => {
--- a/lib/src/process/node/suspects.rs
+++ b/lib/src/process/node/suspects.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use http::StatusCode;
 use parking_lot::Mutex;
 use tokio::sync::OwnedRwLockReadGuard;
 use tokio::sync::OwnedRwLockWriteGuard;
@@ -24,6 +25,7 @@
 use crate::process::suspects::SuspectEntry;
 use crate::process::suspects::SuspectStatus;
 use crate::process::suspects::Suspects;
+use crate::process::suspects::is_finished;
 use crate::process::suspects::is_listening;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
@@ -93,6 +95,9 @@
     let admission = node.suspects.table.lock().admit(fingerprint);
     let guard = match admission {
         SuspectAdmission::Run => lock_shared(node)?,
+        SuspectAdmission::RunFamiliar => lock_shared(node).inspect_err(|_| {
+            node.suspects.table.lock().on_not_cleared(fingerprint);
+        })?,
         SuspectAdmission::RunAlone => lock_exclusive(node, fingerprint).await?,
         SuspectAdmission::TrialRunning => return Err(busy_with_trial()),
         SuspectAdmission::OnlyOn(other) => return Err(busy_with_trial().only_on(other)),
@@ -126,7 +131,7 @@
     match timeout(EXCLUSIVE_WAIT_MAX, waiting).await {
         Ok(guard) => Ok(RunGuard::Exclusive { _guard: guard }),
         Err(_) => {
-            node.suspects.table.lock().on_not_run(fingerprint);
+            node.suspects.table.lock().on_not_cleared(fingerprint);
             Err(busy_with_trial())
         }
     }
@@ -134,7 +139,10 @@
 
 impl SuspectRun {
     /// Records that the backend server responded; notifies other nodes if that clears a suspect.
-    pub(super) fn finish(self) {
+    pub(super) fn finish(self, status: StatusCode) {
+        if !is_finished(status) || !self.is_registered() {
+            return;
+        }
         let cleared = self
             .node
             .suspects
@@ -178,7 +186,11 @@
 
 impl Drop for SuspectRun {
     fn drop(&mut self) {
-        self.node.suspects.table.lock().on_not_run(self.fingerprint);
+        self.node
+            .suspects
+            .table
+            .lock()
+            .on_not_cleared(self.fingerprint);
         self.node.suspects.runs.lock().remove(self.id);
     }
 }
@@ -203,7 +215,7 @@
         .collect()
 }
 
-/// Notifies the other nodes of the service, and sends them the entries that any of them cleared.
+/// Notifies the other nodes of the service, and again of what any of them knows beyond that.
 async fn notify(node: &Arc<Node>, updates: Vec<SuspectEntry>) {
     if updates.is_empty() {
         return;
@@ -241,7 +253,7 @@
 }
 
 impl Node {
-    /// Merges suspects known to another node; returns the entries that this node can clear.
+    /// Merges suspects known to another node; returns the entries of which this node knows more.
     pub fn merge_suspects(&self, updates: &[SuspectEntry]) -> Vec<SuspectEntry> {
         let wall = self.clock.wall();
         self.suspects.table.lock().merge(updates, wall)
--- a/lib/src/process/relay/quarantine.rs
+++ b/lib/src/process/relay/quarantine.rs
@@ -109,7 +109,6 @@
     match serde_json::from_slice::<SuspectEntry>(&item.value) {
         Ok(entry) => {
             node.stored_quarantines.lock().insert(entry.fingerprint);
-            // Entries that this node can clear are not quarantined elsewhere for that.
             node.merge_suspects(&[entry]);
         }
         Err(error) => {
--- a/lib/src/process/relay/suspects.rs
+++ b/lib/src/process/relay/suspects.rs
@@ -1,7 +1,9 @@
 //! Handles requests that may crash backend servers, on the path to the local backend server.
 //!
 //! A suspect runs on trial beside other requests, but one at a time. A crash under load has many
-//! suspects, and emptying the server for each would cost callers more than a second crash.
+//! suspects, and emptying the server for each would cost callers more than a second crash. Suspects
+//! that had finished on the crashed server before run beside each other, because most of them are
+//! popular requests that only happened to be there.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -38,6 +40,7 @@
 use crate::process::suspects::SuspectEntry;
 use crate::process::suspects::SuspectStatus;
 use crate::process::suspects::Suspects;
+use crate::process::suspects::is_finished;
 use crate::process::suspects::is_listening;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
@@ -49,6 +52,8 @@
 /// Delay in milliseconds after which a caller may retry a request that was refused because of a
 /// trial.
 const TRIAL_RETRY_MS: u64 = 200;
+/// Number of trials that may run beside each other.
+const TRIALS_MAX: u32 = 64;
 /// Maximum time for which a suspect waits for the trial before it.
 const TRIAL_WAIT_MAX: Duration = Duration::from_millis(500);
 /// Longest delay of the responses to failed requests until the other nodes are notified.
@@ -71,7 +76,8 @@
 pub(super) struct SuspectState {
     table: Mutex<Suspects>,
     runs: Mutex<Runs>,
-    trial: Arc<Semaphore>,
+    /// A trial takes one permit if others may run beside it, and all of them if not.
+    trials: Arc<Semaphore>,
     /// Whether a starting node has asked other nodes for the suspects that they know.
     is_learned: watch::Sender<bool>,
     /// Wakes the task that stores quarantines.
@@ -88,7 +94,7 @@
         Self {
             table: Mutex::new(Suspects::new(own_id)),
             runs: Mutex::default(),
-            trial: Arc::new(Semaphore::new(1)),
+            trials: Arc::new(Semaphore::new(TRIALS_MAX as usize)),
             is_learned: watch::Sender::new(false),
             quarantine_formed: Notify::new(),
             found_listening: tokio::sync::Mutex::default(),
@@ -211,19 +217,25 @@
     let mut permit = SuspectPermit {
         node: Arc::clone(node),
         fingerprint,
-        is_trial: admission == SuspectAdmission::RunAlone,
+        is_trial: matches!(
+            admission,
+            SuspectAdmission::RunAlone | SuspectAdmission::RunFamiliar
+        ),
         trial_lock: None,
     };
     match admission {
         SuspectAdmission::Run => {}
-        SuspectAdmission::RunAlone => permit.trial_lock = Some(acquire_trial(node).await?),
+        SuspectAdmission::RunAlone => {
+            permit.trial_lock = Some(acquire_trial(node, TRIALS_MAX).await?);
+        }
+        SuspectAdmission::RunFamiliar => permit.trial_lock = Some(acquire_trial(node, 1).await?),
         refused => return Err(refusal_of(refused)),
     }
     Ok(permit)
 }
 
-async fn acquire_trial(node: &RelayNode) -> Result<OwnedSemaphorePermit, Refusal> {
-    let acquiring = Arc::clone(&node.suspects.trial).acquire_owned();
+async fn acquire_trial(node: &RelayNode, permits: u32) -> Result<OwnedSemaphorePermit, Refusal> {
+    let acquiring = Arc::clone(&node.suspects.trials).acquire_many_owned(permits);
     match timeout(TRIAL_WAIT_MAX, acquiring).await {
         Ok(Ok(permit)) => Ok(permit),
         Ok(Err(_)) | Err(_) => Err(busy_with_trial()),
@@ -237,9 +249,10 @@
             let quarantine_ms = Suspects::QUARANTINE.as_millis() as u64;
             Refusal::not_run(RefusalReason::Quarantined).retry_after_ms(quarantine_ms)
         }
-        SuspectAdmission::Run | SuspectAdmission::RunAlone | SuspectAdmission::TrialRunning => {
-            busy_with_trial()
-        }
+        SuspectAdmission::Run
+        | SuspectAdmission::RunAlone
+        | SuspectAdmission::RunFamiliar
+        | SuspectAdmission::TrialRunning => busy_with_trial(),
     }
 }
 
@@ -265,8 +278,8 @@
             let mut table = self.node.suspects.table.lock();
             match table.admit(self.fingerprint) {
                 SuspectAdmission::Run => {}
-                SuspectAdmission::RunAlone => {
-                    table.on_not_run(self.fingerprint);
+                SuspectAdmission::RunAlone | SuspectAdmission::RunFamiliar => {
+                    table.on_not_cleared(self.fingerprint);
                     return Err(busy_with_trial());
                 }
                 refused => return Err(refusal_of(refused)),
@@ -280,7 +293,11 @@
 impl Drop for SuspectPermit {
     fn drop(&mut self) {
         if self.is_trial {
-            self.node.suspects.table.lock().on_not_run(self.fingerprint);
+            self.node
+                .suspects
+                .table
+                .lock()
+                .on_not_cleared(self.fingerprint);
         }
     }
 }
@@ -289,6 +306,10 @@
     /// Records that the backend server responded; notifies other nodes if that clears a suspect.
     pub(super) fn finish(self, status: StatusCode) {
         let node = &self.permit.node;
+        let is_current = node.suspects.runs.lock().contains(self.id);
+        if !is_finished(status) || !is_current {
+            return;
+        }
         let cleared = node
             .suspects
             .table
--- a/lib/src/process/suspects/entry.rs
+++ b/lib/src/process/suspects/entry.rs
@@ -44,9 +44,12 @@
     /// How a request ran that was in flight when a backend server crashed.
     #[derive(Default)]
     pub enum CrashedRun {
-        /// Like any other.
+        /// Like any other, and no equal one is known to have finished on the server.
         #[default]
         Ordinary,
+        /// An equal request had finished on the server before. It is suspected, but such crashes do
+        /// not add up to a quarantine: popular requests are in flight at most crashes.
+        Familiar,
         /// On trial, as the only suspect on the server.
         Trial,
     }
@@ -80,12 +83,12 @@
 plain_value! {
     /// How a suspected request is treated.
     pub enum SuspectStatus {
-        /// It finished on another node since. It is treated like any other request.
+        /// It finished since. It is treated like any other request.
         Cleared,
-        /// It was in flight during a crash. It runs on only one node, alone.
+        /// It was in flight during a crash. It runs on only one node, on trial.
         Suspected,
-        /// It crashed a backend server on trial, or was in flight during crashes of two of them. It
-        /// is refused.
+        /// It crashed a backend server on trial, or was in flight during crashes of two servers on
+        /// which no equal request had finished. It is refused.
         Quarantined,
     }
 }
@@ -98,7 +101,7 @@
         pub fingerprint: Fingerprint,
         /// Crashes during which it was in flight.
         pub crashes: BTreeSet<CrashSite>,
-        /// Crashes of which it is cleared, because it finished on another backend server since.
+        /// Crashes of which it is cleared, because it finished on a backend server since.
         pub cleared: BTreeSet<CrashSite>,
         /// The only node that may run it while it is suspected.
         pub trial: Option<Trial>,
@@ -109,7 +112,8 @@
     /// Maximum number of crashes in an entry; the first ones in order of node and time are kept.
     pub const CRASHES_MAX: usize = 4;
 
-    /// Number of distinct crashed backend servers from which on a request is quarantined.
+    /// Number of distinct backend servers from which on crashes beside ordinary runs make a
+    /// quarantine.
     pub const QUARANTINE_SERVERS: usize = 2;
 
     /// Creates an entry without crashes.
@@ -135,15 +139,28 @@
 
     /// Returns how the request is treated.
     pub fn status(&self) -> SuspectStatus {
-        let servers: BTreeSet<_> = self.uncleared().map(|site| &site.node).collect();
+        let ordinary = self
+            .uncleared()
+            .filter(|site| site.run == CrashedRun::Ordinary);
+        let servers: BTreeSet<_> = ordinary.map(|site| &site.node).collect();
         let failed_trial = self.uncleared().any(|site| site.run == CrashedRun::Trial);
-        match servers.len() {
-            0 => SuspectStatus::Cleared,
-            count if count < Self::QUARANTINE_SERVERS && !failed_trial => SuspectStatus::Suspected,
-            _ => SuspectStatus::Quarantined,
+        match self.uncleared().next() {
+            None => SuspectStatus::Cleared,
+            Some(_) if failed_trial || servers.len() >= Self::QUARANTINE_SERVERS => {
+                SuspectStatus::Quarantined
+            }
+            Some(_) => SuspectStatus::Suspected,
         }
     }
 
+    /// Returns whether a trial may run beside other such trials: the only crash that is not cleared
+    /// was one of a server on which an equal request had finished.
+    pub fn is_familiar(&self) -> bool {
+        let mut uncleared = self.uncleared();
+        let first = uncleared.next().map(|site| site.run);
+        first == Some(CrashedRun::Familiar) && uncleared.next().is_none()
+    }
+
     /// Assigns the trial of the request to `node`, in place of any earlier trial node.
     pub fn assign_trial(&mut self, node: NodeId) {
         let moves = self.trial.as_ref().map_or(0, |trial| trial.moves + 1);
@@ -161,17 +178,13 @@
         times.max().unwrap_or_default()
     }
 
-    /// Records that the request finished on `node`, which clears it of crashes on other nodes.
+    /// Records that the request finished, which clears it of the crashes that are known.
     ///
-    /// Returns whether there was such a crash that was not cleared before.
-    pub fn clear_after_finish(&mut self, node: &NodeId) -> bool {
-        let elsewhere: Vec<_> = self
-            .uncleared()
-            .filter(|site| site.node != *node)
-            .cloned()
-            .collect();
-        let clears = !elsewhere.is_empty();
-        self.cleared.extend(elsewhere);
+    /// Returns whether there was a crash that was not cleared before.
+    pub fn clear_after_finish(&mut self) -> bool {
+        let uncleared: Vec<_> = self.uncleared().cloned().collect();
+        let clears = !uncleared.is_empty();
+        self.cleared.extend(uncleared);
         clears
     }
 
--- a/lib/src/process/suspects/mod.rs
+++ b/lib/src/process/suspects/mod.rs
@@ -1,8 +1,8 @@
 //! Requests that crash the backend servers that run them.
 //!
 //! When a backend server crashes, its requests in flight become suspects. A suspect runs on only
-//! one other node, on trial. If it finishes, it is cleared; if that backend server crashes too, it
-//! is quarantined. See `docs/design/crash-suspects.md`.
+//! one node, on trial. If it finishes, it is cleared; if that backend server crashes too, it is
+//! quarantined. See `docs/design/crash-suspects.md`.
 
 mod entry;
 mod probe;
@@ -18,5 +18,6 @@
 pub(crate) use self::probe::is_listening;
 pub(crate) use self::runs::RunId;
 pub(crate) use self::runs::Runs;
+pub(crate) use self::runs::is_finished;
 pub use self::table::SuspectAdmission;
 pub use self::table::Suspects;
--- a/lib/src/process/suspects/runs.rs
+++ b/lib/src/process/suspects/runs.rs
@@ -2,8 +2,23 @@
 
 use std::collections::HashMap;
 
+use http::StatusCode;
+
 use super::Fingerprint;
 
+/// Returns whether a response shows that the backend server ran the whole request.
+///
+/// Servers also send errors for requests of which they ran nothing or a part.
+pub(crate) fn is_finished(status: StatusCode) -> bool {
+    let is_refusal = matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+    );
+    !status.is_server_error() && !is_refusal
+}
+
 number_type! {
     /// Identifies a run on the local backend server.
     RunId(u64)
--- a/lib/src/process/suspects/table.rs
+++ b/lib/src/process/suspects/table.rs
@@ -24,6 +24,9 @@
     /// Run it on trial, and report its outcome. A node runs no other request beside it on the
     /// backend server, a relay no other suspect.
     RunAlone,
+    /// Run it on trial, and report its outcome. Other such trials may run beside it, because an
+    /// equal request finished on the crashed server before.
+    RunFamiliar,
     /// Not run: a trial of the same request already runs on this node.
     TrialRunning,
     /// Not run here: only the given node may run it.
@@ -40,7 +43,7 @@
 pub struct Suspects {
     local_node: NodeId,
     entries: BTreeMap<Fingerprint, SuspectEntry>,
-    on_trial: HashSet<Fingerprint>,
+    on_trial: BTreeSet<Fingerprint>,
     finished: FinishedSet,
 }
 
@@ -57,32 +60,32 @@
         Self {
             local_node,
             entries: BTreeMap::new(),
-            on_trial: HashSet::new(),
+            on_trial: BTreeSet::new(),
             finished: FinishedSet::default(),
         }
     }
 
     /// Records a crash of the local backend server.
     ///
-    /// Returns the entries to be sent to the other nodes of the service. Requests that finished
-    /// recently on this backend server do not become suspects, unless they were on trial. The trial
-    /// node is selected by hash among `others`; if there is none, the request is refused until its
-    /// entry expires.
+    /// Returns the entries to be sent to the other nodes of the service. The trial node is selected
+    /// by hash among `others`; if there is none, it is this node.
     pub fn on_crash(
         &mut self,
         in_flight: impl IntoIterator<Item = Fingerprint>,
         others: &[NodeRecord],
         wall: WallTime,
     ) -> Vec<SuspectEntry> {
+        let in_flight: BTreeSet<_> = in_flight.into_iter().collect();
+        let on_trial = in_flight.intersection(&self.on_trial).count();
         let mut updates = Vec::new();
         for fingerprint in in_flight {
+            // One of several trials caused the crash, if any: each of them gets a trial of its own.
             let run = match self.on_trial.remove(&fingerprint) {
-                true => CrashedRun::Trial,
-                false => CrashedRun::Ordinary,
+                true if on_trial == 1 => CrashedRun::Trial,
+                _ if self.finished.contains(&fingerprint) => CrashedRun::Familiar,
+                _ => CrashedRun::Ordinary,
             };
-            if run == CrashedRun::Trial || !self.finished.contains(&fingerprint) {
-                updates.push(self.add_crash(fingerprint, run, others, wall));
-            }
+            updates.push(self.add_crash(fingerprint, run, others, wall));
         }
         updates.extend(self.reassign_trials(others));
         self.expire(wall);
@@ -158,6 +161,7 @@
             (SuspectStatus::Suspected, _) if !self.on_trial.insert(fingerprint) => {
                 SuspectAdmission::TrialRunning
             }
+            (SuspectStatus::Suspected, _) if entry.is_familiar() => SuspectAdmission::RunFamiliar,
             (SuspectStatus::Suspected, _) => SuspectAdmission::RunAlone,
         }
     }
@@ -180,38 +184,33 @@
         self.entries.is_empty()
     }
 
-    /// Records that an admitted request was not sent to the backend server.
-    pub fn on_not_run(&mut self, fingerprint: Fingerprint) {
+    /// Records that an admitted request was not sent to the backend server, or that its run ended
+    /// without a response that clears it.
+    pub fn on_not_cleared(&mut self, fingerprint: Fingerprint) {
         self.on_trial.remove(&fingerprint);
     }
 
-    /// Records that the local backend server responded to a request.
+    /// Records that the local backend server finished a request, which clears it of all crashes
+    /// that this node knows of.
     ///
-    /// If this cleared the request, returns the entry to be sent to the other nodes of the service.
+    /// An error of the server does not: it may fail requests without running them. If this cleared
+    /// the request, returns the entry to be sent to the other nodes of the service.
     pub fn on_finished(&mut self, fingerprint: Fingerprint) -> Option<SuspectEntry> {
         self.on_trial.remove(&fingerprint);
         self.finished.insert(fingerprint);
         let entry = self.entries.get_mut(&fingerprint)?;
-        entry
-            .clear_after_finish(&self.local_node)
-            .then(|| entry.clone())
+        entry.clear_after_finish().then(|| entry.clone())
     }
 
     /// Merges the entries of another node.
     ///
-    /// Returns the entries of which this node knows more than the other one: crashes that the other
-    /// one missed, and clearances of requests to which the local backend server responded recently.
-    /// They must be sent to the other nodes of the service.
+    /// Returns the entries of which this node knows more than the other one. They must be sent to
+    /// the other nodes of the service.
     pub fn merge(&mut self, updates: &[SuspectEntry], wall: WallTime) -> Vec<SuspectEntry> {
         let mut unknown_to_sender = Vec::new();
         for other in updates {
-            let finished = self.finished.contains(&other.fingerprint);
-            let local_node = self.local_node.clone();
             let entry = self.entry(other.fingerprint);
             entry.merge(other);
-            if finished {
-                entry.clear_after_finish(&local_node);
-            }
             if entry != other {
                 unknown_to_sender.push(entry.clone());
             }
@@ -287,7 +286,7 @@
     digest_of(&[&fingerprint.bits().to_be_bytes(), node.as_str().as_bytes()])
 }
 
-/// The fingerprints of the requests to which the local backend server responded recently.
+/// The fingerprints of the requests that the local backend server finished recently.
 #[derive(Debug, Default)]
 struct FinishedSet {
     members: HashSet<Fingerprint>,
