relay: copies of a suspect wait for its trial

The trial takes a service time and mostly clears the request, so copies wait for it, 500 ms and half of their remaining time at most, as suspects already wait for each other.

--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -226,7 +226,13 @@
     if !metadata.is_last_resort && backend.health.lock().should_divert(now) {
         return Err(Refusal::not_run(RefusalReason::ServerFailing));
     }
-    let suspect_permit = suspects::admit(node, metadata.organisation.as_ref(), &request).await?;
+    let suspect_permit = suspects::admit(
+        node,
+        metadata.organisation.as_ref(),
+        &request,
+        Duration::from_micros(metadata.remaining_us),
+    )
+    .await?;
     node.check_onward(metadata)?;
     let permit = backend.gate.acquire(admission_request).await?;
     if !backend.accepts_work() || !node.offers_server() {
--- a/lib/src/process/relay/suspects.rs
+++ b/lib/src/process/relay/suspects.rs
@@ -6,6 +6,7 @@
 //! popular requests that only happened to be there.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,8 +22,10 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use super::frame::ExchangeId;
 use super::frame::Head;
@@ -78,6 +81,8 @@
     runs: Mutex<Runs>,
     /// A trial takes one permit if others may run beside it, and all of them if not.
     trials: Arc<Semaphore>,
+    /// Wakes requests that wait for the trial of an equal one.
+    trial_ended: Notify,
     /// Whether a starting node has asked other nodes for the suspects that they know.
     is_learned: watch::Sender<bool>,
     /// Wakes the task that stores quarantines.
@@ -95,6 +100,7 @@
             table: Mutex::new(Suspects::new(own_id)),
             runs: Mutex::default(),
             trials: Arc::new(Semaphore::new(TRIALS_MAX as usize)),
+            trial_ended: Notify::new(),
             is_learned: watch::Sender::new(false),
             quarantine_formed: Notify::new(),
             found_listening: tokio::sync::Mutex::default(),
@@ -197,46 +203,77 @@
     id: RunId,
 }
 
-/// Admits a request, or refuses it because it is suspected of crashes. Waits while another suspect
-/// is on trial.
+/// Admits a request, or refuses it because it is suspected of crashes.
+///
+/// Waits while an equal request or another suspect is on trial, for half of `remaining` at most, so
+/// that another node can still run a request that is refused.
 pub(super) async fn admit(
     node: &Arc<RelayNode>,
     organisation: Option<&OrganisationId>,
     request: &BufferedRequest,
+    remaining: Duration,
 ) -> Result<SuspectPermit, Refusal> {
     node.suspects.wait_until_learned().await?;
     let fingerprint = Fingerprint::of_request(organisation, request);
-    let admission = node.suspects.table.lock().admit(fingerprint);
-    let admission = match admission {
-        SuspectAdmission::OnlyOn(trial_node) if !node.is_serving(&trial_node) => {
-            replace_trial_node(node, &trial_node);
-            node.suspects.table.lock().admit(fingerprint)
-        }
-        admission => admission,
+    let wait_until = Instant::now() + TRIAL_WAIT_MAX.min(remaining / 2);
+    let admission = admit_after_trial(node, fingerprint, wait_until).await;
+    let permits = match admission {
+        SuspectAdmission::Run => 0,
+        SuspectAdmission::RunFamiliar => 1,
+        SuspectAdmission::RunAlone => TRIALS_MAX,
+        refused => return Err(refusal_of(refused)),
     };
     let mut permit = SuspectPermit {
         node: Arc::clone(node),
         fingerprint,
-        is_trial: matches!(
-            admission,
-            SuspectAdmission::RunAlone | SuspectAdmission::RunFamiliar
-        ),
+        is_trial: permits > 0,
         trial_lock: None,
     };
+    if permit.is_trial {
+        permit.trial_lock = Some(acquire_trial(node, permits, wait_until).await?);
+    }
+    Ok(permit)
+}
+
+/// Waits while an equal request is on trial; its response may clear this one.
+async fn admit_after_trial(
+    node: &Arc<RelayNode>,
+    fingerprint: Fingerprint,
+    wait_until: Instant,
+) -> SuspectAdmission {
+    loop {
+        let mut ended = pin!(node.suspects.trial_ended.notified());
+        // A trial that ends after the table was read must not be missed.
+        ended.as_mut().enable();
+        let admission = admit_now(node, fingerprint);
+        if admission != SuspectAdmission::TrialRunning {
+            return admission;
+        }
+        if timeout_at(wait_until, ended).await.is_err() {
+            return admission;
+        }
+    }
+}
+
+/// Decides on a request; replaces its trial node if that has left the fleet.
+fn admit_now(node: &Arc<RelayNode>, fingerprint: Fingerprint) -> SuspectAdmission {
+    let admission = node.suspects.table.lock().admit(fingerprint);
     match admission {
-        SuspectAdmission::Run => {}
-        SuspectAdmission::RunAlone => {
-            permit.trial_lock = Some(acquire_trial(node, TRIALS_MAX).await?);
+        SuspectAdmission::OnlyOn(trial_node) if !node.is_serving(&trial_node) => {
+            replace_trial_node(node, &trial_node);
+            node.suspects.table.lock().admit(fingerprint)
         }
-        SuspectAdmission::RunFamiliar => permit.trial_lock = Some(acquire_trial(node, 1).await?),
-        refused => return Err(refusal_of(refused)),
+        admission => admission,
     }
-    Ok(permit)
 }
 
-async fn acquire_trial(node: &RelayNode, permits: u32) -> Result<OwnedSemaphorePermit, Refusal> {
+async fn acquire_trial(
+    node: &RelayNode,
+    permits: u32,
+    wait_until: Instant,
+) -> Result<OwnedSemaphorePermit, Refusal> {
     let acquiring = Arc::clone(&node.suspects.trials).acquire_many_owned(permits);
-    match timeout(TRIAL_WAIT_MAX, acquiring).await {
+    match timeout_at(wait_until, acquiring).await {
         Ok(Ok(permit)) => Ok(permit),
         Ok(Err(_)) | Err(_) => Err(busy_with_trial()),
     }
--- a/lib/tests/test_relay_suspects.rs
+++ b/lib/tests/test_relay_suspects.rs
@@ -410,3 +410,27 @@
     }
     assert_eq!(served, 4 * CALLS_BETWEEN);
 }
+
+// Guards against copies of a popular request that are refused while one of them is on trial.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn copies_of_a_popular_request_wait_for_its_trial() {
+    let fleet = RelayFleet::start(&sample_open_plan(), &["stock"; SERVERS]).await;
+    for relay in &fleet.relays {
+        let slow = Behaviour::Slow(Duration::from_millis(40));
+        relay.server.set_behaviour(slow);
+    }
+    let entry = suspected_on("/stock/popular", "node-1");
+    for relay in &fleet.relays {
+        let updates = std::slice::from_ref(&entry);
+        relay.daemon.node().merge_suspects(updates);
+    }
+    let copies = (0..8).map(|number| {
+        let fleet = &fleet;
+        async move {
+            let id = format!("p{number}");
+            let index = number % SERVERS;
+            fleet.call(index, &id, "/stock/popular", None).await.status
+        }
+    });
+    assert_eq!(join_all(copies).await, [StatusCode::OK; 8]);
+}
