suspects: an entry keeps its latest crashes, not those of the first names

After four crashes of which a request was cleared, a crash at a node whose name sorts after theirs was dropped from the entry: the request counted as cleared, and could crash that node's server again and again. Sites are in order of time now, and the latest eight are kept.

--- a/lib/src/process/suspects/entry.rs
+++ b/lib/src/process/suspects/entry.rs
@@ -59,10 +59,10 @@
     /// One crash of a backend server during which a request was in flight.
     #[derive(Eq, PartialOrd, Ord)]
     pub struct CrashSite {
+        /// When the node detected the crash. The first field, so that sites are in order of time.
+        pub at: WallTime,
         /// The node of the backend server.
         pub node: NodeId,
-        /// When the node detected the crash.
-        pub at: WallTime,
         /// How the request ran.
         #[serde(default)]
         pub run: CrashedRun,
@@ -109,8 +109,8 @@
 }
 
 impl SuspectEntry {
-    /// Maximum number of crashes in an entry; the first ones in order of node and time are kept.
-    pub const CRASHES_MAX: usize = 4;
+    /// Maximum number of crashes in an entry; the latest ones are kept.
+    pub const CRASHES_MAX: usize = 8;
 
     /// Number of distinct backend servers from which on crashes beside ordinary runs make a
     /// quarantine.
@@ -195,6 +195,6 @@
 
 fn truncate(sites: &mut BTreeSet<CrashSite>) {
     while sites.len() > SuspectEntry::CRASHES_MAX {
-        sites.pop_last();
+        sites.pop_first();
     }
 }
--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -311,6 +311,22 @@
     assert_eq!(crashed.admit(fingerprint(1)), SuspectAdmission::Run);
 }
 
+// Guards against crashes that are forgotten because an entry is full of earlier ones (BUDGET).
+#[test]
+fn a_crash_counts_after_many_that_were_cleared() {
+    let mut observer = Suspects::new(record(SERVERS).id);
+    for crash in 0..2 * SuspectEntry::CRASHES_MAX {
+        // In reverse order of the names, so that no node's crashes are last in any order of them.
+        let server = SERVERS - 1 - crash % SERVERS;
+        let wall = WallTime(WALL.0 + 1_000 * crash as u64);
+        let updates = Suspects::new(record(server).id).on_crash([fingerprint(1)], &[], wall);
+        observer.merge(&updates, wall);
+        let statuses: Vec<_> = observer.entries().map(SuspectEntry::status).collect();
+        assert_eq!(statuses, [SuspectStatus::Suspected], "after {crash}");
+        observer.on_finished(fingerprint(1));
+    }
+}
+
 #[test]
 fn a_suspect_has_one_trial_at_a_time() {
     let mut table = Suspects::new(record(1).id);
