suspects: requests to other hosts or services are different ones

A request was identified by organisation, method, path and body. Routes go by host and path, and a split sends requests to several services: GET / of one host was refused for crashes under GET / of another, and a response of one service cleared a request of the crashes of another's servers. The fingerprint has both now.

--- a/lib/src/process/node/suspects.rs
+++ b/lib/src/process/node/suspects.rs
@@ -91,7 +91,8 @@
     organisation: Option<&OrganisationId>,
     request: &BufferedRequest,
 ) -> Result<SuspectRun, Refusal> {
-    let fingerprint = Fingerprint::of_request(organisation, request);
+    let service = &node.settings.service;
+    let fingerprint = Fingerprint::of_request(service, organisation, request);
     let admission = node.suspects.table.lock().admit(fingerprint);
     let guard = match admission {
         SuspectAdmission::Run => lock_shared(node)?,
--- a/lib/src/process/once/key.rs
+++ b/lib/src/process/once/key.rs
@@ -9,6 +9,7 @@
 use uuid::Uuid;
 
 use crate::values::OrganisationId;
+use crate::values::ServiceId;
 use crate::values::WallTime;
 
 number_type! {
@@ -102,13 +103,21 @@
         Self(digest_of(&fields))
     }
 
-    /// Hashes the content of a request together with its organisation.
+    /// Hashes the content of a request together with its service, organisation and host.
     pub(crate) fn of_content(
+        service: &ServiceId,
         organisation: Option<&OrganisationId>,
+        host: &[u8],
         content: ContentDigest,
     ) -> Self {
         let organisation = organisation.map_or("", OrganisationId::as_str);
-        Self(digest_of(&[organisation.as_bytes(), &content.0]))
+        let service = service.as_str();
+        Self(digest_of(&[
+            service.as_bytes(),
+            organisation.as_bytes(),
+            host,
+            &content.0,
+        ]))
     }
 
     /// Returns the first 8 bytes as a number, for selection by hash.
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -353,7 +353,8 @@
         backend.record_connection_failure();
     }
     let verdict = failure.verdict();
-    let content = Fingerprint::of_request(metadata.organisation.as_ref(), &request);
+    let service = &node.settings.raw.service;
+    let content = Fingerprint::of_request(service, metadata.organisation.as_ref(), &request);
     events::RUN_FAILED.log(format_args!(
         "request={} content={content} server={} reason=\"{failure}\" verdict={verdict}",
         metadata.request_id, backend.server_id
--- a/lib/src/process/relay/suspects.rs
+++ b/lib/src/process/relay/suspects.rs
@@ -175,7 +175,7 @@
     if node.suspects.table.lock().is_empty() {
         return Ok(None);
     }
-    let fingerprint = Fingerprint::of_request(organisation, request);
+    let fingerprint = Fingerprint::of_request(service, organisation, request);
     let restriction = node.suspects.table.lock().restriction(fingerprint);
     match restriction {
         // The node that gets the request assigns the trial of a node without a server to another one.
@@ -214,7 +214,8 @@
     remaining: Duration,
 ) -> Result<SuspectPermit, Refusal> {
     node.suspects.wait_until_learned().await?;
-    let fingerprint = Fingerprint::of_request(organisation, request);
+    let service = &node.settings.raw.service;
+    let fingerprint = Fingerprint::of_request(service, organisation, request);
     let wait_until = Instant::now() + TRIAL_WAIT_MAX.min(remaining / 2);
     let admission = admit_after_trial(node, fingerprint, wait_until).await;
     let permits = match admission {
--- a/lib/src/process/suspects/entry.rs
+++ b/lib/src/process/suspects/entry.rs
@@ -1,45 +1,11 @@
 //! Entries about requests that were in flight when a backend server crashed.
 
 use std::collections::BTreeSet;
-use std::fmt;
 
-use crate::connection::BufferedRequest;
-use crate::process::once::ContentDigest;
-use crate::process::once::KeyDigest;
+use super::Fingerprint;
 use crate::values::NodeId;
-use crate::values::OrganisationId;
 use crate::values::WallTime;
 
-plain_value! {
-    /// Identifies requests by their organisation and their content.
-    pub struct Fingerprint(KeyDigest);
-}
-
-impl Fingerprint {
-    /// Returns the fingerprint of a buffered request.
-    pub fn of_request(organisation: Option<&OrganisationId>, request: &BufferedRequest) -> Self {
-        let uri = request.uri.to_string();
-        let content = ContentDigest::of(request.method.as_str(), &uri, &request.body);
-        Self::of(organisation, content)
-    }
-
-    /// Returns the fingerprint of a request; requests on open routes have no organisation.
-    pub fn of(organisation: Option<&OrganisationId>, content: ContentDigest) -> Self {
-        Self(KeyDigest::of_content(organisation, content))
-    }
-
-    /// Returns the first 8 bytes as a number, for selection by hash.
-    pub(super) fn bits(&self) -> u64 {
-        self.0.bits()
-    }
-}
-
-impl fmt::Display for Fingerprint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
 plain_value! {
     /// How a request ran that was in flight when a backend server crashed.
     #[derive(Default)]
--- a/lib/src/process/suspects/mod.rs
+++ b/lib/src/process/suspects/mod.rs
@@ -5,16 +5,17 @@
 //! quarantined. See `docs/design/crash-suspects.md`.
 
 mod entry;
+mod fingerprint;
 mod probe;
 mod runs;
 mod table;
 
 pub use self::entry::CrashSite;
 pub use self::entry::CrashedRun;
-pub use self::entry::Fingerprint;
 pub use self::entry::SuspectEntry;
 pub use self::entry::SuspectStatus;
 pub use self::entry::Trial;
+pub use self::fingerprint::Fingerprint;
 pub(crate) use self::probe::is_listening;
 pub(crate) use self::runs::RunId;
 pub(crate) use self::runs::Runs;
--- a/lib/tests/test_node_suspects.rs
+++ b/lib/tests/test_node_suspects.rs
@@ -81,7 +81,12 @@
 /// crashed, and only the last node may run it.
 fn mark_suspect_for_last_node(fleet: &TestFleet, body: &str) {
     let content = ContentDigest::of("POST", "/stock", body.as_bytes());
-    let mut entry = SuspectEntry::new(Fingerprint::of(None, content));
+    let mut entry = SuspectEntry::new(Fingerprint::of(
+        &"stock".parse().unwrap(),
+        None,
+        b"",
+        content,
+    ));
     entry.crashes.insert(CrashSite {
         node: "node-0".parse().unwrap(),
         at: Clock::start().wall(),
--- a/lib/tests/test_relay_suspects.rs
+++ b/lib/tests/test_relay_suspects.rs
@@ -194,7 +194,12 @@
 async fn trial_of_a_node_that_left_the_fleet_moves_to_another_node() {
     let fleet = crashing_fleet().await;
     let content = ContentDigest::of("GET", "/stock/suspect", b"");
-    let mut entry = SuspectEntry::new(Fingerprint::of(None, content));
+    let mut entry = SuspectEntry::new(Fingerprint::of(
+        &"stock".parse().expect("valid name"),
+        None,
+        b"shop",
+        content,
+    ));
     entry.crashes.insert(CrashSite {
         node: "node-0".parse().expect("valid name"),
         at: Clock::start().wall(),
@@ -212,7 +217,12 @@
 /// Returns the entry of the crashing request after a crash at node-0, on trial at `trial_node`.
 fn suspected_on(path: &str, trial_node: &str) -> SuspectEntry {
     let content = ContentDigest::of("GET", path, b"");
-    let mut entry = SuspectEntry::new(Fingerprint::of(None, content));
+    let mut entry = SuspectEntry::new(Fingerprint::of(
+        &"stock".parse().expect("valid name"),
+        None,
+        b"shop",
+        content,
+    ));
     entry.crashes.insert(CrashSite {
         node: "node-0".parse().expect("valid name"),
         at: Clock::start().wall(),
--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use balsamfold::connection::BufferedRequest;
 use balsamfold::process::membership::NodeAddresses;
 use balsamfold::process::membership::NodeCondition;
 use balsamfold::process::membership::NodeRecord;
@@ -13,6 +14,11 @@
 use balsamfold::process::suspects::Suspects;
 use balsamfold::values::Incarnation;
 use balsamfold::values::WallTime;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::header;
 use proptest::prelude::*;
 use rand::Rng;
 use rand::SeedableRng;
@@ -24,7 +30,13 @@
 
 fn fingerprint(body: u32) -> Fingerprint {
     let content = ContentDigest::of("POST", "/stock", &body.to_be_bytes());
-    Fingerprint::of(Some(&"workshop".parse().unwrap()), content)
+    let organisation = "workshop".parse().unwrap();
+    Fingerprint::of(
+        &"stock".parse().unwrap(),
+        Some(&organisation),
+        b"shop",
+        content,
+    )
 }
 
 fn record(index: usize) -> NodeRecord {
@@ -43,6 +55,24 @@
     }
 }
 
+// Guards against a request that is refused, or cleared, for what an equal one did to another program.
+#[test]
+fn equal_requests_to_other_hosts_or_services_are_different() {
+    let fingerprint_at = |service: &str, host: &'static str| {
+        let request = BufferedRequest {
+            method: Method::GET,
+            uri: "/".parse().unwrap(),
+            headers: HeaderMap::from_iter([(header::HOST, HeaderValue::from_static(host))]),
+            body: Bytes::new(),
+        };
+        Fingerprint::of_request(&service.parse().unwrap(), None, &request)
+    };
+    let one = fingerprint_at("stock", "shop");
+    assert_eq!(one, fingerprint_at("stock", "shop"));
+    assert_ne!(one, fingerprint_at("stock", "depot"));
+    assert_ne!(one, fingerprint_at("stock-next", "shop"));
+}
+
 #[derive(Clone, Copy, PartialEq)]
 enum Updates {
     Sent,
