relay: the trial of a node that is silent or unreachable moves to another node

Callers of a suspect got 503 as long as the node of its trial was listed and did not respond: until the lease of a lost node ended, some eleven seconds, or while an instance stood still. The ingress node reassigns the trials of such a node and sends the request on once the others know. The test got 503 before.

--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -135,7 +135,7 @@
         false => node.count_first_attempt(&outbound.service),
     }
     let mut progress = Progress::default();
-    while let Some(destination) = next_destination(node, outbound, &mut progress) {
+    while let Some(destination) = next_destination(node, outbound, &mut progress).await {
         progress.tried.push(destination.id.clone());
         let kind = AttemptKind {
             is_repeat: progress.server_attempts > 0,
@@ -338,28 +338,34 @@
 
 /// Returns the node for the next attempt: the only one that may run the request, or one that was
 /// not tried yet.
-fn next_destination(
-    node: &RelayNode,
+async fn next_destination(
+    node: &Arc<RelayNode>,
     outbound: &Outbound,
     progress: &mut Progress,
 ) -> Option<NodeRecord> {
     let organisation = outbound.metadata.organisation.as_ref();
-    let known = match trial_node_of(node, &outbound.service, organisation, &outbound.request) {
+    let known = trial_node_of(node, &outbound.service, organisation, &outbound.request).await;
+    let known = match known {
         Ok(known) => known,
         Err(refusal) => {
             progress.last_refusal = Some(refusal);
             return None;
         }
     };
-    let Some(only_on) = progress.only_on.take().or(known) else {
-        return choose(node, outbound, &progress.tried);
-    };
     let members = node.members();
-    let serving = members.serving(&outbound.service).iter();
-    serving
-        .filter(|record| !node.links.is_unresponsive(record))
-        .find(|record| record.id == only_on)
-        .cloned()
+    let responsive = |id: &NodeId| {
+        let mut serving = members.serving(&outbound.service).iter();
+        serving.find(|record| record.id == *id && !node.links.is_unresponsive(record))
+    };
+    match (progress.only_on.take(), known) {
+        (None, None) => choose(node, outbound, &progress.tried),
+        (only_on, known) => {
+            let named = only_on.as_ref().and_then(responsive);
+            named
+                .or_else(|| known.as_ref().and_then(responsive))
+                .cloned()
+        }
+    }
 }
 
 /// Chooses a responsive node of the service that was not tried yet.
--- a/lib/src/process/relay/suspects.rs
+++ b/lib/src/process/relay/suspects.rs
@@ -166,8 +166,8 @@
 /// may. Any node may run a request that is not suspected.
 ///
 /// The node of the backend server decides itself, but may have missed a notification.
-pub(super) fn trial_node_of(
-    node: &RelayNode,
+pub(super) async fn trial_node_of(
+    node: &Arc<RelayNode>,
     service: &ServiceId,
     organisation: Option<&OrganisationId>,
     request: &BufferedRequest,
@@ -176,19 +176,48 @@
         return Ok(None);
     }
     let fingerprint = Fingerprint::of_request(service, organisation, request);
+    let Some(trial) = known_trial_node(node, fingerprint)? else {
+        return Ok(None);
+    };
+    let members = node.members();
+    let serving = members.serving(service);
+    match serving.iter().find(|record| record.id == trial) {
+        Some(record) if node.links.is_unresponsive(record) => {
+            replace_unresponsive_trial_node(node, serving, &trial).await;
+            known_trial_node(node, fingerprint)
+        }
+        Some(_) => Ok(Some(trial)),
+        // The node that gets the request assigns the trial to another one.
+        None => Ok(None),
+    }
+}
+
+fn known_trial_node(node: &RelayNode, fingerprint: Fingerprint) -> Result<Option<NodeId>, Refusal> {
     let restriction = node.suspects.table.lock().restriction(fingerprint);
     match restriction {
-        // The node that gets the request assigns the trial of a node without a server to another one.
-        Some(SuspectAdmission::OnlyOn(trial)) => {
-            let members = node.members();
-            let mut serving = members.serving(service).iter();
-            Ok(serving.any(|record| record.id == trial).then_some(trial))
-        }
+        Some(SuspectAdmission::OnlyOn(trial)) => Ok(Some(trial)),
         Some(SuspectAdmission::Quarantined) => Err(refusal_of(SuspectAdmission::Quarantined)),
         Some(_) | None => Ok(None),
     }
 }
 
+/// Reassigns the trials of a node that is listed but sends nothing. Returns once the others know.
+async fn replace_unresponsive_trial_node(
+    node: &Arc<RelayNode>,
+    serving: &[NodeRecord],
+    trial: &NodeId,
+) {
+    let responsive = serving.iter();
+    let responsive = responsive.filter(|record| !node.links.is_unresponsive(record));
+    let responsive: Vec<NodeRecord> = responsive.cloned().collect();
+    let moved = node
+        .suspects
+        .table
+        .lock()
+        .reassign_trials_of(trial, &responsive);
+    notify(node, moved).await;
+}
+
 /// A request that may go to the backend server in view of earlier crashes.
 pub(super) struct SuspectPermit {
     node: Arc<RelayNode>,
--- a/lib/tests/test_relay_silence.rs
+++ b/lib/tests/test_relay_silence.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use balsamfold::process::suspects::SuspectEntry;
 use balsamfold::version::PlannedRoute;
 use balsamfold::version::Repeatability;
 use http::StatusCode;
@@ -10,6 +11,7 @@
 use testutils::relay::StoredPlan;
 use testutils::relay::sample_open_plan;
 use testutils::relay::sample_route;
+use testutils::relay::suspected_on;
 use tokio::runtime::Runtime;
 
 /// Longer than the silence after which a connection to another node counts as lost.
@@ -111,3 +113,27 @@
     assert!(statuses.iter().all(|status| *status == StatusCode::OK));
     apart.shutdown_background();
 }
+
+// Guards against a suspect that is refused as long as the node of its trial stands still.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn trial_of_a_node_that_stands_still_moves_to_another_node() {
+    let apart = runtime();
+    let services = ["front", "stock", "stock", "stock"];
+    let fleet = fleet_with(&services, Repeatability::Idempotent, &apart).await;
+    let entries: Vec<SuspectEntry> = (0..4)
+        .map(|number| suspected_on(&format!("/stock/{number}"), "node-1"))
+        .collect();
+    for relay in &fleet.relays {
+        relay.daemon.node().merge_suspects(&entries);
+    }
+    apart.spawn(async { std::thread::sleep(STANDSTILL) });
+    // The first request finds out that the node stands still.
+    fleet.call(0, "r0", "/stock/0", None).await;
+    for number in 1..4 {
+        let path = format!("/stock/{number}");
+        let response = fleet.call(0, &format!("r{number}"), &path, None).await;
+        assert_eq!(response.status, StatusCode::OK, "{response:?}");
+    }
+    assert!(fleet.relays[1].server.received().is_empty());
+    apart.shutdown_background();
+}
--- a/lib/tests/test_relay_suspects.rs
+++ b/lib/tests/test_relay_suspects.rs
@@ -3,12 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use balsamfold::process::once::ContentDigest;
-use balsamfold::process::suspects::CrashSite;
-use balsamfold::process::suspects::CrashedRun;
-use balsamfold::process::suspects::Fingerprint;
 use balsamfold::process::suspects::SuspectEntry;
-use balsamfold::values::Clock;
 use futures::future::join_all;
 use http::StatusCode;
 use http::header;
@@ -17,6 +12,7 @@
 use testutils::relay::RelayFleet;
 use testutils::relay::relay_protocol;
 use testutils::relay::sample_open_plan;
+use testutils::relay::suspected_on;
 
 const SERVERS: usize = 5;
 /// Attempts that the route allows.
@@ -193,19 +189,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn trial_of_a_node_that_left_the_fleet_moves_to_another_node() {
     let fleet = crashing_fleet().await;
-    let content = ContentDigest::of("GET", "/stock/suspect", b"");
-    let mut entry = SuspectEntry::new(Fingerprint::of(
-        &"stock".parse().expect("valid name"),
-        None,
-        b"shop",
-        content,
-    ));
-    entry.crashes.insert(CrashSite {
-        node: "node-0".parse().expect("valid name"),
-        at: Clock::start().wall(),
-        run: CrashedRun::Ordinary,
-    });
-    entry.assign_trial("node-that-left".parse().expect("valid name"));
+    let entry = suspected_on("/stock/suspect", "node-that-left");
     for relay in &fleet.relays {
         let updates = std::slice::from_ref(&entry);
         relay.daemon.node().merge_suspects(updates);
@@ -214,24 +198,6 @@
     assert_eq!(response.status, StatusCode::OK);
 }
 
-/// Returns the entry of the crashing request after a crash at node-0, on trial at `trial_node`.
-fn suspected_on(path: &str, trial_node: &str) -> SuspectEntry {
-    let content = ContentDigest::of("GET", path, b"");
-    let mut entry = SuspectEntry::new(Fingerprint::of(
-        &"stock".parse().expect("valid name"),
-        None,
-        b"shop",
-        content,
-    ));
-    entry.crashes.insert(CrashSite {
-        node: "node-0".parse().expect("valid name"),
-        at: Clock::start().wall(),
-        run: CrashedRun::Ordinary,
-    });
-    entry.assign_trial(trial_node.parse().expect("valid name"));
-    entry
-}
-
 // Guards against a quarantine that no node stores, because none of the nodes whose servers crashed knows
 // of both crashes (BUDGET).
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -444,3 +410,19 @@
     });
     assert_eq!(join_all(copies).await, [StatusCode::OK; 8]);
 }
+
+// Guards against a server that fails requests, and thereby clears one of the crashes of all others (BUDGET).
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn server_that_fails_a_request_does_not_clear_it_of_the_crashes_of_others() {
+    let fleet = crashing_fleet().await;
+    let failing = &fleet.relays[0].server;
+    failing.set_behaviour(Behaviour::Fail);
+    for resend in 0..3 * SERVERS {
+        let id = format!("r{resend}");
+        fleet.call(resend % SERVERS, &id, CRASHING, None).await;
+        start_crashed_servers_again(&fleet, 2 + resend as u64).await;
+    }
+    let failed = failing.received().len();
+    let crashed = crashes(&fleet) - failed;
+    assert!(crashed <= 2, "{crashed} crashes, {failed} failures");
+}
--- a/testutils/src/relay/mod.rs
+++ b/testutils/src/relay/mod.rs
@@ -4,6 +4,7 @@
 mod samples;
 mod server;
 mod store;
+mod suspects;
 
 pub use self::fleet::CONFIGURATION_KEY;
 pub use self::fleet::PANIC_BYTES;
@@ -21,3 +22,4 @@
 pub use self::server::ReceivedRequest;
 pub use self::server::RelayServer;
 pub use self::store::MemoryStore;
+pub use self::suspects::suspected_on;
