suspects: a request that crashes one server twice runs on others only

A server that crashes under a request which the others finish, as one of a new release, crashed at every resend that reached it: each response elsewhere cleared the request again. The node counts the crashes of its own server since it last finished the request, and names another node.

--- a/lib/src/process/node/suspects.rs
+++ b/lib/src/process/node/suspects.rs
@@ -94,13 +94,19 @@
     let service = &node.settings.service;
     let fingerprint = Fingerprint::of_request(service, organisation, request);
     let admission = node.suspects.table.lock().admit(fingerprint);
+    let admission = match admission {
+        SuspectAdmission::Elsewhere => other_node_for(node, fingerprint),
+        admission => admission,
+    };
     let guard = match admission {
         SuspectAdmission::Run => lock_shared(node)?,
         SuspectAdmission::RunFamiliar => lock_shared(node).inspect_err(|_| {
             node.suspects.table.lock().on_not_cleared(fingerprint);
         })?,
         SuspectAdmission::RunAlone => lock_exclusive(node, fingerprint).await?,
-        SuspectAdmission::TrialRunning => return Err(busy_with_trial()),
+        SuspectAdmission::TrialRunning | SuspectAdmission::Elsewhere => {
+            return Err(busy_with_trial());
+        }
         SuspectAdmission::OnlyOn(other) => return Err(busy_with_trial().only_on(other)),
         SuspectAdmission::Quarantined => {
             return Err(Refusal::not_run(RefusalReason::Quarantined));
@@ -115,6 +121,12 @@
     })
 }
 
+fn other_node_for(node: &Node, fingerprint: Fingerprint) -> SuspectAdmission {
+    let others = other_nodes(node);
+    let other = node.suspects.table.lock().other_node(fingerprint, &others);
+    other.map_or(SuspectAdmission::Run, SuspectAdmission::OnlyOn)
+}
+
 fn busy_with_trial() -> Refusal {
     Refusal::not_run(RefusalReason::Overloaded).retry_after_ms(TRIAL_RETRY_MS)
 }
--- a/lib/src/process/relay/suspects.rs
+++ b/lib/src/process/relay/suspects.rs
@@ -293,6 +293,11 @@
             replace_trial_node(node, &trial_node);
             node.suspects.table.lock().admit(fingerprint)
         }
+        SuspectAdmission::Elsewhere => {
+            let serving = node.serving_nodes();
+            let other = node.suspects.table.lock().other_node(fingerprint, &serving);
+            other.map_or(SuspectAdmission::Run, SuspectAdmission::OnlyOn)
+        }
         admission => admission,
     }
 }
@@ -317,6 +322,7 @@
             Refusal::not_run(RefusalReason::Quarantined).retry_after_ms(quarantine_ms)
         }
         SuspectAdmission::Run
+        | SuspectAdmission::Elsewhere
         | SuspectAdmission::RunAlone
         | SuspectAdmission::RunFamiliar
         | SuspectAdmission::TrialRunning => busy_with_trial(),
@@ -344,7 +350,7 @@
         if !self.is_trial {
             let mut table = self.node.suspects.table.lock();
             match table.admit(self.fingerprint) {
-                SuspectAdmission::Run => {}
+                SuspectAdmission::Run | SuspectAdmission::Elsewhere => {}
                 SuspectAdmission::RunAlone | SuspectAdmission::RunFamiliar => {
                     table.on_not_cleared(self.fingerprint);
                     return Err(busy_with_trial());
--- a/lib/src/process/suspects/table.rs
+++ b/lib/src/process/suspects/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -31,6 +32,9 @@
     TrialRunning,
     /// Not run here: only the given node may run it.
     OnlyOn(NodeId),
+    /// Not run here: the local backend server crashed repeatedly under it, although others finish
+    /// it. [`Suspects::other_node`] selects one.
+    Elsewhere,
     /// Not run: it crashed a backend server on trial, or was in flight during crashes of two.
     Quarantined,
 }
@@ -45,6 +49,9 @@
     entries: BTreeMap<Fingerprint, SuspectEntry>,
     on_trial: BTreeSet<Fingerprint>,
     finished: FinishedSet,
+    /// The number of crashes of the local backend server since a request finished on it. Requests
+    /// without an entry are removed.
+    local_crashes: HashMap<Fingerprint, usize>,
 }
 
 impl Suspects {
@@ -52,6 +59,10 @@
     /// within a status the oldest first.
     pub const ENTRIES_MAX: usize = 4096;
 
+    /// Crashes of the local backend server, none followed by a response of it, from which on a
+    /// request runs on other nodes only: as many as a quarantine needs.
+    pub const LOCAL_CRASHES_MAX: usize = SuspectEntry::QUARANTINE_SERVERS;
+
     /// How long a request stays suspected or quarantined after a crash.
     pub const QUARANTINE: Duration = Duration::from_secs(600);
 
@@ -62,6 +73,7 @@
             entries: BTreeMap::new(),
             on_trial: BTreeSet::new(),
             finished: FinishedSet::default(),
+            local_crashes: HashMap::new(),
         }
     }
 
@@ -132,6 +144,7 @@
             at: wall,
             run,
         };
+        *self.local_crashes.entry(fingerprint).or_default() += 1;
         let local_node = self.local_node.clone();
         let entry = self.entry(fingerprint);
         entry.crashes.insert(site);
@@ -153,6 +166,9 @@
             return SuspectAdmission::Run;
         };
         match (entry.status(), &entry.trial) {
+            (SuspectStatus::Cleared, _) if self.crashes_local_server(fingerprint) => {
+                SuspectAdmission::Elsewhere
+            }
             (SuspectStatus::Cleared, _) => SuspectAdmission::Run,
             (SuspectStatus::Quarantined, _) => SuspectAdmission::Quarantined,
             (SuspectStatus::Suspected, Some(trial)) if trial.node != self.local_node => {
@@ -166,6 +182,16 @@
         }
     }
 
+    fn crashes_local_server(&self, fingerprint: Fingerprint) -> bool {
+        let crashes = self.local_crashes.get(&fingerprint);
+        crashes.is_some_and(|count| *count >= Self::LOCAL_CRASHES_MAX)
+    }
+
+    /// Selects one of `others` to run a request that is admitted only elsewhere.
+    pub fn other_node(&self, fingerprint: Fingerprint, others: &[NodeRecord]) -> Option<NodeId> {
+        trial_node(fingerprint, &self.local_node, others)
+    }
+
     /// Returns what is known of a request that another node would run: that only one node may run
     /// it, or that it is quarantined.
     pub fn restriction(&self, fingerprint: Fingerprint) -> Option<SuspectAdmission> {
@@ -198,6 +224,7 @@
     pub fn on_finished(&mut self, fingerprint: Fingerprint) -> Option<SuspectEntry> {
         self.on_trial.remove(&fingerprint);
         self.finished.insert(fingerprint);
+        self.local_crashes.remove(&fingerprint);
         let entry = self.entries.get_mut(&fingerprint)?;
         entry.clear_after_finish().then(|| entry.clone())
     }
@@ -246,6 +273,8 @@
                 self.entries.remove(&fingerprint);
             }
         }
+        self.local_crashes
+            .retain(|fingerprint, _| self.entries.contains_key(fingerprint));
     }
 }
 
--- a/lib/tests/test_relay_suspects.rs
+++ b/lib/tests/test_relay_suspects.rs
@@ -437,3 +437,21 @@
     let failed = failing.server.received().len();
     assert!(crashed <= 2, "{crashed} crashes, {failed} failures");
 }
+
+// Guards against a server that crashes at each resend of a request that the others finish, as one of a new
+// release (BUDGET).
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn request_that_other_servers_finish_crashes_one_server_at_most_twice() {
+    let fleet = RelayFleet::start(&sample_open_plan(), &["stock"; SERVERS]).await;
+    let crashing = &fleet.relays[0].server;
+    crashing.set_behaviour(Behaviour::CrashOn(CRASHING));
+    let mut served = 0;
+    for resend in 0..6 * SERVERS {
+        let id = format!("r{resend}");
+        let response = fleet.call(resend % SERVERS, &id, CRASHING, None).await;
+        served += usize::from(response.status == StatusCode::OK);
+        start_crashed_servers_again(&fleet, 2 + resend as u64).await;
+    }
+    let crashed = crashing.received().len();
+    assert!(crashed <= 2, "{crashed} crashes, {served} served");
+}
--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -137,7 +137,9 @@
                 self.in_flight[server].push(body);
                 self.drain(server);
             }
-            SuspectAdmission::TrialRunning | SuspectAdmission::Quarantined => {}
+            SuspectAdmission::TrialRunning
+            | SuspectAdmission::Elsewhere
+            | SuspectAdmission::Quarantined => {}
         }
     }
 
@@ -357,6 +359,29 @@
     }
 }
 
+// Guards against a request that crashes one server again and again, because others finish it in between (BUDGET).
+#[test]
+fn a_request_that_others_finish_runs_elsewhere_after_two_crashes_of_the_local_server() {
+    let mut table = Suspects::new(record(0).id);
+    let mut other = Suspects::new(record(1).id);
+    for crash in 0..2 {
+        assert_eq!(table.admit(fingerprint(1)), SuspectAdmission::Run);
+        let wall = WallTime(WALL.0 + 1_000 * crash);
+        let updates = table.on_crash([fingerprint(1)], &[record(1)], wall);
+        other.merge(&updates, wall);
+        table.merge(&[other.on_finished(fingerprint(1)).unwrap()], wall);
+    }
+    assert_eq!(table.admit(fingerprint(1)), SuspectAdmission::Elsewhere);
+    let others = [record(0), record(1)];
+    assert_eq!(
+        table.other_node(fingerprint(1), &others),
+        Some(record(1).id)
+    );
+    assert_eq!(table.other_node(fingerprint(1), &[record(0)]), None);
+    table.on_finished(fingerprint(1));
+    assert_eq!(table.admit(fingerprint(1)), SuspectAdmission::Run);
+}
+
 #[test]
 fn a_suspect_has_one_trial_at_a_time() {
     let mut table = Suspects::new(record(1).id);
