testutils: a killed relay ends with all its tasks and connections

The trace: the relay at which the first crash happened had been restarted, but the tasks of the dropped one went on serving the links of other nodes, told them of the crash in its name, and its successor was never told. A killed process cannot do that. Seeds of the soak can be given as a range.

--- a/lib/tests/test_relay_suspects_soak.rs
+++ b/lib/tests/test_relay_suspects_soak.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -27,8 +28,8 @@
 const SERVERS: usize = 5;
 const STEPS: usize = 30;
 const CRASHING: &str = "/stock/crashing";
-/// Seeds of the run in CI; more are given by `SOAK_SEEDS`.
-const SEEDS: std::ops::Range<u64> = 0..2;
+/// Seeds of the run in CI; others are given by `SOAK_SEEDS`.
+const SEEDS: Range<u64> = 0..2;
 
 struct Soak {
     rng: StdRng,
@@ -118,9 +119,14 @@
     }
 }
 
-fn seeds() -> std::ops::Range<u64> {
-    let given = std::env::var("SOAK_SEEDS").ok();
-    given.map_or(SEEDS, |count| 0..count.parse().expect("a number of seeds"))
+/// Returns the seeds of `SOAK_SEEDS`, a count or a range such as `3..5`.
+fn seeds() -> Range<u64> {
+    let Ok(given) = std::env::var("SOAK_SEEDS") else {
+        return SEEDS;
+    };
+    let (first, end) = given.split_once("..").unwrap_or(("0", &given));
+    let number = |text: &str| text.parse::<u64>().expect("a number of seeds");
+    number(first)..number(end)
 }
 
 // Guards against a crashing request that is forgotten in a restart or an outage and sent to servers again (BUDGET).
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -38,6 +38,7 @@
 use super::server::RATE_LIMIT_HEADER;
 use super::server::RelayServer;
 use super::store::MemoryStore;
+use crate::own_runtime::OwnRuntime;
 
 /// The store's key of the configuration.
 pub const CONFIGURATION_KEY: &str = "desk/plan";
@@ -137,6 +138,18 @@
     pub service: &'static str,
     /// The relay's client of the store.
     pub store: MemoryStore,
+    /// Ends all tasks and connections of the relay when the relay is killed.
+    runtime: OwnRuntime,
+}
+
+/// Starts a relay on a runtime of its own.
+async fn start_relay(settings: RelaySettings, store: &MemoryStore) -> (RelayDaemon, OwnRuntime) {
+    let runtime = OwnRuntime::default();
+    let store = Arc::new(store.clone());
+    let starting = runtime.start(RelayDaemon::start(settings, relay_protocol(), store));
+    let starting = starting.expect("a runtime can be started");
+    let started = starting.await.expect("the runtime runs");
+    (started.expect("ports are free"), runtime)
 }
 
 /// Relays in one process, each with a stand-in for its backend server.
@@ -171,23 +184,22 @@
             let server = RelayServer::start().await;
             let settings = settings(&format!("node-{index}"), service, server.address);
             let store = fleet.store.for_client();
-            let daemon = RelayDaemon::start(settings, relay_protocol(), Arc::new(store.clone()))
-                .await
-                .expect("ports are free");
+            let (daemon, runtime) = start_relay(settings, &store).await;
             server.set_onward_address(daemon.node().settings.raw.listen.callers);
             fleet.relays.push(TestRelay {
                 daemon,
                 server,
                 service,
                 store,
+                runtime,
             });
             fleet.report(index, 1, false).await;
         }
         fleet
     }
 
-    /// Drops the relay at `index` without a planned stop and starts another for the same server,
-    /// which has not reported to it yet.
+    /// Kills the relay at `index` and starts another for the same server, which has not reported to
+    /// it yet.
     pub async fn restart(&mut self, index: usize) {
         let relay = self.relays.remove(index);
         let settings = settings(
@@ -196,13 +208,16 @@
             relay.server.address,
         );
         drop(relay.daemon);
-        let store = Arc::new(relay.store.clone());
-        let daemon = RelayDaemon::start(settings, relay_protocol(), store)
-            .await
-            .expect("ports are free");
+        relay.runtime.shut_down();
+        let (daemon, runtime) = start_relay(settings, &relay.store).await;
         let callers = daemon.node().settings.raw.listen.callers;
         relay.server.set_onward_address(callers);
-        self.relays.insert(index, TestRelay { daemon, ..relay });
+        let restarted = TestRelay {
+            daemon,
+            runtime,
+            ..relay
+        };
+        self.relays.insert(index, restarted);
     }
 
     /// Restarts the relay at `index` on another runtime, which may stand still.
@@ -211,6 +226,7 @@
         let name = format!("node-{index}");
         let settings = settings(&name, relay.service, relay.server.address);
         drop(relay.daemon);
+        relay.runtime.shut_down();
         let store = Arc::new(relay.store.clone());
         let starting = runtime.spawn(RelayDaemon::start(settings, relay_protocol(), store));
         let started = starting.await.expect("the runtime runs");
