suspects: what any server finished before is not quarantined by crashes beside ordinary runs

Whether an equal request finished before is now a mark of the whole entry, which every node that finished one adds.

--- a/lib/src/process/suspects/entry.rs
+++ b/lib/src/process/suspects/entry.rs
@@ -10,12 +10,9 @@
     /// How a request ran that was in flight when a backend server crashed.
     #[derive(Default)]
     pub enum CrashedRun {
-        /// Like any other, and no equal one is known to have finished on the server.
+        /// Like any other.
         #[default]
         Ordinary,
-        /// An equal request had finished on the server before. It is suspected, but such crashes do
-        /// not add up to a quarantine: popular requests are in flight at most crashes.
-        Familiar,
         /// On trial, as the only suspect on the server.
         Trial,
     }
@@ -53,8 +50,8 @@
         Cleared,
         /// It was in flight during a crash. It runs on only one node, on trial.
         Suspected,
-        /// It crashed a backend server on trial, or was in flight during crashes of two servers on
-        /// which no equal request had finished. It is refused.
+        /// It crashed a backend server on trial, or was in flight during crashes of two servers, and
+        /// no equal request had finished before. It is refused.
         Quarantined,
     }
 }
@@ -71,6 +68,10 @@
         pub cleared: BTreeSet<CrashSite>,
         /// The only node that may run it while it is suspected.
         pub trial: Option<Trial>,
+        /// Whether an equal request finished on any server before. Popular requests are in flight at
+        /// most crashes, so that such crashes do not add up to a quarantine.
+        #[serde(default)]
+        pub is_familiar: bool,
     }
 }
 
@@ -89,6 +90,7 @@
             crashes: BTreeSet::new(),
             cleared: BTreeSet::new(),
             trial: None,
+            is_familiar: false,
         }
     }
 
@@ -99,32 +101,29 @@
         self.crashes.extend(other.crashes.iter().cloned());
         self.cleared.extend(other.cleared.iter().cloned());
         self.trial = self.trial.take().max(other.trial.clone());
+        self.is_familiar |= other.is_familiar;
         truncate(&mut self.crashes);
         truncate(&mut self.cleared);
     }
 
     /// Returns how the request is treated.
     pub fn status(&self) -> SuspectStatus {
-        let ordinary = self
-            .uncleared()
-            .filter(|site| site.run == CrashedRun::Ordinary);
-        let servers: BTreeSet<_> = ordinary.map(|site| &site.node).collect();
+        let servers: BTreeSet<_> = self.uncleared().map(|site| &site.node).collect();
         let failed_trial = self.uncleared().any(|site| site.run == CrashedRun::Trial);
-        match self.uncleared().next() {
-            None => SuspectStatus::Cleared,
-            Some(_) if failed_trial || servers.len() >= Self::QUARANTINE_SERVERS => {
+        match servers.len() {
+            0 => SuspectStatus::Cleared,
+            _ if failed_trial => SuspectStatus::Quarantined,
+            count if count >= Self::QUARANTINE_SERVERS && !self.is_familiar => {
                 SuspectStatus::Quarantined
             }
-            Some(_) => SuspectStatus::Suspected,
+            _ => SuspectStatus::Suspected,
         }
     }
 
-    /// Returns whether a trial may run beside other such trials: the only crash that is not cleared
-    /// was one of a server on which an equal request had finished.
-    pub fn is_familiar(&self) -> bool {
-        let mut uncleared = self.uncleared();
-        let first = uncleared.next().map(|site| site.run);
-        first == Some(CrashedRun::Familiar) && uncleared.next().is_none()
+    /// Returns whether a trial may run beside other such trials: an equal request had finished
+    /// before the only crash that is not cleared.
+    pub fn allows_shared_trial(&self) -> bool {
+        self.is_familiar && self.uncleared().count() == 1
     }
 
     /// Assigns the trial of the request to `node`, in place of any earlier trial node.
--- a/lib/src/process/suspects/table.rs
+++ b/lib/src/process/suspects/table.rs
@@ -26,7 +26,7 @@
     /// backend server, a relay no other suspect.
     RunAlone,
     /// Run it on trial, and report its outcome. Other such trials may run beside it, because an
-    /// equal request finished on the crashed server before.
+    /// equal request finished before.
     RunFamiliar,
     /// Not run: a trial of the same request already runs on this node.
     TrialRunning,
@@ -94,7 +94,6 @@
             // One of several trials caused the crash, if any: each of them gets a trial of its own.
             let run = match self.on_trial.remove(&fingerprint) {
                 true if on_trial == 1 => CrashedRun::Trial,
-                _ if self.finished.contains(&fingerprint) => CrashedRun::Familiar,
                 _ => CrashedRun::Ordinary,
             };
             updates.push(self.add_crash(fingerprint, run, others, wall));
@@ -146,7 +145,9 @@
         };
         *self.local_crashes.entry(fingerprint).or_default() += 1;
         let local_node = self.local_node.clone();
+        let has_finished = self.finished.contains(&fingerprint);
         let entry = self.entry(fingerprint);
+        entry.is_familiar |= has_finished;
         entry.crashes.insert(site);
         if entry.trial.is_none() {
             entry.assign_trial(trial_node(fingerprint, &local_node, others).unwrap_or(local_node));
@@ -177,7 +178,9 @@
             (SuspectStatus::Suspected, _) if !self.on_trial.insert(fingerprint) => {
                 SuspectAdmission::TrialRunning
             }
-            (SuspectStatus::Suspected, _) if entry.is_familiar() => SuspectAdmission::RunFamiliar,
+            (SuspectStatus::Suspected, _) if entry.allows_shared_trial() => {
+                SuspectAdmission::RunFamiliar
+            }
             (SuspectStatus::Suspected, _) => SuspectAdmission::RunAlone,
         }
     }
@@ -252,8 +255,10 @@
     pub fn merge(&mut self, updates: &[SuspectEntry], wall: WallTime) -> Vec<SuspectEntry> {
         let mut unknown_to_sender = Vec::new();
         for other in updates {
+            let has_finished = self.finished.contains(&other.fingerprint);
             let entry = self.entry(other.fingerprint);
             entry.merge(other);
+            entry.is_familiar |= has_finished;
             if entry != other {
                 unknown_to_sender.push(entry.clone());
             }
