suspects: the first trial of a familiar request decides nothing beside new requests

What the rule allows: the request is on trial after one crash when another request, which no server has finished yet, crashes that server too. Such a crash no longer decides the trial; the next one runs as the only trial and does. A familiar request that does crash servers takes down three in traffic with new requests, two without.

--- a/lib/src/process/suspects/table.rs
+++ b/lib/src/process/suspects/table.rs
@@ -88,12 +88,12 @@
         wall: WallTime,
     ) -> Vec<SuspectEntry> {
         let in_flight: BTreeSet<_> = in_flight.into_iter().collect();
-        let on_trial = in_flight.intersection(&self.on_trial).count();
+        let conclusive_trial = self.conclusive_trial(&in_flight);
         let mut updates = Vec::new();
         for fingerprint in in_flight {
-            // One of several trials caused the crash, if any: each of them gets a trial of its own.
-            let run = match self.on_trial.remove(&fingerprint) {
-                true if on_trial == 1 => CrashedRun::Trial,
+            self.on_trial.remove(&fingerprint);
+            let run = match conclusive_trial {
+                Some(trial) if trial == fingerprint => CrashedRun::Trial,
                 _ => CrashedRun::Ordinary,
             };
             updates.push(self.add_crash(fingerprint, run, others, wall));
@@ -103,6 +103,22 @@
         updates
     }
 
+    /// Returns the request whose trial the crash of the local backend server has decided.
+    ///
+    /// A trial that others may run beside decides nothing if there were others, or requests that no
+    /// server is known to have finished: any of them may have caused the crash. The next trial of
+    /// such a request runs as the only one, and decides.
+    fn conclusive_trial(&self, in_flight: &BTreeSet<Fingerprint>) -> Option<Fingerprint> {
+        let mut trials = in_flight.intersection(&self.on_trial);
+        let (trial, None) = (*trials.next()?, trials.next()) else {
+            return None;
+        };
+        let is_shared = self.entries.get(&trial)?.allows_shared_trial();
+        let is_new = |request: &Fingerprint| *request != trial && !self.finished.contains(request);
+        let is_conclusive = !is_shared || !in_flight.iter().any(is_new);
+        is_conclusive.then_some(trial)
+    }
+
     /// Reassigns the trials of this node to other nodes.
     ///
     /// To be called when this node no longer has a backend server. Returns the entries to be sent
--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -352,6 +352,33 @@
     }
 }
 
+// Guards against a popular request that is refused because a new one crashed the server of its trial (found by
+// the soak of popular requests).
+#[test]
+fn a_crash_beside_a_new_request_decides_only_the_trial_of_one_suspect_alone() {
+    let (popular, new) = (fingerprint(1), fingerprint(2));
+    let mut tables: Vec<_> = (0..3).map(|node| Suspects::new(record(node).id)).collect();
+    tables[0].on_finished(popular);
+    let mut updates = tables[0].on_crash([popular], &[record(1)], WALL);
+    for (node, expected) in [
+        (1, SuspectStatus::Suspected),
+        (2, SuspectStatus::Quarantined),
+    ] {
+        tables[node].merge(&updates, WALL);
+        let admission = match expected {
+            SuspectStatus::Suspected => SuspectAdmission::RunFamiliar,
+            _ => SuspectAdmission::RunAlone,
+        };
+        assert_eq!(tables[node].admit(popular), admission);
+        updates = tables[node].on_crash([popular, new], &[record(2)], WALL);
+        let moved = tables[node].reassign_trials_of(&record(1).id, &[record(2)]);
+        updates.extend(moved);
+        let of_popular = |entry: &&SuspectEntry| entry.fingerprint == popular;
+        let entry = updates.iter().rfind(of_popular).unwrap();
+        assert_eq!(entry.status(), expected);
+    }
+}
+
 #[test]
 fn a_node_that_finished_a_suspect_clears_it_on_all_nodes() {
     let mut crashed = Suspects::new(record(0).id);
