relay: opening a connection to a node no longer waits for a caller that is not polled

A notification of a crash held the lock on opening that connection and was not polled, because its sibling in the same set had a reply and awaited a second notification, which waited for that lock. Links are opened by tasks of their own now, whoever awaits them, and the second notification is polled beside the first one. It is sent only if the reply told something new, so that equal replies of many nodes do not multiply.

--- a/lib/src/process/relay/links.rs
+++ b/lib/src/process/relay/links.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Weak;
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -76,31 +77,28 @@
         if let Some(result) = self.lookup(peer, address) {
             return result;
         }
+        // A task of its own, because a caller that is not polled would keep the lock from others.
+        let opening = tokio::spawn(Arc::clone(self).open_once(peer.clone(), address));
+        // The task only fails if the process is stopping.
+        opening.await.unwrap_or(Err(LinkFailure::NotSent))
+    }
+
+    /// Opens the connection to a node, unless a concurrent call has done so.
+    async fn open_once(
+        self: Arc<Self>,
+        peer: NodeId,
+        address: SocketAddr,
+    ) -> Result<Arc<Link>, LinkFailure> {
         let opening = Arc::clone(self.opening.lock().entry(peer.clone()).or_default());
         let _guard = opening.lock().await;
-        if let Some(result) = self.lookup(peer, address) {
+        if let Some(result) = self.lookup(&peer, address) {
             return result;
         }
-        if let Some(link) = self.open(peer, address).await {
+        if let Some(link) = self.open(&peer, address).await {
             return Ok(link);
         }
-        self.store(peer, address, SlotState::Unreachable);
-        let links = Arc::downgrade(self);
-        let peer = peer.clone();
-        tokio::spawn(async move {
-            loop {
-                tokio::time::sleep(RECONNECT_DELAY).await;
-                // `remove_closed` drops the slot of a node that left the fleet.
-                match links.upgrade() {
-                    Some(links) if links.is_unreachable(&peer, address) => {
-                        if links.open(&peer, address).await.is_some() {
-                            return;
-                        }
-                    }
-                    Some(_) | None => return,
-                }
-            }
-        });
+        self.store(&peer, address, SlotState::Unreachable);
+        tokio::spawn(retry_open(Arc::downgrade(&self), peer, address));
         Err(LinkFailure::NotSent)
     }
 
@@ -176,3 +174,19 @@
             .retain(|_, opening| Arc::strong_count(opening) > 1);
     }
 }
+
+/// Opens the connection to an unreachable node again until that succeeds or the node has left.
+async fn retry_open(links: Weak<Links>, peer: NodeId, address: SocketAddr) {
+    loop {
+        tokio::time::sleep(RECONNECT_DELAY).await;
+        // `remove_closed` drops the slot of a node that left the fleet.
+        match links.upgrade() {
+            Some(links) if links.is_unreachable(&peer, address) => {
+                if links.open(&peer, address).await.is_some() {
+                    return;
+                }
+            }
+            Some(_) | None => return,
+        }
+    }
+}
--- a/lib/src/process/relay/suspects.rs
+++ b/lib/src/process/relay/suspects.rs
@@ -10,9 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::FutureExt;
 use futures::StreamExt;
-use futures::future::BoxFuture;
 use futures::future::join_all;
 use futures::stream::FuturesUnordered;
 use http::StatusCode;
@@ -491,30 +489,29 @@
     let _ = timeout(NOTIFY_TIMEOUT, delivery).await;
 }
 
-fn deliver(node: Arc<RelayNode>, updates: Vec<SuspectEntry>) -> BoxFuture<'static, ()> {
-    async move {
+async fn deliver(node: Arc<RelayNode>, updates: Vec<SuspectEntry>) {
+    let mut replies = FuturesUnordered::new();
+    let mut unsent = vec![updates];
+    loop {
         let members = node.members();
-        let others = members
-            .nodes()
-            .filter(|record| record.id != node.settings.raw.node);
-        let calls = others.map(|other| deliver_to(&node, &other.id, &updates));
-        let mut replies: FuturesUnordered<_> = calls.collect();
-        while let Some(known) = replies.next().await {
-            if !known.is_empty() {
-                node.merge_suspects(&known);
-                let current = node.suspects.table.lock().current(&known);
-                deliver(Arc::clone(&node), current).await;
-            }
+        for entries in unsent.drain(..).map(Arc::<[_]>::from) {
+            let others = members.nodes().map(|record| record.id.clone());
+            let others = others.filter(|other| *other != node.settings.raw.node);
+            let calls = others.map(|other| deliver_to(&node, other, Arc::clone(&entries)));
+            replies.extend(calls);
+        }
+        match replies.next().await {
+            Some(known) => unsent.extend(node.learn_more(&known)),
+            None => return,
         }
     }
-    .boxed()
 }
 
 /// Notifies one node. Returns the entries of which it knows more.
 async fn deliver_to(
     node: &RelayNode,
-    other: &NodeId,
-    updates: &[SuspectEntry],
+    other: NodeId,
+    updates: Arc<[SuspectEntry]>,
 ) -> Vec<SuspectEntry> {
     let started_at = node.clock.now();
     while !updates.is_empty() && node.clock.now().since(started_at) < DELIVERY_TIMEOUT {
@@ -524,7 +521,7 @@
         };
         // Its address changes when it is replaced or restarted.
         let members = node.members();
-        let Some(record) = members.node(other) else {
+        let Some(record) = members.node(&other) else {
             break;
         };
         if let Some(known) = ask_for_suspects(node, record, notification).await {
@@ -561,6 +558,16 @@
         unknown_to_sender
     }
 
+    /// Merges what a notified node replied. Returns the entries of which this node knows more now:
+    /// several nodes may reply the same.
+    fn learn_more(&self, known: &[SuspectEntry]) -> Option<Vec<SuspectEntry>> {
+        let before = self.suspects.table.lock().current(known);
+        self.merge_suspects(known);
+        let mut current = self.suspects.table.lock().current(known);
+        current.retain(|entry| !before.contains(entry));
+        (!current.is_empty()).then_some(current)
+    }
+
     /// Returns the nodes with a backend server of this node's service.
     fn serving_nodes(&self) -> Vec<NodeRecord> {
         self.members().serving(&self.settings.raw.service).to_vec()
--- a/lib/tests/test_relay_silence.rs
+++ b/lib/tests/test_relay_silence.rs
@@ -12,6 +12,9 @@
 use testutils::relay::sample_open_plan;
 use testutils::relay::sample_route;
 use testutils::relay::suspected_on;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
 use tokio::runtime::Runtime;
 
 /// Longer than the silence after which a connection to another node counts as lost.
@@ -137,3 +140,65 @@
     assert!(fleet.relays[1].server.received().is_empty());
     apart.shutdown_background();
 }
+
+/// Returns a listener to which no connection can be opened, as to an instance without power, and the
+/// connections that fill its queue.
+async fn silent_listener() -> (TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket
+        .bind("127.0.0.1:0".parse().expect("valid address"))
+        .expect("a port is free");
+    let listener = socket.listen(1).expect("the socket listens");
+    let address = listener.local_addr().expect("an address");
+    let mut filling = Vec::new();
+    loop {
+        let connecting = TcpStream::connect(address);
+        match tokio::time::timeout(Duration::from_millis(200), connecting).await {
+            Ok(connected) => filling.push(connected.expect("a connection")),
+            Err(_) => return (listener, filling),
+        }
+    }
+}
+
+// Guards against requests that hang until their deadlines, because a notification of a crash holds the lock on
+// the connection to their node and waits for it (found by the soak of popular requests).
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_do_not_wait_for_a_silent_node_that_is_being_notified_of_a_crash() {
+    let fleet = RelayFleet::start(&sample_open_plan(), &["stock"; 3]).await;
+    for index in 0..3 {
+        fleet.call(index, "r0", "/stock/known", None).await;
+    }
+    let (listener, _filling) = silent_listener().await;
+    let address = listener.local_addr().expect("an address");
+    fleet.write_entry("node-9", "stock", address);
+    fleet
+        .wait_until(|fleet| {
+            let members = fleet.relays[0].daemon.node().members();
+            members
+                .nodes()
+                .any(|record| record.addresses.peer == address)
+        })
+        .await;
+    let entry = suspected_on("/stock/other", "node-0");
+    let mut entry_with_more = entry.clone();
+    let mut crash = entry.crashes.first().expect("a crash").clone();
+    crash.at.0 += 1;
+    entry_with_more.crashes.insert(crash);
+    for (index, known) in [&entry, &entry_with_more, &entry_with_more]
+        .iter()
+        .enumerate()
+    {
+        let node = fleet.relays[index].daemon.node();
+        node.merge_suspects(std::slice::from_ref(*known));
+    }
+    // The response clears the request, and the notified nodes reply with what they know beyond that.
+    fleet.call(0, "r1", "/stock/other", None).await;
+    // Without a server of its own, node 0 sends all requests to other nodes.
+    fleet.report_departure(0).await;
+    fleet.wait_until_ready_with_servers(3).await;
+    for number in 0..20 {
+        let path = format!("/stock/{number}");
+        let response = fleet.call(0, &format!("s{number}"), &path, None).await;
+        assert_eq!(response.status, StatusCode::OK, "{response:?}");
+    }
+}
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -237,10 +237,18 @@
     /// Writes the store entry of a former node whose address the relay at `index` now has.
     pub fn write_stale_entry(&self, name: &str, service: &str, index: usize) {
         let node = self.relays[index].daemon.node();
+        let address = node.settings.raw.listen.peers;
+        self.write_entry(name, service, address);
+    }
+
+    /// Writes the store entry of a node with a server of `service`, at another address.
+    pub fn write_entry(&self, name: &str, service: &str, peer_address: SocketAddr) {
+        let node = self.relays[0].daemon.node();
         let members = node.members();
         let own_record = members.node(&node.settings.raw.node);
         let mut entry = own_record.expect("the relay has its own record").clone();
         entry.id = name.parse().expect("valid name");
+        entry.addresses.peer = peer_address;
         if let Some(server) = &mut entry.server {
             server.service = service.parse().expect("valid name");
         }
