--- a/review/stand-ins/src/client.rs
+++ b/review/stand-ins/src/client.rs
@@ -27,38 +27,55 @@
     Some(connection.read().ok()?.status())
 }
 
-/// Sends one request on a new connection. Returns the answer, or none if there was none until half a
-/// second after the limit.
+/// How an attempt ended, as its client sees it.
+pub enum Ending {
+    Answered(Message),
+    /// There was no connection.
+    NotConnected,
+    /// The connection ended without a complete answer, after this time.
+    Closed(Duration),
+    /// There was no answer until half a second after the limit.
+    TimedOut,
+}
+
+/// Sends one request on a new connection.
 pub fn attempt(
     address: SocketAddr,
     id: &str,
     call: &Call,
     limit: Duration,
     record: &Record,
-) -> Option<Message> {
+) -> Ending {
     record.line(&format!(
         "sent {id} {} {} to {address}",
         call.method, call.path
     ));
-    let answer = exchange(address, id, call, limit);
-    let text = match &answer {
-        Some(answer) => format!(
-            "{} retry-after={} body={}",
+    let ending = exchange(address, id, call, limit);
+    let text = match &ending {
+        Ending::Answered(answer) => format!(
+            "answered {id} {} retry-after={} body={}",
             answer.status(),
             answer.header("retry-after").unwrap_or("-"),
             String::from_utf8_lossy(&answer.body)
         ),
-        None => "no answer".to_owned(),
+        Ending::NotConnected => format!("no connection for {id}"),
+        Ending::Closed(after) => {
+            format!(
+                "closed without an answer: {id}, {} ms after it was sent",
+                after.as_millis()
+            )
+        }
+        Ending::TimedOut => format!("no answer in time: {id}"),
     };
-    record.line(&format!("answered {id} {text}"));
-    answer
+    record.line(&text);
+    ending
 }
 
-fn exchange(address: SocketAddr, id: &str, call: &Call, limit: Duration) -> Option<Message> {
-    let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
-    stream
-        .set_read_timeout(Some(limit + Duration::from_millis(500)))
-        .ok()?;
+fn exchange(address: SocketAddr, id: &str, call: &Call, limit: Duration) -> Ending {
+    let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else {
+        return Ending::NotConnected;
+    };
+    let _ = stream.set_read_timeout(Some(limit + Duration::from_millis(500)));
     let mut connection = Connection::new(stream);
     let limit_ms = limit.as_millis().to_string();
     let authorization = call.key.map(|key| format!("Token {key}"));
@@ -72,32 +89,49 @@
     }
     let first = format!("{} {} HTTP/1.1", call.method, call.path);
     let body: &[u8] = if call.method == "POST" { b"order" } else { b"" };
-    connection.write(&first, &headers, body).ok()?;
-    connection.read().ok()
+    if connection.write(&first, &headers, body).is_err() {
+        return Ending::NotConnected;
+    }
+    let sent = Instant::now();
+    match connection.read() {
+        Ok(answer) => Ending::Answered(answer),
+        Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => Ending::TimedOut,
+        Err(_) => Ending::Closed(sent.elapsed()),
+    }
 }
 
 /// Sends a request, and once more after a promise that it has not run, as `Retry-After` says.
-/// Returns whether it was served.
-pub fn request(address: SocketAddr, id: &str, call: &Call, record: &Record) -> bool {
+/// Returns whether it was served, and how its attempts ended.
+pub fn request(
+    address: SocketAddr,
+    id: &str,
+    call: &Call,
+    record: &Record,
+) -> (bool, Vec<(u64, Ending)>) {
     let deadline = Instant::now() + call.limit;
+    let mut endings = Vec::new();
     for retry in 0..2 {
         let left = deadline.saturating_duration_since(Instant::now());
         let attempt_id = format!("{id}{retry:02x}");
-        let Some(answer) = attempt(address, &attempt_id, call, left, record) else {
-            return false;
+        let at_ms = record.now_ms();
+        let ending = attempt(address, &attempt_id, call, left, record);
+        let (status, wait) = match &ending {
+            Ending::Answered(answer) => {
+                let wait = answer.header("retry-after");
+                (answer.status(), wait.and_then(|text| text.parse().ok()))
+            }
+            _ => (0, None),
         };
-        match answer.status() {
-            200..300 => return answer.header("x-response-signature").is_some(),
+        endings.push((at_ms, ending));
+        match status {
+            200..300 => return (true, endings),
             429 | 503 => {
-                let wait = answer
-                    .header("retry-after")
-                    .and_then(|text| text.parse().ok());
                 let wait = Duration::from_secs_f64(wait.unwrap_or(0.2));
                 let left = deadline.saturating_duration_since(Instant::now());
                 std::thread::sleep(wait.min(left / 3));
             }
-            _ => return false,
+            _ => break,
         }
     }
-    false
+    (false, endings)
 }
--- a/review/stand-ins/src/fleet.rs
+++ b/review/stand-ins/src/fleet.rs
@@ -1,8 +1,8 @@
 //! A small deployment: a store, and machines with a relay and an application server each.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use crate::Setup;
@@ -21,12 +21,14 @@
 pub struct Machine {
     pub relay: Relay,
     pub server: Arc<Server>,
+    /// The nodes that this machine reaches through a proxy.
+    pub wiring: Wiring,
 }
 
 pub struct Fleet {
     pub store: Store,
-    pub wiring: Wiring,
     pub proxies: BTreeMap<String, Proxy>,
+    wired: Vec<(SocketAddr, SocketAddr)>,
     pub machines: Vec<Machine>,
 }
 
@@ -36,8 +38,8 @@
         store.write("op/config", configuration);
         Self {
             store,
-            wiring: Wiring::default(),
             proxies: BTreeMap::new(),
+            wired: Vec::new(),
             machines: Vec::new(),
         }
     }
@@ -51,21 +53,34 @@
         behaviour: Behaviour,
     ) -> Result<(), String> {
         let server = Server::start(service, node, behaviour, &setup.record);
+        let wiring = Wiring::default();
+        for (peers, proxy) in &self.wired {
+            wiring.lock().unwrap().push((*peers, *proxy));
+        }
         let settings = RelaySettings {
             node,
             zone: ZONE,
             service,
             server: server.address,
-            store: self.store.listen(Arc::clone(&self.wiring)),
+            store: self.store.listen(Arc::clone(&wiring)),
         };
         let relay = Relay::start(&setup.relay_program, &setup.folder, &settings);
         server.report_to(relay.addresses.reports, ZONE, 64);
         relay.wait_until_ready()?;
-        self.machines.push(Machine { relay, server });
+        self.machines.push(Machine {
+            relay,
+            server,
+            wiring,
+        });
+        self.wait_for_entry(node, 0)
+    }
+
+    /// Waits until the entry of a node was written after a revision and names its server.
+    pub fn wait_for_entry(&self, node: &str, after: u64) -> Result<(), String> {
         let key = format!("nodes/{node}");
-        for _ in 0..100 {
+        for _ in 0..150 {
             let entry = self.store.value(&key).unwrap_or_default();
-            if entry.contains("\"slots\"") {
+            if entry.contains("\"slots\"") && self.store.revision(&key) > after {
                 return Ok(());
             }
             std::thread::sleep(Duration::from_millis(100));
@@ -73,7 +88,7 @@
         Err(format!("{node} wrote no entry with its server"))
     }
 
-    /// From now on, machines that are added reach `node` through a proxy. The machines before reach
+    /// Machines whose processes start from now on reach `node` through a proxy. Those that run reach
     /// it as they did, and its own entry stays as it is.
     pub fn wire(&mut self, node: &str) {
         let machine = self
@@ -82,12 +97,38 @@
             .find(|machine| machine.relay.node == node);
         let peers = machine.expect("a known node").relay.addresses.peers;
         let proxy = Proxy::start(peers);
-        // A machine has the wiring that was in force when it was added.
-        let mut known = self.wiring.lock().unwrap().clone();
-        known.push((peers, proxy.address));
-        self.wiring = Arc::new(Mutex::new(known));
+        self.wired.push((peers, proxy.address));
+        for machine in self
+            .machines
+            .iter()
+            .filter(|machine| machine.relay.node != node)
+        {
+            machine.wiring.lock().unwrap().push((peers, proxy.address));
+        }
         self.proxies.insert(node.to_owned(), proxy);
     }
+
+    /// Lets the open connections to the wired nodes go silent, if there is to be trouble. Returns
+    /// how many connections each node had been given until then.
+    pub fn silence(&self, setup: &Setup) -> BTreeMap<String, u64> {
+        let mut opened = BTreeMap::new();
+        for (node, proxy) in &self.proxies {
+            let open = match setup.has_trouble {
+                true => proxy.silence(),
+                false => proxy.opened(),
+            };
+            opened.insert(node.clone(), open);
+            let what = if setup.has_trouble {
+                "go silent"
+            } else {
+                "stay"
+            };
+            setup
+                .record
+                .line(&format!("the {open} connections to {node} {what}"));
+        }
+        opened
+    }
 }
 
 /// Returns a configuration with one route to the service `orders`.
--- a/review/stand-ins/src/gone.rs
+++ b/review/stand-ins/src/gone.rs
@@ -7,6 +7,7 @@
 use crate::Outcome;
 use crate::Setup;
 use crate::client::Call;
+use crate::client::Ending;
 use crate::client::attempt;
 use crate::fleet::Fleet;
 use crate::fleet::configuration;
@@ -40,8 +41,8 @@
             limit: Duration::from_secs(5),
         };
         let id = format!("{:016x}", 0xffff_0000_u32 + number);
-        let answer = attempt(callers, &id, &call, call.limit, &setup.record);
-        if answer.is_none_or(|answer| answer.status() != 200) {
+        let ending = attempt(callers, &id, &call, call.limit, &setup.record);
+        if !matches!(ending, Ending::Answered(answer) if answer.status() == 200) {
             return Err("a request before the others was not served".to_owned());
         }
     }
--- a/review/stand-ins/src/poison.rs
+++ b/review/stand-ins/src/poison.rs
@@ -6,6 +6,7 @@
 use crate::Outcome;
 use crate::Setup;
 use crate::client::Call;
+use crate::client::Ending;
 use crate::client::attempt;
 use crate::fleet::Fleet;
 use crate::fleet::configuration;
@@ -52,8 +53,11 @@
         let callers = fleet.machines[number as usize % 2].relay.addresses.callers;
         let id = format!("{number:016x}");
         let at_ms = record.now_ms();
-        let answer = attempt(callers, &id, &call, LIMIT, record);
-        sent.push((id, at_ms, answer.map_or(0, |answer| answer.status())));
+        let status = match attempt(callers, &id, &call, LIMIT, record) {
+            Ending::Answered(answer) => answer.status(),
+            _ => 0,
+        };
+        sent.push((id, at_ms, status));
         std::thread::sleep(GAP);
     }
     let servers: Vec<_> = fleet
--- a/review/stand-ins/src/relay.rs
+++ b/review/stand-ins/src/relay.rs
@@ -38,6 +38,8 @@
 pub struct Relay {
     pub node: String,
     pub addresses: Addresses,
+    program: String,
+    folder: String,
     child: Child,
 }
 
@@ -73,6 +75,8 @@
         std::fs::write(&path, text).expect("the settings are written");
         Self {
             node: settings.node.to_owned(),
+            program: program.to_owned(),
+            folder: folder.to_owned(),
             addresses,
             child: spawn(program, folder, settings.node),
         }
@@ -92,6 +96,31 @@
 }
 
 impl Relay {
+    /// Sends SIGKILL, and waits for the end of the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends SIGTERM, and SIGKILL after `grace` as the platform does. Returns when it has ended.
+    pub fn stop(&mut self, grace: Duration) {
+        let process = self.process().to_string();
+        let _ = Command::new("kill").args(["-TERM", &process]).status();
+        let deadline = Instant::now() + grace;
+        while Instant::now() < deadline {
+            if matches!(self.child.try_wait(), Ok(Some(_))) {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        self.kill();
+    }
+
+    /// Starts the process again with the same settings, after it has ended.
+    pub fn start_again(&mut self) {
+        self.child = spawn(&self.program, &self.folder, &self.node);
+    }
+
     /// Returns the process id.
     pub fn process(&self) -> u32 {
         self.child.id()
--- a/review/stand-ins/src/store.rs
+++ b/review/stand-ins/src/store.rs
@@ -143,6 +143,12 @@
         String::from_utf8(value).ok()
     }
 
+    /// Returns the revision of an item's last change, or 0 if there is none.
+    pub fn revision(&self, key: &str) -> u64 {
+        let content = self.shared.0.lock().unwrap();
+        content.items.get(key).map_or(0, |item| item.revision)
+    }
+
     fn serve(&self, stream: TcpStream, wiring: &Wiring) {
         let mut connection = Connection::new(stream);
         while let Ok(call) = connection.read() {
