--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -8,6 +8,7 @@
 mod gone;
 mod http;
 mod json;
+mod limit;
 mod memory;
 mod poison;
 mod proxy;
@@ -54,6 +55,7 @@
         "silent-orders" => silence::orders(&setup),
         "late-crash" => poison::late_crash(&setup),
         "large-bodies" => memory::large_bodies(&setup),
+        "limit-restart" => limit::restart(&setup),
         "pipeline-gone" => gone::pipeline(&setup),
         other => Err(format!("no such case: {other}")),
     };
--- a/review/stand-ins/src/poison.rs
+++ b/review/stand-ins/src/poison.rs
@@ -36,6 +36,7 @@
         drops_closed: false,
         crashing: setup.has_trouble.then_some((POISON, CRASH_AFTER)),
         down: DOWN,
+        limit: None,
     };
     for node in ["side-5", "side-6", "side-7", "side-8"] {
         fleet.add(setup, node, "orders", orders.clone())?;
--- a/review/stand-ins/src/server.rs
+++ b/review/stand-ins/src/server.rs
@@ -34,6 +34,8 @@
     pub crashing: Option<(&'static str, Duration)>,
     /// How long it is down after a crash.
     pub down: Duration,
+    /// The requests a second that it takes, named in all its answers.
+    pub limit: Option<&'static str>,
 }
 
 impl Behaviour {
@@ -43,6 +45,7 @@
             drops_closed: true,
             crashing: None,
             down: Duration::from_secs(3),
+            limit: None,
         }
     }
 }
@@ -174,10 +177,11 @@
         match result {
             Ok(()) => {
                 let signature = format!("{}.{id}", life.id);
-                let headers = [
+                let mut headers = vec![
                     ("X-Request-Id", id),
                     ("X-Response-Signature", signature.as_str()),
                 ];
+                headers.extend(self.behaviour.limit.map(|limit| ("Server-Limit", limit)));
                 connection.write("HTTP/1.1 200 OK", &headers, b"done")
             }
             Err(error) => {
