--- a/review/stand-ins/src/fleet.rs
+++ b/review/stand-ins/src/fleet.rs
@@ -131,6 +131,17 @@
     }
 }
 
+/// A key that later versions take away.
+pub const OLD_KEY: &str = "8pjbvk9m68k7b2ex5wa5";
+
+/// Returns a version with the keys of its only tenant.
+pub fn version_with_keys(version: u64, keys: &[&str]) -> String {
+    let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+    let text = configuration("safe", false);
+    let text = text.replace("\"version\":7", &format!("\"version\":{version}"));
+    text.replace(&format!("[\"{KEY}\"]"), &format!("[{}]", keys.join(",")))
+}
+
 /// Returns a configuration with one route to the service `orders`.
 pub fn configuration(kind: &str, is_public: bool) -> String {
     format!(
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -4,6 +4,7 @@
 
 mod base64;
 mod client;
+mod drill;
 mod fleet;
 mod gone;
 mod http;
@@ -16,6 +17,7 @@
 mod relay;
 mod server;
 mod silence;
+mod stop;
 mod store;
 
 use std::process::ExitCode;
@@ -55,6 +57,12 @@
         "silent-orders" => silence::orders(&setup),
         "late-crash" => poison::late_crash(&setup),
         "large-bodies" => memory::large_bodies(&setup),
+        "prompt-crash" => poison::prompt_crash(&setup, poison::Beside::Nothing),
+        "prompt-crash-kills" => poison::prompt_crash(&setup, poison::Beside::Kills),
+        "prompt-crash-popular" => poison::prompt_crash(&setup, poison::Beside::Popular),
+        "stop-all" => stop::all(&setup, false),
+        "stop-all-outage" => stop::all(&setup, true),
+        "drill-key" => drill::withdrawn_key(&setup),
         "limit-restart" => limit::restart(&setup),
         "pipeline-gone" => gone::pipeline(&setup),
         other => Err(format!("no such case: {other}")),
--- a/review/stand-ins/src/store.rs
+++ b/review/stand-ins/src/store.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,6 +18,9 @@
 use crate::http::Message;
 use crate::json::Json;
 
+/// Header in which the store counts how often it has come back from a copy.
+const ERA: &str = "Store-Era";
+
 #[derive(Clone)]
 struct Item {
     /// As base64 text.
@@ -25,13 +30,18 @@
     lease: u64,
 }
 
+#[derive(Clone)]
 struct Lease {
     ttl: Duration,
     ends: Instant,
 }
 
-#[derive(Default)]
+/// An earlier content of a store.
+pub struct Copy(Content);
+
+#[derive(Clone, Default)]
 struct Content {
+    era: u64,
     revision: u64,
     items: BTreeMap<String, Item>,
     /// Revision and key of each change; no item for a removal.
@@ -96,6 +106,8 @@
 #[derive(Clone, Default)]
 pub struct Store {
     shared: Arc<(Mutex<Content>, Condvar)>,
+    /// Whether the store closes connections without an answer.
+    is_down: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -128,6 +140,32 @@
         address
     }
 
+    /// Takes the store down, or brings it back.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, Ordering::SeqCst);
+    }
+
+    pub fn copy(&self) -> Copy {
+        Copy(self.shared.0.lock().unwrap().clone())
+    }
+
+    /// Comes back from a copy. Revisions are given out again; leases are numbered on.
+    pub fn go_back_to(&self, copy: &Copy) {
+        let mut content = self.shared.0.lock().unwrap();
+        let now = Instant::now();
+        let mut earlier = copy.0.clone();
+        for lease in earlier.leases.values_mut() {
+            lease.ends = now + lease.ttl;
+        }
+        *content = Content {
+            era: content.era + 1,
+            next_lease: content.next_lease,
+            ..earlier
+        };
+        drop(content);
+        self.shared.1.notify_all();
+    }
+
     /// Writes an item as the operator does.
     pub fn write(&self, key: &str, value: &str) {
         let mut content = self.shared.0.lock().unwrap();
@@ -153,9 +191,16 @@
         let mut connection = Connection::new(stream);
         while let Ok(call) = connection.read() {
             std::thread::sleep(Duration::from_millis(2));
+            if self.is_down.load(Ordering::SeqCst) {
+                return;
+            }
             let (status, body) = self.answer(&call, wiring);
+            if self.is_down.load(Ordering::SeqCst) {
+                return;
+            }
             let first = format!("HTTP/1.1 {status} X");
-            let headers = [("Content-Type", "application/json")];
+            let era = self.shared.0.lock().unwrap().era.to_string();
+            let headers = [("Content-Type", "application/json"), (ERA, era.as_str())];
             if connection.write(&first, &headers, body.as_bytes()).is_err() {
                 return;
             }
@@ -213,7 +258,11 @@
         let wait = Duration::from_millis(number("wait-ms").unwrap_or(0).min(30_000));
         let deadline = Instant::now() + wait;
         let mut content = self.shared.0.lock().unwrap();
+        let era = content.era;
         loop {
+            if after > content.revision || content.era != era {
+                return (410, "{}".to_owned());
+            }
             let events: Vec<String> = content
                 .history
                 .iter()
