--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -6,6 +6,7 @@
 mod client;
 mod drill;
 mod fleet;
+mod freeze;
 mod gone;
 mod http;
 mod json;
@@ -63,6 +64,7 @@
         "stop-all" => stop::all(&setup, false),
         "stop-all-outage" => stop::all(&setup, true),
         "drill-key" => drill::withdrawn_key(&setup),
+        "freeze" => freeze::relays(&setup),
         "limit-restart" => limit::restart(&setup),
         "pipeline-gone" => gone::pipeline(&setup),
         other => Err(format!("no such case: {other}")),
--- a/review/stand-ins/src/relay.rs
+++ b/review/stand-ins/src/relay.rs
@@ -116,6 +116,14 @@
         self.kill();
     }
 
+    /// Sends a signal by its name.
+    pub fn signal(&self, name: &str) {
+        let process = self.process().to_string();
+        let _ = Command::new("kill")
+            .args([&format!("-{name}"), &process])
+            .status();
+    }
+
     /// Starts the process again with the same settings, after it has ended.
     pub fn start_again(&mut self) {
         self.child = spawn(&self.program, &self.folder, &self.node);
