--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -21,7 +21,7 @@
 use super::frame::header_list;
 use super::link::LinkFailure;
 use super::link::Patience;
-use super::link::PeerReply;
+use super::link_reply::PeerReply;
 use super::node::RelayNode;
 use super::observed_call::ObservedCall;
 use super::observed_call::call_outcome;
--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -7,7 +7,6 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use http::StatusCode;
 use parking_lot::Mutex;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -17,23 +16,17 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-use super::confirmation::ConfirmationReport;
 use super::frame::ExchangeId;
 use super::frame::Frame;
+use super::frame::FrameError;
 use super::frame::Head;
-use super::frame::LoadNotice;
 use super::frame::encode_frame;
-use super::frame::header_map;
 use super::frame_io::READ_BYTES;
 use super::frame_io::write_frames;
-use super::views::ViewUpdate;
-use crate::connection::BufferedResponse;
+use super::link_reply::LinkReply;
+use super::link_reply::ReceivedFrame;
+use super::link_reply::decode_reply;
 use crate::process::events::relay as events;
-use crate::process::rates::PeerStatus;
-use crate::process::rates::TokenReply;
-use crate::process::suspects::SuspectEntry;
-use crate::request::Refusal;
-use crate::request::RefusalReason;
 use crate::values::Clock;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
@@ -57,33 +50,6 @@
 /// Maximum bytes queued for one node. A node with more queued bytes has stopped reading.
 const QUEUED_BYTES_MAX: usize = 16 * 1_024 * 1_024;
 
-/// The reply of another node to an exchange.
-#[derive(Debug)]
-pub(super) enum PeerReply {
-    /// The response of a backend server.
-    Response(BufferedResponse),
-    /// A refusal of the request.
-    Refused(Refusal),
-    /// The reply to a ping.
-    Pong,
-    /// The reply of a holder to a token request.
-    Tokens(TokenReply),
-    /// The status for the holder of the node's zone.
-    RateStatus(PeerStatus),
-    /// What this node lacked of the store's views.
-    Views(Vec<ViewUpdate>),
-    /// The suspects of which the node knows more, or all that it knows.
-    KnownSuspects(Vec<SuspectEntry>),
-}
-
-/// A reply with the confirmation report and the load notice that came with it.
-#[derive(Debug)]
-pub(super) struct LinkReply {
-    pub(super) reply: PeerReply,
-    pub(super) confirmation: Option<ConfirmationReport>,
-    pub(super) load: LoadNotice,
-}
-
 /// Why an exchange has no reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LinkFailure {
@@ -234,92 +200,17 @@
         reply
     }
 
-    fn handle_frame(&self, frame: &Frame) -> Result<(), super::frame::FrameError> {
-        let (exchange, reply, confirmation, load) = match frame.head()? {
-            Head::Response(response) => {
-                let reply = match (
-                    StatusCode::from_u16(response.status),
-                    header_map(&response.headers),
-                ) {
-                    (Ok(status), Some(headers)) => PeerReply::Response(BufferedResponse {
-                        status,
-                        headers,
-                        body: frame.body.clone(),
-                    }),
-                    _ => PeerReply::Refused(Refusal::may_have_run(RefusalReason::BadAnswer)),
-                };
-                (
-                    response.exchange,
-                    reply,
-                    Some(response.confirmation),
-                    response.load,
-                )
-            }
-            Head::Refused {
-                exchange,
-                refusal,
-                confirmation,
-                load,
-            } => (
-                exchange,
-                PeerReply::Refused(refusal),
-                Some(confirmation),
-                load,
-            ),
-            Head::Pong {
-                exchange,
-                confirmation,
-            } => {
-                let load = LoadNotice::default();
-                (exchange, PeerReply::Pong, Some(confirmation), load)
-            }
-            Head::TokenReply { exchange, reply } => {
-                let load = LoadNotice::default();
-                (exchange, PeerReply::Tokens(reply), None, load)
-            }
-            Head::RateStatus { exchange, status } => {
-                let load = LoadNotice::default();
-                (exchange, PeerReply::RateStatus(status), None, load)
-            }
-            Head::KnownSuspects { exchange, entries } => {
-                let load = LoadNotice::default();
-                (exchange, PeerReply::KnownSuspects(entries), None, load)
-            }
-            Head::ViewReply {
-                exchange,
-                confirmation,
-                updates,
-            } => {
-                let load = LoadNotice::default();
-                let reply = PeerReply::Views(updates);
-                (exchange, reply, Some(confirmation), load)
-            }
-            Head::ViewsChanged => {
-                self.update_notice.notify_one();
-                return Ok(());
+    fn handle_frame(&self, frame: &Frame) -> Result<(), FrameError> {
+        match decode_reply(frame)? {
+            ReceivedFrame::Reply { exchange, reply } => {
+                let pending = self.state.lock().pending.remove(&exchange);
+                if let Some(pending) = pending {
+                    // Sending fails if the exchange was cancelled.
+                    let _ = pending.sender.send(Ok(reply));
+                }
             }
-            Head::Hello { .. }
-            | Head::Request(_)
-            | Head::Cancel { .. }
-            | Head::Ping { .. }
-            | Head::Borrow { .. }
-            | Head::Lent { .. }
-            | Head::TokenRequest { .. }
-            | Head::TokenReport { .. }
-            | Head::RateStatusRequest { .. }
-            | Head::RateHolderReleased
-            | Head::SuspectUpdates { .. }
-            | Head::ViewRequest { .. }
-            | Head::SuspectsRequest { .. } => return Ok(()),
-        };
-        let pending = self.state.lock().pending.remove(&exchange);
-        if let Some(pending) = pending {
-            // Sending fails if the exchange was cancelled.
-            let _ = pending.sender.send(Ok(LinkReply {
-                reply,
-                confirmation,
-                load,
-            }));
+            ReceivedFrame::ViewsChanged => self.update_notice.notify_one(),
+            ReceivedFrame::Other => {}
         }
         Ok(())
     }
--- /dev/null
+++ b/lib/src/process/relay/link_reply.rs
@@ -0,0 +1,146 @@
+//! What another node sends on the connection that this node opened to it.
+
+use http::StatusCode;
+
+use super::confirmation::ConfirmationReport;
+use super::frame::ExchangeId;
+use super::frame::Frame;
+use super::frame::FrameError;
+use super::frame::Head;
+use super::frame::LoadNotice;
+use super::frame::header_map;
+use super::views::ViewUpdate;
+use crate::connection::BufferedResponse;
+use crate::process::rates::PeerStatus;
+use crate::process::rates::TokenReply;
+use crate::process::suspects::SuspectEntry;
+use crate::request::Refusal;
+use crate::request::RefusalReason;
+
+/// The reply of another node to an exchange.
+#[derive(Debug)]
+pub(super) enum PeerReply {
+    /// The response of a backend server.
+    Response(BufferedResponse),
+    /// A refusal of the request.
+    Refused(Refusal),
+    /// The reply to a ping.
+    Pong,
+    /// The reply of a holder to a token request.
+    Tokens(TokenReply),
+    /// The status for the holder of the node's zone.
+    RateStatus(PeerStatus),
+    /// What this node lacked of the store's views.
+    Views(Vec<ViewUpdate>),
+    /// The suspects of which the node knows more, or all that it knows.
+    KnownSuspects(Vec<SuspectEntry>),
+}
+
+/// A reply with the confirmation report and the load notice that came with it.
+#[derive(Debug)]
+pub(super) struct LinkReply {
+    pub(super) reply: PeerReply,
+    pub(super) confirmation: Option<ConfirmationReport>,
+    pub(super) load: LoadNotice,
+}
+
+/// A frame that another node sent.
+pub(super) enum ReceivedFrame {
+    /// The reply to an exchange.
+    Reply {
+        exchange: ExchangeId,
+        reply: LinkReply,
+    },
+    /// The store has changed.
+    ViewsChanged,
+    /// A frame that has no meaning in this direction.
+    Other,
+}
+
+/// Decodes a frame that another node sent.
+pub(super) fn decode_reply(frame: &Frame) -> Result<ReceivedFrame, FrameError> {
+    let (exchange, reply, confirmation, load) = match frame.head()? {
+        Head::Response(response) => {
+            let reply = match (
+                StatusCode::from_u16(response.status),
+                header_map(&response.headers),
+            ) {
+                (Ok(status), Some(headers)) => PeerReply::Response(BufferedResponse {
+                    status,
+                    headers,
+                    body: frame.body.clone(),
+                }),
+                _ => PeerReply::Refused(Refusal::may_have_run(RefusalReason::BadAnswer)),
+            };
+            (
+                response.exchange,
+                reply,
+                Some(response.confirmation),
+                response.load,
+            )
+        }
+        Head::Refused {
+            exchange,
+            refusal,
+            confirmation,
+            load,
+        } => (
+            exchange,
+            PeerReply::Refused(refusal),
+            Some(confirmation),
+            load,
+        ),
+        Head::Pong {
+            exchange,
+            confirmation,
+        } => {
+            let load = LoadNotice::default();
+            (exchange, PeerReply::Pong, Some(confirmation), load)
+        }
+        Head::TokenReply { exchange, reply } => {
+            let load = LoadNotice::default();
+            (exchange, PeerReply::Tokens(reply), None, load)
+        }
+        Head::RateStatus { exchange, status } => {
+            let load = LoadNotice::default();
+            (exchange, PeerReply::RateStatus(status), None, load)
+        }
+        Head::KnownSuspects { exchange, entries } => {
+            let load = LoadNotice::default();
+            (exchange, PeerReply::KnownSuspects(entries), None, load)
+        }
+        Head::ViewReply {
+            exchange,
+            confirmation,
+            updates,
+        } => {
+            let load = LoadNotice::default();
+            let reply = PeerReply::Views(updates);
+            (exchange, reply, Some(confirmation), load)
+        }
+        Head::ViewsChanged => {
+            return Ok(ReceivedFrame::ViewsChanged);
+        }
+        Head::Hello { .. }
+        | Head::Request(_)
+        | Head::Cancel { .. }
+        | Head::Ping { .. }
+        | Head::Borrow { .. }
+        | Head::Lent { .. }
+        | Head::TokenRequest { .. }
+        | Head::TokenReport { .. }
+        | Head::RateStatusRequest { .. }
+        | Head::RateHolderReleased
+        | Head::SuspectUpdates { .. }
+        | Head::ViewRequest { .. }
+        | Head::SuspectsRequest { .. } => return Ok(ReceivedFrame::Other),
+    };
+    Ok(ReceivedFrame::Reply {
+        exchange,
+        reply: LinkReply {
+            reply,
+            confirmation,
+            load,
+        },
+    })
+}
--- a/lib/src/process/relay/mod.rs
+++ b/lib/src/process/relay/mod.rs
@@ -16,6 +16,7 @@
 mod frame;
 mod frame_io;
 mod link;
+mod link_reply;
 mod links;
 mod metrics;
 mod node;
--- a/lib/src/process/relay/rates.rs
+++ b/lib/src/process/relay/rates.rs
@@ -12,7 +12,7 @@
 use super::frame::Head;
 use super::frame::encode_frame;
 use super::link::LinkFailure;
-use super::link::PeerReply;
+use super::link_reply::PeerReply;
 use super::node::RelayNode;
 use super::settings::RawRelaySettings;
 use super::store::SharedStore;
--- a/lib/src/process/relay/suspects/notification.rs
+++ b/lib/src/process/relay/suspects/notification.rs
@@ -16,7 +16,7 @@
 use crate::process::relay::frame::Head;
 use crate::process::relay::frame::encode_frame;
 use crate::process::relay::link::LinkFailure;
-use crate::process::relay::link::PeerReply;
+use crate::process::relay::link_reply::PeerReply;
 use crate::process::relay::node::RelayNode;
 use crate::process::suspects::Fingerprint;
 use crate::process::suspects::SuspectEntry;
--- a/lib/src/process/relay/views/follow.rs
+++ b/lib/src/process/relay/views/follow.rs
@@ -20,7 +20,7 @@
 use crate::process::relay::frame::Head;
 use crate::process::relay::frame::encode_frame;
 use crate::process::relay::link::LinkFailure;
-use crate::process::relay::link::PeerReply;
+use crate::process::relay::link_reply::PeerReply;
 use crate::process::relay::node::RelayNode;
 use crate::process::relay::supervision::supervise;
 use crate::process::relay::tasks::new_backoff;
