relay: a silent connection to another node is replaced, whatever uses it

Cause: silence was measured from the start of the first open exchange, so that exchanges shorter than the bounds never showed it, and each exchange decided for itself whether a silent connection may be given up. An at-most-once request kept the connection in use for all others.

Now one place decides. Silence begins with the first message that expects a reply and ends with any byte, not with the exchange. After 400 ms a connection is opened beside the silent one; if the node replies there, it takes its place, and the quiet connections to other nodes are pinged. The replaced one starts no exchanges and stays for the at-most-once requests on it. A node that stands still is told apart: no connection opens there. Events 8012 and 8013 tell the two apart.

--- a/lib/src/process/events/relay.rs
+++ b/lib/src/process/events/relay.rs
@@ -14,6 +14,8 @@
     PANICKED = 8005, Error, "relay.panicked", "An unexpected error ended a task or a request; a task is started again, a request is answered as failed. Report it with the line.";
     LINK_LOST = 8010, Info, "relay.link-lost", "A connection to another node ended; its open exchanges get no reply.";
     LINK_NOT_OPENED = 8011, Info, "relay.link-not-opened", "A connection to another node could not be opened; check the network and the node.";
+    LINK_SILENT = 8012, Info, "relay.link-silent", "Nothing arrives on a connection to another node although something is owed; another one is opened beside it.";
+    LINK_REPLACED = 8013, Info, "relay.link-replaced", "A new connection took the place of a silent one, so that the connection was silent and not the node.";
     STORE_LOST = 8020, Warn, "relay.store-lost", "The store does not respond; requests with keys are refused once the configuration cannot be confirmed.";
     STORE_BACK = 8021, Info, "relay.store-back", "The store responds again.";
     STORE_WATCHED = 8023, Info, "relay.store-watched", "The node watches the store itself: it is the first of its zone, or no other node is up to date.";
--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -1,9 +1,9 @@
 //! A connection to another node that multiplexes all exchanges with it.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -24,29 +24,16 @@
 use super::frame_io::READ_BYTES;
 use super::frame_io::write_frames;
 use super::link_reply::LinkReply;
-use super::link_reply::ReceivedFrame;
 use super::link_reply::decode_reply;
+use super::liveness::LIVENESS_CHECK_PERIOD;
+use super::liveness::Liveness;
+use super::liveness::LivenessAction;
+use super::liveness::OpenExchanges;
 use crate::process::events::relay as events;
 use crate::values::Clock;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
 
-/// Time without received bytes after which a node with open exchanges is pinged.
-const PING_AFTER: Duration = Duration::from_millis(150);
-/// Time without received bytes after which new requests go to other nodes. A ping and its reply
-/// take a few milliseconds; a node short of CPU time takes a few hundred.
-const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(400);
-/// Time without received bytes after which open exchanges count as lost, and the connection too unless
-/// an exchange waits longer.
-const RECEIVE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time without received bytes after which the connection counts as lost in any case. An instance that
-/// stood still for a moment has sent its replies by then.
-const SILENCE_MAX: Duration = Duration::from_secs(20);
-/// Time since the start of the last exchange after which a connection without open exchanges is
-/// closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Interval between liveness checks of a connection.
-const LIVENESS_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Maximum bytes queued for one node. A node with more queued bytes has stopped reading.
 const QUEUED_BYTES_MAX: usize = 16 * 1_024 * 1_024;
 
@@ -64,7 +51,7 @@
 /// How long an exchange waits for the reply of a node that has gone silent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Patience {
-    /// [`RECEIVE_TIMEOUT`], because it can be repeated elsewhere.
+    /// Until the connection counts as silent, because it can be repeated elsewhere.
     Short,
     /// As long as its caller: it must not be repeated, and the reply may come late.
     Caller,
@@ -80,14 +67,28 @@
 struct LinkState {
     pending: HashMap<ExchangeId, PendingExchange>,
     next_exchange: u64,
-    last_received_at: MonotonicTime,
-    last_used_at: MonotonicTime,
+    liveness: Liveness,
     queued_bytes: usize,
     is_closed: bool,
 }
 
+impl LinkState {
+    fn open_exchanges(&self) -> OpenExchanges {
+        let mut pending = self.pending.values();
+        match self.pending.is_empty() {
+            true => OpenExchanges::None,
+            false if pending.any(|exchange| exchange.patience == Patience::Caller) => {
+                OpenExchanges::Awaited
+            }
+            false => OpenExchanges::Repeatable,
+        }
+    }
+}
+
+/// Opens another connection beside one that is silent. Called again while the silence lasts.
+pub(super) type OpenBeside = Box<dyn Fn(&Arc<Link>) + Send + Sync>;
+
 /// A connection to one node that multiplexes all exchanges with it.
-#[derive(Debug)]
 pub(super) struct Link {
     peer: NodeId,
     clock: Clock,
@@ -95,6 +96,16 @@
     outgoing: mpsc::UnboundedSender<Bytes>,
     /// Notified when the other node tells that the store has changed.
     update_notice: Arc<Notify>,
+    open_beside: OpenBeside,
+}
+
+impl fmt::Debug for Link {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Link")
+            .field("peer", &self.peer)
+            .field("state", &self.state)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Link {
@@ -109,6 +120,7 @@
         address: SocketAddr,
         clock: Clock,
         update_notice: Arc<Notify>,
+        open_beside: OpenBeside,
     ) -> std::io::Result<Arc<Self>> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
@@ -121,13 +133,13 @@
             state: Mutex::new(LinkState {
                 pending: HashMap::new(),
                 next_exchange: 0,
-                last_received_at: now,
-                last_used_at: now,
+                liveness: Liveness::new(now),
                 queued_bytes: 0,
                 is_closed: false,
             }),
             outgoing,
             update_notice,
+            open_beside,
         });
         link.queue(&Head::Hello { from, to: peer }, &[])
             .map_err(|_| std::io::Error::other("hello frame was not queued"))?;
@@ -168,7 +180,7 @@
         let (sender, receiver) = oneshot::channel();
         let exchange = {
             let mut state = self.state.lock();
-            if state.is_closed {
+            if state.is_closed || state.liveness.is_replaced() {
                 return Err(LinkFailure::NotSent);
             }
             let exchange = ExchangeId(state.next_exchange);
@@ -176,12 +188,8 @@
             if state.queued_bytes + frame.len() > QUEUED_BYTES_MAX {
                 return Err(LinkFailure::NotSent);
             }
-            let now = self.clock.now();
-            if state.pending.is_empty() {
-                state.last_received_at = now;
-            }
             state.next_exchange += 1;
-            state.last_used_at = now;
+            state.liveness.begin_exchange(self.clock.now());
             state.queued_bytes += frame.len();
             let pending = PendingExchange { sender, patience };
             state.pending.insert(exchange, pending);
@@ -201,16 +209,17 @@
     }
 
     fn handle_frame(&self, frame: &Frame) -> Result<(), FrameError> {
-        match decode_reply(frame)? {
-            ReceivedFrame::Reply { exchange, reply } => {
-                let pending = self.state.lock().pending.remove(&exchange);
-                if let Some(pending) = pending {
-                    // Sending fails if the exchange was cancelled.
-                    let _ = pending.sender.send(Ok(reply));
-                }
+        let head = frame.head()?;
+        if matches!(head, Head::ViewsChanged) {
+            self.update_notice.notify_one();
+            return Ok(());
+        }
+        if let Some((exchange, reply)) = decode_reply(head, frame) {
+            let pending = self.state.lock().pending.remove(&exchange);
+            if let Some(pending) = pending {
+                // Sending fails if the exchange was cancelled.
+                let _ = pending.sender.send(Ok(reply));
             }
-            ReceivedFrame::ViewsChanged => self.update_notice.notify_one(),
-            ReceivedFrame::Other => {}
         }
         Ok(())
     }
@@ -248,48 +257,48 @@
         &self.peer
     }
 
-    /// Returns when bytes were last received, or when the first open exchange began, if later.
+    /// Returns when bytes were last received.
     pub(super) fn last_received_at(&self) -> MonotonicTime {
-        self.state.lock().last_received_at
+        self.state.lock().liveness.last_received_at()
     }
 
-    /// Returns whether exchanges are open and the node sent nothing for [`UNRESPONSIVE_AFTER`].
+    /// Returns whether new exchanges should go elsewhere.
     pub(super) fn is_unresponsive(&self) -> bool {
-        let state = self.state.lock();
-        let since_received = self.clock.now().since(state.last_received_at);
-        !state.pending.is_empty() && since_received > UNRESPONSIVE_AFTER
+        self.state.lock().liveness.is_unresponsive(self.clock.now())
     }
 
     pub(super) fn is_closed(&self) -> bool {
         self.state.lock().is_closed
     }
 
-    /// Decides on a ping or a close from the times of the last received bytes and the last use.
-    fn check_liveness(&self) -> LivenessAction {
-        let now = self.clock.now();
-        let state = self.state.lock();
-        let since_received = now.since(state.last_received_at);
-        let mut pending = state.pending.values();
-        let is_awaited = pending.any(|exchange| exchange.patience == Patience::Caller);
-        match state.pending.is_empty() {
-            true if now.since(state.last_used_at) > IDLE_TIMEOUT => LivenessAction::Close,
-            true => LivenessAction::None,
-            false if since_received > SILENCE_MAX => LivenessAction::Close,
-            false if since_received > RECEIVE_TIMEOUT && is_awaited => LivenessAction::GiveUp,
-            false if since_received > RECEIVE_TIMEOUT => LivenessAction::Close,
-            false if since_received > PING_AFTER => LivenessAction::Ping,
-            false => LivenessAction::None,
-        }
+    /// Starts no more exchanges, since a new connection took the place of this one. It stays for the
+    /// open ones.
+    pub(super) fn replace(&self) {
+        let mut state = self.state.lock();
+        state.liveness.replace();
+        let silence = state.liveness.silence(self.clock.now());
+        let open = state.pending.len();
+        drop(state);
+        events::LINK_REPLACED.log(format_args!(
+            "peer={} silent_ms={} open_exchanges={open}",
+            self.peer,
+            silence.as_millis()
+        ));
     }
-}
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum LivenessAction {
-    None,
-    Ping,
-    /// Give up the exchanges that do not wait longer, and ping.
-    GiveUp,
-    Close,
+    /// Asks the node for a sign of life.
+    pub(super) fn probe(&self) -> Result<(), LinkFailure> {
+        self.state.lock().liveness.expect_reply(self.clock.now());
+        // Any received byte shows that the node is alive: no exchange waits for this reply.
+        let exchange = ExchangeId(u64::MAX);
+        self.queue(&Head::Ping { exchange }, &[])
+    }
+
+    fn check_liveness(&self) -> LivenessAction {
+        let mut state = self.state.lock();
+        let open = state.open_exchanges();
+        state.liveness.check(self.clock.now(), open)
+    }
 }
 
 /// Encodes a ping.
@@ -345,7 +354,6 @@
             Ok(_) => {}
             Err(error) => return error.to_string(),
         }
-        link.state.lock().last_received_at = link.clock.now();
         loop {
             match Frame::split_from(&mut received) {
                 Ok(Some(frame)) => {
@@ -357,25 +365,34 @@
                 Err(error) => return error.to_string(),
             }
         }
+        let mut state = link.state.lock();
+        let is_awaiting = !state.pending.is_empty();
+        state.liveness.receive(link.clock.now(), is_awaiting);
     }
 }
 
-async fn monitor_liveness(link: &Link) -> &'static str {
+async fn monitor_liveness(link: &Arc<Link>) -> &'static str {
+    let mut was_silent = false;
     loop {
         tokio::time::sleep(LIVENESS_CHECK_PERIOD).await;
-        match link.check_liveness() {
-            LivenessAction::None => {}
+        let action = link.check_liveness();
+        let is_silent = action >= LivenessAction::OpenBeside;
+        if is_silent && !was_silent {
+            let open = link.state.lock().open_exchanges();
+            events::LINK_SILENT.log(format_args!("peer={} open_exchanges={open:?}", link.peer));
+        }
+        was_silent = is_silent;
+        match action {
+            LivenessAction::Keep => continue,
             LivenessAction::Close => return "silent",
-            action @ (LivenessAction::Ping | LivenessAction::GiveUp) => {
-                if action == LivenessAction::GiveUp {
-                    link.give_up_impatient();
-                }
-                // Any received byte shows that the node is alive: no exchange waits for this reply.
-                let exchange = ExchangeId(u64::MAX);
-                if link.queue(&Head::Ping { exchange }, &[]).is_err() {
-                    return "the other node does not read";
-                }
-            }
+            LivenessAction::GiveUp => link.give_up_impatient(),
+            LivenessAction::Ping | LivenessAction::OpenBeside => {}
+        }
+        if is_silent {
+            (link.open_beside)(link);
+        }
+        if link.probe().is_err() {
+            return "the other node does not read";
         }
     }
 }
--- a/lib/src/process/relay/link_reply.rs
+++ b/lib/src/process/relay/link_reply.rs
@@ -5,7 +5,6 @@
 use super::confirmation::ConfirmationReport;
 use super::frame::ExchangeId;
 use super::frame::Frame;
-use super::frame::FrameError;
 use super::frame::Head;
 use super::frame::LoadNotice;
 use super::frame::header_map;
@@ -44,22 +43,9 @@
     pub(super) load: LoadNotice,
 }
 
-/// A frame that another node sent.
-pub(super) enum ReceivedFrame {
-    /// The reply to an exchange.
-    Reply {
-        exchange: ExchangeId,
-        reply: LinkReply,
-    },
-    /// The store has changed.
-    ViewsChanged,
-    /// A frame that has no meaning in this direction.
-    Other,
-}
-
-/// Decodes a frame that another node sent.
-pub(super) fn decode_reply(frame: &Frame) -> Result<ReceivedFrame, FrameError> {
-    let (exchange, reply, confirmation, load) = match frame.head()? {
+/// Returns the reply to an exchange that a frame holds, or none if it holds something else.
+pub(super) fn decode_reply(head: Head<'_>, frame: &Frame) -> Option<(ExchangeId, LinkReply)> {
+    let (exchange, reply, confirmation, load) = match head {
         Head::Response(response) => {
             let reply = match (
                 StatusCode::from_u16(response.status),
@@ -118,9 +104,6 @@
             let reply = PeerReply::Views(updates);
             (exchange, reply, Some(confirmation), load)
         }
-        Head::ViewsChanged => {
-            return Ok(ReceivedFrame::ViewsChanged);
-        }
         Head::Hello { .. }
         | Head::Request(_)
         | Head::Cancel { .. }
@@ -133,14 +116,13 @@
         | Head::RateHolderReleased
         | Head::SuspectUpdates { .. }
         | Head::ViewRequest { .. }
-        | Head::SuspectsRequest { .. } => return Ok(ReceivedFrame::Other),
+        | Head::SuspectsRequest { .. }
+        | Head::ViewsChanged => return None,
     };
-    Ok(ReceivedFrame::Reply {
-        exchange,
-        reply: LinkReply {
-            reply,
-            confirmation,
-            load,
-        },
-    })
+    let reply = LinkReply {
+        reply,
+        confirmation,
+        load,
+    };
+    Some((exchange, reply))
 }
--- a/lib/src/process/relay/links.rs
+++ b/lib/src/process/relay/links.rs
@@ -6,12 +6,15 @@
 use std::sync::Weak;
 use std::time::Duration;
 
+use futures::FutureExt;
+use futures::future::BoxFuture;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use super::link::Link;
 use super::link::LinkFailure;
+use super::link::OpenBeside;
 use crate::process::events::relay as events;
 use crate::process::membership::MemberTable;
 use crate::process::membership::NodeRecord;
@@ -24,6 +27,9 @@
 /// Delay between attempts to connect to an unreachable node.
 const RECONNECT_DELAY: Duration = Duration::from_millis(400);
 
+/// Time without received bytes after which a connection is probed when another one was silent.
+const QUIET_AFTER: Duration = Duration::from_millis(150);
+
 /// State of the connection to one node.
 #[derive(Debug)]
 enum SlotState {
@@ -102,10 +108,23 @@
         Err(LinkFailure::NotSent)
     }
 
-    async fn open(&self, peer: &NodeId, address: SocketAddr) -> Option<Arc<Link>> {
+    async fn open(self: &Arc<Self>, peer: &NodeId, address: SocketAddr) -> Option<Arc<Link>> {
         let update_notice = Arc::clone(&self.update_notice);
         let local_node = self.local_node.clone();
-        let opened = Link::open(local_node, peer.clone(), address, self.clock, update_notice);
+        let links = Arc::downgrade(self);
+        let open_beside: OpenBeside = Box::new(move |link| {
+            if let Some(links) = links.upgrade() {
+                tokio::spawn(links.open_beside(Arc::clone(link), address));
+            }
+        });
+        let opened = Link::open(
+            local_node,
+            peer.clone(),
+            address,
+            self.clock,
+            update_notice,
+            open_beside,
+        );
         let reason = match timeout(CONNECT_TIMEOUT, opened).await {
             Ok(Ok(link)) => {
                 self.store(peer, address, SlotState::Open(Arc::clone(&link)));
@@ -118,6 +137,52 @@
         None
     }
 
+    /// Opens a connection beside one that is silent, and lets it take the place of that one. If no
+    /// connection can be opened, the node is silent and not the connection.
+    fn open_beside(
+        self: Arc<Self>,
+        silent: Arc<Link>,
+        address: SocketAddr,
+    ) -> BoxFuture<'static, ()> {
+        async move {
+            let peer = silent.peer().clone();
+            let opening = Arc::clone(self.opening.lock().entry(peer.clone()).or_default());
+            let Ok(_guard) = opening.try_lock() else {
+                return;
+            };
+            if self.is_in_use(&silent) && self.open(&peer, address).await.is_some() {
+                silent.replace();
+                self.probe_quiet();
+            }
+        }
+        .boxed()
+    }
+
+    /// Returns whether new exchanges with its node use a connection.
+    fn is_in_use(&self, link: &Arc<Link>) -> bool {
+        let slots = self.slots.lock();
+        let slot = slots.get(link.peer());
+        slot.is_some_and(
+            |slot| matches!(&slot.state, SlotState::Open(open) if Arc::ptr_eq(open, link)),
+        )
+    }
+
+    /// Probes the connections on which nothing arrived lately. What silenced one connection of an
+    /// instance often silences others, and those without requests would only show it to the next one.
+    fn probe_quiet(&self) {
+        let now = self.clock.now();
+        let slots = self.slots.lock();
+        for slot in slots.values() {
+            match &slot.state {
+                SlotState::Open(link) if now.since(link.last_received_at()) > QUIET_AFTER => {
+                    // A connection that does not take the probe is closing.
+                    let _ = link.probe();
+                }
+                SlotState::Open(_) | SlotState::Unreachable => {}
+            }
+        }
+    }
+
     fn store(&self, peer: &NodeId, address: SocketAddr, state: SlotState) {
         let slot = LinkSlot { address, state };
         self.slots.lock().insert(peer.clone(), slot);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -65,6 +65,7 @@
 mod test_relay_server_limit;
 mod test_relay_settings;
 mod test_relay_silence;
+mod test_relay_silent_links;
 mod test_relay_sources;
 mod test_relay_suspects;
 mod test_relay_suspects_soak;
--- a/testutils/src/relay/mod.rs
+++ b/testutils/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Relays in one process, with stand-ins for their store and backend servers.
 
 mod fleet;
+mod peer;
 mod samples;
 mod server;
 mod store;
@@ -11,6 +12,7 @@
 pub use self::fleet::RelayFleet;
 pub use self::fleet::StoredPlan;
 pub use self::fleet::relay_protocol;
+pub use self::peer::PeerStandIn;
 pub use self::samples::SAMPLE_SETTINGS;
 pub use self::samples::at_ms;
 pub use self::samples::organisation_limits;
