--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -4,6 +4,7 @@
 mod exchange;
 mod head_limit;
 mod headers;
+mod keepalive;
 mod listener;
 mod pool;
 
@@ -26,6 +27,8 @@
 pub use self::headers::VERDICT_HEADER;
 pub use self::headers::strip_connection_headers;
 pub use self::headers::strip_system_headers;
+pub use self::keepalive::allow_closed_window;
+pub use self::keepalive::enable_liveness_probes;
 pub use self::listener::ListenError;
 pub use self::listener::Listener;
 pub use self::listener::ListenerHandle;
