relay: answer the requests that are open at the end of a planned stop

Callers saw their connections close without a response when a stop reached its limit, on kept connections and with whole requests, whether the server was at work, another node was silent or the body was still on its way. The same happened to requests that another node had sent here: its caller's request was lost with the connection between the nodes.

Cause: after five sixths of the grace `RelayDaemon::stop` dropped whatever was open and the process exited.

Now a bound is around the steps before forwarding, around all attempts, and around each run at the own server. When the limit is reached the work is dropped, which cancels it along the way, and the request gets a response by what is known of it: 503 if nothing was sent, 502 if an attempt was. The process exits when these are written, at the latest half of the last sixth of the grace later; the return of tokens has the same bound, so neither the store nor other nodes delay the exit. Requests whose head arrives in the second half of the grace are refused as not run, since their servers could not finish them. A reply to another node is written before the exit also if no request is open at the moment of the check: two checks in a row must find none.

--- a/lib/src/process/events/relay.rs
+++ b/lib/src/process/events/relay.rs
@@ -37,5 +37,6 @@
     RUN_FAILED = 8103, Info, "relay.run-failed", "The backend server returned no usable response to a request.";
     CALLER_LEFT = 8104, Debug, "relay.caller-left", "A caller disconnected before the response; the request is cancelled.";
     RATE_REFUSED = 8105, Info, "relay.rate-refused", "An organisation's allowance refused a request; the line has the organisation and the tokens that were known.";
+    ENDED_BY_STOP = 8106, Info, "relay.ended-by-stop", "A request was still open at the limit of a planned stop and was answered by this node; the line says whether it may have run.";
     LINES_LEFT_OUT = 8199, Info, "relay.lines-left-out", "Log lines of one kind were omitted because there were too many.";
 }
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -1,5 +1,6 @@
 //! The local backend server: its gate, its connections, and the run of a request.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
@@ -21,6 +22,7 @@
 use super::registration_store::store_registration_until_done;
 use super::runs::RunningRequest;
 use super::server_health::ServerHealth;
+use super::stop_limit::refusal_at_limit;
 use super::suspects;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
@@ -177,7 +179,7 @@
     }
 }
 
-/// Runs a request on the local backend server.
+/// Runs a request on the local backend server, at the longest until the limit of a planned stop.
 pub(super) async fn run_request(
     node: &Arc<RelayNode>,
     metadata: &RequestMetadata,
@@ -188,7 +190,11 @@
         .now()
         .after(Duration::from_micros(metadata.remaining_us));
     let running = RunningRequest::new(metadata.clone(), deadline);
-    let result = admit_and_send(node, &running, request).await;
+    let result = {
+        let run = pin!(admit_and_send(node, &running, request));
+        node.stop_limit.bound(run).await
+    };
+    let result = result.unwrap_or_else(|| Err(refusal_at_limit(running.is_sent())));
     RunOutcome {
         result,
         load: LoadNotice {
@@ -242,6 +248,7 @@
     let remaining = deadline.since(node.clock.now());
     set_headers(node, &backend, metadata, &mut request, remaining);
     let _guard = node.runs.add(Arc::clone(running));
+    running.record_sending();
     let result = send(node, &backend, metadata, request, remaining).await;
     record_health(node, &backend, running, &result);
     let waited = running.onward.lock().waited();
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -20,6 +20,7 @@
 use super::frame::RequestMetadata;
 use super::node::RelayNode;
 use super::runs::RunningRequest;
+use super::stop_limit::refusal_at_limit;
 use crate::connection::BodyError;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
@@ -53,7 +54,10 @@
         .to_owned();
     let guard = InFlightGuard::start(node, &request_id, arrived_at);
     let caller_remaining = remaining_from_headers(node, request.headers());
-    let outcome = admit_and_forward(node, request, &request_id, arrived_at, caller_remaining).await;
+    let outcome = match node.stop_limit.refuses_new() {
+        true => Err(refusal_at_limit(false)),
+        false => admit_and_forward(node, request, &request_id, arrived_at, caller_remaining).await,
+    };
     guard.finish(&outcome);
     let response = match outcome {
         Ok(response) => forwarded_response(response),
@@ -73,14 +77,16 @@
     caller_remaining: Duration,
 ) -> Result<BufferedResponse, Refusal> {
     // Boxed, so that a request in flight does not keep the memory of the preparation.
-    let preparing = Box::pin(prepare(
+    let mut preparing = Box::pin(prepare(
         node,
         request,
         request_id,
         arrived_at,
         caller_remaining,
     ));
-    let (outbound, taken) = preparing.await?;
+    let prepared = node.stop_limit.bound(preparing.as_mut()).await;
+    drop(preparing);
+    let (outbound, taken) = prepared.unwrap_or_else(|| Err(refusal_at_limit(false)))?;
     let _waiting = outbound
         .parent
         .as_deref()
@@ -334,6 +340,14 @@
             }
             Err(refusal) => {
                 self.node.metrics.record_refusal(refusal, elapsed);
+                if self.node.stop_limit.is_reached() {
+                    events::ENDED_BY_STOP.log(format_args!(
+                        "request={} verdict={} held_ms={}",
+                        self.request_id,
+                        refusal.verdict,
+                        elapsed.as_millis()
+                    ));
+                }
                 let age = self.node.confirmation_age();
                 events::REQUEST_REFUSED.log(format_args!(
                     "request={} reason={} verdict={} held_ms={} version={} confirmed_ms={}",
--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -8,6 +8,7 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 use tokio_util::task::AbortOnDropHandle;
 use volo_http::body::Body;
 use volo_http::response::Response;
@@ -51,6 +52,15 @@
 /// Fraction of a planned stop in which new requests are still served, so that callers and other
 /// nodes learn of the stop first.
 const STOP_SERVING_FRACTION: f64 = 0.45;
+/// Fraction of the stop limit after which requests of callers are refused, because too little time is
+/// left to complete them. They arrive on connections whose first request took that long.
+const STOP_REFUSING_FRACTION: f64 = 0.6;
+/// Fraction of the time between the stop limit and the end of the grace in which the responses to ended
+/// requests are written and tokens returned. The rest is left for the process to exit.
+const STOP_WRITING_FRACTION: f64 = 0.5;
+/// Checks without open requests after which a stop ends. Replies to other nodes are written between
+/// them.
+const STOP_IDLE_POLLS: u32 = 2;
 /// Time by which the backend server is withdrawn before callers are no longer served, in mean times
 /// for which a request runs. The calls of the last runs are served like those of callers.
 const WITHDRAWAL_LEAD_RUNS: u32 = 4;
@@ -143,9 +153,11 @@
     }
 
     /// Performs a planned stop: marks the node as leaving, finishes requests in flight within the
-    /// stop limit, and ends the tasks.
+    /// stop limit, responds to those that are open then, and ends the tasks.
     pub async fn stop(self) {
-        let limit = self.node.bounds().stop_limit();
+        let bounds = self.node.bounds();
+        let limit = bounds.stop_limit();
+        let writing_time = (bounds.stop_grace() - limit).mul_f64(STOP_WRITING_FRACTION);
         let started_at = self.node.clock.now();
         self.node.begin_stop();
         events::STOPPING.log(format_args!(
@@ -160,13 +172,22 @@
         tokio::time::sleep(lead).await;
         let callers = self.callers.clone();
         let closing = tokio::spawn(async move { callers.stop().await });
-        while self.node.clock.now().since(started_at) < limit {
-            if closing.is_finished() && self.node.is_idle() {
-                break;
-            }
-            tokio::time::sleep(STOP_POLL_PERIOD).await;
+        let remaining = |end: Duration| end.saturating_sub(self.node.clock.now().since(started_at));
+        let refusing = async {
+            tokio::time::sleep(remaining(limit.mul_f64(STOP_REFUSING_FRACTION))).await;
+            self.node.stop_limit.refuse_new();
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            () = self.node.wait_until_idle(&closing) => {}
+            () = tokio::time::sleep(remaining(limit)) => {}
+            () = refusing => {}
         }
-        self.rate_tasks.stop().await;
+        self.node.stop_limit.reach();
+        let writing = self.node.wait_until_idle(&closing);
+        // The store or other nodes may not respond.
+        let ending = futures::future::join(writing, self.rate_tasks.stop());
+        let _ = tokio::time::timeout(remaining(limit + writing_time), ending).await;
         events::STOPPED.log(format_args!(
             "in_flight={}",
             self.node.in_flight.load(Ordering::Relaxed)
@@ -190,6 +211,18 @@
         let runs = backend.is_some_and(|backend| backend.gate.in_flight() > 0);
         !runs && self.in_flight.load(Ordering::Relaxed) == 0
     }
+
+    /// Waits until the connections of callers are closed and no request is in flight.
+    async fn wait_until_idle(&self, closing: &JoinHandle<()>) {
+        let mut idle_polls = 0;
+        while idle_polls < STOP_IDLE_POLLS {
+            tokio::time::sleep(STOP_POLL_PERIOD).await;
+            idle_polls = match closing.is_finished() && self.is_idle() {
+                true => idle_polls + 1,
+                false => 0,
+            };
+        }
+    }
 }
 
 /// Starts a task that is started again if it panics.
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards a request to a node of its service, and retries at other nodes where permitted.
 
 use std::fmt;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +27,7 @@
 use super::observed_call::ObservedCall;
 use super::observed_call::call_outcome;
 use super::runs::RunningRequest;
+use super::stop_limit::refusal_at_limit;
 use super::suspects::learn_of_failure;
 use super::suspects::trial_node_of;
 use crate::connection::BufferedRequest;
@@ -68,6 +70,8 @@
 #[derive(Default)]
 struct Progress {
     tried: Vec<NodeId>,
+    /// Whether the present attempt may have reached a backend server.
+    is_sent: bool,
     /// Attempts that reached a backend server.
     server_attempts: u32,
     refusing_nodes: usize,
@@ -107,6 +111,8 @@
     RetryBudget,
     /// It crashed several backend servers.
     Quarantined,
+    /// The limit of a planned stop is reached.
+    StopLimit,
 }
 
 impl fmt::Display for GiveUpReason {
@@ -119,14 +125,13 @@
             Self::Attempts => "none-attempts",
             Self::RetryBudget => "none-retry-budget",
             Self::Quarantined => "none-quarantined",
+            Self::StopLimit => "none-stop-limit",
         })
     }
 }
 
-/// Forwards a request to nodes of its service until one returns a final response.
-///
-/// If no server received the request, and a node refused it because its server fails often, that
-/// node is tried again as a last resort.
+/// Forwards a request to nodes of its service until one returns a final response, or until the limit of
+/// a planned stop is reached.
 pub(super) async fn forward(
     node: &Arc<RelayNode>,
     outbound: &Outbound,
@@ -136,37 +141,65 @@
         false => node.count_first_attempt(&outbound.service),
     }
     let mut progress = Progress::default();
-    while let Some(destination) = next_destination(node, outbound, &mut progress).await {
+    let ended = {
+        let trying = pin!(try_nodes(node, outbound, &mut progress));
+        node.stop_limit.bound(trying).await
+    };
+    match ended {
+        Some(Some(response)) => Ok(response),
+        Some(None) => progress.finish(),
+        None => {
+            let refusal = refusal_at_limit(progress.is_sent);
+            progress.verdict = progress.verdict.max(Some(refusal.verdict));
+            progress.last_refusal = Some(refusal);
+            progress.finish()
+        }
+    }
+}
+
+/// Tries nodes until one returns a final response.
+///
+/// If no server received the request, and a node refused it because its server fails often, that
+/// node is tried again as a last resort.
+async fn try_nodes(
+    node: &Arc<RelayNode>,
+    outbound: &Outbound,
+    progress: &mut Progress,
+) -> Option<BufferedResponse> {
+    while let Some(destination) = next_destination(node, outbound, progress).await {
         progress.tried.push(destination.id.clone());
         let kind = AttemptKind {
             is_repeat: progress.server_attempts > 0,
             is_last_resort: progress.failing_nodes >= FAILING_NODES_MAX
                 || servers_fail_alike(node, outbound),
         };
-        let outcome = Box::pin(attempt(node, outbound, &destination, kind)).await;
+        let sent = &mut progress.is_sent;
+        let outcome = Box::pin(attempt(node, outbound, &destination, kind, sent)).await;
         observe_failing_server(node, &destination, &outcome);
         learn_floor(node, outbound, &destination, &outcome);
-        match evaluate_outcome(node, outbound, &destination, &mut progress, outcome) {
-            NextStep::Respond(response) => return Ok(response),
-            NextStep::TryAnother => learn_of_crash(node, outbound, &destination, &progress).await,
+        match evaluate_outcome(node, outbound, &destination, progress, outcome) {
+            NextStep::Respond(response) => return Some(response),
+            NextStep::TryAnother => learn_of_crash(node, outbound, &destination, progress).await,
             NextStep::GiveUp(_) => break,
         }
     }
     if progress.server_attempts == 0
+        && !node.stop_limit.is_reached()
         && let Some(destination) = progress.skipped_node.take()
     {
         let kind = AttemptKind {
             is_repeat: false,
             is_last_resort: true,
         };
-        let outcome = Box::pin(attempt(node, outbound, &destination, kind)).await;
+        let sent = &mut progress.is_sent;
+        let outcome = Box::pin(attempt(node, outbound, &destination, kind, sent)).await;
         if let NextStep::Respond(response) =
-            evaluate_outcome(node, outbound, &destination, &mut progress, outcome)
+            evaluate_outcome(node, outbound, &destination, progress, outcome)
         {
-            return Ok(response);
+            return Some(response);
         }
     }
-    progress.finish()
+    None
 }
 
 /// Finds out before the next attempt whether the last one crashed a backend server.
@@ -250,6 +283,7 @@
         }
     };
     progress.verdict = progress.verdict.max(Some(refusal.verdict));
+    progress.is_sent = false;
     if refusal.reason == RefusalReason::ServerFailing {
         progress.failing_nodes += 1;
         progress.skipped_node.get_or_insert(destination.clone());
@@ -287,6 +321,7 @@
     let refusing_nodes_max = refusing_nodes_max(outbound.parent.is_some());
     let reason = match refusal.reason {
         _ if !may_repeat => GiveUpReason::MayHaveRun,
+        _ if node.stop_limit.is_reached() => GiveUpReason::StopLimit,
         RefusalReason::DeadlineExceeded => GiveUpReason::Time,
         RefusalReason::Quarantined => GiveUpReason::Quarantined,
         _ if remaining < ATTEMPT_TIME_MIN => GiveUpReason::Time,
@@ -362,6 +397,10 @@
     outbound: &Outbound,
     progress: &mut Progress,
 ) -> Option<NodeRecord> {
+    if node.stop_limit.is_reached() {
+        progress.last_refusal = Some(refusal_at_limit(false));
+        return None;
+    }
     let organisation = outbound.metadata.organisation.as_ref();
     let known = trial_node_of(node, &outbound.service, organisation, &outbound.request).await;
     let known = match known {
@@ -420,6 +459,7 @@
     outbound: &Outbound,
     destination: &NodeRecord,
     kind: AttemptKind,
+    is_sent: &mut bool,
 ) -> RunOutcome {
     let started_at = node.clock.now();
     let remaining = outbound.deadline.since(started_at);
@@ -435,9 +475,12 @@
     };
     let exchange = async {
         match destination.id == node.settings.raw.node {
-            // Boxed, so that a request to another node does not keep memory for a local run.
-            true => Box::pin(run_request(node, &metadata, outbound.request.clone())).await,
-            false => match send(node, outbound, destination, &metadata).await {
+            true => {
+                *is_sent = true;
+                // Boxed, so that a request to another node does not keep memory for a local run.
+                Box::pin(run_request(node, &metadata, outbound.request.clone())).await
+            }
+            false => match send(node, outbound, destination, &metadata, is_sent).await {
                 Ok(outcome) => outcome,
                 Err(refusal) => without_load(Err(refusal)),
             },
@@ -463,6 +506,7 @@
     outbound: &Outbound,
     destination: &NodeRecord,
     metadata: &RequestMetadata,
+    is_sent: &mut bool,
 ) -> Result<RunOutcome, Refusal> {
     let not_sent = || Refusal::not_run(RefusalReason::NoServer);
     let link = node.links.get(destination).await.map_err(|_| not_sent())?;
@@ -472,6 +516,7 @@
         Repeatability::AtMostOnce => Patience::Caller,
     };
     let frame = |exchange| request_frame(exchange, &outbound.request, metadata);
+    *is_sent = true;
     let reply = link.exchange_with(patience, frame).await;
     let link_reply = match reply {
         Ok(link_reply) => link_reply,
--- a/lib/src/process/relay/mod.rs
+++ b/lib/src/process/relay/mod.rs
@@ -34,6 +34,7 @@
 mod server_health;
 mod settings;
 mod split;
+mod stop_limit;
 mod store;
 mod store_entry;
 mod supervision;
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -33,6 +33,7 @@
 use super::settings::RawRelaySettings;
 use super::settings::RelaySettings;
 use super::split::SplitState;
+use super::stop_limit::StopLimit;
 use super::store::SharedStore;
 use super::suspects::SuspectState;
 use super::views::ViewState;
@@ -121,6 +122,7 @@
     /// Whether a planned stop has reached the point from which on no new request runs on the local
     /// backend server.
     is_withdrawn: AtomicBool,
+    pub(super) stop_limit: StopLimit,
 }
 
 impl RelayNode {
@@ -192,6 +194,7 @@
             is_entry_written: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             is_withdrawn: AtomicBool::new(false),
+            stop_limit: StopLimit::default(),
             clock,
         }
     }
--- a/lib/src/process/relay/runs.rs
+++ b/lib/src/process/relay/runs.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use parking_lot::Mutex;
 
@@ -21,6 +23,8 @@
     pub(super) deadline: MonotonicTime,
     /// Time that it waited for its onward calls, and whether one failed.
     pub(super) onward: Mutex<OnwardTime>,
+    /// Whether the server may have received a byte of it.
+    is_sent: AtomicBool,
 }
 
 impl RunningRequest {
@@ -30,9 +34,20 @@
             metadata,
             deadline,
             onward: Mutex::default(),
+            is_sent: AtomicBool::new(false),
         })
     }
 
+    /// Records that the request is about to be sent to the server.
+    pub(super) fn record_sending(&self) {
+        self.is_sent.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the server may have received a byte of the request.
+    pub(super) fn is_sent(&self) -> bool {
+        self.is_sent.load(Ordering::Relaxed)
+    }
+
     /// Records that an onward call of the request failed, which explains a failure of the request
     /// itself.
     pub(super) fn record_call_failure(&self) {
--- a/lib/src/process/relay/settings.rs
+++ b/lib/src/process/relay/settings.rs
@@ -98,9 +98,14 @@
         }
     }
 
-    /// Returns the time in which a planned stop must have ended.
+    /// Returns the time after a stop signal after which the process is killed.
+    pub fn stop_grace(&self) -> Duration {
+        Duration::from_secs_f64(self.stop_grace_s)
+    }
+
+    /// Returns the time in which requests in flight are finished during a planned stop.
     pub fn stop_limit(&self) -> Duration {
-        Duration::from_secs_f64(self.stop_grace_s * Self::STOP_FRACTION)
+        self.stop_grace().mul_f64(Self::STOP_FRACTION)
     }
 }
 
--- /dev/null
+++ b/lib/tests/test_relay_stop.rs
@@ -0,0 +1,300 @@
+//! Requests that are still open at the end of a planned stop.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use balsamfold::process::relay::RelayDaemon;
+use balsamfold::process::relay::RelaySettings;
+use balsamfold::version::PlannedRoute;
+use balsamfold::version::Repeatability;
+use testutils::relay::Behaviour;
+use testutils::relay::RelayFleet;
+use testutils::relay::StoredPlan;
+use testutils::relay::sample_open_plan;
+use testutils::relay::sample_route;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// Stop grace of the relays: a planned stop takes 2.5 s.
+const GRACE: Duration = Duration::from_secs(3);
+/// Beyond every stop.
+const SERVICE_TIME: Duration = Duration::from_secs(30);
+const POLL_PERIOD: Duration = Duration::from_millis(10);
+/// Only a hanging test reaches it.
+const HANG_TIMEOUT: Duration = Duration::from_secs(20);
+
+fn plan(repeatability: Repeatability) -> StoredPlan {
+    let route = PlannedRoute {
+        is_open: true,
+        timeout_ms: 30_000,
+        ..sample_route("stock", "stock", repeatability)
+    };
+    StoredPlan {
+        routes: vec![("shop".to_owned(), "/stock/".to_owned(), route)],
+        ..sample_open_plan()
+    }
+}
+
+/// Starts relays with [`GRACE`], whose servers take [`SERVICE_TIME`].
+async fn start(repeatability: Repeatability, services: &[&'static str]) -> RelayFleet {
+    let fleet = RelayFleet::start(&plan(repeatability), services).await;
+    for relay in &fleet.relays {
+        set_grace(&relay.daemon, GRACE);
+        relay.server.set_behaviour(Behaviour::Slow(SERVICE_TIME));
+    }
+    fleet
+}
+
+fn set_grace(daemon: &RelayDaemon, grace: Duration) {
+    let mut raw = daemon.node().settings.raw.clone();
+    raw.bounds.stop_grace_s = grace.as_secs_f64();
+    let settings = RelaySettings::try_from(raw).expect("valid settings");
+    daemon.node().reload(settings);
+}
+
+fn callers_of(fleet: &RelayFleet, index: usize) -> SocketAddr {
+    fleet.relays[index]
+        .daemon
+        .node()
+        .settings
+        .raw
+        .listen
+        .callers
+}
+
+fn get(id: &str) -> String {
+    format!("GET /stock/{id} HTTP/1.1\r\nhost: shop\r\nrequest-id: {id}\r\n\r\n")
+}
+
+async fn connect(address: SocketAddr) -> TcpStream {
+    TcpStream::connect(address).await.expect("a connection")
+}
+
+/// Writes `text` and reads, in a task of its own, until the connection ends.
+async fn send(mut stream: TcpStream, text: &str) -> JoinHandle<String> {
+    stream.write_all(text.as_bytes()).await.expect("it is sent");
+    tokio::spawn(read_to_end(stream))
+}
+
+async fn read_to_end(mut stream: TcpStream) -> String {
+    let mut received = Vec::new();
+    // A reset keeps what was read before.
+    let reading = stream.read_to_end(&mut received);
+    let _ = tokio::time::timeout(HANG_TIMEOUT, reading)
+        .await
+        .expect("the connection ends");
+    String::from_utf8(received).expect("headers and bodies are text")
+}
+
+async fn finish(reading: JoinHandle<String>) -> String {
+    reading.await.expect("the task ends")
+}
+
+async fn wait_for_run(fleet: &RelayFleet, index: usize) {
+    fleet
+        .wait_until(|fleet| !fleet.relays[index].server.received().is_empty())
+        .await;
+}
+
+/// Checks that `received` is one complete response that does not say "not run", after which the
+/// connection is closed.
+fn assert_may_have_run(received: &str) {
+    assert!(received.starts_with("HTTP/1.1 502 "), "{received:?}");
+    assert!(received.contains("connection: close\r\n"), "{received:?}");
+    assert!(!received.contains("retry-after"), "{received:?}");
+    assert_is_complete(received);
+}
+
+fn assert_not_run(received: &str) {
+    assert!(received.starts_with("HTTP/1.1 503 "), "{received:?}");
+    assert!(received.contains("connection: close\r\n"), "{received:?}");
+    assert!(received.contains("retry-after: "), "{received:?}");
+    assert_is_complete(received);
+}
+
+fn assert_is_complete(received: &str) {
+    let (head, body) = received.split_once("\r\n\r\n").expect("a whole head");
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "))
+        .expect("a length");
+    assert_eq!(length, body.len().to_string(), "{received:?}");
+}
+
+// Guards against a request at the own server that a planned stop cuts without a response.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_at_the_own_server_gets_a_response_at_the_stop_limit() {
+    for repeatability in [Repeatability::AtMostOnce, Repeatability::Idempotent] {
+        let mut fleet = start(repeatability, &["stock"]).await;
+        let caller = send(connect(callers_of(&fleet, 0)).await, &get("r1")).await;
+        wait_for_run(&fleet, 0).await;
+        let server = fleet.relays.remove(0).stop().await;
+        assert_may_have_run(&finish(caller).await);
+        assert_eq!(server.received().len(), 1);
+    }
+}
+
+// Guards against a request at another node that a planned stop cuts without a response, and against a
+// run that goes on after that response.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_at_another_node_gets_a_response_at_the_stop_limit() {
+    for repeatability in [Repeatability::AtMostOnce, Repeatability::Idempotent] {
+        let mut fleet = start(repeatability, &["front", "stock", "stock"]).await;
+        let caller = send(connect(callers_of(&fleet, 0)).await, &get("r1")).await;
+        let received = |fleet: &RelayFleet| -> usize {
+            let servers = fleet.relays.iter().map(|relay| &relay.server);
+            servers.map(|server| server.received().len()).sum()
+        };
+        fleet.wait_until(|fleet| received(fleet) > 0).await;
+        fleet.relays.remove(0).stop().await;
+        assert_may_have_run(&finish(caller).await);
+        fleet
+            .wait_until(|fleet| {
+                let servers = fleet.relays.iter().map(|relay| &relay.server);
+                servers.map(|server| server.abandoned()).sum::<usize>() == 1
+            })
+            .await;
+        assert_eq!(received(&fleet), 1);
+    }
+}
+
+// Guards against a request of another node that ends with the connection between the nodes when the
+// process exits, instead of with a reply before that.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_of_another_node_gets_a_reply_before_the_process_exits() {
+    let mut fleet = start(Repeatability::AtMostOnce, &["front", "stock"]).await;
+    let text = get("r1").replace("\r\n\r\n", "\r\nconnection: close\r\n\r\n");
+    let caller = send(connect(callers_of(&fleet, 0)).await, &text).await;
+    wait_for_run(&fleet, 1).await;
+    let stopping = fleet.relays.remove(1);
+    stopping.daemon.stop().await;
+    // The sockets of the process are still open.
+    let received = tokio::time::timeout(Duration::from_secs(1), caller).await;
+    let received = received
+        .expect("a reply before the exit")
+        .expect("the task ends");
+    assert!(received.starts_with("HTTP/1.1 502 "), "{received:?}");
+    assert_eq!(stopping.server.received().len(), 1);
+}
+
+// Guards against an idempotent request that is given up because the node that ran it stopped, although
+// another server has time for it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idempotent_request_goes_to_another_server_when_its_node_ends() {
+    let mut fleet = start(Repeatability::Idempotent, &["front", "stock", "stock"]).await;
+    let text = get("r1").replace("\r\n\r\n", "\r\nconnection: close\r\n\r\n");
+    let caller = send(connect(callers_of(&fleet, 0)).await, &text).await;
+    let runs_on = |fleet: &RelayFleet| {
+        let mut relays = fleet.relays.iter();
+        relays.position(|relay| !relay.server.received().is_empty())
+    };
+    fleet.wait_until(|fleet| runs_on(fleet).is_some()).await;
+    let index = runs_on(&fleet).expect("a server runs it");
+    fleet.relays[3 - index]
+        .server
+        .set_behaviour(Behaviour::Respond);
+    fleet.relays.remove(index).stop().await;
+    let received = finish(caller).await;
+    assert!(received.starts_with("HTTP/1.1 200 "), "{received:?}");
+}
+
+// Guards against requests whose body is on its way and that a planned stop cuts without a response, or
+// with one that calls them run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_with_a_part_of_its_body_is_refused_as_not_run_at_the_stop_limit() {
+    let mut fleet = start(Repeatability::AtMostOnce, &["stock"]).await;
+    let head = "POST /stock/x HTTP/1.1\r\nhost: shop\r\nrequest-id: r1\r\ncontent-length: 9\r\n\
+                expect: 100-continue\r\n\r\n";
+    let mut stream = connect(callers_of(&fleet, 0)).await;
+    stream.write_all(head.as_bytes()).await.expect("it is sent");
+    let mut interim = [0; 25];
+    stream.read_exact(&mut interim).await.expect("a response");
+    assert_eq!(&interim, b"HTTP/1.1 100 Continue\r\n\r\n");
+    let caller = send(stream, "abc").await;
+    let stopping = fleet.relays.remove(0);
+    let server = stopping.stop().await;
+    assert_not_run(&finish(caller).await);
+    assert_eq!(server.received().len(), 0);
+}
+
+// Guards against requests that are passed on so late in a planned stop that their servers cannot finish
+// them, and are then broken off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_that_arrives_in_the_second_half_of_the_grace_is_refused_as_not_run() {
+    let mut fleet = start(Repeatability::AtMostOnce, &["front", "stock"]).await;
+    let text = get("r1");
+    let (first, rest) = text.split_at(20);
+    let mut stream = connect(callers_of(&fleet, 0)).await;
+    stream
+        .write_all(first.as_bytes())
+        .await
+        .expect("it is sent");
+    let stopping = fleet.relays.remove(0);
+    let stop = tokio::spawn(stopping.stop());
+    tokio::time::sleep(GRACE.mul_f64(0.6)).await;
+    let caller = send(stream, rest).await;
+    assert_not_run(&finish(caller).await);
+    stop.await.expect("the stop ends");
+    assert_eq!(fleet.relays[0].server.received().len(), 0);
+}
+
+// Guards against a stop that cuts requests of kept connections, or runs a request that waits behind one
+// which the stop has ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn pipelined_request_behind_an_ended_one_is_not_begun() {
+    let mut fleet = start(Repeatability::AtMostOnce, &["stock"]).await;
+    fleet.relays[0].server.set_behaviour(Behaviour::Respond);
+    let mut stream = connect(callers_of(&fleet, 0)).await;
+    stream
+        .write_all(get("r0").as_bytes())
+        .await
+        .expect("it is sent");
+    let mut first = vec![0; 4_096];
+    let length = stream.read(&mut first).await.expect("a response");
+    assert!(first[..length].starts_with(b"HTTP/1.1 200 "));
+    fleet.relays[0]
+        .server
+        .set_behaviour(Behaviour::Slow(SERVICE_TIME));
+    let caller = send(stream, &(get("r1") + &get("r2"))).await;
+    fleet
+        .wait_until(|fleet| fleet.relays[0].server.received().len() == 2)
+        .await;
+    let server = fleet.relays.remove(0).stop().await;
+    assert_may_have_run(&finish(caller).await);
+    assert_eq!(server.received().len(), 2);
+}
+
+// Guards against a stop that waits for the store and is killed before its requests have responses.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stop_ends_within_the_grace_while_the_store_is_down() {
+    let mut fleet = start(Repeatability::AtMostOnce, &["front", "stock"]).await;
+    let caller = send(connect(callers_of(&fleet, 0)).await, &get("r1")).await;
+    wait_for_run(&fleet, 1).await;
+    fleet.store.set_down(true);
+    let started_at = Instant::now();
+    fleet.relays.remove(0).stop().await;
+    assert!(started_at.elapsed() < GRACE, "{:?}", started_at.elapsed());
+    assert_may_have_run(&finish(caller).await);
+}
+
+// Guards against a change of the settings that ends requests, or a stop that has begun.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reload_during_a_stop_cuts_no_request() {
+    let mut fleet = start(Repeatability::AtMostOnce, &["stock"]).await;
+    let slow = Behaviour::Slow(Duration::from_millis(1_500));
+    fleet.relays[0].server.set_behaviour(slow);
+    let caller = send(connect(callers_of(&fleet, 0)).await, &get("r1")).await;
+    wait_for_run(&fleet, 0).await;
+    let node = fleet.relays[0].daemon.node().clone();
+    let stop = tokio::spawn(fleet.relays.remove(0).stop());
+    tokio::time::sleep(POLL_PERIOD).await;
+    let mut raw = node.settings.raw.clone();
+    raw.bounds.stop_grace_s = 1.0;
+    node.reload(RelaySettings::try_from(raw).expect("valid settings"));
+    stop.await.expect("the stop ends");
+    let received = finish(caller).await;
+    assert!(received.starts_with("HTTP/1.1 200 "), "{received:?}");
+}
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -142,6 +142,16 @@
     runtime: OwnRuntime,
 }
 
+impl TestRelay {
+    /// Performs a planned stop, and closes all sockets of the relay at its end, as the exit of a process
+    /// does. Returns the backend server.
+    pub async fn stop(self) -> RelayServer {
+        self.daemon.stop().await;
+        self.runtime.shut_down();
+        self.server
+    }
+}
+
 /// Starts a relay on a runtime of its own.
 async fn start_relay(settings: RelaySettings, store: &MemoryStore) -> (RelayDaemon, OwnRuntime) {
     let runtime = OwnRuntime::default();
