relay: a planned stop waits for the runs of a server that has left

Callers of other nodes got 502 for requests that a server would have finished within the grace: the server had left with runs in flight, and the relay beside it stopped.

Cause: a stop looked for runs at the gate of the present server. After a departure, or a report of a new incarnation, the runs of the former one were not counted, and the process exited as soon as no caller of its own was waiting.

Runs are now counted for the node, whichever incarnation they are at.

--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -189,6 +189,7 @@
         .clock
         .now()
         .after(Duration::from_micros(metadata.remaining_us));
+    let _count = node.stop_limit.count_run();
     let running = RunningRequest::new(metadata.clone(), deadline);
     let result = {
         let run = pin!(admit_and_send(node, &running, request));
--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -207,9 +207,7 @@
 
     /// Returns whether no request of a caller or of another node is in flight here.
     fn is_idle(&self) -> bool {
-        let backend = self.backend();
-        let runs = backend.is_some_and(|backend| backend.gate.in_flight() > 0);
-        !runs && self.in_flight.load(Ordering::Relaxed) == 0
+        self.stop_limit.runs() == 0 && self.in_flight.load(Ordering::Relaxed) == 0
     }
 
     /// Waits until the connections of callers are closed and no request is in flight.
--- a/lib/src/process/relay/stop_limit.rs
+++ b/lib/src/process/relay/stop_limit.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use tokio_util::sync::CancellationToken;
@@ -15,6 +16,9 @@
 pub(super) struct StopLimit {
     reached: CancellationToken,
     refuses_new: AtomicBool,
+    /// Requests to the local backend server, including those that wait for it. An earlier incarnation
+    /// of the server may still run some.
+    runs: AtomicU64,
 }
 
 impl StopLimit {
@@ -52,6 +56,26 @@
             () = self.reached.cancelled() => None,
         }
     }
+
+    /// Counts a request to the local backend server until the guard is dropped.
+    pub(super) fn count_run(&self) -> RunCount<'_> {
+        self.runs.fetch_add(1, Ordering::Relaxed);
+        RunCount(self)
+    }
+
+    /// Returns the number of requests to the local backend server.
+    pub(super) fn runs(&self) -> u64 {
+        self.runs.load(Ordering::Relaxed)
+    }
+}
+
+/// A counted request to the local backend server.
+pub(super) struct RunCount<'a>(&'a StopLimit);
+
+impl Drop for RunCount<'_> {
+    fn drop(&mut self) {
+        self.0.runs.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// Returns the refusal of a request that the limit ended.
--- a/lib/tests/test_relay_stop.rs
+++ b/lib/tests/test_relay_stop.rs
@@ -180,6 +180,22 @@
     assert_eq!(stopping.server.received().len(), 1);
 }
 
+// Guards against a stop that ends before the runs of a server that has left, which the node no longer
+// knows.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn run_at_a_server_that_has_left_is_finished() {
+    let mut fleet = start(Repeatability::AtMostOnce, &["front", "stock"]).await;
+    let slow = Behaviour::Slow(Duration::from_millis(1_800));
+    fleet.relays[1].server.set_behaviour(slow);
+    let text = get("r1").replace("\r\n\r\n", "\r\nconnection: close\r\n\r\n");
+    let caller = send(connect(callers_of(&fleet, 0)).await, &text).await;
+    wait_for_run(&fleet, 1).await;
+    fleet.report_departure(1).await;
+    fleet.relays.remove(1).stop().await;
+    let received = finish(caller).await;
+    assert!(received.starts_with("HTTP/1.1 200 "), "{received:?}");
+}
+
 // Guards against an idempotent request that is given up because the node that ran it stopped, although
 // another server has time for it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
