connection: silent connections to the store and servers are replaced

What callers saw: after open connections to the store had gone silent without a reset, each kept one cost a call 900 ms, one after the other, and a watch hid changes for its whole wait of 8 s and 2 s more. A request to the backend server on a silent connection waited for its own time limit, and so did the next one on the next kept connection.

Cause: only the time limit of an exchange ended it, and what it showed about its connection was not used for the others of the pool.

Fix: the pool decides. The kernel probes each connection, and fails one whose other end no longer acknowledges. The pool then closes idle connections that received nothing since, and ends watches on such connections; reads are sent again at once. Calls of the store are short, so that a timeout on a kept connection counts too, once a new connection shows that the store itself responds. A slow server acknowledges, and is not taken for a silent one.

--- a/lib/src/connection/exchange.rs
+++ b/lib/src/connection/exchange.rs
@@ -90,6 +90,10 @@
     /// The connection failed after a part of the request was written.
     #[snafu(display("connection failed after the request was sent"))]
     Sent,
+    /// The other end of the connection stopped acknowledging after a part of the request may have
+    /// been written. A new connection may work.
+    #[snafu(display("connection went silent after the request was sent"))]
+    Silent,
     /// The response body was incomplete, malformed or too large, or the response belongs to another
     /// request.
     #[snafu(display("response is incomplete or malformed"))]
@@ -106,7 +110,7 @@
             Self::NoFreeConnection => (ExchangeProgress::Queued, Failure::TimedOut),
             Self::NotConnected => (ExchangeProgress::Connecting, Failure::ConnectionRefused),
             Self::NotSent => (ExchangeProgress::Connected, Failure::ConnectionLost),
-            Self::Sent => (ExchangeProgress::PartlyWritten, Failure::ConnectionLost),
+            Self::Sent | Self::Silent => (ExchangeProgress::PartlyWritten, Failure::ConnectionLost),
             Self::TimedOut => (ExchangeProgress::PartlyWritten, Failure::TimedOut),
             Self::InvalidResponse => (ExchangeProgress::PartlyAnswered, Failure::AnswerBroken),
         };
--- a/lib/src/connection/keepalive.rs
+++ b/lib/src/connection/keepalive.rs
@@ -12,7 +12,7 @@
 /// Unanswered probes after which the connection fails.
 const PROBES_MAX: u32 = 1;
 /// Longest time for which sent bytes, or a probe, may stay unacknowledged.
-const UNACKNOWLEDGED_MAX_MS: u32 = 1_000;
+const UNACKNOWLEDGED_MAX_MS: u32 = 800;
 
 /// Makes the kernel fail a connection about one to two seconds after its other end stopped
 /// acknowledging, whether or not anything was sent.
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -6,6 +6,7 @@
 mod headers;
 mod keepalive;
 mod listener;
+mod liveness;
 mod pool;
 
 pub use self::body::BodyBudget;
@@ -36,3 +37,4 @@
 pub use self::pool::ConnectionPool;
 pub use self::pool::PoolLimits;
 pub use self::pool::ResponseMatch;
+pub use self::pool::ResponseTime;
--- a/lib/src/connection/pool.rs
+++ b/lib/src/connection/pool.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Weak;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +21,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -27,10 +29,22 @@
 use super::BufferedRequest;
 use super::BufferedResponse;
 use super::ExchangeError;
+use super::allow_closed_window;
+use super::enable_liveness_probes;
 use super::head_limit::HeadLimit;
 use super::head_limit::HeadLimited;
+use super::liveness::Liveness;
+use super::liveness::Observed;
 use super::read_budgeted_body;
 use super::strip_connection_headers;
+use crate::process::events::process as events;
+
+/// Longest body that fits into the receive window of a server that reads nothing. A longer one is
+/// sent on a connection of its own, on which a closed window is no sign of silence.
+const WINDOW_BODY_BYTES_MAX: usize = 32 * 1_024;
+/// A connection that received bytes less than this time before another one was found silent is still
+/// trusted. Nothing arrives on the silent one for longer before it is found.
+const TRUST_TIME: Duration = Duration::from_millis(800);
 
 plain_value! {
     /// Bounds on the connections to one address.
@@ -59,8 +73,25 @@
     }
 }
 
+plain_value! {
+    /// What the time until the response says about the connection.
+    pub enum ResponseTime {
+        /// Nothing: the server may take any time.
+        Any,
+        /// Nearly all responses arrive well within the timeout. An idle connection is no longer
+        /// trusted after a timeout on one that was kept.
+        Short,
+        /// Nothing, but the request may be sent again at no loss. The exchange ends with
+        /// [`ExchangeError::Silent`] once another connection of the pool is found silent.
+        LongPoll,
+    }
+}
+
 /// Persistent connections to one address.
 ///
+/// The kernel probes each connection. Once one is found silent, idle ones that received nothing since
+/// are closed.
+///
 /// The pool never sends a request twice: a connection that fails returns an error, and a connection
 /// whose exchange did not complete is closed.
 #[derive(Debug)]
@@ -70,7 +101,19 @@
     permits: Arc<Semaphore>,
     /// The bodies of all responses together may hold as many bytes as the largest one.
     body_budget: BodyBudget,
+    kept: Arc<KeptConnections>,
+}
+
+/// The idle connections of a pool, and which of its connections are trusted.
+#[derive(Debug)]
+struct KeptConnections {
+    address: SocketAddr,
     idle: Mutex<Vec<PooledConnection>>,
+    /// Connections that received nothing since then may be silent.
+    distrusted_before: watch::Sender<Instant>,
+    /// When a request was sent on a kept connection that got no response in time. The next exchange
+    /// on a new connection shows whether the connection or the server was the reason.
+    unanswered_since: Mutex<Option<Instant>>,
 }
 
 /// An open connection; dropping it closes the socket.
@@ -78,6 +121,8 @@
 struct PooledConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    liveness: Liveness,
+    is_kept: bool,
     idle_since: Instant,
     idle_limit: Option<Duration>,
     head_limit: HeadLimit,
@@ -118,6 +163,66 @@
     }
 }
 
+impl KeptConnections {
+    fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: Mutex::default(),
+            distrusted_before: watch::Sender::new(Instant::now()),
+            unanswered_since: Mutex::default(),
+        }
+    }
+
+    /// Gives up the connections that received nothing since shortly before another was found silent.
+    fn report_silent(&self, silent: &Liveness) {
+        if silent.begin_report() {
+            self.log_silent(silent, "unacknowledged");
+            let now = Instant::now();
+            self.distrust_before(now.checked_sub(TRUST_TIME).unwrap_or(now));
+        }
+    }
+
+    fn distrust_before(&self, before: Instant) {
+        self.close_idle_before(before);
+        self.distrusted_before.send_replace(before);
+    }
+
+    fn close_idle_before(&self, before: Instant) {
+        let mut idle = self.idle.lock();
+        idle.retain(|connection| connection.liveness.last_received_at() >= before);
+    }
+
+    /// Records whether an exchange with a short response time that began at `sent_at` timed out.
+    fn observe_short(&self, connection: &PooledConnection, sent_at: Instant, timed_out: bool) {
+        let liveness = &connection.liveness;
+        let mut unanswered_since = self.unanswered_since.lock();
+        match timed_out {
+            true if connection.is_kept && liveness.last_received_at() < sent_at => {
+                self.log_silent(liveness, "unanswered");
+                self.close_idle_before(sent_at);
+                unanswered_since.get_or_insert(sent_at);
+            }
+            // The server itself is slow.
+            true => *unanswered_since = None,
+            false => {
+                let since = unanswered_since.take();
+                if let Some(since) = since.filter(|since| liveness.opened_at() > *since) {
+                    self.distrust_before(since);
+                }
+            }
+        }
+    }
+
+    fn log_silent(&self, liveness: &Liveness, reason: &str) {
+        events::CONNECTION_SILENT.log(format_args!(
+            "address={} reason={reason} last_received_ms_ago={} age_ms={}",
+            self.address,
+            liveness.last_received_at().elapsed().as_millis(),
+            liveness.opened_at().elapsed().as_millis()
+        ));
+    }
+}
+
 impl ConnectionPool {
     /// Creates an empty pool for `address`.
     pub fn new(address: SocketAddr, limits: PoolLimits) -> Self {
@@ -126,7 +231,7 @@
             limits,
             permits: Arc::new(Semaphore::new(limits.connections_max as usize)),
             body_budget: BodyBudget::new(limits.response_bytes_max),
-            idle: Mutex::default(),
+            kept: Arc::new(KeptConnections::new(address)),
         }
     }
 
@@ -161,8 +266,85 @@
         timeout: Duration,
         match_response: impl Fn(StatusCode, &HeaderMap) -> ResponseMatch,
     ) -> Result<BufferedResponse, ExchangeError> {
-        let deadline = Instant::now() + timeout;
-        let mut connection = self.connection(timeout).await?;
+        self.exchange_on_any(request, timeout, ResponseTime::Any, match_response)
+            .await
+    }
+
+    /// Sends `request` once and returns the complete response. `response_time` states what a timeout
+    /// says about the connection.
+    pub async fn exchange_within(
+        &self,
+        request: BufferedRequest,
+        timeout: Duration,
+        response_time: ResponseTime,
+    ) -> Result<BufferedResponse, ExchangeError> {
+        self.exchange_on_any(request, timeout, response_time, |_, _| ResponseMatch::Own)
+            .await
+    }
+
+    async fn exchange_on_any(
+        &self,
+        request: BufferedRequest,
+        timeout: Duration,
+        response_time: ResponseTime,
+        match_response: impl Fn(StatusCode, &HeaderMap) -> ResponseMatch,
+    ) -> Result<BufferedResponse, ExchangeError> {
+        let sent_at = Instant::now();
+        let deadline = sent_at + timeout;
+        let body_bytes = request.body.len();
+        let mut connection = self.connection(body_bytes, timeout).await?;
+        let liveness = connection.liveness.clone();
+        let exchange = self.exchange_on(&mut connection, request, deadline, match_response);
+        let result = match response_time {
+            ResponseTime::Any | ResponseTime::Short => exchange.await,
+            ResponseTime::LongPoll => tokio::select! {
+                result = exchange => result,
+                () = self.await_distrust(&liveness) => Err(ExchangeError::Silent),
+            },
+        };
+        if response_time == ResponseTime::Short {
+            let timed_out = matches!(result, Err(ExchangeError::TimedOut));
+            if timed_out || result.is_ok() {
+                self.kept.observe_short(&connection, sent_at, timed_out);
+            }
+        }
+        let (response, matched) = match result {
+            Ok(answered) => answered,
+            Err(error) if liveness.is_silent() => {
+                self.kept.report_silent(&liveness);
+                return Err(match error {
+                    ExchangeError::NotSent => error,
+                    _ => ExchangeError::Silent,
+                });
+            }
+            Err(error) => return Err(error),
+        };
+        if matched == ResponseMatch::Own && body_bytes <= WINDOW_BODY_BYTES_MAX {
+            self.keep(connection);
+        }
+        Ok(response)
+    }
+
+    /// Returns once another connection was found silent and this one received nothing since.
+    async fn await_distrust(&self, liveness: &Liveness) {
+        let mut distrusted_before = self.kept.distrusted_before.subscribe();
+        let is_distrusted = |before: &Instant| liveness.last_received_at() < *before;
+        if distrusted_before.wait_for(is_distrusted).await.is_err() {
+            // The sender lives as long as the pool.
+            std::future::pending::<()>().await;
+        }
+        if liveness.begin_report() {
+            self.kept.log_silent(liveness, "distrusted");
+        }
+    }
+
+    async fn exchange_on(
+        &self,
+        connection: &mut PooledConnection,
+        request: BufferedRequest,
+        deadline: Instant,
+        match_response: impl Fn(StatusCode, &HeaderMap) -> ResponseMatch,
+    ) -> Result<(BufferedResponse, ResponseMatch), ExchangeError> {
         let method = request.method.clone();
         connection.head_limit.begin_head();
         let sent = connection.sender.try_send_request(http_request(request));
@@ -179,10 +361,7 @@
         }
         connection.limit_idle_time(response.headers());
         let buffered = self.buffered_response(&method, response, deadline).await?;
-        if matched == ResponseMatch::Own {
-            self.keep(connection);
-        }
-        Ok(buffered)
+        Ok((buffered, matched))
     }
 
     async fn buffered_response(
@@ -212,54 +391,77 @@
         })
     }
 
-    async fn connection(&self, timeout: Duration) -> Result<PooledConnection, ExchangeError> {
-        if let Some(connection) = self.take_idle() {
+    async fn connection(
+        &self,
+        body_bytes: usize,
+        timeout: Duration,
+    ) -> Result<PooledConnection, ExchangeError> {
+        let fits_window = body_bytes <= WINDOW_BODY_BYTES_MAX;
+        if fits_window && let Some(connection) = self.take_idle() {
             return Ok(connection);
         }
-        let permit = Arc::clone(&self.permits)
-            .try_acquire_owned()
-            .map_err(|_| ExchangeError::NoFreeConnection)?;
+        let permit = self.permit().ok_or(ExchangeError::NoFreeConnection)?;
         let connect_timeout = Duration::from_millis(self.limits.connect_timeout_ms).min(timeout);
-        match tokio::time::timeout(connect_timeout, open(self.address, permit)).await {
+        let opening = open(&self.kept, permit, fits_window);
+        match tokio::time::timeout(connect_timeout, opening).await {
             Ok(Ok(connection)) => Ok(connection),
             Ok(Err(_)) | Err(_) => Err(ExchangeError::NotConnected),
         }
     }
 
+    /// Returns the permit for a new connection. Closes an idle one if there is no other.
+    fn permit(&self) -> Option<OwnedSemaphorePermit> {
+        let permit = || Arc::clone(&self.permits).try_acquire_owned().ok();
+        permit().or_else(|| {
+            drop(self.kept.idle.lock().pop()?);
+            permit()
+        })
+    }
+
     fn take_idle(&self) -> Option<PooledConnection> {
         let idle_timeout = Duration::from_millis(self.limits.idle_timeout_ms);
-        let mut idle = self.idle.lock();
+        let mut idle = self.kept.idle.lock();
         idle.retain(|connection| connection.is_usable(idle_timeout));
         idle.pop()
     }
 
     fn keep(&self, mut connection: PooledConnection) {
         connection.idle_since = Instant::now();
+        connection.is_kept = true;
         if !connection.sender.is_closed() {
-            self.idle.lock().push(connection);
+            self.kept.idle.lock().push(connection);
         }
     }
 }
 
 async fn open(
-    address: SocketAddr,
+    kept: &Arc<KeptConnections>,
     permit: OwnedSemaphorePermit,
+    fits_window: bool,
 ) -> Result<PooledConnection, Box<dyn std::error::Error + Send + Sync>> {
-    let stream = TcpStream::connect(address).await?;
+    let stream = TcpStream::connect(kept.address).await?;
     stream.set_nodelay(true)?;
+    enable_liveness_probes(&stream)?;
+    if !fits_window {
+        allow_closed_window(&stream)?;
+    }
+    let liveness = Liveness::new();
+    let observed = Observed {
+        stream,
+        liveness: liveness.clone(),
+    };
     let head_limit = HeadLimit::unlimited();
     let limited = HeadLimited {
-        stream,
+        stream: observed,
         limit: head_limit.clone(),
     };
     let (sender, connection) = http1::handshake(TokioIo::new(limited)).await?;
-    let driver = tokio::spawn(async move {
-        // An error here also fails the exchange, which returns it.
-        let _ = connection.await;
-    });
+    let driver = tokio::spawn(drive(connection, liveness.clone(), Arc::downgrade(kept)));
     Ok(PooledConnection {
         sender,
         driver,
+        liveness,
+        is_kept: false,
         idle_since: Instant::now(),
         idle_limit: None,
         head_limit,
@@ -267,6 +469,18 @@
     })
 }
 
+async fn drive(
+    connection: http1::Connection<TokioIo<HeadLimited<Observed<TcpStream>>>, Full<Bytes>>,
+    liveness: Liveness,
+    kept: Weak<KeptConnections>,
+) {
+    // An error here also fails the exchange, which returns it.
+    let _ = connection.await;
+    if let (true, Some(kept)) = (liveness.is_silent(), kept.upgrade()) {
+        kept.report_silent(&liveness);
+    }
+}
+
 fn http_request(request: BufferedRequest) -> Request<Full<Bytes>> {
     let mut http_request = Request::new(Full::new(request.body));
     *http_request.method_mut() = request.method;
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -259,7 +259,9 @@
         Err(refusal) if refusal.reason == RefusalReason::BadAnswer => {
             suspect_run.fail(backend.pool.address()).await;
         }
-        Err(refusal) if refusal.reason == RefusalReason::NoServer => {
+        Err(refusal)
+            if refusal.reason == RefusalReason::NoServer && refusal.verdict == Verdict::NotRun =>
+        {
             drop(suspect_run);
             suspects::reassign_trials(node).await;
         }
@@ -369,7 +371,8 @@
     ));
     let reason = match (&failure, verdict) {
         (ExchangeError::TimedOut, _) => RefusalReason::DeadlineExceeded,
-        (_, Verdict::NotRun) => RefusalReason::NoServer,
+        // The server lives, as its kernel closes the connections of one that crashed.
+        (ExchangeError::Silent, _) | (_, Verdict::NotRun) => RefusalReason::NoServer,
         _ => RefusalReason::BadAnswer,
     };
     Err(Refusal {
--- a/lib/src/process/relay/views/store_watch.rs
+++ b/lib/src/process/relay/views/store_watch.rs
@@ -19,7 +19,7 @@
 use crate::process::relay::tasks::STORE_ENTRY_PREFIX;
 use crate::process::relay::tasks::new_backoff;
 
-/// Longest wait of one watch. A connection that goes silent hides changes from a zone this long.
+/// Longest wait of one watch.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(8);
 /// Delay after changes, so that changes close together cost one call. Other nodes refuse a request
 /// for a server that has left, so an outdated view of the fleet costs only another attempt.
--- a/lib/tests/test_verdicts.rs
+++ b/lib/tests/test_verdicts.rs
@@ -153,6 +153,7 @@
         (ExchangeError::NoFreeConnection, Verdict::NotRun),
         (ExchangeError::NotSent, Verdict::NotRun),
         (ExchangeError::Sent, Verdict::MayHaveRun),
+        (ExchangeError::Silent, Verdict::MayHaveRun),
         (ExchangeError::InvalidResponse, Verdict::MayHaveRun),
         (ExchangeError::TimedOut, Verdict::MayHaveRun),
     ];
--- a/testutils/src/relay/mod.rs
+++ b/testutils/src/relay/mod.rs
@@ -4,6 +4,7 @@
 mod peer;
 mod samples;
 mod server;
+mod silenced_proxy;
 mod store;
 mod suspects;
 
@@ -23,5 +24,6 @@
 pub use self::server::Behaviour;
 pub use self::server::ReceivedRequest;
 pub use self::server::RelayServer;
+pub use self::silenced_proxy::SilencedProxy;
 pub use self::store::MemoryStore;
 pub use self::suspects::suspected_on;
