relay: only a response opens the gate of a server whose limit is not known yet

Cause: a process that starts doesn't know its server's limit, and a request that timed out or whose connection broke counted as a response of the server (`GateState::release`). One request with a short deadline opened all slots. Besides, each cancelled request made room for the next one, although the server may still run the first.

Until the head of the first response, four requests start, one more every two seconds, and four run at a time (`gate/opening.rs`): no four seconds have more than five, which every limit allows. Requests of which nothing was sent are given back. Others are refused as not run at once while no request is left to wait for. A request with more time than those that were given up goes first, so that impatient callers don't keep a slow server closed. The limit and the departure that a response names are applied when its head arrives, also if its body breaks off; those of a misdirected request's response are another server's and no longer applied.

A server without a limit whose responses take a second has all slots in use 0.2 s after the first response (model, 200 requests per second).

--- a/lib/src/process/gate/completion.rs
+++ b/lib/src/process/gate/completion.rs
@@ -15,6 +15,8 @@
         Failed,
         /// The caller disconnected before the response.
         Cancelled,
+        /// Nothing was sent to the backend server.
+        NotSent,
     }
 }
 
--- a/lib/src/process/gate/gate_state.rs
+++ b/lib/src/process/gate/gate_state.rs
@@ -10,6 +10,7 @@
 use super::DemandMeter;
 use super::DroppedRequest;
 use super::FloorNotice;
+use super::Opening;
 use super::Pace;
 use super::QueueEntry;
 use super::RetryAfter;
@@ -41,8 +42,8 @@
     retry_after: RetryAfter,
     /// The rate that the server named, if it takes fewer requests than its slots allow.
     pace: Option<Pace>,
-    /// Whether a request has ended with a response or a failure of the server.
-    is_proven: bool,
+    /// Bounds on the requests that start, until the first response of the server.
+    opening: Option<Opening>,
 }
 
 impl GateState {
@@ -52,9 +53,6 @@
     /// Lower limit of the queue bound.
     const QUEUE_MIN: usize = 4;
 
-    /// Requests that run at the same time until the first response of a server.
-    const FIRST_REQUESTS: u32 = 4;
-
     /// Drain rate assumed before the first request has finished, in requests per second.
     const DEFAULT_DRAIN_PER_S: f64 = 100.0;
 
@@ -69,26 +67,26 @@
             demand: DemandMeter::new(now),
             retry_after: RetryAfter::default(),
             pace: None,
-            is_proven: true,
+            opening: None,
         }
     }
 
     /// Creates the gate state of a server from which this process has had no response yet.
     ///
-    /// The server may have named a limit to an earlier process, so few requests run until its first
-    /// response.
+    /// The server may have named a limit to an earlier process, so few requests start until
+    /// [`GateState::record_response`].
     pub fn unproven(limit: AdaptiveLimit, now: MonotonicTime) -> Self {
         Self {
-            is_proven: false,
+            opening: Some(Opening::new(now)),
             ..Self::new(limit, now)
         }
     }
 
     /// Returns how many requests may run at the same time.
     pub fn slots(&self) -> u32 {
-        match self.is_proven {
-            true => self.limit.slots(),
-            false => self.limit.slots().min(Self::FIRST_REQUESTS),
+        match self.opening {
+            None => self.limit.slots(),
+            Some(_) => self.limit.slots().min(Opening::REQUESTS),
         }
     }
 
@@ -138,6 +136,16 @@
         }
     }
 
+    /// Records the head of a response of the server, and starts waiting requests.
+    ///
+    /// To be called after [`GateState::set_rate`] with the rate that the response names.
+    pub fn record_response(&mut self, now: MonotonicTime) -> Wakeups {
+        match self.opening.take() {
+            Some(_) => self.fill_slots(now),
+            None => Wakeups::default(),
+        }
+    }
+
     /// Decides on a request for a slot, and returns the waiting request that it displaces, if any.
     pub fn acquire(
         &mut self,
@@ -156,10 +164,17 @@
         if self.pace.is_some() {
             return (self.acquire_paced(request, now), None);
         }
-        if self.in_flight < self.slots() && self.queue.is_empty() {
+        if self.has_room(request.remaining, now) && self.queue.is_empty() {
             self.start(&request.organisation, request.rate, now);
             return (AdmissionDecision::Started, None);
         }
+        if self.awaits_no_response() {
+            self.demand.record_shed();
+            return (
+                self.refuse(request, RefusalReason::ServerThrottled, now),
+                None,
+            );
+        }
         if !self.demand.admits(request) {
             return (self.refuse(request, RefusalReason::Overloaded, now), None);
         }
@@ -229,11 +244,21 @@
     /// Releases the slot of a request that ended, and starts waiting requests.
     pub fn release(&mut self, completion: &Completion, now: MonotonicTime) -> Wakeups {
         self.in_flight = self.in_flight.saturating_sub(1);
-        self.is_proven |= completion.outcome != CompletionOutcome::Cancelled;
+        if let Some(opening) = &mut self.opening {
+            match completion.outcome {
+                CompletionOutcome::NotSent => opening.record_not_sent(),
+                _ => opening.record_given_up(completion.held),
+            }
+        }
         self.limit.record_end(completion, now);
         self.observe_service_time(completion);
         self.close_window(now);
-        self.fill_slots(now)
+        let mut wakeups = self.fill_slots(now);
+        if self.awaits_no_response() {
+            let dropped = self.drop_waiting(RefusalReason::ServerThrottled, now);
+            wakeups.dropped.extend(dropped);
+        }
+        wakeups
     }
 
     /// Removes a waiting request because its caller disconnected or its time ran out.
@@ -279,7 +304,8 @@
             }
             CompletionOutcome::Cancelled
             | CompletionOutcome::ServerRefused
-            | CompletionOutcome::Failed => {}
+            | CompletionOutcome::Failed
+            | CompletionOutcome::NotSent => {}
         }
     }
 
@@ -293,19 +319,31 @@
         }
     }
 
+    /// Returns whether a request with `remaining` time left finds a free slot.
+    fn has_room(&mut self, remaining: Duration, now: MonotonicTime) -> bool {
+        let has_slot = self.in_flight < self.slots();
+        let opening = self.opening.as_mut();
+        has_slot && opening.is_none_or(|opening| opening.has_room(remaining, now))
+    }
+
+    /// Returns whether the server has sent no response, and no request is left that could get one.
+    fn awaits_no_response(&self) -> bool {
+        self.opening.is_some() && self.in_flight == 0
+    }
+
     fn fill_slots(&mut self, now: MonotonicTime) -> Wakeups {
         let mut wakeups = Wakeups::default();
-        while self.in_flight < self.slots() {
-            let Some(ticket) = self.queue.first(&self.usage, now) else {
-                break;
-            };
-            match self.queue.get(ticket) {
-                Some(entry) if entry.start_by < now => {
+        while let Some(ticket) = self.queue.first(&self.usage, now) {
+            let start_by = self.queue.get(ticket).map_or(now, |entry| entry.start_by);
+            let remaining = start_by.since(now) + self.service_time.mean();
+            match self.has_room(remaining, now) {
+                false => break,
+                true if start_by < now => {
                     self.demand.record_shed();
                     let dropped = self.drop_request(ticket, RefusalReason::DeadlineExceeded, now);
                     wakeups.dropped.extend(dropped);
                 }
-                _ => wakeups.started.extend(self.start_waiting(ticket, now)),
+                true => wakeups.started.extend(self.start_waiting(ticket, now)),
             }
         }
         wakeups
@@ -324,6 +362,9 @@
         now: MonotonicTime,
     ) {
         self.in_flight += 1;
+        if let Some(opening) = &mut self.opening {
+            opening.record_start(now);
+        }
         self.limit.record_start(self.in_flight);
         self.usage.record_start(organisation, rate, now);
     }
--- a/lib/src/process/gate/limit.rs
+++ b/lib/src/process/gate/limit.rs
@@ -205,7 +205,9 @@
                 self.window.own_us += completion.own_time().as_micros() as f64;
             }
             CompletionOutcome::ServerRefused => self.window.refused += 1,
-            CompletionOutcome::Failed | CompletionOutcome::Cancelled => {}
+            CompletionOutcome::Failed
+            | CompletionOutcome::Cancelled
+            | CompletionOutcome::NotSent => {}
         }
         if self.phase != Phase::Fixed && self.window_is_over(now) {
             self.close_window(now);
--- a/lib/src/process/gate/permit.rs
+++ b/lib/src/process/gate/permit.rs
@@ -130,6 +130,15 @@
         }
     }
 
+    /// Records the head of a response of the server, after [`Gate::set_rate`] with the rate that it
+    /// names.
+    pub fn record_response(&self) {
+        let now = self.clock.now();
+        let mut shared = self.shared.lock();
+        let wakeups = shared.state.record_response(now);
+        shared.wake(wakeups);
+    }
+
     /// Refuses all waiting requests because the server stops or is lost.
     pub fn drop_waiting(&self, reason: RefusalReason) {
         let now = self.clock.now();
@@ -239,7 +248,7 @@
         drop(shared);
         let started = !still_waiting && matches!(self.result.try_recv(), Ok(Ok(())));
         if started {
-            drop(self.gate.permit());
+            self.gate.permit().release_unused();
         }
     }
 }
@@ -257,6 +266,11 @@
         self.end(outcome, onward);
     }
 
+    /// Releases the slot of a request of which nothing was sent.
+    pub fn release_unused(mut self) {
+        self.end(CompletionOutcome::NotSent, Duration::ZERO);
+    }
+
     fn end(&mut self, outcome: CompletionOutcome, onward: Duration) {
         self.finished = true;
         let held = self.gate.clock.now().since(self.started_at);
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -243,9 +243,16 @@
     node.check_onward(metadata)?;
     let permit = backend.gate.acquire(admission_request).await?;
     if !backend.accepts_work() || !node.offers_server() {
+        permit.release_unused();
         return Err(Refusal::not_run(RefusalReason::Draining));
     }
-    let suspect_run = suspect_permit.start()?;
+    let suspect_run = match suspect_permit.start() {
+        Ok(suspect_run) => suspect_run,
+        Err(refusal) => {
+            permit.release_unused();
+            return Err(refusal);
+        }
+    };
     let remaining = deadline.since(node.clock.now());
     set_headers(node, &backend, metadata, &mut request, remaining);
     let _guard = node.runs.add(Arc::clone(running));
@@ -333,12 +340,18 @@
         let echoed = headers.get(&names.request_id).map(HeaderValue::as_bytes);
         let is_rejection =
             status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&names.not_run);
-        match echoed {
+        let matched = match echoed {
             Some(echoed) if echoed == metadata.request_id.as_bytes() => ResponseMatch::Own,
             // Servers that reject a request without reading it do not echo its id.
             None if is_rejection => ResponseMatch::Unidentified,
             Some(_) | None => ResponseMatch::Foreign,
+        };
+        // A misdirected request reached another server.
+        if matched != ResponseMatch::Foreign && status != StatusCode::MISDIRECTED_REQUEST {
+            apply_notices(node, backend, headers);
+            backend.gate.record_response();
         }
+        matched
     };
     let mut failure = ExchangeError::NotSent;
     for _ in 0..SEND_ATTEMPTS {
@@ -349,7 +362,6 @@
         match sent {
             Ok(response) => {
                 backend.mark_reachable();
-                apply_notices(node, backend, &response.headers);
                 return check_response(node, backend, metadata, response);
             }
             Err(ExchangeError::NotSent) => {}
@@ -383,7 +395,7 @@
     })
 }
 
-/// Applies what the server says about itself in the headers of a response.
+/// Applies what the server says about itself in the head of a response.
 fn apply_notices(node: &Arc<RelayNode>, backend: &Backend, headers: &HeaderMap) {
     let leaving = headers.get(&node.protocol.headers.leaving);
     if leaving.is_some_and(|value| value == LEAVING_VALUE) {
@@ -453,6 +465,7 @@
         Err(refusal) if refusal.reason == RefusalReason::RefusedByServer => {
             CompletionOutcome::ServerRefused
         }
+        Err(refusal) if refusal.verdict == Verdict::NotRun => CompletionOutcome::NotSent,
         Err(_) => CompletionOutcome::Failed,
     }
 }
--- a/lib/tests/test_gate_pace.rs
+++ b/lib/tests/test_gate_pace.rs
@@ -25,6 +25,8 @@
 /// Time in which the server answers a request.
 const HELD_MS: u64 = 60;
 const WINDOW_MS: u64 = 4_000;
+/// Time for which callers wait.
+const PATIENCE_MS: u64 = 5_000;
 
 fn rate(per_s: f64) -> ServerRate {
     ServerRate::try_from(per_s).expect("valid rate")
@@ -37,7 +39,8 @@
     held_ms: u64,
     /// The rate that the server names in its responses.
     named: Option<ServerRate>,
-    ends_at: Vec<u64>,
+    /// When the requests end that run, and how.
+    ends: Vec<(u64, CompletionOutcome)>,
     /// Times and importance of the requests that started.
     started: Vec<(u64, u8)>,
 }
@@ -50,7 +53,7 @@
             rng: StdRng::seed_from_u64(seed),
             held_ms: HELD_MS,
             named: None,
-            ends_at: Vec::new(),
+            ends: Vec::new(),
             started: Vec::new(),
         }
     }
@@ -60,40 +63,57 @@
     }
 
     fn finish(&mut self, now_ms: u64) {
-        let ended = self.ends_at.iter().filter(|end| **end <= now_ms).count();
-        self.ends_at.retain(|end| *end > now_ms);
-        for _ in 0..ended {
-            if self.named.is_some() {
-                self.gate.set_rate(self.named, at_ms(now_ms));
+        let ended = self.ends.extract_if(.., |(end_ms, _)| *end_ms <= now_ms);
+        for (_, outcome) in ended.collect::<Vec<_>>() {
+            if outcome == CompletionOutcome::Answered {
+                if self.named.is_some() {
+                    self.gate.set_rate(self.named, at_ms(now_ms));
+                }
+                let wakeups = self.gate.record_response(at_ms(now_ms));
+                for _ in wakeups.started {
+                    self.start(now_ms, 0, PATIENCE_MS);
+                }
             }
             let completion = Completion {
-                outcome: CompletionOutcome::Answered,
+                outcome,
                 held: Duration::from_millis(self.held_ms),
                 onward: Duration::ZERO,
             };
             let wakeups = self.gate.release(&completion, at_ms(now_ms));
             for _ in wakeups.started {
-                self.start(now_ms, 0);
+                self.start(now_ms, 0, PATIENCE_MS);
             }
         }
     }
 
-    fn start(&mut self, now_ms: u64, importance: u8) {
-        self.ends_at.push(now_ms + self.held_ms);
+    /// Starts a request whose caller waits for `patience_ms`, and then leaves or lets it time out.
+    fn start(&mut self, now_ms: u64, importance: u8, patience_ms: u64) {
+        let given_up = match self.rng.random_bool(0.5) {
+            true => CompletionOutcome::Cancelled,
+            false => CompletionOutcome::Failed,
+        };
+        self.ends.push(match self.held_ms <= patience_ms {
+            true => (now_ms + self.held_ms, CompletionOutcome::Answered),
+            false => (now_ms + patience_ms, given_up),
+        });
         self.started.push((now_ms, importance));
     }
 
     fn offer(&mut self, importance: u8, now_ms: u64) -> AdmissionDecision {
+        self.offer_within(importance, PATIENCE_MS, now_ms)
+    }
+
+    fn offer_within(&mut self, importance: u8, patience_ms: u64, now_ms: u64) -> AdmissionDecision {
         let request = AdmissionRequest {
             importance: Importance(importance),
             organisation: None,
             rate: RatePerSecond(1),
             root: RequestId(self.rng.random()),
-            remaining: Duration::from_secs(5),
+            remaining: Duration::from_millis(patience_ms),
         };
         let (decision, _) = self.gate.acquire(&request, at_ms(now_ms));
         if decision == AdmissionDecision::Started {
-            self.start(now_ms, importance);
+            self.start(now_ms, importance, patience_ms);
         }
         decision
     }
@@ -114,6 +134,19 @@
         }
     }
 
+    /// Offers 50 requests a second whose callers wait for `patience_ms`, and two that wait longer.
+    fn offer_impatient_load(&mut self, patience_ms: u64, times_ms: std::ops::Range<u64>) {
+        for now_ms in times_ms {
+            self.finish(now_ms);
+            if self.rng.random_bool(0.05) {
+                self.offer_within(1, patience_ms, now_ms);
+            }
+            if self.rng.random_bool(0.002) {
+                self.offer(1, now_ms);
+            }
+        }
+    }
+
     fn started_in(&self, times_ms: std::ops::Range<u64>) -> usize {
         let times = self.started.iter().map(|(time_ms, _)| time_ms);
         times.filter(|time_ms| times_ms.contains(time_ms)).count()
@@ -258,10 +291,81 @@
         server.offer_load(offered, 0..restart_ms, |_| 1);
         let limit = AdaptiveLimit::fixed(SlotCount(SLOTS), at_ms(restart_ms));
         server.gate = GateState::unproven(limit, at_ms(restart_ms));
-        server.ends_at.clear();
+        server.ends.clear();
         server.offer_load(offered, restart_ms..restart_ms + 6_000, |_| 1);
         let allowed = 1.5 * per_s * 4.0 + 5.0;
         let most = server.most_in_a_window(3_000);
         prop_assert!(most as f64 <= allowed, "{most} of {allowed}");
     }
 }
+
+/// Returns a server whose gate is that of a new process.
+fn unproven_server(seed: u64, held_ms: u64) -> Server {
+    let mut server = Server::new(seed);
+    server.gate = GateState::unproven(AdaptiveLimit::fixed(SlotCount(SLOTS), at_ms(0)), at_ms(0));
+    server.held_ms = held_ms;
+    server
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(32))]
+
+    // Guards against requests that time out or are cancelled, and count as responses of a server whose limit
+    // is not known yet (LIMIT).
+    #[test]
+    fn requests_that_were_given_up_do_not_open_the_gate(
+        seed: u64,
+        per_s in 0.0..4.0,
+        held_ms in 400u64..3_000,
+        patience_ms in 20u64..400,
+    ) {
+        let mut server = unproven_server(seed, held_ms);
+        server.named = Some(rate(per_s));
+        server.offer_impatient_load(patience_ms, 0..20_000);
+        let allowed = 1.5 * per_s * 4.0 + 5.0;
+        let most = server.most_in_a_window(0);
+        prop_assert!(most as f64 <= allowed, "{most} of {allowed}");
+    }
+
+    // Guards against a server that gets request after request although it never responds (LIMIT).
+    #[test]
+    fn server_that_never_responds_gets_few_requests(seed: u64, patience_ms in 20u64..2_000) {
+        let mut server = unproven_server(seed, u64::MAX);
+        server.offer_impatient_load(patience_ms, 0..20_000);
+        prop_assert!(server.most_in_a_window(0) <= 5);
+        prop_assert!(server.started.len() >= 8);
+    }
+
+    // Guards against a slow server that is not used because impatient callers take all of its first requests.
+    #[test]
+    fn slow_server_is_opened_by_a_request_with_more_time(seed: u64, patience_ms in 20u64..600) {
+        let mut server = unproven_server(seed, 700);
+        server.offer_impatient_load(patience_ms, 0..8_000);
+        prop_assert_eq!(server.gate.slots(), SLOTS);
+    }
+}
+
+// Guards against a server without a limit that is starved because its first responses take a second.
+#[test]
+fn slow_server_without_a_limit_is_used_up_after_its_first_response() {
+    let mut server = unproven_server(1, 1_000);
+    server.offer_load(200.0, 0..1_000, |_| 1);
+    assert_eq!(server.started.len(), 4);
+    server.offer_load(200.0, 1_000..1_200, |_| 1);
+    assert_eq!(server.gate.in_flight(), SLOTS);
+}
+
+// Guards against a server that counts as tried because a request was cancelled before it was sent.
+#[test]
+fn requests_that_were_not_sent_leave_room_for_others() {
+    let mut server = unproven_server(1, 1_000);
+    for now_ms in 0..20 {
+        assert_eq!(server.offer(1, now_ms), AdmissionDecision::Started);
+        let completion = Completion {
+            outcome: CompletionOutcome::NotSent,
+            held: Duration::ZERO,
+            onward: Duration::ZERO,
+        };
+        server.gate.release(&completion, at_ms(now_ms));
+    }
+}
--- a/testutils/src/relay/server.rs
+++ b/testutils/src/relay/server.rs
@@ -52,6 +52,8 @@
     Fail,
     /// Responds at once, and names the requests per second that the server takes.
     Limited(f64),
+    /// Responds after a delay, and names the requests per second that the server takes.
+    SlowLimited(Duration, f64),
     /// Responds with the id of another request.
     WrongRequestId,
     /// Crashes when the path contains this text, and responds at once to any other request.
@@ -225,6 +227,9 @@
     let behaviour = shared.behaviour.lock().clone();
     let mut response = Response::new(Body::from("done"));
     let mut returned_id = id.clone();
+    if let Behaviour::SlowLimited(time, _) = &behaviour {
+        tokio::time::sleep(*time).await;
+    }
     match behaviour {
         Behaviour::CrashOn(text) | Behaviour::SlowAndCrashOn(_, text)
             if request.uri().path().contains(text) =>
@@ -249,7 +254,7 @@
             let marker = HeaderValue::from_static("1");
             response.headers_mut().insert(names.not_run, marker);
         }
-        Behaviour::Limited(per_s) => {
+        Behaviour::Limited(per_s) | Behaviour::SlowLimited(_, per_s) => {
             let value = HeaderValue::try_from(per_s.to_string()).expect("valid header");
             response.headers_mut().insert(RATE_LIMIT_HEADER, value);
         }
