relay: values of another writer take nothing out of use

What callers saw: one value of another writer took a server or a node out of use for good. A report or a stored departure with a start in the far future made all later reports of the node's servers outdated. A report with nearly 2^32 slots overflowed the number of connections: the handler panicked, or in a release build the server got 31 connections. A quarantine was applied to the request that its value named and not its key, one with a crash in the far future overflowed or never ended. An entry that was overwritten was not written again by its running node, so nodes that started later did not know it; that of an ended node stayed known, because no lease removed it.

Cause: figures that decode were taken for figures that occur, and a value that does not decode for no change of its key.

Fix: times more than a year ahead and numbers of slots that no server can have are refused where they come in: reports, stored departures, stored quarantines, whose key must also name the request. An entry that cannot be decoded, names another node or port 0 removes what its key stood for: a running node writes it again, within the grace of a missing entry. The arithmetic on such figures saturates.

--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -98,7 +98,7 @@
             pool: ConnectionPool::new(
                 report.address,
                 PoolLimits {
-                    connections_max: report.slots.0 + SPARE_CONNECTIONS,
+                    connections_max: report.slots.0.saturating_add(SPARE_CONNECTIONS),
                     connect_timeout_ms: CONNECT_TIMEOUT_MS,
                     idle_timeout_ms: IDLE_TIMEOUT_MS,
                     response_bytes_max: RESPONSE_BYTES_MAX,
--- a/lib/src/process/relay/quarantine.rs
+++ b/lib/src/process/relay/quarantine.rs
@@ -18,6 +18,7 @@
 use crate::process::suspects::Fingerprint;
 use crate::process::suspects::SuspectEntry;
 use crate::process::suspects::Suspects;
+use crate::values::WallTime;
 
 /// Prefix of the stored quarantines.
 pub(super) const QUARANTINE_PREFIX: &str = "suspects/";
@@ -106,13 +107,25 @@
 }
 
 fn apply_item(node: &RelayNode, item: &StoreItem) {
-    match serde_json::from_slice::<SuspectEntry>(&item.value) {
+    match decode_item(item, node.clock.wall()) {
         Ok(entry) => {
             node.stored_quarantines.lock().insert(entry.fingerprint);
             node.merge_suspects(&[entry]);
         }
-        Err(error) => {
-            events::STORED_UNREADABLE.log(format_args!("key={} reason=\"{error}\"", item.key));
+        Err(reason) => {
+            events::STORED_UNREADABLE.log(format_args!("key={} reason=\"{reason}\"", item.key));
         }
     }
 }
+
+fn decode_item(item: &StoreItem, now: WallTime) -> Result<SuspectEntry, String> {
+    let entry: SuspectEntry =
+        serde_json::from_slice(&item.value).map_err(|error| error.to_string())?;
+    match () {
+        () if key_of(entry.fingerprint) != item.key => {
+            Err(format!("entry names request {}", entry.fingerprint))
+        }
+        () if !entry.is_plausible(now) => Err("entry names a crash in the far future".to_owned()),
+        () => Ok(entry),
+    }
+}
--- a/lib/src/process/relay/registration.rs
+++ b/lib/src/process/relay/registration.rs
@@ -86,6 +86,15 @@
         effect
     }
 
+    /// Returns whether all times may be those of this instance's clock at `now`. Later ones would
+    /// make the reports of all servers outdated.
+    pub fn is_plausible(&self, now: WallTime) -> bool {
+        let born = self.latest.as_ref().map(|known| WallTime(known.born_ms));
+        let departed = self.departed.as_ref().map(|departed| departed.at);
+        let mut times = born.into_iter().chain(departed);
+        times.all(|time| time.is_plausible(now))
+    }
+
     /// Records that the server said in a response that it leaves. Returns whether that is new.
     pub fn announce_leaving(&mut self, server_id: &str) -> bool {
         let is_known = self
--- a/lib/src/process/relay/registration_store.rs
+++ b/lib/src/process/relay/registration_store.rs
@@ -75,7 +75,14 @@
 
 fn restore(node: &RelayNode, key: &str, value: &[u8]) {
     match serde_json::from_slice::<Registration>(value) {
-        Ok(registration) => *node.registration.lock() = registration,
+        Ok(registration) if registration.is_plausible(node.clock.wall()) => {
+            *node.registration.lock() = registration;
+        }
+        Ok(_) => {
+            events::STORED_UNREADABLE.log(format_args!(
+                "key={key} reason=\"registration names a time in the far future\""
+            ));
+        }
         Err(error) => {
             events::STORED_UNREADABLE.log(format_args!("key={key} reason=\"{error}\""));
         }
--- a/lib/src/process/relay/reports.rs
+++ b/lib/src/process/relay/reports.rs
@@ -18,8 +18,12 @@
 use crate::connection::read_body;
 use crate::process::events::relay as events;
 use crate::values::Incarnation;
+use crate::values::WallTime;
 
 const REPORT_BYTES_MAX: usize = 64 * 1_024;
+/// Most slots of a server. Each request has its own connection, and a node has no more ports for
+/// connections to one address.
+const SLOTS_MAX: u32 = 65_535;
 /// Timeout for reading the body of a report: reports are acknowledged within a second.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -56,7 +60,25 @@
     }
 }
 
+/// Returns what is wrong with the figures of a report, if anything.
+fn implausible_figure(node: &RelayNode, report: &ServerReport) -> Option<&'static str> {
+    match () {
+        () if !(1..=SLOTS_MAX).contains(&report.slots.0) => Some("number of slots out of range"),
+        () if !WallTime(report.born_ms).is_plausible(node.clock.wall()) => {
+            Some("start in the far future")
+        }
+        () => None,
+    }
+}
+
 async fn apply_report(node: &RelayNode, report: &ServerReport) -> Response {
+    if let Some(reason) = implausible_figure(node, report) {
+        events::SERVER_REPORT_REFUSED.log(format_args!(
+            "server={} slots={} born_ms={} reason=\"{reason}\"",
+            report.server_id, report.slots, report.born_ms
+        ));
+        return empty(StatusCode::BAD_REQUEST);
+    }
     let raw = &node.settings.raw;
     if report.service != raw.service || report.address != raw.server_address {
         events::SERVER_REPORT_REFUSED.log(format_args!(
--- a/lib/src/process/relay/views/apply.rs
+++ b/lib/src/process/relay/views/apply.rs
@@ -15,7 +15,9 @@
 use crate::process::relay::registration_store::store_registration_until_done;
 use crate::process::relay::store::StoreEvent;
 use crate::process::relay::store::StoreItem;
+use crate::process::relay::store::StoreRevision;
 use crate::process::relay::tasks::STORE_ENTRY_PREFIX;
+use crate::values::MonotonicTime;
 use crate::values::NodeId;
 
 /// Applies an update of a view. Returns false if changes are missing before it.
@@ -48,8 +50,8 @@
     let mut changed = false;
     for event in events {
         match event {
-            StoreEvent::Written(item) => {
-                if let Some(record) = decode_store_entry(item) {
+            StoreEvent::Written(item) => match decode_store_entry(item) {
+                Ok(record) => {
                     // An entry of this node that differs from its current record comes from a
                     // delayed write. Until this process has written one, it is the entry of an
                     // earlier process.
@@ -60,16 +62,14 @@
                     }
                     changed |= node.fleet.lock().apply_write(record, item.revision);
                 }
-            }
-            StoreEvent::Removed { key, revision } => {
-                if let Some(id) = node_of(key) {
-                    // The lease of this node ended while the node is running.
-                    if id == node.settings.raw.node {
-                        node.store_entry_changed.notify_one();
-                    }
-                    node.fleet.lock().apply_removal(&id, *revision, now);
+                Err(reason) => {
+                    events::STORED_UNREADABLE
+                        .log(format_args!("key={} reason=\"{reason}\"", item.key));
+                    // It replaced the entry of the node, if there was one.
+                    apply_missing(node, &item.key, item.revision, now);
                 }
-            }
+            },
+            StoreEvent::Removed { key, revision } => apply_missing(node, key, *revision, now),
         }
     }
     if changed {
@@ -78,22 +78,27 @@
     node.is_fleet_listed.send_replace(true);
 }
 
-/// Decodes a store entry. An entry that another writer corrupted is logged and skipped.
-fn decode_store_entry(item: &StoreItem) -> Option<NodeRecord> {
-    let node = node_of(&item.key)?;
-    match serde_json::from_slice::<NodeRecord>(&item.value) {
-        Ok(record) if record.id == node => Some(record),
-        Ok(record) => {
-            events::STORED_UNREADABLE.log(format_args!(
-                "key={} reason=\"entry names node {}\"",
-                item.key, record.id
-            ));
-            None
-        }
-        Err(error) => {
-            events::STORED_UNREADABLE.log(format_args!("key={} reason=\"{error}\"", item.key));
-            None
-        }
+/// Records that the store has no entry of the node that `key` names since `revision`.
+fn apply_missing(node: &RelayNode, key: &str, revision: StoreRevision, now: MonotonicTime) {
+    let Some(id) = node_of(key) else {
+        return;
+    };
+    // This node is running, so its entry must be there.
+    if id == node.settings.raw.node {
+        node.store_entry_changed.notify_one();
+    }
+    node.fleet.lock().apply_removal(&id, revision, now);
+}
+
+/// Decodes a store entry. The error describes what another writer put in its place.
+fn decode_store_entry(item: &StoreItem) -> Result<NodeRecord, String> {
+    let node = node_of(&item.key).ok_or("key names no node")?;
+    let record: NodeRecord =
+        serde_json::from_slice(&item.value).map_err(|error| error.to_string())?;
+    match () {
+        () if record.id != node => Err(format!("entry names node {}", record.id)),
+        () if record.addresses.peer.port() == 0 => Err("entry names port 0".to_owned()),
+        () => Ok(record),
     }
 }
 
--- a/lib/src/process/suspects/entry.rs
+++ b/lib/src/process/suspects/entry.rs
@@ -128,7 +128,10 @@
 
     /// Assigns the trial of the request to `node`, in place of any earlier trial node.
     pub fn assign_trial(&mut self, node: NodeId) {
-        let moves = self.trial.as_ref().map_or(0, |trial| trial.moves + 1);
+        let moves = self
+            .trial
+            .as_ref()
+            .map_or(0, |trial| trial.moves.saturating_add(1));
         self.trial = Some(Trial { moves, node });
     }
 
@@ -137,6 +140,13 @@
         self.trial.as_ref().is_some_and(|trial| trial.node == *node)
     }
 
+    /// Returns whether the times of the crashes may be those of a clock in the fleet at `now`. An
+    /// entry with a later time would not expire.
+    pub fn is_plausible(&self, now: WallTime) -> bool {
+        let mut sites = self.crashes.iter().chain(&self.cleared);
+        sites.all(|site| site.at.is_plausible(now))
+    }
+
     /// Returns when the latest crash was detected.
     pub fn latest_crash_at(&self) -> WallTime {
         let times = self.crashes.iter().map(|site| site.at);
--- a/lib/src/process/suspects/table.rs
+++ b/lib/src/process/suspects/table.rs
@@ -299,7 +299,7 @@
     pub fn expire(&mut self, wall: WallTime) {
         let quarantine_ms = Self::QUARANTINE.as_millis() as u64;
         self.entries
-            .retain(|_, entry| entry.latest_crash_at().0 + quarantine_ms > wall.0);
+            .retain(|_, entry| entry.latest_crash_at().0.saturating_add(quarantine_ms) > wall.0);
         while self.entries.len() > Self::ENTRIES_MAX {
             let oldest = self
                 .entries
--- a/lib/src/values/clock.rs
+++ b/lib/src/values/clock.rs
@@ -29,6 +29,17 @@
     WallTime(u64)
 }
 
+impl WallTime {
+    /// Longest time by which the clock of another instance may be ahead.
+    const AHEAD_MAX: Duration = Duration::from_secs(366 * 24 * 3_600);
+
+    /// Returns whether a clock that some instance of the fleet has may have shown this time by `now`.
+    pub fn is_plausible(self, now: Self) -> bool {
+        let ahead_ms = Self::AHEAD_MAX.as_millis() as u64;
+        self.0 <= now.0.saturating_add(ahead_ms)
+    }
+}
+
 /// The time source of a process.
 ///
 /// It includes the time for which the instance was suspended, so that everything that expires (a
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -59,6 +59,7 @@
 mod test_relay_limits;
 mod test_relay_memory;
 mod test_relay_mirror;
+mod test_relay_odd_items;
 mod test_relay_panics;
 mod test_relay_rates;
 mod test_relay_registration;
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -286,12 +286,12 @@
     }
 
     /// Sends the body of a report that is not one. Returns the status of the response.
-    pub async fn report_bytes(&self, index: usize, body: &'static [u8]) -> StatusCode {
+    pub async fn report_bytes(&self, index: usize, body: impl AsRef<[u8]>) -> StatusCode {
         let request = BufferedRequest {
             method: Method::PUT,
             uri: "/server-x".parse().expect("valid path"),
             headers: HeaderMap::new(),
-            body: Bytes::from_static(body),
+            body: Bytes::copy_from_slice(body.as_ref()),
         };
         let address = self.relays[index].daemon.node().settings.raw.listen.reports;
         exchange(address, request).await.status
