connection: tests that slow servers are not taken for silent ones

A server that answers after three seconds keeps its connection and gets one copy, and so does one that reads nothing of a body of 16 MB for three seconds.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -77,6 +77,7 @@
 mod test_routing;
 mod test_secret;
 mod test_service_chain;
+mod test_silent_servers;
 mod test_suspects;
 mod test_unauthenticated_peers;
 mod test_verdicts;
