connection: a copy of a rejection does not answer the same request sent again

What callers saw: a request that a server had refused came to it again with the same id, as a caller's retry or as the trial of a suspected request that only this server may run. The server ran it, but first wrote its earlier refusal once more. The caller was told "not run, try again" (REFUSED), and its next attempt could run a second time (TWICE).

Cause: a response belongs to a request if it repeats its id. On a kept connection that holds for a late copy of the refusal of the same id, too.

Fix: a connection knows the ids of the requests that were rejected on it, and is not used for those. With 32 of them it is closed, so that none is forgotten. Copies of refusals of other ids, copies that arrive on an idle connection or right behind the refusal were recognised before, which further tests show for the statuses 400, 408, 421, 429 and 503.

--- a/lib/src/connection/pool.rs
+++ b/lib/src/connection/pool.rs
@@ -66,6 +66,9 @@
     pub enum ResponseMatch {
         /// It names the request.
         Own,
+        /// It names the request and says that it did not run. The server may send it again later,
+        /// so no request of the same name uses its connection.
+        OwnRejection,
         /// It names no request. The server may send it again later, so its connection is closed.
         Unidentified,
         /// It belongs to another request.
@@ -126,6 +129,8 @@
     idle_since: Instant,
     idle_limit: Option<Duration>,
     head_limit: HeadLimit,
+    /// Names of the requests that were rejected on this connection.
+    rejected: Vec<Box<[u8]>>,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -134,6 +139,13 @@
     /// request is not sent while the server closes the connection.
     const IDLE_FRACTION: f64 = 0.6;
 
+    /// Most rejections on a connection that is used again, so that all their names are known.
+    const REJECTED_MAX: usize = 32;
+
+    fn has_rejected(&self, name: &[u8]) -> bool {
+        self.rejected.iter().any(|rejected| **rejected == *name)
+    }
+
     /// Applies the idle timeout in the `Keep-Alive` header of the server, if there is one.
     fn limit_idle_time(&mut self, headers: &HeaderMap) {
         let timeout_s = headers
@@ -251,22 +263,23 @@
         request: BufferedRequest,
         timeout: Duration,
     ) -> Result<BufferedResponse, ExchangeError> {
-        self.exchange_checked(request, timeout, |_, _| ResponseMatch::Own)
+        self.exchange_checked(request, &[], timeout, |_, _| ResponseMatch::Own)
             .await
     }
 
     /// Sends `request` once and returns the complete response, unless `match_response` finds that its
-    /// head belongs to another request.
+    /// head belongs to another request. The response may repeat `name`.
     ///
     /// Only a connection whose responses all named their requests is used again. A late copy of any
     /// of them is recognised then.
     pub async fn exchange_checked(
         &self,
         request: BufferedRequest,
+        name: &[u8],
         timeout: Duration,
         match_response: impl Fn(StatusCode, &HeaderMap) -> ResponseMatch,
     ) -> Result<BufferedResponse, ExchangeError> {
-        self.exchange_on_any(request, timeout, ResponseTime::Any, match_response)
+        self.exchange_on_any(request, name, timeout, ResponseTime::Any, match_response)
             .await
     }
 
@@ -278,13 +291,16 @@
         timeout: Duration,
         response_time: ResponseTime,
     ) -> Result<BufferedResponse, ExchangeError> {
-        self.exchange_on_any(request, timeout, response_time, |_, _| ResponseMatch::Own)
-            .await
+        self.exchange_on_any(request, &[], timeout, response_time, |_, _| {
+            ResponseMatch::Own
+        })
+        .await
     }
 
     async fn exchange_on_any(
         &self,
         request: BufferedRequest,
+        name: &[u8],
         timeout: Duration,
         response_time: ResponseTime,
         match_response: impl Fn(StatusCode, &HeaderMap) -> ResponseMatch,
@@ -292,7 +308,7 @@
         let sent_at = Instant::now();
         let deadline = sent_at + timeout;
         let body_bytes = request.body.len();
-        let mut connection = self.connection(body_bytes, timeout).await?;
+        let mut connection = self.connection(name, body_bytes, timeout).await?;
         let liveness = connection.liveness.clone();
         let exchange = self.exchange_on(&mut connection, request, deadline, match_response);
         let result = match response_time {
@@ -319,7 +335,10 @@
             }
             Err(error) => return Err(error),
         };
-        if matched == ResponseMatch::Own && body_bytes <= WINDOW_BODY_BYTES_MAX {
+        if matched == ResponseMatch::OwnRejection {
+            connection.rejected.push(name.into());
+        }
+        if matched != ResponseMatch::Unidentified && body_bytes <= WINDOW_BODY_BYTES_MAX {
             self.keep(connection);
         }
         Ok(response)
@@ -393,11 +412,12 @@
 
     async fn connection(
         &self,
+        name: &[u8],
         body_bytes: usize,
         timeout: Duration,
     ) -> Result<PooledConnection, ExchangeError> {
         let fits_window = body_bytes <= WINDOW_BODY_BYTES_MAX;
-        if fits_window && let Some(connection) = self.take_idle() {
+        if fits_window && let Some(connection) = self.take_idle(name) {
             return Ok(connection);
         }
         let permit = self.permit().ok_or(ExchangeError::NoFreeConnection)?;
@@ -418,17 +438,21 @@
         })
     }
 
-    fn take_idle(&self) -> Option<PooledConnection> {
+    fn take_idle(&self, name: &[u8]) -> Option<PooledConnection> {
         let idle_timeout = Duration::from_millis(self.limits.idle_timeout_ms);
         let mut idle = self.kept.idle.lock();
         idle.retain(|connection| connection.is_usable(idle_timeout));
-        idle.pop()
+        let latest = idle
+            .iter()
+            .rposition(|connection| !connection.has_rejected(name))?;
+        Some(idle.remove(latest))
     }
 
     fn keep(&self, mut connection: PooledConnection) {
         connection.idle_since = Instant::now();
         connection.is_kept = true;
-        if !connection.sender.is_closed() {
+        let may_reject_more = connection.rejected.len() < PooledConnection::REJECTED_MAX;
+        if may_reject_more && !connection.sender.is_closed() {
             self.kept.idle.lock().push(connection);
         }
     }
@@ -465,6 +489,7 @@
         idle_since: Instant::now(),
         idle_limit: None,
         head_limit,
+        rejected: Vec::new(),
         _permit: permit,
     })
 }
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -341,10 +341,12 @@
         let is_rejection =
             status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&names.not_run);
         let matched = match echoed {
-            Some(echoed) if echoed == metadata.request_id.as_bytes() => ResponseMatch::Own,
+            Some(echoed) if echoed != metadata.request_id.as_bytes() => ResponseMatch::Foreign,
+            Some(_) if is_rejection => ResponseMatch::OwnRejection,
+            Some(_) => ResponseMatch::Own,
             // Servers that reject a request without reading it do not echo its id.
             None if is_rejection => ResponseMatch::Unidentified,
-            Some(_) | None => ResponseMatch::Foreign,
+            None => ResponseMatch::Foreign,
         };
         // A misdirected request reached another server.
         if matched != ResponseMatch::Foreign && status != StatusCode::MISDIRECTED_REQUEST {
@@ -357,7 +359,12 @@
     for _ in 0..SEND_ATTEMPTS {
         let sent = backend
             .pool
-            .exchange_checked(request.clone(), remaining, match_response)
+            .exchange_checked(
+                request.clone(),
+                metadata.request_id.as_bytes(),
+                remaining,
+                match_response,
+            )
             .await;
         match sent {
             Ok(response) => {
--- a/lib/tests/test_late_responses.rs
+++ b/lib/tests/test_late_responses.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use http::StatusCode;
 use testutils::relay::RelayFleet;
@@ -40,9 +41,11 @@
 }
 
 /// Takes the place of the server at `address`. The first response on each connection is
-/// `first(id)`; a second request there runs, and gets a copy of that response before its own.
+/// `first(id)`; a second request there runs, and gets a copy of that response before its own. If
+/// `idle_copy_after` is given, another copy follows the first response after that time.
 async fn serve_copies(
     address: SocketAddr,
+    idle_copy_after: Option<Duration>,
     first: impl Fn(usize, &str) -> String + Send + Sync + 'static,
 ) -> Arc<AtomicUsize> {
     // The sockets of the crashed server are closed in the background.
@@ -65,6 +68,10 @@
                 let request = next_request(&mut stream).await?;
                 let copy = first(connection, &id_of(&request));
                 stream.write_all(copy.as_bytes()).await.ok()?;
+                if let Some(delay) = idle_copy_after {
+                    tokio::time::sleep(delay).await;
+                    stream.write_all(copy.as_bytes()).await.ok()?;
+                }
                 let second = next_request(&mut stream).await?;
                 runs.fetch_add(1, Ordering::Relaxed);
                 let own = response("200 OK", Some(&id_of(&second)), "", "own");
@@ -82,7 +89,7 @@
     let fleet = RelayFleet::start(&sample_open_plan(), &["stock"]).await;
     let server = &fleet.relays[0].server;
     server.crash();
-    let runs = serve_copies(server.address, first).await;
+    let runs = serve_copies(server.address, None, first).await;
     (fleet, runs)
 }
 
@@ -103,6 +110,74 @@
     assert_eq!(runs.load(Ordering::Relaxed), 0);
 }
 
+// Guards against a late copy of a refusal that is taken for the answer to the same request, sent once
+// more on the same connection (REFUSED, TWICE).
+#[tokio::test]
+async fn copy_of_a_refusal_does_not_refuse_a_later_request_with_the_same_id() {
+    let (fleet, runs) = fleet_with_copies(|connection, id| match connection {
+        0 => response("503 Service Unavailable", Some(id), "not-run: 1\r\n", ""),
+        _ => response("200 OK", Some(id), "", "own"),
+    })
+    .await;
+    let refused = fleet.call(0, "r1", "/stock/1", None).await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    let response = fleet.call(0, "r1", "/stock/1", None).await;
+    assert_eq!(response.status, StatusCode::OK);
+    assert_eq!(runs.load(Ordering::Relaxed), 0);
+}
+
+// Guards against a copy of a refusal that is taken for the answer to a later request (REFUSED).
+#[tokio::test]
+async fn copy_of_a_refusal_does_not_refuse_a_later_request() {
+    let statuses = [
+        ("503 Service Unavailable", "not-run: 1\r\n"),
+        ("429 Too Many Requests", "not-run: 1\r\n"),
+        ("400 Bad Request", "not-run: 1\r\n"),
+        ("421 Misdirected Request", ""),
+        ("408 Request Timeout", "not-run: 1\r\n"),
+    ];
+    for (status, headers) in statuses {
+        // The copy comes before the answer to the later request, or right behind the refusal.
+        for copies in [1, 2] {
+            let (fleet, runs) = fleet_with_copies(move |connection, id| match connection {
+                0 => response(status, Some(id), headers, "").repeat(copies),
+                _ => response("200 OK", Some(id), "", "own"),
+            })
+            .await;
+            fleet.call(0, "r1", "/stock/1", None).await;
+            let later = fleet.call(0, "r2", "/stock/2", None).await;
+            let expected = match runs.load(Ordering::Relaxed) {
+                0 => StatusCode::OK,
+                _ => StatusCode::BAD_GATEWAY,
+            };
+            assert_eq!(later.status, expected, "{status} {copies}");
+        }
+    }
+}
+
+// Guards against bytes that arrive while no request waits, and count as the answer to the next one.
+#[tokio::test]
+async fn copy_of_a_refusal_on_an_idle_connection_closes_it() {
+    let fleet = RelayFleet::start(&sample_open_plan(), &["stock"]).await;
+    let server = &fleet.relays[0].server;
+    server.crash();
+    let delay = Duration::from_millis(20);
+    let runs = serve_copies(
+        server.address,
+        Some(delay),
+        |connection, id| match connection {
+            0 => response("503 Service Unavailable", Some(id), "not-run: 1\r\n", ""),
+            _ => response("200 OK", Some(id), "", "own"),
+        },
+    )
+    .await;
+    fleet.call(0, "r1", "/stock/1", None).await;
+    tokio::time::sleep(delay * 10).await;
+    let later = fleet.call(0, "r2", "/stock/2", None).await;
+    assert_eq!(later.status, StatusCode::OK);
+    assert_eq!(runs.load(Ordering::Relaxed), 0);
+}
+
 #[tokio::test]
 async fn copy_of_an_answer_does_not_reach_the_next_caller() {
     let (fleet, runs) =
@@ -137,7 +212,7 @@
                 stream.write_all(partial.as_bytes()).await.ok()?;
                 if is_reset {
                     // The bytes are on their way before the reset.
-                    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                    tokio::time::sleep(Duration::from_millis(50)).await;
                     stream.set_zero_linger().ok()?;
                 }
                 Some(())
