relay: a server's 408, 429 or 503 tells callers "not run" only if it says so

What callers saw: a server that had run a request answered 503 (or 408, 429) without the header which says that it did not. The relay passed the status on, which tells callers that the request has not run and never will (REFUSED). A request that may run once was sent again and ran twice (TWICE).

Cause: the header decides within the fleet whether a request has run, but the status was returned unchanged.

Fix: such a response counts as one that says nothing about a run. Repeatable requests are tried at another node, and others end with 502.

--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -461,6 +461,17 @@
             Err(Refusal::not_run(RefusalReason::NoServer))
         }
         _ if is_not_run => Err(Refusal::not_run(RefusalReason::RefusedByServer)),
+        // To callers these say that the request did not run, which the server did not say.
+        StatusCode::REQUEST_TIMEOUT
+        | StatusCode::TOO_MANY_REQUESTS
+        | StatusCode::SERVICE_UNAVAILABLE => {
+            events::RUN_FAILED.log(format_args!(
+                "request={} server={} reason=\"status {} without the header of a rejection\" \
+                 verdict=may-have-run",
+                metadata.request_id, backend.server_id, response.status
+            ));
+            Err(Refusal::may_have_run(RefusalReason::BadAnswer))
+        }
         _ => Ok(response),
     }
 }
--- a/lib/tests/test_late_responses.rs
+++ b/lib/tests/test_late_responses.rs
@@ -178,6 +178,21 @@
     assert_eq!(runs.load(Ordering::Relaxed), 0);
 }
 
+// Guards against a status that tells callers "not run" from a server that did not say so (REFUSED).
+#[tokio::test]
+async fn refusal_without_its_header_says_nothing_about_a_run() {
+    let statuses = [
+        "408 Request Timeout",
+        "429 Too Many Requests",
+        "503 Service Unavailable",
+    ];
+    for status in statuses {
+        let (fleet, _) = fleet_with_copies(|_, id| response(status, Some(id), "", "")).await;
+        let response = fleet.call(0, "r1", "/stock/1", None).await;
+        assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{status}");
+    }
+}
+
 #[tokio::test]
 async fn copy_of_an_answer_does_not_reach_the_next_caller() {
     let (fleet, runs) =
