relay: a request that was given up remains a suspect while its server may run it

Cause: a run ended for the relay when its caller left, its time was over or its connection broke, and was then no suspect; and nobody noticed a crash without a request in flight.

A run now ends when the server has responded or refused it, or got nothing of it. Otherwise it counts as given up and remains a suspect for two seconds, the latest 1,024 of them. While there are any, the relay keeps one connection open and reports a crash once the server refuses another one; the next request that finds no server does so too. A server that leaves as planned is no crash. What was given up in an ordinary run makes a suspect, and no more: only crashes under trials quarantine it. A trial that was given up is decided by a crash in these two seconds, except for a familiar request with new ones beside it, which needs a third crash: callers of popular requests leave early, too.

--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -129,6 +129,11 @@
             && self.failed_connections.load(Ordering::Relaxed) < FAILED_CONNECTIONS_MAX
     }
 
+    /// Returns whether the server leaves as planned.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.is_draining.load(Ordering::Relaxed)
+    }
+
     /// Resets the count of failed connections, after a report or a response of the server.
     pub(super) fn mark_reachable(&self) {
         self.failed_connections.store(0, Ordering::Relaxed);
@@ -269,9 +274,11 @@
         Err(refusal)
             if refusal.reason == RefusalReason::NoServer && refusal.verdict == Verdict::NotRun =>
         {
-            drop(suspect_run);
+            suspect_run.end();
+            suspects::report_crash_after_give_up(node).await;
             suspects::reassign_trials(node).await;
         }
+        Err(refusal) if refusal.verdict == Verdict::NotRun => suspect_run.end(),
         Err(_) => {}
     }
     result
--- a/lib/src/process/relay/suspects/admission.rs
+++ b/lib/src/process/relay/suspects/admission.rs
@@ -148,7 +148,22 @@
     spawn_notification(node, moved);
 }
 
+/// A trial that was given up. Others wait until it is dropped.
+pub(super) struct GivenUpTrial {
+    pub(super) node: Arc<RelayNode>,
+    _trial_lock: Option<OwnedSemaphorePermit>,
+}
+
 impl SuspectPermit {
+    /// Ends the trial of a request that was given up: an equal one may be tried again, if others may run
+    /// beside it.
+    pub(super) fn give_up(mut self) -> GivenUpTrial {
+        GivenUpTrial {
+            node: Arc::clone(&self.node),
+            _trial_lock: self.trial_lock.take(),
+        }
+    }
+
     /// Starts the run, unless the request became a suspect while it waited for a slot.
     pub(in crate::process::relay) fn start(self) -> Result<SuspectRun, Refusal> {
         if !self.is_trial {
@@ -163,7 +178,13 @@
             }
         }
         let id = self.node.suspects.runs.lock().add(self.fingerprint);
-        Ok(SuspectRun { permit: self, id })
+        Ok(SuspectRun {
+            node: Arc::clone(&self.node),
+            fingerprint: self.fingerprint,
+            is_trial: self.is_trial,
+            permit: Some(self),
+            id,
+        })
     }
 }
 
--- a/lib/src/process/relay/suspects/mod.rs
+++ b/lib/src/process/relay/suspects/mod.rs
@@ -26,6 +26,7 @@
 pub(super) use self::notification::learn_of_failure;
 pub(super) use self::notification::learn_suspects;
 pub(super) use self::run::reassign_trials;
+pub(super) use self::run::report_crash_after_give_up;
 use super::node::RelayNode;
 use crate::process::membership::NodeRecord;
 use crate::process::suspects::Runs;
@@ -47,6 +48,8 @@
     trials: Arc<Semaphore>,
     /// Wakes requests that wait for the trial of an equal one.
     trial_ended: Notify,
+    /// Wakes trials that were given up, which a crash decides.
+    crash_reported: Notify,
     /// Whether a starting node has asked other nodes for the suspects that they know.
     is_learned: watch::Sender<bool>,
     /// Wakes the task that stores quarantines.
@@ -65,6 +68,7 @@
             runs: Mutex::default(),
             trials: Arc::new(Semaphore::new(TRIALS_MAX as usize)),
             trial_ended: Notify::new(),
+            crash_reported: Notify::new(),
             is_learned: watch::Sender::new(false),
             quarantine_formed: Notify::new(),
             found_listening: tokio::sync::Mutex::default(),
--- a/lib/src/process/suspects/entry.rs
+++ b/lib/src/process/suspects/entry.rs
@@ -83,6 +83,9 @@
     /// quarantine.
     pub const QUARANTINE_SERVERS: usize = 2;
 
+    /// Crashes, none of them cleared, up to which one after a trial that was given up is in doubt.
+    pub const DOUBTFUL_CRASHES_MAX: usize = 2;
+
     /// Creates an entry without crashes.
     pub fn new(fingerprint: Fingerprint) -> Self {
         Self {
@@ -126,6 +129,12 @@
         self.is_familiar && self.uncleared().count() == 1
     }
 
+    /// Returns whether a crash after its trial was given up may have had another cause: an equal
+    /// request had finished before, and few crashes are not cleared.
+    pub fn allows_doubt(&self) -> bool {
+        self.is_familiar && self.uncleared().count() <= Self::DOUBTFUL_CRASHES_MAX
+    }
+
     /// Assigns the trial of the request to `node`, in place of any earlier trial node.
     pub fn assign_trial(&mut self, node: NodeId) {
         let moves = self
--- a/lib/src/process/suspects/table.rs
+++ b/lib/src/process/suspects/table.rs
@@ -10,6 +10,7 @@
 use super::CrashSite;
 use super::CrashedRun;
 use super::Fingerprint;
+use super::GivenUpRun;
 use super::SuspectEntry;
 use super::SuspectStatus;
 use crate::process::membership::NodeRecord;
@@ -86,12 +87,39 @@
         in_flight: impl IntoIterator<Item = Fingerprint>,
         others: &[NodeRecord],
         wall: WallTime,
+    ) -> Vec<SuspectEntry> {
+        self.on_crash_after(in_flight, &[], others, wall)
+    }
+
+    /// Records a crash of the local backend server shortly after requests to it were given up.
+    ///
+    /// A request that was given up becomes a suspect, but only crashes under its trials add up to a
+    /// quarantine. Otherwise like [`Suspects::on_crash`].
+    pub fn on_crash_after(
+        &mut self,
+        in_flight: impl IntoIterator<Item = Fingerprint>,
+        given_up: &[GivenUpRun],
+        others: &[NodeRecord],
+        wall: WallTime,
     ) -> Vec<SuspectEntry> {
         let in_flight: BTreeSet<_> = in_flight.into_iter().collect();
-        let conclusive_trial = self.conclusive_trial(&in_flight);
+        let given_up_trials: BTreeSet<_> = given_up
+            .iter()
+            .filter(|run| run.was_trial)
+            .map(|run| run.fingerprint)
+            .collect();
+        let mut candidates = in_flight.clone();
+        candidates.extend(given_up.iter().map(|run| run.fingerprint));
+        let conclusive_trial = self.conclusive_trial(&in_flight, &candidates, &given_up_trials);
         let mut updates = Vec::new();
-        for fingerprint in in_flight {
+        for fingerprint in candidates {
             self.on_trial.remove(&fingerprint);
+            let adds_nothing = !in_flight.contains(&fingerprint)
+                && !given_up_trials.contains(&fingerprint)
+                && self.restriction(fingerprint).is_some();
+            if adds_nothing {
+                continue;
+            }
             let run = match conclusive_trial {
                 Some(trial) if trial == fingerprint => CrashedRun::Trial,
                 _ => CrashedRun::Ordinary,
@@ -107,15 +135,27 @@
     ///
     /// A trial that others may run beside decides nothing if there were others, or requests that no
     /// server is known to have finished: any of them may have caused the crash. The next trial of
-    /// such a request runs as the only one, and decides.
-    fn conclusive_trial(&self, in_flight: &BTreeSet<Fingerprint>) -> Option<Fingerprint> {
-        let mut trials = in_flight.intersection(&self.on_trial);
+    /// such a request runs as the only one, and decides, unless the request was given up: the one
+    /// after that does then.
+    fn conclusive_trial(
+        &self,
+        in_flight: &BTreeSet<Fingerprint>,
+        candidates: &BTreeSet<Fingerprint>,
+        given_up_trials: &BTreeSet<Fingerprint>,
+    ) -> Option<Fingerprint> {
+        let is_trial = |request: &&Fingerprint| {
+            let is_running = in_flight.contains(*request) && self.on_trial.contains(*request);
+            is_running || given_up_trials.contains(*request)
+        };
+        let mut trials = candidates.iter().filter(is_trial);
         let (trial, None) = (*trials.next()?, trials.next()) else {
             return None;
         };
-        let is_shared = self.entries.get(&trial)?.allows_shared_trial();
+        let entry = self.entries.get(&trial)?;
+        let is_given_up = !in_flight.contains(&trial);
+        let is_open = entry.allows_shared_trial() || (is_given_up && entry.allows_doubt());
         let is_new = |request: &Fingerprint| *request != trial && !self.finished.contains(request);
-        let is_conclusive = !is_shared || !in_flight.iter().any(is_new);
+        let is_conclusive = !is_open || !candidates.iter().any(is_new);
         is_conclusive.then_some(trial)
     }
 
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -54,6 +54,7 @@
 mod test_relay_fleet_view;
 mod test_relay_floors;
 mod test_relay_frames;
+mod test_relay_given_up;
 mod test_relay_hostile_bytes;
 mod test_relay_leaving;
 mod test_relay_limits;
--- a/testutils/src/relay/server.rs
+++ b/testutils/src/relay/server.rs
@@ -64,6 +64,16 @@
     CrashLate(Duration, &'static str),
     /// Crashes when the path contains this text, and responds to any other request after a delay.
     SlowAndCrashOn(Duration, &'static str),
+    /// Crashes some time after it received a request whose path contains `text`, also if that one's
+    /// connection has closed. Responds to any other request after a delay.
+    CrashAfter {
+        /// The text in the path.
+        text: &'static str,
+        /// Time until the crash.
+        delay: Duration,
+        /// Time until the response to any other request.
+        response_delay: Duration,
+    },
     /// Makes an onward call, and responds with 500 if that fails.
     CallOnward {
         /// The host of the call.
@@ -245,6 +255,15 @@
             });
             return truncated_response(&Bytes::from_static(b"cut"), 1);
         }
+        Behaviour::CrashAfter { text, delay, .. } if request.uri().path().contains(text) => {
+            let runtime = shared.runtime.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                runtime.shut_down();
+            });
+            return std::future::pending().await;
+        }
+        Behaviour::CrashAfter { response_delay, .. } => tokio::time::sleep(response_delay).await,
         Behaviour::Respond | Behaviour::CrashLate(..) => {}
         Behaviour::Slow(time) | Behaviour::SlowAndCrashOn(time, _) => {
             tokio::time::sleep(time).await;
