relay: a read of the store confirms a configuration only if no other node knows a newer one

Callers saw requests run with a withdrawn key, 4 ms after a relay had started: the store had gone back to a copy from before the withdrawal, and the started relay took the older version that it read for the newest, while the other relays named the newer one in each reply. Nothing handed it over, because the mirrors of the others follow the store.

The cause: a read proves that its version is the newest only in a store that never went back, and a new process cannot know whether it did. Now the reads of an era count once other nodes were asked for their versions in that era (or none replied), and no read or report of an older version confirms while a newer one is named. A confirmation from before ages as usual, as a newer version is named at each change; it ends at once if a later read lacks the version, or if no other node had backed it. Nodes hand over the configuration in force to nodes that lack it, before the mirror, so that mirrors go on following the store. The messages are the same.

The same cause in other paths: a late response of an earlier era confirmed the version in force although it may have named a newer one that was passed over; it no longer counts. Reads with stale-ok are used for records of rates only, and watches never confirm.

--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -35,6 +35,7 @@
 use super::split::SplitState;
 use super::stop_limit::StopLimit;
 use super::store::SharedStore;
+use super::store::StoreEra;
 use super::suspects::SuspectState;
 use super::views::ViewState;
 use crate::process::events::relay as events;
@@ -241,13 +242,39 @@
         true
     }
 
-    /// Records that the configuration in force was the newest at `requested_at`.
-    pub(super) fn confirm(&self, requested_at: MonotonicTime) {
+    /// Records that the configuration in force was the newest at `requested_at`, by a response of
+    /// the store in `era`.
+    pub(super) fn confirm(&self, requested_at: MonotonicTime, era: StoreEra) {
         if let Some(plan) = self.plan() {
-            self.confirmation.lock().confirm(plan.version, requested_at);
+            let mut confirmation = self.confirmation.lock();
+            let must_ask = confirmation.confirm(plan.version, requested_at, era);
+            drop(confirmation);
+            if must_ask {
+                self.views.update_notice.notify_one();
+            }
         }
     }
 
+    /// Returns whether other nodes are to be asked for newer configurations than the store has.
+    pub(super) fn must_ask_others(&self, era: StoreEra) -> bool {
+        self.confirmation.lock().must_ask(era)
+    }
+
+    /// Records that other nodes were asked for newer configurations, and whether any replied.
+    pub(super) fn others_asked(&self, era: StoreEra, have_replied: bool) {
+        self.confirmation.lock().others_asked(era, have_replied);
+    }
+
+    /// Returns whether no other node named a newer configuration than the one in force.
+    pub(super) fn knows_newest(&self) -> bool {
+        self.confirmation.lock().knows_newest()
+    }
+
+    /// Returns whether the last read of the configuration counts.
+    pub(super) fn is_settled(&self) -> bool {
+        self.confirmation.lock().is_settled()
+    }
+
     /// Applies the report that node `from` sent for a request of `requested_at`. If it names a newer
     /// version, that node is asked for it.
     pub(super) fn apply_confirmation_report(
@@ -256,7 +283,11 @@
         requested_at: MonotonicTime,
         from: &NodeId,
     ) {
-        let used = self.confirmation.lock().apply_report(report, requested_at);
+        let now = self.clock.now();
+        let used = self
+            .confirmation
+            .lock()
+            .apply_report(report, requested_at, now);
         if used == ConfirmationUse::NewerVersion {
             *self.views.newer_at.lock() = Some(from.clone());
             self.views.update_notice.notify_one();
--- a/lib/src/process/relay/tasks.rs
+++ b/lib/src/process/relay/tasks.rs
@@ -6,11 +6,14 @@
 
 use rand::Rng;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
+use super::link::Link;
 use super::link::ping_frame;
 use super::node::RelayNode;
 use super::views::refresh;
 use crate::process::events::relay as events;
+use crate::process::membership::NodeRecord;
 use crate::process::platform::Backoff;
 
 /// Prefix of the nodes' entries in the store.
@@ -54,7 +57,7 @@
         }
         let age = node.confirmation_age().unwrap_or(Duration::MAX);
         if age >= apply.mul_f64(PEER_REQUEST_AGE_FRACTION) {
-            request_confirmation_report(&node).await;
+            request_any_confirmation_report(&node).await;
         }
         let age = node.confirmation_age().unwrap_or(Duration::MAX);
         // Other nodes learn from those that watch the store.
@@ -83,23 +86,41 @@
 
 fn log_acceptance(node: &RelayNode, accepts: bool) {
     let version = node.confirmation_report().version;
+    let is_newer_named = !node.knows_newest();
     match accepts {
         true => events::CONFIRMED.log(format_args!("version={version}")),
-        false => events::UNCONFIRMED.log(format_args!("version={version}")),
+        false => events::UNCONFIRMED.log(format_args!(
+            "version={version} newer_version_named={is_newer_named}"
+        )),
     }
 }
 
 /// Requests and applies the confirmation report of a connected node.
-async fn request_confirmation_report(node: &Arc<RelayNode>) {
-    let Some(link) = node.links.any_open() else {
-        return;
-    };
+async fn request_any_confirmation_report(node: &Arc<RelayNode>) {
+    if let Some(link) = node.links.any_open() {
+        request_report_on(node, &link).await;
+    }
+}
+
+/// Requests and applies the confirmation report of a node. Returns whether it replied in time.
+pub(super) async fn request_confirmation_report(node: &RelayNode, other: &NodeRecord) -> bool {
+    match timeout(CONFIRMATION_REPORT_TIMEOUT, node.links.get(other)).await {
+        Ok(Ok(link)) => request_report_on(node, &link).await,
+        Ok(Err(_)) | Err(_) => false,
+    }
+}
+
+async fn request_report_on(node: &RelayNode, link: &Arc<Link>) -> bool {
     let requested_at = node.clock.now();
     let request = link.exchange(ping_frame);
-    if let Ok(Ok(link_reply)) = tokio::time::timeout(CONFIRMATION_REPORT_TIMEOUT, request).await
-        && let Some(report) = link_reply.confirmation
-    {
-        node.apply_confirmation_report(report, requested_at, link.peer());
+    match timeout(CONFIRMATION_REPORT_TIMEOUT, request).await {
+        Ok(Ok(link_reply)) => {
+            if let Some(report) = link_reply.confirmation {
+                node.apply_confirmation_report(report, requested_at, link.peer());
+            }
+            true
+        }
+        Ok(Err(_)) | Err(_) => false,
     }
 }
 
--- a/lib/src/process/relay/views/apply.rs
+++ b/lib/src/process/relay/views/apply.rs
@@ -7,6 +7,7 @@
 
 use super::messages::MirrorUpdate;
 use super::messages::View;
+use super::messages::ViewUpdate;
 use super::mirror::MirrorChange;
 use crate::process::events::relay as events;
 use crate::process::membership::NodeRecord;
@@ -106,6 +107,18 @@
     key.strip_prefix(STORE_ENTRY_PREFIX)?.parse().ok()
 }
 
+/// Puts the configuration of a listing in force if it is newer, even if the listing is no newer than
+/// the mirror: the store may have gone back behind it.
+pub(super) fn offer_listed(node: &RelayNode, update: &ViewUpdate) {
+    if let (View::Configuration, MirrorUpdate::Listing { items, .. }) =
+        (update.view, &update.update)
+    {
+        for item in items {
+            offer_configuration(node, item);
+        }
+    }
+}
+
 fn apply_configuration(node: &RelayNode, events: &[StoreEvent]) {
     for event in events {
         match event {
@@ -126,7 +139,10 @@
     let decoded = catch_unwind(AssertUnwindSafe(decode));
     match decoded.unwrap_or_else(|_| Err("the decoder panicked".to_owned())) {
         Ok(plan) => {
-            node.offer_plan(plan);
+            let version = plan.version;
+            if node.offer_plan(plan) {
+                node.views.set_in_force(version, item.clone());
+            }
             true
         }
         Err(reason) => {
--- a/lib/src/process/relay/views/follow.rs
+++ b/lib/src/process/relay/views/follow.rs
@@ -4,11 +4,15 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use rand::seq::IndexedRandom;
 use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
 use super::apply::apply_update;
+use super::apply::offer_listed;
 use super::messages::View;
 use super::sources::SourcePlan;
 use super::sources::plan_sources;
@@ -22,8 +26,10 @@
 use crate::process::relay::link::LinkFailure;
 use crate::process::relay::link_reply::PeerReply;
 use crate::process::relay::node::RelayNode;
+use crate::process::relay::store::StoreEra;
 use crate::process::relay::supervision::supervise;
 use crate::process::relay::tasks::new_backoff;
+use crate::process::relay::tasks::request_confirmation_report;
 use crate::values::MonotonicTime;
 
 /// Time between two polls of another node, as a fraction of the time in which a configuration must be
@@ -37,6 +43,12 @@
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 /// Timeout for the reply of another node.
 const POLL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Number of nodes that are asked for a newer configuration than the store has. A configuration is
+/// known to nearly all nodes soon after it was accepted.
+const NEWER_NODES: usize = 16;
+/// Time after the first of their replies for which the reads of the store wait for the others:
+/// several round trips between zones.
+const NEWER_REPLY_GRACE: Duration = Duration::from_millis(100);
 /// Confirmation age from which a node asks further nodes, as a fraction of the time in which a
 /// configuration must be in force.
 const FRESH_FRACTION: f64 = 0.85;
@@ -58,6 +70,7 @@
 pub(in crate::process::relay) async fn follow_views(node: Arc<RelayNode>) {
     find_nodes(&node).await;
     let mut watch: Option<AbortOnDropHandle<()>> = None;
+    let mut asking: Option<AbortOnDropHandle<()>> = None;
     let mut stale_since: Option<MonotonicTime> = None;
     let mut turn = rand::random::<u8>() as usize;
     loop {
@@ -65,6 +78,12 @@
         let raw = &node.settings.raw;
         let plan = plan_sources(&node.members(), &raw.node, &raw.zone, turn);
         node.views.is_first.store(plan.rank == 0, Ordering::Relaxed);
+        if asking.as_ref().is_none_or(AbortOnDropHandle::is_finished)
+            && let Some(era) = node.views.era().filter(|era| node.must_ask_others(*era))
+        {
+            let task = ask_for_newer(Arc::clone(&node), era);
+            asking = Some(AbortOnDropHandle::new(tokio::spawn(task)));
+        }
         let is_fresh = ask_sources(&node, &plan).await;
         let now = node.clock.now();
         stale_since = match is_fresh {
@@ -122,6 +141,29 @@
     }
 }
 
+/// Asks other nodes for newer versions of the configuration than the store has in `era`.
+async fn ask_for_newer(node: Arc<RelayNode>, era: StoreEra) {
+    let members = node.members();
+    let others: Vec<_> = members
+        .nodes()
+        .filter(|record| record.id != node.settings.raw.node && record.accepts_work())
+        .collect();
+    let asked = others.choose_multiple(&mut rand::rng(), NEWER_NODES);
+    let mut replies: FuturesUnordered<_> = asked
+        .map(|other| request_confirmation_report(&node, other))
+        .collect();
+    let mut have_replied = false;
+    while !have_replied && let Some(replied) = replies.next().await {
+        have_replied = replied;
+    }
+    let mut others = Box::pin(replies.collect::<Vec<bool>>());
+    if timeout(NEWER_REPLY_GRACE, &mut others).await.is_err() {
+        node.others_asked(era, false);
+        others.await;
+    }
+    node.others_asked(era, have_replied);
+}
+
 /// Polls other nodes until one is up to date. Returns whether this node is up to date.
 async fn ask_sources(node: &Arc<RelayNode>, plan: &SourcePlan) -> bool {
     let named = node.views.newer_at.lock().take();
@@ -157,7 +199,9 @@
 }
 
 fn is_younger(node: &RelayNode, age: Duration) -> bool {
-    node.plan().is_some() && node.confirmation_age().is_some_and(|known| known < age)
+    node.plan().is_some()
+        && node.knows_newest()
+        && node.confirmation_age().is_some_and(|known| known < age)
 }
 
 /// Polls a node and applies the updates. Returns whether it replied.
@@ -171,7 +215,11 @@
 async fn poll_node(node: &Arc<RelayNode>, source: &NodeRecord) -> Option<()> {
     let link = node.links.get(source).await.ok()?;
     let requested_at = node.clock.now();
-    let known = node.views.positions();
+    let mut known = node.views.positions();
+    let is_behind = !node.knows_newest();
+    if is_behind {
+        known[View::Configuration as usize] = None;
+    }
     let request = |exchange: ExchangeId| {
         let head = Head::ViewRequest { exchange, known };
         encode_frame(&head, &[]).map_err(|_| LinkFailure::NotSent)
@@ -181,6 +229,9 @@
         return None;
     };
     for update in updates {
+        if is_behind {
+            offer_listed(node, &update);
+        }
         apply_update(node, update.view, update.update);
     }
     if let Some(report) = reply.confirmation {
@@ -203,7 +254,7 @@
         return true;
     }
     match read_view(node, View::Configuration).await {
-        Ok(()) => true,
+        Ok(()) => node.is_settled(),
         Err(error) => {
             node.metrics.record_store_error(&error);
             false
--- a/lib/src/process/relay/views/state.rs
+++ b/lib/src/process/relay/views/state.rs
@@ -17,6 +17,11 @@
 use super::mirror::MirrorChange;
 use crate::process::relay::frame::Head;
 use crate::process::relay::frame::encode_frame;
+use crate::process::relay::store::StoreEra;
+use crate::process::relay::store::StoreItem;
+use crate::process::relay::store::StorePosition;
+use crate::process::relay::store::StoreRevision;
+use crate::values::ConfigVersion;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
 
@@ -31,6 +36,13 @@
     polled_at: MonotonicTime,
 }
 
+/// A stored configuration.
+#[derive(Clone, Debug)]
+struct ConfigurationItem {
+    version: ConfigVersion,
+    item: StoreItem,
+}
+
 /// The mirrors of a node and the nodes that follow them.
 ///
 /// The locks are never held together.
@@ -46,6 +58,8 @@
     pub(in crate::process::relay) is_first: AtomicBool,
     /// Whether this node watches the store itself.
     pub(in crate::process::relay) is_watching: AtomicBool,
+    /// The item of the configuration in force. The store may hold an older one after it went back.
+    in_force: Mutex<Option<ConfigurationItem>>,
     /// Whether the stored configuration could not be decoded.
     pub(super) is_configuration_refused: AtomicBool,
     /// Held while the store is read for requests, which share one read.
@@ -64,16 +78,39 @@
         View::ALL.map(|view| mirrors[view as usize].position())
     }
 
+    /// Returns the latest known era of the store.
+    pub(super) fn era(&self) -> Option<StoreEra> {
+        let positions = self.positions().into_iter().flatten();
+        positions.map(|position| position.era).max()
+    }
+
     /// Returns what a node lacks that knows the views up to `known`.
     pub(super) fn updates_since(&self, known: &ViewPositions) -> Vec<ViewUpdate> {
+        let in_force = self.in_force.lock().clone();
         let mirrors = self.mirrors.lock();
-        let updates = View::ALL.into_iter().filter_map(|view| {
-            let update = mirrors[view as usize].update_since(known[view as usize])?;
-            Some(ViewUpdate { view, update })
+        let updates = View::ALL.into_iter().flat_map(|view| {
+            let update = mirrors[view as usize].update_since(known[view as usize]);
+            let handed_over = match (view, &update, &in_force) {
+                (View::Configuration, Some(update), Some(in_force)) => hand_over(update, in_force),
+                _ => None,
+            };
+            let updates = handed_over.into_iter().chain(update);
+            updates.map(move |update| ViewUpdate { view, update })
         });
         updates.collect()
     }
 
+    /// Records the item of the configuration in force.
+    pub(super) fn set_in_force(&self, version: ConfigVersion, item: StoreItem) {
+        let mut in_force = self.in_force.lock();
+        if in_force
+            .as_ref()
+            .is_none_or(|known| known.version < version)
+        {
+            *in_force = Some(ConfigurationItem { version, item });
+        }
+    }
+
     /// Records that a node polled on a connection.
     pub(super) fn add_follower(&self, frames: &UnboundedSender<Bytes>, now: MonotonicTime) {
         let mut followers = self.followers.lock();
@@ -103,6 +140,32 @@
     }
 }
 
+/// Returns a listing with the configuration in force for a node that gets another one by `update`,
+/// because the store went back.
+fn hand_over(update: &MirrorUpdate, in_force: &ConfigurationItem) -> Option<MirrorUpdate> {
+    match update {
+        MirrorUpdate::Listing { items, position }
+            if items.iter().all(|item| item.value != in_force.item.value) =>
+        {
+            // Older than all that the store holds in this era, so that the mirror of the receiver
+            // follows the store.
+            let revision = StoreRevision(0);
+            let item = StoreItem {
+                revision,
+                ..in_force.item.clone()
+            };
+            Some(MirrorUpdate::Listing {
+                items: vec![item],
+                position: StorePosition {
+                    revision,
+                    ..*position
+                },
+            })
+        }
+        MirrorUpdate::Listing { .. } | MirrorUpdate::Changes { .. } => None,
+    }
+}
+
 fn is_following(follower: &Follower, now: MonotonicTime) -> bool {
     !follower.frames.is_closed() && now.since(follower.polled_at) < FOLLOWER_TTL
 }
--- a/lib/src/process/relay/views/store_watch.rs
+++ b/lib/src/process/relay/views/store_watch.rs
@@ -60,8 +60,10 @@
     let is_found = !items.is_empty();
     apply_update(node, view, MirrorUpdate::Listing { items, position });
     let is_refused = node.views.is_configuration_refused.load(Ordering::Relaxed);
-    if view == View::Configuration && is_found && !is_refused {
-        node.confirm(requested_at);
+    // A late response of an earlier era is not applied, and may hold a newer configuration.
+    let is_applied = node.views.era() == Some(position.era);
+    if view == View::Configuration && is_found && !is_refused && is_applied {
+        node.confirm(requested_at, position.era);
     }
     Ok(())
 }
--- a/lib/tests/test_relay_views.rs
+++ b/lib/tests/test_relay_views.rs
@@ -1,5 +1,8 @@
 //! Running relays that learn of changes in the store from each other.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use balsamfold::process::relay::RelayNode;
 use balsamfold::values::ConfigVersion;
 use balsamfold::values::NodeId;
@@ -12,6 +15,8 @@
 use testutils::relay::sample_route;
 
 const SERVERS: usize = 5;
+/// Seconds in which another node certainly holds the rates of a zone.
+const HOLDER_WAIT_S: u32 = 12;
 
 fn plan(version: u64) -> StoredPlan {
     StoredPlan {
@@ -20,6 +25,17 @@
     }
 }
 
+/// Returns a configuration with these keys.
+fn keyed(version: u64, keys: &[&str]) -> StoredPlan {
+    let route = sample_route("stock", "stock", Repeatability::Idempotent);
+    let keys = keys.iter().map(|key| (*key).to_owned());
+    StoredPlan {
+        version,
+        routes: vec![("shop".to_owned(), "/stock/".to_owned(), route)],
+        organisations: vec![(organisation_limits(10_000, 10_000), keys.collect())],
+    }
+}
+
 async fn settled_fleet() -> RelayFleet {
     let fleet = RelayFleet::start(&plan(1), &["stock"; SERVERS]).await;
     wait_for_one_watch(&fleet).await;
@@ -142,15 +158,6 @@
 // Guards against a withdrawn key that a restarted relay accepts while it cannot read the store.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn withdrawn_key_is_refused_after_a_restart_during_an_outage() {
-    let keyed = |version, keys: &[&str]| {
-        let route = sample_route("stock", "stock", Repeatability::Idempotent);
-        let keys = keys.iter().map(|key| (*key).to_owned());
-        StoredPlan {
-            version,
-            routes: vec![("shop".to_owned(), "/stock/".to_owned(), route)],
-            organisations: vec![(organisation_limits(10_000, 10_000), keys.collect())],
-        }
-    };
     let mut fleet = RelayFleet::start(&keyed(1, &["k1", "k2"]), &["stock"; 3]).await;
     fleet.publish(&keyed(2, &["k2"]));
     wait_for_version(&fleet, 2).await;
@@ -165,3 +172,51 @@
     let afterwards = fleet.call(1, "r2", "/stock/1", Some("k1")).await;
     assert_eq!(afterwards.status, StatusCode::UNAUTHORIZED);
 }
+
+// Guards against a withdrawn key that runs at a relay that started after the store went back to a copy from
+// before the withdrawal, which other relays know.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn withdrawn_key_is_refused_after_a_restart_when_the_store_went_back() {
+    let mut fleet = RelayFleet::start(&keyed(1, &["k1", "k2"]), &["stock"; 4]).await;
+    wait_for_one_watch(&fleet).await;
+    let copy = fleet.store.copy();
+    fleet.publish(&keyed(2, &["k2"]));
+    wait_for_version(&fleet, 2).await;
+    fleet.store.go_back_to(&copy);
+    // All relays know the store's new era then.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    // The first relay of a zone reads the store, the others ask it.
+    for index in [0, 2] {
+        fleet.restart(index).await;
+        fleet.report(index, 2, false).await;
+        let started_at = Instant::now();
+        let mut number = 0;
+        while started_at.elapsed() < Duration::from_secs(2) {
+            number += 1;
+            let id = format!("withdrawn-{index}-{number}");
+            let withdrawn = fleet.call(index, &id, "/stock/1", Some("k1")).await;
+            let expected = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::UNAUTHORIZED];
+            assert!(
+                expected.contains(&withdrawn.status),
+                "{} after {:?}",
+                withdrawn.status,
+                started_at.elapsed()
+            );
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        // The others hand over the newer version, which the store lacks.
+        let node = fleet.relays[index].daemon.node();
+        assert!(has_version(node, 2) && node.is_ready());
+    }
+    // The holder of the rates was killed, too.
+    let mut status = StatusCode::SERVICE_UNAVAILABLE;
+    for attempt in 0..HOLDER_WAIT_S {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let id = format!("active-{attempt}");
+        status = fleet.call(2, &id, "/stock/1", Some("k2")).await.status;
+        if status == StatusCode::OK {
+            break;
+        }
+    }
+    assert_eq!(status, StatusCode::OK);
+}
