relay: confirmations from before the start of a process count

Callers got 503 for requests with keys from a relay that had started, for a quarter of the time in which a configuration must be in force, although the first reply of another node had confirmed the configuration. The cause: a confirmation is kept as a time of the process's own clock, which starts at zero, and one that is older than the process was dropped. It is kept as a signed time now.

report_of_a_confirmation_from_before_the_start_counts failed before (1 of 1, no randomness or time in it) and passes.

--- a/lib/src/process/relay/confirmation.rs
+++ b/lib/src/process/relay/confirmation.rs
@@ -49,7 +49,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Confirmation {
     version: ConfigVersion,
-    confirmed_at: Option<MonotonicTime>,
+    /// In microseconds since the start of this process. Negative if other nodes confirmed the
+    /// version before that.
+    confirmed_at_us: Option<i64>,
     /// The newest version that another node named.
     named: ConfigVersion,
     /// When it was named first.
@@ -113,10 +115,10 @@
         match read.version {
             // The store went back, so that earlier reads of it prove nothing either.
             version if version < self.named && read.requested_at >= self.named_at => {
-                self.confirmed_at = None;
+                self.confirmed_at_us = None;
             }
             version if version < self.named || version < self.version => {}
-            _ => self.confirmed_at = self.confirmed_at.max(Some(read.requested_at)),
+            _ => self.confirmed_at_us = self.confirmed_at_us.max(Some(read.requested_at.0 as i64)),
         }
     }
 
@@ -139,15 +141,14 @@
         }
         if report.version > self.version {
             if !self.is_backed {
-                self.confirmed_at = None;
+                self.confirmed_at_us = None;
             }
             return ConfirmationUse::NewerVersion;
         }
         let is_newest = report.version == self.version && self.knows_newest();
-        if let (true, Some(age_us)) = (is_newest, report.age_us)
-            && let Some(at_us) = requested_at.0.checked_sub(age_us)
-        {
-            self.confirmed_at = self.confirmed_at.max(Some(MonotonicTime(at_us)));
+        if let (true, Some(age_us)) = (is_newest, report.age_us) {
+            let at_us = (requested_at.0 as i64).saturating_sub_unsigned(age_us);
+            self.confirmed_at_us = self.confirmed_at_us.max(Some(at_us));
         }
         ConfirmationUse::Applied
     }
@@ -164,7 +165,9 @@
 
     /// Returns the time since the version in force was certainly the newest.
     pub fn age(&self, now: MonotonicTime) -> Option<Duration> {
-        self.confirmed_at.map(|at| now.since(at))
+        let age_us = |at_us| (now.0 as i64).saturating_sub(at_us).max(0) as u64;
+        self.confirmed_at_us
+            .map(|at_us| Duration::from_micros(age_us(at_us)))
     }
 
     /// Returns this node's report for other nodes.
--- a/lib/tests/test_relay_confirmation.rs
+++ b/lib/tests/test_relay_confirmation.rs
@@ -161,3 +161,20 @@
     confirmation.apply_report(report_of(4), at_ms(90), at_ms(100));
     assert_eq!(confirmation.age(at_ms(100)), None);
 }
+
+// Guards against a starting node that refuses requests with keys until it has run for as long as the
+// confirmations of the other nodes are old.
+#[test]
+fn report_of_a_confirmation_from_before_the_start_counts() {
+    let mut confirmation = backed();
+    confirmation.adopt(ConfigVersion(3));
+    let report = ConfirmationReport {
+        version: ConfigVersion(3),
+        age_us: Some(400_000),
+    };
+    confirmation.apply_report(report, at_ms(100), at_ms(101));
+    assert_eq!(
+        confirmation.age(at_ms(100)),
+        Some(Duration::from_millis(400))
+    );
+}
