tests: a response that stops at any byte is never a success

This cannot happen here as far as the test shows: an incomplete head, or a body that is shorter than its length or lacks its last chunk or its trailers, ends the exchange with 502, or 504 if the server stays silent.

A stand-in stops at every byte of ten responses (length, chunks, trailers, no length, HTTP/1.0, HEAD, 204 with a body, two lengths, after an interim response) and closes or resets, and stays silent at every ninth; callers read the bytes of the relay beside the server and of another one. Success only if head and body were complete, always framed by a length. A response without a length that is closed in its body cannot be told from a whole one.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -6,6 +6,7 @@
 mod test_chaos_checks;
 mod test_configuration_roles;
 mod test_configuration_spread;
+mod test_cut_responses;
 mod test_endless_responses;
 mod test_events;
 mod test_folder;
