--- a/lib/tests/test_relay_stop.rs
+++ b/lib/tests/test_relay_stop.rs
@@ -8,7 +8,10 @@
 use balsamfold::process::relay::RelaySettings;
 use balsamfold::version::PlannedRoute;
 use balsamfold::version::Repeatability;
+use bytes::Bytes;
 use testutils::relay::Behaviour;
+use testutils::relay::CONFIGURATION_KEY;
+use testutils::relay::PANIC_BYTES;
 use testutils::relay::RelayFleet;
 use testutils::relay::StoredPlan;
 use testutils::relay::sample_open_plan;
@@ -296,6 +299,22 @@
     assert_may_have_run(&finish(caller).await);
 }
 
+// Guards against a task that panics during a stop and takes open requests with it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn panic_of_a_task_during_a_stop_cuts_no_request() {
+    let mut fleet = start(Repeatability::AtMostOnce, &["stock"]).await;
+    let slow = Behaviour::Slow(Duration::from_millis(1_500));
+    fleet.relays[0].server.set_behaviour(slow);
+    let caller = send(connect(callers_of(&fleet, 0)).await, &get("r1")).await;
+    wait_for_run(&fleet, 0).await;
+    let stopping = fleet.relays.remove(0);
+    let broken = Bytes::from_static(PANIC_BYTES);
+    fleet.store.write(CONFIGURATION_KEY, broken);
+    stopping.stop().await;
+    let received = finish(caller).await;
+    assert!(received.starts_with("HTTP/1.1 200 "), "{received:?}");
+}
+
 // Guards against a change of the settings that ends requests, or a stop that has begun.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn reload_during_a_stop_cuts_no_request() {
--- a/node/tests/relay_fleet/mod.rs
+++ b/node/tests/relay_fleet/mod.rs
@@ -30,18 +30,20 @@
 pub struct Fleet {
     pub store: StoreStandIn,
     pub machines: Vec<Machine>,
+    folder: PathBuf,
 }
 
 impl Fleet {
     /// Starts a machine for each service, and waits until all relays are ready and serve.
     pub async fn start(name: &str, configuration: &Value, services: &[&'static str]) -> Self {
         let store = StoreStandIn::start().await;
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         let mut fleet = Self {
             store,
             machines: Vec::new(),
+            folder: folder.clone(),
         };
         fleet.publish(configuration);
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).expect("the folder is created");
         for (index, service) in services.iter().enumerate() {
@@ -52,6 +54,11 @@
         fleet
     }
 
+    /// Removes the settings and logs of the relays.
+    pub fn remove_files(&self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+
     pub fn publish(&self, configuration: &Value) {
         let stored = Bytes::from(configuration.to_string());
         self.store
--- a/node/tests/test_relay_soak.rs
+++ b/node/tests/test_relay_soak.rs
@@ -314,6 +314,9 @@
             statuses.contains_key(&200),
             "seed {seed}: nothing was served"
         );
+        if failures.is_empty() {
+            record.fleet.remove_files();
+        }
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
