rates: a free record of an earlier term is not taken over at once

What callers may have seen: an organisation's requests admitted beyond its rate, for up to a second, after the store had gone back to a copy from between a holder's release and the next takeover, or from before the first holder. The cause: a released, missing or own ended record is taken over at once, also where the node has seen a later epoch, so the holder of that later term and the new one granted at once, and the tokens that the release had handed over were granted twice. Found by reading, with no run of a fleet that shows it. Now such a record is taken over like one of a live holder, after it stayed the same for 4 s; the later holder's lease has ended by then, as its renewals conflict.

A process that knows no epoch yet can still take over such a record.

--- a/lib/src/process/rates/lease.rs
+++ b/lib/src/process/rates/lease.rs
@@ -441,15 +441,14 @@
     }
 
     fn may_take_over(&self, seen: &SeenRecord, now: MonotonicTime) -> bool {
-        let is_vacant = seen.record.is_none();
+        let record = seen.record.as_ref();
+        let is_free = record.is_none_or(|record| record.released || self.has_ended(record));
+        let epoch = record.map_or(Epoch(0), |record| record.epoch);
+        // After the platform went back to an earlier term, the holder of a later one may still grant.
+        let is_free = is_free && epoch >= self.highest_epoch;
         let is_expired = now.since(seen.since) >= LEASE_TAKEOVER;
-        let is_released = seen.record.as_ref().is_some_and(|record| record.released);
-        let has_ended = seen
-            .record
-            .as_ref()
-            .is_some_and(|record| self.has_ended(record));
-        let is_free = is_vacant || is_released || is_expired || has_ended;
-        self.configured_layout.is_some() && now >= self.no_takeover_before && is_free
+        let is_allowed = self.configured_layout.is_some() && now >= self.no_takeover_before;
+        is_allowed && (is_free || is_expired)
     }
 
     fn is_own(&self, record: &HolderRecord) -> bool {
--- a/lib/tests/test_rates_lease.rs
+++ b/lib/tests/test_rates_lease.rs
@@ -356,6 +356,30 @@
     assert!(!takeover.record.released);
 }
 
+// Guards against two holders at once: the store went back to the moment at which an earlier holder had released the
+// role, or to one before the first holder, while a later holder still grants.
+#[test]
+fn a_free_record_of_an_earlier_term_is_not_taken_over_at_once() {
+    let mut first = lease("n1");
+    acquire(&mut first, 0);
+    let released = first.release(Vec::new(), at(500));
+    let released = released.expect("the role is released").record;
+    let mut second = lease("n2");
+    second.record_read(Some(released.clone()), at(600));
+    let taken = write_of(second.next_action(true, at(600))).record;
+    second.write_succeeded(at(603));
+    for earlier in [Some(released), None] {
+        let mut third = lease("n3");
+        third.record_read(Some(taken.clone()), at(700));
+        third.record_read(earlier, at(800));
+        assert_eq!(third.next_action(true, at(800)), LeaseAction::Read);
+        let expired_at = at(800).after(LEASE_TAKEOVER);
+        assert!(second.held_epoch(expired_at).is_none());
+        let takeover = write_of(third.next_action(true, expired_at));
+        assert!(takeover.record.epoch > taken.epoch);
+    }
+}
+
 #[test]
 fn a_role_with_a_pending_write_is_not_released() {
     let mut first = lease("n1");
