relay: a test of a node that responds late and gets many connections (known red)

What callers see: nothing at first. A node that is alive but short of CPU time holds more and more connections of each other node, each with its tasks and buffers at both ends, at the moment at which it can least afford them.

Cause: while a connection is silent for more than 400 ms, another one is opened beside it at each check. An attempt counts as failed after 300 ms, but its connection stays: the late pong arrives, and it is closed as idle after 30 s.

--- a/lib/tests/test_relay_silent_links.rs
+++ b/lib/tests/test_relay_silent_links.rs
@@ -108,6 +108,25 @@
     }
 }
 
+// Guards against connections to a node that is short of CPU time: each attempt to open one beside the
+// first gave up before the node responded, and stayed open for half a minute.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn node_that_responds_late_gets_at_most_one_connection_beside_the_first() {
+    let (fleet, peer) = relay_and_peer(Repeatability::AtMostOnce).await;
+    peer.set_service_time(Duration::from_secs(8));
+    peer.set_pong_delay(Duration::from_millis(600));
+    let mut open = 0;
+    let observing = async {
+        for _ in 0..80 {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            open = open.max(peer.open_connections());
+        }
+    };
+    let (response, ()) = tokio::join!(fleet.call(0, "slow", "/stock/1", None), observing);
+    assert_eq!(response.status, StatusCode::OK, "{response:?}");
+    assert!(open <= 2, "{open} connections were open at the same time");
+}
+
 #[test]
 fn exchanges_in_series_show_a_silent_connection() {
     let mut liveness = Liveness::new(at_ms(0));
--- a/testutils/src/relay/peer.rs
+++ b/testutils/src/relay/peer.rs
@@ -25,7 +25,9 @@
 #[derive(Debug, Default)]
 struct PeerState {
     service_time: Duration,
+    pong_delay: Duration,
     connections: usize,
+    open_connections: usize,
     requests: Vec<String>,
 }
 
@@ -67,6 +69,16 @@
         self.state.lock().service_time = service_time;
     }
 
+    /// Sets the time after which pings are answered, as by a node that is short of CPU time.
+    pub fn set_pong_delay(&self, pong_delay: Duration) {
+        self.state.lock().pong_delay = pong_delay;
+    }
+
+    /// Returns how many connections are open.
+    pub fn open_connections(&self) -> usize {
+        self.state.lock().open_connections
+    }
+
     /// Returns how many connections were accepted so far.
     pub fn accepted_connections(&self) -> usize {
         self.state.lock().connections
@@ -80,8 +92,16 @@
 
 async fn accept(listener: TcpListener, state: Arc<Mutex<PeerState>>, silences: watch::Sender<u64>) {
     while let Ok((stream, _)) = listener.accept().await {
-        state.lock().connections += 1;
-        tokio::spawn(serve(stream, Arc::clone(&state), silences.subscribe()));
+        let (state, silences) = (Arc::clone(&state), silences.subscribe());
+        tokio::spawn(async move {
+            {
+                let mut state = state.lock();
+                state.connections += 1;
+                state.open_connections += 1;
+            }
+            serve(stream, Arc::clone(&state), silences).await;
+            state.lock().open_connections -= 1;
+        });
     }
 }
 
@@ -124,8 +144,13 @@
                     exchange,
                     confirmation,
                 };
-                // Sending fails if the connection has ended.
-                let _ = replies.send(encode_frame(&pong, &[]).expect("a short frame"));
+                let pong = encode_frame(&pong, &[]).expect("a short frame");
+                let (replies, pong_delay) = (replies.clone(), state.lock().pong_delay);
+                tokio::spawn(async move {
+                    tokio::time::sleep(pong_delay).await;
+                    // Sending fails if the connection has ended.
+                    let _ = replies.send(pong);
+                });
             }
             Head::Request(request) => {
                 let mut state = state.lock();
