relay: a test of late liveness checks that hide a silent connection (known red)

What callers see: at a node that is short of CPU time, requests go on using a connection that went silent, and at-most-once ones wait there until their deadlines.

Cause: a check that comes more than 300 ms after the one before, which is 200 ms late, begins the silence anew instead of leaving out the time of the standstill.

--- a/lib/tests/test_relay_silent_links.rs
+++ b/lib/tests/test_relay_silent_links.rs
@@ -127,6 +127,18 @@
     assert!(open <= 2, "{open} connections were open at the same time");
 }
 
+// Guards against silent connections that a process short of CPU time never finds, because each of its
+// late checks begins the silence anew.
+#[test]
+fn late_checks_find_a_silent_connection() {
+    let mut liveness = Liveness::new(at_ms(0));
+    liveness.begin_exchange(at_ms(0));
+    let found = (1..100)
+        .map(|step| liveness.check(at_ms(step * 350), OpenExchanges::Awaited))
+        .any(|action| action >= LivenessAction::OpenBeside);
+    assert!(found, "silent for 35 s");
+}
+
 #[test]
 fn exchanges_in_series_show_a_silent_connection() {
     let mut liveness = Liveness::new(at_ms(0));
