relay: a connection whose opening failed is closed

Nothing was seen by callers; a node short of CPU time held more and more connections of each other node. An attempt to open one gave up after 300 ms, but its task went on, and the connection stayed until it was idle for 30 s.

node_that_responds_late_gets_at_most_one_connection_beside_the_first failed in 7 of 7 runs before (5 to 13 open at once, 2 allowed) and passes (1 of 1).

--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio_util::task::AbortOnDropHandle;
 
 use super::frame::ExchangeId;
 use super::frame::Frame;
@@ -143,9 +144,12 @@
         });
         link.queue(&Head::Hello { from, to: peer }, &[])
             .map_err(|_| std::io::Error::other("hello frame was not queued"))?;
-        tokio::spawn(run_link(Arc::clone(&link), reader, writer, frames));
+        let running = run_link(Arc::clone(&link), reader, writer, frames);
+        // Closes the connection unless the ping succeeds.
+        let running = AbortOnDropHandle::new(tokio::spawn(running));
         let acknowledged = link.exchange(ping_frame).await;
         acknowledged.map_err(|_| std::io::Error::other("another node may use the address"))?;
+        running.detach();
         Ok(link)
     }
 
