relay: late liveness checks find a silent connection, too

A process short of CPU time never found a connection silent: each check that came 200 ms late began the silence anew, where only the time for which the process stood still is to be left out.

late_checks_find_a_silent_connection failed in 7 of 7 runs before and passes; own_standstill_does_not_count_as_silence holds.

--- a/lib/src/process/relay/liveness.rs
+++ b/lib/src/process/relay/liveness.rs
@@ -126,7 +126,9 @@
         let since_check = now.since(self.last_checked_at);
         self.last_checked_at = now;
         if since_check > STANDSTILL {
-            self.owed_since = self.owed_since.map(|_| now);
+            let stood_still = since_check.saturating_sub(LIVENESS_CHECK_PERIOD);
+            let later = |since: MonotonicTime| since.after(stood_still).min(now);
+            self.owed_since = self.owed_since.map(later);
         }
         let silence = self.silence(now);
         let is_idle = now.since(self.last_used_at) > IDLE_TIMEOUT;
