relay: a connection is replaced only if its node is not heard on it meanwhile

A node that answers pings late was taken for a silent connection: the new connection replied, and took the place of the first one although that one was heard again before. Each such replacement also pinged all quiet connections, those that were pinged already included. A closed connection counted as unresponsive until it was removed, so that its node was passed over for half a second.

--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -184,7 +185,7 @@
         let (sender, receiver) = oneshot::channel();
         let exchange = {
             let mut state = self.state.lock();
-            if state.is_closed || state.liveness.is_replaced() {
+            if state.is_closed || state.liveness.is_retired() {
                 return Err(LinkFailure::NotSent);
             }
             let exchange = ExchangeId(state.next_exchange);
@@ -266,20 +267,24 @@
         self.state.lock().liveness.last_received_at()
     }
 
-    /// Returns whether new exchanges should go elsewhere.
+    /// Returns whether new exchanges should go elsewhere, and not wait for this open connection.
     pub(super) fn is_unresponsive(&self) -> bool {
-        self.state.lock().liveness.is_unresponsive(self.clock.now())
+        let state = self.state.lock();
+        !state.is_closed && state.liveness.is_unresponsive(self.clock.now())
     }
 
     pub(super) fn is_closed(&self) -> bool {
         self.state.lock().is_closed
     }
 
-    /// Starts no more exchanges, since a new connection took the place of this one. It stays for the
-    /// open ones.
-    pub(super) fn replace(&self) {
-        let mut state = self.state.lock();
-        state.liveness.replace();
+    /// Starts no more exchanges, and closes when the open ones have ended.
+    pub(super) fn retire(&self) {
+        self.state.lock().liveness.retire();
+    }
+
+    /// Logs that a new connection takes the place of this one.
+    pub(super) fn log_replaced(&self) {
+        let state = self.state.lock();
         let silence = state.liveness.silence(self.clock.now());
         let open = state.pending.len();
         drop(state);
@@ -290,6 +295,11 @@
         ));
     }
 
+    /// Returns whether nothing is owed and nothing arrived for `time`.
+    pub(super) fn is_quiet(&self, now: MonotonicTime, time: Duration) -> bool {
+        self.state.lock().liveness.is_quiet(now, time)
+    }
+
     /// Asks the node for a sign of life.
     pub(super) fn probe(&self) -> Result<(), LinkFailure> {
         self.state.lock().liveness.expect_reply(self.clock.now());
--- a/lib/src/process/relay/links.rs
+++ b/lib/src/process/relay/links.rs
@@ -101,6 +101,7 @@
             return result;
         }
         if let Some(link) = self.open(&peer, address).await {
+            self.store(&peer, address, SlotState::Open(Arc::clone(&link)));
             return Ok(link);
         }
         self.store(&peer, address, SlotState::Unreachable);
@@ -126,10 +127,7 @@
             open_beside,
         );
         let reason = match timeout(CONNECT_TIMEOUT, opened).await {
-            Ok(Ok(link)) => {
-                self.store(peer, address, SlotState::Open(Arc::clone(&link)));
-                return Some(link);
-            }
+            Ok(Ok(link)) => return Some(link),
             Ok(Err(error)) => error.to_string(),
             Err(_) => "timed out".to_owned(),
         };
@@ -150,9 +148,19 @@
             let Ok(_guard) = opening.try_lock() else {
                 return;
             };
-            if self.is_in_use(&silent) && self.open(&peer, address).await.is_some() {
-                silent.replace();
-                self.probe_quiet();
+            if !self.is_in_use(&silent) {
+                return;
+            }
+            match self.open(&peer, address).await {
+                Some(opened) if silent.is_unresponsive() || silent.is_closed() => {
+                    silent.log_replaced();
+                    self.store(&peer, address, SlotState::Open(opened));
+                    silent.retire();
+                    self.probe_quiet();
+                }
+                // The node was slow: it is heard on the first connection again.
+                Some(opened) => opened.retire(),
+                None => {}
             }
         }
         .boxed()
@@ -174,7 +182,7 @@
         let slots = self.slots.lock();
         for slot in slots.values() {
             match &slot.state {
-                SlotState::Open(link) if now.since(link.last_received_at()) > QUIET_AFTER => {
+                SlotState::Open(link) if link.is_quiet(now, QUIET_AFTER) => {
                     // A connection that does not take the probe is closing.
                     let _ = link.probe();
                 }
@@ -247,7 +255,8 @@
         // `remove_closed` drops the slot of a node that left the fleet.
         match links.upgrade() {
             Some(links) if links.is_unreachable(&peer, address) => {
-                if links.open(&peer, address).await.is_some() {
+                if let Some(link) = links.open(&peer, address).await {
+                    links.store(&peer, address, SlotState::Open(link));
                     return;
                 }
             }
--- a/lib/src/process/relay/liveness.rs
+++ b/lib/src/process/relay/liveness.rs
@@ -62,7 +62,7 @@
     last_received_at: MonotonicTime,
     last_used_at: MonotonicTime,
     last_checked_at: MonotonicTime,
-    is_replaced: bool,
+    is_retired: bool,
 }
 
 impl Liveness {
@@ -73,7 +73,7 @@
             last_received_at: now,
             last_used_at: now,
             last_checked_at: now,
-            is_replaced: false,
+            is_retired: false,
         }
     }
 
@@ -94,15 +94,19 @@
         self.owed_since = is_awaiting.then_some(now);
     }
 
-    /// Records that a new connection took the place of this one, which stays for the exchanges that
-    /// are open on it.
-    pub fn replace(&mut self) {
-        self.is_replaced = true;
+    /// Records that no more exchanges begin. The connection stays for those that are open.
+    pub fn retire(&mut self) {
+        self.is_retired = true;
     }
 
-    /// Returns whether a new connection took the place of this one.
-    pub fn is_replaced(&self) -> bool {
-        self.is_replaced
+    /// Returns whether no more exchanges may begin.
+    pub fn is_retired(&self) -> bool {
+        self.is_retired
+    }
+
+    /// Returns whether nothing is owed and nothing arrived for `time`.
+    pub fn is_quiet(&self, now: MonotonicTime, time: Duration) -> bool {
+        self.owed_since.is_none() && now.since(self.last_received_at) > time
     }
 
     /// Returns when bytes were last received.
@@ -133,11 +137,11 @@
         let silence = self.silence(now);
         let is_idle = now.since(self.last_used_at) > IDLE_TIMEOUT;
         match open {
-            OpenExchanges::None if self.is_replaced || is_idle => LivenessAction::Close,
+            OpenExchanges::None if self.is_retired || is_idle => LivenessAction::Close,
             _ if silence > SILENCE_MAX => LivenessAction::Close,
             OpenExchanges::Awaited if silence > RECEIVE_TIMEOUT => LivenessAction::GiveUp,
             _ if silence > RECEIVE_TIMEOUT => LivenessAction::Close,
-            _ if silence > UNRESPONSIVE_AFTER && !self.is_replaced => LivenessAction::OpenBeside,
+            _ if silence > UNRESPONSIVE_AFTER && !self.is_retired => LivenessAction::OpenBeside,
             _ if silence > PING_AFTER => LivenessAction::Ping,
             _ => LivenessAction::Keep,
         }
--- a/lib/tests/test_relay_silent_links.rs
+++ b/lib/tests/test_relay_silent_links.rs
@@ -139,6 +139,27 @@
     assert!(found, "silent for 35 s");
 }
 
+// Guards against a connection that is replaced although its node is only slow to answer pings.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn node_that_is_slow_to_answer_pings_keeps_its_connection() {
+    let (fleet, peer) = relay_and_peer(Repeatability::AtMostOnce).await;
+    peer.set_service_time(Duration::from_secs(1));
+    peer.set_pong_delay(Duration::from_millis(285));
+    let (mut accepted, mut used) = (Vec::new(), Vec::new());
+    for number in 0..6 {
+        let path = format!("/stock/{number}");
+        let response = fleet.call(0, &format!("s{number}"), &path, None).await;
+        assert_eq!(response.status, StatusCode::OK, "{response:?}");
+        accepted.push(peer.accepted_connections());
+        used.push(peer.connections_with_requests());
+    }
+    assert_eq!(
+        used.last(),
+        Some(&1),
+        "{used:?} of {accepted:?} connections"
+    );
+}
+
 #[test]
 fn exchanges_in_series_show_a_silent_connection() {
     let mut liveness = Liveness::new(at_ms(0));
@@ -183,7 +204,7 @@
 fn replaced_connection_stays_for_exchanges_that_wait_and_then_closes() {
     let mut liveness = Liveness::new(at_ms(0));
     liveness.begin_exchange(at_ms(0));
-    liveness.replace();
+    liveness.retire();
     for step in 1..=199 {
         let action = liveness.check(at_ms(step * 100), OpenExchanges::Awaited);
         assert_ne!(action, LivenessAction::Close, "after {step} checks");
--- a/testutils/src/relay/peer.rs
+++ b/testutils/src/relay/peer.rs
@@ -1,5 +1,6 @@
 //! A node that other relays reach, whose connections can go silent.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,6 +30,8 @@
     connections: usize,
     open_connections: usize,
     requests: Vec<String>,
+    /// Numbers of the connections on which requests arrived.
+    used: BTreeSet<usize>,
 }
 
 /// A node that answers requests by itself with status 200, and pings.
@@ -84,6 +87,11 @@
         self.state.lock().connections
     }
 
+    /// Returns on how many connections requests arrived.
+    pub fn connections_with_requests(&self) -> usize {
+        self.state.lock().used.len()
+    }
+
     /// Returns the ids of the requests that arrived.
     pub fn received(&self) -> Vec<String> {
         self.state.lock().requests.clone()
@@ -94,12 +102,13 @@
     while let Ok((stream, _)) = listener.accept().await {
         let (state, silences) = (Arc::clone(&state), silences.subscribe());
         tokio::spawn(async move {
-            {
+            let number = {
                 let mut state = state.lock();
                 state.connections += 1;
                 state.open_connections += 1;
-            }
-            serve(stream, Arc::clone(&state), silences).await;
+                state.connections
+            };
+            serve(stream, number, Arc::clone(&state), silences).await;
             state.lock().open_connections -= 1;
         });
     }
@@ -107,6 +116,7 @@
 
 async fn serve(
     mut stream: TcpStream,
+    number: usize,
     state: Arc<Mutex<PeerState>>,
     mut silences: watch::Receiver<u64>,
 ) {
@@ -119,7 +129,7 @@
             // Held open until the test ends.
             _ = &mut silence => return std::future::pending().await,
             read = stream.read_buf(&mut received) => match read {
-                Ok(1..) => answer_frames(&mut received, &state, &replies),
+                Ok(1..) => answer_frames(&mut received, number, &state, &replies),
                 Ok(0) | Err(_) => return,
             },
             Some(reply) = queued.recv() => {
@@ -133,6 +143,7 @@
 
 fn answer_frames(
     received: &mut BytesMut,
+    number: usize,
     state: &Arc<Mutex<PeerState>>,
     replies: &mpsc::UnboundedSender<Bytes>,
 ) {
@@ -155,6 +166,7 @@
             Head::Request(request) => {
                 let mut state = state.lock();
                 state.requests.push(request.metadata.request_id.clone());
+                state.used.insert(number);
                 tokio::spawn(respond(
                     request.exchange,
                     state.service_time,
