suspects: a crash counts against no innocent request once its cause is quarantined

While a share of one class of requests, each with its own content, crashed servers, innocent requests were refused as quarantined for ten minutes: a popular one 22 times in two seconds after the last crash, and single ones of the class.

Cause: a suspect on trial alone was blamed for a crash under a new request beside it, and nothing corrected that when the new request was found to crash servers.

All suspects of one crash have the same node and time for it. Once one of them is quarantined for another crash, under its own trial, the first one is explained and cleared for the others. Each node works that out from the entries that it has; messages stay the same. A crash under the request's own trial explains nothing, so that two requests cannot clear each other of the crashes that one of them causes.

--- a/lib/src/process/suspects/entry.rs
+++ b/lib/src/process/suspects/entry.rs
@@ -32,6 +32,15 @@
     }
 }
 
+/// Identifies a crash by its node and time: all requests in flight at it have the same.
+pub(super) type CrashId = (WallTime, NodeId);
+
+impl CrashSite {
+    fn id(&self) -> CrashId {
+        (self.at, self.node.clone())
+    }
+}
+
 plain_data! {
     /// The assignment of a suspected request to the only node that may run it.
     #[derive(Eq, PartialOrd, Ord)]
@@ -172,6 +181,29 @@
         clears
     }
 
+    /// Returns the crashes that were caused by this request, as it is quarantined for another one,
+    /// under a trial.
+    pub(super) fn explained_crashes(&self) -> Vec<CrashId> {
+        if self.status() != SuspectStatus::Quarantined {
+            return Vec::new();
+        }
+        let trials = self
+            .uncleared()
+            .filter(|site| site.run == CrashedRun::Trial);
+        let trials: Vec<_> = trials.map(CrashSite::id).collect();
+        let is_explained = |crash: &CrashId| trials.iter().any(|trial| trial != crash);
+        let crashes = self.crashes.iter().map(CrashSite::id);
+        crashes.filter(is_explained).collect()
+    }
+
+    /// Clears the request of the crashes that `is_explained` selects.
+    pub(super) fn clear_of(&mut self, is_explained: impl Fn(&CrashId) -> bool) {
+        let explained = self.uncleared().filter(|site| is_explained(&site.id()));
+        let explained: Vec<_> = explained.cloned().collect();
+        self.cleared.extend(explained);
+        truncate(&mut self.cleared);
+    }
+
     fn uncleared(&self) -> impl Iterator<Item = &CrashSite> {
         self.crashes.difference(&self.cleared)
     }
--- a/lib/src/process/suspects/table.rs
+++ b/lib/src/process/suspects/table.rs
@@ -127,10 +127,39 @@
             updates.push(self.add_crash(fingerprint, run, others, wall));
         }
         updates.extend(self.reassign_trials(others));
+        self.clear_of_explained_crashes();
         self.expire(wall);
+        for update in &mut updates {
+            if let Some(entry) = self.entries.get(&update.fingerprint) {
+                update.clone_from(entry);
+            }
+        }
         updates
     }
 
+    /// Clears requests of crashes that others explain: those that were in flight at them, and are
+    /// quarantined for another crash, under a trial.
+    fn clear_of_explained_crashes(&mut self) {
+        let mut explained: BTreeMap<_, Vec<Fingerprint>> = BTreeMap::new();
+        for entry in self.entries.values() {
+            for crash in entry.explained_crashes() {
+                let explaining = explained.entry(crash).or_default();
+                explaining.push(entry.fingerprint);
+            }
+        }
+        if explained.is_empty() {
+            return;
+        }
+        for entry in self.entries.values_mut() {
+            let fingerprint = entry.fingerprint;
+            let is_other = |other: &Fingerprint| *other != fingerprint;
+            entry.clear_of(|crash| {
+                let explaining = explained.get(crash);
+                explaining.is_some_and(|explaining| explaining.iter().any(is_other))
+            });
+        }
+    }
+
     /// Returns the request whose trial the crash of the local backend server has decided.
     ///
     /// A trial that others may run beside decides nothing if there were others, or requests that no
@@ -319,6 +348,7 @@
                 unknown_to_sender.push(entry.clone());
             }
         }
+        self.clear_of_explained_crashes();
         self.expire(wall);
         unknown_to_sender
     }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -50,6 +50,7 @@
 mod test_rates_scale;
 mod test_relay_attempt_limits;
 mod test_relay_confirmation;
+mod test_relay_crash_storm;
 mod test_relay_failing_servers;
 mod test_relay_fleet;
 mod test_relay_fleet_view;
