relay: wake copies of a suspect when its trial ends

Copies of a suspected request waited for its trial, and were never woken: each waited its whole 500 ms or half of its time, was then refused as busy although the request had been cleared, and was sent again as far as its attempts went.

Now the permit of a trial wakes them when it is dropped, after the table knows the outcome.

--- a/lib/src/process/relay/suspects/admission.rs
+++ b/lib/src/process/relay/suspects/admission.rs
@@ -191,11 +191,9 @@
 impl Drop for SuspectPermit {
     fn drop(&mut self) {
         if self.is_trial {
-            self.node
-                .suspects
-                .table
-                .lock()
-                .on_not_cleared(self.fingerprint);
+            let suspects = &self.node.suspects;
+            suspects.table.lock().on_not_cleared(self.fingerprint);
+            suspects.trial_ended.notify_waiters();
         }
     }
 }
--- a/lib/tests/test_relay_crash_storm.rs
+++ b/lib/tests/test_relay_crash_storm.rs
@@ -15,6 +15,7 @@
 use balsamfold::process::suspects::Suspects;
 use balsamfold::values::WallTime;
 use futures::future::join_all;
+use http::StatusCode;
 use parking_lot::Mutex;
 use rand::Rng;
 use rand::SeedableRng;
@@ -200,6 +201,30 @@
     }
 }
 
+// Guards against copies of a popular request that are not woken when its trial ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn copies_of_a_popular_request_are_answered_as_soon_as_its_trial_ends() {
+    const SERVICE_TIME: Duration = Duration::from_millis(100);
+    let fleet = RelayFleet::start(&sample_open_plan(), &["stock"; SERVERS]).await;
+    for relay in &fleet.relays {
+        relay.server.set_behaviour(Behaviour::Slow(SERVICE_TIME));
+        let entry = suspected_on("/stock/popular", "node-1");
+        relay.daemon.node().merge_suspects(&[entry]);
+    }
+    let started_at = Instant::now();
+    let copies = (0..8).map(async |number: usize| {
+        let id = format!("p{number}");
+        let response = fleet
+            .call(number % SERVERS, &id, "/stock/popular", None)
+            .await;
+        response.status
+    });
+    assert_eq!(join_all(copies).await, [StatusCode::OK; 8]);
+    // One trial, and then all others at the same time.
+    let elapsed = started_at.elapsed();
+    assert!(elapsed < 4 * SERVICE_TIME, "{elapsed:?}");
+}
+
 fn table(node: usize) -> Suspects {
     Suspects::new(format!("node-{node}").parse().expect("a name"))
 }
