relay: a corrupted record of the holder of the rates is replaced

What callers saw: another writer overwrote the record that names the holder of a zone's rates, with bytes that are no record or with an epoch near the largest number. From then on all requests with keys were refused in that zone, for good.

Cause: a record that cannot be decoded counted as a read that failed, so that the holder lost its lease and no other node ever took it over. An epoch that cannot be counted up ended the task of the lease.

Fix: such a record stands for one of an ended process. It is taken over like that, once it has stayed unchanged for longer than a lease. Its epoch is its revision, which no epoch exceeds, because each change of the holder is a write.

--- a/lib/src/process/rates/lease_record.rs
+++ b/lib/src/process/rates/lease_record.rs
@@ -47,6 +47,33 @@
     }
 }
 
+impl HolderRecord {
+    /// Highest epoch and number of renewals, so that later ones can be counted.
+    const COUNT_MAX: u64 = u64::MAX / 2;
+
+    /// Returns whether both counts can have been reached.
+    pub fn is_plausible(&self) -> bool {
+        self.epoch.0.max(self.renewals) <= Self::COUNT_MAX
+    }
+
+    /// Returns the record that stands for a stored one of `revision` that cannot be decoded. Like that
+    /// of a holder that ended, it can be taken over once it has stayed unchanged.
+    ///
+    /// Each change of the holder is a write, so no holder had an epoch above the revision.
+    pub fn unreadable(node: NodeId, revision: u64) -> Self {
+        Self {
+            holder: node,
+            incarnation: Incarnation::default(),
+            address: None,
+            epoch: Epoch(revision),
+            renewals: revision,
+            released: false,
+            handovers: Vec::new(),
+            layouts: vec![ZoneLayout::empty()],
+        }
+    }
+}
+
 plain_value! {
     /// Whether a node can write to the platform.
     #[serde(rename_all = "kebab-case")]
--- a/lib/src/process/relay/rates.rs
+++ b/lib/src/process/relay/rates.rs
@@ -39,6 +39,7 @@
 use crate::process::rates::ZoneLayout;
 use crate::values::Clock;
 use crate::values::Incarnation;
+use crate::values::NodeId;
 use crate::values::TokenCount;
 use crate::values::ZoneId;
 use crate::version::Organisation;
@@ -216,7 +217,9 @@
             };
             transport.record_call(&read);
             let found = read.map_err(|_| RecordCallError::NotRun)?;
-            found.content.as_ref().map(decode_record).transpose()
+            let own_id = transport.node.upgrade().ok_or(RecordCallError::NotRun)?;
+            let own_id = &own_id.settings.raw.node;
+            Ok(found.content.map(|item| decode_record(&item, own_id)))
         }
         .boxed()
     }
@@ -249,14 +252,19 @@
     }
 }
 
-fn decode_record(item: &StoreItem) -> Result<StoredHolderRecord, RecordCallError> {
-    let decoded = serde_json::from_slice(&item.value);
-    let record = decoded.map_err(|error| {
-        events::STORED_UNREADABLE.log(format_args!("key={} reason=\"{error}\"", item.key));
-        RecordCallError::NotRun
-    })?;
-    Ok(StoredHolderRecord {
-        record,
-        revision: item.revision.0,
-    })
+/// Decodes a record. In place of one that another writer corrupted, returns one of an ended process
+/// of this node.
+fn decode_record(item: &StoreItem, own_id: &NodeId) -> StoredHolderRecord {
+    let revision = item.revision.0;
+    let decoded = serde_json::from_slice::<HolderRecord>(&item.value);
+    let reason = match decoded {
+        Ok(record) if record.is_plausible() => return StoredHolderRecord { record, revision },
+        Ok(record) => format!("epoch {} or renewals out of range", record.epoch),
+        Err(error) => error.to_string(),
+    };
+    events::STORED_UNREADABLE.log(format_args!("key={} reason=\"{reason}\"", item.key));
+    StoredHolderRecord {
+        record: HolderRecord::unreadable(own_id.clone(), revision),
+        revision,
+    }
 }
--- a/lib/tests/test_relay_rates.rs
+++ b/lib/tests/test_relay_rates.rs
@@ -13,6 +13,7 @@
 use balsamfold::version::Repeatability;
 use balsamfold::version::TrafficPlan;
 use balsamfold::version::WeightedService;
+use bytes::Bytes;
 use http::StatusCode;
 use http::header;
 use testutils::relay::RelayFleet;
@@ -82,6 +83,42 @@
     }
 }
 
+// Guards against a holder record of another writer for which requests with keys are refused for good.
+#[tokio::test]
+async fn corrupted_record_of_the_holder_is_replaced() {
+    let fleet = RelayFleet::start(&plan(1, Some(1_000), 100), &["front", "stock"]).await;
+    let key = "rates/zone-a";
+    let stored = fleet.store.value(key).expect("a holder");
+    let stored: serde_json::Value = serde_json::from_slice(&stored).expect("a record");
+    let with = |field: &str, value: serde_json::Value| {
+        let mut record = stored.clone();
+        record[field] = value;
+        record.to_string()
+    };
+    let corrupted = [
+        "{".to_owned(),
+        with("epoch", u64::MAX.into()),
+        with("address", "127.0.0.1:70000".into()),
+    ];
+    for (number, value) in corrupted.into_iter().enumerate() {
+        fleet.store.write(key, Bytes::from(value.clone()));
+        let is_replaced = |fleet: &RelayFleet| {
+            let stored = fleet.store.value(key).expect("a record");
+            stored != value
+                && fleet
+                    .relays
+                    .iter()
+                    .any(|relay| relay.daemon.node().holds_rates())
+        };
+        fleet.wait_until(is_replaced).await;
+        for index in 0..2 {
+            let id = format!("request-{number}-{index}");
+            let status = call_until_admitted(&fleet, index, &id).await;
+            assert_eq!(status, StatusCode::OK, "{number}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn organisation_without_a_limit_needs_no_tokens() {
     let fleet = RelayFleet::start(&plan(1, None, 0), &["front", "stock"]).await;
