tests: withdrawn keys beside a store that goes back and relays that restart

A seeded soak: in each step a key is withdrawn everywhere, the store goes away and comes back from the copy from before at random moments, and one or two of four relays restart; no relay may run a request with the withdrawn key. The seeds of SOAK_SEEDS and the sample plan with keys are shared with the other tests.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -51,6 +51,7 @@
 mod test_relay_attempt_limits;
 mod test_relay_confirmation;
 mod test_relay_crash_storm;
+mod test_relay_era_soak;
 mod test_relay_failing_servers;
 mod test_relay_fleet;
 mod test_relay_fleet_view;
--- a/lib/tests/test_relay_suspects_soak.rs
+++ b/lib/tests/test_relay_suspects_soak.rs
@@ -24,6 +24,7 @@
 use testutils::relay::RelayFleet;
 use testutils::relay::relay_protocol;
 use testutils::relay::sample_open_plan;
+use testutils::relay::soak_seeds;
 
 const SERVERS: usize = 5;
 const STEPS: usize = 30;
@@ -119,20 +120,10 @@
     }
 }
 
-/// Returns the seeds of `SOAK_SEEDS`, a count or a range such as `3..5`.
-fn seeds() -> Range<u64> {
-    let Ok(given) = std::env::var("SOAK_SEEDS") else {
-        return SEEDS;
-    };
-    let (first, end) = given.split_once("..").unwrap_or(("0", &given));
-    let number = |text: &str| text.parse::<u64>().expect("a number of seeds");
-    number(first)..number(end)
-}
-
 // Guards against a crashing request that is forgotten in a restart or an outage and sent to servers again (BUDGET).
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn crashing_request_crashes_at_most_two_servers_beside_other_faults() {
-    for seed in seeds() {
+    for seed in soak_seeds(SEEDS) {
         let mut soak = Soak::start(seed).await;
         for _ in 0..STEPS {
             soak.step().await;
@@ -166,7 +157,7 @@
 // Guards against responses from before its crashes that clear a request, beside restarts and outages (BUDGET).
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn request_answered_before_crashes_at_most_two_servers_beside_other_faults() {
-    for seed in seeds() {
+    for seed in soak_seeds(SEEDS) {
         let mut soak = Soak::start(seed).await;
         let answered = answer_before_crashes(&mut soak).await;
         for _ in 0..STEPS {
@@ -218,7 +209,7 @@
 // Guards against popular requests that are refused because other requests crash servers beside them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn popular_requests_are_served_beside_requests_that_crash_servers() {
-    for seed in seeds() {
+    for seed in soak_seeds(SEEDS) {
         let mut soak = Soak::start(seed).await;
         let stop = Arc::new(AtomicBool::new(false));
         let relays = soak.fleet.relays.iter().enumerate();
--- a/lib/tests/test_relay_views.rs
+++ b/lib/tests/test_relay_views.rs
@@ -6,13 +6,11 @@
 use balsamfold::process::relay::RelayNode;
 use balsamfold::values::ConfigVersion;
 use balsamfold::values::NodeId;
-use balsamfold::version::Repeatability;
 use http::StatusCode;
 use testutils::relay::RelayFleet;
 use testutils::relay::StoredPlan;
-use testutils::relay::organisation_limits;
+use testutils::relay::sample_keyed_plan;
 use testutils::relay::sample_open_plan;
-use testutils::relay::sample_route;
 
 const SERVERS: usize = 5;
 /// Seconds in which another node certainly holds the rates of a zone.
@@ -25,17 +23,6 @@
     }
 }
 
-/// Returns a configuration with these keys.
-fn keyed(version: u64, keys: &[&str]) -> StoredPlan {
-    let route = sample_route("stock", "stock", Repeatability::Idempotent);
-    let keys = keys.iter().map(|key| (*key).to_owned());
-    StoredPlan {
-        version,
-        routes: vec![("shop".to_owned(), "/stock/".to_owned(), route)],
-        organisations: vec![(organisation_limits(10_000, 10_000), keys.collect())],
-    }
-}
-
 async fn settled_fleet() -> RelayFleet {
     let fleet = RelayFleet::start(&plan(1), &["stock"; SERVERS]).await;
     wait_for_one_watch(&fleet).await;
@@ -158,8 +145,8 @@
 // Guards against a withdrawn key that a restarted relay accepts while it cannot read the store.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn withdrawn_key_is_refused_after_a_restart_during_an_outage() {
-    let mut fleet = RelayFleet::start(&keyed(1, &["k1", "k2"]), &["stock"; 3]).await;
-    fleet.publish(&keyed(2, &["k2"]));
+    let mut fleet = RelayFleet::start(&sample_keyed_plan(1, &["k1", "k2"]), &["stock"; 3]).await;
+    fleet.publish(&sample_keyed_plan(2, &["k2"]));
     wait_for_version(&fleet, 2).await;
     fleet.store.set_down(true);
     fleet.restart(1).await;
@@ -177,10 +164,10 @@
 // before the withdrawal, which other relays know.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn withdrawn_key_is_refused_after_a_restart_when_the_store_went_back() {
-    let mut fleet = RelayFleet::start(&keyed(1, &["k1", "k2"]), &["stock"; 4]).await;
+    let mut fleet = RelayFleet::start(&sample_keyed_plan(1, &["k1", "k2"]), &["stock"; 4]).await;
     wait_for_one_watch(&fleet).await;
     let copy = fleet.store.copy();
-    fleet.publish(&keyed(2, &["k2"]));
+    fleet.publish(&sample_keyed_plan(2, &["k2"]));
     wait_for_version(&fleet, 2).await;
     fleet.store.go_back_to(&copy);
     // All relays know the store's new era then.
--- a/testutils/src/relay/samples.rs
+++ b/testutils/src/relay/samples.rs
@@ -1,5 +1,7 @@
 //! Sample values for tests of relays.
 
+use std::ops::Range;
+
 use balsamfold::process::membership::NodeAddresses;
 use balsamfold::process::membership::NodeCondition;
 use balsamfold::process::membership::NodeRecord;
@@ -76,6 +78,18 @@
     }
 }
 
+/// Returns a configuration with a route at `/stock/` to the service `stock`, for an organisation with
+/// these keys.
+pub fn sample_keyed_plan(version: u64, keys: &[&str]) -> StoredPlan {
+    let route = sample_route("stock", "stock", Repeatability::Idempotent);
+    let keys = keys.iter().map(|key| (*key).to_owned());
+    StoredPlan {
+        version,
+        routes: vec![("shop".to_owned(), "/stock/".to_owned(), route)],
+        organisations: vec![(organisation_limits(10_000, 10_000), keys.collect())],
+    }
+}
+
 /// Returns a route with three attempts to one service.
 pub fn sample_route(name: &str, service: &str, repeatability: Repeatability) -> PlannedRoute {
     PlannedRoute {
@@ -109,3 +123,13 @@
         server: None,
     }
 }
+
+/// Returns the seeds of `SOAK_SEEDS`, a count or a range such as `3..5`, or else `default`.
+pub fn soak_seeds(default: Range<u64>) -> Range<u64> {
+    let Ok(given) = std::env::var("SOAK_SEEDS") else {
+        return default;
+    };
+    let (first, end) = given.split_once("..").unwrap_or(("0", &given));
+    let number = |text: &str| text.parse::<u64>().expect("a number of seeds");
+    number(first)..number(end)
+}
