connection: tests of connections that the kernel no longer acknowledges

A socket filter drops what arrives for the other end's socket, so that nothing is acknowledged; it needs no rights.

--- a/lib/tests/test_silent_servers.rs
+++ b/lib/tests/test_silent_servers.rs
@@ -1,7 +1,8 @@
-//! Servers that are only slow, and must not be taken for silent ones.
+//! Servers whose connections go silent without a reset, and servers that are only slow.
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use balsamfold::connection::BufferedRequest;
 use balsamfold::connection::BufferedResponse;
@@ -9,9 +10,11 @@
 use balsamfold::connection::ExchangeError;
 use balsamfold::connection::PoolLimits;
 use bytes::Bytes;
+use futures::future::join_all;
 use http::HeaderMap;
 use http::Method;
 use http::StatusCode;
+use testutils::relay::deafen;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -22,6 +25,8 @@
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
 /// Longer than any of these exchanges may take.
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// The time in which a silent connection must be given up.
+const GIVEN_UP_WITHIN: Duration = Duration::from_secs(2);
 /// Longer than a silent connection is kept.
 const SLOW: Duration = Duration::from_secs(3);
 
@@ -74,6 +79,88 @@
     }
 }
 
+/// Answers requests on each of the next connections.
+fn answer_on_new_connections(mut streams: UnboundedReceiver<TcpStream>) {
+    tokio::spawn(async move {
+        while let Some(mut stream) = streams.recv().await {
+            tokio::spawn(async move {
+                let mut buffer = [0; 4_096];
+                while stream.read(&mut buffer).await.is_ok_and(|read| read > 0) {
+                    stream.write_all(RESPONSE).await.expect("the pool reads");
+                }
+            });
+        }
+    });
+}
+
+/// Makes exchanges at the same time, and returns the connections that are kept after them.
+async fn keep_connections(
+    pool: &ConnectionPool,
+    streams: &mut UnboundedReceiver<TcpStream>,
+    count: usize,
+) -> Vec<TcpStream> {
+    let calls = join_all((0..count).map(|_| call(pool)));
+    let serving = async {
+        let mut accepted = Vec::new();
+        for _ in 0..count {
+            accepted.push(streams.recv().await.expect("a connection"));
+        }
+        for stream in &mut accepted {
+            read(stream, 1).await;
+            stream.write_all(RESPONSE).await.expect("the pool reads");
+        }
+        accepted
+    };
+    let (responses, accepted) = tokio::join!(calls, serving);
+    assert!(responses.iter().all(Result::is_ok), "{responses:?}");
+    accepted
+}
+
+// Guards against requests that wait for their own time limits on one silent connection after the other.
+#[tokio::test]
+async fn silent_connection_is_given_up_and_the_other_kept_ones_with_it() {
+    let (pool, mut streams) = server().await;
+    let kept = keep_connections(&pool, &mut streams, 4).await;
+    kept.iter().for_each(deafen);
+    answer_on_new_connections(streams);
+    let started = Instant::now();
+    let first = call(&pool).await;
+    assert!(matches!(first, Err(ExchangeError::Silent)), "{first:?}");
+    let second = call(&pool).await;
+    assert!(second.is_ok(), "{second:?}");
+    assert!(
+        started.elapsed() < GIVEN_UP_WITHIN,
+        "{:?}",
+        started.elapsed()
+    );
+}
+
+// Guards against a request that the server acknowledged, and whose connection went silent then.
+#[tokio::test]
+async fn connection_that_goes_silent_during_a_run_is_given_up() {
+    let (pool, mut streams) = server().await;
+    let run = async {
+        let mut stream = streams.recv().await.expect("a connection");
+        read(&mut stream, 1).await;
+        // The acknowledgement may be delayed.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        deafen(&stream);
+        stream
+    };
+    let started = Instant::now();
+    let (response, _stream) = tokio::join!(call(&pool), run);
+    assert!(
+        matches!(response, Err(ExchangeError::Silent)),
+        "{response:?}"
+    );
+    // One probe after a second, which has another second.
+    assert!(
+        started.elapsed() < GIVEN_UP_WITHIN + Duration::from_millis(500),
+        "{:?}",
+        started.elapsed()
+    );
+}
+
 // Guards against a slow server that is taken for a silent connection.
 #[tokio::test]
 async fn slow_server_keeps_its_connection() {
--- a/testutils/src/relay/mod.rs
+++ b/testutils/src/relay/mod.rs
@@ -1,5 +1,6 @@
 //! Relays in one process, with stand-ins for their store and backend servers.
 
+mod deaf_socket;
 mod fleet;
 mod peer;
 mod samples;
@@ -8,6 +9,7 @@
 mod store;
 mod suspects;
 
+pub use self::deaf_socket::deafen;
 pub use self::fleet::CONFIGURATION_KEY;
 pub use self::fleet::PANIC_BYTES;
 pub use self::fleet::RelayFleet;
