--- a/lib/tests/test_cut_responses.rs
+++ b/lib/tests/test_cut_responses.rs
@@ -7,6 +7,7 @@
 
 use futures::StreamExt;
 use futures::stream;
+use http::StatusCode;
 use parking_lot::Mutex;
 use testutils::relay::RelayFleet;
 use testutils::relay::sample_open_plan;
@@ -262,6 +263,9 @@
 
 async fn play(framings: &[Framing]) {
     let fleet = RelayFleet::start(&sample_open_plan(), &["stock", "front"]).await;
+    // Until its first response the server gets few requests.
+    let response = fleet.call(0, "whole", "/stock/whole", None).await;
+    assert_eq!(response.status, StatusCode::OK, "{response:?}");
     let server = &fleet.relays[0].server;
     server.crash();
     let cases = Arc::new(cases(framings));
