--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -1,7 +1,6 @@
 //! Reads whole bodies, limited in size and time.
 
 use std::pin::Pin;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +9,10 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use snafu::Snafu;
-use tokio::sync::Semaphore;
+
+use super::BodyKind;
+use super::MemoryBudget;
+use super::MemoryCharge;
 
 /// The reason why a body could not be read completely.
 #[derive(Debug, Snafu)]
@@ -27,25 +29,14 @@
         /// Maximum time allowed.
         timeout_ms: u64,
     },
+    /// The bodies that are held leave no room for this one.
+    #[snafu(display("bodies hold too much memory"))]
+    NoMemory,
     /// The body ended early or was malformed.
     #[snafu(display("body is incomplete or malformed"))]
     Malformed,
 }
 
-/// Bounds the bytes of all bodies that are read at the same time. Clones share one budget.
-#[derive(Clone, Debug)]
-pub struct BodyBudget(Arc<Semaphore>);
-
-impl BodyBudget {
-    /// Bytes of each body that do not count, so that small bodies arrive beside a large one.
-    pub const UNCOUNTED_BYTES: usize = 64 * 1_024;
-
-    /// Creates a budget of `bytes`.
-    pub fn new(bytes: usize) -> Self {
-        Self(Arc::new(Semaphore::new(bytes.min(Semaphore::MAX_PERMITS))))
-    }
-}
-
 /// Reads a body of at most `limit_bytes` within `timeout`.
 pub async fn read_body<B>(
     body: B,
@@ -56,25 +47,34 @@
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    read_budgeted_body(body, limit_bytes, timeout, &BodyBudget::new(limit_bytes)).await
+    let charge = MemoryBudget::new(limit_bytes).start(BodyKind::Request);
+    read_budgeted_body(body, limit_bytes, timeout, charge).await
 }
 
-/// Reads a body of at most `limit_bytes` within `timeout`.
+/// Reads a body of at most `limit_bytes` within `timeout`. The body counts as `charge` until its last
+/// copy is dropped.
 ///
-/// Fails with [`BodyError::TooLarge`] also if the bodies that are read at the same time exceed
-/// `budget`.
+/// A body that names its length is refused before it is read if it is too long, or if there is no
+/// room for it.
 pub async fn read_budgeted_body<B>(
     body: B,
     limit_bytes: usize,
     timeout: Duration,
-    budget: &BodyBudget,
+    mut charge: MemoryCharge,
 ) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    let declared_bytes = body.size_hint().exact();
+    let declared_bytes = declared_bytes.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+    match declared_bytes {
+        Some(bytes) if bytes > limit_bytes => return TooLargeSnafu { limit_bytes }.fail(),
+        Some(bytes) if !charge.grow(bytes) => return NoMemorySnafu.fail(),
+        Some(_) | None => {}
+    }
     let limited = std::pin::pin!(Limited::new(body, limit_bytes));
-    let reading = collect_within(limited, limit_bytes, budget);
+    let reading = collect_within(limited, limit_bytes, declared_bytes, charge);
     match tokio::time::timeout(timeout, reading).await {
         Ok(result) => result,
         Err(_) => {
@@ -87,15 +87,16 @@
 async fn collect_within<B>(
     mut body: Pin<&mut Limited<B>>,
     limit_bytes: usize,
-    budget: &BodyBudget,
+    declared_bytes: Option<usize>,
+    mut charge: MemoryCharge,
 ) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let mut parts: Vec<Bytes> = Vec::new();
-    let mut read_bytes = 0;
-    let mut counted = budget.0.try_acquire_many(0).ok();
+    let mut first = Bytes::new();
+    // Parts are joined as they arrive: each of them may keep a read buffer allocated.
+    let mut joined = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
             true => TooLargeSnafu { limit_bytes }.build(),
@@ -105,18 +106,22 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        read_bytes += data.len();
-        if read_bytes > BodyBudget::UNCOUNTED_BYTES {
-            let more = budget.0.try_acquire_many(data.len() as u32).ok();
-            match (&mut counted, more) {
-                (Some(counted), Some(more)) => counted.merge(more),
-                _ => return TooLargeSnafu { limit_bytes }.fail(),
+        if declared_bytes.is_none() && !charge.grow(data.len()) {
+            return NoMemorySnafu.fail();
+        }
+        match joined.is_empty() {
+            true if first.is_empty() => first = data,
+            true => {
+                let parts_bytes = first.len() + data.len();
+                joined.reserve_exact(declared_bytes.unwrap_or_default().max(parts_bytes));
+                joined.extend_from_slice(&std::mem::take(&mut first));
+                joined.extend_from_slice(&data);
             }
+            false => joined.extend_from_slice(&data),
         }
-        parts.push(data);
     }
-    Ok(match parts.len() {
-        1 => parts.swap_remove(0),
-        _ => parts.concat().into(),
+    Ok(match joined.is_empty() {
+        true => charge.attach(first),
+        false => charge.attach(joined),
     })
 }
--- a/lib/src/connection/exchange.rs
+++ b/lib/src/connection/exchange.rs
@@ -6,9 +6,11 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
+use http::Request;
 use http::StatusCode;
 use http::Uri;
 use http::uri::PathAndQuery;
+use http_body_util::Full;
 use snafu::Snafu;
 
 use crate::request::ExchangeProgress;
@@ -117,3 +119,12 @@
         verdict_of(progress, failure)
     }
 }
+
+/// Returns a request in the form of the HTTP library.
+pub(super) fn http_request(request: BufferedRequest) -> Request<Full<Bytes>> {
+    let mut http_request = Request::new(Full::new(request.body));
+    *http_request.method_mut() = request.method;
+    *http_request.uri_mut() = request.uri;
+    *http_request.headers_mut() = request.headers;
+    http_request
+}
--- a/lib/src/connection/pool.rs
+++ b/lib/src/connection/pool.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
-use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::header;
@@ -25,12 +24,14 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use super::BodyBudget;
+use super::BodyKind;
 use super::BufferedRequest;
 use super::BufferedResponse;
 use super::ExchangeError;
+use super::MemoryBudget;
 use super::allow_closed_window;
 use super::enable_liveness_probes;
+use super::exchange::http_request;
 use super::head_limit::HeadLimit;
 use super::head_limit::HeadLimited;
 use super::liveness::Liveness;
@@ -102,8 +103,8 @@
     address: SocketAddr,
     limits: PoolLimits,
     permits: Arc<Semaphore>,
-    /// The bodies of all responses together may hold as many bytes as the largest one.
-    body_budget: BodyBudget,
+    /// Bounds the bodies of all responses together.
+    budget: MemoryBudget,
     kept: Arc<KeptConnections>,
 }
 
@@ -236,13 +237,23 @@
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool for `address`.
+    /// Creates an empty pool for `address`. The bodies of all responses together may hold as many bytes
+    /// as the largest one.
     pub fn new(address: SocketAddr, limits: PoolLimits) -> Self {
+        Self::with_budget(
+            address,
+            limits,
+            MemoryBudget::new(limits.response_bytes_max),
+        )
+    }
+
+    /// Creates an empty pool whose responses share `budget` with other bodies.
+    pub fn with_budget(address: SocketAddr, limits: PoolLimits, budget: MemoryBudget) -> Self {
         Self {
             address,
             limits,
             permits: Arc::new(Semaphore::new(limits.connections_max as usize)),
-            body_budget: BodyBudget::new(limits.response_bytes_max),
+            budget,
             kept: Arc::new(KeptConnections::new(address)),
         }
     }
@@ -392,7 +403,8 @@
         let (mut parts, body) = response.into_parts();
         let timeout = deadline.saturating_duration_since(Instant::now());
         let limit_bytes = self.limits.response_bytes_max;
-        let reading = read_budgeted_body(body, limit_bytes, timeout, &self.body_budget);
+        let charge = self.budget.start(BodyKind::Response);
+        let reading = read_budgeted_body(body, limit_bytes, timeout, charge);
         let body = match reading.await {
             Ok(body) => body,
             Err(super::BodyError::TimedOut { .. }) => return Err(ExchangeError::TimedOut),
@@ -505,11 +517,3 @@
         kept.report_silent(&liveness);
     }
 }
-
-fn http_request(request: BufferedRequest) -> Request<Full<Bytes>> {
-    let mut http_request = Request::new(Full::new(request.body));
-    *http_request.method_mut() = request.method;
-    *http_request.uri_mut() = request.uri;
-    *http_request.headers_mut() = request.headers;
-    http_request
-}
--- a/lib/src/process/node/ingress.rs
+++ b/lib/src/process/node/ingress.rs
@@ -115,6 +115,7 @@
         .await
         .map_err(|error| match error {
             BodyError::TooLarge { .. } => Refusal::not_run(RefusalReason::BodyTooLarge),
+            BodyError::NoMemory => Refusal::not_run(RefusalReason::Overloaded),
             BodyError::TimedOut { .. } | BodyError::Malformed => {
                 Refusal::not_run(RefusalReason::BadRequest)
             }
--- a/lib/src/process/relay/admission.rs
+++ b/lib/src/process/relay/admission.rs
@@ -5,7 +5,7 @@
 
 use http::HeaderMap;
 use http::header;
-use volo_http::request::Request;
+use http::request::Parts;
 
 use super::node::RelayNode;
 use super::views::refresh;
@@ -33,7 +33,7 @@
 ///
 /// Unless the configuration was confirmed recently, the store is read before a key or route is
 /// refused as missing or unknown.
-pub(super) async fn admit(node: &Arc<RelayNode>, request: &Request) -> Result<Admitted, Refusal> {
+pub(super) async fn admit(node: &Arc<RelayNode>, request: &Parts) -> Result<Admitted, Refusal> {
     match try_admit(node, request) {
         Err(refusal) if is_denial(refusal.reason) && !is_fresh(node) => {
             if !refresh_configuration(node).await {
@@ -67,16 +67,16 @@
     )
 }
 
-fn try_admit(node: &Arc<RelayNode>, request: &Request) -> Result<Admitted, Refusal> {
+fn try_admit(node: &Arc<RelayNode>, request: &Parts) -> Result<Admitted, Refusal> {
     let plan = node
         .plan()
         .ok_or_else(|| Refusal::not_run(RefusalReason::NotReady))?;
     let route = plan
-        .route_of(host_of(request), request.uri().path())
+        .route_of(host_of(request), request.uri.path())
         .ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute))?;
     let organisation = match route.is_open || !plan.needs_keys() {
         true => None,
-        false => Some(organisation_of(node, &plan, request.headers())?),
+        false => Some(organisation_of(node, &plan, &request.headers)?),
     };
     Ok(Admitted {
         route: Arc::clone(route),
@@ -106,7 +106,7 @@
     is_known.then(|| CallerKey::new(key.trim()))
 }
 
-fn host_of(request: &Request) -> &str {
-    let host = request.headers().get(header::HOST);
+fn host_of(request: &Parts) -> &str {
+    let host = request.headers.get(header::HOST);
     host.and_then(|host| host.to_str().ok()).unwrap_or_default()
 }
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -28,6 +28,7 @@
 use crate::connection::BufferedResponse;
 use crate::connection::ConnectionPool;
 use crate::connection::ExchangeError;
+use crate::connection::MemoryBudget;
 use crate::connection::PoolLimits;
 use crate::connection::ResponseMatch;
 use crate::process::events::relay as events;
@@ -84,7 +85,12 @@
 
 impl Backend {
     /// Creates the state of a server from the first report of its incarnation.
-    pub(super) fn new(report: &ServerReport, incarnation: Incarnation, clock: Clock) -> Self {
+    pub(super) fn new(
+        report: &ServerReport,
+        incarnation: Incarnation,
+        clock: Clock,
+        memory: &MemoryBudget,
+    ) -> Self {
         let used_slots = (f64::from(report.slots.0) * USED_SLOTS_RATIO)
             .floor()
             .max(1.0) as u32;
@@ -95,7 +101,7 @@
             incarnation,
             slots: report.slots,
             gate: Gate::with_state(state, clock),
-            pool: ConnectionPool::new(
+            pool: ConnectionPool::with_budget(
                 report.address,
                 PoolLimits {
                     connections_max: report.slots.0.saturating_add(SPARE_CONNECTIONS),
@@ -103,6 +109,7 @@
                     idle_timeout_ms: IDLE_TIMEOUT_MS,
                     response_bytes_max: RESPONSE_BYTES_MAX,
                 },
+                memory.clone(),
             ),
             is_draining: AtomicBool::new(report.is_draining),
             failed_connections: AtomicU32::new(0),
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -4,9 +4,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
 use http::header;
+use http::request::Parts;
+use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
@@ -18,13 +21,16 @@
 use super::forward::Outbound;
 use super::forward::forward;
 use super::frame::RequestMetadata;
+use super::link::SENT_BODY_BYTES_MAX;
 use super::node::RelayNode;
 use super::runs::RunningRequest;
 use super::stop_limit::refusal_at_limit;
+use super::unread_body::respond_before_body;
 use crate::connection::BodyError;
+use crate::connection::BodyKind;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
-use crate::connection::read_body;
+use crate::connection::read_budgeted_body;
 use crate::connection::strip_connection_headers;
 use crate::process::events::relay as events;
 use crate::request::OnwardWait;
@@ -38,6 +44,7 @@
 use crate::version::OrganisationLimits;
 use crate::version::PlannedRoute;
 use crate::version::TrafficPlan;
+use crate::version::WeightedService;
 
 /// Fraction of a request's time for which it may wait for a token. The rest is needed to run it, or to
 /// try again after a refusal.
@@ -46,17 +53,29 @@
 /// Handles a request of a caller. A refusal becomes a response with its code and status.
 pub(super) async fn handle_caller(node: &Arc<RelayNode>, request: Request) -> Response {
     let arrived_at = node.clock.now();
+    let (request, body) = request.into_parts();
+    let mut unread_body = Some(body);
     let request_id = request
-        .headers()
+        .headers
         .get(&node.protocol.headers.request_id)
         .and_then(|id| id.to_str().ok())
         .unwrap_or_default()
         .to_owned();
     let guard = InFlightGuard::start(node, &request_id, arrived_at);
-    let caller_remaining = remaining_from_headers(node, request.headers());
+    let caller_remaining = remaining_from_headers(node, &request.headers);
+    let expects_continue = request.headers.contains_key(header::EXPECT);
     let outcome = match node.stop_limit.refuses_new() {
         true => Err(refusal_at_limit(false)),
-        false => admit_and_forward(node, request, &request_id, arrived_at, caller_remaining).await,
+        false => {
+            let caller_request = CallerRequest {
+                parts: request,
+                body: &mut unread_body,
+                id: &request_id,
+                arrived_at,
+                remaining: caller_remaining,
+            };
+            admit_and_forward(node, caller_request).await
+        }
     };
     guard.finish(&outcome);
     let response = match outcome {
@@ -66,24 +85,31 @@
             refusal_response(node, &refusal, &request_id, remaining)
         }
     };
-    with_connection_headers(node, response)
+    let response = with_connection_headers(node, response);
+    match unread_body {
+        // The caller sends no body then.
+        Some(body) if !expects_continue => respond_before_body(response, body),
+        Some(_) | None => response,
+    }
+}
+
+/// A request of a caller whose body has not been read.
+struct CallerRequest<'a> {
+    parts: Parts,
+    /// `None` once the body was read completely.
+    body: &'a mut Option<Body>,
+    id: &'a str,
+    arrived_at: MonotonicTime,
+    /// How long the caller waits.
+    remaining: Duration,
 }
 
 async fn admit_and_forward(
     node: &Arc<RelayNode>,
-    request: Request,
-    request_id: &str,
-    arrived_at: MonotonicTime,
-    caller_remaining: Duration,
+    request: CallerRequest<'_>,
 ) -> Result<BufferedResponse, Refusal> {
     // Boxed, so that a request in flight does not keep the memory of the preparation.
-    let mut preparing = Box::pin(prepare(
-        node,
-        request,
-        request_id,
-        arrived_at,
-        caller_remaining,
-    ));
+    let mut preparing = Box::pin(prepare(node, request));
     let prepared = node.stop_limit.bound(preparing.as_mut()).await;
     drop(preparing);
     let (outbound, taken) = prepared.unwrap_or_else(|| Err(refusal_at_limit(false)))?;
@@ -110,25 +136,17 @@
 /// Admits a request, reads its whole body, takes a token for it and chooses its service.
 async fn prepare(
     node: &Arc<RelayNode>,
-    request: Request,
-    request_id: &str,
-    arrived_at: MonotonicTime,
-    caller_remaining: Duration,
+    request: CallerRequest<'_>,
 ) -> Result<(Outbound, TakenToken), Refusal> {
     let Admitted {
         plan,
         route,
         organisation,
-    } = admit(node, &request).await?;
-    let limit = Duration::from_millis(route.timeout_ms).min(caller_remaining);
-    let parent = node.runs.parent_of(request_id);
-    let metadata = metadata_of(
-        node,
-        &route,
-        organisation.as_deref(),
-        parent.as_deref(),
-        request_id,
-    );
+    } = admit(node, &request.parts).await?;
+    let CallerRequest { id, arrived_at, .. } = request;
+    let limit = Duration::from_millis(route.timeout_ms).min(request.remaining);
+    let parent = node.runs.parent_of(id);
+    let metadata = metadata_of(node, &route, organisation.as_deref(), parent.as_deref(), id);
     if parent.is_none() {
         node.check_ingress(&metadata)?;
     }
@@ -137,11 +155,11 @@
         Some(parent) => own_deadline.min(parent.deadline),
         None => own_deadline,
     };
-    let request = buffered_request(node, &plan, request, limit).await?;
+    let request = buffered_request(node, &plan, &route, request, limit).await?;
     let taken = match &organisation {
         Some(limits) if limits.rate_per_s.is_some() => {
             let wait_max = limit.mul_f64(TOKEN_WAIT_FRACTION);
-            take_token(node, &limits.id, request_id, wait_max).await?
+            take_token(node, &limits.id, id, wait_max).await?
         }
         Some(_) | None => TakenToken(None),
     };
@@ -222,20 +240,33 @@
 }
 
 /// Reads the whole body of a request, and removes the headers that are not forwarded.
+///
+/// A body for which there is no room, or which no server could get, is refused before it is read.
 async fn buffered_request(
     node: &RelayNode,
     plan: &TrafficPlan,
-    request: Request,
+    route: &PlannedRoute,
+    request: CallerRequest<'_>,
     limit: Duration,
 ) -> Result<BufferedRequest, Refusal> {
-    let (mut parts, body) = request.into_parts();
-    let body = read_body(body, plan.limits.body_bytes_max, limit)
-        .await
-        .map_err(|error| match error {
-            BodyError::TooLarge { .. } => Refusal::not_run(RefusalReason::BodyTooLarge),
-            BodyError::TimedOut { .. } => Refusal::not_run(RefusalReason::Overloaded),
-            BodyError::Malformed => Refusal::not_run(RefusalReason::BadRequest),
-        })?;
+    let mut parts = request.parts;
+    let body = match request.body {
+        Some(body) => {
+            let limit_bytes = body_bytes_max(node, plan, route);
+            let charge = node.memory.start(BodyKind::Request);
+            read_budgeted_body(body, limit_bytes, limit, charge)
+                .await
+                .map_err(|error| match error {
+                    BodyError::TooLarge { .. } => Refusal::not_run(RefusalReason::BodyTooLarge),
+                    BodyError::TimedOut { .. } | BodyError::NoMemory => {
+                        Refusal::not_run(RefusalReason::Overloaded)
+                    }
+                    BodyError::Malformed => Refusal::not_run(RefusalReason::BadRequest),
+                })?
+        }
+        None => Bytes::new(),
+    };
+    *request.body = None;
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::AUTHORIZATION);
     for name in system_headers(node) {
@@ -254,6 +285,17 @@
     Ok(request.into_compact())
 }
 
+/// Returns the size of the largest body that can reach a server of the route.
+fn body_bytes_max(node: &RelayNode, plan: &TrafficPlan, route: &PlannedRoute) -> usize {
+    let own_service = &node.settings.raw.service;
+    let may_run_here = |target: &WeightedService| target.service == *own_service;
+    let sent_bytes_max = match route.targets.iter().any(may_run_here) {
+        true => node.memory.request_bytes_max(),
+        false => SENT_BODY_BYTES_MAX.min(node.memory.request_bytes_max()),
+    };
+    plan.limits.body_bytes_max.min(sent_bytes_max)
+}
+
 /// Returns the headers that only the node of the backend server sets.
 fn system_headers(node: &RelayNode) -> [&HeaderName; 4] {
     let names = &node.protocol.headers;
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::StatusCode;
 
 use super::attempt_limits::FAILING_NODES_MAX;
@@ -13,12 +12,13 @@
 use super::attempt_limits::refusing_nodes_max;
 use super::backend::RunOutcome;
 use super::backend::run_request;
+use super::frame::EncodedFrame;
 use super::frame::ExchangeId;
 use super::frame::Head;
 use super::frame::LoadNotice;
 use super::frame::RequestHead;
 use super::frame::RequestMetadata;
-use super::frame::encode_frame;
+use super::frame::encode_shared;
 use super::frame::header_list;
 use super::link::LinkFailure;
 use super::link::Patience;
@@ -545,7 +545,7 @@
     exchange: ExchangeId,
     request: &BufferedRequest,
     metadata: &RequestMetadata,
-) -> Result<Bytes, LinkFailure> {
+) -> Result<EncodedFrame, LinkFailure> {
     let uri = request.uri.to_string();
     let head = Head::Request(RequestHead {
         exchange,
@@ -554,5 +554,5 @@
         headers: header_list(&request.headers),
         metadata: metadata.clone(),
     });
-    encode_frame(&head, &request.body).map_err(|_| LinkFailure::NotSent)
+    encode_shared(&head, &request.body).map_err(|_| LinkFailure::NotSent)
 }
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -18,6 +18,7 @@
 use super::frame_io::READ_BYTES;
 use super::views::ViewPositions;
 use super::views::ViewUpdate;
+use crate::connection::MemoryBudget;
 use crate::process::gate::FloorNotice;
 use crate::process::rates::PeerStatus;
 use crate::process::rates::SettlementReport;
@@ -304,12 +305,30 @@
 /// A complete frame as received, with its head not yet decoded.
 #[derive(Debug)]
 pub struct Frame {
-    head: Bytes,
+    pub(super) head: Bytes,
     /// The body.
     pub body: Bytes,
+    /// Whether there was no room for the body, so that it was dropped.
+    pub is_body_dropped: bool,
 }
 
 impl Frame {
+    pub(super) fn new(head: Bytes, body: Bytes) -> Self {
+        Self {
+            head,
+            body,
+            is_body_dropped: false,
+        }
+    }
+
+    pub(super) fn without_body(head: Bytes) -> Self {
+        Self {
+            head,
+            body: Bytes::new(),
+            is_body_dropped: true,
+        }
+    }
+
     /// Decodes the head.
     pub fn head(&self) -> Result<Head<'_>, FrameError> {
         postcard::from_bytes(&self.head).map_err(|source| FrameError::Head { source })
@@ -317,17 +336,14 @@
 
     /// Removes the first complete frame from `received`. Returns `None` if more bytes are needed.
     pub fn split_from(received: &mut BytesMut) -> Result<Option<Self>, FrameError> {
-        let Some(mut lengths) = received.get(..LENGTHS_BYTES) else {
+        let Some(lengths) = FrameLengths::read(received) else {
             return Ok(None);
         };
-        let rest_bytes = lengths.get_u32() as usize;
-        let head_bytes = lengths.get_u32() as usize;
-        if rest_bytes > FRAME_BYTES_MAX {
-            return TooLongSnafu { bytes: rest_bytes }.fail();
-        }
-        if head_bytes + 4 > rest_bytes {
-            return LengthsSnafu.fail();
-        }
+        lengths.body_bytes()?;
+        let FrameLengths {
+            rest_bytes,
+            head_bytes,
+        } = lengths;
         if received.len() < rest_bytes + 4 {
             received.reserve(rest_bytes + 4 - received.len());
             return Ok(None);
@@ -339,22 +355,107 @@
             true => frame.freeze(),
             false => Bytes::copy_from_slice(&frame),
         };
-        Ok(Some(Self { head, body }))
+        Ok(Some(Self::new(head, body)))
+    }
+}
+
+/// The two length fields before the head.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FrameLengths {
+    rest_bytes: usize,
+    head_bytes: usize,
+}
+
+impl FrameLengths {
+    /// Reads the length fields of the first frame in `received`, if they are complete.
+    pub(super) fn read(received: &[u8]) -> Option<Self> {
+        let mut lengths = received.get(..LENGTHS_BYTES)?;
+        Some(Self {
+            rest_bytes: lengths.get_u32() as usize,
+            head_bytes: lengths.get_u32() as usize,
+        })
+    }
+
+    /// Returns the length of the body. Fails if the frame is too long, or shorter than its head.
+    pub(super) fn body_bytes(self) -> Result<usize, FrameError> {
+        match self.rest_bytes.checked_sub(4 + self.head_bytes) {
+            _ if self.rest_bytes > FRAME_BYTES_MAX => TooLongSnafu {
+                bytes: self.rest_bytes,
+            }
+            .fail(),
+            Some(body_bytes) => Ok(body_bytes),
+            None => LengthsSnafu.fail(),
+        }
+    }
+
+    /// Returns whether `frame` is as long as its length fields say.
+    pub(super) fn are_whole(self, frame: &[u8]) -> bool {
+        frame.len() >= self.rest_bytes + 4
+    }
+
+    /// Removes the length fields and the head from `received`, if the head is complete.
+    pub(super) fn split_head(self, received: &mut BytesMut) -> Option<Bytes> {
+        if received.len() < LENGTHS_BYTES + self.head_bytes {
+            return None;
+        }
+        received.advance(LENGTHS_BYTES);
+        Some(Bytes::copy_from_slice(&received.split_to(self.head_bytes)))
+    }
+}
+
+/// An encoded frame.
+#[derive(Clone, Debug)]
+pub struct EncodedFrame {
+    /// The length fields, the head, and a short body.
+    pub frame: Bytes,
+    /// A longer body, which is sent behind the frame and shares the memory of its request or response.
+    pub body: Bytes,
+}
+
+impl EncodedFrame {
+    /// Returns the length of the whole frame with its body.
+    pub fn total_bytes(&self) -> usize {
+        self.frame.len() + self.body.len()
+    }
+}
+
+impl From<Bytes> for EncodedFrame {
+    fn from(frame: Bytes) -> Self {
+        Self {
+            frame,
+            body: Bytes::new(),
+        }
     }
 }
 
 /// Encodes a frame with its length fields. Fails if the frame is too long.
 pub fn encode_frame(head: &Head<'_>, body: &[u8]) -> Result<Bytes, FrameError> {
+    encode_parts(head, body, body.len())
+}
+
+/// Encodes a frame without a copy of its body, unless that is short. Fails if the frame is too long.
+pub fn encode_shared(head: &Head<'_>, body: &Bytes) -> Result<EncodedFrame, FrameError> {
+    match body.len() > MemoryBudget::UNCOUNTED_BYTES {
+        true => Ok(EncodedFrame {
+            frame: encode_parts(head, &[], body.len())?,
+            body: body.clone(),
+        }),
+        false => encode_frame(head, body).map(EncodedFrame::from),
+    }
+}
+
+/// Encodes a frame with a body of `body_bytes`, of which it contains `copied`.
+fn encode_parts(head: &Head<'_>, copied: &[u8], body_bytes: usize) -> Result<Bytes, FrameError> {
     let head = postcard::to_stdvec(head).map_err(|source| FrameError::Head { source })?;
-    let rest_bytes = 4 + head.len() + body.len();
+    let rest_bytes = 4 + head.len() + body_bytes;
     if rest_bytes > FRAME_BYTES_MAX {
         return TooLongSnafu { bytes: rest_bytes }.fail();
     }
-    let mut frame = BytesMut::with_capacity(4 + rest_bytes);
+    let mut frame = BytesMut::with_capacity(LENGTHS_BYTES + head.len() + copied.len());
     frame.put_u32(rest_bytes as u32);
     frame.put_u32(head.len() as u32);
     frame.put_slice(&head);
-    frame.put_slice(body);
+    frame.put_slice(copied);
     Ok(frame.freeze())
 }
 
--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -6,24 +6,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use bytes::BytesMut;
 use parking_lot::Mutex;
-use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::Notify;
-use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio_util::task::AbortOnDropHandle;
 
+use super::frame::EncodedFrame;
 use super::frame::ExchangeId;
 use super::frame::Frame;
 use super::frame::FrameError;
 use super::frame::Head;
 use super::frame::encode_frame;
-use super::frame_io::READ_BYTES;
+use super::frame_io::FrameQueue;
+use super::frame_io::FrameReader;
+use super::frame_io::FrameSender;
+use super::frame_io::Written;
+use super::frame_io::frame_queue;
 use super::frame_io::write_frames;
 use super::link_reply::LinkReply;
 use super::link_reply::decode_reply;
@@ -31,6 +32,8 @@
 use super::liveness::Liveness;
 use super::liveness::LivenessAction;
 use super::liveness::OpenExchanges;
+use crate::connection::BodyKind;
+use crate::connection::MemoryBudget;
 use crate::process::events::relay as events;
 use crate::values::Clock;
 use crate::values::MonotonicTime;
@@ -38,6 +41,8 @@
 
 /// Maximum bytes queued for one node. A node with more queued bytes has stopped reading.
 const QUEUED_BYTES_MAX: usize = 16 * 1_024 * 1_024;
+/// Longest body of a request that can be sent to another node. The rest is for the head.
+pub(super) const SENT_BODY_BYTES_MAX: usize = QUEUED_BYTES_MAX - 256 * 1_024;
 
 /// Why an exchange has no reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,10 +100,12 @@
     peer: NodeId,
     clock: Clock,
     state: Mutex<LinkState>,
-    outgoing: mpsc::UnboundedSender<Bytes>,
+    outgoing: FrameSender,
     /// Notified when the other node tells that the store has changed.
     update_notice: Arc<Notify>,
     open_beside: OpenBeside,
+    /// Bounds the memory of responses.
+    budget: MemoryBudget,
 }
 
 impl fmt::Debug for Link {
@@ -123,11 +130,12 @@
         clock: Clock,
         update_notice: Arc<Notify>,
         open_beside: OpenBeside,
+        budget: MemoryBudget,
     ) -> std::io::Result<Arc<Self>> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let (reader, writer) = stream.into_split();
-        let (outgoing, frames) = mpsc::unbounded_channel();
+        let (outgoing, frames) = frame_queue();
         let now = clock.now();
         let link = Arc::new(Self {
             peer: peer.clone(),
@@ -142,6 +150,7 @@
             outgoing,
             update_notice,
             open_beside,
+            budget,
         });
         link.queue(&Head::Hello { from, to: peer }, &[])
             .map_err(|_| std::io::Error::other("hello frame was not queued"))?;
@@ -163,24 +172,25 @@
         }
         state.queued_bytes += frame.len();
         drop(state);
-        self.outgoing.send(frame).map_err(|_| LinkFailure::NotSent)
+        let sent = self.outgoing.send(EncodedFrame::from(frame));
+        sent.map_err(|_| LinkFailure::NotSent)
     }
 
     /// Sends the frame that `head` encodes and waits for its reply.
     ///
     /// Dropping the future cancels the exchange at the other node.
-    pub(super) async fn exchange(
+    pub(super) async fn exchange<F: Into<EncodedFrame>>(
         self: &Arc<Self>,
-        head: impl FnOnce(ExchangeId) -> Result<Bytes, LinkFailure>,
+        head: impl FnOnce(ExchangeId) -> Result<F, LinkFailure>,
     ) -> Result<LinkReply, LinkFailure> {
         self.exchange_with(Patience::Short, head).await
     }
 
     /// Does the same, and waits for a node that has gone silent as `patience` says.
-    pub(super) async fn exchange_with(
+    pub(super) async fn exchange_with<F: Into<EncodedFrame>>(
         self: &Arc<Self>,
         patience: Patience,
-        head: impl FnOnce(ExchangeId) -> Result<Bytes, LinkFailure>,
+        head: impl FnOnce(ExchangeId) -> Result<F, LinkFailure>,
     ) -> Result<LinkReply, LinkFailure> {
         let (sender, receiver) = oneshot::channel();
         let exchange = {
@@ -189,13 +199,13 @@
                 return Err(LinkFailure::NotSent);
             }
             let exchange = ExchangeId(state.next_exchange);
-            let frame = head(exchange)?;
-            if state.queued_bytes + frame.len() > QUEUED_BYTES_MAX {
+            let frame: EncodedFrame = head(exchange)?.into();
+            if state.queued_bytes + frame.total_bytes() > QUEUED_BYTES_MAX {
                 return Err(LinkFailure::NotSent);
             }
             state.next_exchange += 1;
             state.liveness.begin_exchange(self.clock.now());
-            state.queued_bytes += frame.len();
+            state.queued_bytes += frame.total_bytes();
             let pending = PendingExchange { sender, patience };
             state.pending.insert(exchange, pending);
             if self.outgoing.send(frame).is_err() {
@@ -316,8 +326,11 @@
 }
 
 /// Encodes a ping.
-pub(super) fn ping_frame(exchange: ExchangeId) -> Result<Bytes, LinkFailure> {
-    encode_frame(&Head::Ping { exchange }, &[]).map_err(|_| LinkFailure::NotSent)
+pub(super) fn ping_frame(exchange: ExchangeId) -> Result<EncodedFrame, LinkFailure> {
+    let frame = encode_frame(&Head::Ping { exchange }, &[]);
+    frame
+        .map(EncodedFrame::from)
+        .map_err(|_| LinkFailure::NotSent)
 }
 
 /// Cancels an exchange at the other node when it is dropped before the reply.
@@ -341,11 +354,15 @@
     link: Arc<Link>,
     reader: OwnedReadHalf,
     writer: OwnedWriteHalf,
-    frames: mpsc::UnboundedReceiver<Bytes>,
+    frames: FrameQueue,
 ) {
-    let on_written = |bytes| {
+    let on_written = |written| {
         let mut state = link.state.lock();
+        let (Written::Frames(bytes) | Written::BodyPart(bytes)) = written;
         state.queued_bytes = state.queued_bytes.saturating_sub(bytes);
+        if matches!(written, Written::BodyPart(_)) {
+            state.liveness.send_part(link.clock.now());
+        }
     };
     let reason = tokio::select! {
         reason = read_frames(&link, reader) => reason,
@@ -359,17 +376,16 @@
     events::LINK_LOST.log(format_args!("peer={} reason=\"{reason}\"", link.peer));
 }
 
-async fn read_frames(link: &Link, mut reader: OwnedReadHalf) -> String {
-    let mut received = BytesMut::with_capacity(READ_BYTES);
+async fn read_frames(link: &Link, reader: OwnedReadHalf) -> String {
+    let mut frames = FrameReader::new(reader, link.budget.clone(), BodyKind::Response);
     loop {
-        received.reserve(READ_BYTES);
-        match reader.read_buf(&mut received).await {
+        match frames.read().await {
             Ok(0) => return "closed by the other node".to_owned(),
             Ok(_) => {}
             Err(error) => return error.to_string(),
         }
         loop {
-            match Frame::split_from(&mut received) {
+            match frames.next_frame() {
                 Ok(Some(frame)) => {
                     if let Err(error) = link.handle_frame(&frame) {
                         return error.to_string();
--- a/lib/src/process/relay/link_reply.rs
+++ b/lib/src/process/relay/link_reply.rs
@@ -51,11 +51,13 @@
                 StatusCode::from_u16(response.status),
                 header_map(&response.headers),
             ) {
-                (Ok(status), Some(headers)) => PeerReply::Response(BufferedResponse {
-                    status,
-                    headers,
-                    body: frame.body.clone(),
-                }),
+                (Ok(status), Some(headers)) if !frame.is_body_dropped => {
+                    PeerReply::Response(BufferedResponse {
+                        status,
+                        headers,
+                        body: frame.body.clone(),
+                    })
+                }
                 _ => PeerReply::Refused(Refusal::may_have_run(RefusalReason::BadAnswer)),
             };
             (
--- a/lib/src/process/relay/links.rs
+++ b/lib/src/process/relay/links.rs
@@ -15,6 +15,7 @@
 use super::link::Link;
 use super::link::LinkFailure;
 use super::link::OpenBeside;
+use crate::connection::MemoryBudget;
 use crate::process::events::relay as events;
 use crate::process::membership::MemberTable;
 use crate::process::membership::NodeRecord;
@@ -55,6 +56,8 @@
     clock: Clock,
     /// Notified when another node tells that the store has changed.
     update_notice: Arc<Notify>,
+    /// Bounds the memory of responses.
+    budget: MemoryBudget,
     /// By node and not by address, because the entry of a former node may name an address that
     /// another node has by now.
     slots: Mutex<HashMap<NodeId, LinkSlot>>,
@@ -62,11 +65,17 @@
 }
 
 impl Links {
-    pub(super) fn new(local_node: NodeId, clock: Clock, update_notice: Arc<Notify>) -> Self {
+    pub(super) fn new(
+        local_node: NodeId,
+        clock: Clock,
+        update_notice: Arc<Notify>,
+        budget: MemoryBudget,
+    ) -> Self {
         Self {
             local_node,
             clock,
             update_notice,
+            budget,
             slots: Mutex::default(),
             opening: Mutex::default(),
         }
@@ -125,6 +134,7 @@
             self.clock,
             update_notice,
             open_beside,
+            self.budget.clone(),
         );
         let reason = match timeout(CONNECT_TIMEOUT, opened).await {
             Ok(Ok(link)) => return Some(link),
--- a/lib/src/process/relay/liveness.rs
+++ b/lib/src/process/relay/liveness.rs
@@ -94,6 +94,12 @@
         self.owed_since = is_awaiting.then_some(now);
     }
 
+    /// Records that a part of a large message was written. The node owes no reply to what is queued
+    /// behind it. The parts stop soon if the node does not acknowledge them.
+    pub fn send_part(&mut self, now: MonotonicTime) {
+        self.owed_since = self.owed_since.map(|_| now);
+    }
+
     /// Records that no more exchanges begin. The connection stays for those that are open.
     pub fn retire(&mut self) {
         self.is_retired = true;
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -38,6 +38,7 @@
 use super::store::StoreEra;
 use super::suspects::SuspectState;
 use super::views::ViewState;
+use crate::connection::MemoryBudget;
 use crate::process::events::relay as events;
 use crate::process::gate::DownstreamFloors;
 use crate::process::gate::FloorNotice;
@@ -79,6 +80,8 @@
     pub store: Arc<dyn SharedStore>,
     /// Counters and histograms.
     pub metrics: RelayMetrics,
+    /// Bounds the bodies of all requests and responses that the process holds.
+    pub memory: MemoryBudget,
     /// Connections to other nodes.
     pub(super) links: Arc<Links>,
     /// Rates of organisations over the fleet.
@@ -153,6 +156,7 @@
         });
         let started_ms = clock.wall().0;
         let views = ViewState::default();
+        let memory = MemoryBudget::of_process(settings.memory_limit_bytes());
         Self {
             zones: zones.collect(),
             rates: new_rates(node, &settings.raw, clock, Arc::clone(&store)),
@@ -160,7 +164,9 @@
                 settings.raw.node.clone(),
                 clock,
                 Arc::clone(&views.update_notice),
+                memory.clone(),
             )),
+            memory,
             views,
             suspects: SuspectState::new(settings.raw.node.clone()),
             stored_quarantines: Mutex::default(),
--- a/lib/src/process/relay/peers.rs
+++ b/lib/src/process/relay/peers.rs
@@ -5,15 +5,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::Method;
 use http::Uri;
 use parking_lot::Mutex;
-use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
-use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
 use super::backend::RunOutcome;
@@ -24,14 +21,17 @@
 use super::frame::LoadNotice;
 use super::frame::RequestHead;
 use super::frame::ResponseHead;
-use super::frame::encode_frame;
+use super::frame::encode_shared;
 use super::frame::header_list;
 use super::frame::header_map;
-use super::frame_io::READ_BYTES;
+use super::frame_io::FrameReader;
+use super::frame_io::FrameSender;
+use super::frame_io::frame_queue;
 use super::frame_io::write_frames;
 use super::node::RelayNode;
 use super::supervision::catch_panic;
 use super::views::serve_views;
+use crate::connection::BodyKind;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
 use crate::process::events::relay as events;
@@ -89,7 +89,7 @@
         return;
     }
     let (reader, writer) = stream.into_split();
-    let (replies, frames) = mpsc::unbounded_channel();
+    let (replies, frames) = frame_queue();
     let running = Arc::new(RunningTasks::default());
     tokio::select! {
         reason = read_requests(&node, &running, reader, replies) => {
@@ -110,20 +110,19 @@
 async fn read_requests(
     node: &Arc<RelayNode>,
     running: &Arc<RunningTasks>,
-    mut reader: OwnedReadHalf,
-    replies: mpsc::UnboundedSender<Bytes>,
+    reader: OwnedReadHalf,
+    replies: FrameSender,
 ) -> String {
-    let mut received = BytesMut::with_capacity(READ_BYTES);
+    let mut frames = FrameReader::new(reader, node.memory.clone(), BodyKind::Request);
     loop {
-        received.reserve(READ_BYTES);
-        match tokio::time::timeout(RECEIVE_TIMEOUT, reader.read_buf(&mut received)).await {
+        match tokio::time::timeout(RECEIVE_TIMEOUT, frames.read()).await {
             Ok(Ok(0)) => return "closed by the other node".to_owned(),
             Ok(Ok(_)) => {}
             Ok(Err(error)) => return error.to_string(),
             Err(_) => return "silent".to_owned(),
         }
         loop {
-            match Frame::split_from(&mut received) {
+            match frames.next_frame() {
                 Ok(Some(frame)) => {
                     if let Err(reason) = handle_frame(node, running, &frame, &replies) {
                         return reason;
@@ -140,13 +139,18 @@
     node: &Arc<RelayNode>,
     running: &Arc<RunningTasks>,
     frame: &Frame,
-    replies: &mpsc::UnboundedSender<Bytes>,
+    replies: &FrameSender,
 ) -> Result<(), String> {
     match frame.head().map_err(|error| error.to_string())? {
         Head::Hello { to, .. } if to != node.settings.raw.node => {
             return Err(format!("connection is addressed to node {to}"));
         }
         Head::Hello { .. } => {}
+        Head::Request(head) if frame.is_body_dropped => {
+            let refusal = Refusal::not_run(RefusalReason::Overloaded);
+            let load = LoadNotice::default();
+            send_refusal(node, head.exchange, refusal, load, replies);
+        }
         Head::Request(head) => start_request(node, running, head, frame.body.clone(), replies),
         Head::Cancel { exchange } => running.cancel(exchange),
         Head::Ping { exchange } => {
@@ -157,26 +161,34 @@
                     exchange,
                     confirmation,
                 },
-                &[],
+                &Bytes::new(),
             );
         }
         // A node of an earlier version keeps a share of its own. Tokens are granted by holders only.
         Head::Borrow { exchange, .. } => {
             let tokens = TokenCount(0);
-            send_reply(replies, &Head::Lent { exchange, tokens }, &[]);
+            send_reply(replies, &Head::Lent { exchange, tokens }, &Bytes::new());
         }
         Head::TokenRequest { exchange, request } => {
             let service = Arc::clone(&node.rates.service);
             let replies = replies.clone();
             tokio::spawn(async move {
                 let reply = service.handle_request(request).await;
-                send_reply(&replies, &Head::TokenReply { exchange, reply }, &[]);
+                send_reply(
+                    &replies,
+                    &Head::TokenReply { exchange, reply },
+                    &Bytes::new(),
+                );
             });
         }
         Head::TokenReport { report } => node.rates.service.apply_report(&report),
         Head::RateStatusRequest { exchange } => {
             let status = node.rates.service.peer_status();
-            send_reply(replies, &Head::RateStatus { exchange, status }, &[]);
+            send_reply(
+                replies,
+                &Head::RateStatus { exchange, status },
+                &Bytes::new(),
+            );
         }
         Head::RateHolderReleased => {
             let service = &node.rates.service;
@@ -184,15 +196,23 @@
         }
         Head::SuspectUpdates { exchange, entries } => {
             let entries = node.merge_suspects(&entries);
-            send_reply(replies, &Head::KnownSuspects { exchange, entries }, &[]);
+            send_reply(
+                replies,
+                &Head::KnownSuspects { exchange, entries },
+                &Bytes::new(),
+            );
         }
         Head::ViewRequest { exchange, known } => {
-            let reply = serve_views(node, exchange, &known, replies);
-            send_reply(replies, &reply, &[]);
+            let reply = serve_views(node, exchange, &known, replies.whole_frames());
+            send_reply(replies, &reply, &Bytes::new());
         }
         Head::SuspectsRequest { exchange } => {
             let entries = node.suspects.entries();
-            send_reply(replies, &Head::KnownSuspects { exchange, entries }, &[]);
+            send_reply(
+                replies,
+                &Head::KnownSuspects { exchange, entries },
+                &Bytes::new(),
+            );
         }
         Head::Response(_)
         | Head::Refused { .. }
@@ -207,8 +227,8 @@
     Ok(())
 }
 
-fn send_reply(replies: &mpsc::UnboundedSender<Bytes>, head: &Head<'_>, body: &[u8]) {
-    match encode_frame(head, body) {
+fn send_reply(replies: &FrameSender, head: &Head<'_>, body: &Bytes) {
+    match encode_shared(head, body) {
         // Sending fails if the connection has ended.
         Ok(frame) => drop(replies.send(frame)),
         Err(error) => events::LINK_LOST.log(format_args!("peer=caller reason=\"{error}\"")),
@@ -220,7 +240,7 @@
     running: &Arc<RunningTasks>,
     head: RequestHead<'_>,
     body: Bytes,
-    replies: &mpsc::UnboundedSender<Bytes>,
+    replies: &FrameSender,
 ) {
     let exchange = head.exchange;
     let Some(request) = buffered_request(&head, body) else {
@@ -262,7 +282,7 @@
     exchange: ExchangeId,
     response: &BufferedResponse,
     load: LoadNotice,
-    replies: &mpsc::UnboundedSender<Bytes>,
+    replies: &FrameSender,
 ) {
     let head = Head::Response(ResponseHead {
         exchange,
@@ -279,7 +299,7 @@
     exchange: ExchangeId,
     refusal: Refusal,
     load: LoadNotice,
-    replies: &mpsc::UnboundedSender<Bytes>,
+    replies: &FrameSender,
 ) {
     let head = Head::Refused {
         exchange,
@@ -287,5 +307,5 @@
         confirmation: node.confirmation_report(),
         load,
     };
-    send_reply(replies, &head, &[]);
+    send_reply(replies, &head, &Bytes::new());
 }
--- a/lib/src/process/relay/reports.rs
+++ b/lib/src/process/relay/reports.rs
@@ -119,7 +119,7 @@
             }
             log_report(report, effect);
             let incarnation = Incarnation(node.clock.wall().0);
-            let backend = Backend::new(report, incarnation, node.clock);
+            let backend = Backend::new(report, incarnation, node.clock, &node.memory);
             // It may have said so to an earlier process of this node.
             if node.registration.lock().is_leaving() {
                 backend.drain();
--- a/lib/src/process/relay/settings.rs
+++ b/lib/src/process/relay/settings.rs
@@ -26,6 +26,8 @@
         pub server_address: SocketAddr,
         /// The address of the shared store.
         pub store_address: SocketAddr,
+        /// Memory above which the process is killed, in MB.
+        pub memory_limit_mb: Option<f64>,
         /// Listen addresses of the relay.
         pub listen: ListenSettings,
         /// The region of each zone.
@@ -136,6 +138,10 @@
 impl RelaySettings {
     /// Shortest stop grace in which a planned stop can finish requests.
     const STOP_GRACE_MIN_S: f64 = 1.0;
+    /// Least and largest memory limit.
+    const MEMORY_LIMIT_MB: std::ops::RangeInclusive<f64> = 64.0..=1_048_576.0;
+    /// Memory limit if the settings name none. Instances have at least that much.
+    const MEMORY_LIMIT_DEFAULT_MB: f64 = 160.0;
     /// Shortest and longest window in which retries are counted.
     const RETRY_WINDOW_S: std::ops::RangeInclusive<f64> = 1.0..=3_600.0;
 
@@ -147,6 +153,12 @@
             })?;
         Self::try_from(raw)
     }
+
+    /// Returns the memory above which the process is killed, in bytes.
+    pub fn memory_limit_bytes(&self) -> usize {
+        let limit_mb = self.raw.memory_limit_mb;
+        (limit_mb.unwrap_or(Self::MEMORY_LIMIT_DEFAULT_MB) * 1e6) as usize
+    }
 }
 
 impl TryFrom<RawRelaySettings> for RelaySettings {
@@ -169,6 +181,11 @@
                 faults.push(format!("{name}: must be at least 1"));
             }
         }
+        if let Some(limit_mb) = raw.memory_limit_mb
+            && !Self::MEMORY_LIMIT_MB.contains(&limit_mb)
+        {
+            faults.push("memory_limit_mb: must be from 64 to 1048576".to_owned());
+        }
         if bounds.stop_grace_s.is_nan() || bounds.stop_grace_s < Self::STOP_GRACE_MIN_S {
             faults.push(format!(
                 "bounds.stop_grace_s: must be at least {}",
--- a/lib/tests/test_endless_responses.rs
+++ b/lib/tests/test_endless_responses.rs
@@ -6,10 +6,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use balsamfold::connection::BodyBudget;
+use balsamfold::connection::BodyKind;
 use balsamfold::connection::BufferedRequest;
 use balsamfold::connection::ConnectionPool;
 use balsamfold::connection::ExchangeError;
+use balsamfold::connection::MemoryBudget;
 use balsamfold::connection::PoolLimits;
 use balsamfold::connection::read_budgeted_body;
 use bytes::Bytes;
@@ -215,20 +216,23 @@
 async fn bodies_without_end_hold_no_more_than_one_body_together() {
     const LIMIT_BYTES: usize = 8 * 1_024 * 1_024;
     const BODIES: usize = 50;
-    let budget = BodyBudget::new(LIMIT_BYTES);
+    let budget = MemoryBudget::new(LIMIT_BYTES);
     let held = Arc::new(Held::default());
-    let bodies =
-        (0..BODIES).map(|_| read_budgeted_body(endless_body(&held), LIMIT_BYTES, TIMEOUT, &budget));
+    let bodies = (0..BODIES).map(|_| {
+        let charge = budget.start(BodyKind::Response);
+        read_budgeted_body(endless_body(&held), LIMIT_BYTES, TIMEOUT, charge)
+    });
     let results = join_all(bodies).await;
     assert!(results.iter().all(Result::is_err));
-    let uncounted = BODIES * (BodyBudget::UNCOUNTED_BYTES + BLOCK_BYTES);
+    let uncounted = BODIES * (MemoryBudget::SMALL_BYTES + BLOCK_BYTES);
     assert!(held.bytes_max.load(Ordering::Relaxed) <= LIMIT_BYTES + uncounted);
 }
 
 #[tokio::test]
 async fn small_bodies_arrive_beside_bodies_without_end() {
-    let budget = BodyBudget::new(0);
+    let budget = MemoryBudget::new(0);
     let small = Body::from("small");
-    let read = read_budgeted_body(small, 1_024, TIMEOUT, &budget).await;
+    let charge = budget.start(BodyKind::Response);
+    let read = read_budgeted_body(small, 1_024, TIMEOUT, charge).await;
     assert_eq!(read.expect("a body"), "small");
 }
--- a/lib/tests/test_relay_settings.rs
+++ b/lib/tests/test_relay_settings.rs
@@ -30,3 +30,18 @@
     let text = format!("{SAMPLE_SETTINGS}unknown = 1\n");
     assert!(RelaySettings::parse(&text).is_err());
 }
+
+#[test]
+fn memory_limit_is_that_of_the_settings_or_the_least_one() {
+    let settings = RelaySettings::parse(SAMPLE_SETTINGS).expect("valid settings");
+    assert_eq!(settings.memory_limit_bytes(), 160_000_000);
+    let text = format!("memory_limit_mb = 260\n{SAMPLE_SETTINGS}");
+    let settings = RelaySettings::parse(&text).expect("valid settings");
+    assert_eq!(settings.memory_limit_bytes(), 260_000_000);
+    for wrong in ["0", "-1", "nan", "63.9", "inf"] {
+        let text = format!("memory_limit_mb = {wrong}\n{SAMPLE_SETTINGS}");
+        let error = RelaySettings::parse(&text).expect_err("a fault");
+        let expected = "memory_limit_mb: must be from 64 to 1048576";
+        assert_eq!(error.to_string(), expected);
+    }
+}
--- a/lib/tests/test_relay_silent_links.rs
+++ b/lib/tests/test_relay_silent_links.rs
@@ -214,3 +214,19 @@
         LivenessAction::Close
     );
 }
+
+// Guards against small requests that are refused while a large body is written to their node.
+#[test]
+fn connection_that_takes_a_large_message_is_not_silent() {
+    let mut liveness = Liveness::new(at_ms(0));
+    liveness.begin_exchange(at_ms(0));
+    for step in 1..50 {
+        let now = at_ms(step * 100);
+        liveness.send_part(now);
+        assert!(!liveness.is_unresponsive(now));
+        let action = liveness.check(now, OpenExchanges::Repeatable);
+        assert_eq!(action, LivenessAction::Keep, "after {step} parts");
+    }
+    let later = at_ms(4_900 + 1_100);
+    assert!(liveness.is_unresponsive(later));
+}
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -446,6 +446,7 @@
         service: service.parse().expect("valid name"),
         server_address,
         store_address: any,
+        memory_limit_mb: None,
         listen: ListenSettings {
             callers: any,
             peers: any,
--- a/testutils/src/relay/server.rs
+++ b/testutils/src/relay/server.rs
@@ -15,6 +15,7 @@
 use balsamfold::connection::Listener;
 use balsamfold::connection::ListenerLimits;
 use balsamfold::connection::PoolLimits;
+use balsamfold::connection::read_body;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
@@ -34,6 +35,10 @@
 pub const RATE_LIMIT_HEADER: HeaderName = HeaderName::from_static("takes-per-s");
 /// Header in which a server says that it leaves.
 pub const LEAVING_HEADER: HeaderName = HeaderName::from_static("goes-away");
+/// Longest body that a stand-in reads.
+const BODY_BYTES_MAX: usize = 64 * 1_024 * 1_024;
+/// Longest time for which it reads one.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Attempts to bind the address of a crashed stand-in until its sockets are closed.
 const BIND_ATTEMPTS_MAX: usize = 200;
 /// Time between two such attempts.
@@ -46,6 +51,10 @@
     Respond,
     /// Responds after a delay.
     Slow(Duration),
+    /// Reads the whole body of the request after a delay, and responds.
+    ReadAfter(Duration),
+    /// Responds at once with a body of this many bytes.
+    Large(usize),
     /// Responds with 503 and the header which says that the request did not run.
     Shed,
     /// Runs the request and responds with 500.
@@ -268,6 +277,14 @@
         Behaviour::Slow(time) | Behaviour::SlowAndCrashOn(time, _) => {
             tokio::time::sleep(time).await;
         }
+        Behaviour::ReadAfter(time) => {
+            tokio::time::sleep(time).await;
+            let read = read_body(request.into_body(), BODY_BYTES_MAX, BODY_TIMEOUT).await;
+            if read.is_err() {
+                *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            }
+        }
+        Behaviour::Large(bytes) => *response.body_mut() = Body::from(vec![b'z'; bytes]),
         Behaviour::Shed => {
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             let marker = HeaderValue::from_static("1");
