--- a/lib/src/process/relay/liveness.rs
+++ b/lib/src/process/relay/liveness.rs
@@ -131,7 +131,7 @@
         self.silence(now) > UNRESPONSIVE_AFTER
     }
 
-    /// Decides what to do. Called every [`LIVENESS_CHECK_PERIOD`].
+    /// Decides what to do. Called every `LIVENESS_CHECK_PERIOD`.
     pub fn check(&mut self, now: MonotonicTime, open: OpenExchanges) -> LivenessAction {
         let since_check = now.since(self.last_checked_at);
         self.last_checked_at = now;
