connection: a client that leaves is noticed while a further request is buffered

Cause: the HTTP server sees the end of a connection only when it reads up to it, and it does not read on while a request runs and bytes of a further one are buffered.

The connection is now watched beside the server that reads it: the kernel tells that the client has closed its side also while bytes before the end are unread. The connection is dropped then, which cancels the run and begins no further one.

--- /dev/null
+++ b/lib/src/connection/closing.rs
@@ -0,0 +1,97 @@
+//! Clients that close their connection while bytes of a further request wait on it.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use rustix::net::Shutdown;
+use rustix::net::shutdown;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::Interest;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+/// Time between two checks while unread bytes hide whether the client has closed the connection.
+const CHECK_PERIOD: Duration = Duration::from_millis(100);
+/// Time in which a response that is ready when its client closes is still written.
+const WRITE_TIME: Duration = Duration::from_millis(50);
+
+/// A stream that can be watched for its end while another task reads it.
+#[derive(Clone, Debug)]
+pub(super) struct SharedStream(Arc<TcpStream>);
+
+impl SharedStream {
+    pub(super) fn new(stream: TcpStream) -> Self {
+        Self(Arc::new(stream))
+    }
+
+    /// Returns after the client has closed the connection, also while bytes that it sent before are
+    /// unread. HTTP servers see the end only when they read up to it, and they do not read on while
+    /// a request runs and a further one is buffered.
+    pub(super) async fn closed_by_client(&self) {
+        loop {
+            match self.0.ready(Interest::READABLE).await {
+                Ok(ready) if !ready.is_read_closed() => tokio::time::sleep(CHECK_PERIOD).await,
+                Ok(_) | Err(_) => break,
+            }
+        }
+        tokio::time::sleep(WRITE_TIME).await;
+    }
+}
+
+impl AsyncRead for SharedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(context))?;
+            match self.0.try_read_buf(buffer) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                read => return Poll::Ready(read.map(drop)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for SharedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(context, &[io::IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(context))?;
+            match self.0.try_write_vectored(slices) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(shutdown(&*self.0, Shutdown::Write).map_err(io::Error::from))
+    }
+}
--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -30,6 +30,8 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 
+use super::closing::SharedStream;
+
 /// Delay after a failed accept, for example when the process has no free file descriptor.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Time without a new connection after which a stopping listener closes its socket. Connections that
@@ -205,26 +207,34 @@
             Ok::<_, Infallible>(response)
         }
     });
+    let stream = SharedStream::new(stream);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
         .max_buf_size(limits.header_bytes_max)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(stream.clone()), service);
     let mut connection = std::pin::pin!(connection);
-    // An error here means that the client disconnected or sent invalid input, to which hyper has
-    // already responded.
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        () = stopping.cancelled() => {
-            // A connection without a request is closed at once, even if one arrived and was not read.
-            if tokio::time::timeout(STOP_READ_WAIT, connection.as_mut()).await.is_ok() {
-                return;
+    let serving = async {
+        // An error here means that the client disconnected or sent invalid input, to which hyper has
+        // already responded.
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = stopping.cancelled() => {
+                // A connection without a request is closed at once, even if one arrived and was not
+                // read.
+                if tokio::time::timeout(STOP_READ_WAIT, connection.as_mut()).await.is_ok() {
+                    return;
+                }
+                connection.as_mut().graceful_shutdown();
+            }
+            () = idle_since.wait_for(Duration::from_millis(limits.idle_timeout_ms)) => {
+                connection.as_mut().graceful_shutdown();
             }
-            connection.as_mut().graceful_shutdown();
-        }
-        () = idle_since.wait_for(Duration::from_millis(limits.idle_timeout_ms)) => {
-            connection.as_mut().graceful_shutdown();
         }
+        let _ = connection.await;
+    };
+    tokio::select! {
+        () = serving => {}
+        () = stream.closed_by_client() => {}
     }
-    let _ = connection.await;
 }
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP connections: listeners, connection pools, headers and bodies.
 
 mod body;
+mod closing;
 mod exchange;
 mod head_limit;
 mod headers;
--- a/lib/tests/test_listener.rs
+++ b/lib/tests/test_listener.rs
@@ -1,5 +1,8 @@
 //! Idle timeout of the connections of a listener, and its stop.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use balsamfold::connection::Listener;
@@ -15,19 +18,22 @@
 const IDLE_TIMEOUT: Duration = Duration::from_millis(50);
 const LONGER_THAN_IDLE: Duration = Duration::from_millis(200);
 
+fn limits() -> ListenerLimits {
+    ListenerLimits {
+        connections_max: 10,
+        header_timeout_ms: 60_000,
+        idle_timeout_ms: IDLE_TIMEOUT.as_millis() as u64,
+        header_bytes_max: 64 * 1_024,
+    }
+}
+
 /// Serves requests that take `duration` each.
 async fn serve(duration: Duration) -> (ListenerHandle, TcpStream) {
     let listener = Listener::bind("127.0.0.1:0".parse().unwrap())
         .await
         .unwrap();
     let address = listener.address();
-    let limits = ListenerLimits {
-        connections_max: 10,
-        header_timeout_ms: 60_000,
-        idle_timeout_ms: IDLE_TIMEOUT.as_millis() as u64,
-        header_bytes_max: 64 * 1_024,
-    };
-    let serving = listener.serve(limits, move |_| async move {
+    let serving = listener.serve(limits(), move |_| async move {
         tokio::time::sleep(duration).await;
         Response::new(Body::from("whole"))
     });
@@ -107,3 +113,33 @@
     assert!(received.ends_with("whole"), "{received}");
     stopping.await.unwrap();
 }
+
+// Guards against runs that go on after their client has left, and further ones that begin, because bytes of another
+// pipelined request hide the end of the connection.
+#[tokio::test]
+async fn request_is_cancelled_when_its_client_leaves_behind_pipelined_requests() {
+    let (started, finished) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+    let listener = Listener::bind("127.0.0.1:0".parse().unwrap())
+        .await
+        .unwrap();
+    let address = listener.address();
+    let (starts, ends) = (Arc::clone(&started), Arc::clone(&finished));
+    let _serving = listener.serve(limits(), move |_| {
+        let (starts, ends) = (Arc::clone(&starts), Arc::clone(&ends));
+        async move {
+            starts.fetch_add(1, Ordering::Relaxed);
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            ends.fetch_add(1, Ordering::Relaxed);
+            Response::new(Body::from("whole"))
+        }
+    });
+    for count in [1, 3, 2_000] {
+        let mut client = TcpStream::connect(address).await.unwrap();
+        client.write_all(&REQUEST.repeat(count)).await.unwrap();
+        tokio::time::sleep(LONGER_THAN_IDLE).await;
+        drop(client);
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(started.load(Ordering::Relaxed), 3);
+    assert_eq!(finished.load(Ordering::Relaxed), 0);
+}
