--- a/lib/tests/test_relay_leaving.rs
+++ b/lib/tests/test_relay_leaving.rs
@@ -6,8 +6,6 @@
 use testutils::relay::sample_open_plan;
 
 const REQUESTS: usize = 20;
-/// Rounds after which a server that wants work again has got some by any chance of the routing.
-const ROUNDS_MAX: usize = 20;
 
 /// Sends requests through all relays, one after another. Returns how many the first server received.
 async fn send_requests(fleet: &RelayFleet, round: usize) -> usize {
@@ -56,10 +54,5 @@
     assert_eq!(send_requests(&fleet, 1).await, 0);
     fleet.report(0, 3, false).await;
     fleet.wait_until_ready_with_servers(2).await;
-    // The other server may be the faster one for a time.
-    let mut received = 0;
-    for round in 2..ROUNDS_MAX {
-        received += send_requests(&fleet, round).await;
-    }
-    assert!(received > 0);
+    assert!(send_requests(&fleet, 2).await > 0);
 }
