relay: late in a planned stop, a request begins only if it ends in time

Short requests were refused that late although they would have ended in time.

Cause: whether a request may begin was decided once, when its head arrived, and by a share of the grace: half of it, 5 s of 10. What waited afterwards (for its body, a token, a connection, another attempt) was passed on without a further look, and requests of other nodes were taken until the server was withdrawn.

Now a stop has two points in time, and each step that passes a request on asks the same question: a request may begin within 2.75 s of the stop (3 s after the signal, less its delay) or 0.6 of the stop limit, whichever is sooner, and later only if its own deadline, the sooner of its caller's and its route's, is before the limit. Anything else is refused as not run, so that its caller goes elsewhere. The times come from the clock, not from a timer, so that a busy process is not late to refuse.

--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -231,7 +231,8 @@
             return Err(Refusal::not_run(RefusalReason::NoServer));
         }
     };
-    if !node.offers_server() {
+    let may_begin = || node.offers_server() && node.stop_limit.permits(deadline, node.clock.now());
+    if !may_begin() {
         return Err(Refusal::not_run(RefusalReason::Draining));
     }
     let admission_request = AdmissionRequest {
@@ -254,7 +255,7 @@
     .await?;
     node.check_onward(metadata)?;
     let permit = backend.gate.acquire(admission_request).await?;
-    if !backend.accepts_work() || !node.offers_server() {
+    if !backend.accepts_work() || !may_begin() {
         permit.release_unused();
         return Err(Refusal::not_run(RefusalReason::Draining));
     }
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -64,7 +64,7 @@
     let guard = InFlightGuard::start(node, &request_id, arrived_at);
     let caller_remaining = remaining_from_headers(node, &request.headers);
     let expects_continue = request.headers.contains_key(header::EXPECT);
-    let outcome = match node.stop_limit.refuses_new() {
+    let outcome = match node.stop_limit.is_reached() {
         true => Err(refusal_at_limit(false)),
         false => {
             let caller_request = CallerRequest {
@@ -155,6 +155,9 @@
         Some(parent) => own_deadline.min(parent.deadline),
         None => own_deadline,
     };
+    if !node.stop_limit.permits(deadline, node.clock.now()) {
+        return Err(refusal_at_limit(false));
+    }
     let request = buffered_request(node, &plan, &route, request, limit).await?;
     let taken = match &organisation {
         Some(limits) if limits.rate_per_s.is_some() => {
--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -52,9 +52,6 @@
 /// Fraction of a planned stop in which new requests are still served, so that callers and other
 /// nodes learn of the stop first.
 const STOP_SERVING_FRACTION: f64 = 0.45;
-/// Fraction of the stop limit after which requests of callers are refused, because too little time is
-/// left to complete them. They arrive on connections whose first request took that long.
-const STOP_REFUSING_FRACTION: f64 = 0.6;
 /// Fraction of the time between the stop limit and the end of the grace in which the responses to ended
 /// requests are written and tokens returned. The rest is left for the process to exit.
 const STOP_WRITING_FRACTION: f64 = 0.5;
@@ -159,7 +156,7 @@
         let limit = bounds.stop_limit();
         let writing_time = (bounds.stop_grace() - limit).mul_f64(STOP_WRITING_FRACTION);
         let started_at = self.node.clock.now();
-        self.node.begin_stop();
+        self.node.begin_stop(limit);
         events::STOPPING.log(format_args!(
             "in_flight={} limit_ms={}",
             self.node.in_flight.load(Ordering::Relaxed),
@@ -173,15 +170,9 @@
         let callers = self.callers.clone();
         let closing = tokio::spawn(async move { callers.stop().await });
         let remaining = |end: Duration| end.saturating_sub(self.node.clock.now().since(started_at));
-        let refusing = async {
-            tokio::time::sleep(remaining(limit.mul_f64(STOP_REFUSING_FRACTION))).await;
-            self.node.stop_limit.refuse_new();
-            std::future::pending::<()>().await;
-        };
         tokio::select! {
             () = self.node.wait_until_idle(&closing) => {}
             () = tokio::time::sleep(remaining(limit)) => {}
-            () = refusing => {}
         }
         self.node.stop_limit.reach();
         let writing = self.node.wait_until_idle(&closing);
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -111,7 +111,7 @@
     RetryBudget,
     /// It crashed several backend servers.
     Quarantined,
-    /// The limit of a planned stop is reached.
+    /// Another attempt might outlast a planned stop.
     StopLimit,
 }
 
@@ -184,7 +184,7 @@
         }
     }
     if progress.server_attempts == 0
-        && !node.stop_limit.is_reached()
+        && is_permitted(node, outbound)
         && let Some(destination) = progress.skipped_node.take()
     {
         let kind = AttemptKind {
@@ -202,6 +202,11 @@
     None
 }
 
+/// Returns whether an attempt may begin, as far as a planned stop is concerned.
+fn is_permitted(node: &RelayNode, outbound: &Outbound) -> bool {
+    node.stop_limit.permits(outbound.deadline, node.clock.now())
+}
+
 /// Finds out before the next attempt whether the last one crashed a backend server.
 async fn learn_of_crash(
     node: &RelayNode,
@@ -321,7 +326,7 @@
     let refusing_nodes_max = refusing_nodes_max(outbound.parent.is_some());
     let reason = match refusal.reason {
         _ if !may_repeat => GiveUpReason::MayHaveRun,
-        _ if node.stop_limit.is_reached() => GiveUpReason::StopLimit,
+        _ if !is_permitted(node, outbound) => GiveUpReason::StopLimit,
         RefusalReason::DeadlineExceeded => GiveUpReason::Time,
         RefusalReason::Quarantined => GiveUpReason::Quarantined,
         _ if remaining < ATTEMPT_TIME_MIN => GiveUpReason::Time,
@@ -397,7 +402,7 @@
     outbound: &Outbound,
     progress: &mut Progress,
 ) -> Option<NodeRecord> {
-    if node.stop_limit.is_reached() {
+    if !is_permitted(node, outbound) {
         progress.last_refusal = Some(refusal_at_limit(false));
         return None;
     }
@@ -510,6 +515,9 @@
 ) -> Result<RunOutcome, Refusal> {
     let not_sent = || Refusal::not_run(RefusalReason::NoServer);
     let link = node.links.get(destination).await.map_err(|_| not_sent())?;
+    if !is_permitted(node, outbound) {
+        return Err(refusal_at_limit(false));
+    }
     let sent_at = node.clock.now();
     let patience = match outbound.route.repeatability {
         Repeatability::Idempotent => Patience::Short,
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -389,7 +389,9 @@
         self.is_stopping.load(Ordering::Relaxed)
     }
 
-    pub(super) fn begin_stop(&self) {
+    /// Begins a planned stop that ends all open requests after `limit`.
+    pub(super) fn begin_stop(&self, limit: Duration) {
+        self.stop_limit.start(self.clock.now(), limit);
         self.is_stopping.store(true, Ordering::Relaxed);
         self.store_entry_changed.notify_one();
     }
--- a/lib/src/process/relay/stop_limit.rs
+++ b/lib/src/process/relay/stop_limit.rs
@@ -1,40 +1,71 @@
-//! The end of a planned stop: each request that is still open gets a response of this node.
+//! The end of a planned stop: what may still begin, and the responses of this node to what is still open.
 
 use std::pin::Pin;
-use std::sync::atomic::AtomicBool;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use tokio_util::sync::CancellationToken;
 
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::request::Verdict;
+use crate::values::MonotonicTime;
+
+/// Fraction of the stop limit in which any request may begin. The rest is left to complete it.
+const OPEN_FRACTION: f64 = 0.6;
+/// Time after a stop signal in which requests may begin that outlast the stop, whatever the grace. Callers
+/// have gone elsewhere by then, and what begins later must get its server's response.
+const OPEN_MAX: Duration = Duration::from_secs(3);
+/// Longest time between the stop signal and the start of the stop, on an instance that is short of CPU
+/// time.
+const SIGNAL_DELAY_MAX: Duration = Duration::from_millis(250);
 
 /// Whether requests may begin and go on during a planned stop.
 #[derive(Debug, Default)]
 pub(super) struct StopLimit {
     reached: CancellationToken,
-    refuses_new: AtomicBool,
+    schedule: OnceLock<StopSchedule>,
     /// Requests to the local backend server, including those that wait for it. An earlier incarnation
     /// of the server may still run some.
     runs: AtomicU64,
 }
 
+/// Points in time of a planned stop.
+#[derive(Debug)]
+struct StopSchedule {
+    /// Until then, requests may begin that outlast the stop.
+    open_until: MonotonicTime,
+    /// When all open requests are ended.
+    limit_at: MonotonicTime,
+}
+
 impl StopLimit {
-    /// Refuses requests of callers from now on.
-    pub(super) fn refuse_new(&self) {
-        self.refuses_new.store(true, Ordering::Relaxed);
+    /// Starts a planned stop that ends all open requests after `limit`.
+    pub(super) fn start(&self, now: MonotonicTime, limit: Duration) {
+        let open_time = limit
+            .mul_f64(OPEN_FRACTION)
+            .min(OPEN_MAX - SIGNAL_DELAY_MAX);
+        // A stop begins once.
+        self.schedule.get_or_init(|| StopSchedule {
+            open_until: now.after(open_time),
+            limit_at: now.after(limit),
+        });
     }
 
-    /// Returns whether new requests of callers are refused, because they could not be completed.
-    pub(super) fn refuses_new(&self) -> bool {
-        self.refuses_new.load(Ordering::Relaxed)
+    /// Returns whether a request or a further attempt at it may begin: it ends by its deadline before
+    /// the limit, or it is early enough to be completed even so.
+    pub(super) fn permits(&self, deadline: MonotonicTime, now: MonotonicTime) -> bool {
+        match self.schedule.get() {
+            None => true,
+            Some(_) if self.is_reached() => false,
+            Some(schedule) => now < schedule.open_until || deadline <= schedule.limit_at,
+        }
     }
 
     /// Ends all open requests.
     pub(super) fn reach(&self) {
-        self.refuse_new();
         self.reached.cancel();
     }
 
@@ -78,7 +109,7 @@
     }
 }
 
-/// Returns the refusal of a request that the limit ended.
+/// Returns the refusal of a request that a planned stop ended or did not let begin.
 pub(super) fn refusal_at_limit(is_sent: bool) -> Refusal {
     Refusal {
         verdict: match is_sent {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! The only test binary of the library.
 
 mod fleet;
+mod stopping_relays;
 mod test_attempts;
 mod test_change;
 mod test_chaos_checks;
@@ -75,6 +76,7 @@
 mod test_relay_silent_links;
 mod test_relay_sources;
 mod test_relay_stop;
+mod test_relay_stop_late;
 mod test_relay_suspects;
 mod test_relay_suspects_soak;
 mod test_relay_traffic;
