connection: a refusal reaches callers that still send their body

Callers saw: a request whose body is refused before it is read got its response, but the connection was closed under the body: after 2 s, in a planned stop after 0.2 s, and at once for a body of up to 32 KB that came after the response.

Cause: the rest of the body is read and dropped beside the response, but the listener counted the connection as idle from the response on, and closed it. Short bodies were left to hyper, which closes the connection unless the rest has arrived already.

Now a connection is in use until the body of its request was read or dropped, both for the idle timeout and for a stop, and short bodies are read, too. The time bound of 5 s is one of silence, beside 60 s in all.

Evidence: the three new tests fail on the code before (broken pipe after 2 s and in the stop, the connection closed before the short body) in 1 of 1 runs, and hold now with those of bodies, listeners, stops and malformed requests.

--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -17,19 +17,17 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use parking_lot::Mutex;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
-use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
+use super::activity::Activity;
 use super::closing::SharedStream;
 
 /// Delay after a failed accept, for example when the process has no free file descriptor.
@@ -165,27 +163,6 @@
     Some((stream, permit))
 }
 
-/// Time of the last response on a connection; `None` while a request is in flight and before the
-/// first one.
-#[derive(Default)]
-struct IdleSince(Mutex<Option<Instant>>);
-
-impl IdleSince {
-    /// Returns once the connection has been without a request for `timeout` after a response.
-    async fn wait_for(&self, timeout: Duration) {
-        let mut wait = timeout;
-        loop {
-            tokio::time::sleep(wait).await;
-            let idle = self.0.lock().map(|since| since.elapsed());
-            wait = match idle {
-                None => timeout,
-                Some(idle) if idle < timeout => timeout - idle,
-                Some(_) => return,
-            };
-        }
-    }
-}
-
 async fn serve_connection<H, F>(
     stream: TcpStream,
     limits: ListenerLimits,
@@ -195,15 +172,14 @@
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    let idle_since = Arc::new(IdleSince::default());
-    let last_response = Arc::clone(&idle_since);
+    let activity = Arc::new(Activity::default());
+    let service_activity = Arc::clone(&activity);
     let service = service_fn(move |request: http::Request<Incoming>| {
-        *last_response.0.lock() = None;
-        let response = handler(request.map(Body::from_incoming));
-        let last_response = Arc::clone(&last_response);
+        let response = handler(request.map(|body| service_activity.begin(body)));
+        let activity = Arc::clone(&service_activity);
         async move {
             let response = response.await;
-            *last_response.0.lock() = Some(Instant::now());
+            activity.record_response();
             Ok::<_, Infallible>(response)
         }
     });
@@ -225,9 +201,14 @@
                 if tokio::time::timeout(STOP_READ_WAIT, connection.as_mut()).await.is_ok() {
                     return;
                 }
-                connection.as_mut().graceful_shutdown();
+                // A connection whose response is complete is closed at once, too, even if its caller still
+                // sends the body and has not read the response.
+                tokio::select! {
+                    _ = connection.as_mut() => return,
+                    () = activity.body_ended() => connection.as_mut().graceful_shutdown(),
+                }
             }
-            () = idle_since.wait_for(Duration::from_millis(limits.idle_timeout_ms)) => {
+            () = activity.idle_for(Duration::from_millis(limits.idle_timeout_ms)) => {
                 connection.as_mut().graceful_shutdown();
             }
         }
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP connections: listeners, connection pools, headers and bodies.
 
+mod activity;
 mod body;
 mod closing;
 mod exchange;
--- a/lib/src/process/relay/unread_body.rs
+++ b/lib/src/process/relay/unread_body.rs
@@ -10,31 +10,33 @@
 
 use crate::connection::MemoryBudget;
 
-/// Longest time for which the rest of a body is read and dropped.
-const DISCARD_TIME: Duration = Duration::from_secs(5);
+/// Time without a byte after which a body is no longer read.
+const SILENCE_MAX: Duration = Duration::from_secs(5);
+/// Longest time for which a body is read and dropped, so that a caller that sends without end is cut off.
+const DISCARD_TIME_MAX: Duration = Duration::from_secs(60);
 
 /// Lets a caller that still sends its body receive the response.
 ///
 /// The connection would be reset if it were closed with unread bytes, and the caller would lose the
-/// response that it has not read yet. So the body is read and dropped beside the response, for a limited
-/// time, and the connection closes then. A short body is left to the HTTP library.
+/// response that it has not read yet. So the body is read and dropped beside the response. Behind a long
+/// one the connection closes.
 pub(super) fn respond_before_body(mut response: Response, body: Body) -> Response {
-    if !is_long(&body) {
+    if http_body::Body::is_end_stream(&body) {
         return response;
     }
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(header::CONNECTION, close);
-    tokio::spawn(tokio::time::timeout(DISCARD_TIME, discard(body)));
+    if is_long(&body) {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    tokio::spawn(tokio::time::timeout(DISCARD_TIME_MAX, discard(body)));
     response
 }
 
 fn is_long(body: &Body) -> bool {
-    let size = http_body::Body::size_hint(body);
-    let is_at_end = http_body::Body::is_end_stream(body);
-    let bytes = size.exact().unwrap_or(u64::MAX);
-    !is_at_end && bytes > MemoryBudget::SMALL_BYTES as u64
+    let bytes = http_body::Body::size_hint(body).exact().unwrap_or(u64::MAX);
+    bytes > MemoryBudget::SMALL_BYTES as u64
 }
 
 async fn discard(mut body: Body) {
-    while let Some(Ok(_)) = body.frame().await {}
+    while let Ok(Some(Ok(_))) = tokio::time::timeout(SILENCE_MAX, body.frame()).await {}
 }
--- a/lib/tests/test_relay_bodies.rs
+++ b/lib/tests/test_relay_bodies.rs
@@ -196,6 +196,52 @@
     assert_eq!(fleet.relays[1].server.received().len(), 1);
 }
 
+// Guards against callers that lose the response since they need long to send a body that was refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusal_reaches_a_caller_that_goes_on_sending_for_seconds() {
+    const PARTS: usize = 20;
+    const PART_PERIOD: Duration = Duration::from_millis(350);
+    let fleet = start(Behaviour::Respond).await;
+    let framing = format!("content-length: {LONGEST_BYTES}");
+    let mut stream = send_head(callers_of(&fleet, 0), "slow", &framing).await;
+    let part = vec![b'x'; LONGEST_BYTES / PARTS];
+    for _ in 0..PARTS {
+        stream.write_all(&part).await.expect("the body is taken");
+        tokio::time::sleep(PART_PERIOD).await;
+    }
+    let head = read_head(&mut stream).await;
+    assert!(head.starts_with("http/1.1 413 "), "{head}");
+}
+
+// Guards against a connection that is closed, and may be reset, while the short body of a refused request
+// is on its way.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connection_is_kept_when_a_short_body_comes_after_the_refusal() {
+    let fleet = start(Behaviour::Respond).await;
+    let address = callers_of(&fleet, 0);
+    let mut stream = TcpStream::connect(address)
+        .await
+        .expect("the relay listens");
+    let refused =
+        "POST /nowhere HTTP/1.1\r\nhost: shop\r\nrequest-id: r1\r\ncontent-length: 3\r\n\r\n";
+    stream
+        .write_all(refused.as_bytes())
+        .await
+        .expect("the head is sent");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let head = read_head(&mut stream).await;
+    assert!(head.starts_with("http/1.1 404 "), "{head}");
+    let mut code = vec![0; "no-route".len()];
+    stream.read_exact(&mut code).await.expect("a whole body");
+    let later = "GET /stock/x HTTP/1.1\r\nhost: shop\r\nrequest-id: r2\r\n\r\n";
+    stream
+        .write_all(format!("abc{later}").as_bytes())
+        .await
+        .expect("the body is taken");
+    let head = read_head(&mut stream).await;
+    assert!(is_served(&head), "{head}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn largest_body_reaches_the_server_beside_the_node() {
     let fleet = start(Behaviour::ReadAfter(Duration::ZERO)).await;
--- a/lib/tests/test_relay_stop_late.rs
+++ b/lib/tests/test_relay_stop_late.rs
@@ -191,3 +191,28 @@
     assert_eq!(received(&fleet, 0), 1);
     stop.await.expect("the stop ends");
 }
+
+// Guards against a refusal that a caller loses because the stop closes its connection while it sends the
+// body.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusal_reaches_a_caller_that_sends_its_body_during_the_stop() {
+    const PARTS: usize = 20;
+
+    let part = vec![b'x'; 1_000_000];
+    let mut fleet = start(Repeatability::AtMostOnce, &["front", "stock"]).await;
+    let length = PARTS * part.len();
+    let head = format!(
+        "POST /stock/x HTTP/1.1\r\nhost: shop\r\nrequest-id: r1\r\ncontent-length: {length}\r\n\r\n"
+    );
+    let mut stream = connect(callers_of(&fleet, 0)).await;
+    stream.write_all(head.as_bytes()).await.expect("it is sent");
+    let stop = stop(&mut fleet, 0, GRACE);
+    for _ in 0..PARTS {
+        sleep(GRACE.mul_f64(0.7) / PARTS as u32).await;
+        stream.write_all(&part).await.expect("the body is taken");
+    }
+    let mut response = [0; 13];
+    stream.read_exact(&mut response).await.expect("a response");
+    assert_eq!(&response, b"HTTP/1.1 413 ");
+    stop.await.expect("the stop ends");
+}
