tests: the soak of relay processes has slow clients and long graces

It counted each request that was open at the limit of a planned stop as one that may be broken off, whenever it was sent. Now the process that took it may break it off only if its last byte came within 3 s of the stop signal. This is stricter; a request at another node's stop counts as before, as that node does not know when it was sent.

A quarter of the requests is written slowly, with a pause in the head or the body, and has long runs more often; a fifth names a time limit of 0.4 to 2 s; relays of odd seeds have a grace of 10 s. "Broken off early" is measured with the request's own time limit, from the end of its head.

--- a/node/tests/relay_fleet/client.rs
+++ b/node/tests/relay_fleet/client.rs
@@ -11,8 +11,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-/// Time for which clients wait, as their requests say.
-pub const TIME_LIMIT: Duration = Duration::from_secs(7);
+/// Longest time for which clients wait, as their requests say.
+const TIME_LIMIT: Duration = Duration::from_secs(7);
 /// Time after it for which a client still reads.
 const READ_SLACK: Duration = Duration::from_secs(2);
 /// Pause after a connection could not be opened.
@@ -35,6 +35,10 @@
     pub machine: usize,
     pub id: String,
     pub path: String,
+    /// Time for which the client waits, as the request says.
+    pub time_limit: Duration,
+    /// When its head was written.
+    pub head_at: Instant,
     /// When its last byte was written.
     pub sent_at: Instant,
     pub ended_at: Instant,
@@ -101,17 +105,24 @@
         received: &mut Vec<u8>,
         count: usize,
     ) -> bool {
+        let is_slow = count == 1 && self.rng.random_bool(0.25);
         let mut text = String::new();
         let mut written = Vec::new();
         for _ in 0..count {
-            let (id, path) = self.next_request();
-            text.push_str(&request_text(&id, &path));
-            written.push((id, path));
+            let request = self.next_request(is_slow);
+            text.push_str(&request.text());
+            written.push(request);
         }
-        let has_written = stream.write_all(text.as_bytes()).await.is_ok();
+        let (is_written, head_at) = match is_slow {
+            true => self.write_slowly(stream, &text).await,
+            false => {
+                let is_written = stream.write_all(text.as_bytes()).await.is_ok();
+                (is_written, Instant::now())
+            }
+        };
         let sent_at = Instant::now();
-        let mut is_open = has_written;
-        for (index, (id, path)) in written.into_iter().enumerate() {
+        let mut is_open = is_written;
+        for (index, request) in written.into_iter().enumerate() {
             let (ending, goes_on) = match is_open {
                 true => read_ending(stream, received).await,
                 false => (Ending::Closed, false),
@@ -119,8 +130,10 @@
             is_open = goes_on;
             self.sent.push(Sent {
                 machine: self.machine,
-                id,
-                path,
+                id: request.id,
+                path: request.path,
+                time_limit: request.time_limit,
+                head_at,
                 sent_at,
                 ended_at: Instant::now(),
                 ending,
@@ -130,33 +143,74 @@
         is_open
     }
 
-    fn next_request(&mut self) -> (String, String) {
+    /// Writes a request with a pause in its head or before the end of its body. Returns whether it was
+    /// written, and when its head was.
+    async fn write_slowly(&mut self, stream: &mut TcpStream, text: &str) -> (bool, Instant) {
+        let head_end = text.find("\r\n\r\n").expect("a whole head") + 4;
+        let is_in_head = head_end == text.len() || self.rng.random_bool(0.5);
+        let (first, rest) = match is_in_head {
+            true => text.split_at(head_end / 2),
+            false => text.split_at(head_end + 1),
+        };
+        let has_begun = stream.write_all(first.as_bytes()).await.is_ok();
+        let begun_at = Instant::now();
+        let pause_ms = self.rng.random_range(100..4_500);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        let is_written = has_begun && stream.write_all(rest.as_bytes()).await.is_ok();
+        match is_in_head {
+            true => (is_written, Instant::now()),
+            false => (is_written, begun_at),
+        }
+    }
+
+    fn next_request(&mut self, is_slow: bool) -> NextRequest {
         self.next_number += 1;
         let id = format!("{}-{}", self.name, self.next_number);
         let route = ["once", "once", "safe", "flip"][self.rng.random_range(0..4)];
+        // What is written slowly often begins late in a stop, and shows only then whether it may outlast it.
+        let long_runs = if is_slow { 10 } else { 3 };
         let work_ms = match self.rng.random_range(0..20) {
             0 => 7_500,
-            1..3 => self.rng.random_range(1_000..4_500),
+            run if run < long_runs => self.rng.random_range(1_000..4_500),
             _ => self.rng.random_range(0..60),
         };
-        (id, format!("/{route}/{work_ms}"))
+        let time_limit = match self.rng.random_bool(0.8) {
+            true => TIME_LIMIT,
+            false => Duration::from_millis(self.rng.random_range(400..2_000)),
+        };
+        NextRequest {
+            id,
+            path: format!("/{route}/{work_ms}"),
+            time_limit,
+        }
     }
 }
 
-fn request_text(id: &str, path: &str) -> String {
-    let names = protocol().headers;
-    let method = match path.starts_with("/once/") {
-        true => "POST",
-        false => "GET",
-    };
-    let body = if method == "POST" { "order" } else { "" };
-    format!(
-        "{method} {path} HTTP/1.1\r\nHost: shop\r\n{}: {id}\r\n{}: {}\r\nContent-Length: {}\r\n\r\n{body}",
-        names.request_id,
-        names.deadline_ms,
-        TIME_LIMIT.as_millis(),
-        body.len()
-    )
+/// A request that a client is about to send.
+struct NextRequest {
+    id: String,
+    path: String,
+    time_limit: Duration,
+}
+
+impl NextRequest {
+    fn text(&self) -> String {
+        let names = protocol().headers;
+        let path = &self.path;
+        let method = match path.starts_with("/once/") {
+            true => "POST",
+            false => "GET",
+        };
+        let body = if method == "POST" { "order" } else { "" };
+        format!(
+            "{method} {path} HTTP/1.1\r\nHost: shop\r\n{}: {}\r\n{}: {}\r\nContent-Length: {}\r\n\r\n{body}",
+            names.request_id,
+            self.id,
+            names.deadline_ms,
+            self.time_limit.as_millis(),
+            body.len()
+        )
+    }
 }
 
 /// Reads one response. Returns also whether the connection can be used again.
--- a/node/tests/relay_fleet/machine.rs
+++ b/node/tests/relay_fleet/machine.rs
@@ -22,7 +22,6 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use super::GRACE;
 use super::server::Server;
 
 /// Time between two checks whether a process has ended.
@@ -45,6 +44,7 @@
     pub server: Server,
     ready: SocketAddr,
     settings: PathBuf,
+    grace: Duration,
     child: Mutex<Child>,
     history: Mutex<Vec<(Instant, ProcessEvent)>>,
 }
@@ -55,6 +55,7 @@
         index: usize,
         service: &'static str,
         store: SocketAddr,
+        grace: Duration,
     ) -> Self {
         let node = format!("node-{index}");
         let mut server = Server::start(service, format!("i-{index}")).await;
@@ -68,7 +69,7 @@
              key_withdrawal_is_strict = true\nstop_grace_s = {}\nretry_ratio = 0.2\n\
              retry_slack = 48\nretry_window_s = 10\n",
             server.address,
-            GRACE.as_secs()
+            grace.as_secs()
         );
         let settings = folder.join(format!("{node}.toml"));
         std::fs::write(&settings, text).expect("the settings are written");
@@ -79,6 +80,7 @@
             ready,
             child: Mutex::new(spawn(&settings)),
             settings,
+            grace,
             history: Mutex::new(vec![(Instant::now(), ProcessEvent::Started)]),
         }
     }
@@ -121,7 +123,7 @@
     }
 
     async fn wait_for_exit(&self) -> bool {
-        let deadline = Instant::now() + GRACE;
+        let deadline = Instant::now() + self.grace;
         while Instant::now() < deadline {
             let status = self.child.lock().try_wait().expect("a child process");
             if let Some(status) = status {
--- a/node/tests/relay_fleet/mod.rs
+++ b/node/tests/relay_fleet/mod.rs
@@ -16,12 +16,11 @@
 pub use self::client::Client;
 pub use self::client::Ending;
 pub use self::client::Sent;
-pub use self::client::TIME_LIMIT;
 pub use self::machine::Machine;
 pub use self::machine::ProcessEvent;
 use crate::store_stand_in::StoreStandIn;
 
-/// Time after a stop signal after which the platform kills a process.
+/// Time after a stop signal after which the platform kills a process, unless a test names another.
 pub const GRACE: Duration = Duration::from_secs(6);
 /// Longest wait for a condition of the fleet.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -36,6 +35,16 @@
 impl Fleet {
     /// Starts a machine for each service, and waits until all relays are ready and serve.
     pub async fn start(name: &str, configuration: &Value, services: &[&'static str]) -> Self {
+        Self::start_with_grace(name, configuration, services, GRACE).await
+    }
+
+    /// Starts machines whose processes are killed `grace` after a stop signal.
+    pub async fn start_with_grace(
+        name: &str,
+        configuration: &Value,
+        services: &[&'static str],
+        grace: Duration,
+    ) -> Self {
         let store = StoreStandIn::start().await;
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         let mut fleet = Self {
@@ -47,7 +56,7 @@
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).expect("the folder is created");
         for (index, service) in services.iter().enumerate() {
-            let machine = Machine::start(&folder, index, service, fleet.store.address).await;
+            let machine = Machine::start(&folder, index, service, fleet.store.address, grace).await;
             fleet.machines.push(machine);
         }
         fleet.wait_until_ready().await;
--- a/node/tests/test_relay_soak.rs
+++ b/node/tests/test_relay_soak.rs
@@ -19,11 +19,14 @@
 use crate::relay_fleet::GRACE;
 use crate::relay_fleet::ProcessEvent;
 use crate::relay_fleet::Sent;
-use crate::relay_fleet::TIME_LIMIT;
 use crate::relay_fleet::configuration;
 
 /// Seeds of the run in CI; others are given by `SOAK_SEEDS`.
-const SEEDS: Range<u64> = 0..1;
+const SEEDS: Range<u64> = 0..2;
+/// Graces of the relays in the runs of even and of odd seeds.
+const GRACES: [Duration; 2] = [GRACE, Duration::from_secs(10)];
+/// Time after a stop signal until which a request may be sent that is broken off at the end of the stop.
+const SENT_EARLY_MAX: Duration = Duration::from_secs(3);
 /// Time for which signals and changes come.
 const SOAK_TIME: Duration = Duration::from_secs(20);
 const CLIENTS_PER_MACHINE: usize = 6;
@@ -46,6 +49,7 @@
 /// A run of the soak.
 struct Soak {
     seed: u64,
+    grace: Duration,
     rng: StdRng,
     fleet: Arc<Fleet>,
     published: Vec<Published>,
@@ -64,9 +68,12 @@
 impl Soak {
     async fn start(seed: u64) -> Self {
         let name = format!("soak-{}-{seed}", std::process::id());
-        let fleet = Fleet::start(&name, &version_of(1, "alpha"), &SERVICES).await;
+        let grace = GRACES[seed as usize % GRACES.len()];
+        let configuration = version_of(1, "alpha");
+        let fleet = Fleet::start_with_grace(&name, &configuration, &SERVICES, grace).await;
         Self {
             seed,
+            grace,
             rng: StdRng::seed_from_u64(seed),
             fleet: Arc::new(fleet),
             published: vec![Published {
@@ -143,6 +150,7 @@
 
 /// What a soak has recorded.
 struct Record {
+    grace: Duration,
     fleet: Arc<Fleet>,
     published: Vec<Published>,
     /// The machines whose servers began to run each request.
@@ -150,7 +158,7 @@
 }
 
 impl Record {
-    fn new(fleet: Arc<Fleet>, published: Vec<Published>) -> Self {
+    fn new(grace: Duration, fleet: Arc<Fleet>, published: Vec<Published>) -> Self {
         let mut runs: HashMap<String, Vec<usize>> = HashMap::new();
         for (index, machine) in fleet.machines.iter().enumerate() {
             for id in machine.server.runs() {
@@ -158,6 +166,7 @@
             }
         }
         Self {
+            grace,
             fleet,
             published,
             runs,
@@ -198,7 +207,8 @@
             Ending::Answered {
                 status: 502 | 504, ..
             } => {
-                if held + TIME_SLACK < TIME_LIMIT && !self.may_be_broken_off(sent) {
+                let waited = sent.ended_at - sent.head_at;
+                if waited + TIME_SLACK < sent.time_limit && !self.may_be_broken_off(sent) {
                     faults.push("broken off early");
                 }
             }
@@ -232,9 +242,11 @@
     fn was_at_limit_of_stop(&self, machine: usize, sent: &Sent) -> bool {
         let history = self.fleet.machines[machine].history();
         history.iter().any(|(at, event)| {
-            let limit = *at + GRACE.mul_f64(5.0 / 6.0);
-            let is_open = limit < sent.ended_at + TIME_SLACK && *at + GRACE > sent.sent_at;
-            *event == ProcessEvent::Stopping && is_open
+            let limit = *at + self.grace.mul_f64(5.0 / 6.0);
+            let is_open = limit < sent.ended_at + TIME_SLACK && *at + self.grace > sent.sent_at;
+            // The process that took it knows how late it was sent.
+            let is_early = machine != sent.machine || sent.sent_at <= *at + SENT_EARLY_MAX;
+            *event == ProcessEvent::Stopping && is_open && is_early
         })
     }
 
@@ -289,7 +301,7 @@
                 "seed {seed}: {ended} processes ended by themselves"
             ));
         }
-        let record = Record::new(Arc::clone(&soak.fleet), soak.published);
+        let record = Record::new(soak.grace, Arc::clone(&soak.fleet), soak.published);
         let mut statuses: HashMap<u16, usize> = HashMap::new();
         let mut closed = 0;
         for request in &sent {
