--- a/lib/src/connection/closing.rs
+++ b/lib/src/connection/closing.rs
@@ -21,6 +21,9 @@
 /// Time in which a response that is ready when its client closes is still written.
 const WRITE_TIME: Duration = Duration::from_millis(50);
 
+/// Size of the reads of bytes that are discarded.
+const DISCARD_BYTES: usize = 1_024;
+
 /// A stream that can be watched for its end while another task reads it.
 #[derive(Clone, Debug)]
 pub(super) struct SharedStream(Arc<TcpStream>);
@@ -42,6 +45,16 @@
         }
         tokio::time::sleep(WRITE_TIME).await;
     }
+
+    /// Discards received bytes that nobody has read, and returns their number.
+    pub(super) fn discard_received(&self) -> usize {
+        let mut discarded = [0; DISCARD_BYTES];
+        let mut total = 0;
+        while let Ok(bytes @ 1..) = self.0.try_read(&mut discarded) {
+            total += bytes;
+        }
+        total
+    }
 }
 
 impl AsyncRead for SharedStream {
--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -29,6 +29,7 @@
 
 use super::activity::Activity;
 use super::closing::SharedStream;
+use crate::process::events::process as events;
 
 /// Delay after a failed accept, for example when the process has no free file descriptor.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -193,29 +194,36 @@
     let serving = async {
         // An error here means that the client disconnected or sent invalid input, to which hyper has
         // already responded.
-        tokio::select! {
-            _ = connection.as_mut() => return,
+        let cause = tokio::select! {
+            _ = connection.as_mut() => return "ended",
             () = stopping.cancelled() => {
                 // A connection without a request is closed at once, even if one arrived and was not
                 // read.
                 if tokio::time::timeout(STOP_READ_WAIT, connection.as_mut()).await.is_ok() {
-                    return;
+                    return "ended";
                 }
                 // A connection whose response is complete is closed at once, too, even if its caller still
                 // sends the body and has not read the response.
                 tokio::select! {
-                    _ = connection.as_mut() => return,
+                    _ = connection.as_mut() => return "ended",
                     () = activity.body_ended() => connection.as_mut().graceful_shutdown(),
                 }
+                "stop"
             }
             () = activity.idle_for(Duration::from_millis(limits.idle_timeout_ms)) => {
                 connection.as_mut().graceful_shutdown();
+                "idle"
             }
-        }
+        };
         let _ = connection.await;
+        cause
+    };
+    let cause = tokio::select! {
+        cause = serving => cause,
+        () = stream.closed_by_client() => "client-left",
     };
-    tokio::select! {
-        () = serving => {}
-        () = stream.closed_by_client() => {}
+    let unread_bytes = stream.discard_received();
+    if unread_bytes > 0 {
+        events::CONNECTION_UNREAD.log(format_args!("cause={cause} unread_bytes={unread_bytes}"));
     }
 }
--- a/lib/src/process/events/process.rs
+++ b/lib/src/process/events/process.rs
@@ -15,4 +15,5 @@
     SERVER_LEAVING = 1011, Info, "process.server-leaving", "The backend server beside this node is leaving; it gets no new requests.";
     SERVER_LOST = 1012, Warn, "process.server-lost", "The backend server beside this node crashed or stopped renewing its announcement.";
     CONNECTION_SILENT = 1020, Info, "process.connection-silent", "A connection to the store or a backend server was given up because nothing arrived on it; new ones are opened.";
+    CONNECTION_UNREAD = 1021, Info, "process.connection-unread", "A caller's connection was closed while bytes that it had sent were unread; the line says why it was closed.";
 }
