connection: a request that has partly arrived keeps its connection open

What callers saw: a request whose head came in two pieces around the idle timeout or a stop, or that waited in the socket while the process was held up, got the end of the connection without a byte. So did one sent right behind a response that took longer than the idle timeout to be read.

Cause: whether a connection is in use began with a complete head, and ended with the handler's response. At the idle timeout and at a stop the HTTP library closed the socket without a look at what it had buffered or what waited in the kernel.

A connection that is to be closed is now taken apart with its socket open. If bytes have arrived, it is resumed with them, and the head gets its whole time; else the socket is closed. A connection counts as used until its response is written. Responses of a stopping listener say that the connection closes.

--- a/lib/src/connection/activity.rs
+++ b/lib/src/connection/activity.rs
@@ -1,5 +1,5 @@
-//! Whether a connection is in use: by a request without a response, or by a body that is still read after
-//! its response.
+//! Whether a connection is in use: by a request without a response, by a response that is still written, or
+//! by a body that is still read after its response.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -16,25 +16,48 @@
 use tokio::time::Instant;
 use volo_http::body::Body;
 
-/// Time between two checks whether a body is still read after its response.
+/// Time between two checks whether a connection that is to be closed is still used.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
 
 /// What a connection is used for.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Activity(Mutex<ActivityState>);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct ActivityState {
-    /// `None` while a request has no response and before the first one.
-    responded_at: Option<Instant>,
+    /// Whether a request has begun since the connection was opened or resumed.
+    has_request: bool,
+    /// Whether a request has no response.
+    is_responding: bool,
     open_bodies: u32,
+    /// Whether a response waits for its client to read.
+    is_write_blocked: bool,
+    last_used_at: Instant,
+    /// Whether the connection closes behind the next response.
+    is_closing: bool,
+    /// Whether the last response told the client that the connection closes behind it.
+    is_close_announced: bool,
 }
 
 impl Activity {
+    /// Returns the state of a connection on which no request has begun.
+    pub(super) fn new() -> Self {
+        Self(Mutex::new(ActivityState {
+            has_request: false,
+            is_responding: false,
+            open_bodies: 0,
+            is_write_blocked: false,
+            last_used_at: Instant::now(),
+            is_closing: false,
+            is_close_announced: false,
+        }))
+    }
+
     /// Begins a request. Returns its body, which counts as in use until it is dropped.
     pub(super) fn begin(self: &Arc<Self>, body: Incoming) -> Body {
         let mut state = self.0.lock();
-        state.responded_at = None;
+        state.has_request = true;
+        state.is_responding = true;
         if body.is_end_stream() {
             return Body::from_incoming(body);
         }
@@ -45,46 +68,78 @@
         })
     }
 
-    /// Records that the request has its response.
-    pub(super) fn record_response(&self) {
-        self.0.lock().responded_at = Some(Instant::now());
+    /// Returns whether a request has begun.
+    pub(super) fn has_request(&self) -> bool {
+        self.0.lock().has_request
+    }
+
+    /// Records that the request has its response, and whether the response or the request says that
+    /// the connection closes behind it.
+    pub(super) fn record_response(&self, is_close_announced: bool) {
+        let mut state = self.0.lock();
+        state.is_responding = false;
+        state.last_used_at = Instant::now();
+        // The HTTP library adds the header in that case.
+        state.is_close_announced = is_close_announced || state.is_closing;
+    }
+
+    /// Records a write, or one that waits for the client to read.
+    pub(super) fn record_write(&self, is_blocked: bool) {
+        let mut state = self.0.lock();
+        state.is_write_blocked = is_blocked;
+        state.last_used_at = Instant::now();
+    }
+
+    /// Records that the connection closes behind the next response.
+    pub(super) fn begin_close(&self) {
+        self.0.lock().is_closing = true;
+    }
+
+    /// Returns whether the client was told that the connection closes.
+    pub(super) fn is_close_announced(&self) -> bool {
+        self.0.lock().is_close_announced
     }
 
     fn end_body(&self) {
         let mut state = self.0.lock();
         state.open_bodies -= 1;
-        state.responded_at = state.responded_at.map(|_| Instant::now());
+        state.last_used_at = Instant::now();
     }
 
-    /// Returns for how long the connection has been unused since a response, if it is.
-    fn idle_time(&self) -> Option<Duration> {
+    /// Returns for how long the connection has been unused, if it is.
+    fn unused_time(&self) -> Option<Duration> {
         let state = self.0.lock();
-        let since = state.responded_at.filter(|_| state.open_bodies == 0);
-        since.map(|since| since.elapsed())
+        let is_used = state.is_responding || state.open_bodies > 0 || state.is_write_blocked;
+        (!is_used).then(|| state.last_used_at.elapsed())
     }
 
     /// Returns once the connection has been unused for `timeout` after a response.
     pub(super) async fn idle_for(&self, timeout: Duration) {
-        let mut wait = timeout;
-        loop {
-            tokio::time::sleep(wait).await;
-            wait = match self.idle_time() {
-                None => timeout,
-                Some(idle) if idle < timeout => timeout - idle,
-                Some(_) => return,
-            };
-        }
+        let idle_time = || self.unused_time().filter(|_| self.has_request());
+        wait_for(timeout, timeout, idle_time).await;
     }
 
-    /// Returns once no body is read after its response.
-    pub(super) async fn body_ended(&self) {
-        let is_reading_on = || {
-            let state = self.0.lock();
-            state.open_bodies > 0 && state.responded_at.is_some()
+    /// Returns once the connection has been unused for `timeout` from now on.
+    pub(super) async fn unused_for(&self, timeout: Duration) {
+        let started_at = Instant::now();
+        let unused_time = || {
+            let unused_time = self.unused_time();
+            unused_time.map(|unused| unused.min(started_at.elapsed()))
         };
-        while is_reading_on() {
-            tokio::time::sleep(CHECK_PERIOD).await;
-        }
+        wait_for(timeout, CHECK_PERIOD, unused_time).await;
+    }
+}
+
+/// Returns once `unused_time` is at least `timeout`. While there is none, it is checked again after
+/// `period`.
+async fn wait_for(timeout: Duration, period: Duration, unused_time: impl Fn() -> Option<Duration>) {
+    loop {
+        let wait = match unused_time() {
+            None => period,
+            Some(unused) if unused < timeout => timeout - unused,
+            Some(_) => return,
+        };
+        tokio::time::sleep(wait).await;
     }
 }
 
--- a/lib/src/connection/closing.rs
+++ b/lib/src/connection/closing.rs
@@ -1,4 +1,4 @@
-//! Clients that close their connection while bytes of a further request wait on it.
+//! Clients that close their connection, and bytes that have arrived when a connection is to be closed.
 
 use std::io;
 use std::pin::Pin;
@@ -8,6 +8,8 @@
 use std::task::ready;
 use std::time::Duration;
 
+use bytes::Buf;
+use bytes::Bytes;
 use rustix::net::Shutdown;
 use rustix::net::shutdown;
 use tokio::io::AsyncRead;
@@ -16,13 +18,14 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use super::activity::Activity;
+
 /// Time between two checks while unread bytes hide whether the client has closed the connection.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Time in which a response that is ready when its client closes is still written.
 const WRITE_TIME: Duration = Duration::from_millis(50);
-
-/// Size of the reads of bytes that are discarded.
-const DISCARD_BYTES: usize = 1_024;
+/// Size of the reads of received bytes.
+const READ_BYTES: usize = 1_024;
 
 /// A stream that can be watched for its end while another task reads it.
 #[derive(Clone, Debug)]
@@ -33,9 +36,9 @@
         Self(Arc::new(stream))
     }
 
-    /// Returns after the client has closed the connection, also while bytes that it sent before are
-    /// unread. HTTP servers see the end only when they read up to it, and they do not read on while
-    /// a request runs and a further one is buffered.
+    /// Returns after the client has closed its side of the connection, also while bytes that it sent
+    /// before are unread. HTTP servers see the end only when they read up to it, and they do not read
+    /// on while a request runs and a further one is buffered.
     pub(super) async fn closed_by_client(&self) {
         loop {
             match self.0.ready(Interest::READABLE).await {
@@ -46,9 +49,32 @@
         tokio::time::sleep(WRITE_TIME).await;
     }
 
+    fn poll_write_vectored(
+        &self,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(context))?;
+            match self.0.try_write_vectored(slices) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    /// Returns `received` with bytes that have arrived since. Not all of them are read if there are many.
+    pub(super) fn append_arrived(&self, received: Bytes) -> Bytes {
+        let mut part = [0; READ_BYTES];
+        match self.0.try_read(&mut part) {
+            Ok(bytes @ 1..) => [&received, &part[..bytes]].concat().into(),
+            Ok(_) | Err(_) => received,
+        }
+    }
+
     /// Discards received bytes that nobody has read, and returns their number.
-    pub(super) fn discard_received(&self) -> usize {
-        let mut discarded = [0; DISCARD_BYTES];
+    pub(super) fn discard_arrived(&self) -> usize {
+        let mut discarded = [0; READ_BYTES];
         let mut total = 0;
         while let Ok(bytes @ 1..) = self.0.try_read(&mut discarded) {
             total += bytes;
@@ -57,15 +83,33 @@
     }
 }
 
-impl AsyncRead for SharedStream {
+/// A stream on which some bytes were received already.
+#[derive(Debug)]
+pub(super) struct ResumedStream {
+    /// The bytes that are read first.
+    pub(super) received: Bytes,
+    /// The stream.
+    pub(super) stream: SharedStream,
+    /// Records writes.
+    pub(super) activity: Arc<Activity>,
+}
+
+impl AsyncRead for ResumedStream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.received.is_empty() {
+            let bytes = self.received.len().min(buffer.remaining());
+            buffer.put_slice(&self.received[..bytes]);
+            self.received.advance(bytes);
+            return Poll::Ready(Ok(()));
+        }
+        let stream = &self.stream.0;
         loop {
-            ready!(self.0.poll_read_ready(context))?;
-            match self.0.try_read_buf(buffer) {
+            ready!(stream.poll_read_ready(context))?;
+            match stream.try_read_buf(buffer) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 read => return Poll::Ready(read.map(drop)),
             }
@@ -73,7 +117,7 @@
     }
 }
 
-impl AsyncWrite for SharedStream {
+impl AsyncWrite for ResumedStream {
     fn poll_write(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -87,13 +131,9 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.poll_write_ready(context))?;
-            match self.0.try_write_vectored(slices) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
+        let written = self.stream.poll_write_vectored(context, slices);
+        self.activity.record_write(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -105,6 +145,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(shutdown(&*self.0, Shutdown::Write).map_err(io::Error::from))
+        Poll::Ready(shutdown(&*self.stream.0, Shutdown::Write).map_err(io::Error::from))
     }
 }
--- a/lib/src/connection/headers.rs
+++ b/lib/src/connection/headers.rs
@@ -55,6 +55,15 @@
     }
 }
 
+/// Returns whether the connection closes behind the message.
+pub(super) fn says_close(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let mut options = values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','));
+    options.any(|option| option.trim().eq_ignore_ascii_case("close"))
+}
+
 /// Removes all headers that only the system itself may set.
 pub fn strip_system_headers(headers: &mut HeaderMap) {
     let names: Vec<HeaderName> = headers
--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -7,11 +7,17 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Version;
+use http::header;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -28,7 +34,9 @@
 use volo_http::response::Response;
 
 use super::activity::Activity;
+use super::closing::ResumedStream;
 use super::closing::SharedStream;
+use super::headers::says_close;
 use crate::process::events::process as events;
 
 /// Delay after a failed accept, for example when the process has no free file descriptor.
@@ -36,7 +44,7 @@
 /// Time without a new connection after which a stopping listener closes its socket. Connections that
 /// the kernel has accepted would be reset with it.
 const STOP_ACCEPT_WAIT: Duration = Duration::from_millis(10);
-/// Time in which a stopping listener reads requests that are on their way on open connections.
+/// Time without a request after which a stopping listener closes a connection. Requests may be on their way.
 const STOP_READ_WAIT: Duration = Duration::from_millis(200);
 
 plain_value! {
@@ -173,57 +181,120 @@
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    let activity = Arc::new(Activity::default());
-    let service_activity = Arc::clone(&activity);
-    let service = service_fn(move |request: http::Request<Incoming>| {
-        let response = handler(request.map(|body| service_activity.begin(body)));
-        let activity = Arc::clone(&service_activity);
-        async move {
-            let response = response.await;
-            activity.record_response();
-            Ok::<_, Infallible>(response)
-        }
-    });
     let stream = SharedStream::new(stream);
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
-        .max_buf_size(limits.header_bytes_max)
-        .serve_connection(TokioIo::new(stream.clone()), service);
-    let mut connection = std::pin::pin!(connection);
     let serving = async {
-        // An error here means that the client disconnected or sent invalid input, to which hyper has
-        // already responded.
-        let cause = tokio::select! {
-            _ = connection.as_mut() => return "ended",
-            () = stopping.cancelled() => {
-                // A connection without a request is closed at once, even if one arrived and was not
-                // read.
-                if tokio::time::timeout(STOP_READ_WAIT, connection.as_mut()).await.is_ok() {
-                    return "ended";
-                }
-                // A connection whose response is complete is closed at once, too, even if its caller still
-                // sends the body and has not read the response.
-                tokio::select! {
-                    _ = connection.as_mut() => return "ended",
-                    () = activity.body_ended() => connection.as_mut().graceful_shutdown(),
-                }
-                "stop"
+        let mut received = Bytes::new();
+        loop {
+            let resumed = (stream.clone(), received);
+            match serve_until_unused(resumed, limits, &handler, &stopping).await {
+                ConnectionEnd::Unused { arrived } if !arrived.is_empty() => received = arrived,
+                end => return end,
             }
-            () = activity.idle_for(Duration::from_millis(limits.idle_timeout_ms)) => {
-                connection.as_mut().graceful_shutdown();
-                "idle"
-            }
-        };
-        let _ = connection.await;
-        cause
+        }
     };
-    let cause = tokio::select! {
-        cause = serving => cause,
-        () = stream.closed_by_client() => "client-left",
+    let (cause, unread_bytes) = tokio::select! {
+        end = serving => match end {
+            ConnectionEnd::Unused { arrived } => ("unused", arrived.len()),
+            ConnectionEnd::Final { cause, unread } => (cause, unread.len()),
+        },
+        () = stream.closed_by_client() => ("client-left", 0),
     };
-    let unread_bytes = stream.discard_received();
+    let unread_bytes = unread_bytes + stream.discard_arrived();
     if unread_bytes > 0 {
         events::CONNECTION_UNREAD.log(format_args!("cause={cause} unread_bytes={unread_bytes}"));
     }
 }
+
+/// Why a connection is no longer served.
+enum ConnectionEnd {
+    /// No request was on it for some time, and its client was not told that it closes. Bytes of a
+    /// further request may have arrived since.
+    Unused {
+        /// The bytes that arrived.
+        arrived: Bytes,
+    },
+    /// The client closed it, was told that it closes, or sent invalid input.
+    Final {
+        /// Which of these.
+        cause: &'static str,
+        /// Bytes behind the last request.
+        unread: Bytes,
+    },
+}
+
+/// Serves a connection on which some bytes were received already, until it is to be closed.
+async fn serve_until_unused<H, F>(
+    (stream, received): (SharedStream, Bytes),
+    limits: ListenerLimits,
+    handler: &Arc<H>,
+    stopping: &CancellationToken,
+) -> ConnectionEnd
+where
+    H: Fn(Request) -> F + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let activity = Arc::new(Activity::new());
+    let activity_ref = &activity;
+    let service = service_fn(move |request: http::Request<Incoming>| {
+        let is_last = request.version() < Version::HTTP_11 || says_close(request.headers());
+        let response = handler(request.map(|body| activity_ref.begin(body)));
+        Box::pin(async move {
+            let mut response = response.await;
+            if stopping.is_cancelled() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            activity_ref.record_response(is_last || says_close(response.headers()));
+            Ok::<_, Infallible>(response)
+        })
+    });
+    let resumed = ResumedStream {
+        received,
+        stream: stream.clone(),
+        activity: Arc::clone(&activity),
+    };
+    let mut connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
+        .max_buf_size(limits.header_bytes_max)
+        .serve_connection(TokioIo::new(resumed), service);
+    // The socket stays open, so that a connection on which a request has arrived can be resumed.
+    let ended = tokio::select! {
+        result = poll_fn(|context| connection.poll_without_shutdown(context)) => Some(result),
+        () = activity.idle_for(Duration::from_millis(limits.idle_timeout_ms)) => None,
+        () = unused_in_stop(&activity, stopping) => None,
+    };
+    let is_unused = ended.is_none();
+    let result = match ended {
+        Some(result) => result,
+        None => {
+            activity.begin_close();
+            Pin::new(&mut connection).graceful_shutdown();
+            poll_fn(|context| connection.poll_without_shutdown(context)).await
+        }
+    };
+    let unread = connection.into_parts().read_buf;
+    let cause = match result {
+        _ if activity.is_close_announced() => "last-response",
+        Ok(()) if is_unused => return unused(&stream, unread),
+        // For hyper, the time for a head begins with the response before it.
+        Err(error) if error.is_timeout() && activity.has_request() => {
+            return unused(&stream, unread);
+        }
+        Ok(()) => "client-left",
+        // The client disconnected or sent invalid input, to which hyper has already responded.
+        Err(_) => "failed",
+    };
+    ConnectionEnd::Final { cause, unread }
+}
+
+fn unused(stream: &SharedStream, unread: Bytes) -> ConnectionEnd {
+    let arrived = stream.append_arrived(unread);
+    ConnectionEnd::Unused { arrived }
+}
+
+/// Returns during a stop, once no request was on the connection for some time.
+async fn unused_in_stop(activity: &Activity, stopping: &CancellationToken) {
+    stopping.cancelled().await;
+    activity.unused_for(STOP_READ_WAIT).await;
+}
