connection: a closed connection is read until its client has closed it

What callers saw: a complete response ended early, with a reset, when its connection closed and a further request of the caller was unread: 5.2 of 8.4 MB arrived at a caller that read slowly. So did responses of a planned stop, all of which close their connections.

Cause: the socket was closed in both directions at once. The kernel resets a connection that is closed with unread bytes, or on which bytes arrive later, and drops what the other end has not acknowledged yet.

Now this side is closed first, and bytes are read and dropped until the client has closed its side, for a second at most.

--- a/lib/src/connection/closing.rs
+++ b/lib/src/connection/closing.rs
@@ -24,6 +24,8 @@
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Time in which a response that is ready when its client closes is still written.
 const WRITE_TIME: Duration = Duration::from_millis(50);
+/// Longest time for which a closed connection waits until its client has closed it, too.
+const LINGER_MAX: Duration = Duration::from_secs(1);
 /// Size of the reads of received bytes.
 const READ_BYTES: usize = 1_024;
 
@@ -72,14 +74,27 @@
         }
     }
 
-    /// Discards received bytes that nobody has read, and returns their number.
-    pub(super) fn discard_arrived(&self) -> usize {
-        let mut discarded = [0; READ_BYTES];
-        let mut total = 0;
-        while let Ok(bytes @ 1..) = self.0.try_read(&mut discarded) {
-            total += bytes;
-        }
-        total
+    /// Closes the connection. Returns the number of bytes that arrived and were discarded.
+    ///
+    /// The kernel resets a connection that is closed while received bytes are unread, and the client
+    /// may lose the end of the last response. So this side is closed first, and bytes are read until
+    /// the client has closed its side.
+    pub(super) async fn close(self) -> usize {
+        let mut discarded_bytes = 0;
+        // It fails if the connection has failed.
+        let _ = shutdown(&*self.0, Shutdown::Write);
+        let discarding = async {
+            let mut part = [0; READ_BYTES];
+            while self.0.readable().await.is_ok() {
+                match self.0.try_read(&mut part) {
+                    Ok(bytes @ 1..) => discarded_bytes += bytes,
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Ok(_) | Err(_) => return,
+                }
+            }
+        };
+        let _ = tokio::time::timeout(LINGER_MAX, discarding).await;
+        discarded_bytes
     }
 }
 
--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -199,7 +199,7 @@
         },
         () = stream.closed_by_client() => ("client-left", 0),
     };
-    let unread_bytes = unread_bytes + stream.discard_arrived();
+    let unread_bytes = unread_bytes + stream.close().await;
     if unread_bytes > 0 {
         events::CONNECTION_UNREAD.log(format_args!("cause={cause} unread_bytes={unread_bytes}"));
     }
--- a/lib/tests/test_listener_closing.rs
+++ b/lib/tests/test_listener_closing.rs
@@ -177,6 +177,32 @@
     }
 }
 
+// Guards against a response that its caller loses because the connection is reset when a further request is unread.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn response_of_a_stop_is_received_whole_by_a_caller_that_sends_further_requests() {
+    let (serving, mut stream) = serve_kept(Duration::from_secs(60)).await;
+    let large = b"GET /large HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    stream.write_all(large).await.unwrap();
+    let stopping = stop(&serving).await;
+    let (mut reader, mut writer) = stream.into_split();
+    let writing = tokio::spawn(async move {
+        // Writes fail once the connection has ended.
+        while writer.write_all(REQUEST).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    });
+    let mut received = 0;
+    let mut part = vec![0; 64 * 1_024];
+    while let Ok(bytes @ 1..) = reader.read(&mut part).await {
+        received += bytes;
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    drop(reader);
+    assert!(received > LARGE_BYTES, "{received} of {LARGE_BYTES} bytes");
+    writing.await.unwrap();
+    stopping.await.unwrap();
+}
+
 // Guards against a connection that ends without notice right behind a response which its caller reads slowly.
 #[tokio::test]
 async fn request_behind_a_slowly_read_response_is_answered_at_the_idle_timeout() {
