connection: a caller that closes its writing side gets a response

What callers saw: one that sent a whole request and closed its writing side got the end of the connection without a byte, if the response took longer than 50 ms.

Cause: the end of what a client sends was taken for the end of the client, and its connection was dropped with the request. A server cannot tell the two apart without sending.

Such a request is still given up, as most clients that end have left. The caller is told with 502, since the request may have run, and the connection closes behind it.

--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -16,6 +16,7 @@
 
 use bytes::Bytes;
 use http::HeaderValue;
+use http::StatusCode;
 use http::Version;
 use http::header;
 use hyper::body::Incoming;
@@ -30,6 +31,7 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
@@ -182,23 +184,15 @@
     F: Future<Output = Response> + Send + 'static,
 {
     let stream = SharedStream::new(stream);
-    let serving = async {
-        let mut received = Bytes::new();
-        loop {
-            let resumed = (stream.clone(), received);
-            match serve_until_unused(resumed, limits, &handler, &stopping).await {
-                ConnectionEnd::Unused { arrived } if !arrived.is_empty() => received = arrived,
-                end => return end,
-            }
+    let mut received = Bytes::new();
+    let (cause, unread_bytes) = loop {
+        let resumed = (stream.clone(), received);
+        match serve_until_unused(resumed, limits, &handler, &stopping).await {
+            ConnectionEnd::Unused { arrived } if !arrived.is_empty() => received = arrived,
+            ConnectionEnd::Unused { .. } => break ("unused", 0),
+            ConnectionEnd::Final { cause, unread } => break (cause, unread.len()),
         }
     };
-    let (cause, unread_bytes) = tokio::select! {
-        end = serving => match end {
-            ConnectionEnd::Unused { arrived } => ("unused", arrived.len()),
-            ConnectionEnd::Final { cause, unread } => (cause, unread.len()),
-        },
-        () = stream.closed_by_client() => ("client-left", 0),
-    };
     let unread_bytes = unread_bytes + stream.close().await;
     if unread_bytes > 0 {
         events::CONNECTION_UNREAD.log(format_args!("cause={cause} unread_bytes={unread_bytes}"));
@@ -235,11 +229,16 @@
 {
     let activity = Arc::new(Activity::new());
     let activity_ref = &activity;
+    let client = &stream;
     let service = service_fn(move |request: http::Request<Incoming>| {
         let is_last = request.version() < Version::HTTP_11 || says_close(request.headers());
         let response = handler(request.map(|body| activity_ref.begin(body)));
         Box::pin(async move {
-            let mut response = response.await;
+            let mut response = tokio::select! {
+                biased;
+                response = response => response,
+                () = client.closed_by_client() => given_up_response(),
+            };
             if stopping.is_cancelled() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -255,6 +254,7 @@
     };
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
+        .half_close(true)
         .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
         .max_buf_size(limits.header_bytes_max)
         .serve_connection(TokioIo::new(resumed), service);
@@ -288,6 +288,15 @@
     ConnectionEnd::Final { cause, unread }
 }
 
+/// Returns the response to a client that has closed its writing side, and that has left in most cases.
+fn given_up_response() -> Response {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = StatusCode::BAD_GATEWAY;
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
+}
+
 fn unused(stream: &SharedStream, unread: Bytes) -> ConnectionEnd {
     let arrived = stream.append_arrived(unread);
     ConnectionEnd::Unused { arrived }
