gate: requests that wait for a first response keep no room from others

Callers of a server that had not responded yet were refused although there was room for one more request: seven requests started in 20 s where ten tokens come, eight are asked for.

Until the first response time makes room, a token every two seconds, and half a token more is kept for requests with more time than those that were given up. A request that waits loses time and may never find room itself, but a non-empty queue kept all later ones from starting, also those with enough time.

Now an arrival first starts the waiting requests for which there is room. If none of them has room, it starts itself when it has. After the first response nothing changes: a slot that becomes free starts the next one at once.

The stand-in of the tests counts the requests that an arrival starts, so that the bound of five in four seconds covers them.

--- a/lib/src/process/gate/gate_state.rs
+++ b/lib/src/process/gate/gate_state.rs
@@ -146,6 +146,16 @@
         }
     }
 
+    /// Starts waiting requests for which time has made room, as it does before the first response.
+    ///
+    /// To be called before [`GateState::acquire`].
+    pub fn start_due(&mut self, now: MonotonicTime) -> Wakeups {
+        match self.opening {
+            Some(_) => self.fill_slots(now),
+            None => Wakeups::default(),
+        }
+    }
+
     /// Decides on a request for a slot, and returns the waiting request that it displaces, if any.
     pub fn acquire(
         &mut self,
@@ -164,7 +174,9 @@
         if self.pace.is_some() {
             return (self.acquire_paced(request, now), None);
         }
-        if self.has_room(request.remaining, now) && self.queue.is_empty() {
+        // Before the first response, those that wait may have too little time for the room there is.
+        let may_start = self.opening.is_some() || self.queue.is_empty();
+        if may_start && self.has_room(request.remaining, now) {
             self.start(&request.organisation, request.rate, now);
             return (AdmissionDecision::Started, None);
         }
--- a/lib/src/process/gate/permit.rs
+++ b/lib/src/process/gate/permit.rs
@@ -162,6 +162,8 @@
     fn decide(&self, request: &AdmissionRequest) -> Acquisition {
         let now = self.clock.now();
         let mut shared = self.shared.lock();
+        let wakeups = shared.state.start_due(now);
+        shared.wake(wakeups);
         let (decision, displaced) = shared.state.acquire(request, now);
         if let Some(dropped) = displaced {
             shared.refuse(dropped);
--- a/lib/tests/test_gate_pace.rs
+++ b/lib/tests/test_gate_pace.rs
@@ -111,6 +111,10 @@
             root: RequestId(self.rng.random()),
             remaining: Duration::from_millis(patience_ms),
         };
+        let wakeups = self.gate.start_due(at_ms(now_ms));
+        for _ in wakeups.started {
+            self.start(now_ms, 0, PATIENCE_MS);
+        }
         let (decision, _) = self.gate.acquire(&request, at_ms(now_ms));
         if decision == AdmissionDecision::Started {
             self.start(now_ms, importance, patience_ms);
