relay: a suspect whose trial server takes no requests is tried at another node

Callers of a request that was in flight at a crash got 503 server-throttled for seconds, although other servers would have finished it.

Only the trial node may run a suspect. When its gate refused the trial because the server takes no requests at present (its first requests got no response, or it named a rate that is used up), the trial stayed there, and the node that received the request tried it six times in a few milliseconds and gave up.

Such a refusal now assigns the trial to the next node, and the others are notified before it returns, as when the node has no server or the server failed the trial. The trial stays while an equal request may still run at the server, in flight or given up lately: it could crash this server and the next one.

--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -254,7 +254,13 @@
     )
     .await?;
     node.check_onward(metadata)?;
-    let permit = backend.gate.acquire(admission_request).await?;
+    let permit = match backend.gate.acquire(admission_request).await {
+        Ok(permit) => permit,
+        Err(refusal) => {
+            suspect_permit.refuse(refusal.reason).await;
+            return Err(refusal);
+        }
+    };
     if !backend.accepts_work() || !may_begin() {
         permit.release_unused();
         return Err(Refusal::not_run(RefusalReason::Draining));
--- a/lib/src/process/relay/suspects/admission.rs
+++ b/lib/src/process/relay/suspects/admission.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use super::notification::notify;
 use super::notification::spawn_notification;
 use super::run::SuspectRun;
 use crate::connection::BufferedRequest;
@@ -164,6 +165,28 @@
         }
     }
 
+    /// Assigns a trial that the gate refused to another node, if the backend server takes no requests
+    /// at present. Returns once the others were notified.
+    ///
+    /// The trial stays while an equal request may still run here, which would crash this server, too.
+    pub(in crate::process::relay) async fn refuse(self, reason: RefusalReason) {
+        if !self.is_trial || reason != RefusalReason::ServerThrottled {
+            return;
+        }
+        let node = Arc::clone(&self.node);
+        let now = node.clock.now();
+        if node.suspects.runs.lock().may_run(self.fingerprint, now) {
+            return;
+        }
+        let serving = node.serving_nodes();
+        let moved = {
+            let mut table = node.suspects.table.lock();
+            table.on_failed_trial(self.fingerprint, &serving)
+        };
+        drop(self);
+        notify(&node, moved.into_iter().collect()).await;
+    }
+
     /// Starts the run, unless the request became a suspect while it waited for a slot.
     pub(in crate::process::relay) fn start(self) -> Result<SuspectRun, Refusal> {
         if !self.is_trial {
--- a/lib/src/process/suspects/runs.rs
+++ b/lib/src/process/suspects/runs.rs
@@ -95,6 +95,14 @@
         self.given_up.back().map(|run| run.until)
     }
 
+    /// Returns whether the backend server may be running a request with this fingerprint.
+    pub fn may_run(&mut self, fingerprint: Fingerprint, now: MonotonicTime) -> bool {
+        self.expire(now);
+        let mut given_up = self.given_up.iter().map(|run| &run.fingerprint);
+        let mut running = self.fingerprints.values();
+        running.any(|run| *run == fingerprint) || given_up.any(|run| *run == fingerprint)
+    }
+
     /// Returns whether the request runs and was not taken by [`Runs::take`].
     pub fn contains(&self, id: RunId) -> bool {
         self.fingerprints.contains_key(&id)
--- a/lib/src/process/suspects/table.rs
+++ b/lib/src/process/suspects/table.rs
@@ -317,7 +317,8 @@
         entry.clear_after_finish().then(|| entry.clone())
     }
 
-    /// Reassigns the trial of a request that the local backend server failed to some of `others`.
+    /// Reassigns the trial of a request that the local backend server failed or does not take to some
+    /// of `others`.
     ///
     /// Returns the entry to be sent to the other nodes of the service.
     pub fn on_failed_trial(
--- a/lib/tests/test_relay_given_up.rs
+++ b/lib/tests/test_relay_given_up.rs
@@ -228,3 +228,19 @@
     let oldest = fingerprint(Runs::GIVEN_UP_MAX as u32);
     assert_eq!(remaining[0].fingerprint, oldest);
 }
+
+// Guards against a trial that moves to another node while its server may still run an equal request, so that
+// both crash (BUDGET).
+#[test]
+fn request_may_run_until_its_response_or_some_time_after_it_was_given_up() {
+    let mut runs = Runs::default();
+    let responded = runs.add(fingerprint(1));
+    let given_up = runs.add(fingerprint(2));
+    assert!(runs.may_run(fingerprint(1), at_ms(0)));
+    assert!(!runs.may_run(fingerprint(3), at_ms(0)));
+    runs.remove(responded);
+    runs.give_up(given_up, false, at_ms(0));
+    assert!(!runs.may_run(fingerprint(1), at_ms(0)));
+    assert!(runs.may_run(fingerprint(2), at_ms(1)));
+    assert!(!runs.may_run(fingerprint(2), at_ms(0).after(Runs::GIVEN_UP)));
+}
--- a/lib/tests/test_relay_suspects.rs
+++ b/lib/tests/test_relay_suspects.rs
@@ -513,3 +513,22 @@
         }
     }
 }
+
+// Guards against a suspect that is refused although others would finish it, because the server of its trial
+// node takes no requests at present.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn suspect_that_its_trial_server_does_not_take_is_tried_at_another_node() {
+    let fleet = RelayFleet::start(&sample_open_plan(), &["stock"; SERVERS]).await;
+    let limited = &fleet.relays[1].server;
+    limited.set_behaviour(Behaviour::Limited(0.0));
+    let paths = ["/stock/first", "/stock/second"];
+    let entries = paths.map(|path| suspected_on(path, "node-1"));
+    for relay in &fleet.relays {
+        relay.daemon.node().merge_suspects(&entries);
+    }
+    for (number, path) in paths.into_iter().enumerate() {
+        let response = fleet.call(0, &format!("r{number}"), path, None).await;
+        assert_eq!(response.status, StatusCode::OK, "{response:?}");
+    }
+    assert_eq!(limited.received().len(), 1);
+}
