tests: requests that arrive before a late idle timeout, which the listener leaves unanswered

Callers see their connection end after they sent a whole request, without an answer. Seen in test_load_control (1 of 48 copies, eight side by side) and test_node_suspects (1 of 36, twelve side by side): "Sent", IncompleteMessage, on connections that were kept for 345 and 309 ms. The callers use none beyond 200 ms, the nodes close theirs at 300 ms, and the processes had stood still between.

If a process stands still until after the idle time, the timer and the bytes of the request are due in the same poll. select! polls its branches in random order: if the idle time comes first, graceful_shutdown closes the connection without a read.

--- a/lib/tests/test_listener.rs
+++ b/lib/tests/test_listener.rs
@@ -17,6 +17,8 @@
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 const IDLE_TIMEOUT: Duration = Duration::from_millis(50);
 const LONGER_THAN_IDLE: Duration = Duration::from_millis(200);
+/// Connections of a test in which chance decides on each of them.
+const CONNECTIONS: usize = 10;
 
 fn limits() -> ListenerLimits {
     ListenerLimits {
@@ -74,6 +76,26 @@
     assert!(received.ends_with("whole"), "{received}");
 }
 
+// Guards against a request that ends without an answer, because it arrived while the process stood still and
+// the connection's idle time was over when it went on (LOST).
+#[tokio::test]
+async fn request_that_arrived_before_a_late_idle_timeout_is_answered() {
+    let mut answered = 0;
+    for _ in 0..CONNECTIONS {
+        let (_serving, mut stream) = serve(Duration::ZERO).await;
+        stream.write_all(REQUEST).await.unwrap();
+        let bytes = stream.read(&mut [0; 1_024]).await.unwrap();
+        assert_ne!(bytes, 0);
+        assert_eq!(stream.try_write(REQUEST).unwrap(), REQUEST.len());
+        // Blocks the only thread of the runtime.
+        std::thread::sleep(LONGER_THAN_IDLE);
+        let mut received = String::new();
+        let read = stream.read_to_string(&mut received).await;
+        answered += usize::from(read.is_ok() && received.ends_with("whole"));
+    }
+    assert_eq!(answered, CONNECTIONS);
+}
+
 // Guards against a stop that resets connections which the kernel has accepted and the process has not.
 #[tokio::test]
 async fn requests_on_connections_not_yet_accepted_are_answered_at_a_stop() {
