relay: a node that stops ends its connections with other nodes in order

What callers saw: in a planned stop of the node beside a server, orders that another node had just sent it got 502 ("may have run") though no server received them, and a response that was still queued for a slow node was lost (502 for a request that had run).

Cause: the end of a stop was the exit of the process. Frames in the socket, frames read in part and queued replies went with it, and to the other node the end of the connection says nothing about what was begun.

Now the stopping node sends `Closing` on each connection: the first exchange that it has not begun. The other node fails that and all later ones as not sent, so that orders are refused as not run or tried elsewhere, reads the replies to the earlier ones, and closes the connection. The stopping node reads until then and accepts no new connection. It gives up after a second without a byte read or written, and at the end of the time for writing in any case.

A node of an earlier version cannot decode the frame and closes the connection, as it did when the process ended.

--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -176,8 +176,9 @@
         }
         self.node.stop_limit.reach();
         let writing = self.node.wait_until_idle(&closing);
+        let closing_peers = self.node.peer_connections.close();
         // The store or other nodes may not respond.
-        let ending = futures::future::join(writing, self.rate_tasks.stop());
+        let ending = futures::future::join3(writing, closing_peers, self.rate_tasks.stop());
         let _ = tokio::time::timeout(remaining(limit + writing_time), ending).await;
         events::STOPPED.log(format_args!(
             "in_flight={}",
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -270,6 +270,12 @@
         /// The exchange.
         exchange: ExchangeId,
     },
+    /// Notifies the node that opened the connection that the sender begins no more exchanges on it, and
+    /// replies to those that it has begun. The receiver closes the connection after these replies.
+    Closing {
+        /// The first exchange that the sender has not begun. It begins no later one either.
+        first_not_begun: ExchangeId,
+    },
 }
 
 /// A frame that cannot be encoded or decoded.
--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -47,7 +47,7 @@
 /// Why an exchange has no reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LinkFailure {
-    /// No byte of the message was sent.
+    /// The other node has not begun the exchange: no byte of the message was sent, or the node said so.
     NotSent,
     /// The message may have arrived.
     Lost,
@@ -229,6 +229,10 @@
             self.update_notice.notify_one();
             return Ok(());
         }
+        if let Head::Closing { first_not_begun } = head {
+            self.end_from(first_not_begun);
+            return Ok(());
+        }
         if let Some((exchange, reply)) = decode_reply(head, frame) {
             let pending = self.state.lock().pending.remove(&exchange);
             if let Some(pending) = pending {
@@ -239,6 +243,21 @@
         Ok(())
     }
 
+    /// Starts no more exchanges, and fails the open ones that the other node has not begun.
+    fn end_from(&self, first_not_begun: ExchangeId) {
+        let not_begun: Vec<_> = {
+            let mut state = self.state.lock();
+            state.liveness.retire();
+            let is_not_begun =
+                |exchange: &ExchangeId, _: &mut PendingExchange| *exchange >= first_not_begun;
+            state.pending.extract_if(is_not_begun).collect()
+        };
+        for (_, pending) in not_begun {
+            // Sending fails if the exchange was cancelled.
+            let _ = pending.sender.send(Err(LinkFailure::NotSent));
+        }
+    }
+
     fn close(&self) {
         let mut state = self.state.lock();
         state.is_closed = true;
@@ -280,7 +299,9 @@
     /// Returns whether new exchanges should go elsewhere, and not wait for this open connection.
     pub(super) fn is_unresponsive(&self) -> bool {
         let state = self.state.lock();
-        !state.is_closed && state.liveness.is_unresponsive(self.clock.now())
+        let is_responsive =
+            !state.liveness.is_retired() && !state.liveness.is_unresponsive(self.clock.now());
+        !state.is_closed && !is_responsive
     }
 
     pub(super) fn is_closed(&self) -> bool {
@@ -398,6 +419,9 @@
         let mut state = link.state.lock();
         let is_awaiting = !state.pending.is_empty();
         state.liveness.receive(link.clock.now(), is_awaiting);
+        if state.liveness.is_retired() && !is_awaiting {
+            return "closed by this node after its last exchange".to_owned();
+        }
     }
 }
 
--- a/lib/src/process/relay/link_reply.rs
+++ b/lib/src/process/relay/link_reply.rs
@@ -119,7 +119,8 @@
         | Head::SuspectUpdates { .. }
         | Head::ViewRequest { .. }
         | Head::SuspectsRequest { .. }
-        | Head::ViewsChanged => return None,
+        | Head::ViewsChanged
+        | Head::Closing { .. } => return None,
     };
     let reply = LinkReply {
         reply,
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -24,6 +24,7 @@
 use super::frame::RequestMetadata;
 use super::links::Links;
 use super::metrics::RelayMetrics;
+use super::peers::PeerConnections;
 use super::protocol::Protocol;
 use super::rates::new_rates;
 use super::rates::rate_plan;
@@ -84,6 +85,8 @@
     pub memory: MemoryBudget,
     /// Connections to other nodes.
     pub(super) links: Arc<Links>,
+    /// Connections that other nodes opened.
+    pub(super) peer_connections: PeerConnections,
     /// Rates of organisations over the fleet.
     pub(super) rates: FleetRates,
     pub(super) fleet: Mutex<Fleet>,
@@ -166,6 +169,7 @@
                 Arc::clone(&views.update_notice),
                 memory.clone(),
             )),
+            peer_connections: PeerConnections::default(),
             memory,
             views,
             suspects: SuspectState::new(settings.raw.node.clone()),
--- a/lib/src/process/relay/peers.rs
+++ b/lib/src/process/relay/peers.rs
@@ -12,6 +12,9 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use super::backend::RunOutcome;
 use super::backend::run_request;
@@ -44,14 +47,41 @@
 /// Time without received bytes after which a connection is closed. Other nodes close idle
 /// connections sooner.
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time without received or written bytes after which a connection that ends is no longer waited for.
+/// Other nodes count a connection as lost after the same time.
+const CLOSING_SILENCE_MAX: Duration = Duration::from_secs(1);
 
-/// Accepts connections of other nodes until the future is dropped.
+/// The connections that other nodes opened to this one.
+#[derive(Debug, Default)]
+pub(super) struct PeerConnections {
+    tasks: TaskTracker,
+    closing: CancellationToken,
+}
+
+impl PeerConnections {
+    /// Begins no more exchanges, and waits until the other nodes have read all replies and closed the
+    /// connections. New ones are not accepted.
+    pub(super) async fn close(&self) {
+        self.closing.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+}
+
+/// Accepts connections of other nodes until they are closed.
 pub(super) async fn serve_peers(node: Arc<RelayNode>, listener: TcpListener) {
+    let connections = &node.peer_connections;
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = connections.closing.cancelled() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let node = Arc::clone(&node);
-                tokio::spawn(async move { serve_connection(node, stream).await });
+                connections
+                    .tasks
+                    .spawn(async move { serve_connection(node, stream).await });
             }
             Err(error) => {
                 events::LINK_NOT_OPENED.log(format_args!("peer=unknown reason=\"{error}\""));
@@ -89,13 +119,35 @@
         return;
     }
     let (reader, writer) = stream.into_split();
-    let (replies, frames) = frame_queue();
+    let (replies, queue) = frame_queue();
     let running = Arc::new(RunningTasks::default());
+    let mut connection = PeerConnection {
+        node: &node,
+        running: &running,
+        frames: FrameReader::new(reader, node.memory.clone(), BodyKind::Request),
+        replies,
+        first_not_begun: ExchangeId(0),
+    };
+    let last_written_at = Mutex::new(Instant::now());
+    let on_written = |_| *last_written_at.lock() = Instant::now();
+    let reading = async {
+        let served = {
+            let serving = connection.serve();
+            node.peer_connections
+                .closing
+                .run_until_cancelled(serving)
+                .await
+        };
+        match served {
+            Some(reason) => reason,
+            None => connection.close(&last_written_at).await,
+        }
+    };
     tokio::select! {
-        reason = read_requests(&node, &running, reader, replies) => {
+        reason = reading => {
             events::LINK_LOST.log(format_args!("peer=caller reason=\"{reason}\""));
         }
-        result = write_frames(writer, frames, |_| {}) => {
+        result = write_frames(writer, queue, on_written) => {
             if let Err(error) = result {
                 events::LINK_LOST.log(format_args!("peer=caller reason=\"{error}\""));
             }
@@ -107,29 +159,76 @@
     }
 }
 
-async fn read_requests(
-    node: &Arc<RelayNode>,
-    running: &Arc<RunningTasks>,
-    reader: OwnedReadHalf,
+/// The reading side of a connection that another node opened.
+struct PeerConnection<'a> {
+    node: &'a Arc<RelayNode>,
+    running: &'a Arc<RunningTasks>,
+    frames: FrameReader<OwnedReadHalf>,
     replies: FrameSender,
-) -> String {
-    let mut frames = FrameReader::new(reader, node.memory.clone(), BodyKind::Request);
-    loop {
-        match tokio::time::timeout(RECEIVE_TIMEOUT, frames.read()).await {
-            Ok(Ok(0)) => return "closed by the other node".to_owned(),
-            Ok(Ok(_)) => {}
-            Ok(Err(error)) => return error.to_string(),
-            Err(_) => return "silent".to_owned(),
+    /// The number after that of the last exchange that began and whose reply may come later.
+    first_not_begun: ExchangeId,
+}
+
+impl PeerConnection<'_> {
+    /// Handles frames until the connection ends, and returns why it did. A frame is handled as a whole
+    /// or not at all if the future is dropped.
+    async fn serve(&mut self) -> String {
+        loop {
+            match tokio::time::timeout(RECEIVE_TIMEOUT, self.frames.read()).await {
+                Ok(Ok(0)) => return "closed by the other node".to_owned(),
+                Ok(Ok(_)) => {}
+                Ok(Err(error)) => return error.to_string(),
+                Err(_) => return "silent".to_owned(),
+            }
+            loop {
+                let handled = match self.frames.next_frame() {
+                    Ok(Some(frame)) => self.handle(&frame),
+                    Ok(None) => break,
+                    Err(error) => Err(error.to_string()),
+                };
+                if let Err(reason) = handled {
+                    return reason;
+                }
+            }
         }
+    }
+
+    fn handle(&mut self, frame: &Frame) -> Result<(), String> {
+        let head = frame.head().map_err(|error| error.to_string())?;
+        if let Head::Request(RequestHead { exchange, .. }) | Head::TokenRequest { exchange, .. } =
+            &head
+        {
+            self.first_not_begun = ExchangeId(exchange.0.saturating_add(1));
+        }
+        handle_frame(self.node, self.running, head, frame, &self.replies)
+    }
+
+    /// Says that no more exchanges begin, and reads until the other node closes the connection: bytes that
+    /// are unread when a socket closes would reset it, and lose replies. Returns why the connection ended.
+    async fn close(&mut self, last_written_at: &Mutex<Instant>) -> String {
+        let first_not_begun = self.first_not_begun;
+        let head = Head::Closing { first_not_begun };
+        send_reply(&self.replies, &head, &Bytes::new());
+        let mut last_read_at = Instant::now();
         loop {
-            match frames.next_frame() {
-                Ok(Some(frame)) => {
-                    if let Err(reason) = handle_frame(node, running, &frame, &replies) {
-                        return reason;
-                    }
+            let heard_at = last_read_at.max(*last_written_at.lock());
+            let silent_at = heard_at + CLOSING_SILENCE_MAX;
+            match tokio::time::timeout_at(silent_at, self.frames.read()).await {
+                Ok(Ok(0)) => return "closed by both nodes".to_owned(),
+                Ok(Ok(_)) => last_read_at = Instant::now(),
+                Ok(Err(error)) => return error.to_string(),
+                Err(_) if *last_written_at.lock() > heard_at => {}
+                Err(_) => return "silent".to_owned(),
+            }
+            loop {
+                let frame = match self.frames.next_frame() {
+                    Ok(Some(frame)) => frame,
+                    Ok(None) => break,
+                    Err(error) => return error.to_string(),
+                };
+                if let Ok(Head::Cancel { exchange }) = frame.head() {
+                    self.running.cancel(exchange);
                 }
-                Ok(None) => break,
-                Err(error) => return error.to_string(),
             }
         }
     }
@@ -138,10 +237,11 @@
 fn handle_frame(
     node: &Arc<RelayNode>,
     running: &Arc<RunningTasks>,
+    head: Head<'_>,
     frame: &Frame,
     replies: &FrameSender,
 ) -> Result<(), String> {
-    match frame.head().map_err(|error| error.to_string())? {
+    match head {
         Head::Hello { to, .. } if to != node.settings.raw.node => {
             return Err(format!("connection is addressed to node {to}"));
         }
@@ -222,7 +322,8 @@
         | Head::RateStatus { .. }
         | Head::ViewReply { .. }
         | Head::ViewsChanged
-        | Head::KnownSuspects { .. } => {}
+        | Head::KnownSuspects { .. }
+        | Head::Closing { .. } => {}
     }
     Ok(())
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -78,6 +78,7 @@
 mod test_relay_sources;
 mod test_relay_stop;
 mod test_relay_stop_late;
+mod test_relay_stop_links;
 mod test_relay_suspects;
 mod test_relay_suspects_soak;
 mod test_relay_traffic;
