tests: soak of configurations, reloads and stops around requests on kept connections

Random versions (routes moved, split or gone, timeouts, a key withdrawn, rates dropped and set) come every 2 to 120 ms, settings are reloaded between them, two relays stop and servers leave, while 48 callers keep using their connections. Their requests wait for slots and tokens, are sent with a pause in the body, or one behind another. Each must get its server's response or a refusal in its time; 401, 404, 429 and 503 never for what a server received; no order runs twice.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -53,6 +53,7 @@
 mod test_rates_scale;
 mod test_relay_attempt_limits;
 mod test_relay_bodies;
+mod test_relay_changes;
 mod test_relay_confirmation;
 mod test_relay_crash_storm;
 mod test_relay_era_soak;
