--- a/lib/tests/test_relay_stop.rs
+++ b/lib/tests/test_relay_stop.rs
@@ -1,5 +1,9 @@
 //! Requests that are still open at the end of a planned stop.
 
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -232,3 +236,47 @@
     let received = finish(caller).await;
     assert!(received.starts_with("HTTP/1.1 200 "), "{received:?}");
 }
+
+// Guards against orders that are reported as run although nothing read them, because they reach a node at its
+// exit: other nodes do not know that it stops, as its store entry could not be changed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn orders_that_reach_a_node_at_its_exit_are_not_reported_as_run() {
+    let mut fleet = start(Repeatability::AtMostOnce, &["front", "stock", "stock"]).await;
+    for relay in &fleet.relays {
+        relay.server.set_behaviour(Behaviour::Respond);
+    }
+    let address = callers_of(&fleet, 0);
+    let stopping = fleet.relays.remove(1);
+    stopping.store.set_turned_away(true);
+    let has_stopped = Arc::new(AtomicBool::new(false));
+    let callers = (0..32).map(|number| {
+        let has_stopped = Arc::clone(&has_stopped);
+        tokio::spawn(async move {
+            let mut statuses = Vec::new();
+            let mut stream = connect(address).await;
+            for order in 0.. {
+                let text = get(&format!("r{number}-{order}"));
+                stream.write_all(text.as_bytes()).await.expect("it is sent");
+                let mut response = vec![0; 4_096];
+                let length = stream.read(&mut response).await.expect("a response");
+                let response = String::from_utf8_lossy(&response[..length]).into_owned();
+                statuses.push(response.split(' ').nth(1).unwrap_or("none").to_owned());
+                if has_stopped.load(Ordering::Relaxed) {
+                    break;
+                }
+            }
+            statuses
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    stopping.stop().await;
+    tokio::time::sleep(POLL_PERIOD).await;
+    has_stopped.store(true, Ordering::Relaxed);
+    let mut counts = HashMap::<String, usize>::new();
+    for caller in callers {
+        for status in caller.await.expect("the task ends") {
+            *counts.entry(status).or_default() += 1;
+        }
+    }
+    assert_eq!(counts.get("502"), None, "{counts:?}");
+}
