connection: a request is not sent on a connection that its server has closed

What callers saw: 502 ("may have run") for an order of which no server could have read a byte, after the server had closed a kept connection while the relay did not run (suspended, or short of CPU time).

Cause: the pool asks the HTTP library whether a kept connection is open, and that learns of a close with the runtime's next events. A process that goes on after a standstill sends first. The write succeeds, since the kernel takes bytes for a connection of which only the other side is closed.

Before the first byte of a request is written, the stream now looks whether its end, an error or bytes that belong to no request have arrived. If so, it writes nothing, and the exchange ends as not sent, which its users already send again. It also does so if the first write itself fails. A request that crosses the close still may have run.

--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -4,6 +4,7 @@
 mod body;
 mod closing;
 mod exchange;
+mod first_write;
 mod head_limit;
 mod headers;
 mod keepalive;
--- a/lib/src/connection/pool.rs
+++ b/lib/src/connection/pool.rs
@@ -32,6 +32,8 @@
 use super::allow_closed_window;
 use super::enable_liveness_probes;
 use super::exchange::http_request;
+use super::first_write::CheckedStream;
+use super::first_write::FirstWrite;
 use super::head_limit::HeadLimit;
 use super::head_limit::HeadLimited;
 use super::liveness::Liveness;
@@ -130,6 +132,7 @@
     idle_since: Instant,
     idle_limit: Option<Duration>,
     head_limit: HeadLimit,
+    first_write: FirstWrite,
     /// Names of the requests that were rejected on this connection.
     rejected: Vec<Box<[u8]>>,
     _permit: OwnedSemaphorePermit,
@@ -377,10 +380,14 @@
     ) -> Result<(BufferedResponse, ResponseMatch), ExchangeError> {
         let method = request.method.clone();
         connection.head_limit.begin_head();
+        connection.first_write.begin_request();
         let sent = connection.sender.try_send_request(http_request(request));
         let response = match tokio::time::timeout_at(deadline, sent).await {
             Ok(Ok(response)) => response,
             Ok(Err(error)) if error.message().is_some() => return Err(ExchangeError::NotSent),
+            Ok(Err(_)) if connection.first_write.is_awaited() => {
+                return Err(ExchangeError::NotSent);
+            }
             Ok(Err(_)) => return Err(ExchangeError::Sent),
             Err(_) => return Err(ExchangeError::TimedOut),
         };
@@ -482,8 +489,13 @@
         allow_closed_window(&stream)?;
     }
     let liveness = Liveness::new();
-    let observed = Observed {
+    let first_write = FirstWrite::default();
+    let checked = CheckedStream {
         stream,
+        first_write: first_write.clone(),
+    };
+    let observed = Observed {
+        stream: checked,
         liveness: liveness.clone(),
     };
     let head_limit = HeadLimit::unlimited();
@@ -501,13 +513,14 @@
         idle_since: Instant::now(),
         idle_limit: None,
         head_limit,
+        first_write,
         rejected: Vec::new(),
         _permit: permit,
     })
 }
 
 async fn drive(
-    connection: http1::Connection<TokioIo<HeadLimited<Observed<TcpStream>>>, Full<Bytes>>,
+    connection: http1::Connection<TokioIo<HeadLimited<Observed<CheckedStream>>>, Full<Bytes>>,
     liveness: Liveness,
     kept: Weak<KeptConnections>,
 ) {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -17,6 +17,7 @@
 mod test_gate_pace;
 mod test_gate_queue;
 mod test_http_input;
+mod test_kept_connections;
 mod test_keys;
 mod test_late_responses;
 mod test_listener;
