--- a/lib/tests/test_kept_connections.rs
+++ b/lib/tests/test_kept_connections.rs
@@ -13,6 +13,7 @@
 use balsamfold::connection::PoolLimits;
 use balsamfold::request::Verdict;
 use bytes::Bytes;
+use futures::future::join;
 use futures::future::join_all;
 use http::HeaderMap;
 use http::Method;
@@ -160,3 +161,37 @@
         }
     }
 }
+
+// Guards against a request on a connection of which the server has said that it ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connection_that_its_server_ends_is_not_used_again() {
+    for headers in [
+        "connection: close\r\n",
+        "Connection: Keep-Alive, Close\r\n",
+        "keep-alive: timeout=0\r\n",
+        "Keep-Alive: max=7, timeout=1\r\n",
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+        let pool = pool(listener.local_addr().expect("bound"));
+        let mut open = Vec::new();
+        for _ in 0..3 {
+            let serving = async {
+                let (mut stream, _) = listener.accept().await.expect("a new connection");
+                let mut buffer = [0; 4_096];
+                let read = stream.read(&mut buffer).await.expect("a request");
+                assert!(read > 0, "closed without a request");
+                let response = format!("HTTP/1.1 200 OK\r\n{headers}content-length: 0\r\n\r\n");
+                let written = stream.write_all(response.as_bytes()).await;
+                written.expect("the pool reads");
+                stream
+            };
+            let exchange = join(call(&pool), serving);
+            let exchange = tokio::time::timeout(Duration::from_secs(5), exchange).await;
+            let (response, stream) = exchange.unwrap_or_else(|_| panic!("used again: {headers:?}"));
+            assert_eq!(response.expect("a response").status, StatusCode::OK);
+            // The server itself closes later than it says.
+            open.push(stream);
+            sleep(Duration::from_millis(800)).await;
+        }
+    }
+}
