tests: connections at the edges of HTTP/1.1 as they close, cases that hold

Slow reads beyond the time for a head, resumed connections whose client leaves, half-closed clients, chunked, HEAD, HTTP/1.0 and upgrade requests in parts around a stop, and requests that cross a close under four threads.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -22,6 +22,7 @@
 mod test_late_responses;
 mod test_listener;
 mod test_listener_closing;
+mod test_listener_review;
 mod test_load_control;
 mod test_membership_cuts;
 mod test_membership_datagrams;
