--- a/lib/tests/test_listener_review.rs
+++ b/lib/tests/test_listener_review.rs
@@ -351,3 +351,23 @@
     }
     eprintln!("crossed the close: {crossed} of 1000");
 }
+
+// Guards against the body of a response that goes on after its client has left.
+#[tokio::test]
+async fn streamed_response_ends_when_its_client_leaves() {
+    let Served {
+        mut stream,
+        running,
+        ..
+    } = serve(LONG_IDLE_TIMEOUT, 10).await;
+    stream
+        .write_all(b"GET /stream HTTP/1.1\r\nHost: a\r\n\r\n")
+        .await
+        .unwrap();
+    let head = read_part(&mut stream).await;
+    assert!(head.contains("200 OK"), "{head:?}");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(running.load(Ordering::SeqCst), 1);
+    drop(stream);
+    assert_ends(&running).await;
+}
