--- a/lib/tests/test_listener_review.rs
+++ b/lib/tests/test_listener_review.rs
@@ -371,3 +371,15 @@
     drop(stream);
     assert_ends(&running).await;
 }
+
+// Guards against a connection that stays open for ever because its client has closed its writing side and does not read.
+#[tokio::test]
+async fn connection_of_a_half_closed_client_that_never_reads_ends() {
+    let Served {
+        handle, mut stream, ..
+    } = serve(IDLE_TIMEOUT, 10).await;
+    stream.write_all(LARGE_REQUEST).await.unwrap();
+    stream.shutdown().await.unwrap();
+    tokio::time::sleep(HEADER_TIMEOUT * 3).await;
+    assert_eq!(handle.open_connections(), 0);
+}
