--- a/lib/tests/test_listener_review.rs
+++ b/lib/tests/test_listener_review.rs
@@ -383,3 +383,24 @@
     tokio::time::sleep(HEADER_TIMEOUT * 3).await;
     assert_eq!(handle.open_connections(), 0);
 }
+
+// Guards against a stop that waits for ten seconds because an idle caller once read slowly.
+#[tokio::test]
+async fn stop_does_not_wait_for_an_idle_caller_that_once_read_slowly() {
+    let Served {
+        handle, mut stream, ..
+    } = serve(LONG_IDLE_TIMEOUT, 10).await;
+    stream.write_all(LARGE_REQUEST).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut received = 0;
+    let mut part = vec![0; 64 * 1_024];
+    while received < LARGE_BYTES {
+        received += stream.read(&mut part).await.unwrap();
+    }
+    stream.write_all(REQUEST).await.unwrap();
+    read_part(&mut stream).await;
+    let started_at = Instant::now();
+    handle.stop().await;
+    let seconds = started_at.elapsed().as_secs_f64();
+    assert!(seconds < 2.0, "{seconds}");
+}
