--- a/lib/tests/test_listener_review.rs
+++ b/lib/tests/test_listener_review.rs
@@ -404,3 +404,24 @@
     let seconds = started_at.elapsed().as_secs_f64();
     assert!(seconds < 2.0, "{seconds}");
 }
+
+// Guards against a stop that gives a head which does not arrive its whole time a second time.
+#[tokio::test]
+async fn stop_waits_for_a_head_no_longer_than_it_may_take() {
+    let mut late = Vec::new();
+    for partial in [b"GET /".as_slice(), b"\r\n"] {
+        let Served {
+            handle, mut stream, ..
+        } = serve(LONG_IDLE_TIMEOUT, 10).await;
+        stream.write_all(REQUEST).await.unwrap();
+        read_part(&mut stream).await;
+        stream.write_all(partial).await.unwrap();
+        let started_at = Instant::now();
+        handle.stop().await;
+        let time = started_at.elapsed();
+        if time > HEADER_TIMEOUT * 3 / 2 {
+            late.push((String::from_utf8_lossy(partial), time));
+        }
+    }
+    assert!(late.is_empty(), "{late:?}");
+}
