--- a/lib/tests/test_listener_review.rs
+++ b/lib/tests/test_listener_review.rs
@@ -425,3 +425,24 @@
     }
     assert!(late.is_empty(), "{late:?}");
 }
+
+// Guards against a connection that waits for a place for a second because an idle one is closed and its caller does not
+// close it.
+#[tokio::test]
+async fn closed_idle_connection_gives_its_place_to_another() {
+    let Served { mut stream, .. } = serve(IDLE_TIMEOUT, 1).await;
+    stream.write_all(REQUEST).await.unwrap();
+    read_part(&mut stream).await;
+    let started_at = Instant::now();
+    let mut waiting = TcpStream::connect(stream.peer_addr().unwrap())
+        .await
+        .unwrap();
+    waiting.write_all(REQUEST).await.unwrap();
+    let received = read_part(&mut waiting).await;
+    assert!(received.ends_with("whole /next"), "{received:?}");
+    assert!(
+        started_at.elapsed() < LEAVE_MAX,
+        "{:?}",
+        started_at.elapsed()
+    );
+}
