--- a/lib/tests/test_listener_review.rs
+++ b/lib/tests/test_listener_review.rs
@@ -446,3 +446,20 @@
         started_at.elapsed()
     );
 }
+
+// Guards against a kept connection of an HTTP/1.0 caller that is taken for one that was told to close.
+#[tokio::test]
+async fn request_of_an_old_caller_that_waits_while_the_process_is_held_up_is_answered() {
+    const OLD: &[u8] = b"GET /old HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n";
+    let mut unanswered = 0;
+    for _ in 0..20 {
+        let Served { mut stream, .. } = serve(IDLE_TIMEOUT, 10).await;
+        stream.write_all(OLD).await.unwrap();
+        let first = read_part(&mut stream).await;
+        assert!(first.contains("connection: keep-alive"), "{first:?}");
+        stream.write_all(OLD).await.unwrap();
+        std::thread::sleep(IDLE_TIMEOUT * 3);
+        unanswered += usize::from(read_to_end(&mut stream).await.is_empty());
+    }
+    assert_eq!(unanswered, 0);
+}
