--- a/lib/tests/test_listener_review.rs
+++ b/lib/tests/test_listener_review.rs
@@ -463,3 +463,34 @@
     }
     assert_eq!(unanswered, 0);
 }
+
+// Guards against a stop that resets connections which wait to be accepted because there are as many as allowed.
+#[tokio::test]
+async fn request_on_a_connection_that_waits_for_another_is_answered_at_a_stop() {
+    let Served {
+        handle, mut stream, ..
+    } = serve(LONG_IDLE_TIMEOUT, 1).await;
+    stream
+        .write_all(b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+        .await
+        .unwrap();
+    while handle.open_connections() == 0 {
+        tokio::task::yield_now().await;
+    }
+    let mut waiting = TcpStream::connect(stream.peer_addr().unwrap())
+        .await
+        .unwrap();
+    waiting.write_all(REQUEST).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let stopping = tokio::spawn(async move { handle.stop().await });
+    let first = read_to_end(&mut stream).await;
+    assert!(first.ends_with(b"whole"));
+    drop(stream);
+    let received = read_to_end(&mut waiting).await;
+    assert!(
+        received.ends_with(b"whole /next"),
+        "{} bytes",
+        received.len()
+    );
+    stopping.await.unwrap();
+}
