--- a/lib/tests/test_listener_review.rs
+++ b/lib/tests/test_listener_review.rs
@@ -494,3 +494,28 @@
     );
     stopping.await.unwrap();
 }
+
+// Guards against a connection that closes without a notice behind the refusal of a body.
+#[tokio::test]
+async fn request_behind_a_body_that_was_not_wanted_is_answered_or_its_connection_is_said_to_close()
+{
+    for extra in [
+        "Expect: 100-continue\r\nContent-Length: 100000",
+        "Transfer-Encoding: chunked\r\nExpect: 100-continue",
+    ] {
+        let Served { mut stream, .. } = serve(LONG_IDLE_TIMEOUT, 10).await;
+        let head = format!("POST /unread HTTP/1.1\r\nHost: a\r\n{extra}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let first = read_part(&mut stream).await;
+        assert!(first.ends_with("whole /unread"), "{first:?}");
+        if first.contains("connection: close") {
+            continue;
+        }
+        let _ = stream.write_all(REQUEST).await;
+        let second = String::from_utf8(read_to_end(&mut stream).await).unwrap();
+        assert!(
+            second.contains("whole /next"),
+            "{extra} {first:?} {second:?}"
+        );
+    }
+}
