--- a/lib/src/connection/activity.rs
+++ b/lib/src/connection/activity.rs
@@ -30,6 +30,8 @@
     /// Whether a request has no response.
     is_responding: bool,
     open_bodies: u32,
+    /// Whether the body of the last request was dropped before its end.
+    has_dropped_body: bool,
     /// Whether a response waits for its client to read.
     is_write_blocked: bool,
     last_used_at: Instant,
@@ -46,6 +48,7 @@
             has_request: false,
             is_responding: false,
             open_bodies: 0,
+            has_dropped_body: false,
             is_write_blocked: false,
             last_used_at: Instant::now(),
             is_closing: false,
@@ -58,6 +61,7 @@
         let mut state = self.0.lock();
         state.has_request = true;
         state.is_responding = true;
+        state.has_dropped_body = false;
         if body.is_end_stream() {
             return Body::from_incoming(body);
         }
@@ -100,8 +104,14 @@
         self.0.lock().is_close_announced
     }
 
-    fn end_body(&self) {
+    /// Returns whether the body of the last request was dropped before its end.
+    pub(super) fn has_dropped_body(&self) -> bool {
+        self.0.lock().has_dropped_body
+    }
+
+    fn end_body(&self, is_complete: bool) {
         let mut state = self.0.lock();
+        state.has_dropped_body = !is_complete;
         state.open_bodies -= 1;
         state.last_used_at = Instant::now();
     }
@@ -119,6 +129,15 @@
         wait_for(timeout, timeout, idle_time).await;
     }
 
+    /// Returns once `timeout` is over without a request since the connection was opened or resumed. Never
+    /// returns otherwise.
+    pub(super) async fn without_request_for(&self, timeout: Duration) {
+        tokio::time::sleep(timeout).await;
+        if self.has_request() {
+            std::future::pending().await
+        }
+    }
+
     /// Returns once the connection has been unused for `timeout` from now on.
     pub(super) async fn unused_for(&self, timeout: Duration) {
         let started_at = Instant::now();
@@ -151,7 +170,7 @@
 
 impl Drop for TrackedBody {
     fn drop(&mut self) {
-        self.activity.end_body();
+        self.activity.end_body(self.body.is_end_stream());
     }
 }
 
--- a/lib/src/connection/closing.rs
+++ b/lib/src/connection/closing.rs
@@ -35,6 +35,34 @@
 /// Size of the reads of received bytes.
 const READ_BYTES: usize = 1_024;
 
+/// Why a connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CloseCause {
+    /// Its last response told the client so.
+    LastResponse,
+    /// No request was on it for some time.
+    Unused,
+    /// The head of a request took too long.
+    LateHead,
+    /// The client closed it.
+    ClientLeft,
+    /// The client disconnected or sent invalid input.
+    Failed,
+}
+
+impl CloseCause {
+    /// Returns the name in log lines.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::LastResponse => "last-response",
+            Self::Unused => "unused",
+            Self::LateHead => "late-head",
+            Self::ClientLeft => "client-left",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// A stream that can be watched for its end while another task reads it.
 #[derive(Clone, Debug)]
 pub(super) struct SharedStream(Arc<StreamState>);
@@ -67,6 +95,13 @@
         tokio::time::sleep(WRITE_TIME).await;
     }
 
+    /// Returns some time after [`SharedStream::closed_by_client`], in which the client is told that its
+    /// request was given up.
+    pub(super) async fn abandoned_by_client(&self) {
+        self.closed_by_client().await;
+        tokio::time::sleep(WRITE_TIME).await;
+    }
+
     fn poll_write_vectored(
         &self,
         context: &mut Context<'_>,
@@ -98,9 +133,9 @@
     /// Closes the connection. Returns the number of bytes that arrived and were discarded.
     ///
     /// The kernel resets a connection that is closed while received bytes are unread, and the client
-    /// may lose the end of the last response. So this side is closed first, and bytes are read until
-    /// the client has closed its side.
-    pub(super) async fn close(self) -> usize {
+    /// may lose the end of the last response. So behind a response this side is closed first, and bytes
+    /// are read until the client has closed its side.
+    pub(super) async fn close(self, cause: CloseCause) -> usize {
         let stream = &self.0.stream;
         let mut discarded_bytes = 0;
         // It fails if the connection has failed.
@@ -115,9 +150,11 @@
                 }
             }
         };
-        let linger_max = match self.0.is_read_slowly.load(Ordering::Relaxed) {
-            true => SLOW_LINGER_MAX,
-            false => LINGER_MAX,
+        let is_read_slowly = self.0.is_read_slowly.load(Ordering::Relaxed);
+        let linger_max = match cause {
+            CloseCause::LastResponse if is_read_slowly => SLOW_LINGER_MAX,
+            CloseCause::LastResponse | CloseCause::Failed => LINGER_MAX,
+            CloseCause::Unused | CloseCause::LateHead | CloseCause::ClientLeft => Duration::ZERO,
         };
         let _ = tokio::time::timeout(linger_max, discarding).await;
         discarded_bytes
--- a/lib/src/connection/headers.rs
+++ b/lib/src/connection/headers.rs
@@ -55,13 +55,13 @@
     }
 }
 
-/// Returns whether the connection closes behind the message.
-pub(super) fn says_close(headers: &HeaderMap) -> bool {
+/// Returns whether the message has an option, in lower case, for its connection.
+pub(super) fn has_connection_option(headers: &HeaderMap, name: &str) -> bool {
     let values = headers.get_all(header::CONNECTION).iter();
     let mut options = values
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','));
-    options.any(|option| option.trim().eq_ignore_ascii_case("close"))
+    options.any(|option| option.trim().eq_ignore_ascii_case(name))
 }
 
 /// Removes all headers that only the system itself may set.
--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -11,6 +11,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,9 +37,10 @@
 use volo_http::response::Response;
 
 use super::activity::Activity;
+use super::closing::CloseCause;
 use super::closing::ResumedStream;
 use super::closing::SharedStream;
-use super::headers::says_close;
+use super::headers::has_connection_option;
 use crate::process::events::process as events;
 
 /// Delay after a failed accept, for example when the process has no free file descriptor.
@@ -143,15 +145,16 @@
     F: Future<Output = Response> + Send + 'static,
 {
     let permits = Arc::new(Semaphore::new(limits.connections_max as usize));
-    loop {
+    // The semaphore is never closed.
+    while let Ok(permit) = Arc::clone(&permits).acquire_owned().await {
         let is_stopping = handle.stopping.is_cancelled();
         let accepted = tokio::select! {
             biased;
-            accepted = accept_one(&socket, &permits) => accepted,
+            accepted = accept_one(&socket) => accepted,
             () = tokio::time::sleep(STOP_ACCEPT_WAIT), if is_stopping => return,
             () = handle.stopping.cancelled(), if !is_stopping => continue,
         };
-        let Some((stream, permit)) = accepted else {
+        let Some(stream) = accepted else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
@@ -164,14 +167,10 @@
     }
 }
 
-async fn accept_one(
-    socket: &TcpListener,
-    permits: &Arc<Semaphore>,
-) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
-    let permit = Arc::clone(permits).acquire_owned().await.ok()?;
+async fn accept_one(socket: &TcpListener) -> Option<TcpStream> {
     let (stream, _) = socket.accept().await.ok()?;
     stream.set_nodelay(true).ok()?;
-    Some((stream, permit))
+    Some(stream)
 }
 
 async fn serve_connection<H, F>(
@@ -187,14 +186,20 @@
     let mut received = Bytes::new();
     let (cause, unread_bytes) = loop {
         let resumed = (stream.clone(), received);
-        match serve_until_unused(resumed, limits, &handler, &stopping).await {
+        let end = tokio::select! {
+            biased;
+            end = serve_until_unused(resumed, limits, &handler, &stopping) => end,
+            () = stream.abandoned_by_client() => break (CloseCause::ClientLeft, 0),
+        };
+        match end {
             ConnectionEnd::Unused { arrived } if !arrived.is_empty() => received = arrived,
-            ConnectionEnd::Unused { .. } => break ("unused", 0),
+            ConnectionEnd::Unused { .. } => break (CloseCause::Unused, 0),
             ConnectionEnd::Final { cause, unread } => break (cause, unread.len()),
         }
     };
-    let unread_bytes = unread_bytes + stream.close().await;
+    let unread_bytes = unread_bytes + stream.close(cause).await;
     if unread_bytes > 0 {
+        let cause = cause.name();
         events::CONNECTION_UNREAD.log(format_args!("cause={cause} unread_bytes={unread_bytes}"));
     }
 }
@@ -210,7 +215,7 @@
     /// The client closed it, was told that it closes, or sent invalid input.
     Final {
         /// Which of these.
-        cause: &'static str,
+        cause: CloseCause,
         /// Bytes behind the last request.
         unread: Bytes,
     },
@@ -231,7 +236,8 @@
     let activity_ref = &activity;
     let client = &stream;
     let service = service_fn(move |request: http::Request<Incoming>| {
-        let is_last = request.version() < Version::HTTP_11 || says_close(request.headers());
+        let is_last = is_last(&request);
+        let expects_continue = request.headers().contains_key(header::EXPECT);
         let response = handler(request.map(|body| activity_ref.begin(body)));
         Box::pin(async move {
             let mut response = tokio::select! {
@@ -239,11 +245,14 @@
                 response = response => response,
                 () = client.closed_by_client() => given_up_response(),
             };
-            if stopping.is_cancelled() {
+            // hyper closes the connection if the client was not asked for its body.
+            let is_body_unwanted = expects_continue && activity_ref.has_dropped_body();
+            if stopping.is_cancelled() || is_body_unwanted {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            activity_ref.record_response(is_last || says_close(response.headers()));
+            activity_ref
+                .record_response(is_last || has_connection_option(response.headers(), "close"));
             Ok::<_, Infallible>(response)
         })
     });
@@ -255,39 +264,73 @@
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .half_close(true)
-        .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
+        // That of hyper would also end a connection whose client reads the response for longer.
+        .header_read_timeout(None)
         .max_buf_size(limits.header_bytes_max)
         .serve_connection(TokioIo::new(resumed), service);
+    let head_time = Duration::from_millis(limits.header_timeout_ms);
+    let mut late_head = pin!(activity.without_request_for(head_time));
     // The socket stays open, so that a connection on which a request has arrived can be resumed.
-    let ended = tokio::select! {
-        result = poll_fn(|context| connection.poll_without_shutdown(context)) => Some(result),
-        () = activity.idle_for(Duration::from_millis(limits.idle_timeout_ms)) => None,
-        () = unused_in_stop(&activity, stopping) => None,
+    let served = tokio::select! {
+        biased;
+        result = poll_fn(|context| connection.poll_without_shutdown(context)) => Served::Ended(result),
+        () = &mut late_head => Served::LateHead,
+        () = activity.idle_for(Duration::from_millis(limits.idle_timeout_ms)) => Served::Unused,
+        () = unused_in_stop(&activity, stopping) => Served::Unused,
     };
-    let is_unused = ended.is_none();
-    let result = match ended {
-        Some(result) => result,
-        None => {
+    let is_unused = matches!(served, Served::Unused);
+    let served = match served {
+        Served::Unused => {
             activity.begin_close();
             Pin::new(&mut connection).graceful_shutdown();
-            poll_fn(|context| connection.poll_without_shutdown(context)).await
+            tokio::select! {
+                biased;
+                result = poll_fn(|context| connection.poll_without_shutdown(context)) => {
+                    Served::Ended(result)
+                }
+                () = &mut late_head => Served::LateHead,
+            }
         }
+        served => served,
     };
     let unread = connection.into_parts().read_buf;
-    let cause = match result {
-        _ if activity.is_close_announced() => "last-response",
-        Ok(()) if is_unused => return unused(&stream, unread),
-        // For hyper, the time for a head begins with the response before it.
-        Err(error) if error.is_timeout() && activity.has_request() => {
-            return unused(&stream, unread);
-        }
-        Ok(()) => "client-left",
+    let cause = match served {
+        _ if activity.is_close_announced() => CloseCause::LastResponse,
+        Served::Ended(Ok(())) if is_unused => return unused(&stream, unread),
+        // The process may have been held up while the request arrived.
+        Served::LateHead if unread.is_empty() => return unused(&stream, unread),
+        Served::LateHead | Served::Unused => CloseCause::LateHead,
+        Served::Ended(Ok(())) => CloseCause::ClientLeft,
         // The client disconnected or sent invalid input, to which hyper has already responded.
-        Err(_) => "failed",
+        Served::Ended(Err(_)) => CloseCause::Failed,
     };
     ConnectionEnd::Final { cause, unread }
 }
 
+/// Returns whether the request says that the connection closes behind its response.
+fn is_last(request: &http::Request<Incoming>) -> bool {
+    let headers = request.headers();
+    match request.version() {
+        Version::HTTP_11 => has_connection_option(headers, "close"),
+        _ => !has_connection_option(headers, "keep-alive"),
+    }
+}
+
+fn unused(stream: &SharedStream, unread: Bytes) -> ConnectionEnd {
+    let arrived = stream.append_arrived(unread);
+    ConnectionEnd::Unused { arrived }
+}
+
+/// How far a connection was served.
+enum Served {
+    /// To its end.
+    Ended(hyper::Result<()>),
+    /// Until the time for the head of its first request was over.
+    LateHead,
+    /// Until there was no request on it for some time.
+    Unused,
+}
+
 /// Returns the response to a client that has closed its writing side, and that has left in most cases.
 fn given_up_response() -> Response {
     let mut response = Response::new(Body::empty());
@@ -297,11 +340,6 @@
     response
 }
 
-fn unused(stream: &SharedStream, unread: Bytes) -> ConnectionEnd {
-    let arrived = stream.append_arrived(unread);
-    ConnectionEnd::Unused { arrived }
-}
-
 /// Returns during a stop, once no request was on the connection for some time.
 async fn unused_in_stop(activity: &Activity, stopping: &CancellationToken) {
     stopping.cancelled().await;
