--- a/lib/tests/test_listener.rs
+++ b/lib/tests/test_listener.rs
@@ -77,7 +77,7 @@
 }
 
 // Guards against a request that ends without an answer, because it arrived while the process stood still and
-// the connection's idle time was over when it went on (LOST).
+// the connection's idle time was over when it went on.
 #[tokio::test]
 async fn request_that_arrived_before_a_late_idle_timeout_is_answered() {
     let mut answered = 0;
--- a/lib/tests/test_relay_given_up.rs
+++ b/lib/tests/test_relay_given_up.rs
@@ -230,7 +230,7 @@
 }
 
 // Guards against a trial that moves to another node while its server may still run an equal request, so that
-// both crash (BUDGET).
+// both crash.
 #[test]
 fn request_may_run_until_its_response_or_some_time_after_it_was_given_up() {
     let mut runs = Runs::default();
