relay: the log says when a request is passed on though its caller has left

Adds 8107 (the caller had left before a step), 8108 (a run was cancelled, before or after it was sent to the server) and 8109 (a call without a parent). The kernel is asked whether the caller is there; nothing is decided from it yet.

--- a/lib/src/connection/closing.rs
+++ b/lib/src/connection/closing.rs
@@ -23,6 +23,7 @@
 use tokio::net::TcpStream;
 
 use super::activity::Activity;
+use super::presence::ClientPresence;
 
 /// Time between two checks while unread bytes hide whether the client has closed the connection.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -67,9 +68,11 @@
 #[derive(Clone, Debug)]
 pub(super) struct SharedStream(Arc<StreamState>);
 
+/// The socket of a connection.
 #[derive(Debug)]
-struct StreamState {
-    stream: TcpStream,
+pub(super) struct StreamState {
+    /// The socket.
+    pub(super) stream: TcpStream,
     /// Whether a write has waited for the client to read.
     is_read_slowly: AtomicBool,
 }
@@ -82,6 +85,11 @@
         }))
     }
 
+    /// Returns what tells whether the client is still connected.
+    pub(super) fn presence(&self) -> ClientPresence {
+        ClientPresence::new(Arc::downgrade(&self.0))
+    }
+
     /// Returns after the client has closed its side of the connection, also while bytes that it sent
     /// before are unread. HTTP servers see the end only when they read up to it, and they do not read
     /// on while a request runs and a further one is buffered.
--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -238,7 +238,9 @@
     let service = service_fn(move |request: http::Request<Incoming>| {
         let is_last = is_last(&request);
         let expects_continue = request.headers().contains_key(header::EXPECT);
-        let response = handler(request.map(|body| activity_ref.begin(body)));
+        let mut request = request.map(|body| activity_ref.begin(body));
+        request.extensions_mut().insert(client.presence());
+        let response = handler(request);
         Box::pin(async move {
             let mut response = tokio::select! {
                 biased;
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -12,6 +12,7 @@
 mod liveness;
 mod memory_budget;
 mod pool;
+mod presence;
 
 pub use self::body::BodyError;
 pub use self::body::read_body;
@@ -44,3 +45,4 @@
 pub use self::pool::PoolLimits;
 pub use self::pool::ResponseMatch;
 pub use self::pool::ResponseTime;
+pub use self::presence::ClientPresence;
--- a/lib/src/process/events/relay.rs
+++ b/lib/src/process/events/relay.rs
@@ -38,5 +38,8 @@
     CALLER_LEFT = 8104, Debug, "relay.caller-left", "A caller disconnected before the response; the request is cancelled.";
     RATE_REFUSED = 8105, Info, "relay.rate-refused", "An organisation's allowance refused a request; the line has the organisation and the tokens that were known.";
     ENDED_BY_STOP = 8106, Info, "relay.ended-by-stop", "A request was still open at the limit of a planned stop and was answered by this node; the line says whether it may have run.";
+    ABANDONED = 8107, Info, "relay.request-abandoned", "The caller of a request had left, or the request that made it had ended, before the step that the line names.";
+    RUN_CANCELLED = 8108, Debug, "relay.run-cancelled", "A request was cancelled at the node of its backend server; the line says whether the server may have received it.";
+    NO_PARENT = 8109, Info, "relay.call-without-parent", "The id of a request extends that of another one, which does not run on the local backend server.";
     LINES_LEFT_OUT = 8199, Info, "relay.lines-left-out", "Log lines of one kind were omitted because there were too many.";
 }
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -24,6 +24,8 @@
 use super::server_health::ServerHealth;
 use super::stop_limit::refusal_at_limit;
 use super::suspects;
+use super::waiter::Step;
+use super::waiter::Waiter;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
 use crate::connection::ConnectionPool;
@@ -192,10 +194,13 @@
 }
 
 /// Runs a request on the local backend server, at the longest until the limit of a planned stop.
+///
+/// Those who wait for its response are unknown if it comes from another node, which cancels it.
 pub(super) async fn run_request(
     node: &Arc<RelayNode>,
     metadata: &RequestMetadata,
     request: BufferedRequest,
+    waiter: Option<&Waiter>,
 ) -> RunOutcome {
     let deadline = node
         .clock
@@ -203,10 +208,12 @@
         .after(Duration::from_micros(metadata.remaining_us));
     let _count = node.stop_limit.count_run();
     let running = RunningRequest::new(metadata.clone(), deadline);
+    let cancelled = CancelledRun(&running);
     let result = {
-        let run = pin!(admit_and_send(node, &running, request));
+        let run = pin!(admit_and_send(node, &running, request, waiter));
         node.stop_limit.bound(run).await
     };
+    std::mem::forget(cancelled);
     let result = result.unwrap_or_else(|| Err(refusal_at_limit(running.is_sent())));
     RunOutcome {
         result,
@@ -217,10 +224,24 @@
     }
 }
 
+/// Logs a request that is cancelled before it has ended.
+struct CancelledRun<'a>(&'a RunningRequest);
+
+impl Drop for CancelledRun<'_> {
+    fn drop(&mut self) {
+        events::RUN_CANCELLED.log(format_args!(
+            "request={} is_sent={}",
+            self.0.metadata.request_id,
+            self.0.is_sent()
+        ));
+    }
+}
+
 async fn admit_and_send(
     node: &Arc<RelayNode>,
     running: &Arc<RunningRequest>,
     mut request: BufferedRequest,
+    waiter: Option<&Waiter>,
 ) -> Result<BufferedResponse, Refusal> {
     let metadata = &running.metadata;
     let deadline = running.deadline;
@@ -265,6 +286,12 @@
         permit.release_unused();
         return Err(Refusal::not_run(RefusalReason::Draining));
     }
+    if let Some(Err(refusal)) =
+        waiter.map(|waiter| waiter.check(&metadata.request_id, Step::Server))
+    {
+        permit.release_unused();
+        return Err(refusal);
+    }
     let suspect_run = match suspect_permit.start() {
         Ok(suspect_run) => suspect_run,
         Err(refusal) => {
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -24,12 +24,16 @@
 use super::link::SENT_BODY_BYTES_MAX;
 use super::node::RelayNode;
 use super::runs::RunningRequest;
+use super::runs::is_call;
 use super::stop_limit::refusal_at_limit;
 use super::unread_body::respond_before_body;
+use super::waiter::Step;
+use super::waiter::Waiter;
 use crate::connection::BodyError;
 use crate::connection::BodyKind;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
+use crate::connection::ClientPresence;
 use crate::connection::read_budgeted_body;
 use crate::connection::strip_connection_headers;
 use crate::process::events::relay as events;
@@ -53,8 +57,9 @@
 /// Handles a request of a caller. A refusal becomes a response with its code and status.
 pub(super) async fn handle_caller(node: &Arc<RelayNode>, request: Request) -> Response {
     let arrived_at = node.clock.now();
-    let (request, body) = request.into_parts();
+    let (mut request, body) = request.into_parts();
     let mut unread_body = Some(body);
+    let client = request.extensions.remove::<ClientPresence>();
     let request_id = request
         .headers
         .get(&node.protocol.headers.request_id)
@@ -73,6 +78,10 @@
                 id: &request_id,
                 arrived_at,
                 remaining: caller_remaining,
+                waiter: Waiter {
+                    client,
+                    parent: parent_of(node, &request_id),
+                },
             };
             admit_and_forward(node, caller_request).await
         }
@@ -102,6 +111,16 @@
     arrived_at: MonotonicTime,
     /// How long the caller waits.
     remaining: Duration,
+    waiter: Waiter,
+}
+
+/// Returns the request on the local backend server that made the call `request_id`.
+fn parent_of(node: &RelayNode, request_id: &str) -> Option<Arc<RunningRequest>> {
+    let parent = node.runs.parent_of(request_id);
+    if parent.is_none() && is_call(request_id) {
+        events::NO_PARENT.log(format_args!("request={request_id}"));
+    }
+    parent
 }
 
 async fn admit_and_forward(
@@ -114,6 +133,7 @@
     drop(preparing);
     let (outbound, taken) = prepared.unwrap_or_else(|| Err(refusal_at_limit(false)))?;
     let _waiting = outbound
+        .waiter
         .parent
         .as_deref()
         .map(|parent| OnwardWait::start(node.clock, &parent.onward));
@@ -122,7 +142,7 @@
         Ok(response) => response.status.is_server_error(),
         Err(_) => true,
     };
-    if let (true, Some(parent)) = (is_failure, &outbound.parent) {
+    if let (true, Some(parent)) = (is_failure, &outbound.waiter.parent) {
         parent.record_call_failure();
     }
     if let (Err(refusal), Some(organisation)) = (&result, &taken.0)
@@ -138,6 +158,7 @@
     node: &Arc<RelayNode>,
     request: CallerRequest<'_>,
 ) -> Result<(Outbound, TakenToken), Refusal> {
+    request.waiter.check(request.id, Step::Admission)?;
     let Admitted {
         plan,
         route,
@@ -145,20 +166,21 @@
     } = admit(node, &request.parts).await?;
     let CallerRequest { id, arrived_at, .. } = request;
     let limit = Duration::from_millis(route.timeout_ms).min(request.remaining);
-    let parent = node.runs.parent_of(id);
-    let metadata = metadata_of(node, &route, organisation.as_deref(), parent.as_deref(), id);
+    let parent = request.waiter.parent.as_deref();
+    let metadata = metadata_of(node, &route, organisation.as_deref(), parent, id);
     if parent.is_none() {
         node.check_ingress(&metadata)?;
     }
     let own_deadline = arrived_at.after(limit);
-    let deadline = match &parent {
+    let deadline = match parent {
         Some(parent) => own_deadline.min(parent.deadline),
         None => own_deadline,
     };
     if !node.stop_limit.permits(deadline, node.clock.now()) {
         return Err(refusal_at_limit(false));
     }
-    let request = buffered_request(node, &plan, &route, request, limit).await?;
+    let (request, waiter) = buffered_request(node, &plan, &route, request, limit).await?;
+    waiter.check(id, Step::Token)?;
     let taken = match &organisation {
         Some(limits) if limits.rate_per_s.is_some() => {
             let wait_max = limit.mul_f64(TOKEN_WAIT_FRACTION);
@@ -177,7 +199,7 @@
         request,
         metadata,
         deadline,
-        parent,
+        waiter,
     };
     Ok((outbound, taken))
 }
@@ -251,7 +273,7 @@
     route: &PlannedRoute,
     request: CallerRequest<'_>,
     limit: Duration,
-) -> Result<BufferedRequest, Refusal> {
+) -> Result<(BufferedRequest, Waiter), Refusal> {
     let mut parts = request.parts;
     let body = match request.body {
         Some(body) => {
@@ -279,13 +301,13 @@
         Some(path_and_query) => path_and_query.clone().into(),
         None => return Err(Refusal::not_run(RefusalReason::BadRequest)),
     };
-    let request = BufferedRequest {
+    let buffered = BufferedRequest {
         method: parts.method,
         uri,
         headers: parts.headers,
         body,
     };
-    Ok(request.into_compact())
+    Ok((buffered.into_compact(), request.waiter))
 }
 
 /// Returns the size of the largest body that can reach a server of the route.
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -26,10 +26,11 @@
 use super::node::RelayNode;
 use super::observed_call::ObservedCall;
 use super::observed_call::call_outcome;
-use super::runs::RunningRequest;
 use super::stop_limit::refusal_at_limit;
 use super::suspects::learn_of_failure;
 use super::suspects::trial_node_of;
+use super::waiter::Step;
+use super::waiter::Waiter;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
 use crate::process::events::relay as events;
@@ -62,8 +63,15 @@
     pub(super) metadata: RequestMetadata,
     /// When the caller stops waiting.
     pub(super) deadline: MonotonicTime,
-    /// The request on the local backend server that made this one, if it is an onward call.
-    pub(super) parent: Option<Arc<RunningRequest>>,
+    /// Those who wait for the response.
+    pub(super) waiter: Waiter,
+}
+
+impl Outbound {
+    /// Refuses the request if nobody waits for its response, before `step`.
+    fn check_waiter(&self, step: Step) -> Result<(), Refusal> {
+        self.waiter.check(&self.metadata.request_id, step)
+    }
 }
 
 /// The results of the attempts at a request so far.
@@ -323,7 +331,7 @@
     let remaining = outbound.deadline.since(node.clock.now());
     let may_repeat = outbound.route.repeatability == Repeatability::Idempotent
         || progress.verdict == Some(Verdict::NotRun);
-    let refusing_nodes_max = refusing_nodes_max(outbound.parent.is_some());
+    let refusing_nodes_max = refusing_nodes_max(outbound.waiter.parent.is_some());
     let reason = match refusal.reason {
         _ if !may_repeat => GiveUpReason::MayHaveRun,
         _ if !is_permitted(node, outbound) => GiveUpReason::StopLimit,
@@ -364,7 +372,7 @@
     let Some(notice) = outcome.load.observed_floor(refused) else {
         return;
     };
-    let (floors, route) = match &outbound.parent {
+    let (floors, route) = match &outbound.waiter.parent {
         Some(parent) => (&node.onward_floors, &parent.metadata.route),
         None => (&node.ingress_floors, &outbound.metadata.route),
     };
@@ -471,6 +479,9 @@
     if remaining < ATTEMPT_TIME_MIN {
         return without_load(Err(Refusal::not_run(RefusalReason::DeadlineExceeded)));
     }
+    if let Err(refusal) = outbound.check_waiter(Step::Attempt) {
+        return without_load(Err(refusal));
+    }
     let mut observed = ObservedCall::start(node, &destination.id, started_at);
     let metadata = RequestMetadata {
         remaining_us: remaining.as_micros() as u64,
@@ -483,7 +494,14 @@
             true => {
                 *is_sent = true;
                 // Boxed, so that a request to another node does not keep memory for a local run.
-                Box::pin(run_request(node, &metadata, outbound.request.clone())).await
+                let request = outbound.request.clone();
+                Box::pin(run_request(
+                    node,
+                    &metadata,
+                    request,
+                    Some(&outbound.waiter),
+                ))
+                .await
             }
             false => match send(node, outbound, destination, &metadata, is_sent).await {
                 Ok(outcome) => outcome,
@@ -518,6 +536,7 @@
     if !is_permitted(node, outbound) {
         return Err(refusal_at_limit(false));
     }
+    outbound.check_waiter(Step::Link)?;
     let sent_at = node.clock.now();
     let patience = match outbound.route.repeatability {
         Repeatability::Idempotent => Patience::Short,
--- a/lib/src/process/relay/mod.rs
+++ b/lib/src/process/relay/mod.rs
@@ -42,6 +42,7 @@
 mod tasks;
 mod unread_body;
 mod views;
+mod waiter;
 
 pub use self::attempt_limits::refusing_nodes_max;
 pub use self::confirmation::Confirmation;
--- a/lib/src/process/relay/peers.rs
+++ b/lib/src/process/relay/peers.rs
@@ -355,7 +355,7 @@
     let weak_running = Arc::downgrade(running);
     let mut tasks = running.tasks.lock();
     let task = tokio::spawn(async move {
-        let running_request = run_request(&node, &metadata, request);
+        let running_request = run_request(&node, &metadata, request, None);
         let outcome = catch_panic("run", running_request).await;
         let outcome = outcome.unwrap_or_else(RunOutcome::unknown);
         if let Some(running) = weak_running.upgrade() {
--- a/lib/src/process/relay/runs.rs
+++ b/lib/src/process/relay/runs.rs
@@ -14,6 +14,11 @@
 /// Separates the id of a request from the rest of the id of a call that it makes.
 const CALL_SEPARATOR: char = '.';
 
+/// Returns whether the id of a request may extend that of another one, which made it.
+pub(super) fn is_call(request_id: &str) -> bool {
+    request_id.contains(CALL_SEPARATOR)
+}
+
 /// A request that runs on the local backend server.
 #[derive(Debug)]
 pub(super) struct RunningRequest {
--- /dev/null
+++ b/lib/src/process/relay/waiter.rs
@@ -0,0 +1,58 @@
+//! Whether anybody still waits for the response of a request.
+
+use std::fmt;
+use std::sync::Arc;
+
+use super::runs::RunningRequest;
+use crate::connection::ClientPresence;
+use crate::process::events::relay as events;
+use crate::request::Refusal;
+
+/// A step that takes a request closer to a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Step {
+    /// Its route, its key and its rate are checked.
+    Admission,
+    /// Its body was read, and a token is taken for it.
+    Token,
+    /// A node is chosen for an attempt.
+    Attempt,
+    /// It is sent to another node.
+    Link,
+    /// It is sent to the local backend server.
+    Server,
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Admission => "admission",
+            Self::Token => "token",
+            Self::Attempt => "attempt",
+            Self::Link => "link",
+            Self::Server => "server",
+        })
+    }
+}
+
+/// Those who wait for the response of a request.
+///
+/// A request may have waited before any step, and its caller may have left meanwhile. So this is asked
+/// before each of them.
+#[derive(Debug)]
+pub(super) struct Waiter {
+    /// The connection of the caller.
+    pub(super) client: Option<ClientPresence>,
+    /// The request on the local backend server that made this one, if it is an onward call.
+    pub(super) parent: Option<Arc<RunningRequest>>,
+}
+
+impl Waiter {
+    /// Refuses a request for whose response nobody waits, before `step`.
+    pub(super) fn check(&self, request_id: &str, step: Step) -> Result<(), Refusal> {
+        if self.client.as_ref().is_some_and(ClientPresence::has_left) {
+            events::ABANDONED.log(format_args!("request={request_id} step={step}"));
+        }
+        Ok(())
+    }
+}
