--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -58,6 +58,7 @@
 mod test_relay_changes;
 mod test_relay_confirmation;
 mod test_relay_crash_storm;
+mod test_relay_departed_callers;
 mod test_relay_era_soak;
 mod test_relay_failing_servers;
 mod test_relay_fleet;
--- /dev/null
+++ b/lib/tests/test_relay_departed_callers.rs
@@ -0,0 +1,334 @@
+//! Callers that leave before their requests have run.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use balsamfold::version::PlannedRoute;
+use balsamfold::version::Repeatability;
+use testutils::relay::Behaviour;
+use testutils::relay::PeerStandIn;
+use testutils::relay::RelayFleet;
+use testutils::relay::StoredPlan;
+use testutils::relay::sample_open_plan;
+use testutils::relay::sample_route;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::runtime::Runtime;
+use tokio::time::sleep;
+
+use crate::stopping_relays::callers_of;
+use crate::stopping_relays::connect;
+use crate::stopping_relays::get;
+
+const CALLERS: usize = 20;
+/// Time for which the only thread of a relay is blocked, like that of an instance short of CPU time.
+const STANDSTILL: Duration = Duration::from_millis(900);
+/// Time after which a thread that was told to block does so.
+const BLOCKING: Duration = Duration::from_millis(50);
+const SERVICE_TIME: Duration = Duration::from_millis(300);
+/// Longest time for which work may go on for a caller that has left.
+const LEAVE_MAX: Duration = Duration::from_millis(500);
+
+fn plan() -> StoredPlan {
+    let route = |service: &str| PlannedRoute {
+        is_open: true,
+        timeout_ms: 10_000,
+        ..sample_route(service, service, Repeatability::Idempotent)
+    };
+    let entry = |service: &str| {
+        let path = format!("/{service}/");
+        ("shop".to_owned(), path, route(service))
+    };
+    StoredPlan {
+        routes: ["front", "stock"].map(entry).into(),
+        ..sample_open_plan()
+    }
+}
+
+fn runtime() -> Runtime {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    let built = builder.worker_threads(1).enable_all().build();
+    built.expect("a runtime can be started")
+}
+
+/// Starts relays of which the one at `index` runs on `apart`.
+async fn fleet_with(services: &[&'static str], index: usize, apart: &Runtime) -> RelayFleet {
+    let mut fleet = RelayFleet::start(&plan(), services).await;
+    fleet.restart_on(index, apart.handle()).await;
+    fleet.report(index, 2, false).await;
+    let address = |fleet: &RelayFleet| {
+        let node = fleet.relays[index].daemon.node();
+        node.settings.raw.listen.peers
+    };
+    fleet
+        .wait_until(|fleet| {
+            fleet.relays.iter().all(|relay| {
+                let members = relay.daemon.node().members();
+                let mut nodes = members.nodes();
+                nodes.any(|record| record.addresses.peer == address(fleet))
+            })
+        })
+        .await;
+    fleet.wait_until_ready().await;
+    fleet
+}
+
+/// Blocks the only thread of a runtime for `time`.
+async fn block(apart: &Runtime, time: Duration) {
+    apart.spawn(async move { std::thread::sleep(time) });
+    sleep(BLOCKING).await;
+}
+
+/// Sends bytes on a new connection.
+async fn send(address: SocketAddr, text: &str) -> TcpStream {
+    let mut stream = connect(address).await;
+    stream.write_all(text.as_bytes()).await.expect("it is sent");
+    stream
+}
+
+/// Sends a request on each of [`CALLERS`] new connections.
+async fn send_all(address: SocketAddr, name: &str) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    for caller in 0..CALLERS {
+        streams.push(send(address, &get(&format!("{name}{caller}"))).await);
+    }
+    streams
+}
+
+async fn read_response(stream: &mut TcpStream) {
+    let mut part = [0; 1_024];
+    let length = stream.read(&mut part).await.expect("a response");
+    assert!(length > 0);
+}
+
+/// Returns the paths of the requests that servers received since `since`.
+fn received_since(fleet: &RelayFleet, since: Instant) -> Vec<String> {
+    let servers = fleet.relays.iter().map(|relay| relay.server.received());
+    let received = servers.flatten();
+    let later = received.filter(|request| request.received_at >= since);
+    later.map(|request| request.uri).collect()
+}
+
+async fn assert_nothing_received_since(fleet: &RelayFleet, since: Instant) {
+    sleep(STANDSTILL + LEAVE_MAX).await;
+    let received = received_since(fleet, since);
+    assert!(received.is_empty(), "{} sent: {received:?}", received.len());
+}
+
+// Guards against requests that are sent to servers although their callers left before they were accepted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_whose_callers_left_before_they_were_accepted_reach_no_server() {
+    let apart = runtime();
+    let fleet = fleet_with(&["front", "stock"], 0, &apart).await;
+    block(&apart, STANDSTILL).await;
+    let since = Instant::now();
+    drop(send_all(callers_of(&fleet, 0), "r").await);
+    assert_nothing_received_since(&fleet, since).await;
+    apart.shutdown_background();
+}
+
+// Guards against a request that is sent to a server although its caller left a kept connection before it was read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_on_kept_connections_whose_callers_left_reach_no_server() {
+    let apart = runtime();
+    let fleet = fleet_with(&["front", "stock"], 0, &apart).await;
+    let mut streams = send_all(callers_of(&fleet, 0), "first").await;
+    for stream in &mut streams {
+        read_response(stream).await;
+    }
+    block(&apart, STANDSTILL).await;
+    let since = Instant::now();
+    for (caller, stream) in streams.iter_mut().enumerate() {
+        let next = get(&format!("next{caller}"));
+        stream.write_all(next.as_bytes()).await.expect("it is sent");
+    }
+    drop(streams);
+    assert_nothing_received_since(&fleet, since).await;
+    apart.shutdown_background();
+}
+
+// Guards against a caller whose departure is hidden behind further requests that are unread.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn pipelined_requests_whose_callers_left_reach_no_server() {
+    let apart = runtime();
+    let fleet = fleet_with(&["front", "stock"], 0, &apart).await;
+    block(&apart, STANDSTILL).await;
+    let since = Instant::now();
+    for caller in 0..CALLERS {
+        // More than one read of the relay.
+        let text = (0..200).map(|request| get(&format!("r{caller}-{request}")));
+        let text: String = text.collect();
+        drop(send(callers_of(&fleet, 0), &text).await);
+    }
+    assert_nothing_received_since(&fleet, since).await;
+    apart.shutdown_background();
+}
+
+// Guards against a request that is sent to a server although its caller left while its body was read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_whose_callers_left_during_their_bodies_reach_no_server() {
+    let apart = runtime();
+    let fleet = fleet_with(&["front", "stock"], 0, &apart).await;
+    let mut streams = Vec::new();
+    for caller in 0..CALLERS {
+        let head = format!(
+            "POST /stock/{caller} HTTP/1.1\r\nhost: shop\r\nrequest-id: r{caller}\r\n\
+             content-length: 2000\r\n\r\n"
+        );
+        let text = head + &"x".repeat(1_000);
+        streams.push(send(callers_of(&fleet, 0), &text).await);
+    }
+    sleep(BLOCKING).await;
+    block(&apart, STANDSTILL).await;
+    let since = Instant::now();
+    for stream in &mut streams {
+        let rest = [b'x'; 1_000];
+        stream.write_all(&rest).await.expect("it is sent");
+    }
+    drop(streams);
+    assert_nothing_received_since(&fleet, since).await;
+    apart.shutdown_background();
+}
+
+// Guards against a request that is sent on a link that was opened after its caller had left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_whose_callers_left_while_a_link_was_opened_are_not_sent() {
+    let apart = runtime();
+    let fleet = fleet_with(&["front"], 0, &apart).await;
+    let peer = PeerStandIn::start().await;
+    peer.set_pong_delay(Duration::from_millis(200));
+    fleet.write_entry("node-9", "stock", peer.address);
+    fleet
+        .wait_until(|fleet| fleet.relays[0].daemon.node().members().nodes().count() == 2)
+        .await;
+    let streams = send_all(callers_of(&fleet, 0), "r").await;
+    sleep(Duration::from_millis(20)).await;
+    block(&apart, Duration::from_millis(220)).await;
+    drop(streams);
+    sleep(STANDSTILL).await;
+    assert_eq!(peer.received(), Vec::<String>::new());
+    apart.shutdown_background();
+}
+
+// Guards against a request that is sent to another server although its caller left during the first attempt.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_whose_callers_left_during_an_attempt_are_not_tried_again() {
+    let apart = runtime();
+    let fleet = fleet_with(&["front", "stock", "stock"], 0, &apart).await;
+    for relay in &fleet.relays {
+        relay.server.set_behaviour(Behaviour::Slow(2 * STANDSTILL));
+    }
+    let streams = send_all(callers_of(&fleet, 0), "r").await;
+    fleet
+        .wait_until(|fleet| !fleet.relays[1].server.received().is_empty())
+        .await;
+    block(&apart, STANDSTILL).await;
+    let since = Instant::now();
+    fleet.relays[1].server.crash();
+    drop(streams);
+    assert_nothing_received_since(&fleet, since).await;
+    apart.shutdown_background();
+}
+
+// Guards against requests that wait for a slot and get one although their callers have left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_that_wait_at_the_ingress_node_get_no_slot_after_their_callers_left() {
+    let apart = runtime();
+    let fleet = fleet_with(&["stock"], 0, &apart).await;
+    assert_waiting_requests_get_no_slot(&fleet, &apart).await;
+    apart.shutdown_background();
+}
+
+// Guards against the same at another node, which reads late that they were cancelled.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_that_wait_at_another_node_get_no_slot_after_their_callers_left() {
+    let apart = runtime();
+    let fleet = fleet_with(&["front", "stock"], 1, &apart).await;
+    assert_waiting_requests_get_no_slot(&fleet, &apart).await;
+    apart.shutdown_background();
+}
+
+/// Lets callers leave while the relay at which their requests wait for a slot stands still.
+async fn assert_waiting_requests_get_no_slot(fleet: &RelayFleet, apart: &Runtime) {
+    for relay in &fleet.relays {
+        relay.server.set_behaviour(Behaviour::Slow(SERVICE_TIME));
+    }
+    let streams = send_all(callers_of(fleet, 0), "r").await;
+    fleet
+        .wait_until(|fleet| {
+            let mut relays = fleet.relays.iter();
+            relays.any(|relay| !relay.server.received().is_empty())
+        })
+        .await;
+    sleep(BLOCKING).await;
+    block(apart, STANDSTILL).await;
+    let since = Instant::now();
+    drop(streams);
+    assert_nothing_received_since(fleet, since).await;
+}
+
+/// Starts a relay whose server makes calls to that of another one, also after its connection has closed.
+async fn calling_fleet(behaviour: Behaviour) -> RelayFleet {
+    let fleet = RelayFleet::start(&plan(), &["front", "stock"]).await;
+    fleet.relays[0].server.set_behaviour(behaviour);
+    fleet
+}
+
+fn front_request(id: &str) -> String {
+    format!("GET /front/{id} HTTP/1.1\r\nhost: shop\r\nrequest-id: {id}\r\n\r\n")
+}
+
+fn keep_calling() -> Behaviour {
+    Behaviour::KeepCalling {
+        host: "shop",
+        path: "/stock/call",
+        period: Duration::from_millis(100),
+        calls: 20,
+    }
+}
+
+// Guards against calls of a server for a caller that has left, which are taken for requests of their own.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn calls_for_a_caller_that_left_reach_no_server() {
+    let fleet = calling_fleet(keep_calling()).await;
+    let stream = send(callers_of(&fleet, 0), &front_request("r1")).await;
+    let stock = &fleet.relays[1].server;
+    fleet.wait_until(|_| !stock.received().is_empty()).await;
+    drop(stream);
+    sleep(LEAVE_MAX).await;
+    let since = Instant::now();
+    assert_nothing_received_since(&fleet, since).await;
+}
+
+// Guards against calls in flight that go on for a caller that has left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn calls_in_flight_end_when_their_caller_leaves() {
+    let fleet = calling_fleet(keep_calling()).await;
+    let stock = &fleet.relays[1].server;
+    stock.set_behaviour(Behaviour::Slow(4 * STANDSTILL));
+    let stream = send(callers_of(&fleet, 0), &front_request("r1")).await;
+    fleet.wait_until(|_| !stock.received().is_empty()).await;
+    drop(stream);
+    sleep(LEAVE_MAX).await;
+    assert_eq!(stock.abandoned(), stock.received().len());
+}
+
+// Guards against calls that are refused because an earlier request of the same id was cancelled.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn calls_of_a_request_that_runs_again_are_served() {
+    let fleet = calling_fleet(Behaviour::CallOnward {
+        host: "shop",
+        path: "/stock/call",
+    })
+    .await;
+    let stock = &fleet.relays[1].server;
+    stock.set_behaviour(Behaviour::Slow(SERVICE_TIME));
+    let stream = send(callers_of(&fleet, 0), &front_request("r1")).await;
+    fleet.wait_until(|_| !stock.received().is_empty()).await;
+    drop(stream);
+    sleep(LEAVE_MAX).await;
+    let response = fleet.call(0, "r1", "/front/r1", None).await;
+    assert_eq!(response.status, http::StatusCode::OK);
+}
--- a/testutils/src/relay/server.rs
+++ b/testutils/src/relay/server.rs
@@ -90,6 +90,18 @@
         /// The path of the call.
         path: &'static str,
     },
+    /// Makes onward calls one after another without waiting for their responses, also if the connection of
+    /// the request has closed, and responds after the last one.
+    KeepCalling {
+        /// The host of the calls.
+        host: &'static str,
+        /// The path of the calls.
+        path: &'static str,
+        /// Time between two calls.
+        period: Duration,
+        /// Number of calls.
+        calls: u32,
+    },
 }
 
 /// A request that the stand-in received.
@@ -231,7 +243,7 @@
     Listener::bind(address).await.expect("address is free")
 }
 
-async fn handle(shared: &Shared, request: Request) -> Response {
+async fn handle(shared: &Arc<Shared>, request: Request) -> Response {
     shared.received.lock().push(ReceivedRequest {
         headers: request.headers().clone(),
         uri: request.uri().to_string(),
@@ -302,10 +314,28 @@
         Behaviour::WrongRequestId => returned_id = Some(HeaderValue::from_static("other")),
         Behaviour::CrashOn(_) => {}
         Behaviour::CallOnward { host, path } => {
-            if !call(shared, id.as_ref(), host, path).await {
+            if !call(shared, call_id(id.as_ref(), "call"), host, path).await {
                 *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
             }
         }
+        Behaviour::KeepCalling {
+            host,
+            path,
+            period,
+            calls,
+        } => {
+            let (shared, id) = (Arc::clone(shared), id.clone());
+            let calling = tokio::spawn(async move {
+                for number in 0..calls {
+                    let id = call_id(id.as_ref(), &number.to_string());
+                    let shared = Arc::clone(&shared);
+                    tokio::spawn(async move { call(&shared, id, host, path).await });
+                    tokio::time::sleep(period).await;
+                }
+            });
+            // It fails if the server crashes.
+            let _ = calling.await;
+        }
     }
     if let Some(id) = returned_id {
         response.headers_mut().insert(names.request_id, id);
@@ -314,19 +344,24 @@
     response
 }
 
-/// Makes an onward call whose id extends that of the request. Returns whether it succeeded.
+/// Returns the id of an onward call, which extends that of the request.
+fn call_id(parent: Option<&HeaderValue>, name: &str) -> Option<HeaderValue> {
+    let parent = parent?.to_str().ok()?;
+    HeaderValue::try_from(format!("{parent}.{name}")).ok()
+}
+
+/// Makes an onward call. Returns whether it succeeded.
 async fn call(
     shared: &Shared,
-    parent: Option<&HeaderValue>,
+    id: Option<HeaderValue>,
     host: &'static str,
     path: &'static str,
 ) -> bool {
     let onward = *shared.onward.lock();
-    let (Some(address), Some(parent)) = (onward, parent.and_then(|id| id.to_str().ok())) else {
+    let (Some(address), Some(id)) = (onward, id) else {
         return false;
     };
     let mut headers = HeaderMap::new();
-    let id = HeaderValue::try_from(format!("{parent}.call")).expect("valid header");
     headers.insert(relay_protocol().headers.request_id, id);
     headers.insert(http::header::HOST, HeaderValue::from_static(host));
     let pool = ConnectionPool::new(
