relay: a request whose caller has left is not passed on

What callers and servers saw: requests of callers that had left before the process read them reached servers, and took tokens and slots.

Cause: whether the caller is there was looked at by the task of its connection, after the handler had run to its first wait, and 50 ms after the process had learned of the close. A process that is short of CPU time finds the request and the close together, and the handler passes the request on in that one poll; so at each later step at which a request has waited.

Now each step asks the kernel before it takes the request closer to a server: admission, token, attempt, link, and the slot of the local server. Nothing else decides, so a step that is added later has one line to add. A request that has not begun is cancelled with its token given back; a caller that closed only its writing side gets 502, as before.

--- a/lib/src/process/events/request.rs
+++ b/lib/src/process/events/request.rs
@@ -32,5 +32,6 @@
     UNCONFIRMED = 2023, Info, "request.unconfirmed", "A request with a key was refused, as the keys in force could not be confirmed in time.";
     SERVER_FAILING = 2024, Debug, "request.server-failing", "A request was passed over by a backend server that fails often; look at that server.";
     SERVER_THROTTLED = 2025, Debug, "request.server-throttled", "A backend server takes fewer requests per second at present than arrive for it.";
+    ABANDONED = 2026, Debug, "request.abandoned", "Nobody waited for the response to a request any more before it was sent on.";
     RATE_HOLDER_UNREACHABLE = 2040, Debug, "request.rate-holder-unreachable", "No node that holds rates could be reached; look for a cut between zones, or for a platform outage since the start.";
 }
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -405,6 +405,7 @@
                     elapsed.as_millis()
                 ));
             }
+            Err(refusal) if refusal.reason == RefusalReason::Abandoned => self.record_departure(),
             Err(refusal) => {
                 self.node.metrics.record_refusal(refusal, elapsed);
                 if self.node.stop_limit.is_reached() {
@@ -428,19 +429,23 @@
             }
         }
     }
+
+    fn record_departure(&self) {
+        let elapsed = self.node.clock.now().since(self.arrived_at);
+        self.node.metrics.record_caller_disconnect();
+        events::CALLER_LEFT.log(format_args!(
+            "request={} held_ms={}",
+            self.request_id,
+            elapsed.as_millis()
+        ));
+    }
 }
 
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
         self.node.in_flight.fetch_sub(1, Ordering::Relaxed);
         if !self.is_finished {
-            let elapsed = self.node.clock.now().since(self.arrived_at);
-            self.node.metrics.record_caller_disconnect();
-            events::CALLER_LEFT.log(format_args!(
-                "request={} held_ms={}",
-                self.request_id,
-                elapsed.as_millis()
-            ));
+            self.record_departure();
         }
     }
 }
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -121,6 +121,8 @@
     Quarantined,
     /// Another attempt might outlast a planned stop.
     StopLimit,
+    /// Nobody waits for the response any more.
+    Abandoned,
 }
 
 impl fmt::Display for GiveUpReason {
@@ -134,6 +136,7 @@
             Self::RetryBudget => "none-retry-budget",
             Self::Quarantined => "none-quarantined",
             Self::StopLimit => "none-stop-limit",
+            Self::Abandoned => "none-abandoned",
         })
     }
 }
@@ -335,6 +338,7 @@
     let reason = match refusal.reason {
         _ if !may_repeat => GiveUpReason::MayHaveRun,
         _ if !is_permitted(node, outbound) => GiveUpReason::StopLimit,
+        RefusalReason::Abandoned => GiveUpReason::Abandoned,
         RefusalReason::DeadlineExceeded => GiveUpReason::Time,
         RefusalReason::Quarantined => GiveUpReason::Quarantined,
         _ if remaining < ATTEMPT_TIME_MIN => GiveUpReason::Time,
--- a/lib/src/process/relay/waiter.rs
+++ b/lib/src/process/relay/waiter.rs
@@ -7,6 +7,7 @@
 use crate::connection::ClientPresence;
 use crate::process::events::relay as events;
 use crate::request::Refusal;
+use crate::request::RefusalReason;
 
 /// A step that takes a request closer to a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,9 +51,10 @@
 impl Waiter {
     /// Refuses a request for whose response nobody waits, before `step`.
     pub(super) fn check(&self, request_id: &str, step: Step) -> Result<(), Refusal> {
-        if self.client.as_ref().is_some_and(ClientPresence::has_left) {
-            events::ABANDONED.log(format_args!("request={request_id} step={step}"));
+        if !self.client.as_ref().is_some_and(ClientPresence::has_left) {
+            return Ok(());
         }
-        Ok(())
+        events::ABANDONED.log(format_args!("request={request_id} step={step}"));
+        Err(Refusal::not_run(RefusalReason::Abandoned))
     }
 }
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -67,6 +67,8 @@
         NotAPeer,
         /// The backend server takes fewer requests at present than arrive for it.
         ServerThrottled,
+        /// Nobody waits for the response any more.
+        Abandoned,
     }
 }
 
@@ -101,6 +103,7 @@
             Self::OutcomeUnknown => "outcome-unknown",
             Self::NotAPeer => "not-a-peer",
             Self::ServerThrottled => "server-throttled",
+            Self::Abandoned => "abandoned",
         }
     }
 
@@ -115,7 +118,7 @@
             Self::IdempotencyKeyReused | Self::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
             Self::RateExceeded => StatusCode::TOO_MANY_REQUESTS,
             Self::TooDeep => StatusCode::LOOP_DETECTED,
-            Self::BadAnswer => StatusCode::BAD_GATEWAY,
+            Self::BadAnswer | Self::Abandoned => StatusCode::BAD_GATEWAY,
             Self::DeadlineExceeded | Self::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
             Self::Overloaded
             | Self::RefusedByServer
@@ -161,6 +164,7 @@
             Self::OutcomeUnknown => events::OUTCOME_UNKNOWN,
             Self::NotAPeer => events::NOT_A_PEER,
             Self::ServerThrottled => events::SERVER_THROTTLED,
+            Self::Abandoned => events::ABANDONED,
         }
     }
 }
