relay: calls for a request that nobody waits for end, and no later ones begin

What servers saw: a server that goes on after its connection has closed makes calls, and they ran: with a full time limit of their own, the importance of their route and no organisation. Calls in flight went on until that server closed their connections.

Cause: the record of a run went with the run, so that its calls found no parent, which is how requests of callers look. A request that runs again under its id is the parent of its calls as before.

Test: test_relay_departed_callers.

--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -304,6 +304,9 @@
     let _guard = node.runs.add(Arc::clone(running));
     running.record_sending();
     let result = send(node, &backend, metadata, request, remaining).await;
+    if !matches!(&result, Err(refusal) if refusal.verdict == Verdict::MayHaveRun) {
+        running.finish();
+    }
     record_health(node, &backend, running, &result);
     let waited = running.onward.lock().waited();
     permit.finish(gate_outcome(&result), waited);
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -23,6 +23,7 @@
 use super::frame::RequestMetadata;
 use super::link::SENT_BODY_BYTES_MAX;
 use super::node::RelayNode;
+use super::runs::Parent;
 use super::runs::RunningRequest;
 use super::runs::is_call;
 use super::stop_limit::refusal_at_limit;
@@ -114,10 +115,10 @@
     waiter: Waiter,
 }
 
-/// Returns the request on the local backend server that made the call `request_id`.
-fn parent_of(node: &RelayNode, request_id: &str) -> Option<Arc<RunningRequest>> {
+/// Returns the request that made the call `request_id`.
+fn parent_of(node: &RelayNode, request_id: &str) -> Parent {
     let parent = node.runs.parent_of(request_id);
-    if parent.is_none() && is_call(request_id) {
+    if matches!(parent, Parent::Unknown) && is_call(request_id) {
         events::NO_PARENT.log(format_args!("request={request_id}"));
     }
     parent
@@ -134,15 +135,14 @@
     let (outbound, taken) = prepared.unwrap_or_else(|| Err(refusal_at_limit(false)))?;
     let _waiting = outbound
         .waiter
-        .parent
-        .as_deref()
+        .parent()
         .map(|parent| OnwardWait::start(node.clock, &parent.onward));
     let result = forward(node, &outbound).await;
     let is_failure = match &result {
         Ok(response) => response.status.is_server_error(),
         Err(_) => true,
     };
-    if let (true, Some(parent)) = (is_failure, &outbound.waiter.parent) {
+    if let (true, Some(parent)) = (is_failure, outbound.waiter.parent()) {
         parent.record_call_failure();
     }
     if let (Err(refusal), Some(organisation)) = (&result, &taken.0)
@@ -166,7 +166,7 @@
     } = admit(node, &request.parts).await?;
     let CallerRequest { id, arrived_at, .. } = request;
     let limit = Duration::from_millis(route.timeout_ms).min(request.remaining);
-    let parent = request.waiter.parent.as_deref();
+    let parent = request.waiter.parent().map(Arc::as_ref);
     let metadata = metadata_of(node, &route, organisation.as_deref(), parent, id);
     if parent.is_none() {
         node.check_ingress(&metadata)?;
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -154,17 +154,18 @@
     let mut progress = Progress::default();
     let ended = {
         let trying = pin!(try_nodes(node, outbound, &mut progress));
-        node.stop_limit.bound(trying).await
+        let trying = node.stop_limit.bound(trying);
+        tokio::select! {
+            // A response that is there goes before the end of the request that made this one.
+            biased;
+            ended = trying => ended.ok_or(RefusalReason::Draining),
+            () = outbound.waiter.until_parent_abandoned() => Err(RefusalReason::Abandoned),
+        }
     };
     match ended {
-        Some(Some(response)) => Ok(response),
-        Some(None) => progress.finish(),
-        None => {
-            let refusal = refusal_at_limit(progress.is_sent);
-            progress.verdict = progress.verdict.max(Some(refusal.verdict));
-            progress.last_refusal = Some(refusal);
-            progress.finish()
-        }
+        Ok(Some(response)) => Ok(response),
+        Ok(None) => progress.finish(),
+        Err(reason) => progress.end(reason),
     }
 }
 
@@ -246,6 +247,17 @@
 }
 
 impl Progress {
+    /// Ends the present attempt, whose outcome is unknown.
+    fn end(mut self, reason: RefusalReason) -> Result<BufferedResponse, Refusal> {
+        let refusal = match self.is_sent {
+            true => Refusal::may_have_run(reason),
+            false => Refusal::not_run(reason),
+        };
+        self.verdict = self.verdict.max(Some(refusal.verdict));
+        self.last_refusal = Some(refusal);
+        self.finish()
+    }
+
     fn finish(self) -> Result<BufferedResponse, Refusal> {
         if let Some(response) = self.failed_response {
             return Ok(response);
@@ -334,7 +346,7 @@
     let remaining = outbound.deadline.since(node.clock.now());
     let may_repeat = outbound.route.repeatability == Repeatability::Idempotent
         || progress.verdict == Some(Verdict::NotRun);
-    let refusing_nodes_max = refusing_nodes_max(outbound.waiter.parent.is_some());
+    let refusing_nodes_max = refusing_nodes_max(outbound.waiter.parent().is_some());
     let reason = match refusal.reason {
         _ if !may_repeat => GiveUpReason::MayHaveRun,
         _ if !is_permitted(node, outbound) => GiveUpReason::StopLimit,
@@ -376,7 +388,7 @@
     let Some(notice) = outcome.load.observed_floor(refused) else {
         return;
     };
-    let (floors, route) = match &outbound.waiter.parent {
+    let (floors, route) = match outbound.waiter.parent() {
         Some(parent) => (&node.onward_floors, &parent.metadata.route),
         None => (&node.ingress_floors, &outbound.metadata.route),
     };
--- a/lib/src/process/relay/mod.rs
+++ b/lib/src/process/relay/mod.rs
@@ -3,6 +3,7 @@
 //! A relay forwards requests from callers on its instance, and from its local backend server, to
 //! the nodes of other backend servers. It admits requests from other nodes to its own server.
 
+mod abandoned_runs;
 mod admission;
 mod attempt_limits;
 mod backend;
@@ -44,6 +45,7 @@
 mod views;
 mod waiter;
 
+pub use self::abandoned_runs::AbandonedRuns;
 pub use self::attempt_limits::refusing_nodes_max;
 pub use self::confirmation::Confirmation;
 pub use self::confirmation::ConfirmationReport;
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -185,7 +185,7 @@
             protocol,
             store,
             metrics: RelayMetrics::new(),
-            runs: RunTable::default(),
+            runs: RunTable::new(clock),
             ingress_floors: Mutex::default(),
             failing_servers: Mutex::default(),
             onward_floors: Mutex::default(),
--- a/lib/src/process/relay/runs.rs
+++ b/lib/src/process/relay/runs.rs
@@ -6,9 +6,12 @@
 use std::sync::atomic::Ordering;
 
 use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
 
+use super::abandoned_runs::AbandonedRuns;
 use super::frame::RequestMetadata;
 use crate::request::OnwardTime;
+use crate::values::Clock;
 use crate::values::MonotonicTime;
 
 /// Separates the id of a request from the rest of the id of a call that it makes.
@@ -30,6 +33,10 @@
     pub(super) onward: Mutex<OnwardTime>,
     /// Whether the server may have received a byte of it.
     is_sent: AtomicBool,
+    /// Whether the server no longer works on it, as far as this node knows.
+    is_finished: AtomicBool,
+    /// Cancelled when nobody waits for its response any more.
+    abandoned: CancellationToken,
 }
 
 impl RunningRequest {
@@ -40,9 +47,26 @@
             deadline,
             onward: Mutex::default(),
             is_sent: AtomicBool::new(false),
+            is_finished: AtomicBool::new(false),
+            abandoned: CancellationToken::new(),
         })
     }
 
+    /// Records that the server has responded, or has not run the request.
+    pub(super) fn finish(&self) {
+        self.is_finished.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether nobody waits for its response any more.
+    pub(super) fn is_abandoned(&self) -> bool {
+        self.abandoned.is_cancelled()
+    }
+
+    /// Returns once nobody waits for its response any more.
+    pub(super) async fn until_abandoned(&self) {
+        self.abandoned.cancelled().await;
+    }
+
     /// Records that the request is about to be sent to the server.
     pub(super) fn record_sending(&self) {
         self.is_sent.store(true, Ordering::Relaxed);
@@ -64,16 +88,38 @@
     }
 }
 
+/// What is known about the request that made a call.
+#[derive(Clone, Debug)]
+pub(super) enum Parent {
+    /// It runs on the local backend server.
+    Running(Arc<RunningRequest>),
+    /// Nobody waits for its response any more.
+    Abandoned,
+    /// None is known: the request is no call, or another process of this node served the one that made it.
+    Unknown,
+}
+
 /// The requests that run on the local backend server, by the callers' ids.
 ///
 /// Servers derive the ids of their calls from the id of the request that they run. A call whose id
 /// does not extend that of a running request has no parent.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct RunTable {
+    clock: Clock,
     running: Mutex<HashMap<String, Arc<RunningRequest>>>,
+    abandoned: Mutex<AbandonedRuns>,
 }
 
 impl RunTable {
+    /// Creates an empty table.
+    pub(super) fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            running: Mutex::default(),
+            abandoned: Mutex::default(),
+        }
+    }
+
     /// Adds a request until the guard is dropped.
     pub(super) fn add(&self, request: Arc<RunningRequest>) -> RunGuard<'_> {
         let id = request.metadata.request_id.clone();
@@ -84,10 +130,19 @@
         }
     }
 
-    /// Returns the running request that made the call `request_id`.
-    pub(super) fn parent_of(&self, request_id: &str) -> Option<Arc<RunningRequest>> {
-        let (parent, _) = request_id.rsplit_once(CALL_SEPARATOR)?;
-        self.running.lock().get(parent).cloned()
+    /// Returns the request that made the call `request_id`.
+    pub(super) fn parent_of(&self, request_id: &str) -> Parent {
+        let Some((parent, _)) = request_id.rsplit_once(CALL_SEPARATOR) else {
+            return Parent::Unknown;
+        };
+        // A request that was abandoned may run again.
+        if let Some(running) = self.running.lock().get(parent) {
+            return Parent::Running(Arc::clone(running));
+        }
+        match self.abandoned.lock().contains(parent, self.clock.now()) {
+            true => Parent::Abandoned,
+            false => Parent::Unknown,
+        }
     }
 }
 
@@ -99,8 +154,13 @@
 
 impl Drop for RunGuard<'_> {
     fn drop(&mut self) {
-        let mut running = self.table.running.lock();
         let id = &self.request.metadata.request_id;
+        if !self.request.is_finished.load(Ordering::Relaxed) {
+            let now = self.table.clock.now();
+            self.table.abandoned.lock().add(id, now);
+            self.request.abandoned.cancel();
+        }
+        let mut running = self.table.running.lock();
         // A repeated request with the same id may have replaced this one.
         if running
             .get(id)
--- a/lib/src/process/relay/waiter.rs
+++ b/lib/src/process/relay/waiter.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
+use super::runs::Parent;
 use super::runs::RunningRequest;
 use crate::connection::ClientPresence;
 use crate::process::events::relay as events;
@@ -44,14 +45,37 @@
 pub(super) struct Waiter {
     /// The connection of the caller.
     pub(super) client: Option<ClientPresence>,
-    /// The request on the local backend server that made this one, if it is an onward call.
-    pub(super) parent: Option<Arc<RunningRequest>>,
+    /// The request that made this one, if it is an onward call.
+    pub(super) parent: Parent,
 }
 
 impl Waiter {
+    /// Returns the request on the local backend server that made this one, if it is an onward call.
+    pub(super) fn parent(&self) -> Option<&Arc<RunningRequest>> {
+        match &self.parent {
+            Parent::Running(parent) => Some(parent),
+            Parent::Abandoned | Parent::Unknown => None,
+        }
+    }
+
+    /// Returns once nobody waits for the response of the request that made this one.
+    pub(super) async fn until_parent_abandoned(&self) {
+        match self.parent() {
+            Some(parent) => parent.until_abandoned().await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Refuses a request for whose response nobody waits, before `step`.
     pub(super) fn check(&self, request_id: &str, step: Step) -> Result<(), Refusal> {
-        if !self.client.as_ref().is_some_and(ClientPresence::has_left) {
+        let is_parent_abandoned = match &self.parent {
+            Parent::Running(parent) => parent.is_abandoned(),
+            Parent::Abandoned => true,
+            Parent::Unknown => false,
+        };
+        let is_abandoned =
+            is_parent_abandoned || self.client.as_ref().is_some_and(ClientPresence::has_left);
+        if !is_abandoned {
             return Ok(());
         }
         events::ABANDONED.log(format_args!("request={request_id} step={step}"));
--- a/lib/tests/test_relay_departed_callers.rs
+++ b/lib/tests/test_relay_departed_callers.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use balsamfold::process::relay::AbandonedRuns;
 use balsamfold::version::PlannedRoute;
 use balsamfold::version::Repeatability;
 use testutils::relay::Behaviour;
 use testutils::relay::PeerStandIn;
 use testutils::relay::RelayFleet;
 use testutils::relay::StoredPlan;
+use testutils::relay::at_ms;
 use testutils::relay::sample_open_plan;
 use testutils::relay::sample_route;
 use tokio::io::AsyncReadExt;
@@ -332,3 +334,33 @@
     let response = fleet.call(0, "r1", "/front/r1", None).await;
     assert_eq!(response.status, http::StatusCode::OK);
 }
+
+// Guards against memory that grows with the callers that leave.
+#[test]
+fn abandoned_runs_are_forgotten_in_time_and_beyond_a_number() {
+    let mut abandoned = AbandonedRuns::default();
+    for number in 0..=AbandonedRuns::MAX {
+        abandoned.add(&format!("r{number}"), at_ms(0));
+    }
+    assert!(!abandoned.contains("r0", at_ms(1)));
+    assert!(abandoned.contains("r1", at_ms(1)));
+    let end = at_ms(0).after(AbandonedRuns::REMEMBERED);
+    assert!(!abandoned.contains("r1", end));
+}
+
+// Guards against a half-closed caller that gets no response, or one that says it may come back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn half_closed_caller_is_told_that_its_request_was_given_up() {
+    let apart = runtime();
+    let fleet = fleet_with(&["front", "stock"], 0, &apart).await;
+    block(&apart, SERVICE_TIME).await;
+    let since = Instant::now();
+    let mut stream = send(callers_of(&fleet, 0), &get("r1")).await;
+    stream.shutdown().await.expect("the writing side is closed");
+    let mut received = String::new();
+    let reading = stream.read_to_string(&mut received).await;
+    reading.expect("a whole response");
+    assert!(received.starts_with("HTTP/1.1 502 "), "{received:?}");
+    assert_nothing_received_since(&fleet, since).await;
+    apart.shutdown_background();
+}
