node: a request whose caller has left does not run

The same cause as in the relay, in the node with announced servers: ingress, calls of its server, and requests of other nodes. A request with an idempotency key that has begun goes on, since its caller can ask for the outcome later.

--- a/lib/src/process/node/egress.rs
+++ b/lib/src/process/node/egress.rs
@@ -13,11 +13,13 @@
 use super::forward::Outbound;
 use super::forward::forward;
 use super::ingress::buffered_request;
+use super::ingress::check_client;
 use super::ingress::find_route;
 use super::load_control::Origin;
 use super::response::response;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
+use crate::connection::ClientPresence;
 use crate::connection::HANDLE_HEADER;
 use crate::connection::strip_system_headers;
 use crate::request::CallEnd;
@@ -43,7 +45,9 @@
     announcement::announce(node, &request.body)
 }
 
-async fn call_onward(node: &Arc<Node>, request: Request) -> Result<BufferedResponse, Refusal> {
+async fn call_onward(node: &Arc<Node>, mut request: Request) -> Result<BufferedResponse, Refusal> {
+    let client = request.extensions_mut().remove::<ClientPresence>();
+    check_client(client.as_ref())?;
     let parent = parent(node, request.headers())
         .ok_or_else(|| Refusal::not_run(RefusalReason::HandleUnknown))?;
     let configuration = node.configuration()?;
@@ -62,6 +66,7 @@
         depth,
         extra_attempts: &parent.extra_attempts,
         origin: Origin::Parent(&parent),
+        client,
     };
     let _waiting = OnwardWait::start(node.clock, &parent.onward);
     let outcome = forward(node, outbound).await;
--- a/lib/src/process/node/forward.rs
+++ b/lib/src/process/node/forward.rs
@@ -8,6 +8,7 @@
 use parking_lot::Mutex;
 
 use super::Node;
+use super::ingress::check_client;
 use super::load_control::ObservedCall;
 use super::load_control::Origin;
 use super::load_control::choose;
@@ -18,6 +19,7 @@
 use crate::connection::ATTEMPT_HEADER;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
+use crate::connection::ClientPresence;
 use crate::connection::FLOOR_HEADER;
 use crate::connection::UNSPENT_HEADER;
 use crate::process::membership::NodeRecord;
@@ -62,6 +64,8 @@
     /// Attempts beyond the first, shared with the other calls of the same parent.
     pub(super) extra_attempts: &'a Mutex<AttemptBudget>,
     pub(super) origin: Origin<'a>,
+    /// The connection of the client that waits for the response; none if the request goes on without it.
+    pub(super) client: Option<ClientPresence>,
 }
 
 /// Forwards a request to nodes of its service until an attempt yields a final response.
@@ -165,6 +169,7 @@
     destination: &NodeRecord,
     keyed: Option<KeyedContext>,
 ) -> Result<BufferedResponse, Refusal> {
+    check_client(outbound.client.as_ref())?;
     let remaining_us = outbound
         .deadline
         .for_next_hop(node.clock.now())
@@ -183,7 +188,8 @@
     let request = outbound.request.clone();
     let call = ObservedCall::start(node, &destination.id);
     let reply = if destination.id == node.settings.node {
-        Box::pin(serve_any(node, context, request)).await
+        let client = outbound.client.as_ref();
+        Box::pin(serve_any(node, context, request, client)).await
     } else {
         send(node, destination, context, request).await
     };
--- a/lib/src/process/node/ingress.rs
+++ b/lib/src/process/node/ingress.rs
@@ -17,6 +17,7 @@
 use crate::connection::BodyError;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
+use crate::connection::ClientPresence;
 use crate::connection::DEADLINE_HEADER;
 use crate::connection::IDEMPOTENCY_KEY_HEADER;
 use crate::connection::read_body;
@@ -55,8 +56,10 @@
 
 async fn admit_and_forward(
     node: &Arc<Node>,
-    request: Request,
+    mut request: Request,
 ) -> Result<BufferedResponse, Refusal> {
+    let client = request.extensions_mut().remove::<ClientPresence>();
+    check_client(client.as_ref())?;
     let configuration = node.indexed_configuration()?;
     let route = find_route(configuration.configuration(), request.uri().path())?;
     let organisation = organisation(&configuration, route, request.headers())?;
@@ -88,10 +91,19 @@
         depth: ChainDepth::default(),
         extra_attempts: &extra_attempts,
         origin: Origin::Caller,
+        client,
     };
     forward(node, outbound).await
 }
 
+/// Refuses a request whose client has left.
+pub(super) fn check_client(client: Option<&ClientPresence>) -> Result<(), Refusal> {
+    match client.is_some_and(ClientPresence::has_left) {
+        true => Err(Refusal::not_run(RefusalReason::Abandoned)),
+        false => Ok(()),
+    }
+}
+
 /// Returns the route of `path`; refuses a path without a route or with a dot segment.
 pub(super) fn find_route<'a>(
     configuration: &'a Configuration,
--- a/lib/src/process/node/once/home.rs
+++ b/lib/src/process/node/once/home.rs
@@ -266,6 +266,7 @@
         depth: run.context.depth,
         extra_attempts: attempts,
         origin: Origin::Caller,
+        client: None,
     };
     Box::pin(forward_unkeyed(node, outbound)).await
 }
@@ -287,7 +288,7 @@
         keyed: None,
         ..run.context.clone()
     };
-    let reply = serve(node, context, run.request.clone()).await;
+    let reply = serve(node, context, run.request.clone(), None).await;
     attempts.lock().take_back(loan, reply.unspent_attempts);
     reply.outcome
 }
--- a/lib/src/process/node/serve.rs
+++ b/lib/src/process/node/serve.rs
@@ -10,6 +10,7 @@
 
 use super::Node;
 use super::ingress::buffered_request;
+use super::ingress::check_client;
 use super::once::serve_keyed;
 use super::peer_message;
 use super::response::NodeReply;
@@ -18,6 +19,7 @@
 use crate::connection::ATTEMPT_HEADER;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
+use crate::connection::ClientPresence;
 use crate::connection::ExchangeError;
 use crate::connection::FLOOR_HEADER;
 use crate::connection::HANDLE_HEADER;
@@ -40,7 +42,8 @@
 use crate::request::refusal_response;
 
 /// Handles a request of another node and returns the response.
-pub(super) async fn handle_peer(node: &Arc<Node>, request: Request) -> Response {
+pub(super) async fn handle_peer(node: &Arc<Node>, mut request: Request) -> Response {
+    let client = request.extensions_mut().remove::<ClientPresence>();
     let mut request = match buffered_request(node, request).await {
         Ok(request) => request,
         Err(refusal) => return plain_response(node, refusal_response(&refusal)),
@@ -51,31 +54,35 @@
         Err(refusal) => return plain_response(node, refusal_response(&refusal)),
     };
     let attempt = context.attempt;
-    let reply = serve_any(node, context, request).await;
+    let reply = serve_any(node, context, request, client.as_ref()).await;
     plain_response(node, peer_response(attempt, reply))
 }
 
 /// Serves a request that is addressed to this node: a keyed one as the home node of its key, any
-/// other on the local backend server.
+/// other on the local backend server while `client` waits for the response.
+///
+/// A keyed request goes on without its client, which can ask for the outcome later.
 pub(super) async fn serve_any(
     node: &Arc<Node>,
     mut context: RequestContext,
     request: BufferedRequest,
+    client: Option<&ClientPresence>,
 ) -> NodeReply {
     match context.keyed.take() {
         Some(keyed) => serve_keyed(node, context, keyed, request).await,
-        None => serve(node, context, request).await,
+        None => serve(node, context, request, client).await,
     }
 }
 
-/// Runs a request on the local backend server.
+/// Runs a request on the local backend server, unless `client` has left before.
 pub(super) async fn serve(
     node: &Arc<Node>,
     context: RequestContext,
     request: BufferedRequest,
+    client: Option<&ClientPresence>,
 ) -> NodeReply {
     let arrived = arrived(node, context, &request);
-    let outcome = admit_and_run(node, &arrived, request).await;
+    let outcome = admit_and_run(node, &arrived, request, client).await;
     let unspent_attempts = arrived.extra_attempts.lock().remaining();
     NodeReply {
         outcome,
@@ -112,6 +119,7 @@
     node: &Arc<Node>,
     arrived: &Arc<InFlight>,
     request: BufferedRequest,
+    client: Option<&ClientPresence>,
 ) -> Result<BufferedResponse, Refusal> {
     let Some(server) = node.server() else {
         suspects::reassign_trials(node).await;
@@ -122,6 +130,10 @@
         .gate
         .acquire(admission_request(node, arrived))
         .await?;
+    if let Err(refusal) = check_client(client) {
+        permit.release_unused();
+        return Err(refusal);
+    }
     let organisation = arrived.context.organisation.as_ref();
     let run = suspects::admit(node, organisation, &request).await?;
     let guard = node.in_flight.add(Arc::clone(arrived));
