connection: heads of responses without end stay within the memory limit together

What callers would see: a faulty server that answers on all its connections with a header line and no end fills the memory of the node beside it, and the requests of all callers there end with the process.

The class: a bound on one of many. Now a server may fill 64 KB of a connection's read buffer, parts of heads that are not complete have a share of the memory limit of their own (a tenth, so that bodies of others keep theirs), and complete heads count with their bodies.

--- a/lib/src/connection/head_limit.rs
+++ b/lib/src/connection/head_limit.rs
@@ -3,48 +3,76 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
+use parking_lot::Mutex;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 
+use super::MemoryCharge;
+
 /// Bytes that a server may send before the head of its response is complete, with those of its body
 /// that arrive together with the head. The HTTP library bounds a single head, but not the number of
 /// interim responses before it.
 const HEAD_BYTES_MAX: usize = 1_024 * 1_024;
 
-/// The bytes that may still arrive on a connection. Clones share one count.
-#[derive(Clone, Debug)]
-pub(super) struct HeadLimit(Arc<AtomicUsize>);
+/// Largest buffer for bytes of a server that are not parsed yet, and so the largest head of a response. Each
+/// connection to a server may hold as much beside the bodies that count.
+pub(super) const READ_BUFFER_BYTES_MAX: usize = 64 * 1_024;
 
-impl HeadLimit {
-    /// Allows any number of bytes.
-    pub(super) fn unlimited() -> Self {
-        Self(Arc::new(AtomicUsize::new(usize::MAX)))
-    }
+/// The head of a response that is expected on a connection, if any. Clones share one state.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HeadLimit(Arc<Mutex<Option<ExpectedHead>>>);
+
+#[derive(Debug)]
+struct ExpectedHead {
+    received_bytes: usize,
+    /// What is held of a head that is not complete.
+    charge: MemoryCharge,
+    charged_bytes: usize,
+}
 
-    /// Expects the head of a response.
-    pub(super) fn begin_head(&self) {
-        self.0.store(HEAD_BYTES_MAX, Ordering::Relaxed);
+impl HeadLimit {
+    /// Expects the head of a response, whose bytes count as `charge`.
+    pub(super) fn begin_head(&self, charge: MemoryCharge) {
+        *self.0.lock() = Some(ExpectedHead {
+            received_bytes: 0,
+            charge,
+            charged_bytes: 0,
+        });
     }
 
     /// Ends the limit, because the head is complete.
     pub(super) fn end_head(&self) {
-        self.0.store(usize::MAX, Ordering::Relaxed);
+        *self.0.lock() = None;
+    }
+
+    /// Counts what was received before as the part of a head that is not complete. Fails if there is no room
+    /// for it.
+    fn charge_received(&self) -> io::Result<()> {
+        let mut expected = self.0.lock();
+        let Some(head) = expected.as_mut() else {
+            return Ok(());
+        };
+        // Interim responses are not kept.
+        let held_bytes = head.received_bytes.min(READ_BUFFER_BYTES_MAX);
+        let more_bytes = held_bytes - head.charged_bytes;
+        head.charged_bytes = held_bytes;
+        match head.charge.grow(more_bytes) {
+            true => Ok(()),
+            false => Err(io::Error::other("heads of responses hold too much memory")),
+        }
     }
 
     /// Counts received bytes. Returns whether they exceed the limit.
     fn count(&self, bytes: usize) -> bool {
-        let remaining = self.0.load(Ordering::Relaxed);
-        if remaining != usize::MAX {
-            self.0
-                .store(remaining.saturating_sub(bytes), Ordering::Relaxed);
-        }
-        bytes >= remaining
+        let mut expected = self.0.lock();
+        expected.as_mut().is_some_and(|head| {
+            head.received_bytes += bytes;
+            head.received_bytes >= HEAD_BYTES_MAX
+        })
     }
 }
 
@@ -63,6 +91,8 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        // The HTTP library reads on only if the head is not complete.
+        self.limit.charge_received()?;
         let filled_before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         match read {
--- a/lib/src/connection/memory_budget.rs
+++ b/lib/src/connection/memory_budget.rs
@@ -1,4 +1,4 @@
-//! A bound on the memory that all bodies hold together.
+//! A bound on the memory that all bodies, and all heads that are not complete, hold together.
 
 use std::sync::Arc;
 
@@ -11,16 +11,20 @@
 /// Share of the bodies of requests. It fits the largest body that a configuration usually allows, at a
 /// memory limit of 160 MB.
 const REQUEST_PERCENT: usize = 42;
+/// Share of the heads of responses that are not complete.
+const HEAD_PERCENT: usize = 10;
 /// Share of all large bodies. What requests leave of it is for responses, whose requests have run.
 const LARGE_PERCENT: usize = 52;
 
 plain_value! {
-    /// What a body belongs to.
+    /// What the bytes belong to.
     pub enum BodyKind {
         /// A request that has not run yet.
         Request,
         /// A response.
         Response,
+        /// The head of a response that is not complete. Heads without end leave room for the bodies of others.
+        ResponseHead,
     }
 }
 
@@ -34,6 +38,7 @@
 #[derive(Debug)]
 struct Shared {
     small_bytes_max: usize,
+    head_bytes_max: usize,
     request_bytes_max: usize,
     large_bytes_max: usize,
     held: Mutex<HeldBytes>,
@@ -42,6 +47,7 @@
 #[derive(Debug, Default)]
 struct HeldBytes {
     small: usize,
+    heads: usize,
     requests: usize,
     responses: usize,
 }
@@ -52,9 +58,9 @@
     /// Longest body that counts as a small one.
     pub const SMALL_BYTES: usize = 64 * 1_024;
 
-    /// Creates a budget of `bytes` for large bodies. Small ones do not count.
+    /// Creates a budget of `bytes` for large bodies. Small ones and heads do not count.
     pub fn new(bytes: usize) -> Self {
-        Self::with_limits(usize::MAX, bytes, bytes)
+        Self::with_limits(usize::MAX, usize::MAX, bytes, bytes)
     }
 
     /// Creates the budget of a process that may use `memory_bytes` for everything.
@@ -62,6 +68,7 @@
         let part = |percent| memory_bytes / 100 * percent;
         Self::with_limits(
             part(SMALL_PERCENT),
+            part(HEAD_PERCENT),
             part(REQUEST_PERCENT),
             part(LARGE_PERCENT),
         )
@@ -69,11 +76,13 @@
 
     fn with_limits(
         small_bytes_max: usize,
+        head_bytes_max: usize,
         request_bytes_max: usize,
         large_bytes_max: usize,
     ) -> Self {
         Self(Arc::new(Shared {
             small_bytes_max,
+            head_bytes_max,
             request_bytes_max,
             large_bytes_max,
             held: Mutex::default(),
@@ -83,7 +92,7 @@
     /// Returns the number of bytes that are held now.
     pub fn held_bytes(&self) -> usize {
         let held = self.0.held.lock();
-        held.small + held.requests + held.responses
+        held.small + held.heads + held.requests + held.responses
     }
 
     /// Returns the largest body of a request for which there is room when nothing else is held.
@@ -106,6 +115,7 @@
     fn part(&mut self, kind: BodyKind, bytes: usize) -> Option<&mut usize> {
         match kind {
             _ if bytes <= MemoryBudget::UNCOUNTED_BYTES => None,
+            BodyKind::ResponseHead => Some(&mut self.heads),
             _ if bytes <= MemoryBudget::SMALL_BYTES => Some(&mut self.small),
             BodyKind::Request => Some(&mut self.requests),
             BodyKind::Response => Some(&mut self.responses),
@@ -137,6 +147,7 @@
             *part -= self.bytes;
         }
         let room = match self.kind {
+            BodyKind::ResponseHead => limits.head_bytes_max - held.heads,
             _ if bytes <= MemoryBudget::SMALL_BYTES => limits.small_bytes_max - held.small,
             BodyKind::Request => {
                 let free = limits.large_bytes_max - held.requests - held.responses;
--- a/lib/src/connection/pool.rs
+++ b/lib/src/connection/pool.rs
@@ -36,6 +36,7 @@
 use super::first_write::FirstWrite;
 use super::head_limit::HeadLimit;
 use super::head_limit::HeadLimited;
+use super::head_limit::READ_BUFFER_BYTES_MAX;
 use super::liveness::Liveness;
 use super::liveness::Observed;
 use super::read_budgeted_body;
@@ -379,7 +380,8 @@
         match_response: impl Fn(StatusCode, &HeaderMap) -> ResponseMatch,
     ) -> Result<(BufferedResponse, ResponseMatch), ExchangeError> {
         let method = request.method.clone();
-        connection.head_limit.begin_head();
+        let charge = self.budget.start(BodyKind::ResponseHead);
+        connection.head_limit.begin_head(charge);
         connection.first_write.begin_request();
         let sent = connection.sender.try_send_request(http_request(request));
         let response = match tokio::time::timeout_at(deadline, sent).await {
@@ -410,7 +412,11 @@
         let (mut parts, body) = response.into_parts();
         let timeout = deadline.saturating_duration_since(Instant::now());
         let limit_bytes = self.limits.response_bytes_max;
-        let charge = self.budget.start(BodyKind::Response);
+        let mut charge = self.budget.start(BodyKind::Response);
+        let head_bytes = bytes_of(&parts.headers);
+        if head_bytes > MemoryBudget::UNCOUNTED_BYTES && !charge.grow(head_bytes) {
+            return Err(ExchangeError::InvalidResponse);
+        }
         let reading = read_budgeted_body(body, limit_bytes, timeout, charge);
         let body = match reading.await {
             Ok(body) => body,
@@ -477,6 +483,14 @@
     }
 }
 
+/// Returns the number of bytes in the names and values of headers.
+fn bytes_of(headers: &HeaderMap) -> usize {
+    let lengths = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len());
+    lengths.sum()
+}
+
 async fn open(
     kept: &Arc<KeptConnections>,
     permit: OwnedSemaphorePermit,
@@ -498,12 +512,15 @@
         stream: checked,
         liveness: liveness.clone(),
     };
-    let head_limit = HeadLimit::unlimited();
+    let head_limit = HeadLimit::default();
     let limited = HeadLimited {
         stream: observed,
         limit: head_limit.clone(),
     };
-    let (sender, connection) = http1::handshake(TokioIo::new(limited)).await?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES_MAX)
+        .handshake(TokioIo::new(limited))
+        .await?;
     let driver = tokio::spawn(drive(connection, liveness.clone(), Arc::downgrade(kept)));
     Ok(PooledConnection {
         sender,
--- a/node/tests/relay_fleet/machine.rs
+++ b/node/tests/relay_fleet/machine.rs
@@ -27,6 +27,17 @@
 /// Time between two checks whether a process has ended.
 const EXIT_POLL_PERIOD: Duration = Duration::from_millis(5);
 
+/// Limits of the machines of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    /// Time after a stop signal after which the platform kills a process.
+    pub grace: Duration,
+    /// Memory limit of each process.
+    pub memory_limit_mb: u32,
+    /// Requests that each backend server runs concurrently.
+    pub slots: u32,
+}
+
 /// What happened to a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProcessEvent {
@@ -55,21 +66,22 @@
         index: usize,
         service: &'static str,
         store: SocketAddr,
-        grace: Duration,
+        setup: Setup,
     ) -> Self {
         let node = format!("node-{index}");
-        let mut server = Server::start(service, format!("i-{index}")).await;
+        let mut server = Server::start(service, format!("i-{index}"), setup.slots).await;
         let [callers, peers, ready, reports] = free_addresses(index);
         let text = format!(
             "node = \"{node}\"\nzone = \"zone-a\"\nservice = \"{service}\"\n\
-             server_address = \"{}\"\nstore_address = \"{store}\"\n\n\
-             [listen]\ncallers = \"{callers}\"\npeers = \"{peers}\"\nready = \"{ready}\"\n\
+             server_address = \"{}\"\nstore_address = \"{store}\"\n\
+             memory_limit_mb = {}\n\n[listen]\ncallers = \"{callers}\"\npeers = \"{peers}\"\nready = \"{ready}\"\n\
              reports = \"{reports}\"\n\n[zones]\nzone-a = \"north\"\n\n\
              [bounds]\nconfiguration_apply_ms = 2000\nkey_withdrawal_ms = 5000\n\
              key_withdrawal_is_strict = true\nstop_grace_s = {}\nretry_ratio = 0.2\n\
              retry_slack = 48\nretry_window_s = 10\n",
             server.address,
-            grace.as_secs()
+            setup.memory_limit_mb,
+            setup.grace.as_secs()
         );
         let settings = folder.join(format!("{node}.toml"));
         std::fs::write(&settings, text).expect("the settings are written");
@@ -80,7 +92,7 @@
             ready,
             child: Mutex::new(spawn(&settings)),
             settings,
-            grace,
+            grace: setup.grace,
             history: Mutex::new(vec![(Instant::now(), ProcessEvent::Started)]),
         }
     }
@@ -102,6 +114,16 @@
             .is_some_and(|(_, event)| *event == ProcessEvent::Started)
     }
 
+    /// Returns the most memory that the process has held, in bytes.
+    pub fn peak_memory_bytes(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.lock().id());
+        let status = std::fs::read_to_string(path).expect("the process runs");
+        let mut lines = status.lines();
+        let peak = lines.find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak_kb = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
+        1_024 * peak_kb.expect("a peak").parse::<usize>().expect("a number")
+    }
+
     /// Returns whether the process has not ended.
     pub fn is_running(&self) -> bool {
         let status = self.child.lock().try_wait().expect("a child process");
--- a/node/tests/relay_fleet/mod.rs
+++ b/node/tests/relay_fleet/mod.rs
@@ -18,10 +18,17 @@
 pub use self::client::Sent;
 pub use self::machine::Machine;
 pub use self::machine::ProcessEvent;
+pub use self::machine::Setup;
 use crate::store_stand_in::StoreStandIn;
 
 /// Time after a stop signal after which the platform kills a process, unless a test names another.
 pub const GRACE: Duration = Duration::from_secs(6);
+/// The machines of a fleet, unless a test names others.
+pub const SETUP: Setup = Setup {
+    grace: GRACE,
+    memory_limit_mb: 160,
+    slots: 64,
+};
 /// Longest wait for a condition of the fleet.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -35,15 +42,15 @@
 impl Fleet {
     /// Starts a machine for each service, and waits until all relays are ready and serve.
     pub async fn start(name: &str, configuration: &Value, services: &[&'static str]) -> Self {
-        Self::start_with_grace(name, configuration, services, GRACE).await
+        Self::start_with(name, configuration, services, SETUP).await
     }
 
-    /// Starts machines whose processes are killed `grace` after a stop signal.
-    pub async fn start_with_grace(
+    /// Does the same with other limits of the machines.
+    pub async fn start_with(
         name: &str,
         configuration: &Value,
         services: &[&'static str],
-        grace: Duration,
+        setup: Setup,
     ) -> Self {
         let store = StoreStandIn::start().await;
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -56,7 +63,7 @@
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).expect("the folder is created");
         for (index, service) in services.iter().enumerate() {
-            let machine = Machine::start(&folder, index, service, fleet.store.address, grace).await;
+            let machine = Machine::start(&folder, index, service, fleet.store.address, setup).await;
             fleet.machines.push(machine);
         }
         fleet.wait_until_ready().await;
--- a/node/tests/relay_fleet/server.rs
+++ b/node/tests/relay_fleet/server.rs
@@ -20,12 +20,18 @@
 use http::header;
 use parking_lot::Mutex;
 use serde_json::json;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
-const SLOTS: u32 = 64;
+/// In the path of a request that is answered with a head without end.
+const ENDLESS: &[u8] = b"/endless/";
+/// Longest first part of a request.
+const PEEKED_BYTES: usize = 2_048;
 const REPORT_PERIOD: Duration = Duration::from_millis(1_000);
 /// Time between two reports while the relay does not accept them.
 const REPORT_RETRY_PERIOD: Duration = Duration::from_millis(100);
@@ -35,16 +41,21 @@
     pub address: SocketAddr,
     service: &'static str,
     id: String,
+    slots: u32,
     runs: Arc<Mutex<Vec<String>>>,
+    /// Accepts all connections.
+    front: JoinHandle<()>,
     _serving: ListenerHandle,
     reporting: Option<JoinHandle<()>>,
 }
 
 impl Server {
-    pub async fn start(service: &'static str, id: String) -> Self {
+    pub async fn start(service: &'static str, id: String, slots: u32) -> Self {
         let any = "127.0.0.1:0".parse().expect("valid address");
         let listener = Listener::bind(any).await.expect("a port is free");
-        let address = listener.address();
+        let front = TcpListener::bind(any).await.expect("a port is free");
+        let address = front.local_addr().expect("bound");
+        let faulty = tokio::spawn(serve_front(front, listener.address()));
         let limits = ListenerLimits {
             connections_max: 512,
             header_timeout_ms: 60_000,
@@ -61,7 +72,9 @@
             address,
             service,
             id,
+            slots,
             runs,
+            front: faulty,
             _serving: serving,
             reporting: None,
         }
@@ -75,12 +88,13 @@
     /// Reports to the relay at `reports` until the server is dropped.
     pub fn report_to(&mut self, reports: SocketAddr) {
         let (address, service, id) = (self.address, self.service, self.id.clone());
+        let slots = self.slots;
         let reporting = async move {
             for sequence in 1.. {
                 let body = json!({
                     "address": address.to_string(),
                     "born": 1,
-                    "info": { "service": service, "slots": SLOTS },
+                    "info": { "service": service, "slots": slots },
                     "status": { "state": "ready", "sequence": sequence },
                 });
                 let accepted = report(reports, &id, body.to_string()).await;
@@ -97,12 +111,40 @@
 
 impl Drop for Server {
     fn drop(&mut self) {
+        self.front.abort();
         if let Some(reporting) = &self.reporting {
             reporting.abort();
         }
     }
 }
 
+/// Answers connections whose first request is for a head without end, and passes the others on to `server`.
+async fn serve_front(front: TcpListener, server: SocketAddr) {
+    while let Ok((mut caller, _)) = front.accept().await {
+        tokio::spawn(async move {
+            let mut part = [0; PEEKED_BYTES];
+            let peeked = caller.peek(&mut part).await?;
+            let mut windows = part[..peeked].windows(ENDLESS.len());
+            if windows.any(|bytes| bytes == ENDLESS) {
+                return send_endless_head(caller).await;
+            }
+            let mut server = TcpStream::connect(server).await?;
+            tokio::io::copy_bidirectional(&mut caller, &mut server).await?;
+            std::io::Result::Ok(())
+        });
+    }
+}
+
+/// Sends the head of a response, one header after another, until the caller closes the connection.
+async fn send_endless_head(mut caller: TcpStream) -> std::io::Result<()> {
+    caller.write_all(b"HTTP/1.1 200 OK\r\nx: ").await?;
+    loop {
+        caller.write_all(&[b'y'; 4_096]).await?;
+        // All connections hold about as much at any time.
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 async fn report(reports: SocketAddr, id: &str, body: String) -> bool {
     let limits = PoolLimits {
         connections_max: 1,
--- a/node/tests/test_relay_soak.rs
+++ b/node/tests/test_relay_soak.rs
@@ -18,7 +18,9 @@
 use crate::relay_fleet::Fleet;
 use crate::relay_fleet::GRACE;
 use crate::relay_fleet::ProcessEvent;
+use crate::relay_fleet::SETUP;
 use crate::relay_fleet::Sent;
+use crate::relay_fleet::Setup;
 use crate::relay_fleet::configuration;
 
 /// Seeds of the run in CI; others are given by `SOAK_SEEDS`.
@@ -70,7 +72,8 @@
         let name = format!("soak-{}-{seed}", std::process::id());
         let grace = GRACES[seed as usize % GRACES.len()];
         let configuration = version_of(1, "alpha");
-        let fleet = Fleet::start_with_grace(&name, &configuration, &SERVICES, grace).await;
+        let setup = Setup { grace, ..SETUP };
+        let fleet = Fleet::start_with(&name, &configuration, &SERVICES, setup).await;
         Self {
             seed,
             grace,
