--- a/node/tests/test_endless_heads.rs
+++ b/node/tests/test_endless_heads.rs
@@ -71,11 +71,11 @@
         statuses
     };
     let (endless, others) = tokio::join!(endless, others);
-    let runs = fleet.machines[0].peak_memory_bytes();
+    let peak_bytes = machine.peak_memory_bytes();
     let failed = endless
         .iter()
         .filter(|text| text.starts_with("HTTP/1.1 502 "));
-    println!("peak={runs} failed={}", failed.count());
+    println!("peak_bytes={peak_bytes} failed={}", failed.count());
     assert!(
         others.iter().all(|status| status == "HTTP/1.1 200 OK"),
         "{others:?}"
