relay: a cancelled request that is still queued is not written to the other node

What servers would see: a request that was queued behind a large body on its link reaches the other node although its caller left before a byte of it was written, and its cancellation follows behind whatever was queued in between.

Cause: giving up an exchange queued a cancellation behind the frame of its request. Exchanges are queued in order, so the link now knows which have begun to be written: one that has not is dropped by the writer, and no cancellation is sent for it.

--- a/lib/src/process/relay/frame_io.rs
+++ b/lib/src/process/relay/frame_io.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 
 use super::frame::EncodedFrame;
+use super::frame::ExchangeId;
 use super::frame::Frame;
 use super::frame::FrameError;
 use super::frame::FrameLengths;
@@ -30,17 +31,24 @@
 /// Bodies of queued frames that are not part of them, in the order of the frames.
 type QueuedBodies = Arc<Mutex<VecDeque<Bytes>>>;
 
+#[derive(Debug)]
+struct QueuedFrame {
+    frame: Bytes,
+    /// The exchange that the frame begins.
+    exchange: Option<ExchangeId>,
+}
+
 /// Queues frames for one connection.
 #[derive(Clone, Debug)]
 pub(super) struct FrameSender {
-    frames: mpsc::UnboundedSender<Bytes>,
+    frames: mpsc::UnboundedSender<QueuedFrame>,
     bodies: QueuedBodies,
 }
 
 /// The queued frames of one connection.
 #[derive(Debug)]
 pub(super) struct FrameQueue {
-    frames: mpsc::UnboundedReceiver<Bytes>,
+    frames: mpsc::UnboundedReceiver<QueuedFrame>,
     bodies: QueuedBodies,
 }
 
@@ -66,40 +74,80 @@
 impl FrameSender {
     /// Queues a frame. Fails if the connection has ended.
     pub(super) fn send(&self, encoded: EncodedFrame) -> Result<(), QueueClosed> {
+        self.send_queued(encoded, None)
+    }
+
+    /// Queues the frame that begins an exchange, which may be withdrawn before it is written.
+    pub(super) fn send_first(
+        &self,
+        exchange: ExchangeId,
+        encoded: EncodedFrame,
+    ) -> Result<(), QueueClosed> {
+        self.send_queued(encoded, Some(exchange))
+    }
+
+    fn send_queued(
+        &self,
+        encoded: EncodedFrame,
+        exchange: Option<ExchangeId>,
+    ) -> Result<(), QueueClosed> {
         let EncodedFrame { frame, body } = encoded;
+        let queued = QueuedFrame { frame, exchange };
         if body.is_empty() {
-            return self.frames.send(frame).map_err(|_| QueueClosed);
+            return self.frames.send(queued).map_err(|_| QueueClosed);
         }
         let mut bodies = self.bodies.lock();
-        self.frames.send(frame).map_err(|_| QueueClosed)?;
+        self.frames.send(queued).map_err(|_| QueueClosed)?;
         bodies.push_back(body);
         Ok(())
     }
 
-    /// Returns the queue of whole frames.
-    pub(super) fn whole_frames(&self) -> &mpsc::UnboundedSender<Bytes> {
-        &self.frames
+    /// Returns whether the connection has ended.
+    pub(super) fn is_closed(&self) -> bool {
+        self.frames.is_closed()
+    }
+
+    /// Returns whether both queue frames for the same connection.
+    pub(super) fn is_same(&self, other: &Self) -> bool {
+        self.frames.same_channel(&other.frames)
     }
 }
 
 impl FrameQueue {
-    async fn next(&mut self) -> Option<EncodedFrame> {
-        let frame = self.frames.recv().await?;
-        Some(self.with_body(frame))
+    /// Returns the next frame that `begin` lets begin its exchange.
+    async fn next(&mut self, begin: &impl Fn(ExchangeId, usize) -> bool) -> Option<EncodedFrame> {
+        loop {
+            let queued = self.frames.recv().await?;
+            if let Some(encoded) = self.begun(queued, begin) {
+                return Some(encoded);
+            }
+        }
     }
 
-    fn try_next(&mut self) -> Option<EncodedFrame> {
-        let frame = self.frames.try_recv().ok()?;
-        Some(self.with_body(frame))
+    /// Does the same with the frames that are there.
+    fn try_next(&mut self, begin: &impl Fn(ExchangeId, usize) -> bool) -> Option<EncodedFrame> {
+        loop {
+            let queued = self.frames.try_recv().ok()?;
+            if let Some(encoded) = self.begun(queued, begin) {
+                return Some(encoded);
+            }
+        }
     }
 
-    fn with_body(&self, frame: Bytes) -> EncodedFrame {
+    fn begun(
+        &self,
+        queued: QueuedFrame,
+        begin: &impl Fn(ExchangeId, usize) -> bool,
+    ) -> Option<EncodedFrame> {
+        let QueuedFrame { frame, exchange } = queued;
         let is_whole = FrameLengths::read(&frame).is_none_or(|lengths| lengths.are_whole(&frame));
         let body = match is_whole {
             true => Bytes::new(),
             false => self.bodies.lock().pop_front().unwrap_or_default(),
         };
-        EncodedFrame { frame, body }
+        let encoded = EncodedFrame { frame, body };
+        let is_begun = exchange.is_none_or(|exchange| begin(exchange, encoded.total_bytes()));
+        is_begun.then_some(encoded)
     }
 }
 
@@ -121,21 +169,25 @@
 }
 
 /// Writes queued frames, several in one write, and calls `on_written` after each write.
+///
+/// Before the first frame of an exchange is written, `begin` is called with the exchange and the length of the frame.
+/// The frame is dropped if it returns false.
 pub(super) async fn write_frames(
     mut writer: impl AsyncWrite + Unpin,
     mut queue: FrameQueue,
+    begin: impl Fn(ExchangeId, usize) -> bool,
     on_written: impl Fn(Written),
 ) -> std::io::Result<()> {
     let mut next = None;
     loop {
         let first = match next.take() {
             Some(first) => Some(first),
-            None => queue.next().await,
+            None => queue.next(&begin).await,
         };
         let Some(mut encoded) = first else {
             return Ok(());
         };
-        next = queue.try_next();
+        next = queue.try_next(&begin);
         if next.is_none() && encoded.body.is_empty() {
             writer.write_all(&encoded.frame).await?;
             on_written(Written::Frames(encoded.frame.len()));
@@ -151,7 +203,7 @@
             if joined.len() >= WRITE_BYTES {
                 break Bytes::new();
             }
-            match next.take().or_else(|| queue.try_next()) {
+            match next.take().or_else(|| queue.try_next(&begin)) {
                 Some(following) => encoded = following,
                 None => break Bytes::new(),
             }
--- a/lib/src/process/relay/link.rs
+++ b/lib/src/process/relay/link.rs
@@ -74,6 +74,8 @@
 struct LinkState {
     pending: HashMap<ExchangeId, PendingExchange>,
     next_exchange: u64,
+    /// The exchange after the last one that has begun to be written. Exchanges are queued in order.
+    first_unwritten: ExchangeId,
     liveness: Liveness,
     queued_bytes: usize,
     is_closed: bool,
@@ -143,6 +145,7 @@
             state: Mutex::new(LinkState {
                 pending: HashMap::new(),
                 next_exchange: 0,
+                first_unwritten: ExchangeId(0),
                 liveness: Liveness::new(now),
                 queued_bytes: 0,
                 is_closed: false,
@@ -208,7 +211,7 @@
             state.queued_bytes += frame.total_bytes();
             let pending = PendingExchange { sender, patience };
             state.pending.insert(exchange, pending);
-            if self.outgoing.send(frame).is_err() {
+            if self.outgoing.send_first(exchange, frame).is_err() {
                 state.pending.remove(&exchange);
                 return Err(LinkFailure::NotSent);
             }
@@ -223,6 +226,29 @@
         reply
     }
 
+    /// Returns whether an exchange is still waited for, and may be written.
+    fn begin_writing(&self, exchange: ExchangeId, frame_bytes: usize) -> bool {
+        let mut state = self.state.lock();
+        state.first_unwritten = ExchangeId(exchange.0 + 1);
+        let is_pending = state.pending.contains_key(&exchange);
+        if !is_pending {
+            state.queued_bytes = state.queued_bytes.saturating_sub(frame_bytes);
+        }
+        is_pending
+    }
+
+    /// Gives up an exchange. Its frame is not written any more, or else the other node is told.
+    fn cancel(&self, exchange: ExchangeId) {
+        let mut state = self.state.lock();
+        let was_pending = state.pending.remove(&exchange).is_some();
+        let is_written = exchange < state.first_unwritten;
+        drop(state);
+        if was_pending && is_written {
+            // Closing a connection cancels all its exchanges at the other node.
+            let _ = self.queue(&Head::Cancel { exchange }, &[]);
+        }
+    }
+
     fn handle_frame(&self, frame: &Frame) -> Result<(), FrameError> {
         let head = frame.head()?;
         if matches!(head, Head::ViewsChanged) {
@@ -362,12 +388,7 @@
 
 impl Drop for CancelGuard<'_> {
     fn drop(&mut self) {
-        let pending = self.link.state.lock().pending.remove(&self.exchange);
-        if pending.is_some() {
-            let exchange = self.exchange;
-            // Closing a connection cancels all its exchanges at the other node.
-            let _ = self.link.queue(&Head::Cancel { exchange }, &[]);
-        }
+        self.link.cancel(self.exchange);
     }
 }
 
@@ -377,6 +398,7 @@
     writer: OwnedWriteHalf,
     frames: FrameQueue,
 ) {
+    let begin = |exchange, frame_bytes| link.begin_writing(exchange, frame_bytes);
     let on_written = |written| {
         let mut state = link.state.lock();
         let (Written::Frames(bytes) | Written::BodyPart(bytes)) = written;
@@ -387,7 +409,7 @@
     };
     let reason = tokio::select! {
         reason = read_frames(&link, reader) => reason,
-        result = write_frames(writer, frames, on_written) => match result {
+        result = write_frames(writer, frames, begin, on_written) => match result {
             Ok(()) => "closed by this node".to_owned(),
             Err(error) => error.to_string(),
         },
--- a/lib/src/process/relay/peers.rs
+++ b/lib/src/process/relay/peers.rs
@@ -147,7 +147,7 @@
         reason = reading => {
             events::LINK_LOST.log(format_args!("peer=caller reason=\"{reason}\""));
         }
-        result = write_frames(writer, queue, on_written) => {
+        result = write_frames(writer, queue, |_, _| true, on_written) => {
             if let Err(error) = result {
                 events::LINK_LOST.log(format_args!("peer=caller reason=\"{error}\""));
             }
@@ -303,7 +303,7 @@
             );
         }
         Head::ViewRequest { exchange, known } => {
-            let reply = serve_views(node, exchange, &known, replies.whole_frames());
+            let reply = serve_views(node, exchange, &known, replies);
             send_reply(replies, &reply, &Bytes::new());
         }
         Head::SuspectsRequest { exchange } => {
--- a/lib/src/process/relay/views/serve.rs
+++ b/lib/src/process/relay/views/serve.rs
@@ -2,12 +2,10 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use tokio::sync::mpsc::UnboundedSender;
-
 use super::messages::ViewPositions;
 use crate::process::relay::frame::ExchangeId;
 use crate::process::relay::frame::Head;
+use crate::process::relay::frame_io::FrameSender;
 use crate::process::relay::node::RelayNode;
 
 /// Returns the reply to a node that knows the views up to `known`, and tells that node of later
@@ -16,7 +14,7 @@
     node: &Arc<RelayNode>,
     exchange: ExchangeId,
     known: &ViewPositions,
-    replies: &UnboundedSender<Bytes>,
+    replies: &FrameSender,
 ) -> Head<'static> {
     node.views.add_follower(replies, node.clock.now());
     // The report comes first: a configuration that is put in force meanwhile is in the updates then.
--- a/lib/src/process/relay/views/state.rs
+++ b/lib/src/process/relay/views/state.rs
@@ -4,10 +4,8 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
-use tokio::sync::mpsc::UnboundedSender;
 
 use super::messages::MirrorUpdate;
 use super::messages::View;
@@ -17,6 +15,7 @@
 use super::mirror::MirrorChange;
 use crate::process::relay::frame::Head;
 use crate::process::relay::frame::encode_frame;
+use crate::process::relay::frame_io::FrameSender;
 use crate::process::relay::store::StoreEra;
 use crate::process::relay::store::StoreItem;
 use crate::process::relay::store::StorePosition;
@@ -32,7 +31,7 @@
 /// A connection of another node that polls this one.
 #[derive(Debug)]
 struct Follower {
-    frames: UnboundedSender<Bytes>,
+    frames: FrameSender,
     polled_at: MonotonicTime,
 }
 
@@ -112,12 +111,12 @@
     }
 
     /// Records that a node polled on a connection.
-    pub(super) fn add_follower(&self, frames: &UnboundedSender<Bytes>, now: MonotonicTime) {
+    pub(super) fn add_follower(&self, frames: &FrameSender, now: MonotonicTime) {
         let mut followers = self.followers.lock();
         followers.retain(|follower| is_following(follower, now));
         let known = followers
             .iter_mut()
-            .find(|follower| follower.frames.same_channel(frames));
+            .find(|follower| follower.frames.is_same(frames));
         match known {
             Some(follower) => follower.polled_at = now,
             None => followers.push(Follower {
@@ -135,7 +134,7 @@
         let followers = self.followers.lock();
         for follower in followers.iter().filter(|known| is_following(known, now)) {
             // Sending fails if the connection has ended.
-            let _ = follower.frames.send(frame.clone());
+            let _ = follower.frames.send(frame.clone().into());
         }
     }
 }
--- a/lib/tests/test_relay_departed_callers.rs
+++ b/lib/tests/test_relay_departed_callers.rs
@@ -1,12 +1,20 @@
 //! Callers that leave before their requests have run.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use balsamfold::process::relay::AbandonedRuns;
+use balsamfold::process::relay::ConfirmationReport;
+use balsamfold::process::relay::Frame;
+use balsamfold::process::relay::Head;
+use balsamfold::process::relay::encode_frame;
+use balsamfold::values::ConfigVersion;
 use balsamfold::version::PlannedRoute;
 use balsamfold::version::Repeatability;
+use bytes::BytesMut;
+use parking_lot::Mutex;
 use testutils::relay::Behaviour;
 use testutils::relay::PeerStandIn;
 use testutils::relay::RelayFleet;
@@ -16,8 +24,10 @@
 use testutils::relay::sample_route;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::runtime::Runtime;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::stopping_relays::callers_of;
@@ -364,3 +374,99 @@
     assert_nothing_received_since(&fleet, since).await;
     apart.shutdown_background();
 }
+
+/// A node that answers pings, reads nothing while it is told to, and records what it receives.
+struct SlowPeer {
+    address: SocketAddr,
+    is_reading: watch::Sender<bool>,
+    requests: Arc<Mutex<Vec<String>>>,
+}
+
+impl SlowPeer {
+    async fn start() -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        let buffer_bytes = 64 * 1_024;
+        let limited = socket.set_recv_buffer_size(buffer_bytes);
+        limited.expect("the buffer is small");
+        let any = "127.0.0.1:0".parse().expect("valid address");
+        socket.bind(any).expect("a port is free");
+        let listener = socket.listen(16).expect("it listens");
+        let address = listener.local_addr().expect("bound");
+        let is_reading = watch::Sender::new(true);
+        let requests = Arc::<Mutex<Vec<String>>>::default();
+        let (reading, received) = (is_reading.subscribe(), Arc::clone(&requests));
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve_slowly(stream, reading.clone(), Arc::clone(&received)));
+            }
+        });
+        Self {
+            address,
+            is_reading,
+            requests,
+        }
+    }
+}
+
+async fn serve_slowly(
+    mut stream: TcpStream,
+    mut is_reading: watch::Receiver<bool>,
+    requests: Arc<Mutex<Vec<String>>>,
+) {
+    let mut received = BytesMut::new();
+    loop {
+        let waiting = is_reading.wait_for(|is_reading| *is_reading).await;
+        drop(waiting.expect("the test runs"));
+        if !matches!(stream.read_buf(&mut received).await, Ok(1..)) {
+            return;
+        }
+        while let Some(frame) = Frame::split_from(&mut received).expect("frames are valid") {
+            match frame.head().expect("heads are valid") {
+                Head::Ping { exchange } => {
+                    let confirmation = ConfirmationReport {
+                        version: ConfigVersion::default(),
+                        age_us: None,
+                    };
+                    let pong = Head::Pong {
+                        exchange,
+                        confirmation,
+                    };
+                    let pong = encode_frame(&pong, &[]).expect("a short frame");
+                    stream.write_all(&pong).await.expect("it is sent");
+                }
+                Head::Request(request) => requests.lock().push(request.metadata.request_id),
+                _ => {}
+            }
+        }
+    }
+}
+
+// Guards against a request that is written to another node although its caller left while it was queued.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_whose_callers_left_while_they_were_queued_are_not_written() {
+    const BODY_BYTES: usize = 8 * 1_024 * 1_024;
+    let fleet = RelayFleet::start(&plan(), &["front"]).await;
+    let peer = SlowPeer::start().await;
+    fleet.write_entry("node-9", "stock", peer.address);
+    fleet
+        .wait_until(|fleet| fleet.relays[0].daemon.node().members().nodes().count() == 2)
+        .await;
+    let head = format!(
+        "POST /stock/large HTTP/1.1\r\nhost: shop\r\nrequest-id: large\r\n\
+         content-length: {BODY_BYTES}\r\n\r\n"
+    );
+    // The first request opens the link.
+    let first = send(callers_of(&fleet, 0), &get("first")).await;
+    fleet.wait_until(|_| !peer.requests.lock().is_empty()).await;
+    peer.is_reading.send_replace(false);
+    let mut large = send(callers_of(&fleet, 0), &head).await;
+    let sent = large.write_all(&vec![b'x'; BODY_BYTES]).await;
+    sent.expect("it is sent");
+    sleep(BLOCKING).await;
+    drop(send_all(callers_of(&fleet, 0), "r").await);
+    sleep(2 * BLOCKING).await;
+    peer.is_reading.send_replace(true);
+    sleep(LEAVE_MAX).await;
+    assert_eq!(*peer.requests.lock(), ["first", "large"]);
+    drop((first, large));
+}
