tests: a queued request is cancelled for certain before its link goes on

The order shows that they were queued behind the large body as meant, and were written since the node of their callers, short of CPU time, had not cancelled them when the peer read on after a fixed 100 ms. The test now waits until the node counts all 20 callers as gone, with a peer that reads slowly until then. As strict: none may arrive.

--- a/lib/tests/test_relay_departed_callers.rs
+++ b/lib/tests/test_relay_departed_callers.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -24,10 +26,9 @@
 use testutils::relay::sample_route;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpSocket;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::runtime::Runtime;
-use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::stopping_relays::callers_of;
@@ -375,50 +376,45 @@
     apart.shutdown_background();
 }
 
-/// A node that answers pings, reads nothing while it is told to, and records what it receives.
+/// A node that answers pings, reads slowly behind the start of a large frame until it is told to go on, and
+/// records what it receives.
 struct SlowPeer {
     address: SocketAddr,
-    is_reading: watch::Sender<bool>,
-    requests: Arc<Mutex<Vec<String>>>,
+    state: Arc<SlowPeerState>,
+}
+
+#[derive(Default)]
+struct SlowPeerState {
+    has_large: AtomicBool,
+    goes_on: AtomicBool,
+    requests: Mutex<Vec<String>>,
 }
 
 impl SlowPeer {
     async fn start() -> Self {
-        let socket = TcpSocket::new_v4().expect("a socket");
-        let buffer_bytes = 64 * 1_024;
-        let limited = socket.set_recv_buffer_size(buffer_bytes);
-        limited.expect("the buffer is small");
-        let any = "127.0.0.1:0".parse().expect("valid address");
-        socket.bind(any).expect("a port is free");
-        let listener = socket.listen(16).expect("it listens");
+        let listener = TcpListener::bind("127.0.0.1:0").await;
+        let listener = listener.expect("a port is free");
         let address = listener.local_addr().expect("bound");
-        let is_reading = watch::Sender::new(true);
-        let requests = Arc::<Mutex<Vec<String>>>::default();
-        let (reading, received) = (is_reading.subscribe(), Arc::clone(&requests));
+        let state = Arc::<SlowPeerState>::default();
+        let accepting = Arc::clone(&state);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve_slowly(stream, reading.clone(), Arc::clone(&received)));
+                tokio::spawn(serve_slowly(stream, Arc::clone(&accepting)));
             }
         });
-        Self {
-            address,
-            is_reading,
-            requests,
-        }
+        Self { address, state }
     }
 }
 
-async fn serve_slowly(
-    mut stream: TcpStream,
-    mut is_reading: watch::Receiver<bool>,
-    requests: Arc<Mutex<Vec<String>>>,
-) {
+async fn serve_slowly(mut stream: TcpStream, state: Arc<SlowPeerState>) {
     let mut received = BytesMut::new();
-    loop {
-        let waiting = is_reading.wait_for(|is_reading| *is_reading).await;
-        drop(waiting.expect("the test runs"));
-        if !matches!(stream.read_buf(&mut received).await, Ok(1..)) {
-            return;
+    let mut part = [0; 16 * 1_024];
+    while let Ok(bytes @ 1..) = stream.read(&mut part).await {
+        received.extend_from_slice(&part[..bytes]);
+        if received.len() > 2 * part.len() && !state.goes_on.load(Ordering::Relaxed) {
+            state.has_large.store(true, Ordering::Relaxed);
+            // Slow, but not silent.
+            sleep(Duration::from_millis(20)).await;
         }
         while let Some(frame) = Frame::split_from(&mut received).expect("frames are valid") {
             match frame.head().expect("heads are valid") {
@@ -434,13 +430,20 @@
                     let pong = encode_frame(&pong, &[]).expect("a short frame");
                     stream.write_all(&pong).await.expect("it is sent");
                 }
-                Head::Request(request) => requests.lock().push(request.metadata.request_id),
+                Head::Request(request) => state.requests.lock().push(request.metadata.request_id),
                 _ => {}
             }
         }
     }
 }
 
+fn callers_left(fleet: &RelayFleet) -> String {
+    let metrics = fleet.relays[0].daemon.node().metrics.text(0, None);
+    let mut lines = metrics.lines();
+    let line = lines.find(|line| line.starts_with("balsamfold_callers_left_total"));
+    line.unwrap_or_default().to_owned()
+}
+
 // Guards against a request that is written to another node although its caller left while it was queued.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn requests_whose_callers_left_while_they_were_queued_are_not_written() {
@@ -455,18 +458,25 @@
         "POST /stock/large HTTP/1.1\r\nhost: shop\r\nrequest-id: large\r\n\
          content-length: {BODY_BYTES}\r\n\r\n"
     );
-    // The first request opens the link.
-    let first = send(callers_of(&fleet, 0), &get("first")).await;
-    fleet.wait_until(|_| !peer.requests.lock().is_empty()).await;
-    peer.is_reading.send_replace(false);
     let mut large = send(callers_of(&fleet, 0), &head).await;
     let sent = large.write_all(&vec![b'x'; BODY_BYTES]).await;
     sent.expect("it is sent");
+    let state = &peer.state;
+    fleet
+        .wait_until(|_| state.has_large.load(Ordering::Relaxed))
+        .await;
+    let streams = send_all(callers_of(&fleet, 0), "r").await;
     sleep(BLOCKING).await;
-    drop(send_all(callers_of(&fleet, 0), "r").await);
-    sleep(2 * BLOCKING).await;
-    peer.is_reading.send_replace(true);
+    drop(streams);
+    let all_left = format!("balsamfold_callers_left_total {CALLERS}");
+    fleet
+        .wait_until(|fleet| callers_left(fleet) == all_left)
+        .await;
+    state.goes_on.store(true, Ordering::Relaxed);
+    fleet
+        .wait_until(|_| !state.requests.lock().is_empty())
+        .await;
     sleep(LEAVE_MAX).await;
-    assert_eq!(*peer.requests.lock(), ["first", "large"]);
-    drop((first, large));
+    assert_eq!(*state.requests.lock(), ["large"]);
+    drop(large);
 }
