--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -180,7 +180,9 @@
         return Err(refusal_at_limit(false));
     }
     let (request, waiter) = buffered_request(node, &plan, &route, request, limit).await?;
-    waiter.check(id, Step::Token)?;
+    if !request.body.is_empty() {
+        waiter.check(id, Step::Token)?;
+    }
     let taken = match &organisation {
         Some(limits) if limits.rate_per_s.is_some() => {
             let wait_max = limit.mul_f64(TOKEN_WAIT_FRACTION);
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -67,13 +67,6 @@
     pub(super) waiter: Waiter,
 }
 
-impl Outbound {
-    /// Refuses the request if nobody waits for its response, before `step`.
-    fn check_waiter(&self, step: Step) -> Result<(), Refusal> {
-        self.waiter.check(&self.metadata.request_id, step)
-    }
-}
-
 /// The results of the attempts at a request so far.
 #[derive(Default)]
 struct Progress {
@@ -495,9 +488,6 @@
     if remaining < ATTEMPT_TIME_MIN {
         return without_load(Err(Refusal::not_run(RefusalReason::DeadlineExceeded)));
     }
-    if let Err(refusal) = outbound.check_waiter(Step::Attempt) {
-        return without_load(Err(refusal));
-    }
     let mut observed = ObservedCall::start(node, &destination.id, started_at);
     let metadata = RequestMetadata {
         remaining_us: remaining.as_micros() as u64,
@@ -552,7 +542,7 @@
     if !is_permitted(node, outbound) {
         return Err(refusal_at_limit(false));
     }
-    outbound.check_waiter(Step::Link)?;
+    outbound.waiter.check(&metadata.request_id, Step::Link)?;
     let sent_at = node.clock.now();
     let patience = match outbound.route.repeatability {
         Repeatability::Idempotent => Patience::Short,
--- a/lib/src/process/relay/waiter.rs
+++ b/lib/src/process/relay/waiter.rs
@@ -15,10 +15,8 @@
 pub(super) enum Step {
     /// Its route, its key and its rate are checked.
     Admission,
-    /// Its body was read, and a token is taken for it.
+    /// A token is taken for it, after its body was read.
     Token,
-    /// A node is chosen for an attempt.
-    Attempt,
     /// It is sent to another node.
     Link,
     /// It is sent to the local backend server.
@@ -30,7 +28,6 @@
         f.write_str(match self {
             Self::Admission => "admission",
             Self::Token => "token",
-            Self::Attempt => "attempt",
             Self::Link => "link",
             Self::Server => "server",
         })
