relay, connection, tests: one piece of code where this change had written a second

- A refusal whose verdict follows from whether the request was sent: Refusal::unanswered, for the limit of a stop and for the end of a parent.
- What a head is charged for is kept by its charge (MemoryCharge::grow_to), no longer counted a second time.
- Tests that block the thread of a relay start it in relays_apart; test_relay_silence now waits until all relays know it, not only the first one.
The stand-ins for nodes share their unconfirmed report.

--- a/lib/src/connection/head_limit.rs
+++ b/lib/src/connection/head_limit.rs
@@ -31,7 +31,6 @@
     received_bytes: usize,
     /// What is held of a head that is not complete.
     charge: MemoryCharge,
-    charged_bytes: usize,
 }
 
 impl HeadLimit {
@@ -40,7 +39,6 @@
         *self.0.lock() = Some(ExpectedHead {
             received_bytes: 0,
             charge,
-            charged_bytes: 0,
         });
     }
 
@@ -58,9 +56,7 @@
         };
         // Interim responses are not kept.
         let held_bytes = head.received_bytes.min(READ_BUFFER_BYTES_MAX);
-        let more_bytes = held_bytes - head.charged_bytes;
-        head.charged_bytes = held_bytes;
-        match head.charge.grow(more_bytes) {
+        match head.charge.grow_to(held_bytes) {
             true => Ok(()),
             false => Err(io::Error::other("heads of responses hold too much memory")),
         }
--- a/lib/src/connection/memory_budget.rs
+++ b/lib/src/connection/memory_budget.rs
@@ -165,6 +165,13 @@
         fits
     }
 
+    /// Counts the body as at least `bytes` long. Returns false if there is no room; the body counts as before
+    /// then.
+    #[must_use]
+    pub fn grow_to(&mut self, bytes: usize) -> bool {
+        self.grow(bytes.saturating_sub(self.bytes))
+    }
+
     /// Returns the body, which counts until its last copy is dropped.
     pub fn attach(self, body: impl Into<Bytes>) -> Bytes {
         let body = body.into();
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -242,10 +242,7 @@
 impl Progress {
     /// Ends the present attempt, whose outcome is unknown.
     fn end(mut self, reason: RefusalReason) -> Result<BufferedResponse, Refusal> {
-        let refusal = match self.is_sent {
-            true => Refusal::may_have_run(reason),
-            false => Refusal::not_run(reason),
-        };
+        let refusal = Refusal::unanswered(reason, self.is_sent);
         self.verdict = self.verdict.max(Some(refusal.verdict));
         self.last_refusal = Some(refusal);
         self.finish()
--- a/lib/src/process/relay/stop_limit.rs
+++ b/lib/src/process/relay/stop_limit.rs
@@ -10,7 +10,6 @@
 
 use crate::request::Refusal;
 use crate::request::RefusalReason;
-use crate::request::Verdict;
 use crate::values::MonotonicTime;
 
 /// Fraction of the stop limit in which any request may begin. The rest is left to complete it.
@@ -111,11 +110,5 @@
 
 /// Returns the refusal of a request that a planned stop ended or did not let begin.
 pub(super) fn refusal_at_limit(is_sent: bool) -> Refusal {
-    Refusal {
-        verdict: match is_sent {
-            true => Verdict::MayHaveRun,
-            false => Verdict::NotRun,
-        },
-        ..Refusal::not_run(RefusalReason::Draining)
-    }
+    Refusal::unanswered(RefusalReason::Draining, is_sent)
 }
--- a/lib/src/process/relay/waiter.rs
+++ b/lib/src/process/relay/waiter.rs
@@ -36,8 +36,8 @@
 
 /// Those who wait for the response of a request.
 ///
-/// A request may have waited before any step, and its caller may have left meanwhile. So this is asked
-/// before each of them.
+/// A request may have waited before any of these steps, and its caller may have left meanwhile. So this is
+/// asked at the end of each wait.
 #[derive(Debug)]
 pub(super) struct Waiter {
     /// The connection of the caller.
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -210,6 +210,14 @@
         }
     }
 
+    /// Refuses a request that ended without a response, and that a handler may have received if it was sent.
+    pub fn unanswered(reason: RefusalReason, is_sent: bool) -> Self {
+        match is_sent {
+            true => Self::may_have_run(reason),
+            false => Self::not_run(reason),
+        }
+    }
+
     /// Sets the time after which the caller may retry.
     pub fn retry_after_ms(self, retry_after_ms: u64) -> Self {
         Self {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! The only test binary of the library.
 
 mod fleet;
+mod relays_apart;
 mod stopping_relays;
 mod test_attempts;
 mod test_change;
--- a/lib/tests/test_relay_departed_callers.rs
+++ b/lib/tests/test_relay_departed_callers.rs
@@ -8,11 +8,9 @@
 use std::time::Instant;
 
 use balsamfold::process::relay::AbandonedRuns;
-use balsamfold::process::relay::ConfirmationReport;
 use balsamfold::process::relay::Frame;
 use balsamfold::process::relay::Head;
 use balsamfold::process::relay::encode_frame;
-use balsamfold::values::ConfigVersion;
 use balsamfold::version::PlannedRoute;
 use balsamfold::version::Repeatability;
 use bytes::BytesMut;
@@ -24,6 +22,7 @@
 use testutils::relay::at_ms;
 use testutils::relay::sample_open_plan;
 use testutils::relay::sample_route;
+use testutils::relay::unconfirmed;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -31,6 +30,8 @@
 use tokio::runtime::Runtime;
 use tokio::time::sleep;
 
+use crate::relays_apart::move_apart;
+use crate::relays_apart::runtime;
 use crate::stopping_relays::callers_of;
 use crate::stopping_relays::connect;
 use crate::stopping_relays::get;
@@ -60,31 +61,10 @@
     }
 }
 
-fn runtime() -> Runtime {
-    let mut builder = tokio::runtime::Builder::new_multi_thread();
-    let built = builder.worker_threads(1).enable_all().build();
-    built.expect("a runtime can be started")
-}
-
 /// Starts relays of which the one at `index` runs on `apart`.
 async fn fleet_with(services: &[&'static str], index: usize, apart: &Runtime) -> RelayFleet {
     let mut fleet = RelayFleet::start(&plan(), services).await;
-    fleet.restart_on(index, apart.handle()).await;
-    fleet.report(index, 2, false).await;
-    let address = |fleet: &RelayFleet| {
-        let node = fleet.relays[index].daemon.node();
-        node.settings.raw.listen.peers
-    };
-    fleet
-        .wait_until(|fleet| {
-            fleet.relays.iter().all(|relay| {
-                let members = relay.daemon.node().members();
-                let mut nodes = members.nodes();
-                nodes.any(|record| record.addresses.peer == address(fleet))
-            })
-        })
-        .await;
-    fleet.wait_until_ready().await;
+    move_apart(&mut fleet, index, apart).await;
     fleet
 }
 
@@ -419,10 +399,7 @@
         while let Some(frame) = Frame::split_from(&mut received).expect("frames are valid") {
             match frame.head().expect("heads are valid") {
                 Head::Ping { exchange } => {
-                    let confirmation = ConfirmationReport {
-                        version: ConfigVersion::default(),
-                        age_us: None,
-                    };
+                    let confirmation = unconfirmed();
                     let pong = Head::Pong {
                         exchange,
                         confirmation,
--- a/lib/tests/test_relay_silence.rs
+++ b/lib/tests/test_relay_silence.rs
@@ -17,6 +17,9 @@
 use tokio::net::TcpStream;
 use tokio::runtime::Runtime;
 
+use crate::relays_apart::move_apart;
+use crate::relays_apart::runtime;
+
 /// Longer than the silence after which a connection to another node counts as lost.
 const STANDSTILL: Duration = Duration::from_millis(2_500);
 const SERVICE_TIME: Duration = Duration::from_millis(400);
@@ -33,12 +36,6 @@
     }
 }
 
-fn runtime() -> Runtime {
-    let mut builder = tokio::runtime::Builder::new_multi_thread();
-    let built = builder.worker_threads(1).enable_all().build();
-    built.expect("a runtime can be started")
-}
-
 /// Returns a fleet whose node 0 is an ingress only, and whose node 1 runs on `apart`.
 async fn fleet_with(
     services: &[&'static str],
@@ -46,17 +43,7 @@
     apart: &Runtime,
 ) -> RelayFleet {
     let mut fleet = RelayFleet::start(&plan(repeatability), services).await;
-    fleet.restart_on(1, apart.handle()).await;
-    fleet.report(1, 2, false).await;
-    let address = fleet.relays[1].daemon.node().settings.raw.listen.peers;
-    fleet
-        .wait_until(|fleet| {
-            let members = fleet.relays[0].daemon.node().members();
-            let mut nodes = members.nodes();
-            nodes.any(|record| record.addresses.peer == address)
-        })
-        .await;
-    fleet.wait_until_ready().await;
+    move_apart(&mut fleet, 1, apart).await;
     fleet
 }
 
--- a/node/tests/relay_fleet/server.rs
+++ b/node/tests/relay_fleet/server.rs
@@ -135,7 +135,7 @@
     }
 }
 
-/// Sends the head of a response, one header after another, until the caller closes the connection.
+/// Sends the head of a response, whose only header has no end, until the caller closes the connection.
 async fn send_endless_head(mut caller: TcpStream) -> std::io::Result<()> {
     caller.write_all(b"HTTP/1.1 200 OK\r\nx: ").await?;
     loop {
--- a/testutils/src/relay/mod.rs
+++ b/testutils/src/relay/mod.rs
@@ -16,6 +16,7 @@
 pub use self::fleet::StoredPlan;
 pub use self::fleet::relay_protocol;
 pub use self::peer::PeerStandIn;
+pub use self::peer::unconfirmed;
 pub use self::samples::SAMPLE_SETTINGS;
 pub use self::samples::at_ms;
 pub use self::samples::organisation_limits;
--- a/testutils/src/relay/peer.rs
+++ b/testutils/src/relay/peer.rs
@@ -195,7 +195,8 @@
     let _ = replies.send(encode_frame(&response, b"done").expect("a short frame"));
 }
 
-fn unconfirmed() -> ConfirmationReport {
+/// Returns the report of a node that has no configuration.
+pub fn unconfirmed() -> ConfirmationReport {
     ConfirmationReport {
         version: ConfigVersion::default(),
         age_us: None,
