--- a/lib/src/process/events/relay.rs
+++ b/lib/src/process/events/relay.rs
@@ -31,6 +31,8 @@
     SERVER_REPORT_REFUSED = 8051, Warn, "relay.server-report-refused", "A report about a backend server is invalid, outdated or for another address.";
     SERVER_LOST = 8052, Warn, "relay.server-lost", "The backend server accepts no connections; it gets no requests until it reports again.";
     SERVER_THROTTLED = 8053, Info, "relay.server-throttled", "The backend server named the requests per second that it takes, or no longer does; others go to other servers.";
+    SERVER_COLD = 8054, Info, "relay.server-cold", "The backend server turned cold or warm; the line says which, and how many requests it gets in a second while it is cold.";
+    ZONE_EVACUATED = 8055, Info, "relay.zone-evacuated", "The operators evacuated a zone or took that back; the line says which, and for how long the zone was evacuated.";
     REQUEST_ANSWERED = 8100, Debug, "relay.request-answered", "A backend server returned a response to a request.";
     REQUEST_REFUSED = 8101, Info, "relay.request-refused", "A request was refused; the line has the reason and the state behind it.";
     ATTEMPT_FAILED = 8102, Info, "relay.attempt-failed", "An attempt at a request got no usable response; the line has the next step.";
--- a/lib/src/process/gate/gate_state.rs
+++ b/lib/src/process/gate/gate_state.rs
@@ -5,6 +5,8 @@
 use super::AdaptiveLimit;
 use super::AdmissionDecision;
 use super::AdmissionRequest;
+use super::ColdNotice;
+use super::ColdStart;
 use super::Completion;
 use super::CompletionOutcome;
 use super::DemandMeter;
@@ -44,6 +46,8 @@
     pace: Option<Pace>,
     /// Bounds on the requests that start, until the first response of the server.
     opening: Option<Opening>,
+    /// The bound on the requests that start in a second while the server is cold.
+    cold_start: ColdStart,
 }
 
 impl GateState {
@@ -68,6 +72,7 @@
             retry_after: RetryAfter::default(),
             pace: None,
             opening: None,
+            cold_start: ColdStart::new(MonotonicTime::default()),
         }
     }
 
@@ -82,6 +87,14 @@
         }
     }
 
+    /// Counts requests of an earlier process that may have started before `time`.
+    pub fn with_unknown_starts_until(self, time: MonotonicTime) -> Self {
+        Self {
+            cold_start: ColdStart::new(time),
+            ..self
+        }
+    }
+
     /// Returns how many requests may run at the same time.
     pub fn slots(&self) -> u32 {
         match self.opening {
@@ -136,6 +149,38 @@
         }
     }
 
+    /// Applies what the server reported about its cold start. Returns whether it turned cold or warm,
+    /// and the waiting requests of a cold server, which go to other servers.
+    pub fn apply_cold_notice(
+        &mut self,
+        notice: ColdNotice,
+        now: MonotonicTime,
+    ) -> (bool, Vec<DroppedRequest>) {
+        let was_cold = self.cold_start.is_cold(now);
+        self.cold_start.apply(notice, now);
+        let is_cold = self.cold_start.is_cold(now);
+        (was_cold != is_cold, self.drop_waiting_if_cold(now))
+    }
+
+    /// Bounds the requests to a server that may have turned cold since its last report. Returns the
+    /// waiting requests.
+    pub fn presume_cold(&mut self, requests_max: u32, now: MonotonicTime) -> Vec<DroppedRequest> {
+        self.cold_start.presume(requests_max, now);
+        self.drop_waiting_if_cold(now)
+    }
+
+    /// Returns whether the server is cold, or may be.
+    pub fn is_cold(&self, now: MonotonicTime) -> bool {
+        self.cold_start.is_cold(now)
+    }
+
+    fn drop_waiting_if_cold(&mut self, now: MonotonicTime) -> Vec<DroppedRequest> {
+        match self.cold_start.is_cold(now) {
+            true => self.drop_waiting(RefusalReason::ServerCold, now),
+            false => Vec::new(),
+        }
+    }
+
     /// Records the head of a response of the server, and starts waiting requests.
     ///
     /// To be called after [`GateState::set_rate`] with the rate that the response names.
@@ -171,7 +216,7 @@
                 None,
             );
         }
-        if self.pace.is_some() {
+        if self.pace.is_some() || self.cold_start.is_cold(now) {
             return (self.acquire_paced(request, now), None);
         }
         // Before the first response, those that wait may have too little time for the room there is.
@@ -190,33 +235,39 @@
         if !self.demand.admits(request) {
             return (self.refuse(request, RefusalReason::Overloaded, now), None);
         }
-        if self.expected_wait(request.importance) + service_time > request.remaining {
+        if self.expected_wait(request.importance, now) + service_time > request.remaining {
             self.demand.record_shed();
             return (self.refuse(request, RefusalReason::Overloaded, now), None);
         }
         self.enqueue(request, now)
     }
 
-    /// Decides on a request to a server with a rate: it starts at once, or goes to another server.
+    /// Decides on a request to a server with a rate or a cold one: it starts at once, or goes to
+    /// another server.
     fn acquire_paced(
         &mut self,
         request: &AdmissionRequest,
         now: MonotonicTime,
     ) -> AdmissionDecision {
         let kept_fraction = self.demand.kept_fraction(request);
-        let has_slot = self.in_flight < self.slots();
+        let reason = match self.cold_start.is_cold(now) {
+            true => RefusalReason::ServerCold,
+            false => RefusalReason::ServerThrottled,
+        };
+        let has_room =
+            self.has_room(request.remaining, now) && self.cold_start.has_room(kept_fraction, now);
         let mut take_token = || {
             let pace = self.pace.as_mut();
             pace.is_none_or(|pace| pace.try_take(kept_fraction, now))
         };
-        match has_slot && take_token() {
+        match has_room && take_token() {
             true => {
                 self.start(&request.organisation, request.rate, now);
                 AdmissionDecision::Started
             }
             false => {
                 self.demand.record_shed();
-                self.refuse(request, RefusalReason::ServerThrottled, now)
+                self.refuse(request, reason, now)
             }
         }
     }
@@ -302,7 +353,7 @@
 
     /// Counts a refusal and returns the time after which the caller may retry, in milliseconds.
     pub fn retry_after_ms(&mut self, root: RequestId, now: MonotonicTime) -> u64 {
-        let drain_per_s = self.drain_per_s();
+        let drain_per_s = self.drain_per_s(now);
         self.retry_after
             .record_refusal(root, self.queue.len(), drain_per_s, now)
     }
@@ -374,6 +425,7 @@
         now: MonotonicTime,
     ) {
         self.in_flight += 1;
+        self.cold_start.record_start(now);
         if let Some(opening) = &mut self.opening {
             opening.record_start(now);
         }
@@ -408,24 +460,26 @@
             return;
         }
         let load = WindowLoad {
-            capacity_per_s: self.drain_per_s(),
+            capacity_per_s: self.drain_per_s(now),
             waiting: !self.queue.is_empty(),
         };
         self.demand.close_window(load, now);
     }
 
-    fn expected_wait(&self, importance: Importance) -> Duration {
+    fn expected_wait(&self, importance: Importance, now: MonotonicTime) -> Duration {
         let ahead = self.queue.ahead_of(importance) as f64;
-        Duration::from_secs_f64(ahead / self.drain_per_s())
+        Duration::from_secs_f64(ahead / self.drain_per_s(now))
     }
 
-    fn drain_per_s(&self) -> f64 {
+    fn drain_per_s(&self, now: MonotonicTime) -> f64 {
         let drain_per_s = self
             .service_time
             .drain_per_s(self.limit.slots())
             .unwrap_or(Self::DEFAULT_DRAIN_PER_S);
-        self.pace
-            .map_or(drain_per_s, |pace| pace.per_s().min(drain_per_s))
+        let pace_per_s = self.pace.map(|pace| pace.per_s());
+        let cold_per_s = self.cold_start.per_s(now);
+        let bounds = pace_per_s.into_iter().chain(cold_per_s);
+        bounds.fold(drain_per_s, f64::min)
     }
 
     fn queue_bound(&self) -> usize {
--- a/lib/src/process/gate/mod.rs
+++ b/lib/src/process/gate/mod.rs
@@ -2,6 +2,7 @@
 //! of the others wait, and which ones upstream nodes refuse early.
 
 mod admission;
+mod cold_start;
 mod completion;
 mod demand;
 mod downstream_floors;
@@ -23,6 +24,8 @@
 pub use self::admission::AdmissionRequest;
 pub use self::admission::DroppedRequest;
 pub use self::admission::Wakeups;
+pub use self::cold_start::ColdNotice;
+pub use self::cold_start::ColdStart;
 pub use self::completion::Completion;
 pub use self::completion::CompletionOutcome;
 pub use self::demand::DemandMeter;
--- a/lib/src/process/gate/permit.rs
+++ b/lib/src/process/gate/permit.rs
@@ -12,6 +12,7 @@
 use super::AdaptiveLimit;
 use super::AdmissionDecision;
 use super::AdmissionRequest;
+use super::ColdNotice;
 use super::Completion;
 use super::CompletionOutcome;
 use super::DroppedRequest;
@@ -130,6 +131,32 @@
         }
     }
 
+    /// Applies what the server reported about its cold start. Returns whether it turned cold or warm.
+    pub fn apply_cold_notice(&self, notice: ColdNotice) -> bool {
+        let now = self.clock.now();
+        let mut shared = self.shared.lock();
+        let (has_changed, dropped) = shared.state.apply_cold_notice(notice, now);
+        for dropped in dropped {
+            shared.refuse(dropped);
+        }
+        has_changed
+    }
+
+    /// Bounds the requests to a server that may have turned cold since its last report.
+    pub fn presume_cold(&self, requests_max: u32) {
+        let now = self.clock.now();
+        let mut shared = self.shared.lock();
+        for dropped in shared.state.presume_cold(requests_max, now) {
+            shared.refuse(dropped);
+        }
+    }
+
+    /// Returns whether the server is cold, or may be.
+    pub fn is_cold(&self) -> bool {
+        let now = self.clock.now();
+        self.shared.lock().state.is_cold(now)
+    }
+
     /// Records the head of a response of the server, after [`Gate::set_rate`] with the rate that it
     /// names.
     pub fn record_response(&self) {
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -69,6 +69,10 @@
         ServerThrottled,
         /// Nobody waits for the response any more.
         Abandoned,
+        /// The backend server is cold, and got as many requests as it takes until it is warm.
+        ServerCold,
+        /// The operators evacuated the zone of the backend server.
+        ZoneEvacuated,
     }
 }
 
@@ -104,6 +108,8 @@
             Self::NotAPeer => "not-a-peer",
             Self::ServerThrottled => "server-throttled",
             Self::Abandoned => "abandoned",
+            Self::ServerCold => "server-cold",
+            Self::ZoneEvacuated => "zone-evacuated",
         }
     }
 
@@ -124,6 +130,8 @@
             | Self::RefusedByServer
             | Self::ServerFailing
             | Self::ServerThrottled
+            | Self::ServerCold
+            | Self::ZoneEvacuated
             | Self::Unconfirmed
             | Self::Draining
             | Self::NoServer
@@ -165,6 +173,8 @@
             Self::NotAPeer => events::NOT_A_PEER,
             Self::ServerThrottled => events::SERVER_THROTTLED,
             Self::Abandoned => events::ABANDONED,
+            Self::ServerCold => events::SERVER_COLD,
+            Self::ZoneEvacuated => events::ZONE_EVACUATED,
         }
     }
 }
