relay, platform: servers that report coldness get few requests, evacuated zones none

Cause: reports' time left until the server is warm and the operators' items of evacuated zones were not read. Change: reports bound the gate of the node beside the server, by the rate of the configuration and the settings' ratio and slack.

--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -13,6 +13,7 @@
 use http::StatusCode;
 use parking_lot::Mutex;
 
+use super::evacuation;
 use super::frame::LoadNotice;
 use super::frame::RequestMetadata;
 use super::node::RelayNode;
@@ -36,6 +37,7 @@
 use crate::process::events::relay as events;
 use crate::process::gate::AdaptiveLimit;
 use crate::process::gate::AdmissionRequest;
+use crate::process::gate::ColdStart;
 use crate::process::gate::CompletionOutcome;
 use crate::process::gate::Gate;
 use crate::process::gate::GateState;
@@ -97,7 +99,10 @@
             .floor()
             .max(1.0) as u32;
         let limit = AdaptiveLimit::fixed(SlotCount(used_slots), clock.now());
-        let state = GateState::unproven(limit, clock.now());
+        // An earlier process may have sent requests until this one started.
+        let unknown_until = MonotonicTime::default().after(ColdStart::WINDOW);
+        let state =
+            GateState::unproven(limit, clock.now()).with_unknown_starts_until(unknown_until);
         Self {
             server_id: report.server_id.clone(),
             incarnation,
@@ -215,6 +220,9 @@
     };
     std::mem::forget(cancelled);
     let result = result.unwrap_or_else(|| Err(refusal_at_limit(running.is_sent())));
+    if let Err(refusal) = &result {
+        node.metrics.record_run_refusal(refusal.reason);
+    }
     RunOutcome {
         result,
         load: LoadNotice {
@@ -252,6 +260,10 @@
             return Err(Refusal::not_run(RefusalReason::NoServer));
         }
     };
+    if let Err(refusal) = evacuation::check(node) {
+        suspects::reassign_trials(node).await;
+        return Err(refusal);
+    }
     let may_begin = || node.offers_server() && node.stop_limit.permits(deadline, node.clock.now());
     if !may_begin() {
         return Err(Refusal::not_run(RefusalReason::Draining));
@@ -286,6 +298,11 @@
         permit.release_unused();
         return Err(Refusal::not_run(RefusalReason::Draining));
     }
+    if let Err(refusal) = evacuation::check(node) {
+        permit.release_unused();
+        suspect_permit.refuse(refusal.reason).await;
+        return Err(refusal);
+    }
     if let Some(Err(refusal)) =
         waiter.map(|waiter| waiter.check(&metadata.request_id, Step::Server))
     {
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -12,6 +12,7 @@
 use super::attempt_limits::refusing_nodes_max;
 use super::backend::RunOutcome;
 use super::backend::run_request;
+use super::evacuation;
 use super::frame::EncodedFrame;
 use super::frame::ExchangeId;
 use super::frame::Head;
@@ -430,12 +431,24 @@
         }
     };
     let members = node.members();
+    let evacuated = evacuation::evacuated_zones(node);
     let responsive = |id: &NodeId| {
         let mut serving = members.serving(&outbound.service).iter();
-        serving.find(|record| record.id == *id && !node.links.is_unresponsive(record))
+        serving.find(|record| {
+            record.id == *id
+                && !evacuated.contains(&record.zone)
+                && !node.links.is_unresponsive(record)
+        })
     };
     match (progress.only_on.take(), known) {
-        (None, None) => choose(node, outbound, &progress.tried),
+        (None, None) => {
+            let chosen = choose(node, outbound, &progress.tried);
+            if chosen.is_none() && progress.last_refusal.is_none() {
+                let (node, service) = (node, &outbound.service);
+                progress.last_refusal = evacuation::refusal_without_servers(node, service);
+            }
+            chosen
+        }
         (only_on, known) => {
             let named = only_on.as_ref().and_then(responsive);
             named
@@ -448,12 +461,13 @@
 /// Chooses a responsive node of the service that was not tried yet.
 fn choose(node: &RelayNode, outbound: &Outbound, tried: &[NodeId]) -> Option<NodeRecord> {
     let members = node.members();
-    let unresponsive = members
+    let evacuated = evacuation::evacuated_zones(node);
+    let unusable = members
         .serving(&outbound.service)
         .iter()
-        .filter(|record| node.links.is_unresponsive(record))
+        .filter(|record| evacuated.contains(&record.zone) || node.links.is_unresponsive(record))
         .map(|record| record.id.clone());
-    let excluded: Vec<NodeId> = tried.iter().cloned().chain(unresponsive).collect();
+    let excluded: Vec<NodeId> = tried.iter().cloned().chain(unusable).collect();
     let context = ChooseContext {
         members: &members,
         zones: &node.zones,
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -133,6 +133,7 @@
                     | RefusalReason::Draining
                     | RefusalReason::ServerFailing
                     | RefusalReason::DeadlineExceeded
+                    | RefusalReason::ZoneEvacuated
             )
         );
         self.floor.clone().or(serves.then(FloorNotice::default))
--- a/lib/src/process/relay/metrics.rs
+++ b/lib/src/process/relay/metrics.rs
@@ -16,6 +16,7 @@
 
 use super::store::StoreError;
 use crate::request::Refusal;
+use crate::request::RefusalReason;
 
 /// Lowest bound of the latency histogram.
 const LATENCY_BOUND_MIN_S: f64 = 0.002;
@@ -34,6 +35,7 @@
     registry: Registry,
     responses: Family<Kind, Counter>,
     refusals: Family<Kind, Counter>,
+    run_refusals: Family<Kind, Counter>,
     latency_s: Histogram,
     caller_disconnects: Counter,
     store_calls: Family<Kind, Counter>,
@@ -48,6 +50,7 @@
         let mut registry = Registry::with_prefix("balsamfold");
         let responses = Family::<Kind, Counter>::default();
         let refusals = Family::<Kind, Counter>::default();
+        let run_refusals = Family::<Kind, Counter>::default();
         let bounds = exponential_buckets(LATENCY_BOUND_MIN_S, 2.0, LATENCY_BOUND_COUNT);
         let latency_s = Histogram::new(bounds);
         let caller_disconnects = Counter::default();
@@ -60,6 +63,11 @@
             "Requests that were refused, by reason",
             refusals.clone(),
         );
+        registry.register(
+            "run_refusals",
+            "Requests that the node of a cold server or in an evacuated zone turned away, by reason",
+            run_refusals.clone(),
+        );
         registry.register(
             "latency_seconds",
             "Time until an answer or refusal",
@@ -81,6 +89,7 @@
             registry,
             responses,
             refusals,
+            run_refusals,
             latency_s,
             caller_disconnects,
             store_calls,
@@ -108,6 +117,15 @@
         self.latency_s.observe(held.as_secs_f64());
     }
 
+    /// Counts a request that this node turned away from its backend server because that is cold or its
+    /// zone is evacuated.
+    pub fn record_run_refusal(&self, reason: RefusalReason) {
+        if let RefusalReason::ServerCold | RefusalReason::ZoneEvacuated = reason {
+            let kind = reason.code();
+            self.run_refusals.get_or_create(&Kind { kind }).inc();
+        }
+    }
+
     /// Counts a caller that disconnected before the response.
     pub fn record_caller_disconnect(&self) {
         self.caller_disconnects.inc();
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -19,6 +19,7 @@
 use super::confirmation::Confirmation;
 use super::confirmation::ConfirmationReport;
 use super::confirmation::ConfirmationUse;
+use super::evacuations::Evacuations;
 use super::failing_servers::FailingServers;
 use super::fleet::Fleet;
 use super::frame::RequestMetadata;
@@ -107,6 +108,8 @@
     pub(super) ingress_floors: Mutex<DownstreamFloors>,
     /// Nodes that refused requests because their servers fail often.
     pub(super) failing_servers: Mutex<FailingServers>,
+    /// The zones that the operators evacuated.
+    pub(super) evacuations: Mutex<Evacuations>,
     /// Admission floors for the onward calls of the local backend server.
     pub(super) onward_floors: Mutex<DownstreamFloors>,
     /// What this node knows of the store.
@@ -188,6 +191,7 @@
             runs: RunTable::new(clock),
             ingress_floors: Mutex::default(),
             failing_servers: Mutex::default(),
+            evacuations: Mutex::default(),
             onward_floors: Mutex::default(),
             fleet: Mutex::default(),
             registration: Mutex::default(),
--- a/lib/src/process/relay/observed_call.rs
+++ b/lib/src/process/relay/observed_call.rs
@@ -23,7 +23,9 @@
             RefusalReason::Overloaded
             | RefusalReason::Draining
             | RefusalReason::ServerFailing
-            | RefusalReason::ServerThrottled => CallOutcome::Refused,
+            | RefusalReason::ServerThrottled
+            | RefusalReason::ServerCold
+            | RefusalReason::ZoneEvacuated => CallOutcome::Refused,
             RefusalReason::DeadlineExceeded => CallOutcome::Cancelled,
             _ => CallOutcome::Failed,
         },
--- a/lib/src/process/relay/protocol.rs
+++ b/lib/src/process/relay/protocol.rs
@@ -50,6 +50,8 @@
     pub slots: SlotCount,
     /// Whether the server wants no new work.
     pub is_draining: bool,
+    /// Time in milliseconds for which the server is still cold; 0 if it is warm.
+    pub cold_left_ms: u64,
 }
 
 /// A call to the listener for reports.
@@ -77,6 +79,11 @@
     pub ready_path: &'static str,
     /// Key of the configuration in the store.
     pub configuration_key: &'static str,
+    /// Prefix of all keys that the operators write, among them that of the configuration.
+    pub operator_prefix: &'static str,
+    /// Prefix of the keys that name evacuated zones, below [`Protocol::operator_prefix`]. Any value
+    /// counts.
+    pub evacuation_prefix: &'static str,
     /// Decodes a stored configuration, or returns what is wrong with it.
     pub decode_configuration: fn(&[u8]) -> Result<TrafficPlan, String>,
     /// Decodes a call to the listener for reports from its method, path and body, or returns what
--- a/lib/src/process/relay/reports.rs
+++ b/lib/src/process/relay/reports.rs
@@ -10,6 +10,7 @@
 use volo_http::response::Response;
 
 use super::backend::Backend;
+use super::cold_server;
 use super::node::RelayNode;
 use super::protocol::ServerCall;
 use super::protocol::ServerReport;
@@ -98,6 +99,7 @@
         (ReportEffect::Renewed, Some(backend)) => {
             let was_lost = !backend.accepts_work();
             backend.mark_reachable();
+            cold_server::apply_report(node, &backend, report);
             if was_lost && backend.accepts_work() {
                 node.store_entry_changed.notify_one();
             }
@@ -110,6 +112,7 @@
         }
         (ReportEffect::WantsWork, Some(backend)) => {
             backend.resume();
+            cold_server::apply_report(node, &backend, report);
             log_report(report, effect);
             node.store_entry_changed.notify_one();
         }
@@ -120,6 +123,7 @@
             log_report(report, effect);
             let incarnation = Incarnation(node.clock.wall().0);
             let backend = Backend::new(report, incarnation, node.clock, &node.memory);
+            cold_server::apply_report(node, &backend, report);
             // It may have said so to an earlier process of this node.
             if node.registration.lock().is_leaving() {
                 backend.drain();
--- a/lib/src/process/relay/settings.rs
+++ b/lib/src/process/relay/settings.rs
@@ -72,6 +72,14 @@
         pub retry_slack: u64,
         /// Length of the windows in which retries are counted.
         pub retry_window_s: f64,
+        /// Requests that a cold server may get in a second, as a multiple of those per second that the
+        /// configuration names. Without it, cold servers are treated like others.
+        pub cold_ratio: Option<f64>,
+        /// Requests that a cold server may get in a second beyond that.
+        pub cold_slack: Option<f64>,
+        /// Longest time until the servers of an evacuated zone get no more requests. Without it, the
+        /// store is not asked for evacuated zones.
+        pub evacuation_ms: Option<u64>,
     }
 }
 
@@ -100,6 +108,13 @@
         }
     }
 
+    /// Returns the requests that a cold server may get in any second, if it takes `per_s` requests per
+    /// second, or `None` if there is no bound.
+    pub fn cold_requests_max(&self, per_s: f64) -> Option<u32> {
+        let (ratio, slack) = (self.cold_ratio?, self.cold_slack?);
+        Some((per_s * ratio + slack).floor() as u32)
+    }
+
     /// Returns the time after a stop signal after which the process is killed.
     pub fn stop_grace(&self) -> Duration {
         Duration::from_secs_f64(self.stop_grace_s)
@@ -198,6 +213,18 @@
         if !Self::RETRY_WINDOW_S.contains(&bounds.retry_window_s) {
             faults.push("bounds.retry_window_s: must be from 1 to 3600".to_owned());
         }
+        let cold = [
+            ("bounds.cold_ratio", bounds.cold_ratio),
+            ("bounds.cold_slack", bounds.cold_slack),
+        ];
+        for (name, value) in cold {
+            if value.is_some_and(|value| !value.is_finite() || value < 0.0) {
+                faults.push(format!("{name}: must be finite and not negative"));
+            }
+        }
+        if bounds.cold_ratio.is_some() != bounds.cold_slack.is_some() {
+            faults.push("bounds: cold_ratio and cold_slack belong together".to_owned());
+        }
         match faults.is_empty() {
             true => Ok(Self { raw }),
             false => ValuesSnafu { faults }.fail(),
--- a/lib/src/process/relay/suspects/admission.rs
+++ b/lib/src/process/relay/suspects/admission.rs
@@ -170,7 +170,13 @@
     ///
     /// The trial stays while an equal request may still run here, which would crash this server, too.
     pub(in crate::process::relay) async fn refuse(self, reason: RefusalReason) {
-        if !self.is_trial || reason != RefusalReason::ServerThrottled {
+        let is_closed = matches!(
+            reason,
+            RefusalReason::ServerThrottled
+                | RefusalReason::ServerCold
+                | RefusalReason::ZoneEvacuated
+        );
+        if !self.is_trial || !is_closed {
             return;
         }
         let node = Arc::clone(&self.node);
--- a/lib/src/process/relay/suspects/mod.rs
+++ b/lib/src/process/relay/suspects/mod.rs
@@ -120,9 +120,13 @@
         (!current.is_empty()).then_some(current)
     }
 
-    /// Returns the nodes with a backend server of this node's service.
+    /// Returns the nodes with a backend server of this node's service, outside of evacuated zones.
     fn serving_nodes(&self) -> Vec<NodeRecord> {
-        self.members().serving(&self.settings.raw.service).to_vec()
+        let members = self.members();
+        let serving = members.serving(&self.settings.raw.service).iter();
+        let evacuations = self.evacuations.lock();
+        let open = serving.filter(|record| !evacuations.contains(&record.zone));
+        open.cloned().collect()
     }
 
     fn is_serving(&self, node: &NodeId) -> bool {
--- a/lib/src/process/relay/tasks.rs
+++ b/lib/src/process/relay/tasks.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::evacuation;
 use super::link::Link;
 use super::link::ping_frame;
 use super::node::RelayNode;
@@ -124,7 +125,7 @@
     }
 }
 
-/// Evicts nodes whose entries stayed missing, and drops connections that have ended.
+/// Evicts nodes whose entries stayed missing, ends evacuations that stayed missing, and drops connections that have ended.
 pub(super) async fn clean_up_fleet(node: Arc<RelayNode>) {
     loop {
         sleep(CLEAN_UP_PERIOD).await;
@@ -133,6 +134,7 @@
         if changed {
             node.publish_fleet();
         }
+        evacuation::end_missing(&node);
         let members = node.members();
         node.links.remove_closed(&members);
     }
--- a/lib/src/process/relay/views/apply.rs
+++ b/lib/src/process/relay/views/apply.rs
@@ -11,6 +11,7 @@
 use super::mirror::MirrorChange;
 use crate::process::events::relay as events;
 use crate::process::membership::NodeRecord;
+use crate::process::relay::evacuation;
 use crate::process::relay::node::RelayNode;
 use crate::process::relay::quarantine;
 use crate::process::relay::registration_store::store_registration_until_done;
@@ -31,7 +32,11 @@
     match view {
         View::Entries => apply_entries(node, &events, is_new_era),
         View::Quarantines => quarantine::apply_changes(node, &events),
-        View::Configuration => apply_configuration(node, &events),
+        View::Configuration => {
+            // The evacuations are known before the node is ready.
+            evacuation::apply_changes(node, &events, is_new_era);
+            apply_configuration(node, &events);
+        }
     }
     if !events.is_empty() {
         node.views.notify_followers(node.clock.now());
@@ -113,7 +118,8 @@
     if let (View::Configuration, MirrorUpdate::Listing { items, .. }) =
         (update.view, &update.update)
     {
-        for item in items {
+        let is_configuration = |item: &&StoreItem| item.key == node.protocol.configuration_key;
+        for item in items.iter().filter(is_configuration) {
             offer_configuration(node, item);
         }
     }
--- a/lib/src/process/relay/views/follow.rs
+++ b/lib/src/process/relay/views/follow.rs
@@ -20,6 +20,7 @@
 use super::store_watch::watch_store;
 use crate::process::events::relay as events;
 use crate::process::membership::NodeRecord;
+use crate::process::relay::evacuation;
 use crate::process::relay::frame::ExchangeId;
 use crate::process::relay::frame::Head;
 use crate::process::relay::frame::encode_frame;
@@ -176,7 +177,10 @@
         0 => apply.mul_f64(FIRST_FRESH_FRACTION),
         _ => apply.mul_f64(FRESH_FRACTION),
     };
-    if plan.rank == 0 && is_younger(node, fresh_age) {
+    // A young confirmation does not say that this node knows the evacuated zones: it also comes with
+    // replies to requests, while the store turns this node away.
+    let knows_all = !evacuation::is_enabled(node);
+    if plan.rank == 0 && knows_all && is_younger(node, fresh_age) {
         return true;
     }
     for source in &plan.sources {
--- a/lib/src/process/relay/views/messages.rs
+++ b/lib/src/process/relay/views/messages.rs
@@ -12,7 +12,7 @@
         Entries,
         /// Requests that crashed several backend servers.
         Quarantines,
-        /// The operators' configuration.
+        /// The operators' configuration, and the zones that they evacuated.
         Configuration,
     }
 }
--- a/lib/src/process/relay/views/state.rs
+++ b/lib/src/process/relay/views/state.rs
@@ -77,6 +77,12 @@
         View::ALL.map(|view| mirrors[view as usize].position())
     }
 
+    /// Returns whether the operators' items were read since the start, from the store or another node.
+    pub(in crate::process::relay) fn knows_operators(&self) -> bool {
+        let mirrors = self.mirrors.lock();
+        mirrors[View::Configuration as usize].position().is_some()
+    }
+
     /// Returns the latest known era of the store.
     pub(super) fn era(&self) -> Option<StoreEra> {
         let positions = self.positions().into_iter().flatten();
--- a/lib/src/process/relay/views/store_watch.rs
+++ b/lib/src/process/relay/views/store_watch.rs
@@ -12,6 +12,7 @@
 use super::messages::View;
 use crate::process::events::relay as events;
 use crate::process::platform::Backoff;
+use crate::process::relay::evacuation;
 use crate::process::relay::node::RelayNode;
 use crate::process::relay::quarantine::QUARANTINE_PREFIX;
 use crate::process::relay::store::StoreError;
@@ -33,6 +34,7 @@
     match view {
         View::Entries => STORE_ENTRY_PREFIX,
         View::Quarantines => QUARANTINE_PREFIX,
+        View::Configuration if evacuation::is_enabled(node) => node.protocol.operator_prefix,
         View::Configuration => node.protocol.configuration_key,
     }
 }
@@ -41,15 +43,16 @@
 pub(super) async fn read_view(node: &Arc<RelayNode>, view: View) -> Result<(), StoreError> {
     let requested_at = node.clock.now();
     let prefix = prefix_of(node, view);
-    let (items, position) = match view {
-        View::Entries | View::Quarantines => {
+    let is_one_item = prefix == node.protocol.configuration_key;
+    let (items, position) = match is_one_item {
+        false => {
             let listed = node.store.list(prefix).await;
             node.metrics.record_store_call(listed.is_ok());
             let listed = listed?;
             let position = listed.position();
             (listed.content, position)
         }
-        View::Configuration => {
+        true => {
             let read = node.store.get(prefix).await;
             node.metrics.record_store_call(read.is_ok());
             let read = read?;
@@ -57,7 +60,9 @@
             (read.content.into_iter().collect(), position)
         }
     };
-    let is_found = !items.is_empty();
+    let is_found = items
+        .iter()
+        .any(|item| item.key == node.protocol.configuration_key);
     apply_update(node, view, MirrorUpdate::Listing { items, position });
     let is_refused = node.views.is_configuration_refused.load(Ordering::Relaxed);
     // A late response of an earlier era is not applied, and may hold a newer configuration.
--- a/lib/src/version/traffic_plan.rs
+++ b/lib/src/version/traffic_plan.rs
@@ -11,6 +11,7 @@
 use crate::values::Importance;
 use crate::values::OrganisationId;
 use crate::values::RatePerSecond;
+use crate::values::ServerRate;
 use crate::values::ServiceId;
 use crate::values::TokenCount;
 
@@ -153,6 +154,8 @@
     pub organisations: BTreeMap<OrganisationId, Arc<OrganisationLimits>>,
     /// Bounds on what callers may send.
     pub limits: CallerLimits,
+    /// The requests per second that cold servers take, of services that name them.
+    pub cold_rates: BTreeMap<ServiceId, ServerRate>,
     keys: HashMap<[u8; Self::KEY_INDEX_BYTES], (KeyHash, Arc<OrganisationLimits>)>,
 }
 
--- a/lib/tests/test_relay_registration.rs
+++ b/lib/tests/test_relay_registration.rs
@@ -15,6 +15,7 @@
         address: "127.0.0.1:1".parse().expect("valid address"),
         slots: SlotCount(8),
         is_draining,
+        cold_left_ms: 0,
     }
 }
 
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -1,5 +1,6 @@
 //! Relays in one process, each with a stand-in for its backend server.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +19,8 @@
 use balsamfold::process::relay::ServerCall;
 use balsamfold::process::relay::ServerReport;
 use balsamfold::values::ConfigVersion;
+use balsamfold::values::ServerRate;
+use balsamfold::values::ServiceId;
 use balsamfold::values::SlotCount;
 use balsamfold::version::CallerKey;
 use balsamfold::version::HostRoutes;
@@ -42,6 +45,8 @@
 
 /// The store's key of the configuration.
 pub const CONFIGURATION_KEY: &str = "desk/plan";
+/// Prefix of the store's keys of evacuated zones.
+pub const EVACUATION_PREFIX: &str = "desk/evacuated/";
 /// Longest wait for a condition of the fleet.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 /// Most attempts to report a server until the relay accepts the report.
@@ -60,6 +65,13 @@
     pub organisations: Vec<(OrganisationLimits, Vec<String>)>,
 }
 
+/// The part of a stored configuration that names the requests per second of cold servers.
+#[derive(Deserialize)]
+struct StoredColdRates {
+    #[serde(default)]
+    cold_rates: BTreeMap<ServiceId, f64>,
+}
+
 /// Returns the protocol that the stand-ins use.
 pub fn relay_protocol() -> Protocol {
     Protocol {
@@ -76,6 +88,8 @@
         key_scheme: "Key",
         ready_path: "/ready",
         configuration_key: CONFIGURATION_KEY,
+        operator_prefix: "desk/",
+        evacuation_prefix: EVACUATION_PREFIX,
         decode_configuration,
         decode_server_call: decode_call,
     }
@@ -86,6 +100,8 @@
 
 fn decode_configuration(stored: &[u8]) -> Result<TrafficPlan, String> {
     assert_ne!(stored, PANIC_BYTES, "a decoder with a fault");
+    let cold: StoredColdRates =
+        serde_json::from_slice(stored).map_err(|error| error.to_string())?;
     let stored: StoredPlan = serde_json::from_slice(stored).map_err(|error| error.to_string())?;
     let mut plan = TrafficPlan::new(ConfigVersion(stored.version));
     for (host, _, _) in &stored.routes {
@@ -93,6 +109,10 @@
         let routes = host_routes.map(|(_, prefix, route)| (prefix.clone(), route.clone()));
         plan.hosts.insert(host.clone(), HostRoutes::new(routes));
     }
+    for (service, per_s) in cold.cold_rates {
+        let rate = ServerRate::try_from(per_s).map_err(|error| error.to_string())?;
+        plan.cold_rates.insert(service, rate);
+    }
     for (limits, keys) in stored.organisations {
         let keys = keys.iter().map(|key| CallerKey::new(key));
         plan.add_organisation(limits, keys);
@@ -108,6 +128,7 @@
     sequence: u64,
     slots: u32,
     is_draining: bool,
+    cold_left_ms: u64,
 }
 
 fn decode_call(method: &Method, path: &str, body: &Bytes) -> Result<ServerCall, String> {
@@ -125,6 +146,7 @@
         address: report.address,
         slots: SlotCount(report.slots),
         is_draining: report.is_draining,
+        cold_left_ms: report.cold_left_ms,
     }))
 }
 
@@ -168,6 +190,7 @@
     pub store: MemoryStore,
     /// The relays.
     pub relays: Vec<TestRelay>,
+    adjust: fn(&mut RawRelaySettings),
 }
 
 impl RelayFleet {
@@ -175,7 +198,19 @@
     /// fleet is ready.
     pub async fn start(plan: &StoredPlan, services: &[&'static str]) -> Self {
         let store = MemoryStore::default();
-        let fleet = Self::start_with_store(store, plan, services).await;
+        let fleet = Self::start_with_store(store, plan, services, |_| {}).await;
+        fleet.wait_until_ready().await;
+        fleet
+    }
+
+    /// Starts relays whose settings `adjust` changes.
+    pub async fn start_adjusted(
+        plan: &StoredPlan,
+        services: &[&'static str],
+        adjust: fn(&mut RawRelaySettings),
+    ) -> Self {
+        let store = MemoryStore::default();
+        let fleet = Self::start_with_store(store, plan, services, adjust).await;
         fleet.wait_until_ready().await;
         fleet
     }
@@ -184,15 +219,17 @@
         store: MemoryStore,
         plan: &StoredPlan,
         services: &[&'static str],
+        adjust: fn(&mut RawRelaySettings),
     ) -> Self {
         let mut fleet = Self {
             store,
             relays: Vec::new(),
+            adjust,
         };
         fleet.publish(plan);
         for (index, service) in services.iter().enumerate() {
             let server = RelayServer::start().await;
-            let settings = settings(&format!("node-{index}"), service, server.address);
+            let settings = fleet.settings(index, service, server.address);
             let store = fleet.store.for_client();
             let (daemon, runtime) = start_relay(settings, &store).await;
             server.set_onward_address(daemon.node().settings.raw.listen.callers);
@@ -208,15 +245,17 @@
         fleet
     }
 
+    fn settings(&self, index: usize, service: &str, server_address: SocketAddr) -> RelaySettings {
+        let mut raw = settings(&format!("node-{index}"), service, server_address);
+        (self.adjust)(&mut raw);
+        RelaySettings::try_from(raw).expect("valid settings")
+    }
+
     /// Kills the relay at `index` and starts another for the same server, which has not reported to
     /// it yet.
     pub async fn restart(&mut self, index: usize) {
         let relay = self.relays.remove(index);
-        let settings = settings(
-            &format!("node-{index}"),
-            relay.service,
-            relay.server.address,
-        );
+        let settings = self.settings(index, relay.service, relay.server.address);
         drop(relay.daemon);
         relay.runtime.shut_down();
         let (daemon, runtime) = start_relay(settings, &relay.store).await;
@@ -233,8 +272,7 @@
     /// Restarts the relay at `index` on another runtime, which may stand still.
     pub async fn restart_on(&mut self, index: usize, runtime: &tokio::runtime::Handle) {
         let relay = self.relays.remove(index);
-        let name = format!("node-{index}");
-        let settings = settings(&name, relay.service, relay.server.address);
+        let settings = self.settings(index, relay.service, relay.server.address);
         drop(relay.daemon);
         relay.runtime.shut_down();
         let store = Arc::new(relay.store.clone());
@@ -273,6 +311,19 @@
         self.store.write(CONFIGURATION_KEY, Bytes::from(stored));
     }
 
+    /// Stores a configuration with the requests per second that cold servers of `service` take.
+    pub fn publish_with_cold_rate(&self, plan: &StoredPlan, service: &str, per_s: f64) {
+        let mut stored = serde_json::to_value(plan).expect("plans can be encoded");
+        stored["cold_rates"] = serde_json::json!({ service: per_s });
+        self.store
+            .write(CONFIGURATION_KEY, Bytes::from(stored.to_string()));
+    }
+
+    /// Reports that the server of a relay stays cold for a time. Returns the status of the response.
+    pub async fn report_cold(&self, index: usize, sequence: u64, cold_left_ms: u64) -> StatusCode {
+        self.send_report(index, sequence, false, cold_left_ms).await
+    }
+
     /// Reports to a relay that its server leaves. Returns the status of the response.
     pub async fn report_departure(&self, index: usize) -> StatusCode {
         let request = BufferedRequest {
@@ -312,6 +363,16 @@
 
     /// Reports the server of a relay once. Returns the status of the response.
     pub async fn report_once(&self, index: usize, sequence: u64, is_draining: bool) -> StatusCode {
+        self.send_report(index, sequence, is_draining, 0).await
+    }
+
+    async fn send_report(
+        &self,
+        index: usize,
+        sequence: u64,
+        is_draining: bool,
+        cold_left_ms: u64,
+    ) -> StatusCode {
         let relay = &self.relays[index];
         let report = StoredReport {
             service: relay.service.to_owned(),
@@ -320,6 +381,7 @@
             sequence,
             slots: 8,
             is_draining,
+            cold_left_ms,
         };
         let body = serde_json::to_vec(&report).expect("reports can be encoded");
         let request = BufferedRequest {
@@ -436,11 +498,11 @@
         .expect("the exchange returns a response")
 }
 
-fn settings(node: &str, service: &str, server_address: SocketAddr) -> RelaySettings {
+fn settings(node: &str, service: &str, server_address: SocketAddr) -> RawRelaySettings {
     let any: SocketAddr = "127.0.0.1:0".parse().expect("valid address");
     let zone = "zone-a".parse().expect("valid name");
     let region = "north".parse().expect("valid name");
-    RelaySettings::try_from(RawRelaySettings {
+    RawRelaySettings {
         node: node.parse().expect("valid name"),
         zone: "zone-a".parse().expect("valid name"),
         service: service.parse().expect("valid name"),
@@ -463,7 +525,9 @@
             retry_ratio: 0.2,
             retry_slack: 48,
             retry_window_s: 10.0,
+            cold_ratio: None,
+            cold_slack: None,
+            evacuation_ms: None,
         },
-    })
-    .expect("valid settings")
+    }
 }
--- a/testutils/src/relay/mod.rs
+++ b/testutils/src/relay/mod.rs
@@ -11,6 +11,7 @@
 
 pub use self::deaf_socket::deafen;
 pub use self::fleet::CONFIGURATION_KEY;
+pub use self::fleet::EVACUATION_PREFIX;
 pub use self::fleet::PANIC_BYTES;
 pub use self::fleet::RelayFleet;
 pub use self::fleet::StoredPlan;
--- a/testutils/src/relay/store.rs
+++ b/testutils/src/relay/store.rs
@@ -27,6 +27,8 @@
     items: BTreeMap<String, (StoreItem, LeaseId)>,
     history: Vec<StoreEvent>,
     revision: u64,
+    /// The last revision that watches no longer get.
+    forgotten: u64,
     era: u64,
     leases: HashSet<LeaseId>,
     next_lease: u64,
@@ -144,6 +146,28 @@
         self.changed.notify_waiters();
     }
 
+    /// Removes an item, as operators do.
+    pub fn remove(&self, key: &str) {
+        let mut content = self.content.lock();
+        content.items.remove(key);
+        content.revision += 1;
+        let removed = StoreEvent::Removed {
+            key: key.to_owned(),
+            revision: StoreRevision(content.revision),
+        };
+        content.history.push(removed);
+        drop(content);
+        self.changed.notify_waiters();
+    }
+
+    /// Drops the history, so that watches must read everything again.
+    pub fn forget_history(&self) {
+        let mut content = self.content.lock();
+        content.forgotten = content.revision;
+        drop(content);
+        self.changed.notify_waiters();
+    }
+
     /// Returns whether all calls fail.
     pub fn is_down(&self) -> bool {
         self.content.lock().is_down
@@ -266,7 +290,7 @@
                             reason: "cut".to_owned(),
                         });
                     }
-                    if after.0 > content.revision {
+                    if after.0 > content.revision || after.0 < content.forgotten {
                         return Err(StoreError::HistoryLost);
                     }
                     let events = content.events_after(&prefix, after);
