load: reports of servers' loads in the messages between nodes

Nodes know the load of a server from their own traffic, which gets thinner with each node of the fleet. A report (key of the node, age, slots, requests that run and wait, mean time in a slot, named rate, floor) comes with requests, responses, refusals and pongs where [load_reports] holds it; LoadTable keeps the newest by node. Nothing reads it yet.

--- a/lib/src/process/gate/gate_state.rs
+++ b/lib/src/process/gate/gate_state.rs
@@ -20,6 +20,8 @@
 use super::WaitingQueue;
 use super::Wakeups;
 use super::WindowLoad;
+use crate::process::load::LoadReport;
+use crate::process::load::NodeKey;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::values::Importance;
@@ -111,6 +113,21 @@
         self.service_time.mean()
     }
 
+    /// Returns the load of the server of `node`.
+    pub fn load_report(&mut self, node: NodeKey, now: MonotonicTime) -> LoadReport {
+        let floor = self.floor(now);
+        LoadReport {
+            node,
+            age_ms: 0,
+            slots: self.slots(),
+            in_flight: self.in_flight,
+            waiting: self.queue.len() as u32,
+            held_us: self.service_time.mean().as_micros() as u32,
+            takes_per_s: self.pace.map(|pace| pace.per_s().round() as u32),
+            floor: (!floor.is_open()).then_some(floor),
+        }
+    }
+
     /// Applies a new announcement of a server that is still running.
     pub fn set_announced_slots(&mut self, slots: SlotCount) {
         self.limit.set_announced_slots(slots);
--- a/lib/src/process/gate/permit.rs
+++ b/lib/src/process/gate/permit.rs
@@ -19,6 +19,8 @@
 use super::GateState;
 use super::Ticket;
 use super::Wakeups;
+use crate::process::load::LoadReport;
+use crate::process::load::NodeKey;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::values::Clock;
@@ -115,6 +117,12 @@
         self.shared.lock().state.floor(now)
     }
 
+    /// Returns the load of the server of `node`.
+    pub fn load_report(&self, node: NodeKey) -> LoadReport {
+        let now = self.clock.now();
+        self.shared.lock().state.load_report(node, now)
+    }
+
     /// Counts a refusal and returns the time after which the caller may retry, in milliseconds.
     pub fn retry_after_ms(&self, root: RequestId) -> u64 {
         let now = self.clock.now();
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -4,6 +4,7 @@
 pub mod control;
 pub mod events;
 pub mod gate;
+pub mod load;
 pub mod membership;
 pub mod metrics;
 pub mod node;
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -34,6 +34,7 @@
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
 use crate::process::events::relay as events;
+use crate::process::load::LoadReport;
 use crate::process::membership::NodeRecord;
 use crate::process::routing::ChooseContext;
 use crate::process::routing::Router;
@@ -545,14 +546,16 @@
         Repeatability::Idempotent => Patience::Short,
         Repeatability::AtMostOnce => Patience::Caller,
     };
-    let frame = |exchange| request_frame(exchange, &outbound.request, metadata);
+    let loads = node.known_loads();
+    let frame = |exchange| request_frame(exchange, &outbound.request, metadata, loads);
     *is_sent = true;
     let reply = link.exchange_with(patience, frame).await;
-    let link_reply = match reply {
+    let mut link_reply = match reply {
         Ok(link_reply) => link_reply,
         Err(LinkFailure::NotSent) => return Err(not_sent()),
         Err(LinkFailure::Lost) => return Err(Refusal::may_have_run(RefusalReason::NoServer)),
     };
+    node.learn_loads(std::mem::take(&mut link_reply.loads));
     if let Some(report) = link_reply.confirmation {
         node.apply_confirmation_report(report, sent_at, &destination.id);
     }
@@ -575,6 +578,7 @@
     exchange: ExchangeId,
     request: &BufferedRequest,
     metadata: &RequestMetadata,
+    loads: Vec<LoadReport>,
 ) -> Result<EncodedFrame, LinkFailure> {
     let uri = request.uri.to_string();
     let head = Head::Request(RequestHead {
@@ -583,6 +587,7 @@
         uri: &uri,
         headers: header_list(&request.headers),
         metadata: metadata.clone(),
+        loads,
     });
     encode_shared(&head, &request.body).map_err(|_| LinkFailure::NotSent)
 }
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -11,6 +11,7 @@
 use http::HeaderName;
 use http::HeaderValue;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 use snafu::Snafu;
 
@@ -20,6 +21,7 @@
 use super::views::ViewUpdate;
 use crate::connection::MemoryBudget;
 use crate::process::gate::FloorNotice;
+use crate::process::load::LoadReport;
 use crate::process::rates::PeerStatus;
 use crate::process::rates::SettlementReport;
 use crate::process::rates::TokenReply;
@@ -57,6 +59,9 @@
     /// What the ingress node decided about the request, with the time left for this attempt.
     #[serde(rename = "terms")]
     pub metadata: RequestMetadata,
+    /// Loads that the sender knows.
+    #[serde(deserialize_with = "or_none")]
+    pub loads: Vec<LoadReport>,
 }
 
 plain_data! {
@@ -106,6 +111,9 @@
     pub confirmation: ConfirmationReport,
     /// The load of the replying node and of the nodes downstream.
     pub load: LoadNotice,
+    /// Loads that the sender knows.
+    #[serde(deserialize_with = "or_none")]
+    pub loads: Vec<LoadReport>,
 }
 
 plain_data! {
@@ -171,6 +179,9 @@
         confirmation: ConfirmationReport,
         /// The load of the replying node and of the nodes downstream.
         load: LoadNotice,
+        /// Loads that the sender knows.
+        #[serde(deserialize_with = "or_none")]
+        loads: Vec<LoadReport>,
     },
     /// A liveness probe that also requests a confirmation report.
     Ping {
@@ -184,6 +195,9 @@
         /// Configuration version of the replying node, and the age of its confirmation.
         #[serde(rename = "voucher")]
         confirmation: ConfirmationReport,
+        /// Loads that the sender knows.
+        #[serde(deserialize_with = "or_none")]
+        loads: Vec<LoadReport>,
     },
     /// Requests tokens of an organisation. Only nodes of earlier versions send it.
     Borrow {
@@ -278,6 +292,13 @@
     },
 }
 
+/// Reads the last field of a head, which nodes of earlier versions omit.
+fn or_none<'de, D: Deserializer<'de>, T: Deserialize<'de> + Default>(
+    head: D,
+) -> Result<T, D::Error> {
+    Ok(T::deserialize(head).unwrap_or_default())
+}
+
 /// A frame that cannot be encoded or decoded.
 #[derive(Debug, Snafu)]
 pub enum FrameError {
--- a/lib/src/process/relay/link_reply.rs
+++ b/lib/src/process/relay/link_reply.rs
@@ -10,6 +10,7 @@
 use super::frame::header_map;
 use super::views::ViewUpdate;
 use crate::connection::BufferedResponse;
+use crate::process::load::LoadReport;
 use crate::process::rates::PeerStatus;
 use crate::process::rates::TokenReply;
 use crate::process::suspects::SuspectEntry;
@@ -35,18 +36,21 @@
     KnownSuspects(Vec<SuspectEntry>),
 }
 
-/// A reply with the confirmation report and the load notice that came with it.
+/// A reply with the confirmation report, the load notice and the loads that came with it.
 #[derive(Debug)]
 pub(super) struct LinkReply {
     pub(super) reply: PeerReply,
     pub(super) confirmation: Option<ConfirmationReport>,
     pub(super) load: LoadNotice,
+    pub(super) loads: Vec<LoadReport>,
 }
 
 /// Returns the reply to an exchange that a frame holds, or none if it holds something else.
 pub(super) fn decode_reply(head: Head<'_>, frame: &Frame) -> Option<(ExchangeId, LinkReply)> {
+    let mut received_loads = Vec::new();
     let (exchange, reply, confirmation, load) = match head {
         Head::Response(response) => {
+            received_loads = response.loads;
             let reply = match (
                 StatusCode::from_u16(response.status),
                 header_map(&response.headers),
@@ -72,16 +76,18 @@
             refusal,
             confirmation,
             load,
-        } => (
-            exchange,
-            PeerReply::Refused(refusal),
-            Some(confirmation),
-            load,
-        ),
+            loads,
+        } => {
+            received_loads = loads;
+            let reply = PeerReply::Refused(refusal);
+            (exchange, reply, Some(confirmation), load)
+        }
         Head::Pong {
             exchange,
             confirmation,
+            loads,
         } => {
+            received_loads = loads;
             let load = LoadNotice::default();
             (exchange, PeerReply::Pong, Some(confirmation), load)
         }
@@ -126,6 +132,7 @@
         reply,
         confirmation,
         load,
+        loads: received_loads,
     };
     Some((exchange, reply))
 }
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -43,6 +43,9 @@
 use crate::process::events::relay as events;
 use crate::process::gate::DownstreamFloors;
 use crate::process::gate::FloorNotice;
+use crate::process::load::LoadReport;
+use crate::process::load::LoadTable;
+use crate::process::load::NodeKey;
 use crate::process::membership::MemberTable;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeCondition;
@@ -97,6 +100,8 @@
     pub(super) is_registration_read: AtomicBool,
     pub(super) splits: Mutex<SplitState>,
     pub(super) router: Mutex<Router>,
+    /// What this node knows of the load of other nodes.
+    pub(super) loads: Mutex<LoadTable>,
     /// Requests that run on the local backend server.
     pub(super) runs: RunTable,
     /// Requests that may crash backend servers.
@@ -180,6 +185,7 @@
                 rand::random(),
                 clock.now(),
             )),
+            loads: Mutex::default(),
             bounds: RwLock::new(settings.raw.bounds.clone()),
             settings,
             protocol,
@@ -343,6 +349,8 @@
     pub(super) fn publish_fleet(&self) {
         let table = self.fleet.lock().table();
         let count = table.nodes().count();
+        let ids = table.nodes().map(|record| &record.id);
+        self.loads.lock().set_nodes(&self.settings.raw.node, ids);
         *self.members.write() = Arc::new(table);
         events::FLEET_CHANGED.log(format_args!("nodes={count}"));
     }
@@ -431,6 +439,33 @@
         Some(backend.gate.floor().merge(downstream))
     }
 
+    /// Returns the load of the local backend server, if it accepts work.
+    pub(super) fn own_load(&self) -> Option<LoadReport> {
+        let backend = self.backend()?;
+        let is_offered = backend.accepts_work() && self.offers_server();
+        let key = NodeKey::from(&self.settings.raw.node);
+        is_offered.then(|| backend.gate.load_report(key))
+    }
+
+    /// Returns the loads to send with a message to another node. There are none unless the settings
+    /// tell how many.
+    pub(super) fn known_loads(&self) -> Vec<LoadReport> {
+        let Some(settings) = &self.settings.raw.load_reports else {
+            return Vec::new();
+        };
+        let own = self.own_load();
+        let now = self.clock.now();
+        let count = settings.per_message.into();
+        self.loads.lock().select(own, count, now)
+    }
+
+    /// Records the loads that came with a message from another node.
+    pub(super) fn learn_loads(&self, reports: Vec<LoadReport>) {
+        if !reports.is_empty() {
+            self.loads.lock().merge(reports, self.clock.now());
+        }
+    }
+
     /// Refuses a request to the local backend server whose onward calls would be refused.
     pub(super) fn check_onward(&self, metadata: &RequestMetadata) -> Result<(), Refusal> {
         self.check_floors(&self.onward_floors, metadata)
--- a/lib/src/process/relay/peers.rs
+++ b/lib/src/process/relay/peers.rs
@@ -251,7 +251,10 @@
             let load = LoadNotice::default();
             send_refusal(node, head.exchange, refusal, load, replies);
         }
-        Head::Request(head) => start_request(node, running, head, frame.body.clone(), replies),
+        Head::Request(mut head) => {
+            node.learn_loads(std::mem::take(&mut head.loads));
+            start_request(node, running, head, frame.body.clone(), replies);
+        }
         Head::Cancel { exchange } => running.cancel(exchange),
         Head::Ping { exchange } => {
             let confirmation = node.confirmation_report();
@@ -260,6 +263,7 @@
                 &Head::Pong {
                     exchange,
                     confirmation,
+                    loads: node.known_loads(),
                 },
                 &Bytes::new(),
             );
@@ -391,6 +395,7 @@
         headers: header_list(&response.headers),
         confirmation: node.confirmation_report(),
         load,
+        loads: node.known_loads(),
     });
     send_reply(replies, &head, &response.body);
 }
@@ -407,6 +412,7 @@
         refusal,
         confirmation: node.confirmation_report(),
         load,
+        loads: node.known_loads(),
     };
     send_reply(replies, &head, &Bytes::new());
 }
--- a/lib/src/process/relay/settings.rs
+++ b/lib/src/process/relay/settings.rs
@@ -34,6 +34,18 @@
         pub zones: BTreeMap<ZoneId, RegionId>,
         /// Time limits that the operators set.
         pub bounds: BoundSettings,
+        /// The loads that nodes pass on. Without this table they send none, and choose among servers
+        /// by their own observations only.
+        pub load_reports: Option<LoadReportSettings>,
+    }
+}
+
+plain_data! {
+    /// The loads that nodes pass on in the messages that they exchange.
+    #[serde(deny_unknown_fields)]
+    pub struct LoadReportSettings {
+        /// Maximum number of loads in one message, about 15 bytes each.
+        pub per_message: u8,
     }
 }
 
@@ -142,6 +154,8 @@
     const MEMORY_LIMIT_MB: std::ops::RangeInclusive<f64> = 64.0..=1_048_576.0;
     /// Memory limit if the settings name none. Instances have at least that much.
     const MEMORY_LIMIT_DEFAULT_MB: f64 = 160.0;
+    /// Least and largest number of loads in one message.
+    const LOADS_PER_MESSAGE: std::ops::RangeInclusive<u8> = 1..=16;
     /// Shortest and longest window in which retries are counted.
     const RETRY_WINDOW_S: std::ops::RangeInclusive<f64> = 1.0..=3_600.0;
 
@@ -198,6 +212,11 @@
         if !Self::RETRY_WINDOW_S.contains(&bounds.retry_window_s) {
             faults.push("bounds.retry_window_s: must be from 1 to 3600".to_owned());
         }
+        if let Some(settings) = &raw.load_reports
+            && !Self::LOADS_PER_MESSAGE.contains(&settings.per_message)
+        {
+            faults.push("load_reports.per_message: must be from 1 to 16".to_owned());
+        }
         match faults.is_empty() {
             true => Ok(Self { raw }),
             false => ValuesSnafu { faults }.fail(),
--- a/lib/src/process/relay/tasks.rs
+++ b/lib/src/process/relay/tasks.rs
@@ -115,6 +115,7 @@
     let request = link.exchange(ping_frame);
     match timeout(CONFIRMATION_REPORT_TIMEOUT, request).await {
         Ok(Ok(link_reply)) => {
+            node.learn_loads(link_reply.loads);
             if let Some(report) = link_reply.confirmation {
                 node.apply_confirmation_report(report, requested_at, link.peer());
             }
--- a/lib/tests/test_relay_departed_callers.rs
+++ b/lib/tests/test_relay_departed_callers.rs
@@ -403,6 +403,7 @@
                     let pong = Head::Pong {
                         exchange,
                         confirmation,
+                        loads: Vec::new(),
                     };
                     let pong = encode_frame(&pong, &[]).expect("a short frame");
                     stream.write_all(&pong).await.expect("it is sent");
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -464,6 +464,7 @@
             retry_slack: 48,
             retry_window_s: 10.0,
         },
+        load_reports: None,
     })
     .expect("valid settings")
 }
--- a/testutils/src/relay/peer.rs
+++ b/testutils/src/relay/peer.rs
@@ -154,6 +154,7 @@
                 let pong = Head::Pong {
                     exchange,
                     confirmation,
+                    loads: Vec::new(),
                 };
                 let pong = encode_frame(&pong, &[]).expect("a short frame");
                 let (replies, pong_delay) = (replies.clone(), state.lock().pong_delay);
@@ -190,6 +191,7 @@
         headers: Vec::new(),
         confirmation: unconfirmed(),
         load: LoadNotice::default(),
+        loads: Vec::new(),
     });
     // Sending fails if the connection has ended.
     let _ = replies.send(encode_frame(&response, b"done").expect("a short frame"));
