--- a/lib/benches/load_control.rs
+++ b/lib/benches/load_control.rs
@@ -111,6 +111,7 @@
                 zones: &zones,
                 excluded: &[],
                 cross_zone_cost: Router::CROSS_ZONE_COST,
+                loads: &[],
                 now,
             };
             let chosen = router.choose(&service, &context);
--- a/lib/src/process/events/request.rs
+++ b/lib/src/process/events/request.rs
@@ -33,5 +33,6 @@
     SERVER_FAILING = 2024, Debug, "request.server-failing", "A request was passed over by a backend server that fails often; look at that server.";
     SERVER_THROTTLED = 2025, Debug, "request.server-throttled", "A backend server takes fewer requests per second at present than arrive for it.";
     ABANDONED = 2026, Debug, "request.abandoned", "Nobody waited for the response to a request any more before it was sent on.";
+    BUSIER_THAN_OTHERS = 2027, Debug, "request.busier-than-others", "A backend server had much more to do than others of its service, and the request went to another one.";
     RATE_HOLDER_UNREACHABLE = 2040, Debug, "request.rate-holder-unreachable", "No node that holds rates could be reached; look for a cut between zones, or for a platform outage since the start.";
 }
--- a/lib/src/process/gate/gate_state.rs
+++ b/lib/src/process/gate/gate_state.rs
@@ -123,6 +123,7 @@
             in_flight: self.in_flight,
             waiting: self.queue.len() as u32,
             held_us: self.service_time.mean().as_micros() as u32,
+            failed_percent: 0,
             takes_per_s: self.pace.map(|pace| pace.per_s().round() as u32),
             floor: (!floor.is_open()).then_some(floor),
         }
--- a/lib/src/process/load/mod.rs
+++ b/lib/src/process/load/mod.rs
@@ -3,10 +3,12 @@
 
 mod node_key;
 mod report;
+mod service_loads;
 mod table;
 
 pub use self::node_key::NodeKey;
 pub use self::report::LoadReport;
 pub use self::report::NodeLoad;
+pub use self::service_loads::ServiceLoads;
 pub use self::table::KnownLoad;
 pub use self::table::LoadTable;
--- a/lib/src/process/load/report.rs
+++ b/lib/src/process/load/report.rs
@@ -20,6 +20,8 @@
         pub waiting: u32,
         /// Mean time for which a request holds a slot, in microseconds; zero before the first one.
         pub held_us: u32,
+        /// Part of the recent runs that failed, in percent.
+        pub failed_percent: u32,
         /// Requests per second that the server takes at present, if it named a rate.
         pub takes_per_s: Option<u32>,
         /// The admission floor of the node's gate, unless it is open.
@@ -35,6 +37,7 @@
             slots: self.slots,
             busy: self.in_flight.saturating_add(self.waiting),
             held_us: self.held_us,
+            failed_percent: self.failed_percent,
             takes_per_s: self.takes_per_s,
         }
     }
@@ -52,6 +55,21 @@
     pub busy: u32,
     /// Mean time for which a request holds a slot, in microseconds; zero if unknown.
     pub held_us: u32,
+    /// Part of the recent runs that failed, in percent.
+    pub failed_percent: u32,
     /// Requests per second that the server takes at present, if it named a rate.
     pub takes_per_s: Option<u32>,
 }
+
+impl NodeLoad {
+    /// Returns how many requests run or wait for each slot.
+    pub fn occupancy(&self) -> f64 {
+        f64::from(self.busy) / f64::from(self.slots.max(1))
+    }
+
+    /// Returns the requests per second that all slots finish, if the time for which one is held is known.
+    pub fn capacity(&self) -> Option<f64> {
+        let is_known = self.held_us > 0;
+        is_known.then(|| f64::from(self.slots) * 1e6 / f64::from(self.held_us))
+    }
+}
--- a/lib/src/process/load/table.rs
+++ b/lib/src/process/load/table.rs
@@ -129,6 +129,23 @@
         known.filter(|known| known.age(now) < Self::AGE_MAX)
     }
 
+    /// Returns what is known of the loads of `nodes`, in their order. `own` is that of this node's server.
+    pub fn of_nodes<'a>(
+        &self,
+        nodes: impl IntoIterator<Item = &'a NodeId>,
+        own: Option<&LoadReport>,
+        now: MonotonicTime,
+    ) -> Vec<Option<NodeLoad>> {
+        let load = |node: &NodeId| {
+            let key = NodeKey::from(node);
+            match own.filter(|own| own.node == key) {
+                Some(own) => Some(own.load(Duration::ZERO)),
+                None => self.of(key, now).map(|known| known.load(now)),
+            }
+        };
+        nodes.into_iter().map(load).collect()
+    }
+
     /// Returns the loads that are known and not too old.
     pub fn known(&self, now: MonotonicTime) -> impl Iterator<Item = &KnownLoad> {
         let known = self.entries.iter().flatten();
--- a/lib/src/process/node/load_control.rs
+++ b/lib/src/process/node/load_control.rs
@@ -116,6 +116,7 @@
         zones: &configuration.zones,
         excluded: tried,
         cross_zone_cost: Router::CROSS_ZONE_COST,
+        loads: &[],
         now: node.clock.now(),
     };
     let chosen = node
--- a/lib/src/process/relay/attempt_limits.rs
+++ b/lib/src/process/relay/attempt_limits.rs
@@ -14,6 +14,9 @@
 /// Maximum number of nodes tried for a request.
 pub(super) const TRIED_NODES_MAX: usize = 6;
 
+/// Maximum number of nodes that turn a request away because their servers are busier than others.
+pub(super) const TURNED_AWAY_MAX: usize = 2;
+
 /// Returns how many nodes may refuse a request as overloaded until it is refused. `is_call` is set
 /// for a call that a backend server makes.
 pub fn refusing_nodes_max(is_call: bool) -> usize {
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -166,6 +166,11 @@
         }
     }
 
+    /// Returns the part of the recent runs that failed, in percent.
+    pub(super) fn failed_percent(&self, now: MonotonicTime) -> u32 {
+        self.health.lock().failed_percent(now)
+    }
+
     fn record_connection_failure(&self) {
         let failed = self.failed_connections.fetch_add(1, Ordering::Relaxed) + 1;
         if failed == FAILED_CONNECTIONS_MAX {
@@ -267,6 +272,7 @@
     if !metadata.is_last_resort && backend.health.lock().should_divert(now) {
         return Err(Refusal::not_run(RefusalReason::ServerFailing));
     }
+    node.check_load(metadata)?;
     let suspect_permit = suspects::admit(
         node,
         metadata.organisation.as_ref(),
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -229,6 +229,7 @@
             .unwrap_or_default(),
         importance: route.importance_for(organisation),
         remaining_us: 0,
+        may_turn_away: false,
     };
     match parent.map(|parent| &parent.metadata) {
         Some(parent) => RequestMetadata {
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -9,6 +9,7 @@
 
 use super::attempt_limits::FAILING_NODES_MAX;
 use super::attempt_limits::TRIED_NODES_MAX;
+use super::attempt_limits::TURNED_AWAY_MAX;
 use super::attempt_limits::refusing_nodes_max;
 use super::backend::RunOutcome;
 use super::backend::run_request;
@@ -35,6 +36,7 @@
 use crate::connection::BufferedResponse;
 use crate::process::events::relay as events;
 use crate::process::load::LoadReport;
+use crate::process::load::NodeKey;
 use crate::process::membership::NodeRecord;
 use crate::process::routing::ChooseContext;
 use crate::process::routing::Router;
@@ -81,6 +83,10 @@
     failing_nodes: usize,
     /// The only node that may run the request, named by the latest refusal.
     only_on: Option<NodeId>,
+    /// Nodes that turned the request away because their servers are busier than others.
+    turned_away: usize,
+    /// The node that did so last, which must take the request if there is no other.
+    busy_node: Option<NodeRecord>,
     /// The first node that refused the request because its server fails often.
     skipped_node: Option<NodeRecord>,
     verdict: Option<Verdict>,
@@ -178,6 +184,7 @@
             is_repeat: progress.server_attempts > 0,
             is_last_resort: progress.failing_nodes >= FAILING_NODES_MAX
                 || servers_fail_alike(node, outbound),
+            may_turn_away: may_turn_away(node, outbound, progress),
         };
         let sent = &mut progress.is_sent;
         let outcome = Box::pin(attempt(node, outbound, &destination, kind, sent)).await;
@@ -196,6 +203,7 @@
         let kind = AttemptKind {
             is_repeat: false,
             is_last_resort: true,
+            may_turn_away: false,
         };
         let sent = &mut progress.is_sent;
         let outcome = Box::pin(attempt(node, outbound, &destination, kind, sent)).await;
@@ -238,6 +246,8 @@
     is_repeat: bool,
     /// No other server accepted the request.
     is_last_resort: bool,
+    /// The node may turn the request away because its server is busier than others.
+    may_turn_away: bool,
 }
 
 impl Progress {
@@ -260,6 +270,7 @@
         let reason = match (refusal.reason, verdict) {
             (RefusalReason::DeadlineExceeded, Verdict::NotRun) => RefusalReason::Overloaded,
             (RefusalReason::DeadlineExceeded, _) => RefusalReason::DeadlineExceeded,
+            (RefusalReason::BusierThanOthers, Verdict::NotRun) => RefusalReason::Overloaded,
             (reason, Verdict::NotRun) => reason,
             _ => RefusalReason::BadAnswer,
         };
@@ -307,10 +318,18 @@
         progress.failing_nodes += 1;
         progress.skipped_node.get_or_insert(destination.clone());
     }
+    if refusal.reason == RefusalReason::BusierThanOthers {
+        progress.turned_away += 1;
+        progress.busy_node = Some(destination.clone());
+    }
     progress.only_on.clone_from(&refusal.only_on);
     let is_overloaded = refusal.reason == RefusalReason::Overloaded && refusal.only_on.is_none();
     progress.refusing_nodes += usize::from(is_overloaded);
     let step = next_step(node, outbound, progress, &refusal);
+    if refusal.reason == RefusalReason::BusierThanOthers {
+        progress.last_refusal = Some(refusal);
+        return step;
+    }
     events::ATTEMPT_FAILED.log(format_args!(
         "request={} route={} peer={} reason={} verdict={} attempt={} next={}",
         outbound.metadata.request_id,
@@ -351,6 +370,7 @@
         }
         // The request did not reach a server this time, so the redirect is no retry.
         _ if refusal.only_on.is_some() => return NextStep::TryAnother,
+        RefusalReason::BusierThanOthers => return NextStep::TryAnother,
         _ if progress.server_attempts == 0 => return NextStep::TryAnother,
         _ if progress.server_attempts >= outbound.route.attempts_max => GiveUpReason::Attempts,
         _ if !node.try_retry(&outbound.service) => GiveUpReason::RetryBudget,
@@ -436,7 +456,7 @@
         serving.find(|record| record.id == *id && !node.links.is_unresponsive(record))
     };
     match (progress.only_on.take(), known) {
-        (None, None) => choose(node, outbound, &progress.tried),
+        (None, None) => choose(node, outbound, &progress.tried).or(progress.busy_node.take()),
         (only_on, known) => {
             let named = only_on.as_ref().and_then(responsive);
             named
@@ -446,6 +466,15 @@
     }
 }
 
+/// Returns whether the node of the next attempt may turn the request away. The last choice may not.
+fn may_turn_away(node: &RelayNode, outbound: &Outbound, progress: &Progress) -> bool {
+    let others = node.members().serving(&outbound.service).len();
+    node.settings.raw.load_reports.is_some()
+        && progress.turned_away < TURNED_AWAY_MAX
+        && progress.tried.len() < others
+        && progress.tried.len() < TRIED_NODES_MAX
+}
+
 /// Chooses a responsive node of the service that was not tried yet.
 fn choose(node: &RelayNode, outbound: &Outbound, tried: &[NodeId]) -> Option<NodeRecord> {
     let members = node.members();
@@ -455,11 +484,13 @@
         .filter(|record| node.links.is_unresponsive(record))
         .map(|record| record.id.clone());
     let excluded: Vec<NodeId> = tried.iter().cloned().chain(unresponsive).collect();
+    let loads = node.service_loads(&members, &outbound.service);
     let context = ChooseContext {
         members: &members,
         zones: &node.zones,
         excluded: &excluded,
         cross_zone_cost: cross_zone_cost(&outbound.route),
+        loads: &loads,
         now: node.clock.now(),
     };
     node.router.lock().choose(&outbound.service, &context)
@@ -491,6 +522,7 @@
         remaining_us: remaining.as_micros() as u64,
         is_repeat: kind.is_repeat || outbound.metadata.is_repeat,
         is_last_resort: kind.is_last_resort,
+        may_turn_away: kind.may_turn_away,
         ..outbound.metadata.clone()
     };
     let exchange = async {
@@ -548,6 +580,9 @@
     };
     let loads = node.known_loads();
     let frame = |exchange| request_frame(exchange, &outbound.request, metadata, loads);
+    node.loads
+        .lock()
+        .record_sent(NodeKey::from(&destination.id));
     *is_sent = true;
     let reply = link.exchange_with(patience, frame).await;
     let mut link_reply = match reply {
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -93,6 +93,9 @@
         pub importance: Importance,
         /// Time left until the deadline, in microseconds.
         pub remaining_us: u64,
+        /// Whether a node may turn the request away because its server is busier than others.
+        #[serde(deserialize_with = "or_none")]
+        pub may_turn_away: bool,
     }
 }
 
--- a/lib/src/process/relay/metrics.rs
+++ b/lib/src/process/relay/metrics.rs
@@ -36,6 +36,7 @@
     refusals: Family<Kind, Counter>,
     latency_s: Histogram,
     caller_disconnects: Counter,
+    turned_away: Counter,
     store_calls: Family<Kind, Counter>,
     in_flight: Gauge,
     confirmation_age_ms: Gauge,
@@ -51,6 +52,7 @@
         let bounds = exponential_buckets(LATENCY_BOUND_MIN_S, 2.0, LATENCY_BOUND_COUNT);
         let latency_s = Histogram::new(bounds);
         let caller_disconnects = Counter::default();
+        let turned_away = Counter::default();
         let store_calls = Family::<Kind, Counter>::default();
         let in_flight = Gauge::default();
         let confirmation_age_ms = Gauge::default();
@@ -70,6 +72,11 @@
             "Callers that left before the answer",
             caller_disconnects.clone(),
         );
+        registry.register(
+            "turned_away",
+            "Requests that went to another server because the local one was busier than others",
+            turned_away.clone(),
+        );
         registry.register("store_calls", "Calls of the store", store_calls.clone());
         registry.register("in_flight", "Requests in flight", in_flight.clone());
         registry.register(
@@ -83,6 +90,7 @@
             refusals,
             latency_s,
             caller_disconnects,
+            turned_away,
             store_calls,
             in_flight,
             confirmation_age_ms,
@@ -113,6 +121,11 @@
         self.caller_disconnects.inc();
     }
 
+    /// Counts a request that was turned away because the local server was busier than others.
+    pub fn record_turned_away(&self) {
+        self.turned_away.inc();
+    }
+
     /// Counts a store call by whether it succeeded.
     pub fn record_store_call(&self, succeeded: bool) {
         let kind = match succeeded {
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -46,6 +46,8 @@
 use crate::process::load::LoadReport;
 use crate::process::load::LoadTable;
 use crate::process::load::NodeKey;
+use crate::process::load::NodeLoad;
+use crate::process::load::ServiceLoads;
 use crate::process::membership::MemberTable;
 use crate::process::membership::NodeAddresses;
 use crate::process::membership::NodeCondition;
@@ -444,7 +446,10 @@
         let backend = self.backend()?;
         let is_offered = backend.accepts_work() && self.offers_server();
         let key = NodeKey::from(&self.settings.raw.node);
-        is_offered.then(|| backend.gate.load_report(key))
+        is_offered.then(|| LoadReport {
+            failed_percent: backend.failed_percent(self.clock.now()),
+            ..backend.gate.load_report(key)
+        })
     }
 
     /// Returns the loads to send with a message to another node. There are none unless the settings
@@ -459,6 +464,50 @@
         self.loads.lock().select(own, count, now)
     }
 
+    /// Returns what is known of the loads of the nodes that serve `service`, in the order of `members`.
+    /// It is empty unless the settings tell how many loads go with a message.
+    pub(super) fn service_loads(
+        &self,
+        members: &MemberTable,
+        service: &ServiceId,
+    ) -> Vec<Option<NodeLoad>> {
+        if self.settings.raw.load_reports.is_none() {
+            return Vec::new();
+        }
+        let own = self.own_load();
+        let now = self.clock.now();
+        let ids = members.serving(service).iter().map(|record| &record.id);
+        self.loads.lock().of_nodes(ids, own.as_ref(), now)
+    }
+
+    /// Refuses a request to the local backend server if others of its service have much less to do.
+    pub(super) fn check_load(&self, metadata: &RequestMetadata) -> Result<(), Refusal> {
+        if !metadata.may_turn_away {
+            return Ok(());
+        }
+        let Some(own) = self.own_load().map(|own| own.load(Duration::ZERO)) else {
+            return Ok(());
+        };
+        let members = self.members();
+        let loads = self.service_loads(&members, &self.settings.raw.service);
+        let others = ServiceLoads::new(loads.iter().flatten());
+        match others.is_busier(&own) {
+            false => Ok(()),
+            true => {
+                self.metrics.record_turned_away();
+                events::TURNED_AWAY.log(format_args!(
+                    "request={} route={} busy={} slots={} usual={:.1}",
+                    metadata.request_id,
+                    metadata.route,
+                    own.busy,
+                    own.slots,
+                    others.usual_requests(&own)
+                ));
+                Err(Refusal::not_run(RefusalReason::BusierThanOthers))
+            }
+        }
+    }
+
     /// Records the loads that came with a message from another node.
     pub(super) fn learn_loads(&self, reports: Vec<LoadReport>) {
         if !reports.is_empty() {
--- a/lib/src/process/relay/observed_call.rs
+++ b/lib/src/process/relay/observed_call.rs
@@ -19,7 +19,9 @@
         Ok(_) => CallOutcome::Answered,
         Err(refusal) if refusal.only_on.is_some() => CallOutcome::Cancelled,
         Err(refusal) => match refusal.reason {
-            RefusalReason::Quarantined | RefusalReason::Abandoned => CallOutcome::Cancelled,
+            RefusalReason::Quarantined
+            | RefusalReason::Abandoned
+            | RefusalReason::BusierThanOthers => CallOutcome::Cancelled,
             RefusalReason::Overloaded
             | RefusalReason::Draining
             | RefusalReason::ServerFailing
--- a/lib/src/process/relay/server_health.rs
+++ b/lib/src/process/relay/server_health.rs
@@ -51,6 +51,16 @@
         self.diverted != 0
     }
 
+    /// Returns the part of the recent runs that failed, in percent; zero while there are few.
+    pub fn failed_percent(&mut self, now: MonotonicTime) -> u32 {
+        self.decay(now);
+        let runs = self.successes + self.failures;
+        match runs < Self::RUNS_MIN {
+            true => 0,
+            false => (self.failures / runs * 100.0) as u32,
+        }
+    }
+
     fn decay(&mut self, now: MonotonicTime) {
         let age = now.since(self.updated_at).as_secs_f64();
         let factor = (-age / Self::HALF_LIFE.as_secs_f64()).exp2();
--- a/lib/src/process/routing/destination.rs
+++ b/lib/src/process/routing/destination.rs
@@ -194,10 +194,20 @@
     pub fn cost_us(&self, slots: u32, mean_latency_us: f64, now: MonotonicTime) -> f64 {
         let latency_us = self.latency_us(now).unwrap_or_default();
         let load = f64::from(self.in_flight) / f64::from(slots.max(1));
+        latency_us * (1.0 + load) + self.bad_cost_us(mean_latency_us, now)
+    }
+
+    /// Returns the part of the cost of one more call that is due to refusals and failures.
+    pub fn bad_cost_us(&self, mean_latency_us: f64, now: MonotonicTime) -> f64 {
         let refused = self.refused.at(now, Self::HALF_LIFE);
         let failed = self.failed.at(now, Self::HALF_LIFE);
         let calls = refused + failed + self.answered.at(now, Self::HALF_LIFE);
         let bad_fraction = (refused + failed) / (calls + 1.0);
-        latency_us * (1.0 + load) + mean_latency_us * Self::REFUSED_COST * bad_fraction
+        mean_latency_us * Self::REFUSED_COST * bad_fraction
+    }
+
+    /// Returns how many calls have started and not ended.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
     }
 }
--- a/lib/src/process/routing/router.rs
+++ b/lib/src/process/routing/router.rs
@@ -12,6 +12,8 @@
 
 use super::CallOutcome;
 use super::Destination;
+use crate::process::load::NodeLoad;
+use crate::process::load::ServiceLoads;
 use crate::process::membership::MemberTable;
 use crate::process::membership::NodeRecord;
 use crate::values::MonotonicTime;
@@ -36,6 +38,9 @@
     /// Added to the cost of nodes in other zones: such a node is chosen only if its own cost is
     /// lower by more than this.
     pub cross_zone_cost: Duration,
+    /// The known loads of the nodes that serve the service, in the order of
+    /// [`MemberTable::serving`]. If it is empty, the choice is by own observations only.
+    pub loads: &'a [Option<NodeLoad>],
     /// The current time.
     pub now: MonotonicTime,
 }
@@ -52,13 +57,22 @@
     record: &'a NodeRecord,
     destination: DestinationKey,
     distance: Distance,
+    load: Option<NodeLoad>,
+}
+
+impl Candidate<'_> {
+    fn slots(&self) -> u32 {
+        let server = self.record.server.as_ref();
+        server.map_or(1, |server| server.slots.0)
+    }
 }
 
 /// Chooses among the nodes of a service by this node's observations of them.
 ///
 /// Two different random nodes of the own zone and two of the other zones of the region are compared, and the
 /// one with the lowest cost is chosen; the cost of a node in another zone includes the cross-zone
-/// cost. Nodes of other regions are chosen only if there are no others.
+/// cost. Nodes of other regions are chosen only if there are no others. Where loads are known, nodes are
+/// drawn in proportion to their capacity, and their cost follows from their load.
 #[derive(Clone, Debug)]
 pub struct Router {
     zone: ZoneId,
@@ -109,7 +123,12 @@
         let candidates = self.candidates(service, context);
         let candidates = self.without_ejected(candidates, context.now);
         let nearest_region = candidates.iter().map(|c| c.distance).min()?;
-        let mean_latency_us = self.mean_latency_us(&candidates, context.now);
+        let loads =
+            (!context.loads.is_empty()).then(|| ServiceLoads::new(context.loads.iter().flatten()));
+        let mean_latency_us = match &loads {
+            Some(loads) => loads.held_us(),
+            None => self.mean_latency_us(&candidates, context.now),
+        };
         let distances: &[Distance] = match nearest_region {
             Distance::OtherRegion => &[Distance::OtherRegion],
             _ => &[Distance::SameZone, Distance::SameRegion],
@@ -117,8 +136,8 @@
         let mut best: Option<(f64, Candidate)> = None;
         for distance in distances {
             let near: Vec<_> = at_distance(&candidates, *distance);
-            for candidate in self.draw_two(&near, context.now) {
-                let cost_us = self.cost_us(&candidate, mean_latency_us, context);
+            for candidate in self.draw_two(&near, loads.as_ref(), context.now) {
+                let cost_us = self.cost_us(&candidate, loads.as_ref(), mean_latency_us, context);
                 if best.is_none_or(|(best_us, _)| cost_us < best_us) {
                     best = Some((cost_us, candidate));
                 }
@@ -165,7 +184,7 @@
         context: &ChooseContext<'a>,
     ) -> Vec<Candidate<'a>> {
         let mut candidates = Vec::new();
-        for record in context.members.serving(service) {
+        for (index, record) in context.members.serving(service).iter().enumerate() {
             if context.excluded.contains(&record.id) {
                 continue;
             }
@@ -173,6 +192,7 @@
                 record,
                 destination: self.key_of(service, record, context.now),
                 distance: self.distance(record, context.zones),
+                load: context.loads.get(index).copied().flatten(),
             });
         }
         candidates
@@ -248,26 +268,38 @@
     fn draw_two<'a>(
         &mut self,
         near: &[Candidate<'a>],
+        loads: Option<&ServiceLoads>,
         now: MonotonicTime,
     ) -> impl Iterator<Item = Candidate<'a>> + use<'a> {
-        let first = self.draw(near, now);
+        let first = self.draw(near, loads, now);
         let others: Vec<_> = near
             .iter()
             .filter(|other| first.is_some_and(|first| first.destination != other.destination))
             .copied()
             .collect();
-        let second = self.draw(&others, now);
+        let second = self.draw(&others, loads, now);
         let weight = |drawn: &Candidate| self.destinations[drawn.destination].start_weight(now);
         let first_weight = first.as_ref().map_or(1.0, weight);
         let alone_one_in = near.len().max(Self::ALONE_ONE_IN_MIN);
-        let kept_fraction = second.as_ref().map_or(0.0, weight) / first_weight;
+        let kept_fraction = match loads {
+            Some(_) => 1.0,
+            None => second.as_ref().map_or(0.0, weight) / first_weight,
+        };
         let is_kept = self.random.random_range(0..alone_one_in) > 0
             && self.random.random::<f64>() < kept_fraction;
         first.into_iter().chain(second.filter(|_| is_kept))
     }
 
     /// Draws a random node; nodes in their slow start are drawn less often.
-    fn draw<'a>(&mut self, near: &[Candidate<'a>], now: MonotonicTime) -> Option<Candidate<'a>> {
+    fn draw<'a>(
+        &mut self,
+        near: &[Candidate<'a>],
+        loads: Option<&ServiceLoads>,
+        now: MonotonicTime,
+    ) -> Option<Candidate<'a>> {
+        if let Some(loads) = loads {
+            return self.draw_by_capacity(near, loads, now);
+        }
         if near.is_empty() {
             return None;
         }
@@ -282,12 +314,33 @@
         Some(drawn)
     }
 
-    fn cost_us(&self, candidate: &Candidate, mean_latency_us: f64, context: &ChooseContext) -> f64 {
-        let slots = candidate
-            .record
-            .server
-            .as_ref()
-            .map_or(1, |server| server.slots.0);
+    /// Draws a random node in proportion to its capacity; nodes in their slow start are drawn less often.
+    fn draw_by_capacity<'a>(
+        &mut self,
+        near: &[Candidate<'a>],
+        loads: &ServiceLoads,
+        now: MonotonicTime,
+    ) -> Option<Candidate<'a>> {
+        let weight = |candidate: &Candidate| {
+            let start_weight = self.destinations[candidate.destination].start_weight(now);
+            loads.weight(candidate.load.as_ref(), candidate.slots()) * start_weight
+        };
+        let total: f64 = near.iter().map(weight).sum();
+        let mut point = self.random.random::<f64>() * total;
+        let drawn = near.iter().find(|candidate| {
+            point -= weight(candidate);
+            point < 0.0
+        });
+        drawn.or(near.last()).copied()
+    }
+
+    fn cost_us(
+        &self,
+        candidate: &Candidate,
+        loads: Option<&ServiceLoads>,
+        mean_latency_us: f64,
+        context: &ChooseContext,
+    ) -> f64 {
         let penalty_us = match candidate.distance {
             Distance::SameZone => 0.0,
             Distance::SameRegion | Distance::OtherRegion => {
@@ -295,7 +348,14 @@
             }
         };
         let destination = &self.destinations[candidate.destination];
-        destination.cost_us(slots, mean_latency_us, context.now) + penalty_us
+        let cost_us = match loads {
+            Some(loads) => {
+                loads.cost_us(candidate.load.as_ref(), destination.in_flight())
+                    + destination.bad_cost_us(mean_latency_us, context.now)
+            }
+            None => destination.cost_us(candidate.slots(), mean_latency_us, context.now),
+        };
+        cost_us + penalty_us
     }
 
     /// Removes the entries of unknown nodes once there are `prune_at` entries.
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -69,6 +69,9 @@
         ServerThrottled,
         /// Nobody waits for the response any more.
         Abandoned,
+        /// The backend server has much more to do than others of its service. Only nodes tell each
+        /// other so; the sender tries another one.
+        BusierThanOthers,
     }
 }
 
@@ -104,6 +107,7 @@
             Self::NotAPeer => "not-a-peer",
             Self::ServerThrottled => "server-throttled",
             Self::Abandoned => "abandoned",
+            Self::BusierThanOthers => "busier-than-others",
         }
     }
 
@@ -124,6 +128,7 @@
             | Self::RefusedByServer
             | Self::ServerFailing
             | Self::ServerThrottled
+            | Self::BusierThanOthers
             | Self::Unconfirmed
             | Self::Draining
             | Self::NoServer
@@ -165,6 +170,7 @@
             Self::NotAPeer => events::NOT_A_PEER,
             Self::ServerThrottled => events::SERVER_THROTTLED,
             Self::Abandoned => events::ABANDONED,
+            Self::BusierThanOthers => events::BUSIER_THAN_OTHERS,
         }
     }
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_configuration_spread;
 mod test_cut_responses;
 mod test_endless_responses;
+mod test_even_load;
 mod test_events;
 mod test_folder;
 mod test_gate;
--- a/lib/tests/test_relay_attempt_limits.rs
+++ b/lib/tests/test_relay_attempt_limits.rs
@@ -98,6 +98,7 @@
                 zones: &BTreeMap::new(),
                 excluded: &refused_by,
                 cross_zone_cost: Router::CROSS_ZONE_COST,
+                loads: &[],
                 now: self.now,
             };
             let Some(chosen) = self.router.choose(&service(), &context) else {
--- a/lib/tests/test_routing.rs
+++ b/lib/tests/test_routing.rs
@@ -91,6 +91,7 @@
             zones: &zones(),
             excluded,
             cross_zone_cost: Router::CROSS_ZONE_COST,
+            loads: &[],
             now: self.now,
         };
         self.router
--- a/testutils/src/overload/calls.rs
+++ b/testutils/src/overload/calls.rs
@@ -79,6 +79,7 @@
             zones: &zones,
             excluded,
             cross_zone_cost: Router::CROSS_ZONE_COST,
+            loads: &[],
             now: self.now,
         };
         let router = &mut self.nodes[caller].router;
