--- a/lib/src/process/load/service_loads.rs
+++ b/lib/src/process/load/service_loads.rs
@@ -115,6 +115,15 @@
         f64::from(own.busy) > usual * Self::BUSIER_FACTOR + Self::BUSIER_REQUESTS
     }
 
+    /// Returns the load of the busiest of `loads` over their mean; `None` if all are idle.
+    pub fn spread<'a>(&self, loads: impl IntoIterator<Item = &'a NodeLoad>) -> Option<f64> {
+        let busiest = loads
+            .into_iter()
+            .map(NodeLoad::occupancy)
+            .fold(0.0, f64::max);
+        (self.occupancy > 0.0).then(|| busiest / self.occupancy)
+    }
+
     /// Returns how many requests would run or wait at a server that is as busy as the mean.
     pub fn usual_requests(&self, own: &NodeLoad) -> f64 {
         self.occupancy * f64::from(own.slots)
--- a/lib/src/process/load/table.rs
+++ b/lib/src/process/load/table.rs
@@ -152,6 +152,12 @@
         known.filter(move |known| known.age(now) < Self::AGE_MAX)
     }
 
+    /// Returns the mean age of the loads that are known and not too old.
+    pub fn mean_age(&self, now: MonotonicTime) -> Option<Duration> {
+        let ages: Vec<_> = self.known(now).map(|known| known.age(now)).collect();
+        (!ages.is_empty()).then(|| ages.iter().sum::<Duration>() / ages.len() as u32)
+    }
+
     /// Returns at most `count` reports for another node: `own` first, then fresh ones of others.
     ///
     /// The table is gone through in turn, so that all of them are passed on; of a few that follow each
--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -286,6 +286,7 @@
     let node = Arc::clone(node);
     listener.serve(auxiliary_limits(), move |_| {
         let in_flight = node.in_flight.load(Ordering::Relaxed);
+        node.update_load_gauges();
         let text = node.metrics.text(in_flight, node.confirmation_age());
         let mut response = Response::new(Body::from(text));
         *response.status_mut() = StatusCode::OK;
--- a/lib/src/process/relay/metrics.rs
+++ b/lib/src/process/relay/metrics.rs
@@ -40,6 +40,8 @@
     store_calls: Family<Kind, Counter>,
     in_flight: Gauge,
     confirmation_age_ms: Gauge,
+    load_age_ms: Gauge,
+    load_spread_percent: Gauge,
     is_store_reachable: AtomicBool,
 }
 
@@ -56,6 +58,8 @@
         let store_calls = Family::<Kind, Counter>::default();
         let in_flight = Gauge::default();
         let confirmation_age_ms = Gauge::default();
+        let load_age_ms = Gauge::default();
+        let load_spread_percent = Gauge::default();
         registry.register("answers", "Answers of backend servers", responses.clone());
         registry.register(
             "refusals",
@@ -84,6 +88,16 @@
             "Time since the configuration was confirmed, or -1",
             confirmation_age_ms.clone(),
         );
+        registry.register(
+            "load_age_ms",
+            "Mean age of the known loads of other servers, or -1",
+            load_age_ms.clone(),
+        );
+        registry.register(
+            "load_spread_percent",
+            "Load of the busiest known server of the local service over the mean, or -1",
+            load_spread_percent.clone(),
+        );
         Self {
             registry,
             responses,
@@ -94,6 +108,8 @@
             store_calls,
             in_flight,
             confirmation_age_ms,
+            load_age_ms,
+            load_spread_percent,
             is_store_reachable: AtomicBool::new(false),
         }
     }
@@ -154,6 +170,15 @@
             != is_reachable
     }
 
+    /// Sets the gauges of the known loads: their mean age, and how much busier than the mean the busiest
+    /// server of the local service is.
+    pub fn set_known_loads(&self, age: Option<Duration>, spread: Option<f64>) {
+        let age_ms = age.map_or(-1, |age| age.as_millis() as i64);
+        self.load_age_ms.set(age_ms);
+        let spread_percent = spread.map_or(-1, |spread| (spread * 100.0) as i64);
+        self.load_spread_percent.set(spread_percent);
+    }
+
     /// Returns all metrics as text, with the given values for the gauges.
     pub fn text(&self, in_flight: u64, confirmation_age: Option<Duration>) -> String {
         self.in_flight.set(in_flight as i64);
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -480,6 +480,15 @@
         self.loads.lock().of_nodes(ids, own.as_ref(), now)
     }
 
+    /// Sets the gauges of the known loads.
+    pub(super) fn update_load_gauges(&self) {
+        let now = self.clock.now();
+        let age = self.loads.lock().mean_age(now);
+        let loads = self.service_loads(&self.members(), &self.settings.raw.service);
+        let spread = ServiceLoads::new(loads.iter().flatten()).spread(loads.iter().flatten());
+        self.metrics.set_known_loads(age, spread);
+    }
+
     /// Refuses a request to the local backend server if others of its service have much less to do.
     pub(super) fn check_load(&self, metadata: &RequestMetadata) -> Result<(), Refusal> {
         if !metadata.may_turn_away {
