--- a/lib/src/process/events/request.rs
+++ b/lib/src/process/events/request.rs
@@ -35,5 +35,6 @@
     ABANDONED = 2026, Debug, "request.abandoned", "Nobody waited for the response to a request any more before it was sent on.";
     SERVER_COLD = 2027, Debug, "request.server-cold", "A backend server is cold, and got as many requests as it takes until it is warm.";
     ZONE_EVACUATED = 2028, Debug, "request.zone-evacuated", "A backend server gets no requests, because the operators evacuated its zone.";
+    BUSIER_THAN_OTHERS = 2029, Debug, "request.busier-than-others", "A backend server had much more to do than others of its service, and the request went to another one.";
     RATE_HOLDER_UNREACHABLE = 2040, Debug, "request.rate-holder-unreachable", "No node that holds rates could be reached; look for a cut between zones, or for a platform outage since the start.";
 }
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -11,6 +11,7 @@
 use http::HeaderName;
 use http::HeaderValue;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 use snafu::Snafu;
 
@@ -20,6 +21,7 @@
 use super::views::ViewUpdate;
 use crate::connection::MemoryBudget;
 use crate::process::gate::FloorNotice;
+use crate::process::load::LoadReport;
 use crate::process::rates::PeerStatus;
 use crate::process::rates::SettlementReport;
 use crate::process::rates::TokenReply;
@@ -57,6 +59,9 @@
     /// What the ingress node decided about the request, with the time left for this attempt.
     #[serde(rename = "terms")]
     pub metadata: RequestMetadata,
+    /// Loads that the sender knows.
+    #[serde(deserialize_with = "or_none")]
+    pub loads: Vec<LoadReport>,
 }
 
 plain_data! {
@@ -88,6 +93,9 @@
         pub importance: Importance,
         /// Time left until the deadline, in microseconds.
         pub remaining_us: u64,
+        /// Whether a node may turn the request away because its server is busier than others.
+        #[serde(deserialize_with = "or_none")]
+        pub may_turn_away: bool,
     }
 }
 
@@ -106,6 +114,9 @@
     pub confirmation: ConfirmationReport,
     /// The load of the replying node and of the nodes downstream.
     pub load: LoadNotice,
+    /// Loads that the sender knows.
+    #[serde(deserialize_with = "or_none")]
+    pub loads: Vec<LoadReport>,
 }
 
 plain_data! {
@@ -172,6 +183,9 @@
         confirmation: ConfirmationReport,
         /// The load of the replying node and of the nodes downstream.
         load: LoadNotice,
+        /// Loads that the sender knows.
+        #[serde(deserialize_with = "or_none")]
+        loads: Vec<LoadReport>,
     },
     /// A liveness probe that also requests a confirmation report.
     Ping {
@@ -185,6 +199,9 @@
         /// Configuration version of the replying node, and the age of its confirmation.
         #[serde(rename = "voucher")]
         confirmation: ConfirmationReport,
+        /// Loads that the sender knows.
+        #[serde(deserialize_with = "or_none")]
+        loads: Vec<LoadReport>,
     },
     /// Requests tokens of an organisation. Only nodes of earlier versions send it.
     Borrow {
@@ -279,6 +296,13 @@
     },
 }
 
+/// Reads the last field of a head, which nodes of earlier versions omit.
+fn or_none<'de, D: Deserializer<'de>, T: Deserialize<'de> + Default>(
+    head: D,
+) -> Result<T, D::Error> {
+    Ok(T::deserialize(head).unwrap_or_default())
+}
+
 /// A frame that cannot be encoded or decoded.
 #[derive(Debug, Snafu)]
 pub enum FrameError {
--- a/lib/src/process/relay/metrics.rs
+++ b/lib/src/process/relay/metrics.rs
@@ -38,9 +38,12 @@
     run_refusals: Family<Kind, Counter>,
     latency_s: Histogram,
     caller_disconnects: Counter,
+    turned_away: Counter,
     store_calls: Family<Kind, Counter>,
     in_flight: Gauge,
     confirmation_age_ms: Gauge,
+    load_age_ms: Gauge,
+    load_spread_percent: Gauge,
     is_store_reachable: AtomicBool,
 }
 
@@ -54,9 +57,12 @@
         let bounds = exponential_buckets(LATENCY_BOUND_MIN_S, 2.0, LATENCY_BOUND_COUNT);
         let latency_s = Histogram::new(bounds);
         let caller_disconnects = Counter::default();
+        let turned_away = Counter::default();
         let store_calls = Family::<Kind, Counter>::default();
         let in_flight = Gauge::default();
         let confirmation_age_ms = Gauge::default();
+        let load_age_ms = Gauge::default();
+        let load_spread_percent = Gauge::default();
         registry.register("answers", "Answers of backend servers", responses.clone());
         registry.register(
             "refusals",
@@ -78,6 +84,11 @@
             "Callers that left before the answer",
             caller_disconnects.clone(),
         );
+        registry.register(
+            "turned_away",
+            "Requests that went to another server because the local one was busier than others",
+            turned_away.clone(),
+        );
         registry.register("store_calls", "Calls of the store", store_calls.clone());
         registry.register("in_flight", "Requests in flight", in_flight.clone());
         registry.register(
@@ -85,6 +96,16 @@
             "Time since the configuration was confirmed, or -1",
             confirmation_age_ms.clone(),
         );
+        registry.register(
+            "load_age_ms",
+            "Mean age of the known loads of other servers, or -1",
+            load_age_ms.clone(),
+        );
+        registry.register(
+            "load_spread_percent",
+            "Load of the busiest known server of the local service over the mean, or -1",
+            load_spread_percent.clone(),
+        );
         Self {
             registry,
             responses,
@@ -92,9 +113,12 @@
             run_refusals,
             latency_s,
             caller_disconnects,
+            turned_away,
             store_calls,
             in_flight,
             confirmation_age_ms,
+            load_age_ms,
+            load_spread_percent,
             is_store_reachable: AtomicBool::new(false),
         }
     }
@@ -131,6 +155,11 @@
         self.caller_disconnects.inc();
     }
 
+    /// Counts a request that was turned away because the local server was busier than others.
+    pub fn record_turned_away(&self) {
+        self.turned_away.inc();
+    }
+
     /// Counts a store call by whether it succeeded.
     pub fn record_store_call(&self, succeeded: bool) {
         let kind = match succeeded {
@@ -159,6 +188,15 @@
             != is_reachable
     }
 
+    /// Sets the gauges of the known loads: their mean age, and how much busier than the mean the busiest
+    /// server of the local service is.
+    pub fn set_known_loads(&self, age: Option<Duration>, spread: Option<f64>) {
+        let age_ms = age.map_or(-1, |age| age.as_millis() as i64);
+        self.load_age_ms.set(age_ms);
+        let spread_percent = spread.map_or(-1, |spread| (spread * 100.0) as i64);
+        self.load_spread_percent.set(spread_percent);
+    }
+
     /// Returns all metrics as text, with the given values for the gauges.
     pub fn text(&self, in_flight: u64, confirmation_age: Option<Duration>) -> String {
         self.in_flight.set(in_flight as i64);
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -73,6 +73,9 @@
         ServerCold,
         /// The operators evacuated the zone of the backend server.
         ZoneEvacuated,
+        /// The backend server has much more to do than others of its service. Only nodes tell each
+        /// other so; the sender tries another one.
+        BusierThanOthers,
     }
 }
 
@@ -110,6 +113,7 @@
             Self::Abandoned => "abandoned",
             Self::ServerCold => "server-cold",
             Self::ZoneEvacuated => "zone-evacuated",
+            Self::BusierThanOthers => "busier-than-others",
         }
     }
 
@@ -132,6 +136,7 @@
             | Self::ServerThrottled
             | Self::ServerCold
             | Self::ZoneEvacuated
+            | Self::BusierThanOthers
             | Self::Unconfirmed
             | Self::Draining
             | Self::NoServer
@@ -175,6 +180,7 @@
             Self::Abandoned => events::ABANDONED,
             Self::ServerCold => events::SERVER_COLD,
             Self::ZoneEvacuated => events::ZONE_EVACUATED,
+            Self::BusierThanOthers => events::BUSIER_THAN_OTHERS,
         }
     }
 }
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -529,5 +529,6 @@
             cold_slack: None,
             evacuation_ms: None,
         },
+        load_reports: None,
     }
 }
