--- a/lib/src/process/gate/queue.rs
+++ b/lib/src/process/gate/queue.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use slotmap::SlotMap;
 
@@ -22,6 +23,10 @@
 pub struct QueueEntry {
     /// Importance of the root request.
     pub importance: Importance,
+    /// Rank of the time that its call tree has run before, or zero.
+    pub rank: u8,
+    /// Time for which it is expected to hold a slot.
+    pub work: Duration,
     /// The organisation for which the request runs; `None` on open routes.
     pub organisation: Option<OrganisationId>,
     /// Rate limit of the organisation, which is its weight in fair sharing.
@@ -35,14 +40,16 @@
 type ByTime = BTreeSet<(MonotonicTime, Ticket)>;
 type ByOrganisation = BTreeMap<Option<OrganisationId>, ByTime>;
 
-/// The requests that wait for a slot, ordered by importance, then by organisation with the lowest
-/// usage of its share first, then by the time by which they must start.
+/// The requests that wait for a slot, ordered by importance, then by the rank of the time spent on
+/// their call trees, then by organisation with the lowest usage of its share first, then by the time
+/// by which they must start.
 ///
 /// The caller enforces the bound on the length, as the bound depends on the limit.
 #[derive(Clone, Debug, Default)]
 pub struct WaitingQueue {
     entries: SlotMap<Ticket, QueueEntry>,
-    order: BTreeMap<Importance, ByOrganisation>,
+    order: BTreeMap<(Importance, u8), ByOrganisation>,
+    work: Duration,
 }
 
 impl WaitingQueue {
@@ -63,12 +70,13 @@
 
     /// Adds a request.
     pub fn push(&mut self, entry: QueueEntry) -> Ticket {
-        let importance = entry.importance;
+        let level = (entry.importance, entry.rank);
+        self.work += entry.work;
         let organisation = entry.organisation.clone();
         let start_by = entry.start_by;
         let ticket = self.entries.insert(entry);
         self.order
-            .entry(importance)
+            .entry(level)
             .or_default()
             .entry(organisation)
             .or_default()
@@ -79,14 +87,16 @@
     /// Removes a request, if it still waits.
     pub fn remove(&mut self, ticket: Ticket) -> Option<QueueEntry> {
         let entry = self.entries.remove(ticket)?;
-        let organisations = self.order.get_mut(&entry.importance)?;
+        self.work = self.work.saturating_sub(entry.work);
+        let level = (entry.importance, entry.rank);
+        let organisations = self.order.get_mut(&level)?;
         let waiting = organisations.get_mut(&entry.organisation)?;
         waiting.remove(&(entry.start_by, ticket));
         if waiting.is_empty() {
             organisations.remove(&entry.organisation);
         }
         if organisations.is_empty() {
-            self.order.remove(&entry.importance);
+            self.order.remove(&level);
         }
         Some(entry)
     }
@@ -103,7 +113,7 @@
 
     /// Returns the request that is dropped first.
     ///
-    /// Within the lowest importance this is the request with the latest `start_by` of the
+    /// Within the lowest importance and rank this is the request with the latest `start_by` of the
     /// organisation that used most of its share, counting its waiting requests.
     pub fn last(&self, usage: &Usage, now: MonotonicTime) -> Option<Ticket> {
         let (_, organisations) = self.order.first_key_value()?;
@@ -135,10 +145,15 @@
         usage.of(organisation, now) + waiting.len() as f64 / f64::from(rate)
     }
 
-    /// Returns how many waiting requests are at least as important as `importance`.
-    pub fn ahead_of(&self, importance: Importance) -> usize {
+    /// Returns the time for which all waiting requests are expected to hold slots.
+    pub fn work(&self) -> Duration {
+        self.work
+    }
+
+    /// Returns how many waiting requests come before a new one of this importance and rank.
+    pub fn ahead_of(&self, importance: Importance, rank: u8) -> usize {
         self.order
-            .range(importance..)
+            .range((importance, rank)..)
             .flat_map(|(_, organisations)| organisations.values())
             .map(BTreeSet::len)
             .sum()
