relay: requests are refused at the door by the floors of all services that their call tree needs

Cause: floors came with the answers to a node's own requests, so a node of a large fleet had none when it needed one, and the front of a chain worked for trees whose last calls were turned away. Change: floors of services from load reports; the services of a route learnt from its runs; calls before requests that begin; demand in time of slots.

--- a/lib/src/process/gate/demand.rs
+++ b/lib/src/process/gate/demand.rs
@@ -26,7 +26,7 @@
 /// The demand of one organisation at one importance.
 #[derive(Clone, Copy, Debug)]
 struct Demand {
-    counted: u32,
+    counted: f64,
     per_s: f64,
     rate_per_s: f64,
 }
@@ -51,6 +51,10 @@
     levels: BTreeMap<Importance, ImportanceLevel>,
     shed: u32,
     overloaded_until: MonotonicTime,
+    /// Whether demand is counted in time of slots.
+    is_of_work: bool,
+    /// The floor of the service, which upstream nodes apply.
+    upstream: FloorNotice,
 }
 
 impl DemandMeter {
@@ -79,6 +83,16 @@
     /// Ratio of the demand that the floor admits to the capacity.
     const TARGET_LOAD: f64 = 1.1;
 
+    /// The same for a meter of work, where requests that wait lower the capacity.
+    const TARGET_WORK: f64 = 1.0;
+
+    /// Units of demand in a second of slot time.
+    pub const UNITS_PER_S: f64 = 100.0;
+
+    /// As [`Self::RECENT_WINDOWS`], for a meter of work: calls arrive as long after their request
+    /// was admitted as the services before them take.
+    const RECENT_WINDOWS_OF_WORK: usize = 10;
+
     /// An organisation that gets less than this fraction of its demand is named.
     const NAMED_BELOW: f64 = 0.9;
 
@@ -94,9 +108,27 @@
             levels: BTreeMap::new(),
             shed: 0,
             overloaded_until: MonotonicTime::default(),
+            is_of_work: false,
+            upstream: FloorNotice::default(),
+        }
+    }
+
+    /// Creates a meter of the time for which requests hold slots, in [`Self::UNITS_PER_S`].
+    ///
+    /// Its floor stays, at the height that the demand requires, until the demand fits into the
+    /// capacity: a few windows without a queue do not let everything in at once.
+    pub fn of_work(now: MonotonicTime) -> Self {
+        Self {
+            is_of_work: true,
+            ..Self::new(now)
         }
     }
 
+    /// Sets the floor that upstream nodes apply beside that of this gate.
+    pub fn set_upstream(&mut self, floor: FloorNotice) {
+        self.upstream = floor;
+    }
+
     /// Returns the current floor, with its age.
     pub fn notice(&self, now: MonotonicTime) -> FloorNotice {
         FloorNotice {
@@ -121,6 +153,11 @@
 
     /// Counts a request that reached the gate, if it is above the highest recent floor.
     pub fn record_arrival(&mut self, request: &AdmissionRequest) {
+        self.record_demand(request, 1.0);
+    }
+
+    /// Counts a request as an amount of demand, as [`DemandMeter::record_arrival`].
+    pub fn record_demand(&mut self, request: &AdmissionRequest, amount: f64) {
         let reference = highest_recent_floor(&self.recent, request.organisation.as_ref());
         if !reference.admits(request.importance, request.root) {
             return;
@@ -130,11 +167,11 @@
             .organisations
             .entry(request.organisation.clone())
             .or_insert(Demand {
-                counted: 0,
+                counted: 0.0,
                 per_s: 0.0,
                 rate_per_s: 1.0,
             });
-        demand.counted += 1;
+        demand.counted += amount;
         demand.rate_per_s = f64::from(request.rate.0.max(1));
     }
 
@@ -160,13 +197,19 @@
         if std::mem::take(&mut self.shed) > 0 {
             self.overloaded_until = now.after(Self::OVERLOAD_HOLD);
         }
-        let overloaded = load.waiting || now < self.overloaded_until;
+        let stays = self.is_of_work && !self.notice.is_open();
+        let overloaded = load.waiting || now < self.overloaded_until || stays;
+        let (target, recent_max) = match self.is_of_work {
+            true => (Self::TARGET_WORK, Self::RECENT_WINDOWS_OF_WORK),
+            false => (Self::TARGET_LOAD, Self::RECENT_WINDOWS),
+        };
         self.notice = match overloaded {
-            true => self.notice_for(load.capacity_per_s * Self::TARGET_LOAD),
+            true => self.notice_for(load.capacity_per_s * target),
             false => FloorNotice::default(),
         };
-        self.recent.push_back(self.notice.clone());
-        if self.recent.len() > Self::RECENT_WINDOWS {
+        let applied = self.notice.clone().merge(self.upstream.clone());
+        self.recent.push_back(applied);
+        if self.recent.len() > recent_max {
             self.recent.pop_front();
         }
     }
@@ -176,7 +219,7 @@
         let mut left_per_s = capacity_per_s;
         for (importance, level) in self.levels.iter().rev() {
             if level.per_s > left_per_s {
-                return level.cut(*importance, left_per_s);
+                return level.cut(*importance, left_per_s.max(0.0));
             }
             left_per_s -= level.per_s;
         }
@@ -190,7 +233,7 @@
         for (organisation, demand) in &mut self.organisations {
             let reference = highest_recent_floor(recent, organisation.as_ref());
             let kept = reference.kept_fraction(importance);
-            let count = f64::from(std::mem::take(&mut demand.counted));
+            let count = std::mem::take(&mut demand.counted);
             match kept < DemandMeter::KEPT_MIN {
                 true => {
                     demand.per_s *= DemandMeter::UNSEEN_DECAY;
--- a/lib/src/process/gate/downstream_floors.rs
+++ b/lib/src/process/gate/downstream_floors.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::AdmissionFloor;
 use super::FloorNotice;
 use super::OrganisationFloor;
 use super::RetryAfter;
@@ -145,6 +146,29 @@
             None => Admission::Admit,
         }
     }
+
+    /// Decides whether a request may proceed to downstream services of which the highest floor is
+    /// known, so that no probe is needed.
+    pub fn check_known(
+        &mut self,
+        route: &str,
+        floor: AdmissionFloor,
+        importance: Importance,
+        root: RequestId,
+        now: MonotonicTime,
+    ) -> Admission {
+        if !self.routes.contains_key(route) {
+            self.routes.insert(route.to_owned(), RouteFloors::default());
+        }
+        match self.routes.get_mut(route) {
+            Some(floors) if floor.admits(importance, root) => {
+                floors.passed.count(now);
+                Admission::Admit
+            }
+            Some(floors) => floors.refuse(root, now),
+            None => Admission::Admit,
+        }
+    }
 }
 
 impl RouteFloors {
@@ -164,6 +188,10 @@
             self.probed_at = now;
             return Admission::Probe;
         }
+        self.refuse(root, now)
+    }
+
+    fn refuse(&mut self, root: RequestId, now: MonotonicTime) -> Admission {
         let passed_per_s = self
             .passed
             .per_s(now)
--- a/lib/src/process/gate/gate_state.rs
+++ b/lib/src/process/gate/gate_state.rs
@@ -14,12 +14,15 @@
 use super::Pace;
 use super::QueueEntry;
 use super::RetryAfter;
+use super::RouteWork;
 use super::ServiceTime;
 use super::Ticket;
+use super::TreePart;
 use super::Usage;
 use super::WaitingQueue;
 use super::Wakeups;
 use super::WindowLoad;
+use super::WorkKind;
 use crate::process::load::LoadReport;
 use crate::process::load::NodeKey;
 use crate::request::Refusal;
@@ -46,6 +49,8 @@
     pace: Option<Pace>,
     /// Bounds on the requests that start, until the first response of the server.
     opening: Option<Opening>,
+    /// The work by route, if whole call trees are admitted.
+    work: Option<RouteWork>,
 }
 
 impl GateState {
@@ -55,6 +60,12 @@
     /// Lower limit of the queue bound.
     const QUEUE_MIN: usize = 4;
 
+    /// Fraction of taken slots from which a floor is computed although no request waits.
+    const NEARLY_FULL: f64 = 0.9;
+
+    /// Time in which the work that waits shall be done when the floor is computed.
+    const BACKLOG_S: f64 = 0.5;
+
     /// Drain rate assumed before the first request has finished, in requests per second.
     const DEFAULT_DRAIN_PER_S: f64 = 100.0;
 
@@ -70,9 +81,25 @@
             retry_after: RetryAfter::default(),
             pace: None,
             opening: None,
+            work: None,
         }
     }
 
+    /// Makes the gate finish the call trees that have begun: requests on which time was spent start
+    /// first at equal importance and are refused last, and the floor is computed in time of slots.
+    pub fn with_whole_trees(self, now: MonotonicTime) -> Self {
+        Self {
+            work: Some(RouteWork::default()),
+            demand: DemandMeter::of_work(now),
+            ..self
+        }
+    }
+
+    /// Applies the floor of the server's service, which nodes apply to requests that begin.
+    pub fn set_service_floor(&mut self, floor: FloorNotice) {
+        self.demand.set_upstream(floor);
+    }
+
     /// Creates the gate state of a server from which this process has had no response yet.
     ///
     /// The server may have named a limit to an earlier process, so few requests start until
@@ -122,7 +149,7 @@
             slots: self.slots(),
             in_flight: self.in_flight,
             waiting: self.queue.len() as u32,
-            held_us: self.service_time.mean().as_micros() as u32,
+            held_us: self.expected_work(None, now).as_micros() as u32,
             takes_per_s: self.pace.map(|pace| pace.per_s().round() as u32),
             floor: (!floor.is_open()).then_some(floor),
         }
@@ -173,16 +200,40 @@
         }
     }
 
+    /// Returns the kind of work of the requests of a route, to be passed to
+    /// [`GateState::release_kind`].
+    pub fn kind_of(&mut self, route: &str) -> Option<WorkKind> {
+        self.work.as_mut()?.kind_of(route)
+    }
+
     /// Decides on a request for a slot, and returns the waiting request that it displaces, if any.
     pub fn acquire(
         &mut self,
         request: &AdmissionRequest,
         now: MonotonicTime,
     ) -> (AdmissionDecision, Option<DroppedRequest>) {
-        self.demand.record_arrival(request);
+        self.acquire_part(request, TreePart::default(), now)
+    }
+
+    /// Decides on a request that is a part of a call tree, as [`GateState::acquire`].
+    pub fn acquire_part(
+        &mut self,
+        request: &AdmissionRequest,
+        part: TreePart<'_>,
+        now: MonotonicTime,
+    ) -> (AdmissionDecision, Option<DroppedRequest>) {
+        let kind = self.kind_of(part.route);
+        let service_time = self.expected_work(kind, now);
+        let (rank, demand) = match self.work {
+            Some(_) => (
+                part.spent.rank(),
+                service_time.as_secs_f64() * DemandMeter::UNITS_PER_S,
+            ),
+            None => (0, 1.0),
+        };
+        self.demand.record_demand(request, demand);
         self.close_window(now);
-        let service_time = self.service_time.mean();
-        if self.is_too_late(request) {
+        if self.is_too_late(request, service_time) {
             return (
                 self.refuse(request, RefusalReason::DeadlineExceeded, now),
                 None,
@@ -204,14 +255,14 @@
                 None,
             );
         }
-        if !self.demand.admits(request) {
+        if rank == 0 && !self.demand.admits(request) {
             return (self.refuse(request, RefusalReason::Overloaded, now), None);
         }
-        if self.expected_wait(request.importance) + service_time > request.remaining {
+        if self.expected_wait(request.importance, rank, now) + service_time > request.remaining {
             self.demand.record_shed();
             return (self.refuse(request, RefusalReason::Overloaded, now), None);
         }
-        self.enqueue(request, now)
+        self.enqueue(request, rank, service_time, now)
     }
 
     /// Decides on a request to a server with a rate: it starts at once, or goes to another server.
@@ -242,11 +293,15 @@
     fn enqueue(
         &mut self,
         request: &AdmissionRequest,
+        rank: u8,
+        work: Duration,
         now: MonotonicTime,
     ) -> (AdmissionDecision, Option<DroppedRequest>) {
-        let start_by = now.after(request.remaining.saturating_sub(self.service_time.mean()));
+        let start_by = now.after(request.remaining.saturating_sub(work));
         let ticket = self.queue.push(QueueEntry {
             importance: request.importance,
+            rank,
+            work,
             organisation: request.organisation.clone(),
             rate: request.rate,
             root: request.root,
@@ -272,6 +327,16 @@
 
     /// Releases the slot of a request that ended, and starts waiting requests.
     pub fn release(&mut self, completion: &Completion, now: MonotonicTime) -> Wakeups {
+        self.release_kind(completion, None, now)
+    }
+
+    /// Releases the slot of a request of a known kind of work, as [`GateState::release`].
+    pub fn release_kind(
+        &mut self,
+        completion: &Completion,
+        kind: Option<WorkKind>,
+        now: MonotonicTime,
+    ) -> Wakeups {
         self.in_flight = self.in_flight.saturating_sub(1);
         if let Some(opening) = &mut self.opening {
             match completion.outcome {
@@ -280,7 +345,7 @@
             }
         }
         self.limit.record_end(completion, now);
-        self.observe_service_time(completion);
+        self.observe_service_time(completion, kind, now);
         self.close_window(now);
         let mut wakeups = self.fill_slots(now);
         if self.awaits_no_response() {
@@ -319,32 +384,49 @@
 
     /// Counts a refusal and returns the time after which the caller may retry, in milliseconds.
     pub fn retry_after_ms(&mut self, root: RequestId, now: MonotonicTime) -> u64 {
-        let drain_per_s = self.drain_per_s();
+        let drain_per_s = self.drain_per_s(now);
         self.retry_after
             .record_refusal(root, self.queue.len(), drain_per_s, now)
     }
 
     /// Records a sample; a cancelled request counts only above the mean, as it is a lower bound.
-    fn observe_service_time(&mut self, completion: &Completion) {
-        match completion.outcome {
-            CompletionOutcome::Answered => self.service_time.observe(completion.held),
-            CompletionOutcome::Cancelled if completion.held > self.service_time.mean() => {
-                self.service_time.observe(completion.held);
-            }
-            CompletionOutcome::Cancelled
-            | CompletionOutcome::ServerRefused
+    fn observe_service_time(
+        &mut self,
+        completion: &Completion,
+        kind: Option<WorkKind>,
+        now: MonotonicTime,
+    ) {
+        let is_sample = match completion.outcome {
+            CompletionOutcome::Answered => true,
+            CompletionOutcome::Cancelled => completion.held > self.expected_work(kind, now),
+            CompletionOutcome::ServerRefused
             | CompletionOutcome::Failed
-            | CompletionOutcome::NotSent => {}
+            | CompletionOutcome::NotSent => false,
+        };
+        if !is_sample {
+            return;
+        }
+        self.service_time.observe(completion.held);
+        if let (Some(work), Some(kind)) = (&mut self.work, kind) {
+            work.observe(kind, completion.held, now);
+        }
+    }
+
+    /// Returns the time for which a request of a kind is expected to hold a slot.
+    fn expected_work(&self, kind: Option<WorkKind>, now: MonotonicTime) -> Duration {
+        match &self.work {
+            Some(work) => work.of(kind, now),
+            None => self.service_time.mean(),
         }
     }
 
     /// Returns whether a request cannot finish in time.
     ///
     /// An idle server gets one such request, because its service time may have become shorter.
-    fn is_too_late(&self, request: &AdmissionRequest) -> bool {
+    fn is_too_late(&self, request: &AdmissionRequest, service_time: Duration) -> bool {
         match self.in_flight {
             0 => request.remaining.is_zero(),
-            _ => request.remaining <= self.service_time.mean(),
+            _ => request.remaining <= service_time,
         }
     }
 
@@ -363,8 +445,11 @@
     fn fill_slots(&mut self, now: MonotonicTime) -> Wakeups {
         let mut wakeups = Wakeups::default();
         while let Some(ticket) = self.queue.first(&self.usage, now) {
-            let start_by = self.queue.get(ticket).map_or(now, |entry| entry.start_by);
-            let remaining = start_by.since(now) + self.service_time.mean();
+            let entry = self.queue.get(ticket);
+            let (start_by, work) = entry.map_or((now, Duration::ZERO), |entry| {
+                (entry.start_by, entry.work)
+            });
+            let remaining = start_by.since(now) + work;
             match self.has_room(remaining, now) {
                 false => break,
                 true if start_by < now => {
@@ -424,23 +509,42 @@
         if !self.demand.window_is_over(now) {
             return;
         }
-        let load = WindowLoad {
-            capacity_per_s: self.drain_per_s(),
-            waiting: !self.queue.is_empty(),
+        let load = match &self.work {
+            None => WindowLoad {
+                capacity_per_s: self.drain_per_s(now),
+                waiting: !self.queue.is_empty(),
+            },
+            Some(work) => self.work_load(work, now),
         };
         self.demand.close_window(load, now);
     }
 
-    fn expected_wait(&self, importance: Importance) -> Duration {
-        let ahead = self.queue.ahead_of(importance) as f64;
-        Duration::from_secs_f64(ahead / self.drain_per_s())
+    /// Returns the load in time of slots. What waits is work that the capacity has to do first.
+    fn work_load(&self, work: &RouteWork, now: MonotonicTime) -> WindowLoad {
+        let slots = f64::from(self.limit.slots());
+        let paced = self.pace.map(|pace| pace.per_s() * work.mean(now).as_secs_f64());
+        let capacity = paced.map_or(slots, |paced| paced.min(slots));
+        let backlog = self.queue.work().as_secs_f64() / Self::BACKLOG_S;
+        WindowLoad {
+            capacity_per_s: (capacity - backlog).max(0.0) * DemandMeter::UNITS_PER_S,
+            waiting: !self.queue.is_empty()
+                || f64::from(self.in_flight) >= slots * Self::NEARLY_FULL,
+        }
+    }
+
+    fn expected_wait(&self, importance: Importance, rank: u8, now: MonotonicTime) -> Duration {
+        let ahead = self.queue.ahead_of(importance, rank) as f64;
+        Duration::from_secs_f64(ahead / self.drain_per_s(now))
     }
 
-    fn drain_per_s(&self) -> f64 {
-        let drain_per_s = self
-            .service_time
-            .drain_per_s(self.limit.slots())
-            .unwrap_or(Self::DEFAULT_DRAIN_PER_S);
+    fn drain_per_s(&self, now: MonotonicTime) -> f64 {
+        let mean = self.expected_work(None, now);
+        let drain_per_s = match (&self.work, mean.is_zero()) {
+            (None, _) => self.service_time.drain_per_s(self.limit.slots()),
+            (Some(_), true) => None,
+            (Some(_), false) => Some(f64::from(self.limit.slots()) / mean.as_secs_f64()),
+        };
+        let drain_per_s = drain_per_s.unwrap_or(Self::DEFAULT_DRAIN_PER_S);
         self.pace
             .map_or(drain_per_s, |pace| pace.per_s().min(drain_per_s))
     }
--- a/lib/src/process/gate/permit.rs
+++ b/lib/src/process/gate/permit.rs
@@ -18,7 +18,9 @@
 use super::FloorNotice;
 use super::GateState;
 use super::Ticket;
+use super::TreePart;
 use super::Wakeups;
+use super::WorkKind;
 use crate::process::load::LoadReport;
 use crate::process::load::NodeKey;
 use crate::request::Refusal;
@@ -123,6 +125,11 @@
         self.shared.lock().state.load_report(node, now)
     }
 
+    /// Applies the floor of the server's service, which nodes apply to requests that begin.
+    pub fn set_service_floor(&self, floor: FloorNotice) {
+        self.shared.lock().state.set_service_floor(floor);
+    }
+
     /// Counts a refusal and returns the time after which the caller may retry, in milliseconds.
     pub fn retry_after_ms(&self, root: RequestId) -> u64 {
         let now = self.clock.now();
@@ -160,23 +167,38 @@
     ///
     /// Cancel safe: once the future is dropped, the request neither waits nor holds a slot.
     pub async fn acquire(&self, request: AdmissionRequest) -> Result<Permit, Refusal> {
-        match self.decide(&request) {
-            Acquisition::Started => Ok(self.permit()),
+        self.acquire_part(request, TreePart::default()).await
+    }
+
+    /// Waits for a slot for a part of a call tree, as [`Gate::acquire`].
+    pub async fn acquire_part(
+        &self,
+        request: AdmissionRequest,
+        part: TreePart<'_>,
+    ) -> Result<Permit, Refusal> {
+        let (kind, acquisition) = self.decide(&request, part);
+        match acquisition {
+            Acquisition::Started => Ok(self.permit(kind)),
             Acquisition::Refused(refusal) => Err(refusal),
             Acquisition::Waiting(waiting, wait_timeout) => waiting.wait(wait_timeout).await,
         }
     }
 
-    fn decide(&self, request: &AdmissionRequest) -> Acquisition {
+    fn decide(
+        &self,
+        request: &AdmissionRequest,
+        part: TreePart<'_>,
+    ) -> (Option<WorkKind>, Acquisition) {
         let now = self.clock.now();
         let mut shared = self.shared.lock();
+        let kind = shared.state.kind_of(part.route);
         let wakeups = shared.state.start_due(now);
         shared.wake(wakeups);
-        let (decision, displaced) = shared.state.acquire(request, now);
+        let (decision, displaced) = shared.state.acquire_part(request, part, now);
         if let Some(dropped) = displaced {
             shared.refuse(dropped);
         }
-        match decision {
+        let acquisition = match decision {
             AdmissionDecision::Started => Acquisition::Started,
             AdmissionDecision::Refused(refusal) => Acquisition::Refused(refusal),
             AdmissionDecision::Waiting { ticket, start_by } => {
@@ -185,25 +207,28 @@
                 let waiting = Waiting {
                     gate: self.clone(),
                     ticket,
+                    kind,
                     result,
                 };
                 Acquisition::Waiting(waiting, start_by.since(now))
             }
-        }
+        };
+        (kind, acquisition)
     }
 
-    fn permit(&self) -> Permit {
+    fn permit(&self, kind: Option<WorkKind>) -> Permit {
         Permit {
             gate: self.clone(),
+            kind,
             started_at: self.clock.now(),
             finished: false,
         }
     }
 
-    fn release(&self, completion: &Completion) {
+    fn release(&self, completion: &Completion, kind: Option<WorkKind>) {
         let now = self.clock.now();
         let mut shared = self.shared.lock();
-        let wakeups = shared.state.release(completion, now);
+        let wakeups = shared.state.release_kind(completion, kind, now);
         shared.wake(wakeups);
     }
 }
@@ -218,6 +243,7 @@
 struct Waiting {
     gate: Gate,
     ticket: Ticket,
+    kind: Option<WorkKind>,
     result: oneshot::Receiver<WaitResult>,
 }
 
@@ -225,7 +251,7 @@
     async fn wait(mut self, wait_timeout: Duration) -> Result<Permit, Refusal> {
         let result = timeout(wait_timeout, &mut self.result).await;
         match result {
-            Ok(Ok(Ok(()))) => Ok(self.gate.permit()),
+            Ok(Ok(Ok(()))) => Ok(self.gate.permit(self.kind)),
             Ok(Ok(Err(refusal))) => Err(refusal),
             Ok(Err(_)) | Err(_) => self.time_out(),
         }
@@ -241,7 +267,7 @@
         drop(shared);
         match (dropped, self.result.try_recv()) {
             (Some(dropped), _) => Err(dropped.refusal),
-            (None, Ok(Ok(()))) => Ok(self.gate.permit()),
+            (None, Ok(Ok(()))) => Ok(self.gate.permit(self.kind)),
             (None, Ok(Err(refusal))) => Err(refusal),
             (None, Err(_)) => Err(Refusal::not_run(reason)),
         }
@@ -258,7 +284,7 @@
         drop(shared);
         let started = !still_waiting && matches!(self.result.try_recv(), Ok(Ok(())));
         if started {
-            self.gate.permit().release_unused();
+            self.gate.permit(self.kind).release_unused();
         }
     }
 }
@@ -266,6 +292,7 @@
 /// A slot of the backend server, released when the permit is finished or dropped.
 pub struct Permit {
     gate: Gate,
+    kind: Option<WorkKind>,
     started_at: MonotonicTime,
     finished: bool,
 }
@@ -284,11 +311,12 @@
     fn end(&mut self, outcome: CompletionOutcome, onward: Duration) {
         self.finished = true;
         let held = self.gate.clock.now().since(self.started_at);
-        self.gate.release(&Completion {
+        let completion = Completion {
             outcome,
             held,
             onward,
-        });
+        };
+        self.gate.release(&completion, self.kind);
     }
 }
 
--- a/lib/src/process/gate/route_trees.rs
+++ b/lib/src/process/gate/route_trees.rs
@@ -28,8 +28,9 @@
 
     /// Counts `calls` of a service.
     pub fn add(&mut self, service: &ServiceId, calls: f32) {
-        match self.0.iter_mut().find(|known| known.service == *service) {
-            Some(known) => known.calls += calls,
+        let known = self.0.iter().position(|known| known.service == *service);
+        match known {
+            Some(at) => self.0[at].calls += calls,
             None if self.0.len() < Self::SERVICES_MAX => self.0.push(ServiceCalls {
                 service: service.clone(),
                 calls,
--- a/lib/src/process/gate/service_floor.rs
+++ b/lib/src/process/gate/service_floor.rs
@@ -5,6 +5,7 @@
 
 use super::AdmissionFloor;
 use super::FloorNotice;
+use crate::process::load::LoadReport;
 use crate::values::Importance;
 use crate::values::OrganisationId;
 
@@ -20,6 +21,28 @@
     pub floor: Option<&'a FloorNotice>,
 }
 
+impl ServerLoad<'_> {
+    /// Time for which a request holds a slot of a server that has not run any, in microseconds.
+    const HELD_DEFAULT_US: u32 = 100_000;
+}
+
+impl<'a> From<&'a LoadReport> for ServerLoad<'a> {
+    fn from(report: &'a LoadReport) -> Self {
+        let held_us = match report.held_us {
+            0 => Self::HELD_DEFAULT_US,
+            held_us => held_us,
+        };
+        let per_s = f64::from(report.slots) * 1e6 / f64::from(held_us);
+        let takes_per_s = report.takes_per_s.map_or(f64::INFINITY, f64::from);
+        let free = report.slots.saturating_sub(report.in_flight);
+        Self {
+            capacity: per_s.min(takes_per_s),
+            free_fraction: f64::from(free) / f64::from(report.slots.max(1)),
+            floor: report.floor.as_ref(),
+        }
+    }
+}
+
 /// The admission floor of a service.
 ///
 /// Load is spread evenly over the servers of a service, so the floor of each server is an estimate
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -36,9 +36,11 @@
 use crate::process::events::relay as events;
 use crate::process::gate::AdaptiveLimit;
 use crate::process::gate::AdmissionRequest;
+use crate::process::gate::CallTree;
 use crate::process::gate::CompletionOutcome;
 use crate::process::gate::Gate;
 use crate::process::gate::GateState;
+use crate::process::gate::TreePart;
 use crate::process::suspects::Fingerprint;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
@@ -92,12 +94,17 @@
         incarnation: Incarnation,
         clock: Clock,
         memory: &MemoryBudget,
+        admits_whole_trees: bool,
     ) -> Self {
         let used_slots = (f64::from(report.slots.0) * USED_SLOTS_RATIO)
             .floor()
             .max(1.0) as u32;
         let limit = AdaptiveLimit::fixed(SlotCount(used_slots), clock.now());
         let state = GateState::unproven(limit, clock.now());
+        let state = match admits_whole_trees {
+            true => state.with_whole_trees(clock.now()),
+            false => state,
+        };
         Self {
             server_id: report.server_id.clone(),
             incarnation,
@@ -181,6 +188,8 @@
     pub(super) result: Result<BufferedResponse, Refusal>,
     /// The load of this node and of the nodes downstream.
     pub(super) load: LoadNotice,
+    /// The calls that the request needed.
+    pub(super) calls: CallTree,
 }
 
 impl RunOutcome {
@@ -189,6 +198,7 @@
         Self {
             result: Err(Refusal::may_have_run(RefusalReason::BadAnswer)),
             load: LoadNotice::default(),
+            calls: CallTree::default(),
         }
     }
 }
@@ -202,12 +212,11 @@
     request: BufferedRequest,
     waiter: Option<&Waiter>,
 ) -> RunOutcome {
-    let deadline = node
-        .clock
-        .now()
+    let arrived_at = node.clock.now();
+    let deadline = arrived_at
         .after(Duration::from_micros(metadata.remaining_us));
     let _count = node.stop_limit.count_run();
-    let running = RunningRequest::new(metadata.clone(), deadline);
+    let running = RunningRequest::new(metadata.clone(), arrived_at, deadline);
     let cancelled = CancelledRun(&running);
     let result = {
         let run = pin!(admit_and_send(node, &running, request, waiter));
@@ -221,6 +230,7 @@
             floor: node.floor(&metadata.route).filter(|floor| !floor.is_open()),
             call_failed: running.has_failed_call(),
         },
+        calls: running.calls(),
     }
 }
 
@@ -275,7 +285,11 @@
     )
     .await?;
     node.check_onward(metadata)?;
-    let permit = match backend.gate.acquire(admission_request).await {
+    let part = TreePart {
+        route: &metadata.route,
+        spent: metadata.spent,
+    };
+    let permit = match backend.gate.acquire_part(admission_request, part).await {
         Ok(permit) => permit,
         Err(refusal) => {
             suspect_permit.refuse(refusal.reason).await;
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -27,6 +27,7 @@
 use super::runs::RunningRequest;
 use super::runs::is_call;
 use super::stop_limit::refusal_at_limit;
+use super::tree_admission::hash_turn;
 use super::unread_body::respond_before_body;
 use super::waiter::Step;
 use super::waiter::Waiter;
@@ -38,6 +39,7 @@
 use crate::connection::read_budgeted_body;
 use crate::connection::strip_connection_headers;
 use crate::process::events::relay as events;
+use crate::process::gate::SpentTime;
 use crate::request::OnwardWait;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
@@ -218,7 +220,7 @@
     let own = RequestMetadata {
         request_id: request_id.to_owned(),
         route: route.name.clone(),
-        root: request_number(request_id),
+        root: request_number(request_id, hash_turn(node)),
         is_repeat: false,
         is_last_resort: false,
         caller_service: node.settings.raw.service.to_string(),
@@ -229,28 +231,30 @@
             .unwrap_or_default(),
         importance: route.importance_for(organisation),
         remaining_us: 0,
+        spent: SpentTime::default(),
     };
-    match parent.map(|parent| &parent.metadata) {
-        Some(parent) => RequestMetadata {
-            root: parent.root,
-            is_repeat: parent.is_repeat,
-            organisation: parent.organisation.clone(),
+    match parent {
+        Some(running) => RequestMetadata {
+            root: running.metadata.root,
+            is_repeat: running.metadata.is_repeat,
+            organisation: running.metadata.organisation.clone(),
             names_organisation: false,
-            rate: parent.rate,
-            importance: parent.importance,
+            rate: running.metadata.rate,
+            importance: running.metadata.importance,
+            spent: running.spent(node.clock.now()),
             ..own
         },
         None => own,
     }
 }
 
-/// Derives the id of a root request from the caller's request id. Admission floors and retry delays
-/// depend on its hash.
-fn request_number(request_id: &str) -> RequestId {
+/// Derives the id of a root request from the caller's request id and the turn of the hash. Admission
+/// floors and retry delays depend on its hash.
+fn request_number(request_id: &str, turn: u64) -> RequestId {
     let hash = blake3::hash(request_id.as_bytes());
     let mut first = [0; 16];
     first.copy_from_slice(&hash.as_bytes()[..16]);
-    RequestId(u128::from_be_bytes(first))
+    RequestId(u128::from_be_bytes(first).wrapping_add(turn.into()))
 }
 
 /// The organisation from whose allowance a token was taken, or none if no token was needed.
--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -29,11 +29,13 @@
 use super::stop_limit::refusal_at_limit;
 use super::suspects::learn_of_failure;
 use super::suspects::trial_node_of;
+use super::tree_admission::learn_tree;
 use super::waiter::Step;
 use super::waiter::Waiter;
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
 use crate::process::events::relay as events;
+use crate::process::gate::CallTree;
 use crate::process::load::LoadReport;
 use crate::process::membership::NodeRecord;
 use crate::process::routing::ChooseContext;
@@ -183,6 +185,7 @@
         let outcome = Box::pin(attempt(node, outbound, &destination, kind, sent)).await;
         observe_failing_server(node, &destination, &outcome);
         learn_floor(node, outbound, &destination, &outcome);
+        learn_tree(node, outbound, &outcome);
         match evaluate_outcome(node, outbound, &destination, progress, outcome) {
             NextStep::Respond(response) => return Some(response),
             NextStep::TryAnother => learn_of_crash(node, outbound, &destination, progress).await,
@@ -279,7 +282,7 @@
     progress: &mut Progress,
     outcome: RunOutcome,
 ) -> NextStep {
-    let RunOutcome { result, load } = outcome;
+    let RunOutcome { result, load, .. } = outcome;
     let refusal = match result {
         Ok(response) if is_final(&outbound.route, &response, &load) => {
             return NextStep::Respond(response);
@@ -525,6 +528,7 @@
     RunOutcome {
         result,
         load: LoadNotice::default(),
+        calls: CallTree::default(),
     }
 }
 
@@ -571,6 +575,7 @@
     Ok(RunOutcome {
         result,
         load: link_reply.load,
+        calls: link_reply.calls,
     })
 }
 
@@ -588,6 +593,7 @@
         headers: header_list(&request.headers),
         metadata: metadata.clone(),
         loads,
+        spent: metadata.spent,
     });
     encode_shared(&head, &request.body).map_err(|_| LinkFailure::NotSent)
 }
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -20,7 +20,9 @@
 use super::views::ViewPositions;
 use super::views::ViewUpdate;
 use crate::connection::MemoryBudget;
+use crate::process::gate::CallTree;
 use crate::process::gate::FloorNotice;
+use crate::process::gate::SpentTime;
 use crate::process::load::LoadReport;
 use crate::process::rates::PeerStatus;
 use crate::process::rates::SettlementReport;
@@ -62,6 +64,9 @@
     /// Loads that the sender knows.
     #[serde(deserialize_with = "or_none")]
     pub loads: Vec<LoadReport>,
+    /// Time that the call tree has run before.
+    #[serde(deserialize_with = "or_none")]
+    pub spent: SpentTime,
 }
 
 plain_data! {
@@ -93,6 +98,9 @@
         pub importance: Importance,
         /// Time left until the deadline, in microseconds.
         pub remaining_us: u64,
+        /// Time that the call tree has run before. In messages it is a field of the head.
+        #[serde(skip)]
+        pub spent: SpentTime,
     }
 }
 
@@ -114,6 +122,9 @@
     /// Loads that the sender knows.
     #[serde(deserialize_with = "or_none")]
     pub loads: Vec<LoadReport>,
+    /// The calls that the request needed.
+    #[serde(deserialize_with = "or_none")]
+    pub calls: CallTree,
 }
 
 plain_data! {
--- a/lib/src/process/relay/link_reply.rs
+++ b/lib/src/process/relay/link_reply.rs
@@ -10,6 +10,7 @@
 use super::frame::header_map;
 use super::views::ViewUpdate;
 use crate::connection::BufferedResponse;
+use crate::process::gate::CallTree;
 use crate::process::load::LoadReport;
 use crate::process::rates::PeerStatus;
 use crate::process::rates::TokenReply;
@@ -43,14 +44,17 @@
     pub(super) confirmation: Option<ConfirmationReport>,
     pub(super) load: LoadNotice,
     pub(super) loads: Vec<LoadReport>,
+    pub(super) calls: CallTree,
 }
 
 /// Returns the reply to an exchange that a frame holds, or none if it holds something else.
 pub(super) fn decode_reply(head: Head<'_>, frame: &Frame) -> Option<(ExchangeId, LinkReply)> {
     let mut received_loads = Vec::new();
+    let mut calls = CallTree::default();
     let (exchange, reply, confirmation, load) = match head {
         Head::Response(response) => {
             received_loads = response.loads;
+            calls = response.calls;
             let reply = match (
                 StatusCode::from_u16(response.status),
                 header_map(&response.headers),
@@ -133,6 +137,7 @@
         confirmation,
         load,
         loads: received_loads,
+        calls,
     };
     Some((exchange, reply))
 }
--- a/lib/src/process/relay/metrics.rs
+++ b/lib/src/process/relay/metrics.rs
@@ -35,6 +35,7 @@
     responses: Family<Kind, Counter>,
     refusals: Family<Kind, Counter>,
     latency_s: Histogram,
+    tree_refusals: Counter,
     caller_disconnects: Counter,
     store_calls: Family<Kind, Counter>,
     in_flight: Gauge,
@@ -50,6 +51,7 @@
         let refusals = Family::<Kind, Counter>::default();
         let bounds = exponential_buckets(LATENCY_BOUND_MIN_S, 2.0, LATENCY_BOUND_COUNT);
         let latency_s = Histogram::new(bounds);
+        let tree_refusals = Counter::default();
         let caller_disconnects = Counter::default();
         let store_calls = Family::<Kind, Counter>::default();
         let in_flight = Gauge::default();
@@ -60,6 +62,11 @@
             "Requests that were refused, by reason",
             refusals.clone(),
         );
+        registry.register(
+            "tree_refusals",
+            "Requests refused at once because a service of their call tree had no room",
+            tree_refusals.clone(),
+        );
         registry.register(
             "latency_seconds",
             "Time until an answer or refusal",
@@ -82,6 +89,7 @@
             responses,
             refusals,
             latency_s,
+            tree_refusals,
             caller_disconnects,
             store_calls,
             in_flight,
@@ -108,6 +116,11 @@
         self.latency_s.observe(held.as_secs_f64());
     }
 
+    /// Counts a request that was refused because a service of its call tree has no room.
+    pub(super) fn record_tree_refusal(&self) {
+        self.tree_refusals.inc();
+    }
+
     /// Counts a caller that disconnected before the response.
     pub fn record_caller_disconnect(&self) {
         self.caller_disconnects.inc();
--- a/lib/src/process/relay/mod.rs
+++ b/lib/src/process/relay/mod.rs
@@ -41,6 +41,7 @@
 mod supervision;
 mod suspects;
 mod tasks;
+mod tree_admission;
 mod unread_body;
 mod views;
 mod waiter;
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -38,6 +38,8 @@
 use super::store::SharedStore;
 use super::store::StoreEra;
 use super::suspects::SuspectState;
+use super::tree_admission;
+use super::tree_admission::TreeAdmission;
 use super::views::ViewState;
 use crate::connection::MemoryBudget;
 use crate::process::events::relay as events;
@@ -102,6 +104,8 @@
     pub(super) router: Mutex<Router>,
     /// What this node knows of the load of other nodes.
     pub(super) loads: Mutex<LoadTable>,
+    /// The call trees of routes, and the floors of services.
+    pub(super) whole_trees: Mutex<TreeAdmission>,
     /// Requests that run on the local backend server.
     pub(super) runs: RunTable,
     /// Requests that may crash backend servers.
@@ -186,6 +190,7 @@
                 clock.now(),
             )),
             loads: Mutex::default(),
+            whole_trees: Mutex::default(),
             bounds: RwLock::new(settings.raw.bounds.clone()),
             settings,
             protocol,
@@ -468,12 +473,19 @@
 
     /// Refuses a request to the local backend server whose onward calls would be refused.
     pub(super) fn check_onward(&self, metadata: &RequestMetadata) -> Result<(), Refusal> {
-        self.check_floors(&self.onward_floors, metadata)
+        match tree_admission::is_on(self) && tree_admission::is_known(self, metadata) {
+            true => Ok(()),
+            false => self.check_floors(&self.onward_floors, metadata),
+        }
     }
 
     /// Refuses a request of a caller that the downstream services would refuse.
     pub(super) fn check_ingress(&self, metadata: &RequestMetadata) -> Result<(), Refusal> {
-        self.check_floors(&self.ingress_floors, metadata)
+        let by_tree = match tree_admission::is_on(self) {
+            true => tree_admission::check(self, metadata),
+            false => None,
+        };
+        by_tree.unwrap_or_else(|| self.check_floors(&self.ingress_floors, metadata))
     }
 
     fn check_floors(
--- a/lib/src/process/relay/peers.rs
+++ b/lib/src/process/relay/peers.rs
@@ -23,6 +23,7 @@
 use super::frame::Head;
 use super::frame::LoadNotice;
 use super::frame::RequestHead;
+use super::frame::RequestMetadata;
 use super::frame::ResponseHead;
 use super::frame::encode_shared;
 use super::frame::header_list;
@@ -38,6 +39,7 @@
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
 use crate::process::events::relay as events;
+use crate::process::gate::CallTree;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::values::TokenCount;
@@ -353,7 +355,10 @@
         send_refusal(node, exchange, refusal, LoadNotice::default(), replies);
         return;
     };
-    let metadata = head.metadata;
+    let metadata = RequestMetadata {
+        spent: head.spent,
+        ..head.metadata
+    };
     let node = Arc::clone(node);
     let replies = replies.clone();
     let weak_running = Arc::downgrade(running);
@@ -366,7 +371,10 @@
             running.tasks.lock().remove(&exchange);
         }
         match outcome.result {
-            Ok(response) => send_response(&node, exchange, &response, outcome.load, &replies),
+            Ok(response) => {
+                let (load, calls) = (outcome.load, outcome.calls);
+                send_response(&node, exchange, &response, load, calls, &replies);
+            }
             Err(refusal) => send_refusal(&node, exchange, refusal, outcome.load, &replies),
         }
     });
@@ -387,6 +395,7 @@
     exchange: ExchangeId,
     response: &BufferedResponse,
     load: LoadNotice,
+    calls: CallTree,
     replies: &FrameSender,
 ) {
     let head = Head::Response(ResponseHead {
@@ -396,6 +405,7 @@
         confirmation: node.confirmation_report(),
         load,
         loads: node.known_loads(),
+        calls,
     });
     send_reply(replies, &head, &response.body);
 }
--- a/lib/src/process/relay/reports.rs
+++ b/lib/src/process/relay/reports.rs
@@ -15,6 +15,7 @@
 use super::protocol::ServerReport;
 use super::registration::ReportEffect;
 use super::registration_store::store_registration;
+use super::tree_admission;
 use crate::connection::read_body;
 use crate::process::events::relay as events;
 use crate::values::Incarnation;
@@ -119,7 +120,8 @@
             }
             log_report(report, effect);
             let incarnation = Incarnation(node.clock.wall().0);
-            let backend = Backend::new(report, incarnation, node.clock, &node.memory);
+            let is_whole = tree_admission::is_on(node);
+            let backend = Backend::new(report, incarnation, node.clock, &node.memory, is_whole);
             // It may have said so to an earlier process of this node.
             if node.registration.lock().is_leaving() {
                 backend.drain();
--- a/lib/src/process/relay/runs.rs
+++ b/lib/src/process/relay/runs.rs
@@ -10,6 +10,8 @@
 
 use super::abandoned_runs::AbandonedRuns;
 use super::frame::RequestMetadata;
+use crate::process::gate::CallTree;
+use crate::process::gate::SpentTime;
 use crate::request::OnwardTime;
 use crate::values::Clock;
 use crate::values::MonotonicTime;
@@ -27,10 +29,14 @@
 pub(super) struct RunningRequest {
     /// What the ingress node decided about it.
     pub(super) metadata: RequestMetadata,
+    /// When it reached this node.
+    pub(super) arrived_at: MonotonicTime,
     /// When its caller stops waiting.
     pub(super) deadline: MonotonicTime,
     /// Time that it waited for its onward calls, and whether one failed.
     pub(super) onward: Mutex<OnwardTime>,
+    /// The calls that it needed so far, with those that they needed.
+    calls: Mutex<CallTree>,
     /// Whether the server may have received a byte of it.
     is_sent: AtomicBool,
     /// Whether the server no longer works on it, as far as this node knows.
@@ -41,11 +47,17 @@
 
 impl RunningRequest {
     /// Creates the record of a request that starts to run.
-    pub(super) fn new(metadata: RequestMetadata, deadline: MonotonicTime) -> Arc<Self> {
+    pub(super) fn new(
+        metadata: RequestMetadata,
+        arrived_at: MonotonicTime,
+        deadline: MonotonicTime,
+    ) -> Arc<Self> {
         Arc::new(Self {
             metadata,
+            arrived_at,
             deadline,
             onward: Mutex::default(),
+            calls: Mutex::default(),
             is_sent: AtomicBool::new(false),
             is_finished: AtomicBool::new(false),
             abandoned: CancellationToken::new(),
@@ -83,6 +95,22 @@
         self.onward.lock().record_failure();
     }
 
+    /// Records a call that succeeded, with those that it needed.
+    pub(super) fn record_calls(&self, tree: &CallTree) {
+        self.calls.lock().merge(tree);
+    }
+
+    /// Returns the calls that it needed so far.
+    pub(super) fn calls(&self) -> CallTree {
+        self.calls.lock().clone()
+    }
+
+    /// Returns the time that its call tree has run until `now`, which is not zero.
+    pub(super) fn spent(&self, now: MonotonicTime) -> SpentTime {
+        let own_ms = now.since(self.arrived_at).as_millis() as u32;
+        SpentTime(self.metadata.spent.0.saturating_add(own_ms).max(1))
+    }
+
     pub(super) fn has_failed_call(&self) -> bool {
         self.onward.lock().has_failed()
     }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -97,3 +97,5 @@
 mod test_suspects;
 mod test_unauthenticated_peers;
 mod test_verdicts;
+mod test_whole_trees;
+mod whole_trees;
--- a/testutils/src/relay/peer.rs
+++ b/testutils/src/relay/peer.rs
@@ -192,6 +192,7 @@
         confirmation: unconfirmed(),
         load: LoadNotice::default(),
         loads: Vec::new(),
+        calls: Default::default(),
     });
     // Sending fails if the connection has ended.
     let _ = replies.send(encode_frame(&response, b"done").expect("a short frame"));
