--- a/lib/src/process/events/relay.rs
+++ b/lib/src/process/events/relay.rs
@@ -41,6 +41,6 @@
     ABANDONED = 8107, Info, "relay.request-abandoned", "The caller of a request had left, or the request that made it had ended, before the step that the line names.";
     RUN_CANCELLED = 8108, Debug, "relay.run-cancelled", "A request was cancelled at the node of its backend server; the line says whether the server may have received it.";
     NO_PARENT = 8109, Info, "relay.call-without-parent", "The id of a request extends that of another one, which does not run on the local backend server.";
-    TREE_REFUSED = 8110, Info, "relay.tree-refused", "A request was refused before it began, because a service that its call tree needs has no room; the line has the service, its floor and the floor's age.";
+    TREE_REFUSED = 8111, Info, "relay.tree-refused", "A request was refused before it began, because a service that its call tree needs has no room; the line has the service, its floor and the floor's age.";
     LINES_LEFT_OUT = 8199, Info, "relay.lines-left-out", "Log lines of one kind were omitted because there were too many.";
 }
--- a/lib/src/process/gate/demand.rs
+++ b/lib/src/process/gate/demand.rs
@@ -84,7 +84,7 @@
     const TARGET_LOAD: f64 = 1.1;
 
     /// The same for a meter of work, where requests that wait lower the capacity.
-    const TARGET_WORK: f64 = 1.0;
+    const TARGET_WORK: f64 = 1.1;
 
     /// Units of demand in a second of slot time.
     pub const UNITS_PER_S: f64 = 100.0;
--- a/lib/src/process/gate/gate_state.rs
+++ b/lib/src/process/gate/gate_state.rs
@@ -446,9 +446,8 @@
         let mut wakeups = Wakeups::default();
         while let Some(ticket) = self.queue.first(&self.usage, now) {
             let entry = self.queue.get(ticket);
-            let (start_by, work) = entry.map_or((now, Duration::ZERO), |entry| {
-                (entry.start_by, entry.work)
-            });
+            let (start_by, work) =
+                entry.map_or((now, Duration::ZERO), |entry| (entry.start_by, entry.work));
             let remaining = start_by.since(now) + work;
             match self.has_room(remaining, now) {
                 false => break,
@@ -522,7 +521,9 @@
     /// Returns the load in time of slots. What waits is work that the capacity has to do first.
     fn work_load(&self, work: &RouteWork, now: MonotonicTime) -> WindowLoad {
         let slots = f64::from(self.limit.slots());
-        let paced = self.pace.map(|pace| pace.per_s() * work.mean(now).as_secs_f64());
+        let paced = self
+            .pace
+            .map(|pace| pace.per_s() * work.mean(now).as_secs_f64());
         let capacity = paced.map_or(slots, |paced| paced.min(slots));
         let backlog = self.queue.work().as_secs_f64() / Self::BACKLOG_S;
         WindowLoad {
--- a/lib/src/process/gate/route_trees.rs
+++ b/lib/src/process/gate/route_trees.rs
@@ -116,7 +116,10 @@
             *calls += RouteTrees::RUN_WEIGHT * (seen - *calls);
         }
         for known in &tree.0 {
-            let is_new = self.calls.iter().all(|(service, _)| *service != known.service);
+            let is_new = self
+                .calls
+                .iter()
+                .all(|(service, _)| *service != known.service);
             if is_new && self.calls.len() < CallTree::SERVICES_MAX {
                 let calls = RouteTrees::RUN_WEIGHT * f64::from(known.calls);
                 self.calls.push((known.service.clone(), calls));
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -213,8 +213,7 @@
     waiter: Option<&Waiter>,
 ) -> RunOutcome {
     let arrived_at = node.clock.now();
-    let deadline = arrived_at
-        .after(Duration::from_micros(metadata.remaining_us));
+    let deadline = arrived_at.after(Duration::from_micros(metadata.remaining_us));
     let _count = node.stop_limit.count_run();
     let running = RunningRequest::new(metadata.clone(), arrived_at, deadline);
     let cancelled = CancelledRun(&running);
