--- a/lib/src/process/load/table.rs
+++ b/lib/src/process/load/table.rs
@@ -129,12 +129,35 @@
         known.filter(|known| known.age(now) < Self::AGE_MAX)
     }
 
+    /// Returns what is known of the loads of `nodes`, in their order. `own` is that of this node's server.
+    pub fn of_nodes<'a>(
+        &self,
+        nodes: impl IntoIterator<Item = &'a NodeId>,
+        own: Option<&LoadReport>,
+        now: MonotonicTime,
+    ) -> Vec<Option<NodeLoad>> {
+        let load = |node: &NodeId| {
+            let key = NodeKey::from(node);
+            match own.filter(|own| own.node == key) {
+                Some(own) => Some(own.load(Duration::ZERO)),
+                None => self.of(key, now).map(|known| known.load(now)),
+            }
+        };
+        nodes.into_iter().map(load).collect()
+    }
+
     /// Returns the loads that are known and not too old.
     pub fn known(&self, now: MonotonicTime) -> impl Iterator<Item = &KnownLoad> {
         let known = self.entries.iter().flatten();
         known.filter(move |known| known.age(now) < Self::AGE_MAX)
     }
 
+    /// Returns the mean age of the loads that are known and not too old.
+    pub fn mean_age(&self, now: MonotonicTime) -> Option<Duration> {
+        let ages: Vec<_> = self.known(now).map(|known| known.age(now)).collect();
+        (!ages.is_empty()).then(|| ages.iter().sum::<Duration>() / ages.len() as u32)
+    }
+
     /// Returns at most `count` reports for another node: `own` first, then fresh ones of others.
     ///
     /// The table is gone through in turn, so that all of them are passed on; of a few that follow each
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -232,6 +232,7 @@
         importance: route.importance_for(organisation),
         remaining_us: 0,
         spent: SpentTime::default(),
+        may_turn_away: false,
     };
     match parent {
         Some(running) => RequestMetadata {
