--- a/lib/tests/test_gate_trees.rs
+++ b/lib/tests/test_gate_trees.rs
@@ -89,13 +89,17 @@
     let now = MonotonicTime(1);
     let mut gate = full_gate(now);
     let first = wait(&mut gate, LOW, 0);
-    (0..3).for_each(|_| drop(wait(&mut gate, LOW, 300)));
+    for _ in 0..3 {
+        wait(&mut gate, LOW, 300);
+    }
     let (decision, displaced) = gate.acquire_part(&request(LOW), part(0), now);
     let refused = matches!(decision, AdmissionDecision::Refused(_));
     assert!(refused || displaced.is_some_and(|dropped| dropped.ticket == first));
     let mut gate = full_gate(now);
     let begins = wait(&mut gate, LOW, 0);
-    (0..3).for_each(|_| drop(wait(&mut gate, LOW, 300)));
+    for _ in 0..3 {
+        wait(&mut gate, LOW, 300);
+    }
     let (decision, displaced) = gate.acquire_part(&request(LOW), part(300), now);
     assert!(matches!(decision, AdmissionDecision::Waiting { .. }));
     assert_eq!(displaced.map(|dropped| dropped.ticket), Some(begins));
@@ -169,7 +173,9 @@
 #[test]
 fn floor_stays_without_a_queue_until_the_demand_fits() {
     let mut slots = Slots::new();
-    (0..10).for_each(|_| drop(slots.window(2.0, true)));
+    for _ in 0..10 {
+        slots.window(2.0, true);
+    }
     let kept: Vec<_> = (0..20).map(|_| slots.window(2.0, false)).collect();
     assert!(kept.iter().all(|kept| *kept < 0.8), "{kept:?}");
     let opened = (0..20).position(|_| slots.window(0.5, false) == 1.0);
