--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -20,7 +20,9 @@
 use super::views::ViewPositions;
 use super::views::ViewUpdate;
 use crate::connection::MemoryBudget;
+use crate::process::gate::CallTree;
 use crate::process::gate::FloorNotice;
+use crate::process::gate::SpentTime;
 use crate::process::load::LoadReport;
 use crate::process::rates::PeerStatus;
 use crate::process::rates::SettlementReport;
@@ -62,6 +64,9 @@
     /// Loads that the sender knows.
     #[serde(deserialize_with = "or_none")]
     pub loads: Vec<LoadReport>,
+    /// Time that the call tree has run before.
+    #[serde(deserialize_with = "or_none")]
+    pub spent: SpentTime,
 }
 
 plain_data! {
@@ -96,6 +101,9 @@
         /// Whether a node may turn the request away because its server is busier than others.
         #[serde(deserialize_with = "or_none")]
         pub may_turn_away: bool,
+        /// Time that the call tree has run before. In messages it is a field of the head.
+        #[serde(skip)]
+        pub spent: SpentTime,
     }
 }
 
@@ -117,6 +125,9 @@
     /// Loads that the sender knows.
     #[serde(deserialize_with = "or_none")]
     pub loads: Vec<LoadReport>,
+    /// The calls that the request needed.
+    #[serde(deserialize_with = "or_none")]
+    pub calls: CallTree,
 }
 
 plain_data! {
--- a/lib/src/process/relay/metrics.rs
+++ b/lib/src/process/relay/metrics.rs
@@ -37,6 +37,7 @@
     refusals: Family<Kind, Counter>,
     run_refusals: Family<Kind, Counter>,
     latency_s: Histogram,
+    tree_refusals: Counter,
     caller_disconnects: Counter,
     turned_away: Counter,
     store_calls: Family<Kind, Counter>,
@@ -56,6 +57,7 @@
         let run_refusals = Family::<Kind, Counter>::default();
         let bounds = exponential_buckets(LATENCY_BOUND_MIN_S, 2.0, LATENCY_BOUND_COUNT);
         let latency_s = Histogram::new(bounds);
+        let tree_refusals = Counter::default();
         let caller_disconnects = Counter::default();
         let turned_away = Counter::default();
         let store_calls = Family::<Kind, Counter>::default();
@@ -74,6 +76,11 @@
             "Requests that the node of a cold server or in an evacuated zone turned away, by reason",
             run_refusals.clone(),
         );
+        registry.register(
+            "tree_refusals",
+            "Requests refused at once because a service of their call tree had no room",
+            tree_refusals.clone(),
+        );
         registry.register(
             "latency_seconds",
             "Time until an answer or refusal",
@@ -112,6 +119,7 @@
             refusals,
             run_refusals,
             latency_s,
+            tree_refusals,
             caller_disconnects,
             turned_away,
             store_calls,
@@ -150,6 +158,11 @@
         }
     }
 
+    /// Counts a request that was refused because a service of its call tree has no room.
+    pub(super) fn record_tree_refusal(&self) {
+        self.tree_refusals.inc();
+    }
+
     /// Counts a caller that disconnected before the response.
     pub fn record_caller_disconnect(&self) {
         self.caller_disconnects.inc();
