returns, rates, relay: places for callers that are refused for a rate and come back

Cause: a refused caller was told when the next token is due, spread by chance; another caller took that token first, and the one that came back was refused again.

Only where the settings have a table [returns]; messages with places go only to nodes that ask for them.

--- a/lib/src/process/events/relay.rs
+++ b/lib/src/process/events/relay.rs
@@ -41,5 +41,7 @@
     ABANDONED = 8107, Info, "relay.request-abandoned", "The caller of a request had left, or the request that made it had ended, before the step that the line names.";
     RUN_CANCELLED = 8108, Debug, "relay.run-cancelled", "A request was cancelled at the node of its backend server; the line says whether the server may have received it.";
     NO_PARENT = 8109, Info, "relay.call-without-parent", "The id of a request extends that of another one, which does not run on the local backend server.";
+    RETURNED = 8110, Info, "relay.caller-returned", "A refused caller came back when it was told to; the line says whether it got the token that was held for it.";
+    RETURN_MISSED = 8111, Info, "relay.return-missed", "Refused callers with a place did not come back in time; what was held for them went to others.";
     LINES_LEFT_OUT = 8199, Info, "relay.lines-left-out", "Log lines of one kind were omitted because there were too many.";
 }
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -11,6 +11,7 @@
 pub mod platform;
 pub mod rates;
 pub mod relay;
+pub mod returns;
 pub mod routing;
 pub mod secret;
 pub mod settings;
--- a/lib/src/process/rates/account.rs
+++ b/lib/src/process/rates/account.rs
@@ -11,6 +11,8 @@
 use super::MAX_BATCH_LIFETIME;
 use super::MicroTokens;
 use super::PoolHolder;
+use super::ReturnDemand;
+use super::ReturnPlaces;
 use super::SettlementReport;
 use super::ShareLoan;
 use super::TakenTokens;
@@ -20,6 +22,8 @@
 use super::ZoneShare;
 use super::lender::Lender;
 use super::pool::Pool;
+use crate::process::returns::PlaceOffer;
+use crate::process::returns::ReturnSchedule;
 use crate::values::MonotonicTime;
 use crate::values::NodeId;
 use crate::values::OrganisationId;
@@ -51,6 +55,9 @@
 /// Shortest validity of a reply to the holder of another zone that the bucket is empty.
 const MIN_LENDER_EMPTY_VALIDITY: Duration = Duration::from_millis(25);
 
+/// Microseconds between two tokens at a rate of a millionth of a token per second.
+const MICRO_RATE_US: u64 = 1_000_000_000_000;
+
 /// A node without a token request for this time no longer counts as a requester.
 const REQUESTER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -63,6 +70,8 @@
     pub demand: Demand,
     pub lenders: BTreeMap<ZoneId, Lender>,
     pub requesters: BTreeMap<NodeId, MonotonicTime>,
+    /// Places in the tokens of the bucket.
+    pub returns: ReturnSchedule,
 }
 
 impl Account {
@@ -74,6 +83,7 @@
             demand: Demand::new(now),
             lenders: BTreeMap::new(),
             requesters: BTreeMap::new(),
+            returns: ReturnSchedule::default(),
         }
     }
 
@@ -152,6 +162,40 @@
         self.bucket.level().0 + self.loans.available(now).0
     }
 
+    /// Returns the tokens for `waiting` requests, of which `returned` may have places: tokens that are
+    /// held for places go to them only.
+    fn tokens_for_waiting(
+        &mut self,
+        waiting: u64,
+        returned: u64,
+        available: u64,
+        now: MonotonicTime,
+    ) -> u64 {
+        let held = self.returns.held(now).min(available);
+        let for_returned = held.min(returned).min(waiting);
+        let for_others = (waiting - for_returned).min(available - held);
+        self.returns.take(for_returned, now);
+        for_returned + for_others
+    }
+
+    /// Gives places in the tokens of the bucket to callers that are refused.
+    pub fn book_places(&mut self, demand: &ReturnDemand, now: MonotonicTime) -> ReturnPlaces {
+        let rate = self.bucket.share().rate_micro_per_s.0;
+        let first_in = self.bucket.until_next_token();
+        let offer = first_in.filter(|_| rate > 0).map(|first_in| PlaceOffer {
+            first_in,
+            interval: Duration::from_micros(MICRO_RATE_US / rate.max(1)),
+            horizon: Duration::from_micros(demand.horizon_us),
+        });
+        let book = |_| self.returns.book(offer?, now);
+        let booked = (0..demand.placeable_tokens.0).map_while(book);
+        let due_us: Vec<_> = booked.map(|due| due.as_micros() as u64).collect();
+        ReturnPlaces {
+            is_full: (due_us.len() as u64) < demand.placeable_tokens.0,
+            due_us,
+        }
+    }
+
     /// Takes borrowed tokens first, because they expire, then tokens of the zone's own bucket.
     pub fn take_for_node(
         &mut self,
@@ -161,8 +205,12 @@
     ) -> Option<TakenTokens> {
         self.requesters.insert(request.requester.clone(), now);
         let available = self.available_tokens(now);
-        let waiting = request.waiting_tokens.0.min(available);
-        let spare = match available - waiting {
+        let returned = request
+            .returns
+            .map_or(0, |returns| returns.returned_tokens.0);
+        let waiting = self.tokens_for_waiting(request.waiting_tokens.0, returned, available, now);
+        let unheld = available.saturating_sub(self.returns.held(now));
+        let spare = match unheld.saturating_sub(waiting) {
             few if few < MIN_AVAILABLE_FOR_PREFETCH_TOKENS => 0,
             left => left / PREFETCH_DIVISOR,
         };
@@ -181,7 +229,8 @@
         now: MonotonicTime,
     ) -> Option<TakenTokens> {
         let reserve = self.demand.expected(LENDER_RESERVE, now).0;
-        let spare = self.bucket.level().0.saturating_sub(reserve);
+        let kept = reserve + self.returns.held(now);
+        let spare = self.bucket.level().0.saturating_sub(kept);
         match spare.min(request.waiting_tokens.0) {
             0 => None,
             tokens => self.take_from_bucket(id, TokenCount(tokens), now),
--- a/lib/src/process/rates/client.rs
+++ b/lib/src/process/rates/client.rs
@@ -11,7 +11,9 @@
 
 use super::LocalTokens;
 use super::LocalTokensDump;
+use super::RateCaller;
 use super::RatePlan;
+use super::ReturnDemand;
 use super::SettlementReportTarget;
 use super::Spend;
 use super::TOKEN_REQUEST_TIMEOUT;
@@ -59,9 +61,24 @@
 #[derive(Debug, Default)]
 struct Waiting {
     tokens: u64,
+    /// Those of them whose callers have a place.
+    returned: u64,
+    /// Those of them whose callers can get a place.
+    placeable: u64,
+    /// Longest time until a place that any caller of late could wait.
+    horizon: Duration,
     wake: Arc<Notify>,
 }
 
+/// A refusal for the rate of an organisation.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RateRefusal {
+    /// The refusal for the caller.
+    pub refusal: Refusal,
+    /// Whether a token is held for the caller at the time at which it may retry.
+    pub has_place: bool,
+}
+
 /// State under the lock, which is not held across an await.
 #[derive(Debug)]
 struct ClientState {
@@ -118,17 +135,31 @@
 
     /// Spends a token on a request of `organisation`, or refuses it.
     pub async fn admit(self: &Arc<Self>, organisation: &OrganisationId) -> Result<(), Refusal> {
+        let admitted = self.admit_caller(organisation, RateCaller::WITHOUT_PLACE);
+        admitted.await.map_err(|refused| refused.refusal)
+    }
+
+    /// Like [`Self::admit`], for a caller that may have or get a place.
+    pub async fn admit_caller(
+        self: &Arc<Self>,
+        organisation: &OrganisationId,
+        caller: RateCaller,
+    ) -> Result<(), RateRefusal> {
         let spend = {
             let now = self.clock.now();
             let mut state = self.state.lock();
             // The first requests of a process wait for its first holder like for a new one.
             state.last_admitted.get_or_insert(now);
-            state.tokens.try_admit(organisation, now)
+            state.tokens.count(organisation, now);
+            if caller.has_place {
+                state.tokens.forget_empty_reply(organisation, now);
+            }
+            state.spend(organisation, caller, now)
         };
         let outcome = match spend {
-            Spend::NeedsTokens => self.wait_for_token(organisation).await,
+            Spend::NeedsTokens => self.wait_for_token(organisation, caller).await,
             Spend::Unreachable if self.has_admitted_recently() => {
-                self.wait_for_token(organisation).await
+                self.wait_for_token(organisation, caller).await
             }
             spend => spend,
         };
@@ -139,14 +170,23 @@
         self.send_due_reports(organisation);
         match outcome {
             Spend::Admitted => Ok(()),
-            Spend::Refused { retry_after } => Err(refusal(
-                RefusalReason::RateExceeded,
-                retry_after.as_millis() as u64,
-            )),
-            Spend::NeedsTokens | Spend::Unreachable => Err(refusal(
-                RefusalReason::RateHolderUnreachable,
-                RETRY_WITHOUT_HOLDER_MS,
-            )),
+            Spend::Refused {
+                retry_after,
+                has_place,
+            } => Err(RateRefusal {
+                refusal: refusal(
+                    RefusalReason::RateExceeded,
+                    retry_after.as_micros().div_ceil(1_000) as u64,
+                ),
+                has_place,
+            }),
+            Spend::NeedsTokens | Spend::Unreachable => Err(RateRefusal {
+                refusal: refusal(
+                    RefusalReason::RateHolderUnreachable,
+                    RETRY_WITHOUT_HOLDER_MS,
+                ),
+                has_place: false,
+            }),
         }
     }
 
@@ -199,9 +239,13 @@
         }
     }
 
-    async fn wait_for_token(self: &Arc<Self>, organisation: &OrganisationId) -> Spend {
-        let waiting = WaitingGuard::start(self, organisation);
-        let spent = self.spend_when_notified(organisation, &waiting.wake);
+    async fn wait_for_token(
+        self: &Arc<Self>,
+        organisation: &OrganisationId,
+        caller: RateCaller,
+    ) -> Spend {
+        let waiting = WaitingGuard::start(self, organisation, caller);
+        let spent = self.spend_when_notified(organisation, caller, &waiting.wake);
         let spent = tokio::time::timeout(WAIT_MAX, spent);
         spent.await.unwrap_or(Spend::NeedsTokens)
     }
@@ -209,17 +253,15 @@
     async fn spend_when_notified(
         self: &Arc<Self>,
         organisation: &OrganisationId,
+        caller: RateCaller,
         wake: &Notify,
     ) -> Spend {
         loop {
             let notified = wake.notified();
             tokio::pin!(notified);
             notified.as_mut().enable();
-            let spend = self
-                .state
-                .lock()
-                .tokens
-                .spend(organisation, self.clock.now());
+            let now = self.clock.now();
+            let spend = self.state.lock().spend(organisation, caller, now);
             if !matches!(spend, Spend::NeedsTokens | Spend::Unreachable) {
                 return spend;
             }
@@ -235,8 +277,10 @@
             let mut state = self.state.lock();
             let waiting = state.waiting.get(organisation);
             let tokens = TokenCount(waiting.map_or(0, |waiting| waiting.tokens));
+            let returns = waiting.and_then(Waiting::return_demand);
             let now = self.clock.now();
-            state.tokens.begin_request(organisation, tokens, now)
+            let tokens_of_node = &mut state.tokens;
+            tokens_of_node.begin_request_for(organisation, tokens, returns, now)
         };
         if let Some(target) = target {
             let client = Arc::clone(self);
@@ -264,21 +308,69 @@
     }
 }
 
+impl Waiting {
+    fn count(&mut self, caller: RateCaller) {
+        self.tokens += 1;
+        self.returned += u64::from(caller.has_place);
+        self.placeable += u64::from(caller.gets_place());
+        self.horizon = match self.placeable {
+            _ if !caller.gets_place() => self.horizon,
+            1 => caller.horizon,
+            _ => self.horizon.max(caller.horizon),
+        };
+    }
+
+    fn uncount(&mut self, caller: RateCaller) {
+        self.tokens = self.tokens.saturating_sub(1);
+        let (returned, placeable) = (caller.has_place, caller.gets_place());
+        self.returned = self.returned.saturating_sub(u64::from(returned));
+        self.placeable = self.placeable.saturating_sub(u64::from(placeable));
+    }
+
+    fn return_demand(&self) -> Option<ReturnDemand> {
+        (self.returned + self.placeable > 0).then_some(ReturnDemand {
+            returned_tokens: TokenCount(self.returned),
+            placeable_tokens: TokenCount(self.placeable),
+            horizon_us: self.horizon.as_micros() as u64,
+        })
+    }
+}
+
+impl ClientState {
+    /// Spends a token for a caller. Those for callers with a place are left to them.
+    fn spend(
+        &mut self,
+        organisation: &OrganisationId,
+        caller: RateCaller,
+        now: MonotonicTime,
+    ) -> Spend {
+        let waiting = self.waiting.get(organisation);
+        let kept = match caller.has_place {
+            true => 0,
+            false => waiting.map_or(0, |waiting| waiting.returned),
+        };
+        self.tokens
+            .spend_for(organisation, caller, TokenCount(kept), now)
+    }
+}
+
 /// Counts a waiting request until it has an outcome or its caller disconnects.
 struct WaitingGuard<'a> {
     client: &'a RateClient,
     organisation: &'a OrganisationId,
+    caller: RateCaller,
     wake: Arc<Notify>,
 }
 
 impl<'a> WaitingGuard<'a> {
-    fn start(client: &'a RateClient, organisation: &'a OrganisationId) -> Self {
+    fn start(client: &'a RateClient, organisation: &'a OrganisationId, caller: RateCaller) -> Self {
         let mut state = client.state.lock();
         let waiting = state.waiting.entry(organisation.clone()).or_default();
-        waiting.tokens += 1;
+        waiting.count(caller);
         Self {
             client,
             organisation,
+            caller,
             wake: Arc::clone(&waiting.wake),
         }
     }
@@ -287,7 +379,7 @@
 impl Drop for WaitingGuard<'_> {
     fn drop(&mut self) {
         if let Some(waiting) = self.client.state.lock().waiting.get_mut(self.organisation) {
-            waiting.tokens = waiting.tokens.saturating_sub(1);
+            waiting.uncount(self.caller);
         }
     }
 }
--- a/lib/src/process/rates/holder.rs
+++ b/lib/src/process/rates/holder.rs
@@ -335,7 +335,7 @@
     }
 
     fn reply(
-        &self,
+        &mut self,
         id: BatchId,
         request: &TokenRequest,
         taken: Option<TakenTokens>,
@@ -371,14 +371,21 @@
         })
     }
 
-    fn empty_reply(&self, request: &TokenRequest, now: MonotonicTime) -> Option<TokenReply> {
-        let account = self.accounts.get(&request.organisation)?;
-        Some(TokenReply::Empty(EmptyBucket {
+    fn empty_reply(&mut self, request: &TokenRequest, now: MonotonicTime) -> Option<TokenReply> {
+        let account = self.accounts.get_mut(&request.organisation)?;
+        let empty = EmptyBucket {
             zone: self.settings.zone.clone(),
             epoch: self.settings.epoch,
             valid_us: account.empty_validity(request.purpose, now).as_micros() as u64,
             next_token_us: account.until_next_token(now).as_micros() as u64,
-        }))
+        };
+        match &request.returns {
+            Some(demand) => {
+                let places = account.book_places(demand, now);
+                Some(TokenReply::EmptyWithPlaces(empty, places))
+            }
+            None => Some(TokenReply::Empty(empty)),
+        }
     }
 
     /// Lends the share of the zone to the holder that requests it.
@@ -443,6 +450,7 @@
                     zone: self.settings.zone.clone(),
                     epoch: self.settings.epoch,
                 }),
+                returns: None,
             };
             requests.push(LoanRequest { lender, request });
         }
@@ -486,6 +494,7 @@
                 prefetch_tokens: TokenCount(0),
                 settlements: account.loans.settlements(&lender),
                 pool_holder: None,
+                returns: None,
             };
             requests.push(LoanRequest { lender, request });
         }
--- a/lib/src/process/rates/local.rs
+++ b/lib/src/process/rates/local.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 
 use super::EmptyBucket;
+use super::RateCaller;
+use super::ReturnDemand;
+use super::ReturnPlaces;
 use super::SettlementReport;
 use super::TokenGrant;
 use super::TokenReply;
@@ -45,6 +48,8 @@
     Refused {
         /// How long the caller should wait before a retry.
         retry_after: Duration,
+        /// Whether a token is held for the caller at that time.
+        has_place: bool,
     },
     /// The node has no token and has to request some.
     NeedsTokens,
@@ -127,20 +132,51 @@
 
     /// Counts a new request of `organisation`, and spends a token on it if there is one.
     pub fn try_admit(&mut self, organisation: &OrganisationId, now: MonotonicTime) -> Spend {
+        self.count(organisation, now);
+        self.spend(organisation, now)
+    }
+
+    /// Counts a new request of `organisation`.
+    pub fn count(&mut self, organisation: &OrganisationId, now: MonotonicTime) {
         let account = self.account(organisation, now);
         account.demand.record(TokenCount(1), now);
-        self.spend(organisation, now)
+    }
+
+    /// Makes the next requests ask the holder again, because it may hold a token for one of them.
+    pub fn forget_empty_reply(&mut self, organisation: &OrganisationId, now: MonotonicTime) {
+        self.account(organisation, now).empty_period = None;
     }
 
     /// Spends a token on a request that was counted by [`Self::try_admit`].
     pub fn spend(&mut self, organisation: &OrganisationId, now: MonotonicTime) -> Spend {
+        self.spend_for(organisation, RateCaller::WITHOUT_PLACE, TokenCount(0), now)
+    }
+
+    /// Like [`Self::spend`], for a caller that may have or get a place, and leaves `kept` tokens to others.
+    pub fn spend_for(
+        &mut self,
+        organisation: &OrganisationId,
+        caller: RateCaller,
+        kept: TokenCount,
+        now: MonotonicTime,
+    ) -> Spend {
         let unreachable = self.reachable_zone(now).is_none();
         let account = self.account(organisation, now);
+        let may_spend = kept == TokenCount(0) || account.batches.available(now) > kept;
         match account.empty_period {
-            _ if account.batches.spend(now) => Spend::Admitted,
+            _ if may_spend && account.batches.spend(now) => Spend::Admitted,
             Some(period) if now < period.valid_until => {
-                let retry_after = self.retry_after(organisation, period, now);
-                Spend::Refused { retry_after }
+                match account.take_place(caller.horizon, now) {
+                    Some(due) => Spend::Refused {
+                        retry_after: due.since(now),
+                        has_place: true,
+                    },
+                    None if account.may_get_place(caller) && !unreachable => Spend::NeedsTokens,
+                    None => Spend::Refused {
+                        retry_after: self.retry_after(organisation, period, now),
+                        has_place: false,
+                    },
+                }
             }
             _ if unreachable => Spend::Unreachable,
             _ => Spend::NeedsTokens,
@@ -175,6 +211,17 @@
         organisation: &OrganisationId,
         waiting: TokenCount,
         now: MonotonicTime,
+    ) -> Option<TokenRequestTarget> {
+        self.begin_request_for(organisation, waiting, None, now)
+    }
+
+    /// Like [`Self::begin_request`], with what the holder has to know of callers that come back.
+    pub fn begin_request_for(
+        &mut self,
+        organisation: &OrganisationId,
+        waiting: TokenCount,
+        returns: Option<ReturnDemand>,
+        now: MonotonicTime,
     ) -> Option<TokenRequestTarget> {
         let zone = self.reachable_zone(now)?.clone();
         let id = self.last_request.next();
@@ -200,6 +247,7 @@
             prefetch_tokens,
             settlements,
             pool_holder: None,
+            returns,
         };
         Some(TokenRequestTarget { zone, request })
     }
@@ -225,7 +273,11 @@
             }
             TokenReply::Empty(empty) if empty.epoch >= *seen => {
                 *seen = empty.epoch;
-                self.accept_empty(organisation, empty, now);
+                self.accept_empty(organisation, empty, None, now);
+            }
+            TokenReply::EmptyWithPlaces(empty, places) if empty.epoch >= *seen => {
+                *seen = empty.epoch;
+                self.accept_empty(organisation, empty, Some(places), now);
             }
             TokenReply::NoPrefetch => {
                 let account = self.account(organisation, now);
@@ -318,6 +370,7 @@
         &mut self,
         organisation: &OrganisationId,
         empty: &EmptyBucket,
+        places: Option<&ReturnPlaces>,
         now: MonotonicTime,
     ) {
         let account = self.account(organisation, now);
@@ -325,7 +378,13 @@
             received_at: now,
             valid_until: now.after(Duration::from_micros(empty.valid_us)),
             next_token: now.after(Duration::from_micros(empty.next_token_us)),
+            has_more_places: places.is_some_and(|places| !places.is_full),
         });
+        let due_us = places.map_or(&[][..], |places| &places.due_us);
+        let due = due_us
+            .iter()
+            .map(|us| now.after(Duration::from_micros(*us)));
+        account.places = due.collect();
     }
 
     /// Returns a delay with jitter, so that refused callers do not retry at the same time.
--- a/lib/src/process/rates/local_account.rs
+++ b/lib/src/process/rates/local_account.rs
@@ -1,5 +1,6 @@
 //! One organisation on a node: its batches, and when to request more tokens.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::Demand;
@@ -40,6 +41,30 @@
     pub received_at: MonotonicTime,
     pub valid_until: MonotonicTime,
     pub next_token: MonotonicTime,
+    /// Whether the holder has more places than it gave.
+    pub has_more_places: bool,
+}
+
+/// A waiting request, as far as its token depends on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RateCaller {
+    /// Whether the caller has a place in the tokens, and comes back at its time.
+    pub has_place: bool,
+    /// Longest time until a place, or zero if the caller gets none.
+    pub horizon: Duration,
+}
+
+impl RateCaller {
+    /// A caller that neither has nor gets a place.
+    pub const WITHOUT_PLACE: Self = Self {
+        has_place: false,
+        horizon: Duration::ZERO,
+    };
+
+    /// Returns whether the caller gets a place if it is refused.
+    pub fn gets_place(self) -> bool {
+        !self.has_place && !self.horizon.is_zero()
+    }
 }
 
 /// Account of one organisation on this node.
@@ -52,6 +77,8 @@
     /// No tokens are prefetched before this time.
     pub prefetch_not_before: MonotonicTime,
     pub lifetime: Duration,
+    /// Places that the holder gave for callers that are refused, the earliest first.
+    pub places: VecDeque<MonotonicTime>,
 }
 
 impl LocalAccount {
@@ -63,9 +90,24 @@
             empty_period: None,
             prefetch_not_before: now,
             lifetime: MIN_BATCH_LIFETIME,
+            places: VecDeque::new(),
         }
     }
 
+    /// Takes the next place for a caller, if it comes within its horizon.
+    pub fn take_place(&mut self, horizon: Duration, now: MonotonicTime) -> Option<MonotonicTime> {
+        self.places
+            .pop_front_if(|place| place.since(now) <= horizon)
+    }
+
+    /// Returns whether the holder may have a place for a caller that found none here.
+    pub fn may_get_place(&self, caller: RateCaller) -> bool {
+        let has_more = self
+            .empty_period
+            .is_some_and(|period| period.has_more_places);
+        has_more && self.places.is_empty() && !caller.horizon.is_zero()
+    }
+
     pub fn has_pending_request(&self, now: MonotonicTime) -> bool {
         match &self.pending {
             Some(pending) => now < pending.sent.after(TOKEN_REQUEST_TIMEOUT),
--- a/lib/src/process/rates/messages.rs
+++ b/lib/src/process/rates/messages.rs
@@ -72,6 +72,22 @@
     }
 }
 
+plain_data! {
+    /// What a requester tells of callers that come back or will come back.
+    #[derive(Copy, Eq)]
+    pub struct ReturnDemand {
+        /// Those of the waiting requests whose callers came back when they were told to.
+        #[serde(rename = "b")]
+        pub returned_tokens: TokenCount,
+        /// Those of the waiting requests whose callers can be told a place.
+        #[serde(rename = "p")]
+        pub placeable_tokens: TokenCount,
+        /// Longest time until a place, in microseconds.
+        #[serde(rename = "h")]
+        pub horizon_us: u64,
+    }
+}
+
 plain_data! {
     /// Requests tokens of one organisation from the holder of a zone.
     #[derive(Eq)]
@@ -103,6 +119,9 @@
         /// The holder that requests the share of the addressed zone.
         #[serde(rename = "h", default)]
         pub pool_holder: Option<PoolHolder>,
+        /// Callers that come back. Sent beside the request, as earlier versions cannot decode it.
+        #[serde(skip)]
+        pub returns: Option<ReturnDemand>,
     }
 }
 
@@ -190,6 +209,19 @@
     }
 }
 
+plain_data! {
+    /// Places of refused callers in the tokens that the bucket will have.
+    #[derive(Eq)]
+    pub struct ReturnPlaces {
+        /// The times of the places, in microseconds from receipt, the earliest first.
+        #[serde(rename = "p")]
+        pub due_us: Vec<u64>,
+        /// Whether no more places are free within the horizon.
+        #[serde(rename = "f")]
+        pub is_full: bool,
+    }
+}
+
 plain_data! {
     /// The share of a zone, lent to the zone of the pool.
     #[derive(Eq)]
@@ -239,6 +271,9 @@
         NotHolder(Option<NodeId>),
         /// The share of the zone.
         Share(ShareLoan),
+        /// There is no token for the waiting requests; their callers get places. Sent only in reply to a
+        /// request with [`ReturnDemand`].
+        EmptyWithPlaces(EmptyBucket, ReturnPlaces),
     }
 }
 
--- a/lib/src/process/relay/caller_responses.rs
+++ b/lib/src/process/relay/caller_responses.rs
@@ -17,7 +17,7 @@
 
 /// Maximum retry delay as a fraction of the caller's remaining time. It is below the third up to
 /// which callers comply with a retry delay.
-const RETRY_AFTER_RATIO: f64 = 0.3;
+pub(super) const RETRY_AFTER_RATIO: f64 = 0.3;
 /// Range of the random retry delay for a refusal without one, in milliseconds.
 const RETRY_AFTER_MS: std::ops::Range<f64> = 50.0..400.0;
 /// Header with the time for which a caller may reuse an idle connection.
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -23,6 +23,7 @@
 use super::frame::RequestMetadata;
 use super::link::SENT_BODY_BYTES_MAX;
 use super::node::RelayNode;
+use super::returns::ReturningCaller;
 use super::runs::Parent;
 use super::runs::RunningRequest;
 use super::runs::is_call;
@@ -38,6 +39,8 @@
 use crate::connection::read_budgeted_body;
 use crate::connection::strip_connection_headers;
 use crate::process::events::relay as events;
+use crate::process::rates::RateCaller;
+use crate::process::rates::RateRefusal;
 use crate::request::OnwardWait;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
@@ -167,6 +170,13 @@
     let CallerRequest { id, arrived_at, .. } = request;
     let limit = Duration::from_millis(route.timeout_ms).min(request.remaining);
     let parent = request.waiter.parent().map(Arc::as_ref);
+    let returning = match (&node.returns, &organisation) {
+        (Some(returns), Some(limits)) if parent.is_none() => {
+            let (parts, remaining) = (&request.parts, request.remaining);
+            Some(returns.arrive(Some(&limits.id), parts, remaining, arrived_at))
+        }
+        _ => None,
+    };
     let metadata = metadata_of(node, &route, organisation.as_deref(), parent, id);
     if parent.is_none() {
         node.check_ingress(&metadata)?;
@@ -186,7 +196,7 @@
     let taken = match &organisation {
         Some(limits) if limits.rate_per_s.is_some() => {
             let wait_max = limit.mul_f64(TOKEN_WAIT_FRACTION);
-            take_token(node, &limits.id, id, wait_max).await?
+            take_token(node, &limits.id, id, wait_max, returning).await?
         }
         Some(_) | None => TakenToken(None),
     };
@@ -340,15 +350,28 @@
     organisation: &OrganisationId,
     request_id: &str,
     wait_max: Duration,
+    returning: Option<ReturningCaller>,
 ) -> Result<TakenToken, Refusal> {
-    let admitted = node.rates.client.admit(organisation);
+    let caller = returning.map(|caller| caller.rate_caller());
+    let caller = caller.unwrap_or(RateCaller::WITHOUT_PLACE);
+    let admitted = node.rates.client.admit_caller(organisation, caller);
     let result = match tokio::time::timeout(wait_max, admitted).await {
         Ok(result) => result,
-        Err(_) => Err(Refusal::not_run(RefusalReason::RateHolderUnreachable)),
+        Err(_) => Err(RateRefusal {
+            refusal: Refusal::not_run(RefusalReason::RateHolderUnreachable),
+            has_place: false,
+        }),
     };
+    if let Some(caller) = returning {
+        caller.log_outcome(request_id, organisation, result.is_ok());
+    }
     match result {
         Ok(()) => Ok(TakenToken(Some(organisation.clone()))),
-        Err(refusal) => {
+        Err(RateRefusal { refusal, has_place }) => {
+            if let (Some(returns), Some(caller)) = (&node.returns, returning) {
+                let after = Duration::from_millis(refusal.retry_after_ms.unwrap_or(0));
+                returns.expect(&caller, node.clock.now().after(after), has_place);
+            }
             log_rate_refusal(node, organisation, request_id, &refusal);
             Err(refusal)
         }
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -21,6 +21,7 @@
 use crate::connection::MemoryBudget;
 use crate::process::gate::FloorNotice;
 use crate::process::rates::PeerStatus;
+use crate::process::rates::ReturnDemand;
 use crate::process::rates::SettlementReport;
 use crate::process::rates::TokenReply;
 use crate::process::rates::TokenRequest;
@@ -276,6 +277,15 @@
         /// The first exchange that the sender has not begun. It begins no later one either.
         first_not_begun: ExchangeId,
     },
+    /// Requests tokens from the holder of a zone, with what it has to know of callers that come back.
+    TokenRequestWithReturns {
+        /// The exchange.
+        exchange: ExchangeId,
+        /// The request.
+        request: TokenRequest,
+        /// The callers.
+        returns: ReturnDemand,
+    },
 }
 
 /// A frame that cannot be encoded or decoded.
--- a/lib/src/process/relay/link_reply.rs
+++ b/lib/src/process/relay/link_reply.rs
@@ -113,6 +113,7 @@
         | Head::Borrow { .. }
         | Head::Lent { .. }
         | Head::TokenRequest { .. }
+        | Head::TokenRequestWithReturns { .. }
         | Head::TokenReport { .. }
         | Head::RateStatusRequest { .. }
         | Head::RateHolderReleased
--- a/lib/src/process/relay/mod.rs
+++ b/lib/src/process/relay/mod.rs
@@ -31,6 +31,7 @@
 mod registration;
 mod registration_store;
 mod reports;
+mod returns;
 mod runs;
 mod server_health;
 mod settings;
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -29,6 +29,7 @@
 use super::rates::new_rates;
 use super::rates::rate_plan;
 use super::registration::Registration;
+use super::returns::Returns;
 use super::runs::RunTable;
 use super::settings::BoundSettings;
 use super::settings::RawRelaySettings;
@@ -105,6 +106,8 @@
     pub(super) stored_quarantines: Mutex<HashSet<Fingerprint>>,
     /// Admission floors for requests of callers.
     pub(super) ingress_floors: Mutex<DownstreamFloors>,
+    /// Refused callers that come back, if they get places.
+    pub(super) returns: Option<Returns>,
     /// Nodes that refused requests because their servers fail often.
     pub(super) failing_servers: Mutex<FailingServers>,
     /// Admission floors for the onward calls of the local backend server.
@@ -159,6 +162,7 @@
         });
         let started_ms = clock.wall().0;
         let views = ViewState::default();
+        let settings_returns = settings.raw.returns;
         let memory = MemoryBudget::of_process(settings.memory_limit_bytes());
         Self {
             zones: zones.collect(),
@@ -186,6 +190,7 @@
             store,
             metrics: RelayMetrics::new(),
             runs: RunTable::new(clock),
+            returns: settings_returns.map(Returns::new),
             ingress_floors: Mutex::default(),
             failing_servers: Mutex::default(),
             onward_floors: Mutex::default(),
--- a/lib/src/process/relay/peers.rs
+++ b/lib/src/process/relay/peers.rs
@@ -38,6 +38,7 @@
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
 use crate::process::events::relay as events;
+use crate::process::rates::TokenRequest;
 use crate::request::Refusal;
 use crate::request::RefusalReason;
 use crate::values::TokenCount;
@@ -195,8 +196,9 @@
 
     fn handle(&mut self, frame: &Frame) -> Result<(), String> {
         let head = frame.head().map_err(|error| error.to_string())?;
-        if let Head::Request(RequestHead { exchange, .. }) | Head::TokenRequest { exchange, .. } =
-            &head
+        if let Head::Request(RequestHead { exchange, .. })
+        | Head::TokenRequest { exchange, .. }
+        | Head::TokenRequestWithReturns { exchange, .. } = &head
         {
             self.first_not_begun = ExchangeId(exchange.0.saturating_add(1));
         }
@@ -270,16 +272,18 @@
             send_reply(replies, &Head::Lent { exchange, tokens }, &Bytes::new());
         }
         Head::TokenRequest { exchange, request } => {
-            let service = Arc::clone(&node.rates.service);
-            let replies = replies.clone();
-            tokio::spawn(async move {
-                let reply = service.handle_request(request).await;
-                send_reply(
-                    &replies,
-                    &Head::TokenReply { exchange, reply },
-                    &Bytes::new(),
-                );
-            });
+            grant_tokens(node, exchange, request, replies);
+        }
+        Head::TokenRequestWithReturns {
+            exchange,
+            request,
+            returns,
+        } => {
+            let request = TokenRequest {
+                returns: Some(returns),
+                ..request
+            };
+            grant_tokens(node, exchange, request, replies);
         }
         Head::TokenReport { report } => node.rates.service.apply_report(&report),
         Head::RateStatusRequest { exchange } => {
@@ -328,6 +332,21 @@
     Ok(())
 }
 
+fn grant_tokens(
+    node: &RelayNode,
+    exchange: ExchangeId,
+    request: TokenRequest,
+    replies: &FrameSender,
+) {
+    let service = Arc::clone(&node.rates.service);
+    let replies = replies.clone();
+    tokio::spawn(async move {
+        let reply = service.handle_request(request).await;
+        let head = Head::TokenReply { exchange, reply };
+        send_reply(&replies, &head, &Bytes::new());
+    });
+}
+
 fn send_reply(replies: &FrameSender, head: &Head<'_>, body: &Bytes) {
     match encode_shared(head, body) {
         // Sending fails if the connection has ended.
--- a/lib/src/process/relay/rates.rs
+++ b/lib/src/process/relay/rates.rs
@@ -170,7 +170,14 @@
         holder: &NodeRecord,
         request: TokenRequest,
     ) -> BoxFuture<'static, Option<TokenReply>> {
-        let reply = self.exchange(holder, |exchange| Head::TokenRequest { exchange, request });
+        let reply = self.exchange(holder, |exchange| match request.returns {
+            Some(returns) => Head::TokenRequestWithReturns {
+                exchange,
+                request,
+                returns,
+            },
+            None => Head::TokenRequest { exchange, request },
+        });
         async move {
             match reply.await? {
                 PeerReply::Tokens(reply) => Some(reply),
--- a/lib/src/process/relay/settings.rs
+++ b/lib/src/process/relay/settings.rs
@@ -6,6 +6,7 @@
 
 use snafu::Snafu;
 
+use crate::process::returns::ReturnSettings;
 use crate::request::RetryBound;
 use crate::values::NodeId;
 use crate::values::RegionId;
@@ -34,6 +35,8 @@
         pub zones: BTreeMap<ZoneId, RegionId>,
         /// Time limits that the operators set.
         pub bounds: BoundSettings,
+        /// Places for refused callers that come back, if they get any.
+        pub returns: Option<ReturnSettings>,
     }
 }
 
@@ -198,6 +201,7 @@
         if !Self::RETRY_WINDOW_S.contains(&bounds.retry_window_s) {
             faults.push("bounds.retry_window_s: must be from 1 to 3600".to_owned());
         }
+        faults.extend(raw.returns.iter().flat_map(ReturnSettings::faults));
         match faults.is_empty() {
             true => Ok(Self { raw }),
             false => ValuesSnafu { faults }.fail(),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -90,6 +90,7 @@
 mod test_relay_traffic;
 mod test_relay_views;
 mod test_retry_budget;
+mod test_returns;
 mod test_routing;
 mod test_secret;
 mod test_service_chain;
--- a/lib/tests/test_rates.rs
+++ b/lib/tests/test_rates.rs
@@ -90,6 +90,7 @@
         prefetch_tokens: TokenCount(0),
         settlements: Vec::new(),
         pool_holder: None,
+        returns: None,
     }
 }
 
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -455,6 +455,7 @@
             metrics: None,
         },
         zones: [(zone, region)].into(),
+        returns: None,
         bounds: BoundSettings {
             configuration_apply_ms: 2_000,
             key_withdrawal_ms: 5_000,
