--- a/lib/src/process/rates/holder.rs
+++ b/lib/src/process/rates/holder.rs
@@ -6,12 +6,10 @@
 use super::Bucket;
 use super::BucketDump;
 use super::BucketHandover;
-use super::EmptyBucket;
 use super::HolderDecision;
 use super::HolderReport;
 use super::HolderSettings;
 use super::LoanRequest;
-use super::MAX_BATCH_LIFETIME;
 use super::PoolHolder;
 use super::SHARE_LEASE;
 use super::Settlement;
@@ -24,7 +22,6 @@
 use super::TokenRequestPurpose;
 use super::ZoneShare;
 use super::account::Account;
-use super::account::MAX_EMPTY_VALIDITY;
 use super::lease::FIRST_EPOCH;
 use crate::values::Epoch;
 use crate::values::MonotonicTime;
@@ -38,8 +35,8 @@
 /// Every call must be made with a time that was read after the holder's lease was found valid.
 #[derive(Clone, Debug)]
 pub struct Holder {
-    settings: HolderSettings,
-    accounts: BTreeMap<OrganisationId, Account>,
+    pub(super) settings: HolderSettings,
+    pub(super) accounts: BTreeMap<OrganisationId, Account>,
     next_batch: BatchId,
     last_request: TokenRequestId,
     lender_epochs: BTreeMap<ZoneId, Epoch>,
@@ -361,33 +358,6 @@
         }
     }
 
-    /// The configuration with the organisation has not reached this node yet.
-    fn unknown_organisation(&self) -> TokenReply {
-        TokenReply::Empty(EmptyBucket {
-            zone: self.settings.zone.clone(),
-            epoch: self.settings.epoch,
-            valid_us: MAX_EMPTY_VALIDITY.as_micros() as u64,
-            next_token_us: MAX_BATCH_LIFETIME.as_micros() as u64,
-        })
-    }
-
-    fn empty_reply(&mut self, request: &TokenRequest, now: MonotonicTime) -> Option<TokenReply> {
-        let account = self.accounts.get_mut(&request.organisation)?;
-        let empty = EmptyBucket {
-            zone: self.settings.zone.clone(),
-            epoch: self.settings.epoch,
-            valid_us: account.empty_validity(request.purpose, now).as_micros() as u64,
-            next_token_us: account.until_next_token(now).as_micros() as u64,
-        };
-        match &request.returns {
-            Some(demand) => {
-                let places = account.book_places(demand, now);
-                Some(TokenReply::EmptyWithPlaces(empty, places))
-            }
-            None => Some(TokenReply::Empty(empty)),
-        }
-    }
-
     /// Lends the share of the zone to the holder that requests it.
     fn lend_share(&mut self, request: &TokenRequest, now: MonotonicTime) -> TokenReply {
         let (zone, epoch) = (self.settings.zone.clone(), self.settings.epoch);
--- a/lib/src/process/rates/mod.rs
+++ b/lib/src/process/rates/mod.rs
@@ -14,6 +14,7 @@
 mod fleet_rates;
 mod holder;
 mod holder_decision;
+mod holder_empty;
 mod layout;
 mod lease;
 mod lease_record;
