--- a/lib/src/process/events/relay.rs
+++ b/lib/src/process/events/relay.rs
@@ -45,5 +45,7 @@
     NO_PARENT = 8109, Info, "relay.call-without-parent", "The id of a request extends that of another one, which does not run on the local backend server.";
     TURNED_AWAY = 8110, Info, "relay.turned-away", "The backend server has much more to do than others of its service; the request goes to another one. The line has its requests that run or wait, and how many are usual.";
     TREE_REFUSED = 8111, Info, "relay.tree-refused", "A request was refused before it began, because a service that its call tree needs has no room; the line has the service, its floor and the floor's age.";
+    RETURNED = 8112, Info, "relay.caller-returned", "A refused caller came back when it was told to; the line says whether it got the token that was held for it.";
+    RETURN_MISSED = 8113, Info, "relay.return-missed", "Refused callers with a place did not come back in time; what was held for them went to others.";
     LINES_LEFT_OUT = 8199, Info, "relay.lines-left-out", "Log lines of one kind were omitted because there were too many.";
 }
--- a/lib/src/process/relay/node.rs
+++ b/lib/src/process/relay/node.rs
@@ -30,6 +30,7 @@
 use super::rates::new_rates;
 use super::rates::rate_plan;
 use super::registration::Registration;
+use super::returns::Returns;
 use super::runs::RunTable;
 use super::settings::BoundSettings;
 use super::settings::RawRelaySettings;
@@ -117,6 +118,8 @@
     pub(super) stored_quarantines: Mutex<HashSet<Fingerprint>>,
     /// Admission floors for requests of callers.
     pub(super) ingress_floors: Mutex<DownstreamFloors>,
+    /// Refused callers that come back, if they get places.
+    pub(super) returns: Option<Returns>,
     /// Nodes that refused requests because their servers fail often.
     pub(super) failing_servers: Mutex<FailingServers>,
     /// The zones that the operators evacuated.
@@ -173,6 +176,7 @@
         });
         let started_ms = clock.wall().0;
         let views = ViewState::default();
+        let settings_returns = settings.raw.returns;
         let memory = MemoryBudget::of_process(settings.memory_limit_bytes());
         Self {
             zones: zones.collect(),
@@ -202,6 +206,7 @@
             store,
             metrics: RelayMetrics::new(),
             runs: RunTable::new(clock),
+            returns: settings_returns.map(Returns::new),
             ingress_floors: Mutex::default(),
             failing_servers: Mutex::default(),
             evacuations: Mutex::default(),
--- a/lib/src/process/relay/settings.rs
+++ b/lib/src/process/relay/settings.rs
@@ -6,6 +6,7 @@
 
 use snafu::Snafu;
 
+use crate::process::returns::ReturnSettings;
 use crate::request::RetryBound;
 use crate::values::NodeId;
 use crate::values::RegionId;
@@ -37,6 +38,8 @@
         /// The loads that nodes pass on. Without this table they send none, and choose among servers
         /// by their own observations only.
         pub load_reports: Option<LoadReportSettings>,
+        /// Places for refused callers that come back, if they get any.
+        pub returns: Option<ReturnSettings>,
     }
 }
 
@@ -244,6 +247,7 @@
         {
             faults.push("load_reports.per_message: must be from 1 to 16".to_owned());
         }
+        faults.extend(raw.returns.iter().flat_map(ReturnSettings::faults));
         match faults.is_empty() {
             true => Ok(Self { raw }),
             false => ValuesSnafu { faults }.fail(),
