tests: crowds of clients outside the limits, and bytes of servers that are no answer

Relay processes beside 1000 clients that stay open and come again, memory limit 64 MB. On the code as it stands (base binary, one test at a time): large chunks 154.8 MB, large and small chunks 125.8 MB, heads 89.4 MB, waiting requests with long heads 121.5 MB, trailers 67.3 MB; lengths 26.6 MB, few descriptors 37.8 MB, unused connections 21.0 MB and small chunks 36.5 MB held. The bound is memory_limit_mb, beyond which the platform kills a process, and the descriptors that the process may have. Unread responses had no end in the time that was left (over 90 s).

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -36,6 +36,7 @@
 mod test_membership_seeds;
 mod test_memory_budget;
 mod test_metrics;
+mod test_no_answers;
 mod test_node_attempts;
 mod test_node_departed_callers;
 mod test_node_once;
--- a/node/tests/relay_fleet/machine.rs
+++ b/node/tests/relay_fleet/machine.rs
@@ -36,6 +36,8 @@
     pub memory_limit_mb: u32,
     /// Requests that each backend server runs concurrently.
     pub slots: u32,
+    /// Descriptors that each process may have open.
+    pub descriptors_max: u32,
 }
 
 /// What happened to a process.
@@ -56,6 +58,7 @@
     ready: SocketAddr,
     settings: PathBuf,
     grace: Duration,
+    descriptors_max: u32,
     child: Mutex<Child>,
     history: Mutex<Vec<(Instant, ProcessEvent)>>,
 }
@@ -90,7 +93,8 @@
             callers,
             server,
             ready,
-            child: Mutex::new(spawn(&settings)),
+            child: Mutex::new(spawn(&settings, setup.descriptors_max)),
+            descriptors_max: setup.descriptors_max,
             settings,
             grace: setup.grace,
             history: Mutex::new(vec![(Instant::now(), ProcessEvent::Started)]),
@@ -124,6 +128,13 @@
         1_024 * peak_kb.expect("a peak").parse::<usize>().expect("a number")
     }
 
+    /// Returns the number of descriptors that the process has open.
+    pub fn open_descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.lock().id());
+        let entries = std::fs::read_dir(path).expect("the process runs");
+        entries.count()
+    }
+
     /// Returns whether the process has not ended.
     pub fn is_running(&self) -> bool {
         let status = self.child.lock().try_wait().expect("a child process");
@@ -168,7 +179,7 @@
 
     /// Starts the process again after its end.
     pub fn start_again(&self) {
-        *self.child.lock() = spawn(&self.settings);
+        *self.child.lock() = spawn(&self.settings, self.descriptors_max);
         self.record(ProcessEvent::Started);
     }
 
@@ -219,13 +230,17 @@
     listeners.map(|listener| listener.local_addr().expect("an address"))
 }
 
-fn spawn(settings: &Path) -> Child {
+fn spawn(settings: &Path, descriptors_max: u32) -> Child {
     let log = OpenOptions::new()
         .create(true)
         .append(true)
         .open(settings.with_extension("log"))
         .expect("the log is opened");
-    Command::new(env!("CARGO_BIN_EXE_balsamfold-relay"))
+    Command::new("sh")
+        .arg("-c")
+        .arg(format!("ulimit -n {descriptors_max} && exec \"$@\""))
+        .arg("sh")
+        .arg(env!("CARGO_BIN_EXE_balsamfold-relay"))
         .arg("--settings")
         .arg(settings)
         .stdin(Stdio::null())
--- a/node/tests/relay_fleet/mod.rs
+++ b/node/tests/relay_fleet/mod.rs
@@ -28,6 +28,7 @@
     grace: GRACE,
     memory_limit_mb: 160,
     slots: 64,
+    descriptors_max: 4_000,
 };
 /// Longest wait for a condition of the fleet.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
--- a/node/tests/relay_fleet/server.rs
+++ b/node/tests/relay_fleet/server.rs
@@ -30,6 +30,9 @@
 
 /// In the path of a request that is answered with a head without end.
 const ENDLESS: &[u8] = b"/endless/";
+/// In the path of a request that is answered with a large body.
+const LARGE: &str = "/large/";
+const LARGE_BODY_BYTES: usize = 256 * 1_024;
 /// Longest first part of a request.
 const PEEKED_BYTES: usize = 2_048;
 const REPORT_PERIOD: Duration = Duration::from_millis(1_000);
@@ -188,7 +191,11 @@
     let last = request.uri().path().rsplit('/').next();
     let work_ms = last.and_then(|text| text.parse().ok()).unwrap_or(0);
     tokio::time::sleep(Duration::from_millis(work_ms)).await;
-    let mut response = Response::new(Body::from(format!("{service} {id}")));
+    let body = match request.uri().path().contains(LARGE) {
+        true => Body::from(vec![b'z'; LARGE_BODY_BYTES]),
+        false => Body::from(format!("{service} {id}")),
+    };
+    let mut response = Response::new(body);
     let id = HeaderValue::try_from(id).expect("valid header");
     response.headers_mut().insert(names.request_id, id);
     response
