--- a/lib/src/connection/activity.rs
+++ b/lib/src/connection/activity.rs
@@ -34,11 +34,26 @@
     has_dropped_body: bool,
     /// Whether a response waits for its client to read.
     is_write_blocked: bool,
+    /// Since when, if it does.
+    write_blocked_at: Instant,
     last_used_at: Instant,
     /// Whether the connection closes behind the next response.
     is_closing: bool,
     /// Whether the last response told the client that the connection closes behind it.
     is_close_announced: bool,
+    /// Bytes received of a head that is not complete.
+    head_bytes: usize,
+    /// When the client began what is not complete: a head or a body.
+    begun_at: Option<Instant>,
+}
+
+/// What a connection waits for from its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum ClientWait {
+    /// A next request. None of it has arrived.
+    Request,
+    /// The rest of a head or of a body, or that it reads a response.
+    Rest,
 }
 
 impl Activity {
@@ -50,9 +65,12 @@
             open_bodies: 0,
             has_dropped_body: false,
             is_write_blocked: false,
+            write_blocked_at: Instant::now(),
             last_used_at: Instant::now(),
             is_closing: false,
             is_close_announced: false,
+            head_bytes: 0,
+            begun_at: None,
         }))
     }
 
@@ -62,10 +80,13 @@
         state.has_request = true;
         state.is_responding = true;
         state.has_dropped_body = false;
+        state.head_bytes = 0;
         if body.is_end_stream() {
+            state.begun_at = None;
             return Body::from_incoming(body);
         }
         state.open_bodies += 1;
+        state.begun_at.get_or_insert_with(Instant::now);
         Body::from_body(TrackedBody {
             body,
             activity: Arc::clone(self),
@@ -90,10 +111,42 @@
     /// Records a write, or one that waits for the client to read.
     pub(super) fn record_write(&self, is_blocked: bool) {
         let mut state = self.0.lock();
+        if is_blocked && !state.is_write_blocked {
+            state.write_blocked_at = Instant::now();
+        }
         state.is_write_blocked = is_blocked;
         state.last_used_at = Instant::now();
     }
 
+    /// Returns the bytes that were received of a head that is not complete, or none while a request is in progress.
+    pub(super) fn head_bytes(&self) -> Option<usize> {
+        let state = self.0.lock();
+        let is_in_request = state.is_responding || state.open_bodies > 0;
+        (!is_in_request).then_some(state.head_bytes)
+    }
+
+    /// Records received bytes.
+    pub(super) fn record_read(&self, bytes: usize) {
+        let mut state = self.0.lock();
+        if bytes > 0 && !state.is_responding && state.open_bodies == 0 {
+            state.head_bytes += bytes;
+            state.begun_at.get_or_insert_with(Instant::now);
+        }
+    }
+
+    /// Returns what the client owes, if anything, and for how long.
+    pub(super) fn client_wait(&self) -> Option<(ClientWait, Duration)> {
+        let state = self.0.lock();
+        match state.begun_at {
+            Some(begun_at) => Some((ClientWait::Rest, begun_at.elapsed())),
+            None if state.is_write_blocked => {
+                Some((ClientWait::Rest, state.write_blocked_at.elapsed()))
+            }
+            None if state.is_responding => None,
+            None => Some((ClientWait::Request, state.last_used_at.elapsed())),
+        }
+    }
+
     /// Records that the connection closes behind the next response.
     pub(super) fn begin_close(&self) {
         self.0.lock().is_closing = true;
@@ -113,6 +166,7 @@
         let mut state = self.0.lock();
         state.has_dropped_body = !is_complete;
         state.open_bodies -= 1;
+        state.begun_at = None;
         state.last_used_at = Instant::now();
     }
 
--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -13,6 +13,7 @@
 use super::BodyKind;
 use super::MemoryBudget;
 use super::MemoryCharge;
+use super::unfinished::UnfinishedBody;
 
 /// The reason why a body could not be read completely.
 #[derive(Debug, Snafu)]
@@ -68,13 +69,25 @@
 {
     let declared_bytes = body.size_hint().exact();
     let declared_bytes = declared_bytes.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
-    match declared_bytes {
-        Some(bytes) if bytes > limit_bytes => return TooLargeSnafu { limit_bytes }.fail(),
-        Some(bytes) if !charge.grow(bytes) => return NoMemorySnafu.fail(),
-        Some(_) | None => {}
+    if declared_bytes.is_some_and(|bytes| bytes > limit_bytes) {
+        return TooLargeSnafu { limit_bytes }.fail();
     }
+    let unfinished = charge.begin_receiving();
+    if !charge
+        .grow_for(&unfinished, declared_bytes.unwrap_or_default())
+        .await
+    {
+        return NoMemorySnafu.fail();
+    }
+    unfinished.record(0, charge.bytes());
     let limited = std::pin::pin!(Limited::new(body, limit_bytes));
-    let reading = collect_within(limited, limit_bytes, declared_bytes, charge);
+    let reading = async {
+        tokio::select! {
+            biased;
+            result = collect_within(limited, &unfinished, (limit_bytes, declared_bytes), charge) => result,
+            () = unfinished.given_up() => NoMemorySnafu.fail(),
+        }
+    };
     match tokio::time::timeout(timeout, reading).await {
         Ok(result) => result,
         Err(_) => {
@@ -86,8 +99,8 @@
 
 async fn collect_within<B>(
     mut body: Pin<&mut Limited<B>>,
-    limit_bytes: usize,
-    declared_bytes: Option<usize>,
+    unfinished: &UnfinishedBody,
+    (limit_bytes, declared_bytes): (usize, Option<usize>),
     mut charge: MemoryCharge,
 ) -> Result<Bytes, BodyError>
 where
@@ -96,7 +109,11 @@
 {
     let mut first = Bytes::new();
     // Parts are joined as they arrive: each of them may keep a read buffer allocated.
-    let mut joined = Vec::new();
+    let mut joined = Joined {
+        bytes: Vec::new(),
+        counted_bytes: declared_bytes.unwrap_or_default(),
+        limit_bytes,
+    };
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
             true => TooLargeSnafu { limit_bytes }.build(),
@@ -106,22 +123,88 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if declared_bytes.is_none() && !charge.grow(data.len()) {
-            return NoMemorySnafu.fail();
-        }
-        match joined.is_empty() {
-            true if first.is_empty() => first = data,
-            true => {
-                let parts_bytes = first.len() + data.len();
-                joined.reserve_exact(declared_bytes.unwrap_or_default().max(parts_bytes));
-                joined.extend_from_slice(&std::mem::take(&mut first));
-                joined.extend_from_slice(&data);
+        let is_first = joined.bytes.is_empty() && first.is_empty();
+        let has_room = match is_first {
+            true => joined.count(data.len(), &mut charge),
+            false => joined.reserve(first.len() + data.len(), &mut charge),
+        };
+        if !has_room {
+            let missing_bytes = joined.missing_bytes(first.len() + data.len());
+            if !charge.grow_for(unfinished, missing_bytes).await {
+                return NoMemorySnafu.fail();
             }
-            false => joined.extend_from_slice(&data),
+            joined.take(missing_bytes, first.len() + data.len(), is_first);
+        }
+        unfinished.record(data.len(), charge.bytes());
+        if is_first {
+            first = data;
+            continue;
         }
+        joined.bytes.extend_from_slice(&std::mem::take(&mut first));
+        joined.bytes.extend_from_slice(&data);
     }
+    let joined = joined.finish(first.len(), &mut charge);
     Ok(match joined.is_empty() {
         true => charge.attach(first),
         false => charge.attach(joined),
     })
 }
+
+/// The joined parts of a body, which count by the memory that they take.
+struct Joined {
+    bytes: Vec<u8>,
+    /// Bytes that count: the announced length, or the capacity.
+    counted_bytes: usize,
+    limit_bytes: usize,
+}
+
+impl Joined {
+    /// Makes room for `more` bytes. Returns false if the memory has none.
+    fn reserve(&mut self, more: usize, charge: &mut MemoryCharge) -> bool {
+        let needed = self.bytes.len() + more;
+        if needed <= self.bytes.capacity() {
+            return true;
+        }
+        // Doubled as far as there is room, as each move of the bytes may take as much memory again.
+        let doubled = (2 * self.bytes.capacity()).min(self.limit_bytes);
+        let steps = [doubled, needed + needed / 8, needed];
+        let steps = steps.map(|bytes| bytes.max(needed).max(self.counted_bytes));
+        let capacity = steps.into_iter().find(|bytes| self.count(*bytes, charge));
+        let Some(capacity) = capacity else {
+            return false;
+        };
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        true
+    }
+
+    /// Counts the body as at least `bytes` long. Returns false if there is no room.
+    fn count(&mut self, bytes: usize, charge: &mut MemoryCharge) -> bool {
+        let more = bytes.saturating_sub(self.counted_bytes);
+        let fits = charge.grow(more);
+        if fits {
+            self.counted_bytes += more;
+        }
+        fits
+    }
+
+    /// Returns how many bytes more count if the body gets `more` bytes.
+    fn missing_bytes(&self, more: usize) -> usize {
+        (self.bytes.len() + more).saturating_sub(self.counted_bytes)
+    }
+
+    /// Takes room that was counted for `more` bytes.
+    fn take(&mut self, counted_bytes: usize, more: usize, is_first: bool) {
+        self.counted_bytes += counted_bytes;
+        if !is_first {
+            self.bytes.reserve_exact(more);
+        }
+    }
+
+    /// Returns the bytes, and counts just them or the `first_bytes` that were never joined.
+    fn finish(mut self, first_bytes: usize, charge: &mut MemoryCharge) -> Vec<u8> {
+        let length = self.bytes.len().max(first_bytes);
+        self.bytes.shrink_to_fit();
+        charge.shrink(self.counted_bytes.saturating_sub(length));
+        self.bytes
+    }
+}
--- a/lib/src/connection/closing.rs
+++ b/lib/src/connection/closing.rs
@@ -22,6 +22,7 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use super::MemoryCharge;
 use super::activity::Activity;
 use super::presence::ClientPresence;
 
@@ -35,6 +36,8 @@
 const SLOW_LINGER_MAX: Duration = Duration::from_secs(10);
 /// Size of the reads of received bytes.
 const READ_BYTES: usize = 1_024;
+/// Length of the HTTP library's first read buffer. It is part of what each connection takes.
+const LEAST_BUFFER_BYTES: usize = 8 * 1_024;
 
 /// Why a connection is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +52,8 @@
     ClientLeft,
     /// The client disconnected or sent invalid input.
     Failed,
+    /// It waited for its client while there was no room for others.
+    GivenUp,
 }
 
 impl CloseCause {
@@ -60,6 +65,7 @@
             Self::LateHead => "late-head",
             Self::ClientLeft => "client-left",
             Self::Failed => "failed",
+            Self::GivenUp => "given-up",
         }
     }
 }
@@ -162,7 +168,10 @@
         let linger_max = match cause {
             CloseCause::LastResponse if is_read_slowly => SLOW_LINGER_MAX,
             CloseCause::LastResponse | CloseCause::Failed => LINGER_MAX,
-            CloseCause::Unused | CloseCause::LateHead | CloseCause::ClientLeft => Duration::ZERO,
+            CloseCause::Unused
+            | CloseCause::LateHead
+            | CloseCause::ClientLeft
+            | CloseCause::GivenUp => Duration::ZERO,
         };
         let _ = tokio::time::timeout(linger_max, discarding).await;
         discarded_bytes
@@ -176,8 +185,27 @@
     pub(super) received: Bytes,
     /// The stream.
     pub(super) stream: SharedStream,
-    /// Records writes.
+    /// Records reads and writes.
     pub(super) activity: Arc<Activity>,
+    /// What the read buffer takes beyond the least one.
+    pub(super) received_charge: MemoryCharge,
+}
+
+impl ResumedStream {
+    /// Returns how many bytes may be read into a buffer with room for `room_bytes`. Fails if there is no memory for a
+    /// head that is not complete.
+    fn readable_bytes(&mut self, room_bytes: usize) -> io::Result<usize> {
+        let head_bytes = self.activity.head_bytes();
+        let buffer_bytes = head_bytes.unwrap_or_default() + room_bytes;
+        match buffer_bytes <= LEAST_BUFFER_BYTES || self.received_charge.grow_to(buffer_bytes) {
+            true => Ok(room_bytes),
+            false if head_bytes.is_some_and(|bytes| bytes > 0) => {
+                Err(io::Error::other("heads of requests hold too much memory"))
+            }
+            // The HTTP library takes a longer buffer after a read that fills this one.
+            false => Ok(room_bytes.min(LEAST_BUFFER_BYTES - 1)),
+        }
+    }
 }
 
 impl AsyncRead for ResumedStream {
@@ -190,14 +218,24 @@
             let bytes = self.received.len().min(buffer.remaining());
             buffer.put_slice(&self.received[..bytes]);
             self.received.advance(bytes);
+            self.activity.record_read(bytes);
             return Poll::Ready(Ok(()));
         }
+        ready!(self.stream.0.stream.poll_read_ready(context))?;
+        let readable_bytes = self.readable_bytes(buffer.remaining())?;
         let stream = &self.stream.0.stream;
         loop {
             ready!(stream.poll_read_ready(context))?;
-            match stream.try_read_buf(buffer) {
+            let read = match readable_bytes == buffer.remaining() {
+                true => stream.try_read_buf(buffer),
+                false => {
+                    let read = stream.try_read(buffer.initialize_unfilled_to(readable_bytes));
+                    read.inspect(|bytes| buffer.advance(*bytes))
+                }
+            };
+            match read {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                read => return Poll::Ready(read.map(drop)),
+                read => return Poll::Ready(read.map(|bytes| self.activity.record_read(bytes))),
             }
         }
     }
--- a/lib/src/connection/exchange.rs
+++ b/lib/src/connection/exchange.rs
@@ -120,6 +120,12 @@
     }
 }
 
+/// Returns whether a response with this status can be the last one to a request. The HTTP library also accepts
+/// 101, which nobody asked for, and numbers beyond the protocol's.
+pub(crate) fn is_final_status(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 /// Returns a request in the form of the HTTP library.
 pub(super) fn http_request(request: BufferedRequest) -> Request<Full<Bytes>> {
     let mut http_request = Request::new(Full::new(request.body));
--- a/lib/src/connection/headers.rs
+++ b/lib/src/connection/headers.rs
@@ -75,3 +75,11 @@
         headers.remove(name);
     }
 }
+
+/// Returns the number of bytes in the names and values of headers.
+pub(crate) fn bytes_of(headers: &HeaderMap) -> usize {
+    let lengths = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len());
+    lengths.sum()
+}
--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -29,6 +29,7 @@
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -36,15 +37,20 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 
+use super::BodyKind;
+use super::MemoryBudget;
 use super::activity::Activity;
 use super::closing::CloseCause;
 use super::closing::ResumedStream;
 use super::closing::SharedStream;
+use super::crowding::OpenConnections;
 use super::headers::has_connection_option;
 use crate::process::events::process as events;
 
 /// Delay after a failed accept, for example when the process has no free file descriptor.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time without room for a connection after which another one is given up.
+const FULL_WAIT: Duration = Duration::from_millis(5);
 /// Time without a new connection after which a stopping listener closes its socket. Connections that
 /// the kernel has accepted would be reset with it.
 const STOP_ACCEPT_WAIT: Duration = Duration::from_millis(10);
@@ -54,7 +60,7 @@
 plain_value! {
     /// Bounds on the connections that a listener accepts.
     pub struct ListenerLimits {
-        /// Maximum number of connections at the same time; further ones wait to be accepted.
+        /// Maximum number of connections at the same time; for further ones, those that wait for their clients are closed.
         pub connections_max: u32,
         /// Maximum time that a client may take for the headers of a request.
         pub header_timeout_ms: u64,
@@ -65,6 +71,13 @@
     }
 }
 
+/// What bounds the connections of a listener.
+#[derive(Clone, Debug)]
+struct Bounds {
+    limits: ListenerLimits,
+    memory: MemoryBudget,
+}
+
 /// Listening on an address failed.
 #[derive(Debug, Snafu)]
 #[snafu(display("cannot listen on {address}"))]
@@ -97,6 +110,21 @@
 
     /// Handles each request with `handler` until [`ListenerHandle::stop`] is called.
     pub fn serve<H, F>(self, limits: ListenerLimits, handler: H) -> ListenerHandle
+    where
+        H: Fn(Request) -> F + Send + Sync + 'static,
+        F: Future<Output = Response> + Send + 'static,
+    {
+        self.serve_within(limits, MemoryBudget::new(0), handler)
+    }
+
+    /// Does the same. What the clients sent and is not parsed counts in `memory`; without room, long heads end their
+    /// connections and bodies are read in short parts.
+    pub fn serve_within<H, F>(
+        self,
+        limits: ListenerLimits,
+        memory: MemoryBudget,
+        handler: H,
+    ) -> ListenerHandle
     where
         H: Fn(Request) -> F + Send + Sync + 'static,
         F: Future<Output = Response> + Send + 'static,
@@ -105,7 +133,8 @@
             stopping: CancellationToken::new(),
             connections: TaskTracker::new(),
         };
-        let accepting = accept_all(self.socket, limits, Arc::new(handler), handle.clone());
+        let bounds = Bounds { limits, memory };
+        let accepting = accept_all(self.socket, bounds, Arc::new(handler), handle.clone());
         handle.connections.spawn(accepting);
         handle.connections.close();
         handle
@@ -137,16 +166,16 @@
 
 async fn accept_all<H, F>(
     socket: TcpListener,
-    limits: ListenerLimits,
+    bounds: Bounds,
     handler: Arc<H>,
     handle: ListenerHandle,
 ) where
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    let permits = Arc::new(Semaphore::new(limits.connections_max as usize));
-    // The semaphore is never closed.
-    while let Ok(permit) = Arc::clone(&permits).acquire_owned().await {
+    let permits = Arc::new(Semaphore::new(bounds.limits.connections_max as usize));
+    let open = OpenConnections::default();
+    loop {
         let is_stopping = handle.stopping.is_cancelled();
         let accepted = tokio::select! {
             biased;
@@ -158,15 +187,34 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let handler = Arc::clone(&handler);
+        let Some(permit) = connection_permit(&permits, &open).await else {
+            return;
+        };
+        let (handler, bounds) = (Arc::clone(&handler), bounds.clone());
         let stopping = handle.stopping.clone();
+        let open = open.clone();
         handle.connections.spawn(async move {
-            serve_connection(stream, limits, handler, stopping).await;
+            serve_connection(stream, bounds, handler, (stopping, open)).await;
             drop(permit);
         });
     }
 }
 
+/// Returns the permit for a connection. Those that wait for their clients are given up while there is none.
+async fn connection_permit(
+    permits: &Arc<Semaphore>,
+    open: &OpenConnections,
+) -> Option<OwnedSemaphorePermit> {
+    loop {
+        let acquired = Arc::clone(permits).acquire_owned();
+        match tokio::time::timeout(FULL_WAIT, acquired).await {
+            // The semaphore is never closed.
+            Ok(acquired) => return acquired.ok(),
+            Err(_) => open.give_up_slowest(),
+        }
+    }
+}
+
 async fn accept_one(socket: &TcpListener) -> Option<TcpStream> {
     let (stream, _) = socket.accept().await.ok()?;
     stream.set_nodelay(true).ok()?;
@@ -175,24 +223,31 @@
 
 async fn serve_connection<H, F>(
     stream: TcpStream,
-    limits: ListenerLimits,
+    bounds: Bounds,
     handler: Arc<H>,
-    stopping: CancellationToken,
+    (stopping, open): (CancellationToken, OpenConnections),
 ) where
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
     let stream = SharedStream::new(stream);
     let mut received = Bytes::new();
+    let mut activity = Arc::new(Activity::new());
+    let member = open.add(&activity);
     let (cause, unread_bytes) = loop {
         let resumed = (stream.clone(), received);
         let end = tokio::select! {
             biased;
-            end = serve_until_unused(resumed, limits, &handler, &stopping) => end,
+            end = serve_until_unused(resumed, (&bounds, &activity), &handler, &stopping) => end,
+            () = member.given_up() => break (CloseCause::GivenUp, 0),
             () = stream.abandoned_by_client() => break (CloseCause::ClientLeft, 0),
         };
         match end {
-            ConnectionEnd::Unused { arrived } if !arrived.is_empty() => received = arrived,
+            ConnectionEnd::Unused { arrived } if !arrived.is_empty() => {
+                received = arrived;
+                activity = Arc::new(Activity::new());
+                member.resume(&activity);
+            }
             ConnectionEnd::Unused { .. } => break (CloseCause::Unused, 0),
             ConnectionEnd::Final { cause, unread } => break (cause, unread.len()),
         }
@@ -224,7 +279,7 @@
 /// Serves a connection on which some bytes were received already, until it is to be closed.
 async fn serve_until_unused<H, F>(
     (stream, received): (SharedStream, Bytes),
-    limits: ListenerLimits,
+    (bounds, activity): (&Bounds, &Arc<Activity>),
     handler: &Arc<H>,
     stopping: &CancellationToken,
 ) -> ConnectionEnd
@@ -232,13 +287,12 @@
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    let activity = Arc::new(Activity::new());
-    let activity_ref = &activity;
+    let limits = bounds.limits;
     let client = &stream;
     let service = service_fn(move |request: http::Request<Incoming>| {
         let is_last = is_last(&request);
         let expects_continue = request.headers().contains_key(header::EXPECT);
-        let mut request = request.map(|body| activity_ref.begin(body));
+        let mut request = request.map(|body| activity.begin(body));
         request.extensions_mut().insert(client.presence());
         let response = handler(request);
         Box::pin(async move {
@@ -248,20 +302,20 @@
                 () = client.closed_by_client() => given_up_response(),
             };
             // hyper closes the connection if the client was not asked for its body.
-            let is_body_unwanted = expects_continue && activity_ref.has_dropped_body();
+            let is_body_unwanted = expects_continue && activity.has_dropped_body();
             if stopping.is_cancelled() || is_body_unwanted {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            activity_ref
-                .record_response(is_last || has_connection_option(response.headers(), "close"));
+            activity.record_response(is_last || has_connection_option(response.headers(), "close"));
             Ok::<_, Infallible>(response)
         })
     });
     let resumed = ResumedStream {
         received,
         stream: stream.clone(),
-        activity: Arc::clone(&activity),
+        activity: Arc::clone(activity),
+        received_charge: bounds.memory.start(BodyKind::Received),
     };
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -278,7 +332,7 @@
         result = poll_fn(|context| connection.poll_without_shutdown(context)) => Served::Ended(result),
         () = &mut late_head => Served::LateHead,
         () = activity.idle_for(Duration::from_millis(limits.idle_timeout_ms)) => Served::Unused,
-        () = unused_in_stop(&activity, stopping) => Served::Unused,
+        () = unused_in_stop(activity, stopping) => Served::Unused,
     };
     let is_unused = matches!(served, Served::Unused);
     let served = match served {
--- a/lib/src/connection/pool.rs
+++ b/lib/src/connection/pool.rs
@@ -30,8 +30,10 @@
 use super::ExchangeError;
 use super::MemoryBudget;
 use super::allow_closed_window;
+use super::bytes_of;
 use super::enable_liveness_probes;
 use super::exchange::http_request;
+use super::exchange::is_final_status;
 use super::first_write::CheckedStream;
 use super::first_write::FirstWrite;
 use super::head_limit::HeadLimit;
@@ -394,6 +396,9 @@
             Err(_) => return Err(ExchangeError::TimedOut),
         };
         connection.head_limit.end_head();
+        if !is_final_status(response.status()) {
+            return Err(ExchangeError::InvalidResponse);
+        }
         let matched = match_response(response.status(), response.headers());
         if matched == ResponseMatch::Foreign {
             return Err(ExchangeError::InvalidResponse);
@@ -483,14 +488,6 @@
     }
 }
 
-/// Returns the number of bytes in the names and values of headers.
-fn bytes_of(headers: &HeaderMap) -> usize {
-    let lengths = headers
-        .iter()
-        .map(|(name, value)| name.as_str().len() + value.len());
-    lengths.sum()
-}
-
 async fn open(
     kept: &Arc<KeptConnections>,
     permit: OwnedSemaphorePermit,
--- a/lib/src/process/relay/callers.rs
+++ b/lib/src/process/relay/callers.rs
@@ -35,6 +35,8 @@
 use crate::connection::BufferedRequest;
 use crate::connection::BufferedResponse;
 use crate::connection::ClientPresence;
+use crate::connection::MemoryBudget;
+use crate::connection::bytes_of;
 use crate::connection::read_budgeted_body;
 use crate::connection::strip_connection_headers;
 use crate::process::events::relay as events;
@@ -280,7 +282,11 @@
     let body = match request.body {
         Some(body) => {
             let limit_bytes = body_bytes_max(node, plan, route);
-            let charge = node.memory.start(BodyKind::Request);
+            let mut charge = node.memory.start(BodyKind::Request);
+            let head_bytes = bytes_of(&parts.headers);
+            if head_bytes > MemoryBudget::UNCOUNTED_BYTES && !charge.grow(head_bytes) {
+                return Err(Refusal::not_run(RefusalReason::Overloaded));
+            }
             read_budgeted_body(body, limit_bytes, limit, charge)
                 .await
                 .map_err(|error| match error {
--- a/lib/src/process/relay/daemon.rs
+++ b/lib/src/process/relay/daemon.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use rustix::process::Resource;
+use rustix::process::getrlimit;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
@@ -41,8 +43,6 @@
 use crate::process::rates::RateTasks;
 use crate::version::CallerLimits;
 
-/// Maximum number of concurrent connections of callers.
-const CALLER_CONNECTIONS_MAX: u32 = 3_000;
 /// Maximum number of concurrent connections to each of the other listeners.
 const AUXILIARY_CONNECTIONS_MAX: u32 = 64;
 /// Time after which an idle connection to the other listeners is closed.
@@ -231,14 +231,15 @@
 
 fn serve_callers(listener: Listener, node: &Arc<RelayNode>) -> ListenerHandle {
     let defaults = CallerLimits::default();
+    let descriptors_max = getrlimit(Resource::Nofile).current;
     let limits = ListenerLimits {
-        connections_max: CALLER_CONNECTIONS_MAX,
+        connections_max: node.settings.caller_connections_max(descriptors_max),
         header_timeout_ms: HEADER_TIMEOUT_MS,
         idle_timeout_ms: IDLE_TIMEOUT_MS,
         header_bytes_max: defaults.header_bytes_max,
     };
     let node = Arc::clone(node);
-    listener.serve(limits, move |request| {
+    listener.serve_within(limits, node.memory.clone(), move |request| {
         let node = Arc::clone(&node);
         // Boxed, so that idle connections do not hold memory for a request.
         Box::pin(async move {
--- a/lib/src/process/relay/frame_io.rs
+++ b/lib/src/process/relay/frame_io.rs
@@ -305,7 +305,7 @@
 
     fn counted(&self, frame: Frame) -> Frame {
         let mut charge = self.budget.start(self.kind);
-        match charge.grow(frame.body.len()) {
+        match charge.grow(frame.head.len() + frame.body.len()) {
             true => Frame {
                 body: charge.attach(frame.body),
                 ..frame
@@ -320,7 +320,7 @@
 
     fn begin_large(&self, head: Bytes, body_bytes: usize) -> LargeFrame {
         let mut charge = self.budget.start(self.kind);
-        let has_room = charge.grow(body_bytes);
+        let has_room = charge.grow(head.len() + body_bytes);
         LargeFrame {
             head,
             body: match has_room {
--- a/lib/src/process/relay/link_reply.rs
+++ b/lib/src/process/relay/link_reply.rs
@@ -10,6 +10,7 @@
 use super::frame::header_map;
 use super::views::ViewUpdate;
 use crate::connection::BufferedResponse;
+use crate::connection::is_final_status;
 use crate::process::rates::PeerStatus;
 use crate::process::rates::TokenReply;
 use crate::process::suspects::SuspectEntry;
@@ -51,7 +52,9 @@
                 StatusCode::from_u16(response.status),
                 header_map(&response.headers),
             ) {
-                (Ok(status), Some(headers)) if !frame.is_body_dropped => {
+                (Ok(status), Some(headers))
+                    if !frame.is_body_dropped && is_final_status(status) =>
+                {
                     PeerReply::Response(BufferedResponse {
                         status,
                         headers,
--- a/lib/src/process/relay/settings.rs
+++ b/lib/src/process/relay/settings.rs
@@ -28,6 +28,8 @@
         pub store_address: SocketAddr,
         /// Memory above which the process is killed, in MB.
         pub memory_limit_mb: Option<f64>,
+        /// Maximum number of connections of callers at the same time.
+        pub caller_connections_max: Option<u32>,
         /// Listen addresses of the relay.
         pub listen: ListenSettings,
         /// The region of each zone.
@@ -142,6 +144,18 @@
     const MEMORY_LIMIT_MB: std::ops::RangeInclusive<f64> = 64.0..=1_048_576.0;
     /// Memory limit if the settings name none. Instances have at least that much.
     const MEMORY_LIMIT_DEFAULT_MB: f64 = 160.0;
+    /// Least and largest number of connections of callers.
+    const CALLER_CONNECTIONS: std::ops::RangeInclusive<u32> = 16..=100_000;
+    /// Most connections of callers if the settings name no number.
+    const CALLER_CONNECTIONS_DEFAULT: usize = 3_000;
+    /// Part of the memory limit that is left beside bodies, heads and read buffers, in percent.
+    const CONNECTION_PERCENT: usize = 28;
+    /// Memory of a process without connections, which is taken from that part.
+    const IDLE_PROCESS_BYTES: usize = 8_000_000;
+    /// Memory of a connection with an unfinished request, beside what counts.
+    const CONNECTION_BYTES: usize = 26_000;
+    /// Part of the descriptors that is left for connections to the server and to other nodes, files and listeners.
+    const OWN_DESCRIPTORS_FRACTION: f64 = 0.25;
     /// Shortest and longest window in which retries are counted.
     const RETRY_WINDOW_S: std::ops::RangeInclusive<f64> = 1.0..=3_600.0;
 
@@ -161,6 +175,23 @@
     }
 }
 
+impl RelaySettings {
+    /// Returns the maximum number of connections of callers: as set, or as many as fit into the memory and, if there
+    /// is a limit on them, into `descriptors_max` descriptors.
+    pub fn caller_connections_max(&self, descriptors_max: Option<u64>) -> u32 {
+        let memory_bytes = self.memory_limit_bytes() / 100 * Self::CONNECTION_PERCENT;
+        let in_memory =
+            memory_bytes.saturating_sub(Self::IDLE_PROCESS_BYTES) / Self::CONNECTION_BYTES;
+        let descriptors = descriptors_max.map_or(f64::INFINITY, |descriptors| descriptors as f64);
+        let in_descriptors = (descriptors * (1.0 - Self::OWN_DESCRIPTORS_FRACTION)) as usize;
+        let default = in_memory
+            .min(in_descriptors)
+            .min(Self::CALLER_CONNECTIONS_DEFAULT)
+            .max(*Self::CALLER_CONNECTIONS.start() as usize) as u32;
+        self.raw.caller_connections_max.unwrap_or(default)
+    }
+}
+
 impl TryFrom<RawRelaySettings> for RelaySettings {
     type Error = RelaySettingsError;
 
@@ -186,6 +217,11 @@
         {
             faults.push("memory_limit_mb: must be from 64 to 1048576".to_owned());
         }
+        if let Some(connections_max) = raw.caller_connections_max
+            && !Self::CALLER_CONNECTIONS.contains(&connections_max)
+        {
+            faults.push("caller_connections_max: must be from 16 to 100000".to_owned());
+        }
         if bounds.stop_grace_s.is_nan() || bounds.stop_grace_s < Self::STOP_GRACE_MIN_S {
             faults.push(format!(
                 "bounds.stop_grace_s: must be at least {}",
--- a/node/src/relay/main.rs
+++ b/node/src/relay/main.rs
@@ -1,5 +1,6 @@
 //! The relay process beside each backend server on the users' platform.
 
+mod allocator;
 mod flags;
 mod log_output;
 
@@ -24,6 +25,7 @@
 const EXIT_USAGE: u8 = 2;
 
 fn main() -> ExitCode {
+    allocator::set_up();
     let matches = flags::command().get_matches();
     let log = log_output::start(&matches);
     let path = flags::settings_path(&matches);
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -447,6 +447,7 @@
         server_address,
         store_address: any,
         memory_limit_mb: None,
+        caller_connections_max: None,
         listen: ListenSettings {
             callers: any,
             peers: any,
