--- a/lib/src/process/relay/frame_io.rs
+++ b/lib/src/process/relay/frame_io.rs
@@ -305,7 +305,7 @@
 
     fn counted(&self, frame: Frame) -> Frame {
         let mut charge = self.budget.start(self.kind);
-        match charge.grow(frame.body.len()) {
+        match charge.grow(frame.head.len() + frame.body.len()) {
             true => Frame {
                 body: charge.attach(frame.body),
                 ..frame
