--- a/lib/tests/test_relay_evacuation.rs
+++ b/lib/tests/test_relay_evacuation.rs
@@ -141,8 +141,7 @@
     assert_eq!(received(&fleet, 1), before);
 }
 
-// Guards against a first node of a zone that the store turns away and that hears of no evacuation, because
-// its configuration is confirmed by replies of other nodes.
+// Guards against nodes of a zone that hear of no evacuation because the store turns all of them away.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn node_that_the_store_turns_away_learns_of_an_evacuation() {
     let fleet = start(4).await;
