load: servers without a response yet get requests

Cause: until its first response a gate has four slots and no time in a slot. Beside others of 86 slots it was drawn at 4 of 86 odds and one request more cost it as much as 21 elsewhere, so a started server got next to nothing; among such servers alone, each with more than two requests turned them away. Change: while it has room it counts as one with the usual slots, and it does not enter the means once others have finished requests.

--- a/lib/src/process/load/service_loads.rs
+++ b/lib/src/process/load/service_loads.rs
@@ -31,8 +31,11 @@
     /// Cost of a server of which all runs fail, in multiples of the mean time.
     const FAILED_COST: f64 = 8.0;
 
-    /// Compares loads. Servers that named a rate count only for what they finish.
-    pub fn new<'a>(loads: impl IntoIterator<Item = &'a NodeLoad>) -> Self {
+    /// Compares loads. Servers that named a rate do not count, nor do those that have finished no request
+    /// while others have: they have few slots until then.
+    pub fn new<'a>(loads: impl IntoIterator<Item = &'a NodeLoad, IntoIter: Clone>) -> Self {
+        let loads = loads.into_iter();
+        let has_finished = loads.clone().any(|load| load.held_us > 0);
         let (mut count, mut held_count) = (0.0, 0.0);
         let mut sums = Self {
             occupancy: 0.0,
@@ -42,7 +45,7 @@
             slots: 0.0,
         };
         for load in loads {
-            if load.takes_per_s.is_some() {
+            if load.takes_per_s.is_some() || (has_finished && load.held_us == 0) {
                 continue;
             }
             count += 1.0;
@@ -84,7 +87,7 @@
                 slots,
                 ..
             }) => usual(*slots) * (f64::from(*takes_per_s) / self.finished_per_s).clamp(0.01, 1.0),
-            Some(load) => load.capacity().unwrap_or(usual(load.slots)),
+            Some(load) => load.capacity().unwrap_or(usual(announced_slots)),
         }
     }
 
@@ -98,8 +101,12 @@
         let Some(load) = load else {
             return self.held_us * (1.0 + f64::from(own_in_flight) / (usual * self.slots));
         };
-        let slots = f64::from(load.slots.max(1));
-        let known = load.occupancy() + 1.0 / slots;
+        let has_few_slots = load.held_us == 0 && load.busy < load.slots;
+        let slots = match has_few_slots {
+            true => self.slots,
+            false => f64::from(load.slots.max(1)),
+        };
+        let known = (f64::from(load.busy) + 1.0) / slots;
         let half_life_us = f64::from(load.held_us).clamp(20_000.0, 1e6);
         let freshness = (-(load.age.as_micros() as f64) / half_life_us).exp2();
         let expected = usual + (known - usual) * freshness;
--- a/lib/tests/test_load_reports.rs
+++ b/lib/tests/test_load_reports.rs
@@ -133,6 +133,24 @@
     assert!(is_busier(8, 2));
 }
 
+// A server that just started has four slots until its first response, and would seem busy beside others.
+#[test]
+fn server_without_a_response_yet_gets_requests() {
+    let unproven = |busy: u32| NodeLoad {
+        slots: 4,
+        held_us: 0,
+        ..load(busy, None)
+    };
+    let loads = [load(4, None), load(4, None), unproven(0)];
+    let service = ServiceLoads::new(&loads);
+    let weight = |load: &NodeLoad| service.weight(Some(load), 86);
+    assert!((weight(&loads[2]) / weight(&loads[0]) - 1.0).abs() < 0.01);
+    let cost_us = |load: &NodeLoad| service.cost_us(Some(load), 0);
+    assert!(cost_us(&loads[2]) < cost_us(&loads[0]));
+    assert!(cost_us(&unproven(4)) > cost_us(&loads[0]));
+    assert!(!ServiceLoads::new(&[unproven(4), unproven(4)]).is_busier(&unproven(4)));
+}
+
 fn pong(loads: Vec<LoadReport>) -> Vec<u8> {
     let head = Head::Pong {
         exchange: ExchangeId(1),
