--- a/lib/src/process/gate/gate_state.rs
+++ b/lib/src/process/gate/gate_state.rs
@@ -5,6 +5,8 @@
 use super::AdaptiveLimit;
 use super::AdmissionDecision;
 use super::AdmissionRequest;
+use super::ColdNotice;
+use super::ColdStart;
 use super::Completion;
 use super::CompletionOutcome;
 use super::DemandMeter;
@@ -51,6 +53,8 @@
     opening: Option<Opening>,
     /// The work by route, if whole call trees are admitted.
     work: Option<RouteWork>,
+    /// The bound on the requests that start in a second while the server is cold.
+    cold_start: ColdStart,
 }
 
 impl GateState {
@@ -82,6 +86,7 @@
             pace: None,
             opening: None,
             work: None,
+            cold_start: ColdStart::new(MonotonicTime::default()),
         }
     }
 
@@ -111,6 +116,14 @@
         }
     }
 
+    /// Counts requests of an earlier process that may have started before `time`.
+    pub fn with_unknown_starts_until(self, time: MonotonicTime) -> Self {
+        Self {
+            cold_start: ColdStart::new(time),
+            ..self
+        }
+    }
+
     /// Returns how many requests may run at the same time.
     pub fn slots(&self) -> u32 {
         match self.opening {
@@ -181,6 +194,38 @@
         }
     }
 
+    /// Applies what the server reported about its cold start. Returns whether it turned cold or warm,
+    /// and the waiting requests of a cold server, which go to other servers.
+    pub fn apply_cold_notice(
+        &mut self,
+        notice: ColdNotice,
+        now: MonotonicTime,
+    ) -> (bool, Vec<DroppedRequest>) {
+        let was_cold = self.cold_start.is_cold(now);
+        self.cold_start.apply(notice, now);
+        let is_cold = self.cold_start.is_cold(now);
+        (was_cold != is_cold, self.drop_waiting_if_cold(now))
+    }
+
+    /// Bounds the requests to a server that may have turned cold since its last report. Returns the
+    /// waiting requests.
+    pub fn presume_cold(&mut self, requests_max: u32, now: MonotonicTime) -> Vec<DroppedRequest> {
+        self.cold_start.presume(requests_max, now);
+        self.drop_waiting_if_cold(now)
+    }
+
+    /// Returns whether the server is cold, or may be.
+    pub fn is_cold(&self, now: MonotonicTime) -> bool {
+        self.cold_start.is_cold(now)
+    }
+
+    fn drop_waiting_if_cold(&mut self, now: MonotonicTime) -> Vec<DroppedRequest> {
+        match self.cold_start.is_cold(now) {
+            true => self.drop_waiting(RefusalReason::ServerCold, now),
+            false => Vec::new(),
+        }
+    }
+
     /// Records the head of a response of the server, and starts waiting requests.
     ///
     /// To be called after [`GateState::set_rate`] with the rate that the response names.
@@ -240,7 +285,7 @@
                 None,
             );
         }
-        if self.pace.is_some() {
+        if self.pace.is_some() || self.cold_start.is_cold(now) {
             return (self.acquire_paced(request, now), None);
         }
         // Before the first response, those that wait may have too little time for the room there is.
@@ -266,26 +311,32 @@
         self.enqueue(request, rank, service_time, now)
     }
 
-    /// Decides on a request to a server with a rate: it starts at once, or goes to another server.
+    /// Decides on a request to a server with a rate or a cold one: it starts at once, or goes to
+    /// another server.
     fn acquire_paced(
         &mut self,
         request: &AdmissionRequest,
         now: MonotonicTime,
     ) -> AdmissionDecision {
         let kept_fraction = self.demand.kept_fraction(request);
-        let has_slot = self.in_flight < self.slots();
+        let reason = match self.cold_start.is_cold(now) {
+            true => RefusalReason::ServerCold,
+            false => RefusalReason::ServerThrottled,
+        };
+        let has_room =
+            self.has_room(request.remaining, now) && self.cold_start.has_room(kept_fraction, now);
         let mut take_token = || {
             let pace = self.pace.as_mut();
             pace.is_none_or(|pace| pace.try_take(kept_fraction, now))
         };
-        match has_slot && take_token() {
+        match has_room && take_token() {
             true => {
                 self.start(&request.organisation, request.rate, now);
                 AdmissionDecision::Started
             }
             false => {
                 self.demand.record_shed();
-                self.refuse(request, RefusalReason::ServerThrottled, now)
+                self.refuse(request, reason, now)
             }
         }
     }
@@ -476,6 +527,7 @@
         now: MonotonicTime,
     ) {
         self.in_flight += 1;
+        self.cold_start.record_start(now);
         if let Some(opening) = &mut self.opening {
             opening.record_start(now);
         }
@@ -522,10 +574,9 @@
     /// Returns the load in time of slots. What waits is work that the capacity has to do first.
     fn work_load(&self, work: &RouteWork, now: MonotonicTime) -> WindowLoad {
         let slots = f64::from(self.limit.slots());
-        let paced = self
-            .pace
-            .map(|pace| pace.per_s() * work.mean(now).as_secs_f64());
-        let capacity = paced.map_or(slots, |paced| paced.min(slots));
+        let mean_s = work.mean(now).as_secs_f64();
+        let bounds = self.bounds_per_s(now).map(|per_s| per_s * mean_s);
+        let capacity = bounds.fold(slots, f64::min);
         let backlog = self.queue.work().as_secs_f64() / Self::BACKLOG_S;
         WindowLoad {
             capacity_per_s: (capacity - backlog).max(0.0) * DemandMeter::UNITS_PER_S,
@@ -547,8 +598,14 @@
             (Some(_), false) => Some(f64::from(self.limit.slots()) / mean.as_secs_f64()),
         };
         let drain_per_s = drain_per_s.unwrap_or(Self::DEFAULT_DRAIN_PER_S);
-        self.pace
-            .map_or(drain_per_s, |pace| pace.per_s().min(drain_per_s))
+        self.bounds_per_s(now).fold(drain_per_s, f64::min)
+    }
+
+    /// Returns the requests per second that the server takes at present, if that is bounded.
+    fn bounds_per_s(&self, now: MonotonicTime) -> impl Iterator<Item = f64> + use<> {
+        let pace_per_s = self.pace.map(|pace| pace.per_s());
+        let cold_per_s = self.cold_start.per_s(now);
+        pace_per_s.into_iter().chain(cold_per_s)
     }
 
     fn queue_bound(&self) -> usize {
--- a/lib/src/process/relay/backend.rs
+++ b/lib/src/process/relay/backend.rs
@@ -13,6 +13,7 @@
 use http::StatusCode;
 use parking_lot::Mutex;
 
+use super::evacuation;
 use super::frame::LoadNotice;
 use super::frame::RequestMetadata;
 use super::node::RelayNode;
@@ -37,6 +38,7 @@
 use crate::process::gate::AdaptiveLimit;
 use crate::process::gate::AdmissionRequest;
 use crate::process::gate::CallTree;
+use crate::process::gate::ColdStart;
 use crate::process::gate::CompletionOutcome;
 use crate::process::gate::Gate;
 use crate::process::gate::GateState;
@@ -100,7 +102,10 @@
             .floor()
             .max(1.0) as u32;
         let limit = AdaptiveLimit::fixed(SlotCount(used_slots), clock.now());
-        let state = GateState::unproven(limit, clock.now());
+        // An earlier process may have sent requests until this one started.
+        let unknown_until = MonotonicTime::default().after(ColdStart::WINDOW);
+        let state =
+            GateState::unproven(limit, clock.now()).with_unknown_starts_until(unknown_until);
         let state = match admits_whole_trees {
             true => state.with_whole_trees(clock.now()),
             false => state,
@@ -228,6 +233,9 @@
     };
     std::mem::forget(cancelled);
     let result = result.unwrap_or_else(|| Err(refusal_at_limit(running.is_sent())));
+    if let Err(refusal) = &result {
+        node.metrics.record_run_refusal(refusal.reason);
+    }
     RunOutcome {
         result,
         load: LoadNotice {
@@ -266,6 +274,10 @@
             return Err(Refusal::not_run(RefusalReason::NoServer));
         }
     };
+    if let Err(refusal) = evacuation::check(node) {
+        suspects::reassign_trials(node).await;
+        return Err(refusal);
+    }
     let may_begin = || node.offers_server() && node.stop_limit.permits(deadline, node.clock.now());
     if !may_begin() {
         return Err(Refusal::not_run(RefusalReason::Draining));
@@ -305,6 +317,11 @@
         permit.release_unused();
         return Err(Refusal::not_run(RefusalReason::Draining));
     }
+    if let Err(refusal) = evacuation::check(node) {
+        permit.release_unused();
+        suspect_permit.refuse(refusal.reason).await;
+        return Err(refusal);
+    }
     if let Some(Err(refusal)) =
         waiter.map(|waiter| waiter.check(&metadata.request_id, Step::Server))
     {
--- a/lib/src/process/relay/metrics.rs
+++ b/lib/src/process/relay/metrics.rs
@@ -16,6 +16,7 @@
 
 use super::store::StoreError;
 use crate::request::Refusal;
+use crate::request::RefusalReason;
 
 /// Lowest bound of the latency histogram.
 const LATENCY_BOUND_MIN_S: f64 = 0.002;
@@ -34,6 +35,7 @@
     registry: Registry,
     responses: Family<Kind, Counter>,
     refusals: Family<Kind, Counter>,
+    run_refusals: Family<Kind, Counter>,
     latency_s: Histogram,
     tree_refusals: Counter,
     caller_disconnects: Counter,
@@ -52,6 +54,7 @@
         let mut registry = Registry::with_prefix("balsamfold");
         let responses = Family::<Kind, Counter>::default();
         let refusals = Family::<Kind, Counter>::default();
+        let run_refusals = Family::<Kind, Counter>::default();
         let bounds = exponential_buckets(LATENCY_BOUND_MIN_S, 2.0, LATENCY_BOUND_COUNT);
         let latency_s = Histogram::new(bounds);
         let tree_refusals = Counter::default();
@@ -73,6 +76,11 @@
             "Requests refused at once because a service of their call tree had no room",
             tree_refusals.clone(),
         );
+        registry.register(
+            "run_refusals",
+            "Requests that the node of a cold server or in an evacuated zone turned away, by reason",
+            run_refusals.clone(),
+        );
         registry.register(
             "latency_seconds",
             "Time until an answer or refusal",
@@ -109,6 +117,7 @@
             registry,
             responses,
             refusals,
+            run_refusals,
             latency_s,
             tree_refusals,
             caller_disconnects,
@@ -145,6 +154,15 @@
         self.tree_refusals.inc();
     }
 
+    /// Counts a request that this node turned away from its backend server because that is cold or its
+    /// zone is evacuated.
+    pub fn record_run_refusal(&self, reason: RefusalReason) {
+        if let RefusalReason::ServerCold | RefusalReason::ZoneEvacuated = reason {
+            let kind = reason.code();
+            self.run_refusals.get_or_create(&Kind { kind }).inc();
+        }
+    }
+
     /// Counts a caller that disconnected before the response.
     pub fn record_caller_disconnect(&self) {
         self.caller_disconnects.inc();
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -72,6 +72,10 @@
         /// The backend server has much more to do than others of its service. Only nodes tell each
         /// other so; the sender tries another one.
         BusierThanOthers,
+        /// The backend server is cold, and got as many requests as it takes until it is warm.
+        ServerCold,
+        /// The operators evacuated the zone of the backend server.
+        ZoneEvacuated,
     }
 }
 
@@ -108,6 +112,8 @@
             Self::ServerThrottled => "server-throttled",
             Self::Abandoned => "abandoned",
             Self::BusierThanOthers => "busier-than-others",
+            Self::ServerCold => "server-cold",
+            Self::ZoneEvacuated => "zone-evacuated",
         }
     }
 
@@ -129,6 +135,8 @@
             | Self::ServerFailing
             | Self::ServerThrottled
             | Self::BusierThanOthers
+            | Self::ServerCold
+            | Self::ZoneEvacuated
             | Self::Unconfirmed
             | Self::Draining
             | Self::NoServer
@@ -171,6 +179,8 @@
             Self::ServerThrottled => events::SERVER_THROTTLED,
             Self::Abandoned => events::ABANDONED,
             Self::BusierThanOthers => events::BUSIER_THAN_OTHERS,
+            Self::ServerCold => events::SERVER_COLD,
+            Self::ZoneEvacuated => events::ZONE_EVACUATED,
         }
     }
 }
