--- a/lib/src/connection/crowding.rs
+++ b/lib/src/connection/crowding.rs
@@ -1,5 +1,6 @@
 //! Connections of a listener that is full: those that wait for their clients are closed for new ones.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +13,10 @@
 /// Time for which a connection may wait for its client before it can be closed for another one.
 const WAIT_MIN: Duration = Duration::from_secs(1);
 
+/// One of so many connections is given up at a time, so that a crowd that comes again does not hold up others that wait
+/// to be accepted.
+const GIVEN_UP_PARTS: usize = 16;
+
 /// The open connections of a listener.
 #[derive(Clone, Debug, Default)]
 pub(super) struct OpenConnections(Arc<Mutex<Slab<Member>>>);
@@ -45,8 +50,8 @@
         }
     }
 
-    /// Gives up the connection that has waited longest for its client: for the rest of what that sends or reads
-    /// rather than for a next request. One whose request is run is never given up.
+    /// Gives up a part of the connections, those that have waited longest for their clients: for the rest of what these
+    /// send or read rather than for a next request. One whose request is run is never given up.
     pub(super) fn give_up_slowest(&self) {
         let members = self.0.lock();
         let waits = members.iter().filter_map(|(_, member)| {
@@ -54,7 +59,12 @@
             let may_close = wait.1 >= WAIT_MIN && !member.given_up.is_cancelled();
             may_close.then_some((wait, member))
         });
-        if let Some((_, slowest)) = waits.max_by_key(|(wait, _)| *wait) {
+        let mut waits: Vec<_> = waits.collect();
+        waits.sort_unstable_by_key(|(wait, _)| Reverse(*wait));
+        for (_, slowest) in waits
+            .into_iter()
+            .take(members.len().div_ceil(GIVEN_UP_PARTS))
+        {
             slowest.given_up.cancel();
         }
     }
