relay, rates: a holder that the store turns away calls it through other nodes of its zone

Change: such a holder makes its reads and writes of the record through up to three other nodes.

Test: holder_that_the_store_turns_away_renews_through_other_nodes; with the setting off, in the same test, the zone answers 503 and the role is lost.

--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -562,6 +562,7 @@
         PeerReply::Pong
         | PeerReply::Tokens(_)
         | PeerReply::RateStatus(_)
+        | PeerReply::RateRecord(_)
         | PeerReply::Views(_)
         | PeerReply::KnownSuspects(_) => Err(Refusal::may_have_run(RefusalReason::BadAnswer)),
     };
--- a/lib/src/process/relay/frame.rs
+++ b/lib/src/process/relay/frame.rs
@@ -16,6 +16,8 @@
 
 use super::confirmation::ConfirmationReport;
 use super::frame_io::READ_BYTES;
+use super::rate_records::RateRecordCall;
+use super::rate_records::RateRecordOutcome;
 use super::views::ViewPositions;
 use super::views::ViewUpdate;
 use crate::connection::MemoryBudget;
@@ -34,6 +36,7 @@
 use crate::values::RatePerSecond;
 use crate::values::RequestId;
 use crate::values::TokenCount;
+use crate::values::ZoneId;
 
 number_type! {
     /// Identifies an exchange on one connection between two nodes.
@@ -286,6 +289,22 @@
         /// The callers.
         returns: ReturnDemand,
     },
+    /// Calls the store for the holder record of a zone, for a holder that the store turns away.
+    RateRecordRequest {
+        /// The exchange.
+        exchange: ExchangeId,
+        /// The zone.
+        zone: ZoneId,
+        /// The call.
+        call: RateRecordCall,
+    },
+    /// The reply to a call for a holder record.
+    RateRecordReply {
+        /// The exchange.
+        exchange: ExchangeId,
+        /// What became of the call.
+        outcome: RateRecordOutcome,
+    },
 }
 
 /// A frame that cannot be encoded or decoded.
--- a/lib/src/process/relay/link_reply.rs
+++ b/lib/src/process/relay/link_reply.rs
@@ -8,6 +8,7 @@
 use super::frame::Head;
 use super::frame::LoadNotice;
 use super::frame::header_map;
+use super::rate_records::RateRecordOutcome;
 use super::views::ViewUpdate;
 use crate::connection::BufferedResponse;
 use crate::process::rates::PeerStatus;
@@ -29,6 +30,8 @@
     Tokens(TokenReply),
     /// The status for the holder of the node's zone.
     RateStatus(PeerStatus),
+    /// What became of a call for a holder record.
+    RateRecord(RateRecordOutcome),
     /// What this node lacked of the store's views.
     Views(Vec<ViewUpdate>),
     /// The suspects of which the node knows more, or all that it knows.
@@ -93,6 +96,10 @@
             let load = LoadNotice::default();
             (exchange, PeerReply::RateStatus(status), None, load)
         }
+        Head::RateRecordReply { exchange, outcome } => {
+            let load = LoadNotice::default();
+            (exchange, PeerReply::RateRecord(outcome), None, load)
+        }
         Head::KnownSuspects { exchange, entries } => {
             let load = LoadNotice::default();
             (exchange, PeerReply::KnownSuspects(entries), None, load)
@@ -114,6 +121,7 @@
         | Head::Lent { .. }
         | Head::TokenRequest { .. }
         | Head::TokenRequestWithReturns { .. }
+        | Head::RateRecordRequest { .. }
         | Head::TokenReport { .. }
         | Head::RateStatusRequest { .. }
         | Head::RateHolderReleased
--- a/lib/src/process/relay/peers.rs
+++ b/lib/src/process/relay/peers.rs
@@ -32,6 +32,7 @@
 use super::frame_io::frame_queue;
 use super::frame_io::write_frames;
 use super::node::RelayNode;
+use super::rates::call_store;
 use super::supervision::catch_panic;
 use super::views::serve_views;
 use crate::connection::BodyKind;
@@ -198,7 +199,8 @@
         let head = frame.head().map_err(|error| error.to_string())?;
         if let Head::Request(RequestHead { exchange, .. })
         | Head::TokenRequest { exchange, .. }
-        | Head::TokenRequestWithReturns { exchange, .. } = &head
+        | Head::TokenRequestWithReturns { exchange, .. }
+        | Head::RateRecordRequest { exchange, .. } = &head
         {
             self.first_not_begun = ExchangeId(exchange.0.saturating_add(1));
         }
@@ -285,6 +287,19 @@
             };
             grant_tokens(node, exchange, request, replies);
         }
+        Head::RateRecordRequest {
+            exchange,
+            zone,
+            call,
+        } => {
+            let call = call_store(node, zone, call);
+            let replies = replies.clone();
+            tokio::spawn(async move {
+                let outcome = call.await;
+                let head = Head::RateRecordReply { exchange, outcome };
+                send_reply(&replies, &head, &Bytes::new());
+            });
+        }
         Head::TokenReport { report } => node.rates.service.apply_report(&report),
         Head::RateStatusRequest { exchange } => {
             let status = node.rates.service.peer_status();
@@ -324,6 +339,7 @@
         | Head::Lent { .. }
         | Head::TokenReply { .. }
         | Head::RateStatus { .. }
+        | Head::RateRecordReply { .. }
         | Head::ViewReply { .. }
         | Head::ViewsChanged
         | Head::KnownSuspects { .. }
--- a/lib/src/process/relay/rates.rs
+++ b/lib/src/process/relay/rates.rs
@@ -14,10 +14,14 @@
 use super::link::LinkFailure;
 use super::link_reply::PeerReply;
 use super::node::RelayNode;
+use super::rate_records::RateRecordCall;
+use super::rate_records::RateRecordOutcome;
+use super::rate_records::StoreWay;
+use super::rate_records::THROUGH_NODE_TIMEOUT;
+use super::rate_records::nodes_to_ask;
 use super::settings::RawRelaySettings;
 use super::store::SharedStore;
 use super::store::StoreError;
-use super::store::StoreItem;
 use super::store::StoreRevision;
 use super::store::StoreSwap;
 use crate::process::events::relay as events;
@@ -66,6 +70,7 @@
     let transport = LinkTransport {
         node: Weak::clone(node),
         store,
+        way: StoreWay::default(),
     };
     FleetRates::new(&own, clock, Arc::new(transport))
 }
@@ -94,9 +99,52 @@
 struct LinkTransport {
     node: Weak<RelayNode>,
     store: Arc<dyn SharedStore>,
+    way: StoreWay,
 }
 
 impl LinkTransport {
+    /// Calls the store for the holder record of a zone: directly, or through other nodes while the store
+    /// turns this one away.
+    async fn call_record(
+        &self,
+        node: &Arc<RelayNode>,
+        zone: &ZoneId,
+        call: &RateRecordCall,
+    ) -> RateRecordOutcome {
+        let is_read = *call == RateRecordCall::Read;
+        let nodes = nodes_to_ask(node);
+        if nodes.is_empty() || !self.way.is_closed(node.clock.now()) {
+            let direct = call_store(node, zone.clone(), call.clone()).await;
+            let has_reached = !matches!(
+                direct,
+                RateRecordOutcome::NotRun | RateRecordOutcome::MayHaveRun
+            );
+            self.way.record(has_reached, node.clock.now());
+            match direct {
+                RateRecordOutcome::NotRun => {}
+                direct => return direct,
+            }
+        }
+        for record in nodes {
+            let (zone, call) = (zone.clone(), call.clone());
+            let exchange = self.exchange(&record, move |exchange| Head::RateRecordRequest {
+                exchange,
+                zone,
+                call,
+            });
+            let outcome = match tokio::time::timeout(THROUGH_NODE_TIMEOUT, exchange).await {
+                Ok(Some(PeerReply::RateRecord(outcome))) => outcome,
+                Ok(_) | Err(_) => RateRecordOutcome::MayHaveRun,
+            };
+            match outcome {
+                RateRecordOutcome::NotRun => {}
+                RateRecordOutcome::MayHaveRun if is_read => {}
+                outcome => return outcome,
+            }
+        }
+        RateRecordOutcome::NotRun
+    }
+
     /// Sends the message that `head` returns to a node, and waits for its reply.
     fn exchange(
         &self,
@@ -138,10 +186,7 @@
 
     fn record_call<T>(&self, result: &Result<T, StoreError>) {
         if let Some(node) = self.node.upgrade() {
-            node.metrics.record_store_call(result.is_ok());
-            if let Err(error) = result {
-                node.metrics.record_store_error(error);
-            }
+            record_store_call(&node, result);
         }
     }
 }
@@ -151,6 +196,7 @@
         Self {
             node: Weak::clone(&self.node),
             store: Arc::clone(&self.store),
+            way: self.way.clone(),
         }
     }
 }
@@ -216,17 +262,25 @@
         age: RecordAge,
     ) -> BoxFuture<'static, Result<Option<StoredHolderRecord>, RecordCallError>> {
         let key = format!("{RECORD_PREFIX}{zone}");
-        let transport = self.clone();
+        let (transport, zone) = (self.clone(), zone.clone());
         async move {
-            let read = match age {
-                RecordAge::Newest => transport.store.get(&key).await,
-                RecordAge::Recent => transport.store.get_recent(&key).await,
-            };
-            transport.record_call(&read);
-            let found = read.map_err(|_| RecordCallError::NotRun)?;
-            let own_id = transport.node.upgrade().ok_or(RecordCallError::NotRun)?;
-            let own_id = &own_id.settings.raw.node;
-            Ok(found.content.map(|item| decode_record(&item, own_id)))
+            let node = transport.node.upgrade().ok_or(RecordCallError::NotRun)?;
+            let own_id = &node.settings.raw.node;
+            if age == RecordAge::Recent {
+                let read = transport.store.get_recent(&key).await;
+                transport.record_call(&read);
+                let found = read.map_err(|_| RecordCallError::NotRun)?;
+                return Ok(found
+                    .content
+                    .map(|item| decode_record(&key, &item.value, item.revision.0, own_id)));
+            }
+            let call = RateRecordCall::Read;
+            match transport.call_record(&node, &zone, &call).await {
+                RateRecordOutcome::Read(found) => Ok(
+                    found.map(|(revision, value)| decode_record(&key, &value, revision, own_id))
+                ),
+                _ => Err(RecordCallError::NotRun),
+            }
         }
         .boxed()
     }
@@ -237,39 +291,71 @@
         expected: Option<u64>,
         record: &HolderRecord,
     ) -> BoxFuture<'static, Result<RecordSwap, RecordCallError>> {
-        let key = format!("{RECORD_PREFIX}{zone}");
-        let value = serde_json::to_vec(record);
-        let transport = self.clone();
+        let record = serde_json::to_vec(record);
+        let (transport, zone) = (self.clone(), zone.clone());
         async move {
-            let value = value.map_err(|_| RecordCallError::NotRun)?;
-            let expected = expected.map(StoreRevision);
-            let swap = transport
-                .store
-                .swap(&key, expected, Bytes::from(value))
-                .await;
-            transport.record_call(&swap);
-            match swap {
-                Ok(StoreSwap::Done(revision)) => Ok(RecordSwap::Done(revision.0)),
-                Ok(StoreSwap::Conflict) => Ok(RecordSwap::Conflict),
-                Err(StoreError::NotDone { .. }) => Err(RecordCallError::NotRun),
-                Err(_) => Err(RecordCallError::MayHaveRun),
-            }
+            let record = record.map_err(|_| RecordCallError::NotRun)?;
+            let node = transport.node.upgrade().ok_or(RecordCallError::NotRun)?;
+            let call = RateRecordCall::Swap { expected, record };
+            let outcome = transport.call_record(&node, &zone, &call).await;
+            outcome.into_swap()
         }
         .boxed()
     }
 }
 
+/// Calls the store for the holder record of a zone.
+pub(super) fn call_store(
+    node: &Arc<RelayNode>,
+    zone: ZoneId,
+    call: RateRecordCall,
+) -> BoxFuture<'static, RateRecordOutcome> {
+    let node = Arc::clone(node);
+    let key = format!("{RECORD_PREFIX}{zone}");
+    async move {
+        match call {
+            RateRecordCall::Read => {
+                let read = node.store.get(&key).await;
+                record_store_call(&node, &read);
+                let item = read.map(|found| found.content);
+                item.map_or(RateRecordOutcome::NotRun, |item| {
+                    let item = item.map(|item| (item.revision.0, item.value.to_vec()));
+                    RateRecordOutcome::Read(item)
+                })
+            }
+            RateRecordCall::Swap { expected, record } => {
+                let expected = expected.map(StoreRevision);
+                let swap = node.store.swap(&key, expected, Bytes::from(record)).await;
+                record_store_call(&node, &swap);
+                match swap {
+                    Ok(StoreSwap::Done(revision)) => RateRecordOutcome::Swapped(revision.0),
+                    Ok(StoreSwap::Conflict) => RateRecordOutcome::Conflict,
+                    Err(StoreError::NotDone { .. }) => RateRecordOutcome::NotRun,
+                    Err(_) => RateRecordOutcome::MayHaveRun,
+                }
+            }
+        }
+    }
+    .boxed()
+}
+
+fn record_store_call<T>(node: &RelayNode, result: &Result<T, StoreError>) {
+    node.metrics.record_store_call(result.is_ok());
+    if let Err(error) = result {
+        node.metrics.record_store_error(error);
+    }
+}
+
 /// Decodes a record. In place of one that another writer corrupted, returns one of an ended process
 /// of this node.
-fn decode_record(item: &StoreItem, own_id: &NodeId) -> StoredHolderRecord {
-    let revision = item.revision.0;
-    let decoded = serde_json::from_slice::<HolderRecord>(&item.value);
+fn decode_record(key: &str, value: &[u8], revision: u64, own_id: &NodeId) -> StoredHolderRecord {
+    let decoded = serde_json::from_slice::<HolderRecord>(value);
     let reason = match decoded {
         Ok(record) if record.is_plausible() => return StoredHolderRecord { record, revision },
         Ok(record) => format!("epoch {} or renewals out of range", record.epoch),
         Err(error) => error.to_string(),
     };
-    events::STORED_UNREADABLE.log(format_args!("key={} reason=\"{reason}\"", item.key));
+    events::STORED_UNREADABLE.log(format_args!("key={key} reason=\"{reason}\""));
     StoredHolderRecord {
         record: HolderRecord::unreadable(own_id.clone(), revision),
         revision,
--- a/lib/src/process/relay/settings.rs
+++ b/lib/src/process/relay/settings.rs
@@ -35,6 +35,8 @@
         pub zones: BTreeMap<ZoneId, RegionId>,
         /// Time limits that the operators set.
         pub bounds: BoundSettings,
+        /// How the node keeps the rates of organisations.
+        pub rates: Option<RateSettings>,
         /// Places for refused callers that come back, if they get any.
         pub returns: Option<ReturnSettings>,
     }
@@ -57,6 +59,16 @@
     }
 }
 
+plain_data! {
+    /// How a node keeps the rates of organisations.
+    #[derive(Copy, Eq)]
+    #[serde(deny_unknown_fields)]
+    pub struct RateSettings {
+        /// Whether a holder that the store turns away calls it through other nodes of its zone.
+        pub records_through_nodes: bool,
+    }
+}
+
 plain_data! {
     /// Time limits that the operators set.
     #[serde(deny_unknown_fields)]
--- a/lib/tests/test_relay_rates.rs
+++ b/lib/tests/test_relay_rates.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use balsamfold::process::relay::RateSettings;
 use balsamfold::process::relay::rate_plan;
 use balsamfold::values::ConfigVersion;
 use balsamfold::values::RatePerSecond;
@@ -185,3 +186,41 @@
     assert_eq!(limits[0].rate_per_s, RatePerSecond(40));
     assert_eq!(limits[0].burst_tokens, TokenCount(1));
 }
+
+/// Time after which a holder that cannot renew has lost its role, and before which no other node has it.
+const WITHOUT_RENEWAL: Duration = Duration::from_millis(3_600);
+/// Time after which another node has taken the role over.
+const AFTER_TAKEOVER: Duration = Duration::from_millis(3_000);
+
+/// Turns the holder's relay away from the store. Returns whether the fleet still grants tokens when its lease
+/// has ended, and whether it is the holder after the time in which another node would have taken over.
+async fn turn_holder_away(records_through_nodes: bool) -> (StatusCode, bool) {
+    let services = ["front", "front", "front", "stock"];
+    let rates = RateSettings {
+        records_through_nodes,
+    };
+    let plan = plan(1, Some(100), 40);
+    let fleet = RelayFleet::start_with_rates(&plan, &services, Some(rates)).await;
+    assert_eq!(
+        call_until_admitted(&fleet, 0, "first").await,
+        StatusCode::OK
+    );
+    let is_holder = |index: &usize| fleet.relays[*index].daemon.node().holds_rates();
+    let holder = (0..services.len()).find(is_holder).expect("a holder");
+    fleet.relays[holder].store.set_turned_away(true);
+    tokio::time::sleep(WITHOUT_RENEWAL).await;
+    let other = (holder + 1) % services.len();
+    let response = fleet.call(other, "in-between", "/stock/x", Some(KEY)).await;
+    tokio::time::sleep(AFTER_TAKEOVER).await;
+    (response.status, is_holder(&holder))
+}
+
+/// Guards against a zone without tokens for three seconds when the store turns away the node that holds them:
+/// all other nodes reach the store, so that none promises to leave the role alone, and the next holder starts
+/// with empty buckets.
+#[tokio::test]
+async fn holder_that_the_store_turns_away_renews_through_other_nodes() {
+    let (through_nodes, alone) = tokio::join!(turn_holder_away(true), turn_holder_away(false));
+    assert_eq!(through_nodes, (StatusCode::OK, true));
+    assert_eq!(alone, (StatusCode::SERVICE_UNAVAILABLE, false));
+}
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -12,6 +12,7 @@
 use balsamfold::process::relay::ListenSettings;
 use balsamfold::process::relay::Protocol;
 use balsamfold::process::relay::ProtocolHeaders;
+use balsamfold::process::relay::RateSettings;
 use balsamfold::process::relay::RawRelaySettings;
 use balsamfold::process::relay::RelayDaemon;
 use balsamfold::process::relay::RelaySettings;
@@ -174,8 +175,17 @@
     /// Starts a relay with a server of 8 slots for each entry of `services`, and waits until the
     /// fleet is ready.
     pub async fn start(plan: &StoredPlan, services: &[&'static str]) -> Self {
+        Self::start_with_rates(plan, services, None).await
+    }
+
+    /// Like [`Self::start`], with a table of settings for rates.
+    pub async fn start_with_rates(
+        plan: &StoredPlan,
+        services: &[&'static str],
+        rates: Option<RateSettings>,
+    ) -> Self {
         let store = MemoryStore::default();
-        let fleet = Self::start_with_store(store, plan, services).await;
+        let fleet = Self::start_with_store(store, plan, services, rates).await;
         fleet.wait_until_ready().await;
         fleet
     }
@@ -184,6 +194,7 @@
         store: MemoryStore,
         plan: &StoredPlan,
         services: &[&'static str],
+        rates: Option<RateSettings>,
     ) -> Self {
         let mut fleet = Self {
             store,
@@ -192,7 +203,8 @@
         fleet.publish(plan);
         for (index, service) in services.iter().enumerate() {
             let server = RelayServer::start().await;
-            let settings = settings(&format!("node-{index}"), service, server.address);
+            let mut settings = settings(&format!("node-{index}"), service, server.address);
+            settings.raw.rates = rates;
             let store = fleet.store.for_client();
             let (daemon, runtime) = start_relay(settings, &store).await;
             server.set_onward_address(daemon.node().settings.raw.listen.callers);
@@ -456,6 +468,7 @@
         },
         zones: [(zone, region)].into(),
         returns: None,
+        rates: None,
         bounds: BoundSettings {
             configuration_apply_ms: 2_000,
             key_withdrawal_ms: 5_000,
