--- a/lib/src/process/relay/settings.rs
+++ b/lib/src/process/relay/settings.rs
@@ -40,6 +40,8 @@
         /// The loads that nodes pass on. Without this table they send none, and choose among servers
         /// by their own observations only.
         pub load_reports: Option<LoadReportSettings>,
+        /// How the node keeps the rates of organisations.
+        pub rates: Option<RateSettings>,
         /// Places for refused callers that come back, if they get any.
         pub returns: Option<ReturnSettings>,
     }
@@ -71,6 +73,16 @@
     }
 }
 
+plain_data! {
+    /// How a node keeps the rates of organisations.
+    #[derive(Copy, Eq)]
+    #[serde(deny_unknown_fields)]
+    pub struct RateSettings {
+        /// Whether a holder that the store turns away calls it through other nodes of its zone.
+        pub records_through_nodes: bool,
+    }
+}
+
 plain_data! {
     /// Time limits that the operators set.
     #[serde(deny_unknown_fields)]
--- a/testutils/src/relay/fleet.rs
+++ b/testutils/src/relay/fleet.rs
@@ -519,6 +519,7 @@
         },
         zones: [(zone, region)].into(),
         returns: None,
+        rates: None,
         bounds: BoundSettings {
             configuration_apply_ms: 2_000,
             key_withdrawal_ms: 5_000,
