--- a/lib/tests/test_relay_rates.rs
+++ b/lib/tests/test_relay_rates.rs
@@ -198,8 +198,16 @@
 async fn turn_holder_away(records_through_nodes: bool) -> (StatusCode, bool) {
     let services = ["front", "front", "front", "stock"];
     let adjust: fn(&mut RawRelaySettings) = match records_through_nodes {
-        true => |raw| raw.rates = Some(RateSettings { records_through_nodes: true }),
-        false => |raw| raw.rates = Some(RateSettings { records_through_nodes: false }),
+        true => |raw| {
+            raw.rates = Some(RateSettings {
+                records_through_nodes: true,
+            })
+        },
+        false => |raw| {
+            raw.rates = Some(RateSettings {
+                records_through_nodes: false,
+            })
+        },
     };
     let plan = plan(1, Some(100), 40);
     let fleet = RelayFleet::start_adjusted(&plan, &services, adjust).await;
