--- a/node/tests/relay_fleet/machine.rs
+++ b/node/tests/relay_fleet/machine.rs
@@ -129,6 +129,7 @@
     }
 
     /// Returns the number of descriptors that the process has open.
+    #[allow(dead_code, reason = "only some test binaries bound them")]
     pub fn open_descriptors(&self) -> usize {
         let path = format!("/proc/{}/fd", self.child.lock().id());
         let entries = std::fs::read_dir(path).expect("the process runs");
