--- a/cli/tests/test_relay_settings.rs
+++ b/cli/tests/test_relay_settings.rs
@@ -47,7 +47,7 @@
        |
     21 | stop_grace = 6
        | ^^^^^^^^^^
-    unknown field `stop_grace`, expected one of `configuration_apply_ms`, `key_withdrawal_ms`, `key_withdrawal_is_strict`, `stop_grace_s`, `retry_ratio`, `retry_slack`, `retry_window_s`
+    unknown field `stop_grace`, expected one of `configuration_apply_ms`, `key_withdrawal_ms`, `key_withdrawal_is_strict`, `stop_grace_s`, `retry_ratio`, `retry_slack`, `retry_window_s`, `cold_ratio`, `cold_slack`, `evacuation_ms`
     hint: correct the named settings; docs/relay-settings.md lists what is allowed
     "#);
 }
