forward: whether a node is usable is decided in one place

The zones that the operators evacuated were read twice for each attempt, and the check stood in the search for a named node and in the choice. Behaviour is unchanged.

--- a/lib/src/process/relay/forward.rs
+++ b/lib/src/process/relay/forward.rs
@@ -456,17 +456,17 @@
     };
     let members = node.members();
     let evacuated = evacuation::evacuated_zones(node);
-    let responsive = |id: &NodeId| {
+    let is_usable = |record: &NodeRecord| {
+        !evacuated.contains(&record.zone) && !node.links.is_unresponsive(record)
+    };
+    let usable = |id: &NodeId| {
         let mut serving = members.serving(&outbound.service).iter();
-        serving.find(|record| {
-            record.id == *id
-                && !evacuated.contains(&record.zone)
-                && !node.links.is_unresponsive(record)
-        })
+        serving.find(|record| record.id == *id && is_usable(record))
     };
     match (progress.only_on.take(), known) {
         (None, None) => {
-            let chosen = choose(node, outbound, &progress.tried).or(progress.busy_node.take());
+            let chosen = choose(node, outbound, &progress.tried, is_usable);
+            let chosen = chosen.or(progress.busy_node.take());
             if chosen.is_none() && progress.last_refusal.is_none() {
                 let (node, service) = (node, &outbound.service);
                 progress.last_refusal = evacuation::refusal_without_servers(node, service);
@@ -474,10 +474,8 @@
             chosen
         }
         (only_on, known) => {
-            let named = only_on.as_ref().and_then(responsive);
-            named
-                .or_else(|| known.as_ref().and_then(responsive))
-                .cloned()
+            let named = only_on.as_ref().and_then(usable);
+            named.or_else(|| known.as_ref().and_then(usable)).cloned()
         }
     }
 }
@@ -491,14 +489,18 @@
         && progress.tried.len() < TRIED_NODES_MAX
 }
 
-/// Chooses a responsive node of the service that was not tried yet.
-fn choose(node: &RelayNode, outbound: &Outbound, tried: &[NodeId]) -> Option<NodeRecord> {
+/// Chooses a usable node of the service that was not tried yet.
+fn choose(
+    node: &RelayNode,
+    outbound: &Outbound,
+    tried: &[NodeId],
+    is_usable: impl Fn(&NodeRecord) -> bool,
+) -> Option<NodeRecord> {
     let members = node.members();
-    let evacuated = evacuation::evacuated_zones(node);
     let unusable = members
         .serving(&outbound.service)
         .iter()
-        .filter(|record| evacuated.contains(&record.zone) || node.links.is_unresponsive(record))
+        .filter(|record| !is_usable(record))
         .map(|record| record.id.clone());
     let excluded: Vec<NodeId> = tried.iter().cloned().chain(unusable).collect();
     let loads = node.service_loads(&members, &outbound.service);
