--- a/review/stand-ins-2/src/server.rs
+++ b/review/stand-ins-2/src/server.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -26,6 +27,7 @@
     pub target: String,
     pub server: String,
     pub body_bytes: usize,
+    pub began_at: Instant,
     /// The tenant that the relay named.
     pub tenant: Option<String>,
     /// Whether its answer was handed to the connection.
@@ -103,6 +105,7 @@
                 target: target.to_owned(),
                 server: self.id.clone(),
                 body_bytes: request.body.len(),
+                began_at: Instant::now(),
                 tenant: request.header("x-tenant-id").map(str::to_owned),
                 is_answered: false,
             });
