--- a/review/stand-ins-2/src/bin/repeated-ids.rs
+++ b/review/stand-ins-2/src/bin/repeated-ids.rs
@@ -116,7 +116,9 @@
         attempts.push(tokio::spawn(async move {
             record.add(format!("sent {id}"));
             let path = "/page/450/400/x";
-            let answer = call_with(address, "GET", path, &id, TIME_LIMIT, Some(key)).await;
+            let key = format!("Token {key}");
+            let key = Some(("Authorization", key.as_str()));
+            let answer = call_with(address, "GET", path, &id, TIME_LIMIT, key).await;
             record.add(format!(
                 "answered {id} {:?}",
                 answer.map(|answer| answer.first)
--- a/review/stand-ins-2/src/client.rs
+++ b/review/stand-ins-2/src/client.rs
@@ -21,14 +21,14 @@
     call_with(address, method, path, id, limit, None).await
 }
 
-/// Does the same with a key.
+/// Does the same with one more header.
 pub async fn call_with(
     address: SocketAddr,
     method: &str,
     path: &str,
     id: &str,
     limit: Duration,
-    key: Option<&str>,
+    more: Option<(&str, &str)>,
 ) -> Option<Message> {
     let calling = async {
         let mut connection = Connection::new(TcpStream::connect(address).await?);
@@ -38,12 +38,7 @@
             ("X-Request-Id", id),
             ("X-Deadline-Ms", limit_ms.as_str()),
         ];
-        let authorization = key.map(|key| format!("Token {key}"));
-        headers.extend(
-            authorization
-                .iter()
-                .map(|value| ("Authorization", value.as_str())),
-        );
+        headers.extend(more);
         let first = format!("{method} {path} HTTP/1.1");
         connection.write(&message(&first, &headers, b"")).await?;
         connection.read().await
