--- a/review/play-2.sh
+++ b/review/play-2.sh
@@ -1,12 +1,14 @@
 #!/usr/bin/env bash
-# Runs one of the stand-ins' programs for the case folder: play-2.sh FOLDER PROGRAM. Exits as issue 56 says.
+# Runs one of the stand-ins' programs, which writes its record to a file: play-2.sh PROGRAM RECORD. Exits as issue 56
+# says.
 set -uo pipefail
-folder="$(cd "$1" && pwd)" || exit 2
+record="$2"
 cd "$(dirname "$0")/.." || exit 2
-program="target/review-stand-ins-2/release/$2"
+program="target/review-stand-ins-2/release/$1"
 [ -x "$program" ] && [ -x target/release/balsamfold-relay ] || { echo "not built" >&2; exit 2; }
+rm -f "$record"
 temporary="$(mktemp -d)" || exit 2
-timeout --kill-after=5 115 "$program" "$folder" "$temporary"
+timeout --kill-after=5 115 "$program" "$record" "$temporary"
 code=$?
 # The program ends its relays itself. If it could not, they are ended here by their ids.
 for pid in $(cat "$temporary"/*.pid 2>/dev/null); do
--- a/review/stand-ins-2/src/record.rs
+++ b/review/stand-ins-2/src/record.rs
@@ -34,15 +34,15 @@
         self.add(line);
     }
 
-    /// Writes `record.txt` into the folder that the first argument of the program names.
+    /// Writes the lines to the file that the first argument of the program names.
     pub fn write(&self) {
-        let folder = std::env::args().nth(1).unwrap_or_else(|| ".".to_owned());
-        let lines = self.lines.lock().expect("no panic");
-        let file = std::fs::File::create(std::path::Path::new(&folder).join("record.txt"));
+        let path = std::env::args().nth(1);
+        let path = path.unwrap_or_else(|| "record.txt".to_owned());
+        let lines = self.lines.lock().expect("no panic").join("\n") + "\n";
         let written =
-            file.and_then(|mut file| file.write_all((lines.join("\n") + "\n").as_bytes()));
+            std::fs::File::create(&path).and_then(|mut file| file.write_all(lines.as_bytes()));
         if let Err(error) = written {
-            eprintln!("record.txt: {error}");
+            eprintln!("{path}: {error}");
         }
     }
 }
