--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod crowd;
 pub mod http;
+pub mod limited;
 pub mod machine;
 pub mod record;
 pub mod server;
