review: case 9, a store that goes back to a released record of rates

A relay that stops as planned releases the role of the holder of the tenants' tokens with a record that carries the levels of its buckets. When the store comes back from a copy in which that record is still free, it is taken over once more and hands the levels over a second time: 280 requests of a tenant run within 5 s, where QUOTA allows 240. Not run on x86-64.

--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -21,6 +21,7 @@
 use crate::http::Message;
 use crate::http::message;
 
+#[derive(Clone)]
 struct Item {
     value: String,
     revision: u64,
@@ -37,6 +38,15 @@
     next_lease: u64,
     is_down: bool,
     turned_away: HashSet<IpAddr>,
+    /// How often the store went back, if it may at all.
+    era: Option<u64>,
+}
+
+/// An earlier state of the store.
+pub struct Copy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    leases: HashMap<u64, Duration>,
 }
 
 impl Content {
@@ -147,6 +157,41 @@
         };
     }
 
+    /// Names its era in all answers from now on.
+    pub fn count_eras(&self) {
+        self.content.lock().expect("no panic").era = Some(1);
+    }
+
+    /// Returns a copy of what it holds now.
+    pub fn copy(&self) -> Copy {
+        let content = self.content.lock().expect("no panic");
+        let leases = content.leases.iter();
+        Copy {
+            revision: content.revision,
+            items: content.items.clone(),
+            leases: leases.map(|(lease, (ttl, _))| (*lease, *ttl)).collect(),
+        }
+    }
+
+    /// Goes back to a copy. What was written since is gone, leases too, but for what the operator wrote.
+    pub fn go_back(&self, copy: &Copy, configuration: &Value) {
+        {
+            let mut content = self.content.lock().expect("no panic");
+            let now = Instant::now();
+            content.revision = copy.revision;
+            content.items = copy.items.clone();
+            content
+                .history
+                .retain(|(revision, _, _)| *revision <= copy.revision);
+            let leases = copy.leases.iter();
+            content.leases = leases
+                .map(|(lease, ttl)| (*lease, (*ttl, now + *ttl)))
+                .collect();
+            content.era = content.era.map(|era| era + 1);
+        }
+        self.publish(configuration);
+    }
+
     /// Returns the decoded values below a prefix.
     pub fn values(&self, prefix: &str) -> Vec<(String, String)> {
         let content = self.content.lock().expect("no panic");
@@ -172,7 +217,10 @@
                 false => self.answer(&request).await,
             };
             let first = format!("HTTP/1.1 {status} S");
-            let headers = [("Content-Type", "application/json")];
+            let era = self.content.lock().expect("no panic").era;
+            let era = era.map(|era| era.to_string());
+            let mut headers = vec![("Content-Type", "application/json")];
+            headers.extend(era.iter().map(|era| ("Store-Era", era.as_str())));
             let bytes = message(&first, &headers, body.to_string().as_bytes());
             // What the store takes for an answer.
             tokio::time::sleep(Duration::from_millis(4)).await;
@@ -267,6 +315,9 @@
             changed.as_mut().enable();
             {
                 let content = self.content.lock().expect("no panic");
+                if after > content.revision {
+                    return (410, json!({ "current-rev": content.revision }));
+                }
                 let events: Vec<Value> = content
                     .history
                     .iter()
